--- /dev/null
+++ b/src/libs/errors/result.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "errors/errorkind.h"
+
+#include <boost/outcome/result.hpp>
+
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace Lagoonbank::Errors {
+
+/// An error of the closed list with what is known of this one case.
+struct Error
+{
+    ErrorKind kind = ErrorKind::Internal;
+    std::string detail; ///< What was wrong and what would be right; never keys, prompts or tokens.
+    Ran ran = Ran::Unknown;
+};
+
+inline Error makeError(ErrorKind kind, std::string detail = {})
+{
+    return {kind, std::move(detail), errorRow(kind).ran};
+}
+
+inline std::ostream &operator<<(std::ostream &stream, const Error &error)
+{
+    stream << toString(error.kind);
+    if (!error.detail.empty())
+        stream << ": " << error.detail;
+    return stream;
+}
+
+/// A value or an Error; reading the wrong one is a programming error and terminates.
+template<typename T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+
+} // namespace Lagoonbank::Errors
--- /dev/null
+++ b/src/libs/http/headers.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lagoonbank::Http {
+
+struct Header
+{
+    std::string name; ///< Lower case.
+    std::string value;
+};
+
+/// Header fields in the order in which they came; names compare without case.
+class Headers
+{
+public:
+    Headers() = default;
+    Headers(std::initializer_list<Header> fields);
+
+    void add(std::string_view name, std::string_view value);
+    /// The first field of that name.
+    std::optional<std::string_view> find(std::string_view name) const;
+    const std::vector<Header> &fields() const { return m_fields; }
+
+private:
+    std::vector<Header> m_fields;
+};
+
+/// Whether \a value may stand in a header: no control characters, so that none can be injected.
+bool isSafeHeaderValue(std::string_view value);
+
+} // namespace Lagoonbank::Http
--- /dev/null
+++ b/src/libs/http/server.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "base/units.h"
+#include "errors/result.h"
+#include "http/headers.h"
+#include "runtime/udpsocket.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Lagoonbank::Runtime {
+class Loop;
+}
+
+namespace Lagoonbank::Http {
+
+/// One whole request of a caller.
+struct Request
+{
+    std::string method;
+    std::string path; ///< Without the query.
+    std::string query; ///< Without the question mark; empty if there is none.
+    Headers headers;
+    std::string body;
+    Runtime::SocketAddress peer;
+};
+
+/// The answer to one request; can outlive the connection. After end(), abort() or gone, calls do
+/// nothing.
+class Responder
+{
+public:
+    virtual ~Responder() = default;
+
+    /// A whole answer with Content-Length.
+    virtual void send(int status, const Headers &headers, std::string body) = 0;
+    /// The head of a streamed answer.
+    virtual void begin(int status, const Headers &headers) = 0;
+    /// Queues a piece of a streamed answer.
+    virtual void write(std::string_view piece) = 0;
+    /// Ends a streamed answer as whole.
+    virtual void end() = 0;
+    /// Breaks the answer off so that the caller can see that it is not whole.
+    virtual void abort() = 0;
+    /// Bytes written but not yet taken by the connection.
+    virtual std::size_t queuedBytes() const = 0;
+    virtual bool isGone() const = 0;
+    /// Called once if the caller leaves before the answer has ended.
+    virtual void setGone(std::function<void()> gone) = 0;
+};
+
+/// An HTTP/1.1 and HTTP/2 server on the loop, with TLS if certificates are given.
+class Server
+{
+public:
+    struct Tls
+    {
+        std::string certificateFile; ///< PEM
+        std::string keyFile; ///< PEM
+    };
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Runtime::SocketAddress address; ///< Port 0 takes a free one.
+        std::size_t maxBodyBytes = 8 * 1024 * 1024;
+        Base::Duration requestTimeout =
+            std::chrono::seconds(10); ///< For a whole request to come in.
+        std::optional<Tls> tls;
+    };
+    using Handler = std::function<void(Request request, std::shared_ptr<Responder> responder)>;
+
+    explicit Server(Options options);
+    ~Server();
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    void setHandler(Handler handler);
+    Errors::Result<void> listen();
+    const Runtime::SocketAddress &address() const;
+    /// Reads the certificate files again; on an error the old ones stay in use.
+    Errors::Result<void> reloadTls();
+    /// Takes no new connections; open ones are told to close after their current answer.
+    void stopAccepting();
+    std::size_t openConnections() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Lagoonbank::Http
--- /dev/null
+++ b/src/libs/runtime/timerqueue.cpp
@@ -0,0 +1,62 @@
+#include "runtime/timerqueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Runtime {
+
+TimerId TimerQueue::start(Base::Duration delay, Callback callback)
+{
+    const TimerId id{++m_lastId};
+    m_entries.push({m_clock.now() + std::max(delay, Base::Duration::zero()), id});
+    m_callbacks.emplace(id, std::move(callback));
+    return id;
+}
+
+void TimerQueue::cancel(TimerId timer)
+{
+    m_callbacks.erase(timer);
+}
+
+std::optional<Base::MonoTime> TimerQueue::nextDue()
+{
+    dropCancelled();
+    if (m_entries.empty())
+        return std::nullopt;
+    return m_entries.top().due;
+}
+
+std::size_t TimerQueue::runDue()
+{
+    // Timers started from a callback wait for the next call, so that a zero delay cannot spin here.
+    const Base::MonoTime now = m_clock.now();
+    const TimerId last{m_lastId};
+    std::size_t count = 0;
+    std::vector<Entry> later;
+    while (!m_entries.empty() && m_entries.top().due <= now) {
+        const Entry entry = m_entries.top();
+        m_entries.pop();
+        if (entry.id > last) {
+            later.push_back(entry);
+            continue;
+        }
+        auto found = m_callbacks.find(entry.id);
+        if (found == m_callbacks.end())
+            continue;
+        const Callback callback = std::move(found->second);
+        m_callbacks.erase(found);
+        callback();
+        ++count;
+    }
+    for (const Entry &entry : later)
+        m_entries.push(entry);
+    return count;
+}
+
+void TimerQueue::dropCancelled()
+{
+    while (!m_entries.empty() && !m_callbacks.contains(m_entries.top().id))
+        m_entries.pop();
+}
+
+} // namespace Lagoonbank::Runtime
