--- a/src/libs/exchange/answers.cpp
+++ b/src/libs/exchange/answers.cpp
@@ -26,13 +26,13 @@
 
 Json chunk(const Base::RequestId &request, const Base::ModelId &model, Json delta, Json finish)
 {
-    return {{"id", request.value()},
-            {"object", "chat.completion.chunk"},
-            {"model", model.value()},
-            {"choices",
-             Json::array({{{"index", 0},
-                           {"delta", std::move(delta)},
-                           {"finish_reason", std::move(finish)}}})}};
+    return {
+        {"id", request.value()},
+        {"object", "chat.completion.chunk"},
+        {"model", model.value()},
+        {"choices",
+         Json::array(
+             {{{"index", 0}, {"delta", std::move(delta)}, {"finish_reason", std::move(finish)}}})}};
 }
 
 std::string event(const Json &json)
@@ -48,10 +48,10 @@
     std::string message(row.text);
     if (!refusal.error.detail.empty())
         message += ' ' + refusal.error.detail;
-    Json error {{"kind", row.name},
-                {"ran", Errors::toString(refusal.error.ran)},
-                {"message", message},
-                {"request_id", request.value()}};
+    Json error{{"kind", row.name},
+               {"ran", Errors::toString(refusal.error.ran)},
+               {"message", message},
+               {"request_id", request.value()}};
     if (!refusal.limit.empty())
         error["limit"] = refusal.limit;
     if (!refusal.contractLine.empty())
@@ -61,7 +61,7 @@
 
 Http::Headers refusalHeaders(const Refusal &refusal)
 {
-    Http::Headers headers {{"content-type", "application/json"}};
+    Http::Headers headers{{"content-type", "application/json"}};
     if (refusal.retryAfter) {
         const auto wait = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter).count();
         headers.add("retry-after", std::to_string(std::max<std::int64_t>(wait, 1)));
--- a/src/libs/exchange/eventstream.cpp
+++ b/src/libs/exchange/eventstream.cpp
@@ -50,10 +50,10 @@
 
     StreamEvent read;
     if (body.value("done", false)) {
-        read.done = StreamDone {.tokens = Base::Tokens(number(body, "n")),
-                                .promptTokens = Base::Tokens(number(body, "prompt_tokens")),
-                                .cachedTokens = Base::Tokens(number(body, "cached_tokens")),
-                                .requestId = text(body, "request_id")};
+        read.done = StreamDone{.tokens = Base::Tokens(number(body, "n")),
+                               .promptTokens = Base::Tokens(number(body, "prompt_tokens")),
+                               .cachedTokens = Base::Tokens(number(body, "cached_tokens")),
+                               .requestId = text(body, "request_id")};
         event(read);
         return true;
     }
--- /dev/null
+++ b/src/libs/exchange/exchange.cpp
@@ -0,0 +1,362 @@
+#include "exchange/exchange.h"
+
+#include "runtime/loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Exchange {
+
+using Errors::Error;
+using Errors::ErrorKind;
+using Errors::Ran;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr Base::Duration noClientTimeout = std::chrono::hours(24);
+
+Error kindOfCallEnd(const Http::CallResult &result)
+{
+    const Ran ran = result.mayHaveLeft ? Ran::Unknown : Ran::No;
+    switch (result.end) {
+    case Http::CallEnd::NotConnected:
+        return {ErrorKind::EndpointUnreachable, {}, Ran::No};
+    case Http::CallEnd::TimedOut:
+        return {ErrorKind::EndpointTimeout, {}, ran};
+    case Http::CallEnd::Whole:
+    case Http::CallEnd::Broken:
+    case Http::CallEnd::TooLarge:
+        break;
+    }
+    return {ErrorKind::EndpointBroke, {}, ran};
+}
+
+} // namespace
+
+Exchange::Exchange(Options options)
+    : m_options(std::move(options))
+{ }
+
+Exchange::~Exchange() = default;
+
+Base::MonoTime Exchange::now() const
+{
+    return m_options.loop->clock().now();
+}
+
+void Exchange::start()
+{
+    const auto self = shared_from_this();
+    m_options.responder->setGone([self] { self->callerLeft(); });
+    m_deadlineTimer = m_options.loop->timers().start(m_options.route.deadline - now(),
+                                                     [self] { self->deadlinePassed(); });
+    place();
+}
+
+void Exchange::place()
+{
+    const auto self = shared_from_this();
+    Abandon abandon = m_options.hooks.place(
+        m_options.route, [self](Placement placement) { self->placed(std::move(placement)); });
+    if (!m_target && !m_finished)
+        m_abandon = std::move(abandon);
+}
+
+void Exchange::placed(Placement placement)
+{
+    m_abandon = nullptr;
+    if (m_finished)
+        return;
+    if (auto *refusal = std::get_if<Refusal>(&placement)) {
+        refusal->error.ran = ranSoFar();
+        giveUp(std::move(*refusal));
+        return;
+    }
+    m_target = std::get<Target>(std::move(placement));
+    startAttempt(false);
+}
+
+void Exchange::startAttempt(bool resume)
+{
+    m_left = false;
+    m_status = 0;
+    m_load.clear();
+    m_attemptTokens = 0;
+    m_resumed = resume;
+    m_attemptStarted = now();
+    m_lastProgress = m_attemptStarted;
+    m_options.hooks.attemptStarted(*m_target);
+
+    Http::Call call = makeCall(*m_target, resume);
+    call.server = m_target->address;
+    call.headers.add("x-request-id", m_options.request.value());
+    call.connectTimeout = m_options.timeouts.connect;
+    call.headTimeout = m_options.timeouts.head;
+    call.progressTimeout = noClientTimeout;
+    call.totalTimeout = noClientTimeout;
+
+    const auto self = shared_from_this();
+    m_call = m_options.client->start(
+        std::move(call),
+        {.leaving = [self] { self->m_left = true; },
+         .headReceived =
+             [self](int status, const Http::Headers &headers) {
+                 self->m_status = status;
+                 self->noteProgress();
+                 self->m_load = std::string(headers.find("x-load").value_or(""));
+                 if (!self->m_load.empty())
+                     self->m_options.hooks.loadReported(self->m_target->endpoint, self->m_load);
+                 const auto echo = headers.find("x-request-id");
+                 if (echo && *echo != self->m_options.request.value()) {
+                     self->failAttempt({ErrorKind::AnswerMismatch, {}, Ran::Unknown});
+                     return;
+                 }
+                 self->onHead(status, headers);
+             },
+         .bodyReceived =
+             [self](std::string_view piece) {
+                 self->noteProgress();
+                 self->onPiece(piece);
+             },
+         .finished = [self](Http::CallResult result) { self->callFinished(std::move(result)); }});
+    watchProgress();
+}
+
+void Exchange::noteProgress()
+{
+    m_lastProgress = now();
+}
+
+void Exchange::setFirstToken()
+{
+    if (!m_end.firstToken)
+        m_end.firstToken = now();
+}
+
+void Exchange::countAnswerTokens(std::int64_t count)
+{
+    m_attemptTokens += count;
+    m_end.answerTokens += Base::Tokens(count);
+}
+
+void Exchange::setCachedTokens(Base::Tokens tokens)
+{
+    m_end.cachedTokens = tokens;
+}
+
+Base::Duration Exchange::silenceLimit() const
+{
+    const Timeouts &timeouts = m_options.timeouts;
+    if (m_attemptTokens > 0)
+        return timeouts.betweenTokens;
+    // A long prompt takes long until its first token; that is no sign of a silent connection.
+    const auto uncached = std::max<std::int64_t>(
+        0, m_options.route.promptTokens.value() - m_target->expectedCached.value());
+    return timeouts.firstToken + timeouts.perPromptToken * uncached;
+}
+
+void Exchange::watchProgress()
+{
+    const Base::Duration wait = m_lastProgress + silenceLimit() - now();
+    const auto self = shared_from_this();
+    m_progressTimer = m_options.loop->timers().start(wait, [self] {
+        self->m_progressTimer.reset();
+        if (self->m_finished || !self->m_call)
+            return;
+        if (self->now() < self->m_lastProgress + self->silenceLimit()) {
+            self->watchProgress();
+            return;
+        }
+        self->failAttempt({ErrorKind::EndpointTimeout, {}, self->m_left ? Ran::Unknown : Ran::No});
+    });
+}
+
+void Exchange::callFinished(Http::CallResult result)
+{
+    m_call.reset();
+    if (m_finished)
+        return;
+    if (result.end != Http::CallEnd::Whole) {
+        failAttempt(kindOfCallEnd(result));
+        return;
+    }
+    if (result.headers.find("x-ran") == "no") {
+        refuseByStatus(result.status, result.headers);
+        return;
+    }
+    onCallWhole(std::move(result));
+}
+
+void Exchange::refuseByStatus(int status, const Http::Headers & /*headers*/)
+{
+    failAttempt({ErrorKind::EndpointRefused, "Status " + std::to_string(status) + ".", Ran::No});
+}
+
+void Exchange::stopCall()
+{
+    if (m_call)
+        m_options.client->cancel(*m_call);
+    m_call.reset();
+    if (m_progressTimer)
+        m_options.loop->timers().cancel(*m_progressTimer);
+    m_progressTimer.reset();
+}
+
+void Exchange::endAttempt(bool whole, Error error)
+{
+    stopCall();
+    AttemptResult result{.endpoint = m_target->endpoint,
+                         .started = m_attemptStarted,
+                         .ended = now(),
+                         .work = m_target->work,
+                         .whole = whole,
+                         .error = std::move(error),
+                         .load = m_load,
+                         .cachedTokens = m_end.cachedTokens,
+                         .answerTokens = Base::Tokens(m_attemptTokens),
+                         .resumed = m_resumed};
+    if (!whole && result.error.ran != Ran::No)
+        m_mayHaveRun = true;
+    m_end.endpoint = m_target->endpoint;
+    m_end.attempts.push_back(result);
+    m_options.hooks.attemptEnded(result);
+}
+
+void Exchange::failAttempt(Error error)
+{
+    const auto self = shared_from_this();
+    endAttempt(false, error);
+    const RetryVerdict verdict =
+        m_options.hooks.decide({.workspace = m_options.route.workspace,
+                                .attempt = m_end.attempts.back(),
+                                .attempts = static_cast<int>(m_end.attempts.size()),
+                                .idempotent = m_options.idempotent,
+                                .resumable = m_options.resumable && error.ran != Ran::No,
+                                .deadline = m_options.route.deadline});
+    nextStep(verdict, error);
+}
+
+void Exchange::nextStep(const RetryVerdict &verdict, const Error &error)
+{
+    if (verdict.step == NextStep::GiveUp) {
+        Error last = error;
+        last.kind = verdict.kind.value_or(error.kind);
+        last.ran = ranSoFar();
+        giveUp({.error = std::move(last)});
+        return;
+    }
+    const bool resume = verdict.step == NextStep::Resume;
+    if (!resume) {
+        // The engine may still be running it; nobody waits there any more.
+        cancelUpstream(*m_target);
+        m_options.route.avoid.push_back(m_target->endpoint);
+    }
+    const auto self = shared_from_this();
+    m_retryTimer = m_options.loop->timers().start(verdict.delay, [self, resume] {
+        self->m_retryTimer.reset();
+        if (self->m_finished)
+            return;
+        if (resume) {
+            self->startAttempt(true);
+            return;
+        }
+        self->m_target.reset();
+        self->place();
+    });
+}
+
+Ran Exchange::ranSoFar() const
+{
+    return m_mayHaveRun ? Ran::Unknown : Ran::No;
+}
+
+Http::Headers Exchange::answerHeaders() const
+{
+    Http::Headers headers;
+    headers.add("x-request-id", m_options.request.value());
+    headers.add("x-endpoint", m_target->endpoint.value());
+    if (!m_target->placementToken.empty())
+        headers.add("x-placement", m_target->placementToken);
+    return headers;
+}
+
+void Exchange::finishWhole(int status)
+{
+    endAttempt(true, {});
+    ExchangeEnd end = std::move(m_end);
+    end.whole = true;
+    end.status = status;
+    finish(std::move(end));
+}
+
+void Exchange::endBroken(const Refusal & /*refusal*/)
+{
+    m_options.responder->abort();
+}
+
+void Exchange::giveUp(Refusal refusal)
+{
+    ExchangeEnd end = std::move(m_end);
+    end.status = Errors::errorRow(refusal.error.kind).httpStatus;
+    if (hasBegun()) {
+        end.cutOff = true;
+        end.status = statusOk;
+        endBroken(refusal);
+    } else if (!m_options.responder->isGone()) {
+        Http::Headers headers = refusalHeaders(refusal);
+        headers.add("x-request-id", m_options.request.value());
+        m_options.responder->send(end.status, headers, refusalBody(refusal, m_options.request));
+    }
+    end.refusal = std::move(refusal);
+    finish(std::move(end));
+}
+
+void Exchange::callerLeft()
+{
+    if (m_finished)
+        return;
+    const bool isRunning = m_call.has_value();
+    const bool mayHaveLeft = m_left;
+    if (isRunning) {
+        const Error error{ErrorKind::CallerLeft, {}, mayHaveLeft ? Ran::Unknown : Ran::No};
+        endAttempt(false, error);
+        if (mayHaveLeft)
+            cancelUpstream(*m_target);
+    }
+    ExchangeEnd end = std::move(m_end);
+    end.refusal = Refusal{.error = {ErrorKind::CallerLeft, {}, ranSoFar()}};
+    end.cutOff = hasBegun();
+    finish(std::move(end));
+}
+
+void Exchange::deadlinePassed()
+{
+    m_deadlineTimer.reset();
+    if (m_finished)
+        return;
+    if (m_call) {
+        endAttempt(false, {ErrorKind::DeadlinePassed, {}, m_left ? Ran::Unknown : Ran::No});
+        cancelUpstream(*m_target);
+    }
+    giveUp({.error = {ErrorKind::DeadlinePassed, {}, ranSoFar()}});
+}
+
+void Exchange::finish(ExchangeEnd end)
+{
+    m_finished = true;
+    if (m_abandon)
+        std::exchange(m_abandon, nullptr)();
+    stopCall();
+    Runtime::TimerQueue &timers = m_options.loop->timers();
+    if (m_deadlineTimer)
+        timers.cancel(*m_deadlineTimer);
+    if (m_retryTimer)
+        timers.cancel(*m_retryTimer);
+    m_options.responder->setGone(nullptr);
+    const auto finished = std::exchange(m_options.hooks.finished, nullptr);
+    end.promptTokens = m_options.route.promptTokens;
+    finished(std::move(end));
+}
+
+} // namespace Lagoonbank::Exchange
--- /dev/null
+++ b/src/libs/exchange/exchange.h
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "errors/result.h"
+#include "exchange/answers.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "runtime/timerqueue.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Lagoonbank::Runtime {
+class Loop;
+}
+
+namespace Lagoonbank::Exchange {
+
+/// What a placement needs to know of a request.
+struct RouteQuery
+{
+    Base::WorkspaceId workspace;
+    Base::ModelId model; ///< Empty for a call of a service.
+    Base::ServiceId service; ///< Empty for a call of a model.
+    Base::ChatId chat;
+    std::string placementToken; ///< As the caller sent it; not yet checked.
+    Base::Tokens promptTokens;
+    Base::Tokens maxTokens;
+    int priority = 0; ///< 0 is most urgent.
+    Base::MonoTime deadline;
+    std::vector<Base::EndpointId> avoid; ///< Endpoints that have failed this request.
+};
+
+/// Where a request goes.
+struct Target
+{
+    Base::EndpointId endpoint;
+    Runtime::SocketAddress address;
+    Base::WorkUnits work; ///< What the request is expected to cost there.
+    Base::Tokens expectedCached;
+    std::string placementToken; ///< For the answer; empty if there is none.
+};
+
+using Placement = std::variant<Target, Refusal>;
+/// Drops a placement that is still waiting.
+using Abandon = std::function<void()>;
+
+/// How one attempt at an endpoint ended.
+struct AttemptResult
+{
+    Base::EndpointId endpoint;
+    Base::MonoTime started;
+    Base::MonoTime ended;
+    Base::WorkUnits work;
+    bool whole = false;
+    Errors::Error error; ///< Meaningful if not whole.
+    std::string load; ///< The endpoint's X-Load header; empty if none came.
+    Base::Tokens cachedTokens;
+    Base::Tokens answerTokens; ///< Tokens that came in this attempt.
+    bool resumed = false; ///< The attempt resumed the stream of the one before.
+};
+
+enum class NextStep : std::uint8_t { GiveUp, Resume, TryElsewhere };
+
+struct RetryVerdict
+{
+    NextStep step = NextStep::GiveUp;
+    Base::Duration delay{};
+    std::optional<Errors::ErrorKind>
+        kind; ///< Replaces the attempt's error if the exchange gives up.
+};
+
+/// What decides about a further attempt.
+struct RetryQuery
+{
+    Base::WorkspaceId workspace;
+    AttemptResult attempt;
+    int attempts = 1; ///< Attempts made so far.
+    bool idempotent = true;
+    bool resumable = false;
+    Base::MonoTime deadline;
+};
+
+/// How a request ended, for the outcome ring and the accounts of admission.
+struct ExchangeEnd
+{
+    bool whole = false;
+    std::optional<Refusal> refusal; ///< Set if not whole.
+    bool cutOff = false; ///< The caller got a part and then a clear end.
+    int status = 0; ///< Of the answer to the caller; 0 if the caller had left.
+    Base::EndpointId endpoint; ///< Of the last attempt; empty if there was none.
+    std::vector<AttemptResult> attempts;
+    Base::Tokens promptTokens;
+    Base::Tokens cachedTokens;
+    Base::Tokens answerTokens;
+    std::optional<Base::MonoTime> firstToken;
+};
+
+/// What an exchange asks of the router. All are called on the loop.
+struct Hooks
+{
+    /// Finds an endpoint; \a placed is called once, at once or later, unless abandoned.
+    std::function<Abandon(const RouteQuery &query, std::function<void(Placement)> placed)> place;
+    std::function<void(const Target &target)> attemptStarted;
+    std::function<void(const AttemptResult &result)> attemptEnded;
+    std::function<RetryVerdict(const RetryQuery &query)> decide;
+    std::function<void(const Base::EndpointId &endpoint, std::string_view load)> loadReported;
+    std::function<void(ExchangeEnd end)> finished; ///< Called once, last.
+};
+
+struct Timeouts
+{
+    Base::Duration connect = std::chrono::milliseconds(500);
+    Base::Duration head = std::chrono::seconds(5); ///< To the head of the answer.
+    Base::Duration firstToken = std::chrono::seconds(5); ///< Besides the time for the prompt.
+    Base::Duration perPromptToken = std::chrono::microseconds(500); ///< Added to firstToken.
+    Base::Duration betweenTokens = std::chrono::seconds(2);
+};
+
+/// One caller's request on its way: attempts at endpoints, then one answer. One attempt runs at a
+/// time.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Http::Client *client = nullptr;
+        Hooks hooks;
+        Timeouts timeouts;
+        Base::RequestId request;
+        RouteQuery route;
+        std::shared_ptr<Http::Responder> responder;
+        bool idempotent = true;
+        bool resumable = false;
+    };
+
+    explicit Exchange(Options options);
+    virtual ~Exchange();
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    void start();
+    const Base::RequestId &request() const { return m_options.request; }
+
+protected:
+    /// Prepares the call of an attempt at \a target.
+    virtual Http::Call makeCall(const Target &target, bool resume) = 0;
+    virtual void onHead(int status, const Http::Headers &headers) = 0;
+    virtual void onPiece(std::string_view piece) = 0;
+    /// The answer's head was 200 or the kind of call passes any status on; the call has ended.
+    virtual void onCallWhole(Http::CallResult result) = 0;
+    /// Whether a part of the answer has gone to the caller, so that a status can no longer be sent.
+    virtual bool hasBegun() const { return false; }
+    virtual void endBroken(const Refusal &refusal);
+    /// Tells the endpoint that nobody waits for the running attempt any more.
+    virtual void cancelUpstream(const Target & /*target*/) { }
+
+    /// Ends the running attempt with \a error and decides what comes next.
+    void failAttempt(Errors::Error error);
+    void finishWhole(int status);
+    void noteProgress();
+    void setFirstToken();
+    void countAnswerTokens(std::int64_t count);
+    void setCachedTokens(Base::Tokens tokens);
+    const Options &options() const { return m_options; }
+    const Target &target() const { return *m_target; }
+    Base::MonoTime now() const;
+    Http::Headers answerHeaders() const;
+
+private:
+    void place();
+    void placed(Placement placement);
+    void startAttempt(bool resume);
+    void callFinished(Http::CallResult result);
+    void refuseByStatus(int status, const Http::Headers &headers);
+    void endAttempt(bool whole, Errors::Error error);
+    void stopCall();
+    void watchProgress();
+    Base::Duration silenceLimit() const;
+    void nextStep(const RetryVerdict &verdict, const Errors::Error &error);
+    void giveUp(Refusal refusal);
+    void callerLeft();
+    void deadlinePassed();
+    Errors::Ran ranSoFar() const;
+    void finish(ExchangeEnd end);
+
+    Options m_options;
+    bool m_finished = false;
+    Abandon m_abandon;
+    std::optional<Target> m_target;
+    std::optional<Http::CallId> m_call;
+    bool m_left = false; ///< A byte of the running attempt may have left.
+    bool m_mayHaveRun = false; ///< An attempt before may have run.
+    int m_status = 0;
+    std::string m_load;
+    Base::MonoTime m_attemptStarted;
+    Base::MonoTime m_lastProgress;
+    bool m_resumed = false;
+    std::int64_t m_attemptTokens = 0;
+    std::optional<Runtime::TimerId> m_progressTimer;
+    std::optional<Runtime::TimerId> m_deadlineTimer;
+    std::optional<Runtime::TimerId> m_retryTimer;
+    ExchangeEnd m_end;
+};
+
+} // namespace Lagoonbank::Exchange
--- a/src/libs/exchange/modelcall.cpp
+++ b/src/libs/exchange/modelcall.cpp
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cctype>
+#include <charconv>
 #include <string_view>
 
 namespace Lagoonbank::Exchange {
@@ -163,7 +163,8 @@
     const char *end = text->data() + text->size();
     const auto [stop, error] = std::from_chars(text->data(), end, value);
     if (error != std::errc() || stop != end || value < 1 || value > longestDeadlineMs)
-        return badRequest("X-Deadline-Ms is not a whole number of milliseconds from 1 to 86400000.");
+        return badRequest(
+            "X-Deadline-Ms is not a whole number of milliseconds from 1 to 86400000.");
     return std::optional<Base::Duration>(std::chrono::milliseconds(value));
 }
 
@@ -173,8 +174,9 @@
     const auto field = headers.find("authorization");
     if (!field)
         return Errors::makeError(ErrorKind::MissingKey, "Send Authorization: Bearer <key>.");
-    const auto sameLetter
-        = [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; };
+    const auto sameLetter = [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) == b;
+    };
     if (field->size() <= scheme.size()
         || !std::equal(scheme.begin(), scheme.end(), field->begin(),
                        [&](char a, char b) { return sameLetter(b, a); }))
--- a/src/libs/exchange/modelcall.h
+++ b/src/libs/exchange/modelcall.h
@@ -22,7 +22,8 @@
     std::string priority; ///< Name of a priority of the contract; empty for its default.
 };
 
-/// Reads the body of POST /v1/chat/completions; BadRequest says what is wrong and what would be right.
+/// Reads the body of POST /v1/chat/completions; BadRequest says what is wrong and what would be
+/// right.
 Errors::Result<ModelCall> readModelCall(const Http::Request &request);
 
 /// The caller's X-Deadline-Ms; BadRequest if it is no whole number from 1 to a day.
@@ -31,7 +32,9 @@
 /// The key of an "Authorization: Bearer <key>" header; MissingKey if there is none.
 Errors::Result<std::string> readBearerKey(const Http::Headers &headers);
 
-/// The Idempotency-Key header, if there is one; BadRequest if it is empty or longer than 200 characters.
-Errors::Result<std::optional<Base::IdempotencyKey>> readIdempotencyKey(const Http::Headers &headers);
+/// The Idempotency-Key header, if there is one; BadRequest if it is empty or longer than 200
+/// characters.
+Errors::Result<std::optional<Base::IdempotencyKey>>
+readIdempotencyKey(const Http::Headers &headers);
 
 } // namespace Lagoonbank::Exchange
--- /dev/null
+++ b/src/libs/exchange/modelexchange.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "exchange/eventstream.h"
+#include "exchange/exchange.h"
+#include "exchange/modelcall.h"
+
+namespace Lagoonbank::Exchange {
+
+/// A chat completion: streams tokens from an engine, resumes a broken stream at its offset, else
+/// goes on elsewhere with the tokens that the caller has already.
+class ModelExchange final : public Exchange
+{
+public:
+    ModelExchange(Options options, ModelCall call);
+
+protected:
+    Http::Call makeCall(const Target &target, bool resume) override;
+    void onHead(int status, const Http::Headers &headers) override;
+    void onPiece(std::string_view piece) override;
+    void onCallWhole(Http::CallResult result) override;
+    bool hasBegun() const override { return m_begun; }
+    void endBroken(const Refusal &refusal) override;
+    void cancelUpstream(const Target &target) override;
+
+private:
+    void onEvent(const StreamEvent &event);
+    void forward();
+    void answerWhole();
+
+    ModelCall m_call;
+    EventStreamReader m_reader;
+    std::int64_t m_nextIndex = 0; ///< Tokens that have come so far, over all attempts.
+    std::string m_text; ///< All tokens so far.
+    std::string m_unsent; ///< Tokens that have come but are not yet written to the caller.
+    std::optional<StreamDone> m_done;
+    bool m_begun = false;
+    bool m_isStream = false; ///< The running attempt's head was that of a stream.
+    bool m_isMalformed = false;
+};
+
+} // namespace Lagoonbank::Exchange
--- /dev/null
+++ b/src/libs/exchange/serviceexchange.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "exchange/exchange.h"
+
+namespace Lagoonbank::Exchange {
+
+/// A call of a plain service as it goes to the endpoint.
+struct ServiceCall
+{
+    std::string method;
+    std::string target; ///< Path after the service's name, and the query.
+    std::string body;
+    std::string contentType;
+    std::optional<Base::IdempotencyKey> key;
+};
+
+/// The whole answer of a service.
+struct ServiceAnswer
+{
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+/// A call of a plain service. The answer goes to the caller only when it is whole.
+class ServiceExchange final : public Exchange
+{
+public:
+    /// Called with the whole answer before the caller gets it, so that it can be recorded.
+    using Answered = std::function<void(const ServiceAnswer &answer)>;
+
+    ServiceExchange(Options options, ServiceCall call, Answered answered);
+
+protected:
+    Http::Call makeCall(const Target &target, bool resume) override;
+    void onHead(int status, const Http::Headers &headers) override;
+    void onPiece(std::string_view piece) override;
+    void onCallWhole(Http::CallResult result) override;
+
+private:
+    ServiceCall m_call;
+    Answered m_answered;
+    std::string m_body;
+};
+
+} // namespace Lagoonbank::Exchange
