--- /dev/null
+++ b/src/libs/experiment/recordreader.cpp
@@ -0,0 +1,137 @@
+#include "experiment/recordreader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Lagoonbank::Experiment {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string textOf(const Json &json, const char *key)
+{
+    const auto found = json.find(key);
+    return found != json.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::optional<std::int64_t> numberOf(const Json &json, const char *key)
+{
+    const auto found = json.find(key);
+    if (found == json.end() || !found->is_number())
+        return std::nullopt;
+    return found->get<std::int64_t>();
+}
+
+Errors::Ran ranOf(const std::string &text)
+{
+    if (text == "no")
+        return Errors::Ran::No;
+    return text == "yes" ? Errors::Ran::Yes : Errors::Ran::Unknown;
+}
+
+LedgerEntry entryOf(const Json &json)
+{
+    return {
+        .requestId = textOf(json, "request_id"),
+        .key = textOf(json, "key"),
+        .state = textOf(json, "state"),
+        .startedMs = numberOf(json, "started_ms").value_or(0),
+        .cachedTokens = numberOf(json, "cached_tokens"),
+        .promptTokens = numberOf(json, "prompt_tokens"),
+        .tokens = numberOf(json, "tokens"),
+    };
+}
+
+const Json *listOf(const Json &json, const char *key)
+{
+    if (json.is_array())
+        return &json;
+    if (!json.is_object())
+        return nullptr;
+    const auto found = json.find(key);
+    return found != json.end() && found->is_array() ? &*found : nullptr;
+}
+
+} // namespace
+
+Errors::Result<Ledger> readLedger(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    const Json *list = listOf(parsed, "entries");
+    if (!list)
+        return Errors::makeError(Errors::ErrorKind::BadMessage, "a ledger has 'entries'");
+    Ledger ledger;
+    ledger.isWhole = !parsed.is_object() || numberOf(parsed, "dropped").value_or(0) == 0;
+    ledger.entries.reserve(list->size());
+    for (const Json &item : *list) {
+        if (!item.is_object())
+            continue;
+        LedgerEntry entry = entryOf(item);
+        if (!entry.requestId.empty())
+            ledger.entries.push_back(std::move(entry));
+    }
+    return ledger;
+}
+
+Errors::Result<std::vector<OutcomeRecord>> readOutcomes(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    const Json *list = listOf(parsed, "outcomes");
+    if (!list)
+        return Errors::makeError(Errors::ErrorKind::BadMessage, "outcomes are a list");
+    std::vector<OutcomeRecord> outcomes;
+    outcomes.reserve(list->size());
+    for (const Json &item : *list) {
+        if (!item.is_object())
+            continue;
+        outcomes.push_back({textOf(item, "request_id"), textOf(item, "outcome"),
+                            textOf(item, "ran"), textOf(item, "endpoint")});
+    }
+    return outcomes;
+}
+
+Errors::Result<EngineLoad> readEngineLoad(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("work") || !parsed["work"].is_number())
+        return Errors::makeError(Errors::ErrorKind::BadMessage, "a load report has 'work'");
+    EngineLoad load;
+    load.work = parsed["work"].get<double>();
+    const auto capacity = parsed.find("capacity");
+    if (capacity != parsed.end() && capacity->is_number())
+        load.capacity = capacity->get<double>();
+    return load;
+}
+
+std::optional<ErrorBody> readErrorBody(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    if (!parsed.is_object())
+        return std::nullopt;
+    const auto error = parsed.find("error");
+    const Json &body = error == parsed.end() ? parsed : *error;
+    if (!body.is_object() || !body.contains("kind"))
+        return std::nullopt;
+    return ErrorBody{
+        .kind = textOf(body, "kind"),
+        .limit = textOf(body, "limit"),
+        .requestId = textOf(body, "request_id"),
+        .ran = ranOf(textOf(body, "ran")),
+    };
+}
+
+std::optional<std::string> readChatAnswer(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    if (!parsed.is_object())
+        return std::nullopt;
+    const auto choices = parsed.find("choices");
+    if (choices == parsed.end() || !choices->is_array() || choices->empty())
+        return std::nullopt;
+    const Json &choice = choices->front();
+    if (!choice.is_object() || !choice.contains("message") || !choice["message"].is_object())
+        return std::nullopt;
+    return textOf(choice["message"], "content");
+}
+
+} // namespace Lagoonbank::Experiment
