--- a/cmake/LagoonbankTargets.cmake
+++ b/cmake/LagoonbankTargets.cmake
@@ -3,6 +3,10 @@
 add_library(lagoonbank_options INTERFACE)
 target_compile_options(lagoonbank_options INTERFACE -Wall -Wextra -Wpedantic -Werror
     -Wno-missing-field-initializers)
+# GCC 12 reports a false overlap where a literal and a string are added (GCC bug 105329).
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
+    target_compile_options(lagoonbank_options INTERFACE -Wno-restrict)
+endif()
 target_include_directories(lagoonbank_options INTERFACE ${CMAKE_SOURCE_DIR}/src/libs)
 target_compile_definitions(lagoonbank_options INTERFACE BOOST_TEST_DYN_LINK)
 if(LAGOONBANK_SANITIZE)
--- a/src/libs/http/headers.h
+++ b/src/libs/http/headers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,7 +30,10 @@
     std::vector<Header> m_fields;
 };
 
-/// Whether \a value may stand in a header: no control characters, so that none can be injected.
+/// Whether \a value may stand in a header: no control characters but tab, so that no header can be
+/// injected.
 bool isSafeHeaderValue(std::string_view value);
+/// Whether \a name is a token of RFC 9110.
+bool isSafeHeaderName(std::string_view name);
 
 } // namespace Lagoonbank::Http
--- /dev/null
+++ b/src/libs/runtime/loop.cpp
@@ -0,0 +1,231 @@
+#include "runtime/loop.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <h2o.h>
+
+#include <sys/signalfd.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+#include <vector>
+
+namespace Lagoonbank::Runtime {
+
+namespace {
+
+constexpr Base::Duration longestWait = std::chrono::minutes(1);
+/// Less than any jump that matters and more than two readings of clocks differ by.
+constexpr Base::Duration wallJumpTolerance = std::chrono::milliseconds(20);
+/// Turns at the end for sockets that are still closing.
+constexpr int closingTurns = 32;
+
+struct Watch
+{
+    h2o_socket_t *socket = nullptr;
+    std::function<void()> callback;
+};
+
+std::int32_t waitMilliseconds(Base::Duration wait)
+{
+    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    return static_cast<std::int32_t>(std::max<std::int64_t>(rounded, 0));
+}
+
+Base::Duration wallOffset()
+{
+    timeval wall{};
+    gettimeofday(&wall, nullptr);
+    const Base::Duration sinceEpoch =
+        std::chrono::seconds(wall.tv_sec) + std::chrono::microseconds(wall.tv_usec);
+    return sinceEpoch - std::chrono::steady_clock::now().time_since_epoch();
+}
+
+} // namespace
+
+class Loop::Private
+{
+public:
+    explicit Private(const Clock *givenClock)
+        : clock(givenClock ? *givenClock : systemClock)
+        , timers(clock)
+        , native(h2o_evloop_create())
+        , lastWallOffset(wallOffset())
+    { }
+
+    void followWallClock();
+    void readSignals();
+    void runPosted();
+
+    SystemClock systemClock;
+    const Clock &clock;
+    TimerQueue timers;
+    h2o_evloop_t *native;
+    Base::Duration lastWallOffset;
+    bool stopped = false;
+    std::vector<std::function<void()>> posted;
+    absl::flat_hash_map<int, std::shared_ptr<Watch>> watches;
+    absl::flat_hash_map<int, std::function<void()>> signals;
+    sigset_t signalSet{};
+    int signalFd = -1;
+};
+
+/// The event loop's own short timeouts run on the wall clock. When it jumps they are moved along,
+/// so that none fires early or is held up.
+void Loop::Private::followWallClock()
+{
+    const Base::Duration offset = wallOffset();
+    const Base::Duration jump = offset - lastWallOffset;
+    lastWallOffset = offset;
+    if (std::chrono::abs(jump) < wallJumpTolerance)
+        return;
+    const auto shift = static_cast<std::uint64_t>(Base::toMilliseconds(jump));
+    native->_now += shift;
+    for (h2o_linklist_t *node = native->_timeouts.next; node != &native->_timeouts;
+         node = node->next) {
+        auto *timeout = H2O_STRUCT_FROM_MEMBER(h2o_timeout_t, _link, node);
+        for (h2o_linklist_t *link = timeout->_entries.next; link != &timeout->_entries;
+             link = link->next) {
+            auto *entry = H2O_STRUCT_FROM_MEMBER(h2o_timeout_entry_t, _link, link);
+            entry->registered_at += shift;
+        }
+    }
+}
+
+void Loop::Private::readSignals()
+{
+    signalfd_siginfo info{};
+    while (read(signalFd, &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+        const auto found = signals.find(static_cast<int>(info.ssi_signo));
+        if (found == signals.end())
+            continue;
+        const auto callback = found->second;
+        callback();
+    }
+}
+
+void Loop::Private::runPosted()
+{
+    std::vector<std::function<void()>> callbacks;
+    callbacks.swap(posted);
+    for (const auto &callback : callbacks)
+        callback();
+}
+
+Loop::Loop()
+    : Loop(Options{})
+{ }
+
+Loop::Loop(const Options &options)
+    : d(std::make_unique<Private>(options.clock))
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+Loop::~Loop()
+{
+    if (d->signalFd >= 0) {
+        unwatch(d->signalFd);
+        close(d->signalFd);
+        sigprocmask(SIG_UNBLOCK, &d->signalSet, nullptr);
+    }
+    while (!d->watches.empty())
+        unwatch(d->watches.begin()->first);
+    for (int turn = 0; turn < closingTurns; ++turn) {
+        d->runPosted();
+        h2o_evloop_run(d->native, 0);
+    }
+    // The event loop must not be destroyed under timeouts that something still owns.
+    if (h2o_linklist_is_empty(&d->native->_timeouts))
+        h2o_evloop_destroy(d->native);
+}
+
+const Clock &Loop::clock() const
+{
+    return d->clock;
+}
+
+TimerQueue &Loop::timers()
+{
+    return d->timers;
+}
+
+void Loop::run()
+{
+    d->stopped = false;
+    while (!d->stopped)
+        runOnce(longestWait);
+}
+
+void Loop::stop()
+{
+    d->stopped = true;
+}
+
+void Loop::runOnce(Base::Duration maxWait)
+{
+    Base::Duration wait = std::min(maxWait, longestWait);
+    if (!d->posted.empty())
+        wait = Base::Duration::zero();
+    if (const auto due = d->timers.nextDue())
+        wait = std::min(wait, *due - d->clock.now());
+    d->followWallClock();
+    h2o_evloop_run(d->native, waitMilliseconds(wait));
+    d->runPosted();
+    d->timers.runDue();
+}
+
+void Loop::post(std::function<void()> callback)
+{
+    d->posted.push_back(std::move(callback));
+}
+
+void Loop::onSignal(int signal, std::function<void()> callback)
+{
+    if (d->signalFd < 0)
+        sigemptyset(&d->signalSet);
+    sigaddset(&d->signalSet, signal);
+    sigprocmask(SIG_BLOCK, &d->signalSet, nullptr);
+    const bool isFirst = d->signalFd < 0;
+    d->signalFd = signalfd(d->signalFd, &d->signalSet, SFD_NONBLOCK | SFD_CLOEXEC);
+    d->signals[signal] = std::move(callback);
+    if (isFirst)
+        watchReadable(d->signalFd, [this] { d->readSignals(); });
+}
+
+void Loop::watchReadable(int fd, std::function<void()> callback)
+{
+    unwatch(fd);
+    auto watch = std::make_shared<Watch>();
+    watch->callback = std::move(callback);
+    watch->socket = h2o_evloop_socket_create(d->native, fd, H2O_SOCKET_FLAG_DONT_READ);
+    watch->socket->data = watch.get();
+    d->watches[fd] = watch;
+    h2o_socket_read_start(watch->socket, [](h2o_socket_t *socket, const char *) {
+        const auto function = static_cast<Watch *>(socket->data)->callback;
+        function();
+    });
+}
+
+void Loop::unwatch(int fd)
+{
+    const auto found = d->watches.find(fd);
+    if (found == d->watches.end())
+        return;
+    h2o_socket_t *socket = found->second->socket;
+    d->watches.erase(found);
+    h2o_socket_read_stop(socket);
+    // Exporting frees the socket and leaves the descriptor open.
+    h2o_socket_export_t exported{};
+    if (h2o_socket_export(socket, &exported) == 0)
+        h2o_buffer_dispose(&exported.input);
+}
+
+st_h2o_evloop_t *Loop::native()
+{
+    return d->native;
+}
+
+} // namespace Lagoonbank::Runtime
--- a/src/libs/runtime/udpsocket.h
+++ b/src/libs/runtime/udpsocket.h
@@ -54,6 +54,7 @@
     int m_fd;
     SocketAddress m_address;
     Received m_received;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace Lagoonbank::Runtime
