--- /dev/null
+++ b/src/libs/routing/loadestimator.cpp
@@ -0,0 +1,152 @@
+#include "routing/loadestimator.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Routing {
+
+void LoadEstimator::resize(std::size_t size)
+{
+    if (size <= m_rows.size())
+        return;
+    m_rows.resize(size);
+    m_load.resize(size, 0.0);
+}
+
+void LoadEstimator::reset(EndpointIndex endpoint)
+{
+    const std::uint32_t next = m_rows[endpoint].generation + 1;
+    m_rows[endpoint] = {};
+    m_rows[endpoint].generation = next;
+    m_load[endpoint] = 0.0;
+    for (std::vector<float> &work : m_peerWork) {
+        if (endpoint < work.size())
+            work[endpoint] = 0.0F;
+    }
+}
+
+bool LoadEstimator::noteReport(EndpointIndex endpoint, const LoadReport &report, Base::MonoTime now)
+{
+    Row &row = m_rows[endpoint];
+    if (row.reported && report.incarnation.value() < row.incarnation.value())
+        return false;
+    const bool restarted = row.reported && report.incarnation.value() > row.incarnation.value();
+    if (!restarted && row.reported && report.sampledAt < row.sampledAt)
+        return false;
+    if (restarted)
+        reset(endpoint);
+    row.reported = true;
+    row.incarnation = report.incarnation;
+    row.sampledAt = std::min(report.sampledAt, now);
+    row.reportedWork = std::max(report.work.value(), 0.0);
+    row.unexplained = row.reportedWork - row.own.at(row.sampledAt) - row.peers.at(row.sampledAt);
+    row.kept = row.unexplained * weightOf(row, now);
+    update(endpoint);
+    return true;
+}
+
+SentWork LoadEstimator::noteSent(EndpointIndex endpoint, Base::WorkUnits work, Base::MonoTime now)
+{
+    Row &row = m_rows[endpoint];
+    row.own.add(work.value(), now);
+    update(endpoint);
+    return {.endpoint = endpoint, .generation = row.generation, .left = work.value()};
+}
+
+void LoadEstimator::noteProgress(SentWork *sent, Base::WorkUnits done, Base::MonoTime now)
+{
+    const double part = std::clamp(done.value(), 0.0, sent->left);
+    sent->left -= part;
+    if (sent->endpoint >= m_rows.size())
+        return;
+    Row &row = m_rows[sent->endpoint];
+    if (row.generation != sent->generation)
+        return;
+    row.own.add(-part, now);
+    update(sent->endpoint);
+}
+
+void LoadEstimator::noteEnded(SentWork *sent, Base::MonoTime now)
+{
+    noteProgress(sent, Base::WorkUnits(sent->left), now);
+    sent->endpoint = noEndpoint;
+}
+
+void LoadEstimator::notePeer(PeerIndex peer, EndpointIndex endpoint, Base::WorkUnits inFlight,
+                             Base::MonoTime now)
+{
+    if (peer >= m_peerWork.size())
+        m_peerWork.resize(peer + 1);
+    std::vector<float> &work = m_peerWork[peer];
+    if (work.size() < m_rows.size())
+        work.resize(m_rows.size(), 0.0F);
+    const auto value = static_cast<float>(std::max(inFlight.value(), 0.0));
+    m_rows[endpoint].peers.add(value - work[endpoint], now);
+    work[endpoint] = value;
+    update(endpoint);
+}
+
+void LoadEstimator::forgetPeer(PeerIndex peer, Base::MonoTime now)
+{
+    if (peer >= m_peerWork.size())
+        return;
+    std::vector<float> &work = m_peerWork[peer];
+    for (EndpointIndex endpoint = 0; endpoint < work.size(); ++endpoint) {
+        if (work[endpoint] == 0.0F)
+            continue;
+        m_rows[endpoint].peers.add(-work[endpoint], now);
+        update(endpoint);
+    }
+    work.clear();
+}
+
+void LoadEstimator::refresh(const EndpointTable &table, Base::MonoTime now)
+{
+    double unexplained = 0.0;
+    double capacity = 0.0;
+    for (EndpointIndex endpoint = 0; endpoint < m_rows.size(); ++endpoint) {
+        const Row &row = m_rows[endpoint];
+        if (!table.contains(endpoint) || !row.reported)
+            continue;
+        const double weight = weightOf(row, now);
+        unexplained += weight * row.unexplained;
+        capacity += weight * table.capacity(endpoint);
+    }
+    // An endpoint that nothing fresh is known of is taken to be loaded like the others, so that
+    // lost reports neither draw work to it nor keep work away.
+    const double mean = capacity > 0.0 ? std::max(unexplained, 0.0) / capacity : 0.0;
+    for (EndpointIndex endpoint = 0; endpoint < m_rows.size(); ++endpoint) {
+        Row &row = m_rows[endpoint];
+        if (!table.contains(endpoint))
+            continue;
+        const double weight = row.reported ? weightOf(row, now) : 0.0;
+        const double assumed = mean * table.capacity(endpoint);
+        row.kept = weight * row.unexplained + (1.0 - weight) * assumed;
+        update(endpoint);
+    }
+}
+
+Base::WorkUnits LoadEstimator::ownInFlight(EndpointIndex endpoint) const
+{
+    return Base::WorkUnits(m_rows[endpoint].own.current());
+}
+
+Base::WorkUnits LoadEstimator::peersInFlight(EndpointIndex endpoint) const
+{
+    return Base::WorkUnits(m_rows[endpoint].peers.current());
+}
+
+void LoadEstimator::update(EndpointIndex endpoint)
+{
+    const Row &row = m_rows[endpoint];
+    m_load[endpoint] = std::max(row.kept + row.own.current() + row.peers.current(), 0.0);
+}
+
+double LoadEstimator::weightOf(const Row &row, Base::MonoTime now) const
+{
+    const Base::Duration over = now - row.sampledAt - m_options.staleAfter;
+    if (over <= Base::Duration::zero())
+        return 1.0;
+    return std::max(0.0, 1.0 - Base::toSeconds(over) / Base::toSeconds(m_options.fadeTime));
+}
+
+} // namespace Lagoonbank::Routing
--- /dev/null
+++ b/src/libs/routing/placementtable.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Lagoonbank::Routing {
+
+/// Where a chat's prefix was last known to be cached.
+struct Placement
+{
+    std::uint64_t endpointHash = 0;
+    Base::Tokens cached; ///< Zero: known to be cached there no more.
+};
+
+/// Placements of the chats seen last. Holds a fixed number; the least lately used of a set of
+/// eight makes room. Of one chat at most one placement is kept.
+class PlacementTable
+{
+public:
+    /// Room for at least `chats`, rounded up to a power of two.
+    explicit PlacementTable(std::size_t chats);
+
+    std::optional<Placement> find(std::uint64_t chatHash);
+    void put(std::uint64_t chatHash, const Placement &placement);
+    /// Drops the chat's placement if it is at this endpoint.
+    void drop(std::uint64_t chatHash, std::uint64_t endpointHash);
+    /// Drops all placements at an endpoint that is gone or has lost its cache; one pass over all.
+    void dropEndpoint(std::uint64_t endpointHash);
+
+    std::size_t capacity() const { return m_entries.size(); }
+    Base::Bytes memory() const { return Base::Bytes(m_entries.size() * sizeof(Entry)); }
+
+private:
+    static constexpr std::size_t setSize = 8;
+
+    struct Entry
+    {
+        std::uint64_t chat = 0; ///< Zero: free.
+        std::uint64_t endpoint = 0;
+        std::uint32_t cached = 0;
+        std::uint32_t usedAt = 0;
+    };
+
+    Entry *setOf(std::uint64_t chatHash);
+    Entry *entryOf(std::uint64_t chatHash);
+
+    std::vector<Entry> m_entries;
+    std::uint32_t m_use = 0;
+};
+
+} // namespace Lagoonbank::Routing
--- /dev/null
+++ b/src/libs/routing/selector.cpp
@@ -0,0 +1,314 @@
+#include "routing/selector.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Lagoonbank::Routing {
+
+namespace {
+
+constexpr double noCost = std::numeric_limits<double>::infinity();
+
+bool usable(const Candidate &candidate)
+{
+    return candidate.use == Candidate::Use::Yes;
+}
+
+PoolTotals totalsOf(std::span<const Candidate> candidates, std::span<const EndpointIndex> members)
+{
+    PoolTotals totals;
+    for (const EndpointIndex index : members) {
+        const Candidate &candidate = candidates[index];
+        if (!usable(candidate))
+            continue;
+        totals.load += candidate.load;
+        totals.capacity += candidate.weight;
+    }
+    return totals;
+}
+
+Base::Tokens cachedAt(std::span<const WarmPlace> warm, EndpointIndex endpoint)
+{
+    for (const WarmPlace &place : warm) {
+        if (place.endpoint == endpoint)
+            return place.cached;
+    }
+    return {};
+}
+
+} // namespace
+
+std::string_view toString(Why why)
+{
+    switch (why) {
+    case Why::Warm:
+        return "warm";
+    case Why::Home:
+        return "home";
+    case Why::Overflow:
+        return "overflow";
+    case Why::Trial:
+        return "trial";
+    case Why::Baseline:
+        return "baseline";
+    case Why::AllFull:
+        return "all_full";
+    case Why::NoneUsable:
+        return "none_usable";
+    }
+    return "none_usable";
+}
+
+bool TriedEndpoints::add(EndpointIndex endpoint)
+{
+    if (m_count == limit)
+        return false;
+    m_items[m_count++] = endpoint;
+    return true;
+}
+
+bool TriedEndpoints::contains(EndpointIndex endpoint) const
+{
+    const auto end = m_items.begin() + static_cast<std::ptrdiff_t>(m_count);
+    return std::find(m_items.begin(), end, endpoint) != end;
+}
+
+/// The best endpoints met so far in one pass, by cost in the chat's order.
+struct Selector::Scan
+{
+    double homeCost = noCost; ///< Over all usable ones, whatever their load.
+    EndpointIndex home = noEndpoint;
+    double firstCost = noCost; ///< Over those under the bound.
+    EndpointIndex first = noEndpoint;
+    double secondCost = noCost;
+    EndpointIndex second = noEndpoint;
+    double trialCost = noCost;
+    EndpointIndex trial = noEndpoint;
+
+    void offer(EndpointIndex index, double cost)
+    {
+        if (cost < firstCost) {
+            second = first;
+            secondCost = firstCost;
+            first = index;
+            firstCost = cost;
+            return;
+        }
+        second = index;
+        secondCost = cost;
+    }
+
+    EndpointIndex lessLoaded(std::span<const Candidate> candidates) const
+    {
+        if (second == noEndpoint)
+            return first;
+        const Candidate &a = candidates[first];
+        const Candidate &b = candidates[second];
+        return b.load * a.weight < a.load * b.weight ? second : first;
+    }
+};
+
+Decision Selector::choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                          std::span<const EndpointIndex> members, std::span<const WarmPlace> warm)
+{
+    if (m_options.policy == Policy::Bounded)
+        return chooseBounded(request, candidates, members, warm);
+
+    EndpointIndex endpoint = noEndpoint;
+    switch (m_options.policy) {
+    case Policy::RoundRobin:
+        endpoint = nextInTurn(request, candidates, members);
+        break;
+    case Policy::LeastLoad:
+        endpoint = leastLoaded(request, candidates, members);
+        break;
+    case Policy::TwoChoices:
+        endpoint = lessLoadedOfTwo(request, candidates, members);
+        break;
+    case Policy::Rendezvous:
+    case Policy::Bounded:
+        endpoint = firstInOrder(request, candidates, members);
+        break;
+    }
+    if (endpoint == noEndpoint)
+        return {};
+    return sendTo(request, endpoint, cachedAt(warm, endpoint), Why::Baseline);
+}
+
+double Selector::workOf(const RouteRequest &request, Base::Tokens cached) const
+{
+    const std::int64_t uncached =
+        std::max<std::int64_t>(request.promptTokens.value() - cached.value(), 0);
+    const auto output = static_cast<double>(request.expectedOutput.value());
+    return std::max(static_cast<double>(uncached) + m_options.outputWeight * output, 1.0);
+}
+
+Decision Selector::chooseBounded(const RouteRequest &request, std::span<const Candidate> candidates,
+                                 std::span<const EndpointIndex> members,
+                                 std::span<const WarmPlace> warm)
+{
+    const PoolTotals totals = totalsOf(candidates, members);
+    Base::Tokens cached;
+    const EndpointIndex warmEndpoint = chooseWarm(request, candidates, warm, totals, &cached);
+    if (warmEndpoint != noEndpoint)
+        return sendTo(request, warmEndpoint, cached, Why::Warm);
+
+    const bool localFirst = !request.usesCache && m_options.localServices;
+    Scan scan;
+    if (localFirst)
+        scan = scanBounded(request, candidates, members, totals, true);
+    if (scan.first == noEndpoint)
+        scan = scanBounded(request, candidates, members, totals, false);
+
+    if (scan.trial != noEndpoint && request.repeatable && scan.trialCost < scan.homeCost)
+        return sendTo(request, scan.trial, {}, Why::Trial);
+    if (scan.home == noEndpoint)
+        return {};
+    if (scan.first == noEndpoint) {
+        return {.outcome = Outcome::Wait,
+                .why = Why::AllFull,
+                .refusal = Errors::ErrorKind::Overloaded};
+    }
+    const bool twoChoices = !request.usesCache || m_options.coldChoices > 1;
+    const EndpointIndex taken = twoChoices ? scan.lessLoaded(candidates) : scan.first;
+    const bool left = !warm.empty() && warm.front().endpoint != taken;
+    const Why why = taken == scan.home && !left ? Why::Home : Why::Overflow;
+    return sendTo(request, taken, cachedAt(warm, taken), why);
+}
+
+Selector::Scan Selector::scanBounded(const RouteRequest &request,
+                                     std::span<const Candidate> candidates,
+                                     std::span<const EndpointIndex> members,
+                                     const PoolTotals &totals, bool localOnly) const
+{
+    const RendezvousCost order(request.chatHash);
+    const double work = workOf(request, {});
+    Scan scan;
+    for (const EndpointIndex index : members) {
+        const Candidate &candidate = candidates[index];
+        if (candidate.use == Candidate::Use::No || request.tried.contains(index))
+            continue;
+        if (localOnly && !candidate.local)
+            continue;
+        if (candidate.use == Candidate::Use::Trial) {
+            if (order.improves(candidate.hash, candidate.weight, &scan.trialCost))
+                scan.trial = index;
+            continue;
+        }
+        // The second of those under the bound is no nearer than the home, so that one test with
+        // its cost rules out most endpoints.
+        double limit = scan.secondCost;
+        if (!order.improves(candidate.hash, candidate.weight, &limit))
+            continue;
+        if (limit < scan.homeCost) {
+            scan.homeCost = limit;
+            scan.home = index;
+        }
+        if (m_bound.admits(candidate.load, candidate.weight, work, totals, request.priority))
+            scan.offer(index, limit);
+    }
+    return scan;
+}
+
+EndpointIndex Selector::chooseWarm(const RouteRequest &request,
+                                   std::span<const Candidate> candidates,
+                                   std::span<const WarmPlace> warm, const PoolTotals &totals,
+                                   Base::Tokens *cached) const
+{
+    for (const WarmPlace &place : warm) {
+        if (place.endpoint >= candidates.size() || place.cached.value() <= 0)
+            continue;
+        const Candidate &candidate = candidates[place.endpoint];
+        if (!usable(candidate) || request.tried.contains(place.endpoint))
+            continue;
+        const double work = workOf(request, place.cached);
+        if (!m_bound.admits(candidate.load, candidate.weight, work, totals, request.priority))
+            continue;
+        *cached = place.cached;
+        return place.endpoint;
+    }
+    return noEndpoint;
+}
+
+EndpointIndex Selector::nextInTurn(const RouteRequest &request,
+                                   std::span<const Candidate> candidates,
+                                   std::span<const EndpointIndex> members)
+{
+    for (std::size_t step = 0; step < members.size(); ++step) {
+        const EndpointIndex index = members[m_turn++ % members.size()];
+        if (usable(candidates[index]) && !request.tried.contains(index))
+            return index;
+    }
+    return noEndpoint;
+}
+
+EndpointIndex Selector::leastLoaded(const RouteRequest &request,
+                                    std::span<const Candidate> candidates,
+                                    std::span<const EndpointIndex> members) const
+{
+    EndpointIndex best = noEndpoint;
+    double bestRatio = noCost;
+    for (const EndpointIndex index : members) {
+        const Candidate &candidate = candidates[index];
+        if (!usable(candidate) || request.tried.contains(index))
+            continue;
+        const double ratio = candidate.load / candidate.weight;
+        const bool earlier = best != noEndpoint && ratio == bestRatio
+            && mixHashes(request.chatHash, candidate.hash)
+                < mixHashes(request.chatHash, candidates[best].hash);
+        if (ratio < bestRatio || earlier) {
+            best = index;
+            bestRatio = ratio;
+        }
+    }
+    return best;
+}
+
+EndpointIndex Selector::lessLoadedOfTwo(const RouteRequest &request,
+                                        std::span<const Candidate> candidates,
+                                        std::span<const EndpointIndex> members)
+{
+    // The turn makes each request draw anew; the pair is the first two of the drawn order.
+    const RendezvousCost order(mixHashes(request.chatHash, ++m_turn));
+    Scan scan;
+    for (const EndpointIndex index : members) {
+        const Candidate &candidate = candidates[index];
+        if (!usable(candidate) || request.tried.contains(index))
+            continue;
+        double limit = scan.secondCost;
+        if (order.improves(candidate.hash, candidate.weight, &limit))
+            scan.offer(index, limit);
+    }
+    return scan.lessLoaded(candidates);
+}
+
+EndpointIndex Selector::firstInOrder(const RouteRequest &request,
+                                     std::span<const Candidate> candidates,
+                                     std::span<const EndpointIndex> members) const
+{
+    const RendezvousCost order(request.chatHash);
+    EndpointIndex best = noEndpoint;
+    double cost = noCost;
+    for (const EndpointIndex index : members) {
+        const Candidate &candidate = candidates[index];
+        if (!usable(candidate) || request.tried.contains(index))
+            continue;
+        if (order.improves(candidate.hash, candidate.weight, &cost))
+            best = index;
+    }
+    return best;
+}
+
+Decision Selector::sendTo(const RouteRequest &request, EndpointIndex endpoint, Base::Tokens cached,
+                          Why why) const
+{
+    return {.outcome = Outcome::Send,
+            .endpoint = endpoint,
+            .expectedCached = cached,
+            .work = Base::WorkUnits(workOf(request, cached)),
+            .why = why};
+}
+
+} // namespace Lagoonbank::Routing
--- /dev/null
+++ b/src/libs/routing/suspicion.cpp
@@ -0,0 +1,110 @@
+#include "routing/suspicion.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Routing {
+
+namespace {
+
+constexpr std::uint8_t highestLevel = 16;
+
+} // namespace
+
+void Suspicion::resize(std::size_t size)
+{
+    if (size > m_rows.size())
+        m_rows.resize(size);
+}
+
+void Suspicion::noteResult(EndpointIndex endpoint, ExchangeResult result, Base::MonoTime now)
+{
+    Row &row = m_rows[endpoint];
+    switch (result) {
+    case ExchangeResult::Answered:
+        noteAnswer(row, now);
+        return;
+    case ExchangeResult::Broke:
+        noteFailure(row, m_options.breaksToSuspect, now);
+        return;
+    case ExchangeResult::Unreachable:
+        noteFailure(row, m_options.unreachableToSuspect, now);
+        return;
+    }
+}
+
+void Suspicion::noteTrialSent(EndpointIndex endpoint, Base::MonoTime now)
+{
+    Row &row = m_rows[endpoint];
+    row.state = State::OnTrial;
+    row.trialOut = true;
+    row.trialSentAt = now;
+}
+
+void Suspicion::noteTrialDropped(EndpointIndex endpoint)
+{
+    m_rows[endpoint].trialOut = false;
+}
+
+void Suspicion::suspect(EndpointIndex endpoint, Base::MonoTime now)
+{
+    Row &row = m_rows[endpoint];
+    if (row.state != State::Suspected)
+        enterSuspected(row, now);
+}
+
+bool Suspicion::admitsTrial(EndpointIndex endpoint, Base::MonoTime now) const
+{
+    const Row &row = m_rows[endpoint];
+    if (row.state == State::Trusted || now < row.until)
+        return false;
+    return !row.trialOut || now - row.trialSentAt >= m_options.trialTimeout;
+}
+
+void Suspicion::noteFailure(Row &row, int toSuspect, Base::MonoTime now)
+{
+    switch (row.state) {
+    case State::Suspected:
+        return; // Sent before the endpoint was suspected: known already.
+    case State::OnTrial:
+        enterSuspected(row, now);
+        return;
+    case State::Trusted:
+        ++row.failures;
+        if (row.failures >= toSuspect)
+            enterSuspected(row, now);
+        return;
+    }
+}
+
+void Suspicion::noteAnswer(Row &row, Base::MonoTime now)
+{
+    row.failures = 0;
+    if (row.state != State::OnTrial)
+        return; // While suspected, an answer to an old request proves little: the trial decides.
+    row.trialOut = false;
+    ++row.successes;
+    if (row.successes < m_options.trialsToTrust)
+        return;
+    row.state = State::Trusted;
+    row.successes = 0;
+    row.trustedSince = now;
+}
+
+void Suspicion::enterSuspected(Row &row, Base::MonoTime now)
+{
+    const bool first = row.level == 0;
+    const bool wellForLong =
+        row.state == State::Trusted && now - row.trustedSince >= m_options.forgiveAfter;
+    if (first || wellForLong)
+        row.level = 1;
+    else
+        row.level = std::min<std::uint8_t>(row.level + 1, highestLevel);
+    const Base::Duration wait = m_options.firstWait * (std::int64_t{1} << (row.level - 1));
+    row.until = now + std::min(wait, m_options.longestWait);
+    row.state = State::Suspected;
+    row.failures = 0;
+    row.successes = 0;
+    row.trialOut = false;
+}
+
+} // namespace Lagoonbank::Routing
--- /dev/null
+++ b/src/libs/routing/waitqueue.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "base/units.h"
+#include "errors/errorkind.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace Lagoonbank::Routing {
+
+/// Requests that wait for an endpoint under its bound: few, by priority, then by deadline. All
+/// that is given up on is told at once through `gaveUp`, as not run.
+class WaitQueue
+{
+public:
+    struct Options
+    {
+        std::size_t limit = 64;
+        Base::Duration longestWait = std::chrono::seconds(2);
+        Base::Duration shortestRetry = std::chrono::seconds(1);
+        Base::Duration longestRetry = std::chrono::seconds(30);
+    };
+
+    /// The caller's name for a request that waits.
+    using Ticket = std::uint64_t;
+
+    struct Entry
+    {
+        Ticket ticket = 0;
+        std::uint8_t priority = 1; ///< Zero is most urgent.
+        Base::MonoTime deadline; ///< Of the whole request.
+    };
+
+    explicit WaitQueue(Options options);
+
+    /// A request is given up on; it did not run.
+    std::function<void(Ticket, Errors::ErrorKind)> gaveUp;
+
+    /// Queues the request, or returns why not. A full queue gives up on the least urgent
+    /// request, be it the new one or one that waits.
+    std::optional<Errors::ErrorKind> push(const Entry &entry, Base::MonoTime now);
+    /// The request to try next; nothing if none waits. It stays until pop().
+    std::optional<Ticket> front() const;
+    /// The front has found an endpoint.
+    void pop(Base::MonoTime now);
+    /// The caller left.
+    bool remove(Ticket ticket);
+    /// Gives up on all whose time is over.
+    void expire(Base::MonoTime now);
+
+    std::size_t size() const { return m_items.size(); }
+    /// When the next one's time is over.
+    std::optional<Base::MonoTime> nextExpiry() const;
+    /// When a refused request had better come back, from the pace at which the queue has moved
+    /// lately; whole seconds.
+    Base::Duration retryAfter(Base::MonoTime now) const;
+
+private:
+    struct Item
+    {
+        Entry entry;
+        Base::MonoTime giveUpAt;
+        std::uint64_t arrival = 0;
+    };
+
+    static bool moreUrgent(const Item &a, const Item &b);
+
+    Options m_options;
+    std::vector<Item> m_items; ///< Sorted, the front last.
+    std::uint64_t m_arrivals = 0;
+    double m_pace = 0.0; ///< Pops a second, smoothed.
+    std::optional<Base::MonoTime> m_lastPop;
+};
+
+} // namespace Lagoonbank::Routing
--- /dev/null
+++ b/src/libs/routing/workhistory.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <array>
+#include <cstdint>
+
+namespace Lagoonbank::Routing {
+
+/// The course of one amount of work over the last two seconds or so, in slots of fixed length,
+/// so that it can be told how much it has changed since a load report was taken.
+class WorkHistory
+{
+public:
+    static constexpr Base::Duration slotLength = std::chrono::milliseconds(100);
+    static constexpr std::size_t slotCount = 24;
+
+    double current() const { return m_current; }
+    void set(double work, Base::MonoTime now);
+    void add(double work, Base::MonoTime now) { set(m_current + work, now); }
+    /// The amount at `time`, to one slot; for times before the oldest slot, the oldest known.
+    double at(Base::MonoTime time) const;
+    /// Forgets the course; the amount is zero from the start on.
+    void clear();
+
+private:
+    static std::int64_t slotOf(Base::MonoTime time) { return time.time_since_epoch() / slotLength; }
+
+    double m_current = 0.0;
+    std::int64_t m_slot = -1; ///< Slot of the newest entry; -1 before the first change.
+    std::array<float, slotCount> m_atEnd{}; ///< Amount at the end of each past slot.
+};
+
+} // namespace Lagoonbank::Routing
