--- /dev/null
+++ b/src/libs/admission/gcra.cpp
@@ -0,0 +1,61 @@
+#include "admission/gcra.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Admission {
+
+using Base::Duration;
+using Base::MonoTime;
+
+namespace {
+
+// Rounding of a time to nanoseconds must not refuse a call that is exactly in time.
+constexpr double slack = 1e-6;
+// Longer waits are cut to this, so that times stay far from the end of their range.
+constexpr double longestWaitSeconds = 30.0 * 24 * 3600;
+
+Duration timeFor(double units, double rate)
+{
+    return Base::fromSeconds(std::min(units / rate, longestWaitSeconds));
+}
+
+} // namespace
+
+void Gcra::setOptions(Options options, MonoTime now)
+{
+    const double inUse = used(now);
+    m_options = options;
+    m_arrival = now;
+    charge(inUse, now);
+}
+
+std::optional<Duration> Gcra::waitFor(double cost, MonoTime now) const
+{
+    if (m_options.rate <= 0)
+        return std::nullopt;
+    if (cost > m_options.burst + m_options.debt + slack)
+        return std::nullopt;
+    const double room = std::max(0.0, m_options.burst - cost);
+    const double excess = used(now) - room;
+    if (excess <= slack)
+        return Duration::zero();
+    return timeFor(excess, m_options.rate);
+}
+
+void Gcra::charge(double cost, MonoTime now)
+{
+    if (m_options.rate <= 0)
+        return;
+    const double most = m_options.burst + m_options.debt;
+    const double inUse = std::clamp(used(now) + cost, 0.0, most);
+    m_arrival = now + timeFor(inUse, m_options.rate);
+}
+
+double Gcra::used(MonoTime now) const
+{
+    if (m_arrival <= now)
+        return 0;
+    return Base::toSeconds(m_arrival - now) * m_options.rate;
+}
+
+} // namespace Lagoonbank::Admission
--- /dev/null
+++ b/src/libs/admission/workspacegate.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "admission/gcra.h"
+#include "admission/limits.h"
+#include "admission/refusal.h"
+#include "base/ids.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Lagoonbank::Admission {
+
+/// What admission looks at of one call.
+struct Call
+{
+    std::string priority; ///< Name; empty takes the contract's default.
+    std::optional<Base::Duration> deadline; ///< From now; not set takes the contract's default.
+    std::string service; ///< Name of the plain service; empty for a model call.
+    Base::Tokens estimatedTokens; ///< Prompt and expected output; zero for a plain service.
+};
+
+class WorkspaceGate;
+
+/// Holds one slot of the concurrency limit and the charges of one admitted call. Frees the slot
+/// when it goes; a charge that was not settled stays as estimated.
+class Ticket
+{
+public:
+    Ticket() = default;
+    Ticket(std::weak_ptr<WorkspaceGate> gate, Base::Tokens estimate, Base::MonoTime admitted);
+    Ticket(const Ticket &) = delete;
+    Ticket(Ticket &&other) noexcept;
+    Ticket &operator=(const Ticket &) = delete;
+    Ticket &operator=(Ticket &&other) noexcept;
+    ~Ticket();
+
+    bool held() const { return m_held; }
+    /// The call ended after it ran: charges the difference to the estimate and frees the slot.
+    void settle(Base::Tokens actual, Base::MonoTime now);
+    /// The call never ran: gives everything back.
+    void refund(Base::MonoTime now);
+
+private:
+    void drop();
+
+    std::weak_ptr<WorkspaceGate> m_gate;
+    Base::Tokens m_estimate;
+    Base::MonoTime m_admitted{};
+    bool m_held = false;
+};
+
+/// What an admitted call goes on with.
+struct Admitted
+{
+    Ticket ticket;
+    int priorityLevel = 0; ///< 0 is the most urgent.
+    std::string priority;
+    std::optional<Base::MonoTime> deadline; ///< Not set if neither call nor contract has one.
+};
+
+using AdmitResult =
+    boost::outcome_v2::basic_result<Admitted, Refusal, boost::outcome_v2::policy::terminate>;
+
+/// What a workspace asked for lately, in units a second and slots; refused calls count.
+struct Demand
+{
+    double requestsPerSecond = 0;
+    double tokensPerSecond = 0;
+    double concurrency = 0;
+};
+
+/// Enforces this router's share of one workspace's limits.
+class WorkspaceGate : public std::enable_shared_from_this<WorkspaceGate>
+{
+public:
+    WorkspaceGate(WorkspaceLimits limits, Base::MonoTime now);
+
+    const WorkspaceLimits &limits() const { return m_limits; }
+    void setLimits(WorkspaceLimits limits, Base::MonoTime now);
+
+    /// Part of each fleet limit that this router may hand out, 0 to 1. A burst is never under one
+    /// request and slots are rounded up, so that a small share still lets a call pass.
+    double share() const { return m_share; }
+    void setShare(double share, Base::MonoTime now);
+
+    /// Charges nothing unless the call passes every limit.
+    AdmitResult admit(const Call &call, Base::MonoTime now);
+
+    int running() const { return m_running; }
+    /// This router's part of the concurrency limit; 0 also where no such limit is set.
+    int slots() const;
+    Demand demand(Base::MonoTime now) const;
+    /// The largest demand as part of the fleet's limit: 1 asks for the whole of one limit.
+    double demandedShare(Base::MonoTime now) const;
+
+private:
+    friend class Ticket;
+
+    void applyShare(Base::MonoTime now);
+    void noteOffer(const Call &call, Base::MonoTime now);
+    double decayed(double rate, Base::MonoTime now) const;
+    std::optional<Refusal> checkService(const Call &call) const;
+    std::optional<Refusal> choosePriority(const Call &call, Admitted &admitted) const;
+    std::optional<Refusal> chooseDeadline(const Call &call, Base::MonoTime now,
+                                          Admitted &admitted) const;
+    std::optional<Refusal> checkConcurrency(Base::MonoTime now) const;
+    std::optional<Refusal> checkRequests(Base::MonoTime now) const;
+    std::optional<Refusal> checkTokens(const Call &call, Base::MonoTime now) const;
+    Base::Duration slotWait(Base::MonoTime now) const;
+    void ended(Base::MonoTime admitted);
+    void noteHolding(Base::Duration held);
+    void giveBack(Base::Tokens estimate, Base::MonoTime now);
+    void chargeTokens(double tokens, Base::MonoTime now);
+
+    WorkspaceLimits m_limits;
+    double m_share = 1;
+    Gcra m_requests;
+    Gcra m_tokens;
+    int m_running = 0;
+    Base::Duration m_startSum{}; // sum of the running calls' start times since m_origin
+    Base::MonoTime m_origin{};
+    double m_meanHoldSeconds = 0;
+    double m_requestRate = 0;
+    double m_tokenRate = 0;
+    double m_peakSlots = 0;
+    Base::MonoTime m_lastOffer{};
+};
+
+} // namespace Lagoonbank::Admission
--- /dev/null
+++ b/src/libs/retry/backoff.cpp
@@ -0,0 +1,20 @@
+#include "retry/backoff.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Retry {
+
+using Base::Duration;
+
+Duration Backoff::wait(int retry) const
+{
+    constexpr int mostDoublings = 30;
+    Duration ceiling = base;
+    for (int i = 0; i < std::min(retry, mostDoublings) && ceiling < cap; ++i)
+        ceiling *= 2;
+    ceiling = std::min(ceiling, cap);
+    const double part = random ? std::clamp(random(), 0.0, 1.0) : 1.0;
+    return Base::fromSeconds(Base::toSeconds(ceiling) * part);
+}
+
+} // namespace Lagoonbank::Retry
