--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -84,6 +84,7 @@
     m_load.clear();
     m_attemptTokens = 0;
     m_resumed = resume;
+    ++(resume ? m_resumes : m_runs);
     m_attemptStarted = now();
     m_lastProgress = m_attemptStarted;
     m_options.hooks.attemptStarted(*m_target);
@@ -223,37 +224,50 @@
     m_options.hooks.attemptEnded(result);
 }
 
+Retry::AttemptFailure Exchange::failureOf(const Error &error) const
+{
+    return {.kind = error.kind,
+            .mayHaveLeft = error.ran != Ran::No || error.kind == ErrorKind::EndpointRefused,
+            .provenNotRun = error.kind == ErrorKind::EndpointRefused,
+            .headForwarded = hasBegun(),
+            .tokensForwarded = keptTokens(),
+            .wasResume = m_resumed};
+}
+
+Retry::RequestTraits Exchange::traits() const
+{
+    return {.idempotent = m_options.route.idempotent,
+            .resumable = m_options.resumable,
+            .earlierMayHaveRun = m_mayHaveRun,
+            .attempts = m_runs,
+            .resumes = m_resumes,
+            .deadline = {.at = m_options.route.deadline}};
+}
+
 void Exchange::failAttempt(Error error)
 {
     const auto self = shared_from_this();
+    const Retry::AttemptFailure failure = failureOf(error);
+    const Retry::RequestTraits before = traits();
     endAttempt(false, error);
-    const RetryVerdict verdict =
-        m_options.hooks.decide({.workspace = m_options.route.workspace,
-                                .attempt = m_end.attempts.back(),
-                                .attempts = static_cast<int>(m_end.attempts.size()),
-                                .idempotent = m_options.idempotent,
-                                .resumable = m_options.resumable && error.ran != Ran::No,
-                                .deadline = m_options.route.deadline});
-    nextStep(verdict, error);
+    nextStep(m_options.hooks.decide(m_options.route.workspace, m_target->endpoint, failure, before),
+             error);
 }
 
-void Exchange::nextStep(const RetryVerdict &verdict, const Error &error)
+void Exchange::nextStep(const Retry::RetryDecision &decision, const Error &error)
 {
-    if (verdict.step == NextStep::GiveUp) {
-        Error last = error;
-        last.kind = verdict.kind.value_or(error.kind);
-        last.ran = ranSoFar();
-        giveUp({.error = std::move(last)});
+    if (decision.action == Retry::RetryAction::GiveUp) {
+        giveUp({.error = {decision.kind, error.detail, decision.ran}});
         return;
     }
-    const bool resume = verdict.step == NextStep::Resume;
+    const bool resume = decision.action == Retry::RetryAction::ResumeSameEndpoint;
     if (!resume) {
         // The engine may still be running it; nobody waits there any more.
         cancelUpstream(*m_target);
         m_options.route.avoid.push_back(m_target->endpoint);
     }
     const auto self = shared_from_this();
-    m_retryTimer = m_options.loop->timers().start(verdict.delay, [self, resume] {
+    m_retryTimer = m_options.loop->timers().start(decision.wait, [self, resume] {
         self->m_retryTimer.reset();
         if (self->m_finished)
             return;
--- a/src/libs/exchange/exchange.h
+++ b/src/libs/exchange/exchange.h
@@ -6,6 +6,7 @@
 #include "exchange/answers.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "retry/retrydecision.h"
 #include "runtime/timerqueue.h"
 
 #include <cstdint>
@@ -29,7 +30,10 @@
     Base::WorkspaceId workspace;
     Base::ModelId model; ///< Empty for a call of a service.
     Base::ServiceId service; ///< Empty for a call of a model.
-    Base::ChatId chat;
+    std::uint64_t chatHash =
+        0; ///< Of workspace and chat; of the request id where no chat is named.
+    bool hasChat = false;
+    bool idempotent = true;
     std::string placementToken; ///< As the caller sent it; not yet checked.
     Base::Tokens promptTokens;
     Base::Tokens maxTokens;
@@ -46,6 +50,7 @@
     Base::WorkUnits work; ///< What the request is expected to cost there.
     Base::Tokens expectedCached;
     std::string placementToken; ///< For the answer; empty if there is none.
+    std::uint64_t ticket = 0; ///< The placement's own number for it; goes back with the attempt.
 };
 
 using Placement = std::variant<Target, Refusal>;
@@ -56,6 +61,7 @@
 struct AttemptResult
 {
     Base::EndpointId endpoint;
+    std::uint64_t ticket = 0; ///< Of the Target.
     Base::MonoTime started;
     Base::MonoTime ended;
     Base::WorkUnits work;
@@ -67,27 +73,6 @@
     bool resumed = false; ///< The attempt resumed the stream of the one before.
 };
 
-enum class NextStep : std::uint8_t { GiveUp, Resume, TryElsewhere };
-
-struct RetryVerdict
-{
-    NextStep step = NextStep::GiveUp;
-    Base::Duration delay{};
-    std::optional<Errors::ErrorKind>
-        kind; ///< Replaces the attempt's error if the exchange gives up.
-};
-
-/// What decides about a further attempt.
-struct RetryQuery
-{
-    Base::WorkspaceId workspace;
-    AttemptResult attempt;
-    int attempts = 1; ///< Attempts made so far.
-    bool idempotent = true;
-    bool resumable = false;
-    Base::MonoTime deadline;
-};
-
 /// How a request ended, for the outcome ring and the accounts of admission.
 struct ExchangeEnd
 {
@@ -110,7 +95,11 @@
     std::function<Abandon(const RouteQuery &query, std::function<void(Placement)> placed)> place;
     std::function<void(const Target &target)> attemptStarted;
     std::function<void(const AttemptResult &result)> attemptEnded;
-    std::function<RetryVerdict(const RetryQuery &query)> decide;
+    /// Decides about a further attempt and charges it to its budgets.
+    std::function<Retry::RetryDecision(
+        const Base::WorkspaceId &workspace, const Base::EndpointId &endpoint,
+        const Retry::AttemptFailure &failure, const Retry::RequestTraits &traits)>
+        decide;
     std::function<void(const Base::EndpointId &endpoint, std::string_view load)> loadReported;
     std::function<void(ExchangeEnd end)> finished; ///< Called once, last.
 };
@@ -138,7 +127,6 @@
         Base::RequestId request;
         RouteQuery route;
         std::shared_ptr<Http::Responder> responder;
-        bool idempotent = true;
         bool resumable = false;
     };
 
@@ -159,6 +147,8 @@
     virtual void onCallWhole(Http::CallResult result) = 0;
     /// Whether a part of the answer has gone to the caller, so that a status can no longer be sent.
     virtual bool hasBegun() const { return false; }
+    /// Tokens of the answer that are kept or sent, so that a further attempt can go on behind them.
+    virtual Base::Tokens keptTokens() const { return {}; }
     virtual void endBroken(const Refusal &refusal);
     /// Tells the endpoint that nobody waits for the running attempt any more.
     virtual void cancelUpstream(const Target & /*target*/) { }
@@ -185,7 +175,9 @@
     void stopCall();
     void watchProgress();
     Base::Duration silenceLimit() const;
-    void nextStep(const RetryVerdict &verdict, const Errors::Error &error);
+    void nextStep(const Retry::RetryDecision &decision, const Errors::Error &error);
+    Retry::AttemptFailure failureOf(const Errors::Error &error) const;
+    Retry::RequestTraits traits() const;
     void giveUp(Refusal refusal);
     void callerLeft();
     void deadlinePassed();
@@ -203,7 +195,9 @@
     std::string m_load;
     Base::MonoTime m_attemptStarted;
     Base::MonoTime m_lastProgress;
-    bool m_resumed = false;
+    bool m_resumed = false; ///< The running attempt resumes the stream of the one before.
+    int m_runs = 0;
+    int m_resumes = 0;
     std::int64_t m_attemptTokens = 0;
     std::optional<Runtime::TimerId> m_progressTimer;
     std::optional<Runtime::TimerId> m_deadlineTimer;
--- a/src/libs/exchange/modelexchange.h
+++ b/src/libs/exchange/modelexchange.h
@@ -19,6 +19,7 @@
     void onPiece(std::string_view piece) override;
     void onCallWhole(Http::CallResult result) override;
     bool hasBegun() const override { return m_begun; }
+    Base::Tokens keptTokens() const override { return Base::Tokens(m_nextIndex); }
     void endBroken(const Refusal &refusal) override;
     void cancelUpstream(const Target &target) override;
 
--- a/src/libs/exchange/serviceexchange.cpp
+++ b/src/libs/exchange/serviceexchange.cpp
@@ -26,7 +26,7 @@
     if (m_call.key)
         call.headers.add("idempotency-key", m_call.key->value());
     // A pooled connection may be dead without notice, and then nobody knows whether the call ran.
-    call.freshConnection = !options().idempotent;
+    call.freshConnection = !options().route.idempotent;
     return call;
 }
 
--- /dev/null
+++ b/src/libs/router/callerapi.cpp
@@ -0,0 +1,354 @@
+#include "router/callerapi.h"
+
+#include "exchange/modelexchange.h"
+#include "routing/rendezvous.h"
+#include "runtime/loop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Router {
+
+using Errors::Error;
+using Errors::ErrorKind;
+using Errors::Ran;
+
+namespace {
+
+constexpr std::string_view modelPath = "/v1/chat/completions";
+constexpr std::string_view servicesPrefix = "/services/";
+constexpr Base::Duration defaultDeadline = std::chrono::seconds(30);
+/// When to come back to a router that has no configuration yet or is stopping.
+constexpr Base::Duration otherRouterWait = std::chrono::seconds(1);
+
+} // namespace
+
+/// One caller's request while it is in this router.
+struct CallerApi::Context
+{
+    Http::Request request;
+    std::shared_ptr<Http::Responder> responder;
+    std::shared_ptr<const FleetView> view;
+    const Schema::Contract *contract = nullptr;
+    RequestInfo info;
+    Exchange::RouteQuery route;
+    Admission::Ticket ticket;
+    bool isClaimed = false;
+};
+
+CallerApi::CallerApi(Options options)
+    : m_options(std::move(options))
+{ }
+
+void CallerApi::setView(std::shared_ptr<const FleetView> view)
+{
+    m_view = std::move(view);
+}
+
+void CallerApi::handle(Http::Request request, std::shared_ptr<Http::Responder> responder)
+{
+    if (request.path == "/healthz") {
+        responder->send(200, {{"content-type", "text/plain"}}, "alive\n");
+        return;
+    }
+    if (request.path == "/readyz") {
+        responder->send(isReady() ? 200 : 503, {{"content-type", "text/plain"}},
+                        isReady() ? "ready\n" : "not ready\n");
+        return;
+    }
+    const auto context = std::make_shared<Context>();
+    context->request = std::move(request);
+    context->responder = std::move(responder);
+    context->view = m_view;
+    context->info.id = m_options.nextRequestId();
+    context->info.started = m_options.loop->clock().now();
+    ++m_inFlight;
+    if (requestStarted)
+        requestStarted(context->info);
+
+    if (m_draining || !m_ready) {
+        const ErrorKind kind = m_draining ? ErrorKind::Draining : ErrorKind::NotReady;
+        refuse(context,
+               Exchange::Refusal{.error = Errors::makeError(kind), .retryAfter = otherRouterWait});
+        return;
+    }
+    if (context->request.path == modelPath)
+        handleModelCall(context);
+    else if (context->request.path.starts_with(servicesPrefix))
+        handleServiceCall(context);
+    else
+        refuse(context, Errors::makeError(ErrorKind::NotFound));
+}
+
+/// Finds the workspace of the bearer key and reads what all kinds of call have.
+bool CallerApi::identify(const ContextPtr &context)
+{
+    const Http::Headers &headers = context->request.headers;
+    const auto key = Exchange::readBearerKey(headers);
+    if (!key) {
+        refuse(context, key.error());
+        return false;
+    }
+    context->contract = context->view->contractOfKey(key.value());
+    if (!context->contract) {
+        refuse(context, Errors::makeError(ErrorKind::UnknownKey));
+        return false;
+    }
+    context->info.workspace = context->contract->name;
+    context->route.workspace = context->contract->name;
+
+    const auto idempotencyKey = Exchange::readIdempotencyKey(headers);
+    if (!idempotencyKey) {
+        refuse(context, idempotencyKey.error());
+        return false;
+    }
+    context->info.key = idempotencyKey.value();
+    return true;
+}
+
+bool CallerApi::admit(const ContextPtr &context, const Admission::Call &call)
+{
+    const Base::MonoTime now = m_options.loop->clock().now();
+    auto admitted = m_options.admission->admit(context->info.workspace, call, now);
+    if (!admitted) {
+        const Admission::Refusal &refusal = admitted.error();
+        Exchange::Refusal answer{.error = Admission::toError(refusal),
+                                 .limit = refusal.limit,
+                                 .contractLine = refusal.source};
+        if (refusal.retryAfter > Base::Duration::zero())
+            answer.retryAfter = refusal.retryAfter;
+        refuse(context, std::move(answer));
+        return false;
+    }
+    context->ticket = std::move(admitted.value().ticket);
+    context->route.priority = admitted.value().priorityLevel;
+    context->route.deadline = admitted.value().deadline.value_or(now + defaultDeadline);
+    return true;
+}
+
+void CallerApi::handleModelCall(const ContextPtr &context)
+{
+    if (context->request.method != "POST") {
+        refuse(context, Errors::makeError(ErrorKind::MethodNotAllowed, "Use POST."));
+        return;
+    }
+    if (!identify(context))
+        return;
+    auto read = Exchange::readModelCall(context->request);
+    const auto deadline = Exchange::readDeadline(context->request.headers);
+    if (!read || !deadline) {
+        refuse(context, read ? deadline.error() : read.error());
+        return;
+    }
+    Exchange::ModelCall call = std::move(read.value());
+    context->info.model = call.model;
+    if (!context->view->model(call.model)) {
+        refuse(context, Errors::makeError(ErrorKind::UnknownModel));
+        return;
+    }
+    const std::vector<Base::ModelId> &allowed = context->contract->models;
+    if (std::find(allowed.begin(), allowed.end(), call.model) == allowed.end()) {
+        refuse(context,
+               Exchange::Refusal{.error = Errors::makeError(ErrorKind::ServiceNotAllowed),
+                                 .limit = "models",
+                                 .contractLine = context->contract->source.at("models")});
+        return;
+    }
+    if (!admit(context,
+               {.priority = call.priority,
+                .deadline = deadline.value(),
+                .estimatedTokens = call.promptTokens + call.maxTokens}))
+        return;
+
+    Exchange::RouteQuery &route = context->route;
+    route.model = call.model;
+    route.hasChat = !call.chat.empty();
+    route.chatHash = route.hasChat ? Routing::chatHash(context->info.workspace, call.chat)
+                                   : Routing::stableHash(context->info.id.value());
+    route.placementToken = std::string(context->request.headers.find("x-placement").value_or(""));
+    route.promptTokens = call.promptTokens;
+    route.maxTokens = call.maxTokens;
+    call.chat = Base::ChatId(Routing::chatName(route.chatHash));
+    auto options = exchangeOptions(context);
+    options.resumable = true;
+    std::make_shared<Exchange::ModelExchange>(std::move(options), std::move(call))->start();
+}
+
+void CallerApi::handleServiceCall(const ContextPtr &context)
+{
+    if (!identify(context))
+        return;
+    const Http::Request &request = context->request;
+    const std::string_view rest = std::string_view(request.path).substr(servicesPrefix.size());
+    const std::size_t slash = std::min(rest.find('/'), rest.size());
+    const Base::ServiceId service{std::string(rest.substr(0, slash))};
+    const Schema::Service *known = context->view->service(service);
+    context->info.service = service;
+    if (!known) {
+        refuse(context, Errors::makeError(ErrorKind::UnknownService));
+        return;
+    }
+    const auto deadline = Exchange::readDeadline(request.headers);
+    if (!deadline) {
+        refuse(context, deadline.error());
+        return;
+    }
+    if (!admit(context,
+               {.priority = std::string(request.headers.find("x-priority").value_or("")),
+                .deadline = deadline.value(),
+                .service = service.value()}))
+        return;
+
+    Exchange::ServiceCall call{
+        .method = request.method,
+        .target = slash == rest.size() ? "/" : std::string(rest.substr(slash)),
+        .body = std::move(context->request.body),
+        .contentType = std::string(request.headers.find("content-type").value_or("")),
+        .key = context->info.key};
+    const bool isOnce = isNonIdempotent(*context->contract, service, call.method, call.target);
+    if (!request.query.empty())
+        call.target += '?' + request.query;
+
+    Exchange::RouteQuery &route = context->route;
+    route.service = service;
+    route.chatHash = Routing::stableHash(context->info.id.value());
+    route.promptTokens = Base::Tokens(static_cast<std::int64_t>(known->workPerCall));
+    route.idempotent = !isOnce;
+    context->info.idempotent = !isOnce;
+    if (!isOnce || !context->info.key || !claim) {
+        runServiceCall(context, std::move(call), false);
+        return;
+    }
+    const ClaimRequest claimRequest{
+        .info = context->info,
+        .bodyHash = keyHash(call.method + '\n' + call.target + '\n' + call.body),
+        .whenLogIsOut = context->contract->whenLogIsOut,
+        .deadline = route.deadline};
+    claim(claimRequest, [this, context, call = std::move(call)](ClaimVerdict verdict) mutable {
+        claimed(context, std::move(call), std::move(verdict));
+    });
+}
+
+void CallerApi::claimed(const ContextPtr &context, Exchange::ServiceCall call, ClaimVerdict verdict)
+{
+    switch (verdict.kind) {
+    case ClaimVerdict::Kind::Run:
+        runServiceCall(context, std::move(call), true);
+        return;
+    case ClaimVerdict::Kind::Refused:
+        refuse(context, std::move(verdict.refusal));
+        return;
+    case ClaimVerdict::Kind::Recorded:
+        break;
+    }
+    Http::Headers headers{{"x-request-id", context->info.id.value()}, {"x-recorded", "yes"}};
+    if (!verdict.answer.contentType.empty())
+        headers.add("content-type", verdict.answer.contentType);
+    context->responder->send(verdict.answer.status, headers, std::move(verdict.answer.body));
+    finished(context, {.whole = true, .status = verdict.answer.status});
+}
+
+void CallerApi::runServiceCall(const ContextPtr &context, Exchange::ServiceCall call, bool claimed)
+{
+    context->isClaimed = claimed;
+    Exchange::ServiceExchange::Answered answered;
+    if (claimed)
+        answered = [this, context](const Exchange::ServiceAnswer &answer) {
+            claimAnswered(context->info, answer);
+        };
+    std::make_shared<Exchange::ServiceExchange>(exchangeOptions(context), std::move(call),
+                                                std::move(answered))
+        ->start();
+}
+
+Exchange::Exchange::Options CallerApi::exchangeOptions(const ContextPtr &context)
+{
+    return {.loop = m_options.loop,
+            .client = m_options.client,
+            .hooks = hooks(context),
+            .timeouts = timeouts(),
+            .request = context->info.id,
+            .route = context->route,
+            .responder = context->responder};
+}
+
+Exchange::Timeouts CallerApi::timeouts() const
+{
+    const Schema::Policy &policy = m_view->policy();
+    return {.connect = policy.connectTimeout,
+            .head = policy.firstByteTimeout,
+            .firstToken = policy.firstByteTimeout,
+            .betweenTokens = policy.progressTimeout};
+}
+
+Exchange::Hooks CallerApi::hooks(const ContextPtr &context)
+{
+    return {
+        .place =
+            [this](const Exchange::RouteQuery &query,
+                   std::function<void(Exchange::Placement)> placed) {
+                return m_options.placer->place(query, std::move(placed));
+            },
+        .attemptStarted =
+            [this, context](const Exchange::Target &target) {
+                m_options.placer->attemptStarted(target);
+                if (attemptStarted)
+                    attemptStarted(context->info, target);
+            },
+        .attemptEnded =
+            [this, context](const Exchange::AttemptResult &result) {
+                m_options.placer->attemptEnded(result);
+                if (result.whole)
+                    m_options.retries->noteWhole(context->info.workspace, result.endpoint,
+                                                 m_options.loop->clock().now());
+                if (attemptEnded)
+                    attemptEnded(context->info, result);
+            },
+        .decide =
+            [this](const Base::WorkspaceId &workspace, const Base::EndpointId &endpoint,
+                   const Retry::AttemptFailure &failure, const Retry::RequestTraits &traits) {
+                return m_options.retries->decide(workspace, endpoint, failure, traits,
+                                                 m_options.loop->clock().now());
+            },
+        .loadReported =
+            [this](const Base::EndpointId &endpoint, std::string_view load) {
+                m_options.placer->loadReported(endpoint, load);
+            },
+        .finished = [this, context](const Exchange::ExchangeEnd &end) { finished(context, end); }};
+}
+
+void CallerApi::refuse(const ContextPtr &context, Error error)
+{
+    refuse(context, Exchange::Refusal{.error = std::move(error)});
+}
+
+void CallerApi::refuse(const ContextPtr &context, Exchange::Refusal refusal)
+{
+    const int status = Errors::errorRow(refusal.error.kind).httpStatus;
+    Http::Headers headers = Exchange::refusalHeaders(refusal);
+    headers.add("x-request-id", context->info.id.value());
+    context->responder->send(status, headers, Exchange::refusalBody(refusal, context->info.id));
+    finished(context, {.refusal = std::move(refusal), .status = status});
+}
+
+void CallerApi::finished(const ContextPtr &context, const Exchange::ExchangeEnd &end)
+{
+    --m_inFlight;
+    const Base::MonoTime now = m_options.loop->clock().now();
+    const bool didNotRun = end.refusal && end.refusal->error.ran == Ran::No;
+    if (context->ticket.held()) {
+        if (didNotRun)
+            context->ticket.refund(now);
+        else
+            context->ticket.settle(end.promptTokens + end.answerTokens, now);
+    }
+    if (end.whole && context->route.hasChat)
+        m_options.placer->chatServed(context->route.chatHash, end.endpoint,
+                                     end.promptTokens + end.answerTokens);
+    if (context->isClaimed && !end.whole && claimFailed)
+        claimFailed(context->info, end.refusal ? end.refusal->error.ran : Ran::Unknown);
+    if (requestEnded)
+        requestEnded(context->info, end);
+}
+
+} // namespace Lagoonbank::Router
--- /dev/null
+++ b/src/libs/router/placer.cpp
@@ -0,0 +1,300 @@
+#include "router/placer.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Lagoonbank::Router {
+
+using Errors::ErrorKind;
+
+namespace {
+
+/// Above all that can be meant: work units, or milliseconds since 1970.
+constexpr double largestAmount = 1e15;
+constexpr std::int64_t oldestReportMs = 60'000;
+
+Routing::ExchangeResult healthOf(const Exchange::AttemptResult &result)
+{
+    if (result.whole || result.error.kind == ErrorKind::EndpointRefused)
+        return Routing::ExchangeResult::Answered;
+    if (result.error.kind == ErrorKind::EndpointUnreachable)
+        return Routing::ExchangeResult::Unreachable;
+    return Routing::ExchangeResult::Broke;
+}
+
+std::optional<double> readAmount(std::string_view text)
+{
+    double value = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || stop != end || !(value >= 0 && value <= largestAmount))
+        return std::nullopt;
+    return value;
+}
+
+bool tellsHealth(const Exchange::AttemptResult &result)
+{
+    return result.whole
+        || (result.error.kind != ErrorKind::CallerLeft
+            && result.error.kind != ErrorKind::DeadlinePassed);
+}
+
+} // namespace
+
+std::optional<LoadHeader> readLoadHeader(std::string_view text)
+{
+    LoadHeader header;
+    bool hasWork = false;
+    while (!text.empty()) {
+        const std::string_view part = text.substr(0, text.find(';'));
+        text.remove_prefix(std::min(part.size() + 1, text.size()));
+        const std::size_t equals = part.find('=');
+        if (equals == std::string_view::npos)
+            return std::nullopt;
+        const std::string_view name = part.substr(0, equals);
+        const std::optional<double> value = readAmount(part.substr(equals + 1));
+        if (!value)
+            return std::nullopt;
+        if (name == "work") {
+            header.work = Base::WorkUnits(*value);
+            hasWork = true;
+        } else if (name == "age") {
+            const auto age = static_cast<std::int64_t>(*value);
+            header.age = std::chrono::milliseconds(std::min(age, oldestReportMs));
+        } else if (name == "capacity") {
+            header.capacity = Base::WorkUnits(*value);
+        } else if (name == "incarnation") {
+            header.incarnation = Base::Incarnation(static_cast<std::uint64_t>(*value));
+        }
+    }
+    if (!hasWork)
+        return std::nullopt;
+    return header;
+}
+
+Placer::Placer(Options options)
+    : m_loop(*options.loop)
+    , m_routing(options.routing)
+    , m_queueOptions(options.queue)
+{
+    refresh();
+}
+
+Placer::~Placer()
+{
+    m_loop.timers().cancel(m_refreshTimer);
+    if (m_serveTimer)
+        m_loop.timers().cancel(*m_serveTimer);
+}
+
+void Placer::refresh()
+{
+    const Base::MonoTime now = m_loop.clock().now();
+    m_routing.refresh(now);
+    for (const auto &[pool, queue] : m_queues)
+        queue->expire(now);
+    serveWaiting();
+    m_refreshTimer = m_loop.timers().start(Routing::Router::refreshInterval, [this] { refresh(); });
+}
+
+std::string Placer::poolOf(const Exchange::RouteQuery &query)
+{
+    return query.model.empty() ? Routing::servicePool(query.service)
+                               : Routing::modelPool(query.model);
+}
+
+Routing::WaitQueue &Placer::queueOf(const Exchange::RouteQuery &query)
+{
+    std::unique_ptr<Routing::WaitQueue> &queue = m_queues[poolOf(query)];
+    if (!queue) {
+        queue = std::make_unique<Routing::WaitQueue>(m_queueOptions);
+        queue->gaveUp = [this](std::uint64_t ticket, ErrorKind kind) { giveUp(ticket, kind); };
+    }
+    return *queue;
+}
+
+Routing::RouteRequest Placer::requestOf(const Exchange::RouteQuery &query) const
+{
+    Routing::RouteRequest request{.pool = m_routing.endpoints().findPool(poolOf(query)),
+                                  .chatHash = query.chatHash,
+                                  .promptTokens = query.promptTokens,
+                                  .expectedOutput = query.maxTokens,
+                                  .priority =
+                                      static_cast<std::uint8_t>(std::clamp(query.priority, 0, 255)),
+                                  .repeatable = query.idempotent,
+                                  .usesCache = !query.model.empty()};
+    for (const Base::EndpointId &endpoint : query.avoid) {
+        const Routing::EndpointIndex index = m_routing.endpoints().find(endpoint);
+        if (index != Routing::noEndpoint)
+            request.tried.add(index);
+    }
+    return request;
+}
+
+Routing::Decision Placer::choose(const Exchange::RouteQuery &query)
+{
+    const Base::MonoTime started = m_loop.clock().now();
+    std::optional<Routing::Placement> token;
+    if (!query.placementToken.empty())
+        token =
+            m_routing.tokens().read(query.placementToken, query.chatHash, m_loop.clock().wallNow());
+    const Routing::Decision decision = m_routing.choose(requestOf(query), token);
+    if (decided)
+        decided(m_loop.clock().now() - started, decision);
+    return decision;
+}
+
+Exchange::Target Placer::send(const Exchange::RouteQuery &query, const Routing::Decision &decision)
+{
+    const std::uint64_t ticket = ++m_lastTicket;
+    m_running.emplace(ticket,
+                      Running{m_routing.noteSent(decision, m_loop.clock().now()), query.chatHash});
+    const Routing::EndpointInfo &info = m_routing.endpoints().info(decision.endpoint);
+    Exchange::Target target{.endpoint = info.id,
+                            .work = decision.work,
+                            .expectedCached = decision.expectedCached,
+                            .ticket = ticket};
+    if (const auto address = Runtime::parseSocketAddress(info.address))
+        target.address = address.value();
+    if (query.hasChat && m_routing.tokens().enabled()) {
+        const Routing::Placement place{m_routing.endpoints().hash(decision.endpoint),
+                                       query.promptTokens};
+        target.placementToken = std::string(Routing::toView(
+            m_routing.tokens().write(query.chatHash, place, m_loop.clock().wallNow())));
+    }
+    return target;
+}
+
+Exchange::Refusal Placer::refusalOf(ErrorKind kind, const Routing::WaitQueue &queue) const
+{
+    return {.error = {kind, {}, Errors::Ran::No},
+            .retryAfter = queue.retryAfter(m_loop.clock().now())};
+}
+
+Exchange::Abandon Placer::place(const Exchange::RouteQuery &query,
+                                std::function<void(Exchange::Placement)> placed)
+{
+    const Routing::Decision decision = choose(query);
+    if (decision.outcome == Routing::Outcome::Send) {
+        placed(send(query, decision));
+        return {};
+    }
+    Routing::WaitQueue &queue = queueOf(query);
+    if (decision.outcome == Routing::Outcome::Refuse) {
+        placed(refusalOf(decision.refusal, queue));
+        return {};
+    }
+    const std::uint64_t ticket = ++m_lastTicket;
+    m_waiting.emplace(ticket, Waiting{query, std::move(placed), &queue});
+    const auto refused =
+        queue.push({.ticket = ticket,
+                    .priority = static_cast<std::uint8_t>(std::clamp(query.priority, 0, 255)),
+                    .deadline = query.deadline},
+                   m_loop.clock().now());
+    if (refused) {
+        giveUp(ticket, *refused);
+        return {};
+    }
+    return [this, ticket, &queue] {
+        queue.remove(ticket);
+        m_waiting.erase(ticket);
+    };
+}
+
+void Placer::giveUp(std::uint64_t ticket, ErrorKind kind)
+{
+    const auto found = m_waiting.find(ticket);
+    if (found == m_waiting.end())
+        return;
+    const Waiting waiting = std::move(found->second);
+    m_waiting.erase(found);
+    waiting.placed(refusalOf(kind, *waiting.queue));
+}
+
+void Placer::serveWaiting()
+{
+    for (const auto &[pool, queue] : m_queues)
+        serveQueue(*queue);
+}
+
+void Placer::serveLater()
+{
+    if (m_serveTimer)
+        return;
+    m_serveTimer = m_loop.timers().start({}, [this] {
+        m_serveTimer.reset();
+        serveWaiting();
+    });
+}
+
+void Placer::serveQueue(Routing::WaitQueue &queue)
+{
+    while (const auto ticket = queue.front()) {
+        const auto found = m_waiting.find(*ticket);
+        const Routing::Decision decision = choose(found->second.query);
+        if (decision.outcome == Routing::Outcome::Wait)
+            return;
+        queue.pop(m_loop.clock().now());
+        const Waiting waiting = std::move(found->second);
+        m_waiting.erase(found);
+        if (decision.outcome == Routing::Outcome::Send)
+            waiting.placed(send(waiting.query, decision));
+        else
+            waiting.placed(refusalOf(decision.refusal, queue));
+    }
+}
+
+void Placer::attemptStarted(const Exchange::Target &target)
+{
+    if (m_running.contains(target.ticket))
+        return;
+    // A resumed stream goes back to its endpoint without a new decision.
+    const Routing::EndpointIndex endpoint = m_routing.endpoints().find(target.endpoint);
+    if (endpoint == Routing::noEndpoint)
+        return;
+    const Routing::Decision decision{
+        .outcome = Routing::Outcome::Send, .endpoint = endpoint, .work = target.work};
+    m_running.emplace(target.ticket,
+                      Running{m_routing.noteSent(decision, m_loop.clock().now()), 0});
+}
+
+void Placer::attemptEnded(const Exchange::AttemptResult &result)
+{
+    const auto found = m_running.find(result.ticket);
+    if (found == m_running.end())
+        return;
+    const Base::MonoTime now = m_loop.clock().now();
+    if (tellsHealth(result))
+        m_routing.noteEnded(&found->second.sent, healthOf(result), now);
+    else
+        m_routing.noteDropped(&found->second.sent, now);
+    m_running.erase(found);
+    if (!m_waiting.empty())
+        serveLater();
+}
+
+void Placer::loadReported(const Base::EndpointId &endpoint, std::string_view report)
+{
+    const Routing::EndpointIndex index = m_routing.endpoints().find(endpoint);
+    const std::optional<LoadHeader> header = readLoadHeader(report);
+    if (index == Routing::noEndpoint || !header)
+        return;
+    const Base::MonoTime now = m_loop.clock().now();
+    m_routing.noteReport(
+        index,
+        {.work = header->work, .sampledAt = now - header->age, .incarnation = header->incarnation},
+        header->capacity, now);
+}
+
+void Placer::chatServed(std::uint64_t chatHash, const Base::EndpointId &endpoint,
+                        Base::Tokens cached)
+{
+    const Routing::EndpointIndex index = m_routing.endpoints().find(endpoint);
+    if (index != Routing::noEndpoint)
+        m_routing.noteServed(chatHash, index, cached);
+}
+
+} // namespace Lagoonbank::Router
--- /dev/null
+++ b/src/libs/router/retrybudgets.cpp
@@ -0,0 +1,65 @@
+#include "router/retrybudgets.h"
+
+namespace Lagoonbank::Router {
+
+namespace {
+
+constexpr double defaultRatio = 0.1;
+
+} // namespace
+
+RetryBudgets::RetryBudgets()
+{
+    m_backoff.random = [this] { return absl::Uniform(m_random, 0.0, 1.0); };
+}
+
+void RetryBudgets::setWorkspaceRatio(const Base::WorkspaceId &workspace, double ratio)
+{
+    const auto [place, isNew] = m_ratios.insert_or_assign(workspace, ratio);
+    if (!isNew)
+        m_workspaces.erase(workspace);
+}
+
+Retry::RetryBudget &RetryBudgets::workspaceBudget(const Base::WorkspaceId &workspace,
+                                                  Base::MonoTime now)
+{
+    const auto ratio = m_ratios.find(workspace);
+    const Retry::RetryBudget fresh(
+        {.ratio = ratio == m_ratios.end() ? defaultRatio : ratio->second}, now);
+    return m_workspaces.try_emplace(workspace, fresh).first->second;
+}
+
+Retry::RetryBudget &RetryBudgets::endpointBudget(const Base::EndpointId &endpoint,
+                                                 Base::MonoTime now)
+{
+    const Retry::RetryBudget fresh({.ratio = m_endpointRatio}, now);
+    return m_endpoints.try_emplace(endpoint, fresh).first->second;
+}
+
+void RetryBudgets::noteWhole(const Base::WorkspaceId &workspace, const Base::EndpointId &endpoint,
+                             Base::MonoTime now)
+{
+    workspaceBudget(workspace, now).succeeded(now);
+    endpointBudget(endpoint, now).succeeded(now);
+}
+
+Retry::RetryDecision RetryBudgets::decide(const Base::WorkspaceId &workspace,
+                                          const Base::EndpointId &endpoint,
+                                          const Retry::AttemptFailure &failure,
+                                          const Retry::RequestTraits &traits, Base::MonoTime now)
+{
+    // Both references are taken first: the maps do not share storage.
+    Retry::RetryBudget &ofWorkspace = workspaceBudget(workspace, now);
+    Retry::RetryBudget &ofEndpoint = endpointBudget(endpoint, now);
+    const Retry::RetryDecision decision = Retry::decide(
+        failure, traits,
+        {.workspace = &ofWorkspace, .endpoint = &ofEndpoint, .maxAttempts = m_maxAttempts},
+        m_backoff, now);
+    if (decision.action == Retry::RetryAction::GiveUp)
+        return decision;
+    ofWorkspace.spend(now);
+    ofEndpoint.spend(now);
+    return decision;
+}
+
+} // namespace Lagoonbank::Router
--- /dev/null
+++ b/src/libs/router/retrybudgets.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/ids.h"
+#include "retry/retrydecision.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/random/random.h>
+
+namespace Lagoonbank::Router {
+
+/// The retry budgets of all workspaces and endpoints of this router, and the decision over them.
+class RetryBudgets
+{
+public:
+    RetryBudgets();
+
+    void setWorkspaceRatio(const Base::WorkspaceId &workspace, double ratio);
+    void setEndpointRatio(double ratio) { m_endpointRatio = ratio; }
+    void setMaxAttempts(int attempts) { m_maxAttempts = attempts; }
+
+    void noteWhole(const Base::WorkspaceId &workspace, const Base::EndpointId &endpoint,
+                   Base::MonoTime now);
+    /// Decides after a failed attempt and charges a retry to the budgets of its workspace and
+    /// endpoint.
+    Retry::RetryDecision decide(const Base::WorkspaceId &workspace,
+                                const Base::EndpointId &endpoint,
+                                const Retry::AttemptFailure &failure,
+                                const Retry::RequestTraits &traits, Base::MonoTime now);
+    /// Drops the budgets of workspaces and endpoints that are gone.
+    template<typename KeepWorkspace, typename KeepEndpoint>
+    void prune(KeepWorkspace keepWorkspace, KeepEndpoint keepEndpoint)
+    {
+        absl::erase_if(m_workspaces, [&](const auto &item) { return !keepWorkspace(item.first); });
+        absl::erase_if(m_endpoints, [&](const auto &item) { return !keepEndpoint(item.first); });
+    }
+
+private:
+    Retry::RetryBudget &workspaceBudget(const Base::WorkspaceId &workspace, Base::MonoTime now);
+    Retry::RetryBudget &endpointBudget(const Base::EndpointId &endpoint, Base::MonoTime now);
+
+    absl::BitGen m_random;
+    Retry::Backoff m_backoff;
+    double m_endpointRatio = 0.1;
+    int m_maxAttempts = 3;
+    absl::flat_hash_map<Base::WorkspaceId, double> m_ratios;
+    absl::flat_hash_map<Base::WorkspaceId, Retry::RetryBudget> m_workspaces;
+    absl::flat_hash_map<Base::EndpointId, Retry::RetryBudget> m_endpoints;
+};
+
+} // namespace Lagoonbank::Router
