--- /dev/null
+++ b/src/standins/engine/cacheeventlog.cpp
@@ -0,0 +1,35 @@
+#include "standins/engine/cacheeventlog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Standins {
+
+void CacheEventLog::append(Base::MonoTime now, CacheOp op, Base::ChatId chat, Base::Tokens tokens)
+{
+    const std::uint64_t offset = m_first + m_entries.size();
+    const bool lost = m_options.gapEvery > 0 && (offset + 1) % m_options.gapEvery == 0;
+    m_entries.push_back({now, {offset, op, std::move(chat), tokens}, lost});
+    if (m_entries.size() <= m_options.maxEvents)
+        return;
+    m_entries.pop_front();
+    ++m_first;
+}
+
+CacheEventLog::Page CacheEventLog::read(std::uint64_t from, Base::MonoTime now) const
+{
+    Page page{.first = m_first, .next = std::max(from, m_first), .events = {}};
+    if (page.next - m_first > m_entries.size())
+        page.next = m_first + m_entries.size();
+    for (std::size_t i = page.next - m_first; i < m_entries.size(); ++i) {
+        const Entry &entry = m_entries[i];
+        if (entry.time + m_options.delay > now || page.events.size() >= m_options.maxPerRead)
+            break;
+        if (!entry.lost)
+            page.events.push_back(entry.event);
+        page.next = entry.event.offset + 1;
+    }
+    return page;
+}
+
+} // namespace Lagoonbank::Standins
--- /dev/null
+++ b/src/standins/engine/enginemodel.cpp
@@ -0,0 +1,293 @@
+#include "standins/engine/enginemodel.h"
+
+#include "standins/engine/tokentext.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Standins {
+
+namespace {
+
+constexpr double workPerOutputToken = 8;
+constexpr double averageWorkPerRequest = 512;
+constexpr int maxCatchUpSteps = 20;
+constexpr std::string_view answerRole = "assistant";
+
+} // namespace
+
+EngineModel::EngineModel(const Options &options)
+    : m_options(options)
+    , m_cache(options.cacheBlocks)
+    , m_events(options.events)
+    , m_loadHistory(options.loadLag, options.clock->now())
+    , m_ledger(options.maxLedger)
+{
+    m_cache.stored = [this](const Base::ChatId &chat, Base::Tokens cached) {
+        m_events.append(m_options.clock->now(), CacheOp::Stored, chat, cached);
+    };
+    m_cache.evicted = [this](const Base::ChatId &chat, Base::Tokens left) {
+        m_events.append(m_options.clock->now(), CacheOp::Evicted, chat, left);
+    };
+}
+
+std::optional<RunNumber> EngineModel::submit(const Generation &generation)
+{
+    if (m_queue.size() >= m_options.maxQueue)
+        return std::nullopt;
+    if (isIdle()) {
+        m_nextStep = m_options.clock->now() + stepTime();
+        m_prefillCarry = 0;
+    }
+    const RunNumber number{++m_lastRun};
+    auto owned = std::make_unique<Run>();
+    Run &run = *owned;
+    run.number = number;
+    run.requestId = generation.requestId;
+    run.tokenHash = shortHash(generation.requestId);
+    run.chat = generation.chat;
+    run.chain.appendText(generation.prompt);
+    run.place = {generation.priority, number.value()};
+    run.promptTokens = static_cast<std::int64_t>(run.chain.tokenCount());
+    run.maxTokens = generation.maxTokens.value();
+    run.cachedTokens = m_cache.cachedTokens(run.chain.hashes()).value();
+    run.prefillLeft = run.promptTokens - run.cachedTokens;
+    run.ledger = m_ledger.begin({.requestId = run.requestId,
+                                 .chat = run.chat,
+                                 .started = m_options.clock->wallNow(),
+                                 .promptTokens = Base::Tokens(run.promptTokens),
+                                 .afterDrain = generation.afterDrain});
+    m_work += workOf(run);
+    m_queue.emplace(run.place, &run);
+    m_byRequest[run.requestId] = number;
+    m_runs.emplace(number, std::move(owned));
+    recordLoad();
+    return number;
+}
+
+bool EngineModel::cancel(const Base::RequestId &requestId)
+{
+    const std::optional<RunNumber> number = find(requestId);
+    if (!number)
+        return false;
+    Run &run = *m_runs.at(*number);
+    if (run.state != RunState::Running)
+        return false;
+    takeOut(run);
+    end(run, RunState::Cancelled);
+    recordLoad();
+    notify();
+    return true;
+}
+
+void EngineModel::crash(RunNumber number)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end())
+        return;
+    if (found->second->state == RunState::Running) {
+        takeOut(*found->second);
+        end(*found->second, RunState::Crashed);
+        std::erase(m_changed, number);
+        recordLoad();
+    }
+    forget(number);
+}
+
+void EngineModel::forget(RunNumber number)
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end() || found->second->state == RunState::Running)
+        return;
+    const auto byRequest = m_byRequest.find(found->second->requestId);
+    if (byRequest != m_byRequest.end() && byRequest->second == number)
+        m_byRequest.erase(byRequest);
+    m_runs.erase(found);
+}
+
+std::optional<RunNumber> EngineModel::find(const Base::RequestId &requestId) const
+{
+    const auto found = m_byRequest.find(requestId);
+    if (found == m_byRequest.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::optional<RunView> EngineModel::view(RunNumber number) const
+{
+    const auto found = m_runs.find(number);
+    if (found == m_runs.end())
+        return std::nullopt;
+    const Run &run = *found->second;
+    return RunView{run.requestId, Base::Tokens(run.produced), Base::Tokens(run.promptTokens),
+                   Base::Tokens(run.cachedTokens), run.state};
+}
+
+void EngineModel::advance()
+{
+    const Base::MonoTime now = m_options.clock->now();
+    int steps = 0;
+    while (!isIdle() && m_nextStep <= now) {
+        step();
+        m_nextStep += stepTime();
+        notify();
+        if (++steps < maxCatchUpSteps)
+            continue;
+        m_nextStep = now + stepTime();
+    }
+    dropOldEnded();
+}
+
+std::optional<Base::MonoTime> EngineModel::nextStep() const
+{
+    if (isIdle())
+        return std::nullopt;
+    return m_nextStep;
+}
+
+Base::Duration EngineModel::stepTime() const
+{
+    return std::chrono::duration_cast<Base::Duration>(m_options.step * m_slowness);
+}
+
+void EngineModel::step()
+{
+    admit();
+    const double stepMs = Base::toSeconds(m_options.step) * 1000;
+    double budget = m_options.prefillTokensPerMs * stepMs + m_prefillCarry;
+    for (Run *run : m_batch) {
+        if (prefill(*run, budget))
+            produce(*run);
+    }
+    // A fraction of a token is kept for the next step, so that slow reading makes progress.
+    m_prefillCarry = std::min(budget, 1.0);
+    std::erase_if(m_batch, [](const Run *run) { return run->state != RunState::Running; });
+    recordLoad();
+}
+
+void EngineModel::admit()
+{
+    while (m_batch.size() < m_options.maxBatch && !m_queue.empty()) {
+        Run &run = *m_queue.begin()->second;
+        m_queue.erase(m_queue.begin());
+        m_batch.push_back(&run);
+        startPrefill(run);
+    }
+}
+
+void EngineModel::startPrefill(Run &run)
+{
+    // The cache may have changed while the request waited.
+    m_work -= workOf(run);
+    run.cachedTokens = m_cache.cachedTokens(run.chain.hashes()).value();
+    run.prefillLeft = run.promptTokens - run.cachedTokens;
+    m_work += workOf(run);
+    if (LedgerEntry *entry = m_ledger.find(run.ledger))
+        entry->cachedTokens = Base::Tokens(run.cachedTokens);
+}
+
+bool EngineModel::prefill(Run &run, double &budget)
+{
+    if (run.produced > 0)
+        return true;
+    const std::int64_t share = std::min(run.prefillLeft, static_cast<std::int64_t>(budget));
+    run.prefillLeft -= share;
+    m_work -= static_cast<double>(share);
+    budget -= static_cast<double>(share);
+    if (run.prefillLeft > 0)
+        return false;
+    m_cache.store(run.chat, run.chain.hashes());
+    run.chain.appendToken(answerRole);
+    return true;
+}
+
+void EngineModel::produce(Run &run)
+{
+    run.chain.appendText(tokenText(run.tokenHash, run.produced));
+    ++run.produced;
+    m_work -= workPerOutputToken;
+    if (run.produced == run.maxTokens) {
+        m_cache.store(run.chat, run.chain.hashes());
+        end(run, RunState::Whole);
+        return;
+    }
+    m_changed.push_back(run.number);
+}
+
+void EngineModel::end(Run &run, RunState state)
+{
+    m_work -= workOf(run);
+    run.state = state;
+    run.chain = BlockChain();
+    if (LedgerEntry *entry = m_ledger.find(run.ledger))
+        entry->tokens = Base::Tokens(run.produced);
+    m_ledger.end(run.ledger, state, m_options.clock->wallNow());
+    m_ended.push_back({m_options.clock->now(), run.number});
+    m_changed.push_back(run.number);
+}
+
+void EngineModel::takeOut(const Run &run)
+{
+    std::erase(m_batch, &run);
+    m_queue.erase(run.place);
+}
+
+void EngineModel::dropOldEnded()
+{
+    const Base::MonoTime oldest = m_options.clock->now() - m_options.keepEnded;
+    while (!m_ended.empty()
+           && (m_ended.front().time < oldest || m_ended.size() > m_options.maxEnded)) {
+        forget(m_ended.front().run);
+        m_ended.pop_front();
+    }
+}
+
+double EngineModel::workOf(const Run &run) const
+{
+    return static_cast<double>(run.prefillLeft)
+        + workPerOutputToken * static_cast<double>(run.maxTokens - run.produced);
+}
+
+void EngineModel::recordLoad()
+{
+    m_loadHistory.record(m_options.clock->now(),
+                         {m_batch.size(), m_queue.size(), Base::WorkUnits(m_work)});
+}
+
+LoadReport EngineModel::load() const
+{
+    return m_loadHistory.report(m_options.clock->now());
+}
+
+Base::WorkUnits EngineModel::capacity() const
+{
+    if (m_options.capacity.value() > 0)
+        return m_options.capacity;
+    return Base::WorkUnits(static_cast<double>(m_options.maxBatch) * averageWorkPerRequest);
+}
+
+CacheEventLog::Page EngineModel::cacheEvents(std::uint64_t from) const
+{
+    return m_events.read(from, m_options.clock->now());
+}
+
+std::optional<std::vector<BlockHash>> EngineModel::exportChat(const Base::ChatId &chat) const
+{
+    return m_cache.chainOf(chat);
+}
+
+void EngineModel::importChat(const Base::ChatId &chat, const std::vector<BlockHash> &chain)
+{
+    m_cache.store(chat, chain);
+}
+
+void EngineModel::notify()
+{
+    std::vector<RunNumber> changed;
+    changed.swap(m_changed);
+    if (!progressed)
+        return;
+    for (const RunNumber run : changed)
+        progressed(run);
+}
+
+} // namespace Lagoonbank::Standins
--- /dev/null
+++ b/src/standins/engine/prefixcache.cpp
@@ -0,0 +1,97 @@
+#include "standins/engine/prefixcache.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Lagoonbank::Standins {
+
+namespace {
+
+Base::Tokens tokensOf(std::size_t blocks)
+{
+    return Base::Tokens(static_cast<std::int64_t>(blocks * tokensPerBlock));
+}
+
+} // namespace
+
+std::size_t PrefixCache::cachedBlocks(std::span<const BlockHash> chain) const
+{
+    const auto isMissing = [this](BlockHash hash) { return !m_blocks.contains(hash); };
+    return static_cast<std::size_t>(std::ranges::find_if(chain, isMissing) - chain.begin());
+}
+
+Base::Tokens PrefixCache::cachedTokens(std::span<const BlockHash> chain) const
+{
+    return tokensOf(cachedBlocks(chain));
+}
+
+void PrefixCache::store(const Base::ChatId &chat, std::span<const BlockHash> chain)
+{
+    chain = chain.first(std::min(chain.size(), m_maxBlocks));
+    const std::size_t before = cachedBlocks(chain);
+    // The start of the prefix is touched last, so that it outlives its end.
+    for (std::size_t i = chain.size(); i > 0; --i)
+        touch(chat, chain[i - 1]);
+    if (!chain.empty())
+        m_chats[chat].chain.assign(chain.begin(), chain.end());
+    evict();
+    if (chain.size() > before && stored)
+        stored(chat, cachedTokens(chain));
+}
+
+std::optional<std::vector<BlockHash>> PrefixCache::chainOf(const Base::ChatId &chat) const
+{
+    const auto found = m_chats.find(chat);
+    if (found == m_chats.end())
+        return std::nullopt;
+    const std::vector<BlockHash> &chain = found->second.chain;
+    const std::size_t count = cachedBlocks(chain);
+    if (count == 0)
+        return std::nullopt;
+    return std::vector<BlockHash>(chain.begin(), chain.begin() + static_cast<long>(count));
+}
+
+void PrefixCache::touch(const Base::ChatId &chat, BlockHash hash)
+{
+    const auto found = m_blocks.find(hash);
+    if (found == m_blocks.end()) {
+        m_order.push_front({hash, chat});
+        m_blocks.emplace(hash, m_order.begin());
+        ++m_chats[chat].owned;
+        return;
+    }
+    const Blocks::iterator block = found->second;
+    m_order.splice(m_order.begin(), m_order, block);
+    if (block->owner == chat)
+        return;
+    disown(block->owner);
+    block->owner = chat;
+    ++m_chats[chat].owned;
+}
+
+void PrefixCache::disown(const Base::ChatId &chat)
+{
+    const auto found = m_chats.find(chat);
+    if (found != m_chats.end() && --found->second.owned == 0)
+        m_chats.erase(found);
+}
+
+void PrefixCache::evict()
+{
+    std::set<Base::ChatId> losers;
+    while (m_blocks.size() > m_maxBlocks) {
+        const Block block = m_order.back();
+        m_order.pop_back();
+        m_blocks.erase(block.hash);
+        losers.insert(block.owner);
+        disown(block.owner);
+    }
+    for (const Base::ChatId &chat : losers) {
+        const auto found = m_chats.find(chat);
+        const bool gone = found == m_chats.end();
+        if (evicted)
+            evicted(chat, gone ? Base::Tokens() : cachedTokens(found->second.chain));
+    }
+}
+
+} // namespace Lagoonbank::Standins
--- /dev/null
+++ b/src/standins/engine/tokentext.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Lagoonbank::Standins {
+
+/// The first 8 hexadecimal digits of XXH3 (64 bits) of the request id.
+std::string shortHash(const Base::RequestId &requestId);
+/// Token \a index of the answer to the request with that short hash: "<hash>-<index> ".
+std::string tokenText(std::string_view requestHash, std::int64_t index);
+
+} // namespace Lagoonbank::Standins
