--- /dev/null
+++ b/src/libs/membership/membership.cpp
@@ -0,0 +1,488 @@
+#include "membership/membership.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <bit>
+#include <set>
+#include <utility>
+
+namespace Lagoonbank::Membership {
+
+namespace {
+
+constexpr std::size_t pingHelpers = 3;
+constexpr std::size_t urgentFanout = 3;
+constexpr std::size_t leaveFanout = 6;
+constexpr std::uint32_t maxAwareness = 4;
+constexpr Base::Duration housePeriod = std::chrono::seconds(1);
+/// A digest alone isn't worth the headers of a datagram under this room.
+constexpr std::size_t minGossipBytes = 300;
+
+} // namespace
+
+Runtime::SocketAddress toSocketAddress(const MemberUpdate &update)
+{
+    std::string ip;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        ip += std::to_string((update.ip >> shift) & 0xff) + (shift > 0 ? "." : "");
+    return {.ip = ip, .port = update.port};
+}
+
+std::uint32_t ipNumber(const std::string &ip)
+{
+    in_addr address{};
+    if (inet_pton(AF_INET, ip.c_str(), &address) != 1)
+        return 0;
+    return ntohl(address.s_addr);
+}
+
+std::string_view toString(MemberEvent event)
+{
+    switch (event) {
+    case MemberEvent::Joined:
+        return "joined";
+    case MemberEvent::Restarted:
+        return "restarted";
+    case MemberEvent::Suspected:
+        return "suspected";
+    case MemberEvent::Restored:
+        return "restored";
+    case MemberEvent::Died:
+        return "died";
+    case MemberEvent::Left:
+        break;
+    }
+    return "left";
+}
+
+Membership::Membership(Options options, Base::MonoTime now)
+    : m_options(std::move(options))
+    , m_self(m_options.self)
+    , m_links(m_options.timing.linkTimeout)
+    , m_random(m_options.randomSeed)
+    , m_joinable(m_options.seeds)
+    , m_advancedAt(now)
+    , m_joinAt(now)
+    , m_houseAt(now + housePeriod)
+    , m_tableChangedAt(now)
+{
+    m_self.status = MemberStatus::Alive;
+    m_table.merge(m_self, now);
+    m_memberNews.add(m_self.id);
+    // Members that start together don't probe in step.
+    const auto jitter = [this](Base::Duration period) {
+        return Base::Duration(static_cast<std::int64_t>(
+            m_random() % static_cast<std::uint64_t>(period.count())));
+    };
+    m_probeAt = now + jitter(m_options.timing.probePeriod);
+    m_crossAt = now + jitter(m_options.timing.crossProbePeriod);
+    m_gossipAt = now + jitter(m_options.timing.gossipPeriod);
+}
+
+void Membership::advance(Base::MonoTime now)
+{
+    noticePause(now);
+    if (m_urgentAt && now >= *m_urgentAt)
+        gossipUrgently(now);
+    if (m_isLeaving)
+        return;
+    checkProbes(now);
+    confirmSuspects(now);
+    const Timing &timing = m_options.timing;
+    if (now >= m_probeAt) {
+        m_probeAt = now + stretched(timing.probePeriod);
+        probeOwn(now);
+    }
+    if (now >= m_crossAt) {
+        m_crossAt = now + timing.crossProbePeriod;
+        probeCross(now);
+    }
+    if (now >= m_joinAt) {
+        m_joinAt =
+            now + (m_table.aliveCount() > 1 ? timing.joinPeriod : timing.lonelyJoinPeriod);
+        join(now);
+    }
+    if (now >= m_gossipAt) {
+        m_gossipAt = now + timing.gossipPeriod;
+        gossip(now);
+    }
+    if (now >= m_houseAt) {
+        m_houseAt = now + housePeriod;
+        keepHouse(now);
+    }
+}
+
+Base::MonoTime Membership::nextDue() const
+{
+    Base::MonoTime due = std::min({m_probeAt, m_crossAt, m_joinAt, m_gossipAt, m_houseAt});
+    if (m_urgentAt)
+        due = std::min(due, *m_urgentAt);
+    for (const auto &[number, probe] : m_probes)
+        due = std::min(due, probe.othersAsked ? probe.deadline : probe.askOthersAt);
+    return due;
+}
+
+void Membership::noticePause(Base::MonoTime now)
+{
+    const Base::Duration gap = now - m_advancedAt;
+    m_advancedAt = now;
+    if (gap <= m_options.timing.pauseLimit)
+        return;
+    m_probes.clear();
+    m_links.shift(gap);
+    for (const auto &[id, member] : m_table.members())
+        m_table.find(id)->suspectUntil += gap;
+}
+
+void Membership::probeOwn(Base::MonoTime now)
+{
+    const auto isTarget = [this](const Member &member) {
+        return isOwnDataCentre(member) && member.isAlive();
+    };
+    // Every member is probed once before any is probed again, in an order that is drawn anew.
+    for (int round = 0; round < 2; ++round) {
+        while (!m_probeOrder.empty()) {
+            const Member *member = m_table.find(m_probeOrder.back());
+            m_probeOrder.pop_back();
+            if (member && member->info.id != m_self.id && isTarget(*member)) {
+                startProbe(*member, false, now);
+                return;
+            }
+        }
+        for (const Member *member : peersWhere(isTarget))
+            m_probeOrder.push_back(member->info.id);
+        std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
+    }
+}
+
+void Membership::probeCross(Base::MonoTime now)
+{
+    // The data centre tried longest ago; every second time one of the own region.
+    const bool ownRegionOnly = ++m_crossTurn % 2 == 0;
+    const auto isCandidate = [&](const Member &member) {
+        return member.isAlive() && !isOwnDataCentre(member)
+            && (!ownRegionOnly || isOwnRegion(member));
+    };
+    std::vector<const Member *> members = peersWhere(isCandidate);
+    if (members.empty() && ownRegionOnly)
+        members = peersWhere(
+            [&](const Member &member) { return member.isAlive() && !isOwnDataCentre(member); });
+    if (members.empty())
+        return;
+    const auto triedAt = [this](const Member *member) {
+        const auto found = m_crossTries.find(member->info.dataCentre);
+        return found == m_crossTries.end() ? Base::MonoTime::min() : found->second;
+    };
+    const Member *first = *std::min_element(
+        members.begin(), members.end(),
+        [&](const Member *a, const Member *b) { return triedAt(a) < triedAt(b); });
+    const std::string dataCentre = first->info.dataCentre;
+    std::erase_if(members,
+                  [&](const Member *member) { return member->info.dataCentre != dataCentre; });
+    m_crossTries[dataCentre] = now;
+    startProbe(*randomOf(members), true, now);
+}
+
+void Membership::startProbe(const Member &member, bool isCross, Base::MonoTime now)
+{
+    const std::uint32_t number = ++m_probeNumber;
+    m_probes[number] = {.target = member.info.id,
+                        .askOthersAt = now + stretched(m_options.timing.ackTimeout),
+                        .deadline = now + stretched(m_options.timing.probeTimeout),
+                        .isCross = isCross};
+    PeerMessage ping{.type = MessageType::Ping, .probe = number, .target = member.info.id};
+    send(toSocketAddress(member.info), &member, std::move(ping), ControlPriority::Essential, now);
+}
+
+void Membership::join(Base::MonoTime now)
+{
+    for (std::size_t i = 0; i < m_joinable.size(); ++i) {
+        const Runtime::SocketAddress address = m_joinable[m_joinCursor++ % m_joinable.size()];
+        const std::uint32_t ip = ipNumber(address.ip);
+        const bool isSelf = ip == m_self.ip && address.port == m_self.port;
+        if (isSelf || m_table.findAlive(ip, address.port))
+            continue;
+        PeerMessage ping{.type = MessageType::Ping, .probe = ++m_probeNumber};
+        send(address, nullptr, std::move(ping), ControlPriority::Essential, now);
+        return;
+    }
+}
+
+void Membership::checkProbes(Base::MonoTime now)
+{
+    std::vector<Probe> failed;
+    for (auto it = m_probes.begin(); it != m_probes.end();) {
+        Probe &probe = it->second;
+        if (!probe.othersAsked && now >= probe.askOthersAt) {
+            probe.othersAsked = true;
+            askOthers(it->first, probe, now);
+        }
+        if (now < probe.deadline) {
+            ++it;
+            continue;
+        }
+        failed.push_back(probe);
+        it = m_probes.erase(it);
+    }
+    for (const Probe &probe : failed)
+        probeFailed(probe, now);
+    std::erase_if(m_relays, [&](const auto &item) { return now > item.second.until; });
+}
+
+void Membership::askOthers(std::uint32_t number, const Probe &probe, Base::MonoTime now)
+{
+    if (probe.isCross)
+        return;
+    std::vector<const Member *> helpers = peersWhere([&](const Member &member) {
+        return member.info.status == MemberStatus::Alive && isOwnDataCentre(member)
+            && member.info.id != probe.target;
+    });
+    if (helpers.empty()) {
+        helpers = peersWhere([&](const Member &member) {
+            return member.info.status == MemberStatus::Alive && isReachable(member, now);
+        });
+    }
+    std::shuffle(helpers.begin(), helpers.end(), m_random);
+    helpers.resize(std::min(helpers.size(), pingHelpers));
+    for (const Member *helper : helpers) {
+        PeerMessage request{
+            .type = MessageType::PingRequest, .probe = number, .target = probe.target};
+        send(toSocketAddress(helper->info), helper, std::move(request),
+             ControlPriority::Essential, now);
+    }
+}
+
+void Membership::probeFailed(const Probe &probe, Base::MonoTime now)
+{
+    const Member *member = m_table.find(probe.target);
+    if (!member)
+        return;
+    if (probe.isCross) {
+        // Tries that data centre again at once, before it counts as out of reach.
+        m_crossTries.erase(member->info.dataCentre);
+        return;
+    }
+    m_awareness = std::min(m_awareness + 1, maxAwareness);
+    if (member->info.status != MemberStatus::Alive)
+        return;
+    MemberUpdate suspected = member->info;
+    suspected.status = MemberStatus::Suspect;
+    apply(suspected, now);
+    // Told at once, so that it can refute.
+    member = m_table.find(probe.target);
+    PeerMessage message{.type = MessageType::Gossip};
+    send(toSocketAddress(member->info), member, std::move(message), ControlPriority::Membership,
+         now);
+}
+
+void Membership::confirmSuspects(Base::MonoTime now)
+{
+    const std::vector<const Member *> expired = peersWhere([&](const Member &member) {
+        return member.info.status == MemberStatus::Suspect && isOwnDataCentre(member)
+            && now >= member.suspectUntil;
+    });
+    for (const Member *member : expired) {
+        MemberUpdate dead = member->info;
+        dead.status = MemberStatus::Dead;
+        apply(dead, now);
+    }
+}
+
+void Membership::gossip(Base::MonoTime now)
+{
+    const bool hasNews = !m_memberNews.isEmpty() || !m_leavingNews.isEmpty();
+    const bool hasLoads = m_loads.hasDue(now);
+    if (!hasNews && !hasLoads && !m_demands.hasDue())
+        return;
+    ControlPriority priority = ControlPriority::Demand;
+    if (hasLoads)
+        priority = ControlPriority::Load;
+    if (hasNews)
+        priority = ControlPriority::Membership;
+    if (m_options.budget->available(priority, now) < minGossipBytes)
+        return;
+    const std::vector<const Member *> peers = peersWhere([&](const Member &member) {
+        return member.info.status == MemberStatus::Alive && isOwnRegion(member)
+            && isReachable(member, now) && (hasNews || member.info.role == MemberRole::Router);
+    });
+    const Member *peer = randomOf(peers);
+    if (!peer)
+        return;
+    send(toSocketAddress(peer->info), peer, {.type = MessageType::Gossip}, priority, now);
+}
+
+void Membership::gossipUrgently(Base::MonoTime now)
+{
+    m_urgentAt.reset();
+    const std::vector<const Member *> all = peersWhere([&](const Member &member) {
+        return member.info.status == MemberStatus::Alive && isReachable(member, now);
+    });
+    std::vector<const Member *> near;
+    std::vector<const Member *> far;
+    for (const Member *member : all)
+        (isOwnDataCentre(*member) ? near : far).push_back(member);
+    std::shuffle(near.begin(), near.end(), m_random);
+    std::shuffle(far.begin(), far.end(), m_random);
+    const std::size_t count = m_isLeaving ? leaveFanout : urgentFanout;
+    const std::size_t nearCount =
+        std::min(near.size(), far.empty() ? count : count - count / urgentFanout);
+    std::vector<const Member *> peers(near.begin(),
+                                      near.begin() + static_cast<std::ptrdiff_t>(nearCount));
+    for (const Member *member : far) {
+        if (peers.size() >= count)
+            break;
+        peers.push_back(member);
+    }
+    for (const Member *peer : peers)
+        send(toSocketAddress(peer->info), peer, {.type = MessageType::Gossip},
+             ControlPriority::Configuration, now);
+}
+
+void Membership::keepHouse(Base::MonoTime now)
+{
+    m_table.age(now);
+    m_leaving.age(now);
+    m_demands.age(now);
+    const std::vector<const Member *> gone = peersWhere([&](const Member &member) {
+        return member.isAlive() && !isOwnDataCentre(member) && !member.isListed
+            && !m_vmList.empty()
+            && now - m_links.lastContact(member.info.dataCentre) > m_options.timing.forgetTime;
+    });
+    for (const Member *member : gone) {
+        MemberUpdate dead = member->info;
+        dead.status = MemberStatus::Dead;
+        apply(dead, now);
+    }
+}
+
+void Membership::setVmList(const std::vector<ListedVm> &vms)
+{
+    m_vmList = vms;
+    m_joinable = m_options.seeds;
+    std::set<std::uint32_t> listed;
+    for (const ListedVm &vm : vms) {
+        listed.insert(ipNumber(vm.ip));
+        for (const std::uint16_t port : m_options.listedPorts)
+            m_joinable.push_back({.ip = vm.ip, .port = port});
+    }
+    for (const auto &[id, member] : m_table.members())
+        m_table.find(id)->isListed = listed.contains(member.info.ip);
+}
+
+void Membership::setConfigurationMark(const ConfigurationMark &mark, Base::MonoTime now)
+{
+    if (mark.offset < m_mark.offset)
+        return;
+    const bool isNew = mark != m_mark;
+    m_mark = mark;
+    if (isNew)
+        setUrgent(now);
+}
+
+void Membership::announceLeaving(const Base::EndpointId &endpoint, Base::Incarnation incarnation,
+                                 Base::MonoTime now)
+{
+    receiveLeaving({.endpoint = endpoint.value(), .incarnation = incarnation.value()}, now);
+}
+
+bool Membership::isLeaving(const Base::EndpointId &endpoint, Base::Incarnation incarnation) const
+{
+    return m_leaving.covers(endpoint, incarnation);
+}
+
+void Membership::setDemand(const Base::WorkspaceId &workspace, std::string bytes,
+                           Base::MonoTime now)
+{
+    m_demands.set(nameKey(m_self.id), workspace, std::move(bytes), now);
+}
+
+void Membership::leave(Base::MonoTime now)
+{
+    m_isLeaving = true;
+    m_self.status = MemberStatus::Left;
+    m_table.merge(m_self, now);
+    m_memberNews.add(m_self.id);
+    gossipUrgently(now);
+    setUrgent(now);
+}
+
+bool Membership::isReachable(const Member &member, Base::MonoTime now) const
+{
+    return isOwnDataCentre(member) || m_links.isReachable(member.info.dataCentre, now);
+}
+
+bool Membership::isReachable(const Base::DataCentreId &dataCentre, Base::MonoTime now) const
+{
+    return dataCentre.value() == m_self.dataCentre
+        || m_links.isReachable(dataCentre.value(), now);
+}
+
+std::vector<MemberUpdate> Membership::usableMembers(Base::MonoTime now, bool withDamped) const
+{
+    std::vector<MemberUpdate> result;
+    for (const auto &[id, member] : m_table.members()) {
+        if (member.isAlive() && isReachable(member, now) && (withDamped || !member.isDamped))
+            result.push_back(member.info);
+    }
+    return result;
+}
+
+std::size_t Membership::rankInDataCentre(Base::MonoTime now) const
+{
+    std::size_t rank = 0;
+    for (const MemberUpdate &member : usableMembers(now)) {
+        if (member.id < m_self.id && member.dataCentre == m_self.dataCentre
+            && member.role == m_self.role)
+            ++rank;
+    }
+    return rank;
+}
+
+std::vector<const Member *>
+Membership::peersWhere(const std::function<bool(const Member &)> &is) const
+{
+    std::vector<const Member *> result;
+    for (const auto &[id, member] : m_table.members()) {
+        if (id != m_self.id && is(member))
+            result.push_back(&member);
+    }
+    return result;
+}
+
+const Member *Membership::randomOf(const std::vector<const Member *> &members)
+{
+    return members.empty() ? nullptr : members[m_random() % members.size()];
+}
+
+bool Membership::isOwnDataCentre(const Member &member) const
+{
+    return member.info.dataCentre == m_self.dataCentre;
+}
+
+bool Membership::isOwnRegion(const Member &member) const
+{
+    return member.info.region == m_self.region;
+}
+
+std::uint32_t Membership::rumourLimit() const
+{
+    return 3 * static_cast<std::uint32_t>(std::bit_width(m_table.aliveCount() + 1));
+}
+
+std::uint32_t Membership::ownHash() const
+{
+    return m_table.hash(m_self.dataCentre) ^ m_leaving.hash();
+}
+
+std::uint32_t Membership::fleetHash() const
+{
+    return m_table.fleetHash() ^ m_leaving.hash();
+}
+
+Base::Duration Membership::stretched(Base::Duration duration) const
+{
+    return duration * (1 + m_awareness);
+}
+
+} // namespace Lagoonbank::Membership
--- /dev/null
+++ b/src/libs/membership/peercodec.cpp
@@ -0,0 +1,298 @@
+#include "membership/peercodec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstring>
+#include <sstream>
+#include <utility>
+
+namespace Lagoonbank::Membership {
+
+namespace {
+
+constexpr std::string_view magic = "LGBK";
+constexpr unsigned char protocolVersion = 1;
+constexpr std::size_t macBytes = 16;
+constexpr std::size_t numberBytes = 8;
+/// Magic, version, length of the sender's id.
+constexpr std::size_t fixedHeadBytes = magic.size() + 2;
+constexpr std::size_t minSealedBytes = fixedHeadBytes + 2 * numberBytes + macBytes;
+constexpr std::size_t minKeyBytes = 16;
+constexpr std::size_t maxKeys = 2;
+
+template<typename T>
+Errors::Result<std::string> encode(const T &value)
+{
+    try {
+        std::ostringstream stream(std::ios::binary);
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(value);
+        return std::move(stream).str();
+    } catch (const cereal::Exception &exception) {
+        return Errors::makeError(Errors::ErrorKind::BadMessage, exception.what());
+    }
+}
+
+template<typename T>
+Errors::Result<T> decode(std::string_view body)
+{
+    try {
+        std::istringstream stream{std::string(body), std::ios::binary};
+        cereal::PortableBinaryInputArchive archive(stream);
+        T value;
+        archive(value);
+        if (stream.peek() != std::istringstream::traits_type::eof())
+            return Errors::makeError(Errors::ErrorKind::BadMessage, "bytes after the end");
+        return value;
+    } catch (const cereal::Exception &exception) {
+        return Errors::makeError(Errors::ErrorKind::BadMessage, exception.what());
+    }
+}
+
+void appendNumber(std::string &out, std::uint64_t number)
+{
+    for (std::size_t i = 0; i < numberBytes; ++i)
+        out.push_back(static_cast<char>((number >> (8 * i)) & 0xff));
+}
+
+std::uint64_t readNumber(std::string_view data)
+{
+    std::uint64_t number = 0;
+    for (std::size_t i = 0; i < numberBytes; ++i)
+        number |= static_cast<std::uint64_t>(static_cast<unsigned char>(data[i])) << (8 * i);
+    return number;
+}
+
+} // namespace
+
+std::string_view toString(DropReason reason)
+{
+    static constexpr std::array<std::string_view, dropReasonCount> names{
+        "truncated", "oversized", "wrong_magic",     "wrong_version", "wrong_key",
+        "replayed",  "old_incarnation", "bad_body", "own_message"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+std::uint32_t nameKey(std::string_view name)
+{
+    return static_cast<std::uint32_t>(XXH64(name.data(), name.size(), 0));
+}
+
+Errors::Result<std::string> encodeMessage(const PeerMessage &message)
+{
+    return encode(message);
+}
+
+Errors::Result<PeerMessage> decodeMessage(std::string_view body)
+{
+    return decode<PeerMessage>(body);
+}
+
+Errors::Result<std::string> encodeStateRequest(const StateRequest &request)
+{
+    return encode(request);
+}
+
+Errors::Result<StateRequest> decodeStateRequest(std::string_view body)
+{
+    return decode<StateRequest>(body);
+}
+
+Errors::Result<std::string> encodeStateAnswer(const StateAnswer &answer)
+{
+    return encode(answer);
+}
+
+Errors::Result<StateAnswer> decodeStateAnswer(std::string_view body)
+{
+    return decode<StateAnswer>(body);
+}
+
+std::size_t encodedSize(const MemberUpdate &update)
+{
+    return 3 + update.id.size() + update.dataCentre.size() + update.region.size() + 2 + 4 + 2 + 8;
+}
+
+std::size_t encodedSize(const LeavingEndpoint &leaving)
+{
+    return 1 + leaving.endpoint.size() + 8 + 2;
+}
+
+std::size_t encodedSize(const DataCentreContact &)
+{
+    return 4 + 2;
+}
+
+std::size_t encodedSize(const LoadReport &)
+{
+    return 4 + 4 + 2 + 4;
+}
+
+std::size_t encodedSize(const DemandDigest &digest)
+{
+    return 4 + 4 + 2 + 2 + digest.workspace.size() + digest.bytes.size();
+}
+
+std::size_t encodedSize(const PeerMessage &message)
+{
+    constexpr std::size_t archiveHead = 1;
+    constexpr std::size_t numbers = 1 + 4 + 4 + 4 + 8 + 16;
+    constexpr std::size_t counts = 5 * 2;
+    std::size_t size = archiveHead + numbers + counts + 1 + message.target.size();
+    const auto add = [&size](const auto &section) {
+        for (const auto &entry : section)
+            size += encodedSize(entry);
+    };
+    add(message.leaving);
+    add(message.members);
+    add(message.contacts);
+    add(message.loads);
+    add(message.demands);
+    return size;
+}
+
+std::size_t sealSize(std::string_view senderId)
+{
+    return minSealedBytes + senderId.size();
+}
+
+bool ReplayWindow::accept(std::uint64_t sequence)
+{
+    if (sequence > m_highest) {
+        const std::uint64_t step = sequence - m_highest;
+        m_seen = step >= width ? std::bitset<width>() : m_seen << step;
+        m_seen.set(0);
+        m_highest = sequence;
+        return true;
+    }
+    const std::uint64_t behind = m_highest - sequence;
+    if (behind >= width || m_seen.test(behind))
+        return false;
+    m_seen.set(behind);
+    return true;
+}
+
+PeerCodec::PeerCodec(Options options)
+    : m_options(std::move(options))
+{ }
+
+Errors::Result<void> PeerCodec::checkKeys(const std::vector<std::string> &keys)
+{
+    using Errors::ErrorKind;
+    if (keys.empty() || keys.size() > maxKeys)
+        return Errors::makeError(ErrorKind::BadSettings, "one or two peer keys are needed");
+    for (const std::string &key : keys) {
+        if (key.size() < minKeyBytes)
+            return Errors::makeError(ErrorKind::BadSettings, "a peer key has 16 bytes or more");
+    }
+    return boost::outcome_v2::success();
+}
+
+std::string PeerCodec::seal(std::string_view body)
+{
+    std::string out;
+    out.reserve(body.size() + sealSize(m_options.id));
+    out.append(magic);
+    out.push_back(static_cast<char>(protocolVersion));
+    out.push_back(static_cast<char>(m_options.id.size()));
+    out.append(m_options.id);
+    appendNumber(out, m_options.incarnation);
+    appendNumber(out, ++m_sequence);
+    out.append(body);
+    const Mac seal = mac(m_options.keys.front(), out);
+    out.append(seal.begin(), seal.end());
+    return out;
+}
+
+std::optional<Opened> PeerCodec::open(std::string_view datagram, std::optional<Sender> *outdated)
+{
+    const std::optional<Opened> opened = openSealed(datagram, maxDatagramBytes);
+    if (!opened)
+        return std::nullopt;
+    Window &window = m_windows[opened->sender.id];
+    if (opened->sender.incarnation < window.incarnation) {
+        countDrop(DropReason::OldIncarnation);
+        if (outdated)
+            *outdated = opened->sender;
+        return std::nullopt;
+    }
+    if (opened->sender.incarnation > window.incarnation)
+        window = {.incarnation = opened->sender.incarnation};
+    if (!window.window.accept(opened->sender.sequence)) {
+        countDrop(DropReason::Replayed);
+        return std::nullopt;
+    }
+    return opened;
+}
+
+std::optional<Opened> PeerCodec::openPulled(std::string_view sealed)
+{
+    return openSealed(sealed, maxPullBytes);
+}
+
+std::uint64_t PeerCodec::seenIncarnation(const std::string &id) const
+{
+    const auto found = m_windows.find(id);
+    return found == m_windows.end() ? 0 : found->second.incarnation;
+}
+
+PeerCodec::Mac PeerCodec::mac(std::string_view key, std::string_view data)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> whole{};
+    unsigned int size = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char *>(data.data()), data.size(), whole.data(), &size);
+    Mac cut{};
+    std::copy_n(whole.begin(), cut.size(), cut.begin());
+    return cut;
+}
+
+bool PeerCodec::isSealRight(std::string_view data, std::string_view seal) const
+{
+    return std::any_of(m_options.keys.begin(), m_options.keys.end(), [&](const std::string &key) {
+        const Mac right = mac(key, data);
+        return CRYPTO_memcmp(right.data(), seal.data(), right.size()) == 0;
+    });
+}
+
+std::optional<Opened> PeerCodec::openSealed(std::string_view sealed, std::size_t maxBytes)
+{
+    const auto drop = [this](DropReason reason) {
+        countDrop(reason);
+        return std::nullopt;
+    };
+    if (sealed.size() > maxBytes)
+        return drop(DropReason::Oversized);
+    if (sealed.size() < minSealedBytes)
+        return drop(DropReason::Truncated);
+    if (!sealed.starts_with(magic))
+        return drop(DropReason::WrongMagic);
+    if (static_cast<unsigned char>(sealed[magic.size()]) != protocolVersion)
+        return drop(DropReason::WrongVersion);
+    const std::size_t idSize = static_cast<unsigned char>(sealed[magic.size() + 1]);
+    if (idSize == 0 || idSize > maxNameBytes || sealed.size() < minSealedBytes + idSize)
+        return drop(DropReason::Truncated);
+
+    const std::string_view data = sealed.substr(0, sealed.size() - macBytes);
+    if (!isSealRight(data, sealed.substr(data.size())))
+        return drop(DropReason::WrongKey);
+
+    std::string_view rest = data.substr(fixedHeadBytes);
+    Opened opened;
+    opened.sender.id = std::string(rest.substr(0, idSize));
+    rest.remove_prefix(idSize);
+    opened.sender.incarnation = readNumber(rest);
+    opened.sender.sequence = readNumber(rest.substr(numberBytes));
+    opened.body = rest.substr(2 * numberBytes);
+    if (opened.sender.id == m_options.id)
+        return drop(DropReason::OwnMessage);
+    return opened;
+}
+
+} // namespace Lagoonbank::Membership
--- /dev/null
+++ b/src/libs/membership/rumours.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Membership::Internal {
+
+/// Names of things that are news, with how often each was told; the least told goes first and
+/// each is told a bounded number of times.
+class Rumours
+{
+public:
+    void add(const std::string &name) { m_sends[name] = 0; }
+    void remove(const std::string &name) { m_sends.erase(name); }
+    bool isEmpty() const { return m_sends.empty(); }
+
+    /// Names in the order of telling.
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> result;
+        result.reserve(m_sends.size());
+        for (const auto &[name, sends] : m_sends)
+            result.push_back(name);
+        std::stable_sort(result.begin(), result.end(),
+                         [this](const std::string &a, const std::string &b) {
+                             return m_sends.at(a) < m_sends.at(b);
+                         });
+        return result;
+    }
+    void told(const std::string &name, std::uint32_t limit)
+    {
+        const auto found = m_sends.find(name);
+        if (found != m_sends.end() && ++found->second >= limit)
+            m_sends.erase(found);
+    }
+
+private:
+    std::map<std::string, std::uint32_t> m_sends;
+};
+
+} // namespace Lagoonbank::Membership::Internal
