Platform: Add clients of the log, VM list and weight store

Appends whose answer is lost are settled by reading the stream from its last known end; nothing is appended twice blindly. A batching appender slows down under the log's rate limit, a tailer tells of gaps and health.

Tests: tst_appendattempt, tst_logclient, tst_batchappender, tst_tailer, tst_vmlistclient and tst_weightstoreclient on a paused clock.

--- /dev/null
+++ b/src/libs/platform/tailer.cpp
@@ -0,0 +1,135 @@
+#include "platform/tailer.h"
+
+#include <utility>
+
+namespace Lagoonbank::Platform {
+
+namespace {
+
+/// After a poll without news, should the log not wait as it was asked to.
+constexpr Base::Duration emptyPollPause = std::chrono::milliseconds(5);
+
+} // namespace
+
+Tailer::Tailer(const Options &options)
+    : m_options(options)
+    , m_backoff(options.backoff)
+    , m_ids(options.rememberedIds)
+    , m_position(options.from)
+{
+    m_health.since = options.timers->clock().now();
+}
+
+Tailer::~Tailer()
+{
+    stop();
+}
+
+void Tailer::setRecordReceived(std::function<void(const StoredRecord &)> hook)
+{
+    m_recordReceived = std::move(hook);
+}
+
+void Tailer::setGapFound(std::function<void(Base::LogOffset, Base::LogOffset)> hook)
+{
+    m_gapFound = std::move(hook);
+}
+
+void Tailer::setHealthChanged(std::function<void(const LogHealth &)> hook)
+{
+    m_healthChanged = std::move(hook);
+}
+
+void Tailer::setCaughtUp(std::function<void()> hook)
+{
+    m_caughtUp = std::move(hook);
+}
+
+void Tailer::start()
+{
+    if (m_isRunning)
+        return;
+    m_isRunning = true;
+    poll();
+}
+
+void Tailer::stop()
+{
+    m_isRunning = false;
+    m_options.log->cancel(m_read);
+    m_options.timers->cancel(m_timer);
+}
+
+std::optional<Base::Duration> Tailer::lag() const
+{
+    if (!m_lastAtEnd)
+        return std::nullopt;
+    return m_options.timers->clock().now() - *m_lastAtEnd;
+}
+
+void Tailer::poll()
+{
+    const bool mayWait = m_isCaughtUp && m_health.isUp;
+    const LogClient::ReadRequest request{.stream = m_options.stream,
+                                         .from = m_position,
+                                         .limit = m_options.pageRecords,
+                                         .wait = mayWait ? m_options.wait : Base::Duration::zero()};
+    m_read = m_options.log->read(request,
+                                 [this](const Errors::Result<ReadPage> &page) { pageRead(page); });
+}
+
+void Tailer::pollLater(Base::Duration delay)
+{
+    if (m_isRunning)
+        m_timer = m_options.timers->start(delay, [this] { poll(); });
+}
+
+void Tailer::pageRead(const Errors::Result<ReadPage> &page)
+{
+    setUp(page.has_value());
+    if (!page)
+        return pollLater(m_backoff.next());
+    m_backoff.reset();
+    deliver(page.value());
+    if (!m_isRunning)
+        return;
+    updateCaughtUp(page.value().records.size() < m_options.pageRecords);
+    pollLater(page.value().records.empty() ? emptyPollPause : Base::Duration::zero());
+}
+
+void Tailer::deliver(const ReadPage &page)
+{
+    if (page.first > m_position && m_gapFound)
+        m_gapFound(m_position, page.first);
+    for (const StoredRecord &record : page.records) {
+        if (!m_isRunning)
+            return;
+        m_position = record.offset + Base::LogOffset(1);
+        const bool isNew = record.id.empty() || m_ids.insert(record.id);
+        if (isNew && m_recordReceived)
+            m_recordReceived(record);
+    }
+    if (m_isRunning)
+        m_position = page.next;
+}
+
+void Tailer::setUp(bool isUp)
+{
+    if (m_hasHealth && m_health.isUp == isUp)
+        return;
+    m_hasHealth = true;
+    m_health = {.isUp = isUp, .since = m_options.timers->clock().now()};
+    if (m_healthChanged)
+        m_healthChanged(m_health);
+}
+
+void Tailer::updateCaughtUp(bool isAtEnd)
+{
+    if (isAtEnd)
+        m_lastAtEnd = m_options.timers->clock().now();
+    const bool wasCaughtUp = std::exchange(m_isCaughtUp, isAtEnd);
+    if (isAtEnd && !wasCaughtUp && m_caughtUp)
+        m_caughtUp();
+}
+
+} // namespace Lagoonbank::Platform
--- /dev/null
+++ b/tests/auto/platform/tst_appendattempt.cpp
@@ -0,0 +1,106 @@
+#define BOOST_TEST_MODULE tst_appendattempt
+#include <boost/test/unit_test.hpp>
+
+#include "platform/appendattempt.h"
+
+using namespace Lagoonbank;
+using Platform::AppendAttempt;
+using Platform::AppendState;
+
+namespace {
+
+const std::vector<Platform::Record> twoRecords{{"a", "1"}, {"b", "2"}};
+
+struct EndCase
+{
+    const char *name;
+    Http::CallResult result;
+    AppendAttempt::Next next;
+    AppendState state;
+    bool wasLimited = false;
+};
+
+const EndCase endCases[] = {
+    {"appended",
+     {.mayHaveLeft = true, .status = 200, .body = R"({"offsets":[5,6],"more":1})"},
+     AppendAttempt::Next::Done,
+     AppendState::Appended},
+    {"over the rate",
+     {.mayHaveLeft = true, .status = 429},
+     AppendAttempt::Next::Done,
+     AppendState::NotAppended,
+     true},
+    {"outage",
+     {.mayHaveLeft = true, .status = 503},
+     AppendAttempt::Next::Done,
+     AppendState::NotAppended},
+    {"not connected",
+     {.end = Http::CallEnd::NotConnected},
+     AppendAttempt::Next::Done,
+     AppendState::NotAppended},
+    {"timed out before a byte left",
+     {.end = Http::CallEnd::TimedOut},
+     AppendAttempt::Next::Done,
+     AppendState::NotAppended},
+    {"silent",
+     {.end = Http::CallEnd::TimedOut, .mayHaveLeft = true},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+    {"broken",
+     {.end = Http::CallEnd::Broken, .mayHaveLeft = true},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+    {"broken after a refusal's head",
+     {.end = Http::CallEnd::Broken, .mayHaveLeft = true, .status = 503},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+    {"server error",
+     {.mayHaveLeft = true, .status = 500},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+    {"malformed answer",
+     {.mayHaveLeft = true, .status = 200, .body = "{\"offsets\":[5"},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+    {"too few offsets",
+     {.mayHaveLeft = true, .status = 200, .body = R"({"offsets":[5]})"},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+    {"offsets that go down",
+     {.mayHaveLeft = true, .status = 200, .body = R"({"offsets":[5,4]})"},
+     AppendAttempt::Next::Settle,
+     AppendState::Unknown},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(tellsARefusalFromALostAnswer)
+{
+    for (const EndCase &row : endCases) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            AppendAttempt attempt(twoRecords, Base::LogOffset(3));
+            BOOST_TEST((attempt.appendEnded(row.result) == row.next));
+            for (const auto &outcome : attempt.outcomes())
+                BOOST_TEST((outcome.state == row.state));
+            BOOST_TEST(attempt.wasLimited() == row.wasLimited);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(findsItsRecordsOverPagesAndTakesTheFirstCopy)
+{
+    AppendAttempt attempt(twoRecords, Base::LogOffset(3));
+    attempt.appendEnded({.end = Http::CallEnd::Broken, .mayHaveLeft = true});
+    const Platform::ReadPage first{Base::LogOffset(3),
+                                   Base::LogOffset(5),
+                                   {{Base::LogOffset(3), "x", ""}, {Base::LogOffset(4), "a", ""}}};
+    BOOST_TEST((attempt.pageRead(first) == AppendAttempt::Next::Settle));
+    BOOST_TEST(attempt.readFrom() == Base::LogOffset(5));
+    const Platform::ReadPage second{Base::LogOffset(5),
+                                    Base::LogOffset(7),
+                                    {{Base::LogOffset(5), "a", ""}, {Base::LogOffset(6), "b", ""}}};
+    BOOST_TEST((attempt.pageRead(second) == AppendAttempt::Next::Done));
+    BOOST_TEST(attempt.outcomes()[0].offset == Base::LogOffset(4));
+    BOOST_TEST(attempt.outcomes()[1].offset == Base::LogOffset(6));
+}
