--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -5,6 +5,7 @@
 #include "http/headers.h"
 #include "runtime/udpsocket.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -47,7 +48,8 @@
     std::string body;
     bool freshConnection = false; ///< Never a pooled one: for calls that must run at most once.
     bool tls = false;
-    Base::Duration connectTimeout = std::chrono::seconds(1);
+    std::string serverName; ///< For TLS: the name that the certificate must hold; the ip if empty.
+    Base::Duration connectTimeout = std::chrono::seconds(1); ///< With the TLS handshake.
     Base::Duration headTimeout = std::chrono::seconds(10); ///< From sending to the answer's head.
     Base::Duration progressTimeout = std::chrono::seconds(10); ///< Between pieces of the body.
     Base::Duration totalTimeout = std::chrono::minutes(10);
@@ -56,7 +58,8 @@
 
 struct Hooks
 {
-    /// The first byte may leave from now on: the line between "did not run" and "unknown".
+    /// The first byte may leave from now on: the line between "did not run" and "unknown". On a
+    /// pooled connection this is called from within start().
     std::function<void()> leaving;
     std::function<void(int status, const Headers &headers)> headReceived;
     /// If set, gets each piece of the body and CallResult::body stays empty.
@@ -77,6 +80,8 @@
         std::size_t maxIdlePerServer = 32;
         Base::Duration idleTimeout =
             std::chrono::seconds(5); ///< Idle connections are closed after it.
+        /// TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged.
+        Base::Duration userTimeout = std::chrono::seconds(10);
         std::string caFile; ///< PEM; the system's authorities if empty.
     };
 
--- /dev/null
+++ b/src/libs/http/clientcall.cpp
@@ -0,0 +1,338 @@
+#include "http/clientcall.h"
+
+#include <h2o.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Lagoonbank::Http::Internal {
+
+namespace {
+
+ClientCall &callOf(h2o_socket_t *socket)
+{
+    return *static_cast<ClientCall *>(socket->data);
+}
+
+bool isSafeTarget(std::string_view target)
+{
+    return !target.empty() && isSafeHeaderValue(target)
+        && target.find_first_of(" \t") == std::string_view::npos;
+}
+
+bool belongsToConnection(std::string_view name)
+{
+    return name == "host" || name == "content-length" || name == "connection"
+        || name == "transfer-encoding" || name == "keep-alive" || name == "expect"
+        || name == "upgrade";
+}
+
+bool takesBody(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+void appendField(std::string &head, std::string_view name, std::string_view value)
+{
+    head += name;
+    head += ": ";
+    head += value;
+    head += "\r\n";
+}
+
+} // namespace
+
+ClientCall::ClientCall(ClientContext &context, CallId id, Call call, Hooks hooks)
+    : m_context(context)
+    , m_id(id)
+    , m_call(std::move(call))
+    , m_hooks(std::move(hooks))
+    , m_parser(m_call.method == "HEAD")
+{ }
+
+ClientCall::~ClientCall()
+{
+    drop();
+}
+
+void ClientCall::start()
+{
+    m_totalDeadline = m_context.loop.clock().now() + m_call.totalTimeout;
+    if (!isRequestSafe()) {
+        finishSoon(CallEnd::NotConnected, "the request has characters that HTTP does not allow");
+        return;
+    }
+    if (!m_call.freshConnection)
+        m_socket = m_context.pool.take(poolKey());
+    if (!m_socket) {
+        connect();
+        return;
+    }
+    m_socket->data = this;
+    sendRequest();
+}
+
+void ClientCall::drop()
+{
+    m_isEnded = true;
+    if (m_timer)
+        m_context.loop.timers().cancel(*std::exchange(m_timer, std::nullopt));
+    if (m_socket)
+        h2o_socket_close(std::exchange(m_socket, nullptr));
+}
+
+bool ClientCall::isRequestSafe() const
+{
+    if (!isSafeHeaderName(m_call.method) || !isSafeTarget(m_call.target))
+        return false;
+    const auto &fields = m_call.headers.fields();
+    return std::all_of(fields.begin(), fields.end(), [](const Header &field) {
+        return isSafeHeaderName(field.name) && isSafeHeaderValue(field.value);
+    });
+}
+
+void ClientCall::connect()
+{
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(m_call.server.port);
+    if (inet_pton(AF_INET, m_call.server.ip.c_str(), &native.sin_addr) != 1) {
+        finishSoon(CallEnd::NotConnected, "\"" + m_call.server.ip + "\" is not an IPv4 address");
+        return;
+    }
+    m_socket = h2o_socket_connect(m_context.loop.native(), reinterpret_cast<sockaddr *>(&native),
+                                  sizeof native, connected);
+    if (!m_socket) {
+        finishSoon(CallEnd::NotConnected, "cannot connect to " + toString(m_call.server));
+        return;
+    }
+    m_socket->data = this;
+    setStage(m_call.connectTimeout);
+}
+
+void ClientCall::connected(h2o_socket_t *socket, const char *error)
+{
+    ClientCall &self = callOf(socket);
+    if (error) {
+        self.finish(CallEnd::NotConnected, "cannot connect to " + toString(self.m_call.server));
+        return;
+    }
+    const int fd = h2o_socket_get_fd(socket);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto unacknowledged =
+        static_cast<unsigned>(Base::toMilliseconds(self.m_context.userTimeout));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
+    if (!self.m_call.tls) {
+        self.sendRequest();
+        return;
+    }
+    const std::string name =
+        self.m_call.serverName.empty() ? self.m_call.server.ip : self.m_call.serverName;
+    h2o_socket_ssl_handshake(socket, self.m_context.tls, name.c_str(), secured);
+}
+
+void ClientCall::secured(h2o_socket_t *socket, const char *error)
+{
+    ClientCall &self = callOf(socket);
+    if (error)
+        self.finish(CallEnd::NotConnected, std::string("no TLS connection: ") + error);
+    else
+        self.sendRequest();
+}
+
+void ClientCall::sendRequest()
+{
+    const std::shared_ptr<ClientCall> self = shared_from_this();
+    setStage(m_call.headTimeout);
+    m_result.mayHaveLeft = true;
+    if (m_hooks.leaving)
+        m_hooks.leaving();
+    if (m_isEnded)
+        return;
+    writeHead();
+    std::array<h2o_iovec_t, 2> buffers{h2o_iovec_init(m_head.data(), m_head.size()),
+                                       h2o_iovec_init(m_call.body.data(), m_call.body.size())};
+    h2o_socket_read_start(m_socket, readable);
+    h2o_socket_write(m_socket, buffers.data(), m_call.body.empty() ? 1 : 2, written);
+}
+
+void ClientCall::writeHead()
+{
+    m_head.reserve(256);
+    m_head += m_call.method;
+    m_head += ' ';
+    m_head += m_call.target;
+    m_head += " HTTP/1.1\r\n";
+    appendField(m_head, "host", toString(m_call.server));
+    for (const Header &field : m_call.headers.fields()) {
+        if (!belongsToConnection(field.name))
+            appendField(m_head, field.name, field.value);
+    }
+    if (!m_call.body.empty() || takesBody(m_call.method))
+        appendField(m_head, "content-length", std::to_string(m_call.body.size()));
+    m_head += "\r\n";
+}
+
+void ClientCall::written(h2o_socket_t *socket, const char *error)
+{
+    // After a failure the answer may still be there to read, and if it is not, reading tells why.
+    if (!error)
+        callOf(socket).m_isWritten = true;
+}
+
+void ClientCall::readable(h2o_socket_t *socket, const char *error)
+{
+    const std::shared_ptr<ClientCall> self = callOf(socket).shared_from_this();
+    self->readAnswer(error);
+}
+
+void ClientCall::readAnswer(const char *error)
+{
+    while (m_socket) {
+        const h2o_buffer_t *input = m_socket->input;
+        const std::size_t taken = m_parser.take({input->bytes, input->size});
+        if (!deliver())
+            return;
+        h2o_buffer_consume(&m_socket->input, taken);
+        if (m_parser.state() == AnswerParser::State::Whole) {
+            finish(CallEnd::Whole, {});
+            return;
+        }
+        if (m_parser.state() == AnswerParser::State::Failed) {
+            finish(CallEnd::Broken, m_parser.error());
+            return;
+        }
+        if (taken == 0)
+            break;
+    }
+    if (m_socket && error)
+        reachedEnd(error);
+}
+
+/// Hands on what the parser has read; false if the call has ended through it.
+bool ClientCall::deliver()
+{
+    const auto state = m_parser.state();
+    const bool hasHead = state == AnswerParser::State::Body || state == AnswerParser::State::Whole;
+    if (hasHead && !m_isHeadDelivered) {
+        m_isHeadDelivered = true;
+        m_result.status = m_parser.status();
+        m_result.headers = std::move(m_parser.headers());
+        setStage(m_call.progressTimeout);
+        if (m_hooks.headReceived)
+            m_hooks.headReceived(m_result.status, m_result.headers);
+        if (m_isEnded)
+            return false;
+    }
+    const std::string_view piece = m_parser.piece();
+    if (piece.empty())
+        return true;
+    m_stageDeadline = m_context.loop.clock().now() + m_call.progressTimeout;
+    m_bodyBytes += piece.size();
+    if (m_bodyBytes > m_call.maxBodyBytes) {
+        finish(CallEnd::TooLarge,
+               "the answer has more than " + std::to_string(m_call.maxBodyBytes) + " bytes");
+        return false;
+    }
+    if (m_hooks.bodyReceived)
+        m_hooks.bodyReceived(piece);
+    else
+        m_result.body += piece;
+    return !m_isEnded;
+}
+
+void ClientCall::reachedEnd(const char *error)
+{
+    // Over TLS an end cannot be told from a cut, so an answer without a length is never whole
+    // there.
+    const bool isClosedInOrder = error == h2o_socket_error_closed && !m_call.tls;
+    if (isClosedInOrder) {
+        m_parser.takeEnd();
+        if (m_parser.state() == AnswerParser::State::Whole) {
+            finish(CallEnd::Whole, {});
+            return;
+        }
+    }
+    finish(CallEnd::Broken, "the connection broke before the answer was whole");
+}
+
+void ClientCall::setStage(Base::Duration timeout)
+{
+    m_stageDeadline = m_context.loop.clock().now() + timeout;
+    arm();
+}
+
+/// A timer that is due too early arms itself again, so moving a deadline back costs nothing.
+void ClientCall::arm()
+{
+    const Base::MonoTime due = std::min(m_stageDeadline, m_totalDeadline);
+    if (m_timer && m_armedFor <= due)
+        return;
+    Runtime::TimerQueue &timers = m_context.loop.timers();
+    if (m_timer)
+        timers.cancel(*m_timer);
+    m_armedFor = due;
+    m_timer = timers.start(due - m_context.loop.clock().now(), [this] { deadlinePassed(); });
+}
+
+void ClientCall::deadlinePassed()
+{
+    m_timer.reset();
+    const Base::MonoTime now = m_context.loop.clock().now();
+    if (now < m_stageDeadline && now < m_totalDeadline) {
+        arm();
+        return;
+    }
+    const bool isConnecting = !m_result.mayHaveLeft;
+    if (isConnecting && now < m_totalDeadline) {
+        finish(CallEnd::NotConnected, "no connection to " + toString(m_call.server) + " in time");
+        return;
+    }
+    finish(CallEnd::TimedOut, m_isHeadDelivered ? "the answer stopped" : "no answer came");
+}
+
+/// Ends the call in a later turn, so never from within start().
+void ClientCall::finishSoon(CallEnd end, std::string detail)
+{
+    m_context.loop.post([weak = weak_from_this(), end, detail = std::move(detail)] {
+        const std::shared_ptr<ClientCall> self = weak.lock();
+        if (self && !self->m_isEnded)
+            self->finish(end, detail);
+    });
+}
+
+void ClientCall::finish(CallEnd end, std::string detail)
+{
+    const std::shared_ptr<ClientCall> self = shared_from_this();
+    m_isEnded = true;
+    m_result.end = end;
+    m_result.detail = std::move(detail);
+    release(end == CallEnd::Whole);
+    drop();
+    m_context.ended(m_id);
+    const auto finished = std::move(m_hooks.finished);
+    if (finished)
+        finished(std::move(m_result));
+}
+
+void ClientCall::release(bool isWhole)
+{
+    const bool isReusable =
+        isWhole && m_socket && m_isWritten && m_parser.isReusable() && m_socket->input->size == 0;
+    if (isReusable)
+        m_context.pool.put(poolKey(), std::exchange(m_socket, nullptr));
+}
+
+PoolKey ClientCall::poolKey() const
+{
+    return {m_call.server, m_call.tls, m_call.serverName};
+}
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/connectionpool.cpp
@@ -0,0 +1,126 @@
+#include "http/connectionpool.h"
+
+#include <h2o.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace Lagoonbank::Http::Internal {
+
+namespace {
+
+/// Alive means that there is nothing to read, no end and no error.
+bool isAlive(h2o_socket_t *socket)
+{
+    if (socket->input->size > 0)
+        return false;
+    char byte = 0;
+    const ssize_t size =
+        recv(h2o_socket_get_fd(socket), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+ConnectionPool::ConnectionPool(Runtime::Loop &loop, std::size_t maxIdlePerServer,
+                               Base::Duration idleTimeout)
+    : m_loop(loop)
+    , m_maxIdlePerServer(maxIdlePerServer)
+    , m_idleTimeout(idleTimeout)
+{ }
+
+ConnectionPool::~ConnectionPool()
+{
+    if (m_expiry)
+        m_loop.timers().cancel(*m_expiry);
+    for (auto &[key, connections] : m_idle) {
+        for (Idle *idle : connections) {
+            h2o_socket_close(idle->socket);
+            delete idle;
+        }
+    }
+}
+
+void ConnectionPool::put(const PoolKey &key, h2o_socket_t *socket)
+{
+    auto &connections = m_idle[key];
+    if (connections.size() >= m_maxIdlePerServer) {
+        h2o_socket_close(socket);
+        return;
+    }
+    auto *idle = new Idle{socket, m_loop.clock().now(), this, key};
+    socket->data = idle;
+    // Reading on tells of a server that closes or sends out of turn.
+    h2o_socket_read_start(socket, becameReadable);
+    connections.push_back(idle);
+    startExpiry();
+}
+
+h2o_socket_t *ConnectionPool::take(const PoolKey &key)
+{
+    const auto found = m_idle.find(key);
+    if (found == m_idle.end())
+        return nullptr;
+    auto &connections = found->second;
+    const Base::MonoTime oldest = m_loop.clock().now() - m_idleTimeout;
+    while (!connections.empty()) {
+        Idle *idle = connections.back();
+        connections.pop_back();
+        h2o_socket_t *socket = idle->socket;
+        const bool isUsable = idle->since > oldest && isAlive(socket);
+        delete idle;
+        if (isUsable)
+            return socket;
+        h2o_socket_close(socket);
+    }
+    return nullptr;
+}
+
+void ConnectionPool::becameReadable(h2o_socket_t *socket, const char *error)
+{
+    const bool isTlsOnly = !error && socket->ssl && socket->input->size == 0;
+    if (isTlsOnly)
+        return; // A session ticket, say.
+    auto *idle = static_cast<Idle *>(socket->data);
+    idle->pool->drop(idle);
+}
+
+void ConnectionPool::drop(Idle *idle)
+{
+    auto &connections = m_idle[idle->key];
+    connections.erase(std::find(connections.begin(), connections.end(), idle));
+    if (connections.empty())
+        m_idle.erase(idle->key);
+    h2o_socket_close(idle->socket);
+    delete idle;
+}
+
+void ConnectionPool::startExpiry()
+{
+    if (!m_expiry)
+        m_expiry = m_loop.timers().start(m_idleTimeout, [this] { expire(); });
+}
+
+void ConnectionPool::expire()
+{
+    m_expiry.reset();
+    const Base::MonoTime oldest = m_loop.clock().now() - m_idleTimeout;
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        auto &connections = it->second;
+        while (!connections.empty() && connections.front()->since <= oldest) {
+            h2o_socket_close(connections.front()->socket);
+            delete connections.front();
+            connections.pop_front();
+        }
+        if (connections.empty())
+            m_idle.erase(it++);
+        else
+            ++it;
+    }
+    if (!m_idle.empty())
+        startExpiry();
+}
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/connectionpool.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/units.h"
+#include "runtime/loop.h"
+#include "runtime/udpsocket.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+
+struct st_h2o_socket_t;
+
+namespace Lagoonbank::Http::Internal {
+
+/// What must agree for a connection to serve another call.
+struct PoolKey
+{
+    Runtime::SocketAddress server;
+    bool tls = false;
+    std::string serverName;
+
+    bool operator==(const PoolKey &) const = default;
+    template<typename H>
+    friend H AbslHashValue(H h, const PoolKey &key) // NOLINT(readability-identifier-naming)
+    {
+        return H::combine(std::move(h), key.server.ip, key.server.port, key.tls, key.serverName);
+    }
+};
+
+/// Idle connections of a client, the latest used first.
+class ConnectionPool
+{
+public:
+    ConnectionPool(Runtime::Loop &loop, std::size_t maxIdlePerServer, Base::Duration idleTimeout);
+    ~ConnectionPool();
+    ConnectionPool(const ConnectionPool &) = delete;
+    ConnectionPool &operator=(const ConnectionPool &) = delete;
+
+    /// Takes over an idle connection; closes it if there are enough.
+    void put(const PoolKey &key, st_h2o_socket_t *socket);
+    /// A connection that the server has not closed, or null.
+    st_h2o_socket_t *take(const PoolKey &key);
+
+private:
+    struct Idle
+    {
+        st_h2o_socket_t *socket = nullptr;
+        Base::MonoTime since;
+        ConnectionPool *pool = nullptr;
+        PoolKey key;
+    };
+
+    static void becameReadable(st_h2o_socket_t *socket, const char *error);
+    void drop(Idle *idle);
+    void startExpiry();
+    void expire();
+
+    Runtime::Loop &m_loop;
+    std::size_t m_maxIdlePerServer;
+    Base::Duration m_idleTimeout;
+    std::optional<Runtime::TimerId> m_expiry;
+    absl::flat_hash_map<PoolKey, std::deque<Idle *>> m_idle;
+};
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/errorfilter.cpp
@@ -0,0 +1,96 @@
+#include "http/errorfilter.h"
+
+#include "http/h2oresponder.h"
+
+#include <string_view>
+
+namespace Lagoonbank::Http::Internal {
+
+namespace {
+
+/// Names an environment variable of the request, which h2o keeps for us.
+constexpr std::string_view handledMark = "lagoonbank-handled";
+
+struct ErrorStream
+{
+    h2o_ostream_t super;
+    h2o_iovec_t body;
+};
+
+Errors::ErrorKind kindOf(int status)
+{
+    switch (status) {
+    case 413:
+        return Errors::ErrorKind::BodyTooLarge;
+    case 404:
+        return Errors::ErrorKind::NotFound;
+    case 405:
+        return Errors::ErrorKind::MethodNotAllowed;
+    default:
+        return status < 500 ? Errors::ErrorKind::BadRequest : Errors::ErrorKind::Internal;
+    }
+}
+
+void sendBody(h2o_ostream_t *stream, h2o_req_t *request, h2o_iovec_t * /*buffers*/,
+              std::size_t /*count*/, h2o_send_state_t state)
+{
+    auto *self = reinterpret_cast<ErrorStream *>(stream);
+    h2o_ostream_send_next(stream, request, &self->body, 1, state);
+}
+
+void setUpStream(h2o_filter_t * /*filter*/, h2o_req_t *request, h2o_ostream_t **slot)
+{
+    const bool isHandled =
+        h2o_req_getenv(request, handledMark.data(), handledMark.size(), 0) != nullptr;
+    if (!isHandled && request->res.status >= 400) {
+        const std::string body = errorBody(kindOf(request->res.status));
+        auto *stream =
+            reinterpret_cast<ErrorStream *>(h2o_add_ostream(request, sizeof(ErrorStream), slot));
+        stream->super.do_send = sendBody;
+        stream->body = h2o_strdup(&request->pool, body.data(), body.size());
+        slot = &stream->super.next;
+        request->res.content_length = body.size();
+        h2o_set_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                       H2O_STRLIT("application/json"), 1);
+    }
+    h2o_setup_next_ostream(request, slot);
+}
+
+} // namespace
+
+void installErrorFilter(h2o_pathconf_t *path)
+{
+    h2o_filter_t *filter = h2o_create_filter(path, sizeof(h2o_filter_t));
+    filter->on_setup_ostream = setUpStream;
+}
+
+void markAsHandled(h2o_req_t *request)
+{
+    h2o_req_getenv(request, handledMark.data(), handledMark.size(), 1);
+}
+
+std::string errorBody(Errors::ErrorKind kind)
+{
+    const Errors::ErrorRow &row = Errors::errorRow(kind);
+    std::string body = R"({"error":{"kind":")";
+    body += row.name;
+    body += R"(","ran":")";
+    body += Errors::toString(row.ran);
+    body += R"(","message":")";
+    body += row.text;
+    body += R"("}})";
+    return body;
+}
+
+std::string rawErrorAnswer(Errors::ErrorKind kind)
+{
+    const Errors::ErrorRow &row = Errors::errorRow(kind);
+    const std::string body = errorBody(kind);
+    std::string answer = "HTTP/1.1 " + std::to_string(row.httpStatus) + " "
+        + reasonPhrase(row.httpStatus) + "\r\nconnection: close\r\ncontent-type: application/json"
+        + "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n";
+    answer += body;
+    return answer;
+}
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/h2oresponder.cpp
@@ -0,0 +1,246 @@
+#include "http/h2oresponder.h"
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <utility>
+
+namespace Lagoonbank::Http::Internal {
+
+namespace {
+
+constexpr int http11 = 0x101;
+constexpr int http2 = 0x200;
+
+int descriptorOf(h2o_req_t *request)
+{
+    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    return socket ? h2o_socket_get_fd(socket) : -1;
+}
+
+/// Fields that the connection layer writes itself.
+bool belongsToConnection(std::string_view name)
+{
+    return name == "content-length" || name == "connection" || name == "transfer-encoding"
+        || name == "keep-alive" || name == "date" || name == "server";
+}
+
+} // namespace
+
+H2oResponder::H2oResponder(h2o_req_t *request)
+    : m_request(request)
+{
+    m_generator.super.proceed = proceed;
+    m_generator.super.stop = stop;
+    m_generator.owner = this;
+}
+
+void H2oResponder::send(int status, const Headers &headers, std::string body)
+{
+    if (!m_request || m_state != State::Waiting)
+        return;
+    m_inFlight = std::move(body);
+    const bool isHead = h2o_memis(m_request->method.base, m_request->method.len, "HEAD", 4) != 0;
+    startResponse(status, headers, m_inFlight.size());
+    m_state = State::Ended;
+    h2o_iovec_t buffer = h2o_iovec_init(m_inFlight.data(), m_inFlight.size());
+    h2o_send(m_request, &buffer, isHead || m_inFlight.empty() ? 0 : 1, H2O_SEND_STATE_FINAL);
+}
+
+void H2oResponder::begin(int status, const Headers &headers)
+{
+    if (!m_request || m_state != State::Waiting)
+        return;
+    m_state = State::Streaming;
+    startResponse(status, headers, SIZE_MAX);
+}
+
+void H2oResponder::write(std::string_view piece)
+{
+    if (!m_request || m_state != State::Streaming || m_isEndQueued || m_isAborted || piece.empty())
+        return;
+    m_queued += piece;
+    if (!m_isSending)
+        sendQueued();
+}
+
+void H2oResponder::end()
+{
+    if (!m_request || m_state != State::Streaming || m_isEndQueued || m_isAborted)
+        return;
+    m_isEndQueued = true;
+    if (!m_isSending)
+        sendQueued();
+}
+
+void H2oResponder::abort()
+{
+    if (!m_request || m_state == State::Ended || m_isAborted)
+        return;
+    m_isAborted = true;
+    m_gone = nullptr;
+    m_queued.clear();
+    if (m_request->version < http2)
+        breakConnection();
+    if (m_isSending)
+        return; // proceed() or detach() comes, as the connection is broken.
+    if (m_state == State::Waiting)
+        startResponse(500, {}, SIZE_MAX);
+    m_state = State::Ended;
+    h2o_send(m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
+}
+
+void H2oResponder::setGone(std::function<void()> gone)
+{
+    m_gone = std::move(gone);
+    if (m_isGone)
+        reportGone();
+}
+
+void H2oResponder::detach()
+{
+    m_request = nullptr;
+    if (m_state == State::Ended || m_isAborted)
+        return;
+    m_isGone = true;
+    reportGone();
+}
+
+void H2oResponder::connectionReset()
+{
+    if (!m_request || m_state == State::Ended)
+        return;
+    const auto gone = std::exchange(m_gone, nullptr);
+    abort();
+    m_isGone = true;
+    if (gone)
+        gone();
+}
+
+void H2oResponder::closeAfterAnswer()
+{
+    if (m_request)
+        m_request->http1_is_persistent = 0;
+}
+
+void H2oResponder::proceed(h2o_generator_t *generator, h2o_req_t * /*request*/)
+{
+    H2oResponder *self = reinterpret_cast<Generator *>(generator)->owner;
+    self->m_isSending = false;
+    self->m_inFlight.clear();
+    if (!self->m_request || self->m_state != State::Streaming)
+        return;
+    if (self->m_isAborted) {
+        self->m_state = State::Ended;
+        h2o_send(self->m_request, nullptr, 0, H2O_SEND_STATE_ERROR);
+        return;
+    }
+    if (!self->m_queued.empty() || self->m_isEndQueued)
+        self->sendQueued();
+}
+
+void H2oResponder::stop(h2o_generator_t *generator, h2o_req_t * /*request*/)
+{
+    reinterpret_cast<Generator *>(generator)->owner->detach();
+}
+
+void H2oResponder::startResponse(int status, const Headers &headers, std::size_t contentLength)
+{
+    h2o_req_t *request = m_request;
+    request->res.status = status;
+    request->res.reason = reasonPhrase(status);
+    request->res.content_length = contentLength;
+    for (const Header &field : headers.fields()) {
+        if (belongsToConnection(field.name) || !isSafeHeaderName(field.name)
+            || !isSafeHeaderValue(field.value)) {
+            continue;
+        }
+        const h2o_iovec_t name = h2o_strdup(&request->pool, field.name.data(), field.name.size());
+        const h2o_iovec_t value =
+            h2o_strdup(&request->pool, field.value.data(), field.value.size());
+        h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1,
+                              nullptr, value.base, value.len);
+    }
+    h2o_start_response(request, &m_generator.super);
+}
+
+void H2oResponder::sendQueued()
+{
+    m_inFlight.swap(m_queued);
+    m_queued.clear();
+    m_isSending = true;
+    if (m_isEndQueued)
+        m_state = State::Ended;
+    h2o_iovec_t buffer = h2o_iovec_init(m_inFlight.data(), m_inFlight.size());
+    h2o_send(m_request, &buffer, m_inFlight.empty() ? 0 : 1,
+             m_isEndQueued ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+/// Lets what was sent go out and nothing after it. Before HTTP/1.1 only a reset shows that an
+/// answer is cut.
+void H2oResponder::breakConnection()
+{
+    const int fd = descriptorOf(m_request);
+    m_request->http1_is_persistent = 0;
+    if (fd < 0)
+        return;
+    if (m_request->version >= http11) {
+        shutdown(fd, SHUT_RDWR);
+        return;
+    }
+    // Dissolving the association resets the connection.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    connect(fd, &none, sizeof none);
+}
+
+void H2oResponder::reportGone()
+{
+    const auto gone = std::exchange(m_gone, nullptr);
+    if (gone)
+        gone();
+}
+
+const char *reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 201:
+        return "Created";
+    case 202:
+        return "Accepted";
+    case 204:
+        return "No Content";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Other";
+    }
+}
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/h2oresponder.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "http/server.h"
+
+#include <h2o.h>
+
+#include <memory>
+#include <string>
+
+namespace Lagoonbank::Http::Internal {
+
+/// The answer to one request of h2o. h2o's request may go at any time; detach() tells so.
+class H2oResponder final
+    : public Responder
+    , public std::enable_shared_from_this<H2oResponder>
+{
+public:
+    explicit H2oResponder(h2o_req_t *request);
+
+    void send(int status, const Headers &headers, std::string body) override;
+    void begin(int status, const Headers &headers) override;
+    void write(std::string_view piece) override;
+    void end() override;
+    void abort() override;
+    std::size_t queuedBytes() const override { return m_queued.size() + m_inFlight.size(); }
+    bool isGone() const override { return m_isGone; }
+    void setGone(std::function<void()> gone) override;
+
+    /// h2o's request ends now, whether or not the answer has ended.
+    void detach();
+    /// The connection was found reset: ends h2o's request.
+    void connectionReset();
+    /// Lets an HTTP/1.1 connection end with this answer.
+    void closeAfterAnswer();
+
+private:
+    /// h2o holds a pointer to this, so it stays where it is until detach().
+    struct Generator
+    {
+        h2o_generator_t super;
+        H2oResponder *owner;
+    };
+    enum class State { Waiting, Streaming, Ended };
+
+    static void proceed(h2o_generator_t *generator, h2o_req_t *request);
+    static void stop(h2o_generator_t *generator, h2o_req_t *request);
+    void startResponse(int status, const Headers &headers, std::size_t contentLength);
+    void sendQueued();
+    void breakConnection();
+    void reportGone();
+
+    h2o_req_t *m_request; ///< Null once h2o's request has ended.
+    Generator m_generator{};
+    State m_state = State::Waiting;
+    bool m_isSending = false; ///< h2o has not yet asked for more.
+    bool m_isEndQueued = false;
+    bool m_isAborted = false;
+    bool m_isGone = false;
+    std::string m_queued;
+    std::string m_inFlight;
+    std::function<void()> m_gone;
+};
+
+/// The standard reason phrase of \a status; static storage.
+const char *reasonPhrase(int status);
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/h2oserver.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "http/h2oresponder.h"
+#include "http/server.h"
+#include "runtime/loop.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <h2o.h>
+
+#include <memory>
+
+namespace Lagoonbank::Http::Internal {
+
+class H2oServer;
+
+/// One accepted connection, from accept to close.
+struct ServerConnection
+{
+    H2oServer *server = nullptr;
+    h2o_socket_t *socket = nullptr;
+    Runtime::SocketAddress peer;
+    bool isTls = false;
+    bool isHttp2 = false;
+    bool hadRequest = false;
+    Base::MonoTime quietSince; ///< Accepted, or the last answer ended.
+    std::optional<Base::MonoTime> partialSince; ///< When an unfinished request was first seen.
+    absl::flat_hash_set<H2oResponder *> open; ///< Requests that h2o has handed out.
+};
+
+/// What of a server must outlive it until its last connection is closed: h2o's context and
+/// configuration.
+class H2oServer : public std::enable_shared_from_this<H2oServer>
+{
+public:
+    explicit H2oServer(Server::Options options);
+    ~H2oServer();
+    H2oServer(const H2oServer &) = delete;
+    H2oServer &operator=(const H2oServer &) = delete;
+
+    Errors::Result<void> listen();
+    Errors::Result<void> loadTls();
+    void stopAccepting();
+    /// Breaks every connection off; the object goes with the last one.
+    void shutDown();
+
+    const Runtime::SocketAddress &address() const { return m_options.address; }
+    std::size_t openConnections() const { return m_connections.size(); }
+    Server::Handler handler;
+
+private:
+    struct RequestSlot
+    {
+        std::shared_ptr<H2oResponder> responder;
+        ServerConnection *connection;
+    };
+
+    static int handleRequest(h2o_handler_t *handler, h2o_req_t *request);
+    static void requestEnded(void *slot);
+    static void connectionClosed(void *connection);
+    void acceptAll();
+    void start(h2o_socket_t *socket);
+    int dispatch(h2o_req_t *request);
+    void startSweep();
+    void sweep();
+    void cutIfSlow(ServerConnection &connection, Base::MonoTime now);
+    void findResets();
+
+    Server::Options m_options;
+    Runtime::Loop &m_loop;
+    h2o_globalconf_t m_configuration{};
+    h2o_context_t m_context{};
+    h2o_accept_ctx_t m_accept{};
+    h2o_socket_t *m_listener = nullptr;
+    std::optional<Runtime::TimerId> m_sweepTimer;
+    bool m_isStopping = false;
+    absl::flat_hash_set<ServerConnection *> m_connections;
+    /// Holds this while it has connections.
+    std::shared_ptr<H2oServer> m_self;
+};
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/src/libs/http/server.cpp
@@ -0,0 +1,58 @@
+#include "http/server.h"
+
+#include "http/h2oserver.h"
+
+#include <utility>
+
+namespace Lagoonbank::Http {
+
+class Server::Private
+{
+public:
+    explicit Private(Options options)
+        : server(std::make_shared<Internal::H2oServer>(std::move(options)))
+    { }
+
+    std::shared_ptr<Internal::H2oServer> server;
+};
+
+Server::Server(Options options)
+    : d(std::make_unique<Private>(std::move(options)))
+{ }
+
+Server::~Server()
+{
+    d->server->shutDown();
+}
+
+void Server::setHandler(Handler handler)
+{
+    d->server->handler = std::move(handler);
+}
+
+Errors::Result<void> Server::listen()
+{
+    return d->server->listen();
+}
+
+const Runtime::SocketAddress &Server::address() const
+{
+    return d->server->address();
+}
+
+Errors::Result<void> Server::reloadTls()
+{
+    return d->server->loadTls();
+}
+
+void Server::stopAccepting()
+{
+    d->server->stopAccepting();
+}
+
+std::size_t Server::openConnections() const
+{
+    return d->server->openConnections();
+}
+
+} // namespace Lagoonbank::Http
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -38,7 +38,7 @@
 
     /// A whole answer with Content-Length.
     virtual void send(int status, const Headers &headers, std::string body) = 0;
-    /// The head of a streamed answer.
+    /// The head of a streamed answer; it leaves with the first piece.
     virtual void begin(int status, const Headers &headers) = 0;
     /// Queues a piece of a streamed answer.
     virtual void write(std::string_view piece) = 0;
--- /dev/null
+++ b/tests/auto/http/loopback.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "http/client.h"
+#include "http/server.h"
+#include "runtime/clock.h"
+#include "runtime/loop.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Lagoonbank::Test {
+
+/// A loop on a clock that stands still; turns until a condition holds.
+struct PausedLoop
+{
+    static constexpr int maxTurns = 3000;
+
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        for (int turn = 0; turn < maxTurns; ++turn) {
+            if (condition())
+                return true;
+            loop.runOnce(std::chrono::milliseconds(5));
+        }
+        return condition();
+    }
+    void runTurns(int count)
+    {
+        for (int turn = 0; turn < count; ++turn)
+            loop.runOnce(std::chrono::milliseconds(1));
+    }
+    void advance(Base::Duration duration)
+    {
+        clock.advance(duration);
+        runTurns(3);
+    }
+
+    Runtime::ManualClock clock;
+    Runtime::Loop loop{Runtime::Loop::Options{.clock = &clock}};
+};
+
+/// One TCP connection, read and written byte by byte as the test says.
+class RawSocket
+{
+public:
+    explicit RawSocket(int fd)
+        : m_fd(fd)
+    {
+        fcntl(m_fd, F_SETFL, O_NONBLOCK);
+    }
+    explicit RawSocket(const Runtime::SocketAddress &server)
+        : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in native{};
+        native.sin_family = AF_INET;
+        native.sin_port = htons(server.port);
+        inet_pton(AF_INET, server.ip.c_str(), &native.sin_addr);
+        BOOST_REQUIRE_EQUAL(connect(m_fd, reinterpret_cast<sockaddr *>(&native), sizeof native), 0);
+        fcntl(m_fd, F_SETFL, O_NONBLOCK);
+    }
+    RawSocket(RawSocket &&other) noexcept
+        : m_fd(std::exchange(other.m_fd, -1))
+    { }
+    ~RawSocket() { close(); }
+
+    void send(std::string_view bytes)
+    {
+        BOOST_REQUIRE_EQUAL(::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                            static_cast<ssize_t>(bytes.size()));
+    }
+    /// Everything received so far; isEnded() and isReset() tell how it ended.
+    const std::string &receive()
+    {
+        std::array<char, 65536> buffer{};
+        while (!m_isEnded) {
+            const ssize_t size = recv(m_fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (size < 0 && errno == EAGAIN)
+                break;
+            m_isReset = size < 0;
+            m_isEnded = size <= 0;
+            if (size > 0)
+                m_received.append(buffer.data(), static_cast<std::size_t>(size));
+        }
+        return m_received;
+    }
+    bool has(std::string_view text) { return receive().find(text) != std::string::npos; }
+    bool isEnded()
+    {
+        receive();
+        return m_isEnded;
+    }
+    bool isReset() const { return m_isReset; }
+    void finishSending() { shutdown(m_fd, SHUT_WR); }
+    void reset()
+    {
+        const linger now{1, 0};
+        setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        close();
+    }
+    void close()
+    {
+        if (m_fd >= 0)
+            ::close(std::exchange(m_fd, -1));
+    }
+
+private:
+    int m_fd;
+    bool m_isEnded = false;
+    bool m_isReset = false;
+    std::string m_received;
+};
+
+/// Accepts raw connections on a free port of 127.0.0.1.
+class RawListener
+{
+public:
+    RawListener()
+        : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in native{};
+        native.sin_family = AF_INET;
+        native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof native;
+        BOOST_REQUIRE_EQUAL(bind(m_fd, reinterpret_cast<sockaddr *>(&native), length), 0);
+        BOOST_REQUIRE_EQUAL(listen(m_fd, 16), 0);
+        getsockname(m_fd, reinterpret_cast<sockaddr *>(&native), &length);
+        address = {"127.0.0.1", ntohs(native.sin_port)};
+    }
+    ~RawListener() { close(m_fd); }
+    /// The descriptor of a new connection, or -1.
+    int accept() { return ::accept(m_fd, nullptr, nullptr); }
+
+    Runtime::SocketAddress address;
+
+private:
+    int m_fd;
+};
+
+} // namespace Lagoonbank::Test
--- /dev/null
+++ b/tests/auto/http/tst_client.cpp
@@ -0,0 +1,437 @@
+#define BOOST_TEST_MODULE tst_client
+#include "loopback.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Http;
+using Lagoonbank::Test::PausedLoop;
+using Lagoonbank::Test::RawListener;
+using Lagoonbank::Test::RawSocket;
+
+namespace Lagoonbank::Http {
+
+std::ostream &operator<<(std::ostream &stream, CallEnd end)
+{
+    constexpr std::array names{"Whole", "NotConnected", "TimedOut", "Broken", "TooLarge"};
+    return stream << names.at(static_cast<std::size_t>(end));
+}
+
+} // namespace Lagoonbank::Http
+
+namespace {
+
+struct Fixture : PausedLoop
+{
+    Fixture()
+        : client({.loop = &loop})
+    { }
+
+    Call call(std::string method = "GET")
+    {
+        return {.server = listener.address, .method = std::move(method), .target = "/x?y=1"};
+    }
+    Hooks hooks()
+    {
+        return {.leaving = [this] { ++leavings; },
+                .finished = [this](CallResult given) { results.push_back(std::move(given)); }};
+    }
+    CallId start(Call given) { return client.start(std::move(given), hooks()); }
+    RawSocket accept()
+    {
+        int fd = -1;
+        BOOST_REQUIRE(runUntil([&] { return (fd = listener.accept()) >= 0; }));
+        return RawSocket(fd);
+    }
+    const CallResult &finished(std::size_t count = 1)
+    {
+        BOOST_REQUIRE(runUntil([&] { return results.size() >= count; }));
+        return results.back();
+    }
+
+    RawListener listener;
+    Client client;
+    std::vector<CallResult> results;
+    int leavings = 0;
+};
+
+constexpr std::string_view wholeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+struct AnswerCase
+{
+    std::string_view name;
+    std::string_view method;
+    std::string_view bytes;
+    bool closes;
+    CallEnd end;
+    std::string_view body;
+};
+
+constexpr AnswerCase answerCases[]{
+    {"length", "GET", wholeAnswer, false, CallEnd::Whole, "ok"},
+    {"length, more follows", "GET", "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nab", false,
+     CallEnd::Whole, "a"},
+    {"length cut", "GET", "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nok", true, CallEnd::Broken,
+     "ok"},
+    {"head cut", "GET", "HTTP/1.1 200 OK\r\ncontent-le", true, CallEnd::Broken, ""},
+    {"nothing", "GET", "", true, CallEnd::Broken, ""},
+    {"chunked", "GET",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n1;x=y\r\n!\r\n0\r\n\r\n",
+     false, CallEnd::Whole, "ok!"},
+    {"chunked with trailer", "GET",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\na: b\r\n\r\n", false,
+     CallEnd::Whole, "ok"},
+    {"chunked, no last chunk", "GET",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n", true, CallEnd::Broken,
+     "ok"},
+    {"chunked, cut in the last", "GET",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", true, CallEnd::Broken,
+     "ok"},
+    {"chunked, bad size", "GET", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+     false, CallEnd::Broken, ""},
+    {"chunk longer than its size", "GET",
+     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nok\r\n", false, CallEnd::Broken,
+     "o"},
+    {"until close", "GET", "HTTP/1.1 200 OK\r\n\r\nok", true, CallEnd::Whole, "ok"},
+    {"until close, HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\n\r\nok", true, CallEnd::Whole, "ok"},
+    {"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", false, CallEnd::Whole, ""},
+    {"to HEAD", "HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", false, CallEnd::Whole, ""},
+    {"interim first", "GET",
+     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false,
+     CallEnd::Whole, "ok"},
+    {"two lengths", "GET", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+     false, CallEnd::Broken, ""},
+    {"length and chunked", "GET",
+     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", false,
+     CallEnd::Broken, ""},
+    {"bare carriage return in a field", "GET",
+     "HTTP/1.1 200 OK\r\na: b\rc: d\r\ncontent-length: 2\r\n\r\nok", false, CallEnd::Broken, ""},
+    {"folded field", "GET", "HTTP/1.1 200 OK\r\na: b\r\n c\r\ncontent-length: 0\r\n\r\n", false,
+     CallEnd::Broken, ""},
+    {"space in a field's name", "GET", "HTTP/1.1 200 OK\r\na : b\r\ncontent-length: 0\r\n\r\n",
+     false, CallEnd::Broken, ""},
+    {"not HTTP", "GET", "SSH-2.0-x\r\n\r\n", false, CallEnd::Broken, ""},
+    {"switching protocols", "GET", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false,
+     CallEnd::Broken, ""},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(answersAreWholeOnlyWhenTheirFramingSaysSo)
+{
+    for (const AnswerCase &row : answerCases) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture f;
+            f.start(f.call(std::string(row.method)));
+            RawSocket server = f.accept();
+            BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+            server.send(row.bytes);
+            if (row.closes)
+                server.finishSending();
+            const CallResult &result = f.finished();
+            BOOST_TEST(result.end == row.end);
+            BOOST_TEST(result.body == row.body);
+            BOOST_TEST(result.mayHaveLeft);
+            BOOST_TEST(f.leavings == 1);
+            BOOST_TEST(f.client.activeCalls() == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answersAreReadTheSameByteByByte)
+{
+    for (const AnswerCase &row : answerCases) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture f;
+            f.start(f.call(std::string(row.method)));
+            RawSocket server = f.accept();
+            BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+            for (std::size_t i = 0; i < row.bytes.size() && f.results.empty(); ++i) {
+                server.send(row.bytes.substr(i, 1));
+                f.loop.runOnce(std::chrono::milliseconds(1));
+            }
+            if (row.closes)
+                server.finishSending();
+            BOOST_TEST(f.finished().end == row.end);
+            BOOST_TEST(f.finished().body == row.body);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resetWhileReadingUntilCloseIsBroken)
+{
+    Fixture f;
+    f.start(f.call());
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send("HTTP/1.1 200 OK\r\n\r\nok");
+    server.reset();
+    BOOST_TEST(f.finished().end == CallEnd::Broken);
+}
+
+BOOST_AUTO_TEST_CASE(requestIsWrittenWhole)
+{
+    Fixture f;
+    Call call = f.call("POST");
+    call.body = "{}";
+    call.headers.add("x-request-id", "r1");
+    call.headers.add("content-length", "99");
+    f.start(std::move(call));
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("{}"); }));
+    BOOST_TEST(server.receive()
+               == "POST /x?y=1 HTTP/1.1\r\nhost: " + toString(f.listener.address)
+                   + "\r\nx-request-id: r1\r\ncontent-length: 2\r\n\r\n{}");
+}
+
+BOOST_AUTO_TEST_CASE(headersCannotBeInjected)
+{
+    const std::vector<std::function<void(Call &)>> attacks{
+        [](Call &call) { call.headers.add("a", "b\r\nc: d"); },
+        [](Call &call) { call.headers.add("a", "b\nc: d"); },
+        [](Call &call) { call.headers.add("a\r\nb", "c"); },
+        [](Call &call) { call.headers.add("a", std::string("b\0", 2)); },
+        [](Call &call) { call.target = "/ HTTP/1.1\r\na: b\r\n\r\n"; },
+        [](Call &call) { call.target = "/a b"; },
+        [](Call &call) { call.method = "GET /"; },
+    };
+    for (const auto &attack : attacks) {
+        Fixture f;
+        Call call = f.call();
+        attack(call);
+        f.start(std::move(call));
+        BOOST_TEST(f.results.empty()); // Never from within start().
+        const CallResult &result = f.finished();
+        BOOST_TEST(result.end == CallEnd::NotConnected);
+        BOOST_TEST(!result.mayHaveLeft);
+        BOOST_TEST(f.leavings == 0);
+        BOOST_TEST(f.listener.accept() == -1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(connectionIsUsedAgainOnlyAfterAWholeAnswer)
+{
+    Fixture f;
+    f.start(f.call());
+    RawSocket first = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+    first.send(wholeAnswer);
+    f.finished(1);
+    f.start(f.call());
+    BOOST_REQUIRE(f.runUntil([&] { return first.receive().find("GET", 5) != std::string::npos; }));
+    first.send(wholeAnswer);
+    f.finished(2);
+    Call fresh = f.call();
+    fresh.freshConnection = true;
+    f.start(std::move(fresh));
+    RawSocket second = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
+}
+
+BOOST_AUTO_TEST_CASE(pooledConnectionThatTheServerClosedIsNotUsed)
+{
+    Fixture f;
+    f.start(f.call());
+    RawSocket first = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+    first.send(wholeAnswer);
+    f.finished(1);
+    first.close();
+    f.start(f.call());
+    RawSocket second = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
+    second.send(wholeAnswer);
+    BOOST_TEST(f.finished(2).end == CallEnd::Whole);
+}
+
+BOOST_AUTO_TEST_CASE(pooledConnectionClosedUnderTheRequestIsBrokenAndMayHaveLeft)
+{
+    Fixture f;
+    f.start(f.call());
+    RawSocket first = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+    first.send(wholeAnswer);
+    f.finished(1);
+    f.start(f.call());
+    first.reset();
+    BOOST_TEST(f.finished(2).end == CallEnd::Broken);
+    BOOST_TEST(f.results.back().mayHaveLeft);
+    BOOST_TEST(f.results.back().status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAfterTheIdleTimeout)
+{
+    Fixture f;
+    f.start(f.call());
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send(wholeAnswer);
+    f.finished(1);
+    f.advance(std::chrono::seconds(4));
+    BOOST_TEST(!server.isEnded());
+    f.advance(std::chrono::seconds(1));
+    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+}
+
+BOOST_AUTO_TEST_CASE(refusedConnectionIsNotConnected)
+{
+    Fixture f;
+    Call call = f.call();
+    {
+        const RawListener gone;
+        call.server = gone.address;
+    }
+    f.start(std::move(call));
+    BOOST_TEST(f.results.empty());
+    const CallResult &result = f.finished();
+    BOOST_TEST(result.end == CallEnd::NotConnected);
+    BOOST_TEST(!result.mayHaveLeft);
+    BOOST_TEST(f.leavings == 0);
+}
+
+BOOST_AUTO_TEST_CASE(silentServersTimeOutAndTheirConnectionsAreNotUsedAgain)
+{
+    struct Row
+    {
+        std::string_view name;
+        std::string_view sent;
+        Base::Duration untouched;
+        Base::Duration late;
+        int status;
+    };
+    const Row rows[]{
+        {"no head", "", std::chrono::seconds(9), std::chrono::seconds(1), 0},
+        {"half a head", "HTTP/1.1 200", std::chrono::seconds(9), std::chrono::seconds(1), 0},
+        {"no body", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n", std::chrono::seconds(4),
+         std::chrono::seconds(1), 200},
+        {"half a body", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no", std::chrono::seconds(4),
+         std::chrono::seconds(1), 200},
+    };
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture f;
+            Call call = f.call();
+            call.headTimeout = std::chrono::seconds(10);
+            call.progressTimeout = std::chrono::seconds(5);
+            f.start(std::move(call));
+            RawSocket server = f.accept();
+            BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+            server.send(row.sent);
+            f.runTurns(5);
+            f.advance(row.untouched);
+            BOOST_TEST(f.results.empty());
+            f.advance(row.late);
+            const CallResult &result = f.finished();
+            BOOST_TEST(result.end == CallEnd::TimedOut);
+            BOOST_TEST(result.mayHaveLeft);
+            BOOST_TEST(result.status == row.status);
+            f.start(f.call());
+            RawSocket second = f.accept();
+            BOOST_TEST(f.runUntil([&] { return second.has("\r\n\r\n"); }));
+            BOOST_TEST(server.isEnded());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(progressPutsOffItsDeadlineButNotTheTotalOne)
+{
+    Fixture f;
+    Call call = f.call();
+    call.progressTimeout = std::chrono::seconds(5);
+    call.totalTimeout = std::chrono::seconds(13);
+    f.start(std::move(call));
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n");
+    for (int i = 0; i < 3; ++i) {
+        server.send("x");
+        f.runTurns(5);
+        f.advance(std::chrono::seconds(4));
+        BOOST_TEST(f.results.empty());
+    }
+    server.send("x");
+    f.runTurns(5);
+    f.advance(std::chrono::seconds(1));
+    BOOST_TEST(f.finished().end == CallEnd::TimedOut);
+    BOOST_TEST(f.results.back().body == "xxxx");
+}
+
+BOOST_AUTO_TEST_CASE(tooLargeAnswerEndsTheCall)
+{
+    Fixture f;
+    Call call = f.call();
+    call.maxBodyBytes = 1;
+    f.start(std::move(call));
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send(wholeAnswer);
+    BOOST_TEST(f.finished().end == CallEnd::TooLarge);
+    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+}
+
+BOOST_AUTO_TEST_CASE(cancelDropsTheConnectionAndCallsNoHook)
+{
+    Fixture f;
+    const CallId id = f.start(f.call());
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    f.client.cancel(id);
+    BOOST_TEST(f.client.activeCalls() == 0U);
+    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+    f.advance(std::chrono::hours(1));
+    BOOST_TEST(f.results.empty());
+}
+
+BOOST_AUTO_TEST_CASE(cancelFromAnyHookIsSafe)
+{
+    for (const std::string_view hook : {"leaving", "head", "piece"}) {
+        BOOST_TEST_CONTEXT(hook)
+        {
+            Fixture f;
+            CallId id;
+            int cancels = 0;
+            const auto cancel = [&](std::string_view at) {
+                if (at != hook)
+                    return;
+                ++cancels;
+                f.client.cancel(id);
+            };
+            Hooks hooks = f.hooks();
+            hooks.leaving = [&] { cancel("leaving"); };
+            hooks.headReceived = [&](int, const Headers &) { cancel("head"); };
+            hooks.bodyReceived = [&](std::string_view) { cancel("piece"); };
+            id = f.client.start(f.call(), std::move(hooks));
+            RawSocket server = f.accept();
+            if (hook != "leaving") {
+                BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+                server.send(wholeAnswer);
+            }
+            BOOST_TEST(f.runUntil([&] { return cancels == 1; }));
+            BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+            BOOST_TEST(f.results.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(piecesAreHandedOnAsTheyCome)
+{
+    Fixture f;
+    std::string pieces;
+    Hooks hooks = f.hooks();
+    hooks.bodyReceived = [&](std::string_view piece) { pieces += piece; };
+    f.client.start(f.call(), std::move(hooks));
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n");
+    BOOST_TEST(f.runUntil([&] { return pieces == "ab"; }));
+    server.send("1\r\nc\r\n0\r\n\r\n");
+    const CallResult &result = f.finished();
+    BOOST_TEST(result.end == CallEnd::Whole);
+    BOOST_TEST(result.body.empty());
+    BOOST_TEST(pieces == "abc");
+}
--- /dev/null
+++ b/tests/auto/http/tst_server.cpp
@@ -0,0 +1,388 @@
+#define BOOST_TEST_MODULE tst_server
+#include "loopback.h"
+
+#include <memory>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Http;
+using Lagoonbank::Test::PausedLoop;
+using Lagoonbank::Test::RawSocket;
+
+namespace {
+
+struct Fixture : PausedLoop
+{
+    Fixture()
+    {
+        server =
+            std::make_unique<Server>(Server::Options{.loop = &loop,
+                                                     .address = {"127.0.0.1", 0},
+                                                     .maxBodyBytes = 1000,
+                                                     .requestTimeout = std::chrono::seconds(10)});
+        server->setHandler([this](Request request, std::shared_ptr<Responder> responder) {
+            requests.push_back(std::move(request));
+            responders.push_back(responder);
+            responder->setGone([this] { ++gone; });
+            if (answersAtOnce)
+                responder->send(200, {{"x-a", "b"}}, "answer " + requests.back().path);
+        });
+        BOOST_REQUIRE(server->listen());
+    }
+
+    RawSocket connect() { return RawSocket(server->address()); }
+    Responder &awaitRequest(std::size_t count = 1)
+    {
+        BOOST_REQUIRE(runUntil([&] { return responders.size() >= count; }));
+        return *responders.back();
+    }
+    /// The server still works after what the test did to it.
+    void expectStillServes()
+    {
+        answersAtOnce = true;
+        RawSocket next = connect();
+        next.send("GET /next HTTP/1.1\r\nhost: a\r\n\r\n");
+        BOOST_TEST(runUntil([&] { return next.has("answer /next"); }));
+    }
+
+    std::unique_ptr<Server> server;
+    std::vector<Request> requests;
+    std::vector<std::shared_ptr<Responder>> responders;
+    int gone = 0;
+    bool answersAtOnce = true;
+};
+
+constexpr std::string_view get = "GET /p?q=1 HTTP/1.1\r\nhost: a\r\nX-Thing: 7\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestComesWholeAndIsAnswered)
+{
+    Fixture f;
+    RawSocket caller = f.connect();
+    caller.send("POST /p?q=1 HTTP/1.1\r\nhost: a\r\nX-Thing: 7\r\ncontent-length: 3\r\n\r\nab");
+    f.runTurns(5);
+    BOOST_TEST(f.requests.empty());
+    caller.send("c");
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("answer /p"); }));
+    const Request &request = f.requests.at(0);
+    BOOST_TEST(request.method == "POST");
+    BOOST_TEST(request.path == "/p");
+    BOOST_TEST(request.query == "q=1");
+    BOOST_TEST(request.body == "abc");
+    BOOST_TEST(request.headers.find("x-thing").value_or("") == "7");
+    BOOST_TEST(request.peer.ip == "127.0.0.1");
+    BOOST_TEST(caller.has("HTTP/1.1 200 OK\r\n"));
+    BOOST_TEST(caller.has("x-a: b\r\n"));
+    BOOST_TEST(caller.has("Content-Length: 9\r\n"));
+    BOOST_TEST(f.gone == 0);
+}
+
+BOOST_AUTO_TEST_CASE(badRequestsAreRefusedAndTheNextIsServed)
+{
+    struct Row
+    {
+        std::string_view name;
+        std::string bytes;
+        std::string_view status;
+        std::string_view kind; ///< Empty where only the status tells.
+    };
+    const Row rows[]{
+        {"not HTTP", "nonsense\r\n\r\n", "HTTP/1.1 400", ""},
+        {"control character in a field", "GET / HTTP/1.1\r\nhost: a\r\na: b\x01\r\n\r\n",
+         "HTTP/1.1 400", ""},
+        {"null in a field", std::string("GET / HTTP/1.1\r\nhost: a\r\na: b\0c\r\n\r\n", 41),
+         "HTTP/1.1 400", ""},
+        {"folded field", "GET / HTTP/1.1\r\nhost: a\r\na: b\r\n c\r\n\r\n", "HTTP/1.1 400", ""},
+        {"length not a number", "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n",
+         "HTTP/1.1 400", ""},
+        {"bad chunk", "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+         "HTTP/1.1 400", "bad_request"},
+        {"length too large", "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1001\r\n\r\n",
+         "HTTP/1.1 413", "body_too_large"},
+        {"chunks too large",
+         "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n"
+             + std::string(1001, 'x') + "\r\n",
+         "HTTP/1.1 413", "body_too_large"},
+    };
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture f;
+            RawSocket caller = f.connect();
+            caller.send(row.bytes);
+            BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+            BOOST_TEST(caller.receive().substr(0, row.status.size()) == row.status);
+            if (!row.kind.empty())
+                BOOST_TEST(caller.has("\"kind\":\"" + std::string(row.kind) + "\""));
+            BOOST_TEST(f.requests.empty());
+            f.expectStillServes();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(slowSendersAreCut)
+{
+    for (const std::string_view sent :
+         {"G",
+          "GET / HTTP/1.1\r\nhost:", "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\na"}) {
+        BOOST_TEST_CONTEXT(sent)
+        {
+            Fixture f;
+            RawSocket caller = f.connect();
+            caller.send(sent);
+            f.runTurns(5);
+            for (int i = 0; i < 36; ++i)
+                f.advance(std::chrono::milliseconds(250));
+            BOOST_TEST(!caller.isEnded());
+            for (int i = 0; i < 8; ++i)
+                f.advance(std::chrono::milliseconds(250));
+            BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+            BOOST_TEST(caller.has("HTTP/1.1 408"));
+            BOOST_TEST(caller.has("slow_sender"));
+            BOOST_TEST(f.requests.empty());
+            f.expectStillServes();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionsStayAWhile)
+{
+    Fixture f;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("answer"); }));
+    for (int i = 0; i < 118; ++i)
+        f.advance(std::chrono::milliseconds(500));
+    BOOST_TEST(!caller.isEnded());
+    for (int i = 0; i < 4; ++i)
+        f.advance(std::chrono::milliseconds(500));
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(f.server->openConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(longAnswersAreNotCutAsSlow)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    Responder &responder = f.awaitRequest();
+    for (int i = 0; i < 200; ++i)
+        f.advance(std::chrono::seconds(1));
+    responder.send(200, {}, "late");
+    BOOST_TEST(f.runUntil([&] { return caller.has("late"); }));
+}
+
+BOOST_AUTO_TEST_CASE(answerHeadersCannotBeInjected)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    f.awaitRequest().send(200, {{"a", "b\r\nc: d"}, {"e\r\nf", "g"}, {"h", "i"}}, "body");
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("body"); }));
+    BOOST_TEST(!caller.has("c: d"));
+    BOOST_TEST(!caller.has("f: g"));
+    BOOST_TEST(caller.has("h: i\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(streamComesPieceByPiece)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    Responder &responder = f.awaitRequest();
+    responder.begin(200, {{"content-type", "text/event-stream"}});
+    responder.write("one");
+    BOOST_TEST(f.runUntil([&] { return caller.has("one"); }));
+    responder.write("two");
+    BOOST_TEST(f.runUntil([&] { return caller.has("two"); }));
+    responder.write("three");
+    responder.end();
+    responder.write("never");
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n0\r\n\r\n"); }));
+    BOOST_TEST(!caller.has("never"));
+    BOOST_TEST(f.gone == 0);
+    caller.send(get);
+    f.awaitRequest(2).send(200, {}, "second");
+    BOOST_TEST(f.runUntil([&] { return caller.has("second"); }));
+}
+
+BOOST_AUTO_TEST_CASE(abortedAnswersAreSeenAsCut)
+{
+    struct Row
+    {
+        std::string_view name;
+        std::string_view version;
+        bool begins;
+        bool lets;
+        bool isReset;
+    };
+    const Row rows[]{{"before the head", "1.1", false, false, false},
+                     {"at once after the head", "1.1", true, false, false},
+                     {"after a piece", "1.1", true, true, false},
+                     {"after a piece, HTTP/1.0", "1.0", true, true, true}};
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture f;
+            f.answersAtOnce = false;
+            RawSocket caller = f.connect();
+            caller.send("GET / HTTP/" + std::string(row.version) + "\r\nhost: a\r\n\r\n");
+            Responder &responder = f.awaitRequest();
+            if (row.begins) {
+                responder.begin(200, {});
+                responder.write("piece");
+            }
+            if (row.lets)
+                BOOST_REQUIRE(f.runUntil([&] { return caller.has("piece"); }));
+            responder.abort();
+            responder.write("never");
+            BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+            BOOST_TEST(!caller.has("\r\n0\r\n"));
+            BOOST_TEST(!caller.has("never"));
+            BOOST_TEST(caller.has("HTTP/1.1 200") == row.begins);
+            BOOST_TEST(caller.isReset() == row.isReset);
+            BOOST_TEST(f.gone == 0);
+            f.expectStillServes();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesIsNoticed)
+{
+    struct Row
+    {
+        std::string_view name;
+        bool streams;
+        bool resets;
+    };
+    const Row rows[]{{"reset before the head", false, true},
+                     {"reset in the stream", true, true},
+                     {"closed in the stream", true, false}};
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture f;
+            f.answersAtOnce = false;
+            RawSocket caller = f.connect();
+            caller.send(get);
+            Responder &responder = f.awaitRequest();
+            if (row.streams) {
+                responder.begin(200, {});
+                responder.write("piece");
+                BOOST_REQUIRE(f.runUntil([&] { return caller.has("piece"); }));
+            }
+            if (row.resets)
+                caller.reset();
+            else
+                caller.close();
+            f.runTurns(3);
+            if (!row.resets)
+                responder.write("more");
+            BOOST_TEST(f.runUntil([&] {
+                f.clock.advance(std::chrono::milliseconds(50));
+                return f.gone > 0;
+            }));
+            BOOST_TEST(f.gone == 1);
+            BOOST_TEST(responder.isGone());
+            responder.write("into the void");
+            responder.end();
+            BOOST_TEST(f.runUntil([&] { return f.server->openConnections() == 0; }));
+            BOOST_TEST(f.gone == 1);
+            f.expectStillServes();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(halfClosedCallerGetsItsAnswer)
+{
+    for (const bool streams : {false, true}) {
+        Fixture f;
+        f.answersAtOnce = false;
+        RawSocket caller = f.connect();
+        caller.send(get);
+        caller.finishSending();
+        Responder &responder = f.awaitRequest();
+        f.runTurns(5);
+        f.advance(std::chrono::seconds(1));
+        BOOST_TEST(f.gone == 0);
+        if (streams) {
+            responder.begin(200, {});
+            responder.write("the whole ");
+            f.advance(std::chrono::seconds(1));
+            responder.write("answer");
+            responder.end();
+            BOOST_TEST(f.runUntil([&] { return caller.has("0\r\n\r\n"); }));
+        } else {
+            responder.send(200, {}, "the whole answer");
+        }
+        BOOST_TEST(f.runUntil([&] { return caller.has("answer"); }));
+        BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+        BOOST_TEST(f.gone == 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
+{
+    Fixture f;
+    RawSocket caller = f.connect();
+    caller.send("GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n"
+                "GET /3 HTTP/1.1\r\nhost: a\r\n\r\n");
+    BOOST_TEST(f.runUntil([&] { return caller.has("answer /3"); }));
+    const std::string &all = caller.receive();
+    BOOST_TEST(all.find("answer /1") < all.find("answer /2"));
+    BOOST_TEST(all.find("answer /2") < all.find("answer /3"));
+}
+
+BOOST_AUTO_TEST_CASE(largeAnswerToASlowReaderComesWhole)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    Responder &responder = f.awaitRequest();
+    responder.begin(200, {});
+    const std::string block(1024 * 1024, 'x');
+    for (int i = 0; i < 16; ++i)
+        responder.write(block);
+    f.runTurns(5);
+    BOOST_TEST(responder.queuedBytes() > 0U);
+    responder.end();
+    BOOST_TEST(f.runUntil([&] { return caller.receive().size() > 16 * block.size(); }));
+    BOOST_TEST(f.runUntil([&] { return caller.receive().ends_with("0\r\n\r\n"); }));
+    BOOST_TEST(responder.queuedBytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(stoppedServerFinishesWhatIsOpen)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    RawSocket idle = f.connect();
+    caller.send(get);
+    Responder &responder = f.awaitRequest();
+    f.server->stopAccepting();
+    f.runTurns(3);
+    responder.send(200, {}, "last");
+    BOOST_TEST(f.runUntil([&] { return caller.has("last"); }));
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(f.runUntil([&] { return idle.isEnded(); }));
+    BOOST_TEST(f.server->openConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(destroyedServerBreaksOffItsConnections)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    Responder &responder = f.awaitRequest();
+    responder.begin(200, {});
+    f.server.reset();
+    responder.write("never");
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(!caller.has("never"));
+}
