--- /dev/null
+++ b/src/apps/bench/loadgenerator.cpp
@@ -0,0 +1,319 @@
+#include "loadgenerator.h"
+
+#include "experiment/recordreader.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Lagoonbank::Bench {
+
+namespace {
+
+using Experiment::CallerView;
+using Experiment::ChatCall;
+using Experiment::ServiceCall;
+
+constexpr int httpOk = 200;
+constexpr int httpMultipleChoices = 300;
+
+double milliseconds(Base::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool isStreamed(const Experiment::CallKind &kind)
+{
+    const auto *chat = std::get_if<ChatCall>(&kind.call);
+    return chat && chat->stream;
+}
+
+std::string headerOf(const Http::CallResult &result, std::string_view name)
+{
+    return std::string(result.headers.find(name).value_or(""));
+}
+
+CallerView viewOf(Errors::Ran ran)
+{
+    switch (ran) {
+    case Errors::Ran::No:
+        return CallerView::Refused;
+    case Errors::Ran::Yes:
+        return CallerView::Failed;
+    case Errors::Ran::Unknown:
+        break;
+    }
+    return CallerView::Unknown;
+}
+
+std::string nameOf(Http::CallEnd end)
+{
+    switch (end) {
+    case Http::CallEnd::Whole:
+        return "no_error_body";
+    case Http::CallEnd::NotConnected:
+        return "not_connected";
+    case Http::CallEnd::TimedOut:
+        return "no_answer_in_time";
+    case Http::CallEnd::Broken:
+        return "connection_broken";
+    case Http::CallEnd::TooLarge:
+        break;
+    }
+    return "answer_too_large";
+}
+
+} // namespace
+
+LoadGenerator::LoadGenerator(const Options &options)
+    : m_options(options)
+    , m_definition(*options.definition)
+    , m_workload(m_definition)
+    , m_chats(m_definition, options.runTag)
+{ }
+
+void LoadGenerator::start()
+{
+    m_startedAt = m_options.loop->clock().now();
+    m_next = m_workload.next();
+    pump();
+}
+
+void LoadGenerator::pump()
+{
+    const Base::Duration now = m_options.loop->clock().now() - m_startedAt;
+    while (m_next && m_next->at <= now) {
+        m_figures.sendDelayMs.add(milliseconds(now - m_next->at));
+        open(*m_next);
+        m_next = m_workload.next();
+    }
+    if (m_next)
+        m_options.loop->timers().start(m_next->at - now, [this] { pump(); });
+    else
+        closeWhenDone();
+}
+
+void LoadGenerator::open(const Experiment::PlannedCall &call)
+{
+    const Experiment::WorkspaceLoad &load = m_definition.workspaces[call.workspace];
+    auto exchange = std::make_shared<Exchange>();
+    exchange->call = call;
+    exchange->kind = &load.kinds[call.kind];
+    Experiment::CallerRecord &record = exchange->record;
+    record.number = call.number;
+    record.workspace = load.workspace.value();
+    record.counts = call.at >= m_definition.warmUp;
+    if (const auto *service = std::get_if<ServiceCall>(&exchange->kind->call)) {
+        record.isModelCall = false;
+        record.isIdempotent = service->idempotent;
+        if (service->withKey)
+            record.key = "key-" + m_options.runTag + "-" + std::to_string(call.number);
+        exchange->body = serviceBody(*service, call, m_options.runTag);
+    } else {
+        record.chat = m_chats.chatId(call);
+        record.turn = call.turn;
+        exchange->body = m_chats.nextBody(call);
+    }
+    ++m_inFlight;
+    send(exchange);
+}
+
+void LoadGenerator::send(const ExchangePtr &exchange)
+{
+    exchange->sentAt = m_options.loop->clock().now();
+    exchange->lastPieceAt.reset();
+    exchange->status = 0;
+    exchange->stream = {};
+    exchange->errorBody.clear();
+    Http::Hooks hooks;
+    if (isStreamed(*exchange->kind)) {
+        hooks.headReceived = [exchange](int status, const Http::Headers &) {
+            exchange->status = status;
+        };
+        hooks.bodyReceived = [this, exchange](std::string_view piece) {
+            receive(*exchange, piece);
+        };
+    }
+    hooks.finished = [this, exchange](const Http::CallResult &result) { finish(exchange, result); };
+    m_options.client->start(httpCall(*exchange), std::move(hooks));
+}
+
+Http::Call LoadGenerator::httpCall(const Exchange &exchange) const
+{
+    const Experiment::WorkspaceLoad &load = m_definition.workspaces[exchange.call.workspace];
+    const std::size_t attempt = static_cast<std::size_t>(exchange.attempt) + exchange.reconnects;
+    Http::Call call{
+        .server = m_options.balancer->address(m_options.balancer->choose(exchange.call, attempt)),
+        .method = "POST",
+        .target = "/v1/chat/completions",
+        .headers = {{"authorization", "Bearer " + load.bearerKey},
+                    {"content-type", "application/json"}},
+        .body = exchange.body,
+        .headTimeout = m_definition.callDeadline,
+        .progressTimeout = m_definition.callDeadline,
+        .totalTimeout = m_definition.callDeadline,
+    };
+    if (const auto *service = std::get_if<ServiceCall>(&exchange.kind->call)) {
+        call.method = service->method;
+        call.target = "/services/" + service->service.value() + "/" + service->path;
+    } else if (const std::string token = m_chats.placementToken(exchange.call); !token.empty()) {
+        call.headers.add("x-placement", token);
+    }
+    if (!exchange.record.key.empty())
+        call.headers.add("idempotency-key", exchange.record.key);
+    return call;
+}
+
+void LoadGenerator::receive(Exchange &exchange, std::string_view piece)
+{
+    if (exchange.status != httpOk) {
+        exchange.errorBody += piece;
+        return;
+    }
+    const std::int64_t before = exchange.stream.pieces();
+    exchange.stream.add(piece);
+    const std::int64_t more = exchange.stream.pieces() - before;
+    if (more == 0)
+        return;
+    const Base::MonoTime now = m_options.loop->clock().now();
+    if (exchange.record.counts && !exchange.lastPieceAt) {
+        m_figures.firstTokenMs.add(milliseconds(now - exchange.sentAt));
+    } else if (exchange.record.counts) {
+        // Tokens that came in one read share the time since the read before.
+        const double gap = milliseconds(now - *exchange.lastPieceAt) / static_cast<double>(more);
+        for (std::int64_t i = 0; i < more; ++i)
+            m_figures.betweenTokensMs.add(gap);
+    }
+    exchange.lastPieceAt = now;
+}
+
+void LoadGenerator::finish(const ExchangePtr &exchange, const Http::CallResult &result)
+{
+    // The balancer turns to another router where one takes no connection.
+    const bool canReconnect = exchange->reconnects + 1 < m_definition.routers.size();
+    if (result.end == Http::CallEnd::NotConnected && canReconnect) {
+        ++exchange->reconnects;
+        return send(exchange);
+    }
+    readHead(*exchange, result);
+    readEnd(*exchange, result);
+    measure(*exchange);
+    m_records.push_back(exchange->record);
+    if (retryLater(exchange, result))
+        return;
+    if (exchange->call.chat != 0 && exchange->call.isLastTurn)
+        m_chats.close(exchange->call);
+    --m_inFlight;
+    closeWhenDone();
+}
+
+void LoadGenerator::readHead(Exchange &exchange, const Http::CallResult &result)
+{
+    exchange.record.requestId = headerOf(result, "x-request-id");
+    exchange.record.endpoint = headerOf(result, "x-endpoint");
+    std::string token = headerOf(result, "x-placement");
+    if (!token.empty())
+        m_chats.setPlacementToken(exchange.call, std::move(token));
+}
+
+void LoadGenerator::readEnd(Exchange &exchange, const Http::CallResult &result)
+{
+    const bool isGood = result.status >= httpOk && result.status < httpMultipleChoices;
+    if (isGood)
+        readAnswer(exchange, result);
+    else
+        readError(exchange, result);
+}
+
+void LoadGenerator::readAnswer(Exchange &exchange, const Http::CallResult &result)
+{
+    Experiment::CallerRecord &record = exchange.record;
+    const bool isWhole = result.end == Http::CallEnd::Whole;
+    if (!record.isModelCall) {
+        record.view = isWhole ? CallerView::Whole : CallerView::Unknown;
+        if (isWhole)
+            record.check = Experiment::checkServiceAnswer(exchange.body, result.body);
+        else
+            record.errorKind = nameOf(result.end);
+        return;
+    }
+    const bool isStream = isStreamed(*exchange.kind);
+    const auto answer =
+        isStream ? exchange.stream.text() : Experiment::readChatAnswer(result.body).value_or("");
+    const bool isDone = isStream ? exchange.stream.isDone() : isWhole;
+    const auto verdict =
+        Experiment::checkModelAnswer(record.requestId, answer, exchange.call.answerTokens);
+    record.check = verdict.check;
+    record.tokens = verdict.tokens;
+    if (isDone && isWhole && exchange.stream.error().empty()) {
+        record.view = CallerView::Whole;
+        m_chats.addAnswer(exchange.call, answer);
+        return;
+    }
+    readError(exchange, result);
+}
+
+void LoadGenerator::readError(Exchange &exchange, const Http::CallResult &result)
+{
+    const std::string *text = &result.body;
+    if (!exchange.errorBody.empty())
+        text = &exchange.errorBody;
+    if (!exchange.stream.error().empty())
+        text = &exchange.stream.error();
+    const auto error = Experiment::readErrorBody(*text);
+    if (!error) {
+        const bool didNotLeave = result.end == Http::CallEnd::NotConnected;
+        exchange.record.view = didNotLeave ? CallerView::Failed : CallerView::Unknown;
+        exchange.record.errorKind = nameOf(result.end);
+        return;
+    }
+    exchange.record.view = viewOf(error->ran);
+    exchange.record.ran = error->ran;
+    exchange.record.errorKind = error->kind;
+    exchange.record.limit = error->limit;
+    if (exchange.record.requestId.empty())
+        exchange.record.requestId = error->requestId;
+}
+
+void LoadGenerator::measure(const Exchange &exchange)
+{
+    const bool isWhole = exchange.record.view == CallerView::Whole;
+    if (isWhole && exchange.record.counts && !isStreamed(*exchange.kind))
+        m_figures.wholeAnswerMs.add(milliseconds(m_options.loop->clock().now() - exchange.sentAt));
+}
+
+bool LoadGenerator::retryLater(const ExchangePtr &exchange, const Http::CallResult &result)
+{
+    const bool isRefused = exchange->record.view == CallerView::Refused;
+    if (!isRefused || exchange->attempt >= m_definition.retriesOnRetryAfter)
+        return false;
+    const std::string wait = headerOf(result, "retry-after");
+    int seconds = 0;
+    const auto read = std::from_chars(wait.data(), wait.data() + wait.size(), seconds);
+    if (wait.empty() || read.ec != std::errc() || seconds < 0)
+        return false;
+    ++exchange->attempt;
+    m_options.loop->timers().start(std::chrono::seconds(seconds), [this, exchange] {
+        Experiment::CallerRecord record;
+        record.number = exchange->record.number;
+        record.workspace = exchange->record.workspace;
+        record.key = exchange->record.key;
+        record.chat = exchange->record.chat;
+        record.turn = exchange->record.turn;
+        record.isModelCall = exchange->record.isModelCall;
+        record.isIdempotent = exchange->record.isIdempotent;
+        record.counts = exchange->record.counts;
+        exchange->record = std::move(record);
+        send(exchange);
+    });
+    return true;
+}
+
+void LoadGenerator::closeWhenDone()
+{
+    if (m_next || m_inFlight > 0 || !finished)
+        return;
+    const auto hook = std::exchange(finished, nullptr);
+    hook();
+}
+
+} // namespace Lagoonbank::Bench
--- /dev/null
+++ b/src/apps/bench/loadgenerator.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "balancer.h"
+#include "chathistory.h"
+#include "experiment/answercheck.h"
+#include "experiment/records.h"
+#include "experiment/statistics.h"
+#include "experiment/workload.h"
+#include "http/client.h"
+#include "runtime/loop.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Bench {
+
+/// What the callers measured.
+struct LoadFigures
+{
+    Experiment::Samples firstTokenMs;
+    Experiment::Samples betweenTokensMs;
+    Experiment::Samples wholeAnswerMs; ///< Unstreamed calls.
+    Experiment::Samples sendDelayMs; ///< Between the planned and the real time of sending.
+};
+
+/// Sends the calls of a workload at their times, whatever the fleet does with them.
+class LoadGenerator
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Http::Client *client = nullptr;
+        Balancer *balancer = nullptr;
+        const Experiment::Definition *definition = nullptr;
+        std::string runTag;
+    };
+
+    explicit LoadGenerator(const Options &options);
+
+    /// Called once, when the last call of the workload has ended.
+    std::function<void()> finished;
+
+    void start();
+    std::size_t inFlight() const { return m_inFlight; }
+    const std::vector<Experiment::CallerRecord> &records() const { return m_records; }
+    std::vector<Experiment::CallerRecord> takeRecords() { return std::move(m_records); }
+    const LoadFigures &figures() const { return m_figures; }
+
+private:
+    struct Exchange
+    {
+        Experiment::PlannedCall call;
+        const Experiment::CallKind *kind = nullptr;
+        std::string body;
+        int attempt = 0; ///< After refusals that may be retried.
+        std::size_t reconnects = 0; ///< After routers that took no connection.
+        Base::MonoTime sentAt;
+        std::optional<Base::MonoTime> lastPieceAt;
+        int status = 0; ///< Of a streamed answer.
+        Experiment::StreamReader stream;
+        std::string errorBody; ///< What came in place of a stream.
+        Experiment::CallerRecord record;
+    };
+    using ExchangePtr = std::shared_ptr<Exchange>;
+
+    void pump();
+    void open(const Experiment::PlannedCall &call);
+    void send(const ExchangePtr &exchange);
+    Http::Call httpCall(const Exchange &exchange) const;
+    void receive(Exchange &exchange, std::string_view piece);
+    void finish(const ExchangePtr &exchange, const Http::CallResult &result);
+    void readHead(Exchange &exchange, const Http::CallResult &result);
+    void readEnd(Exchange &exchange, const Http::CallResult &result);
+    void readAnswer(Exchange &exchange, const Http::CallResult &result);
+    void readError(Exchange &exchange, const Http::CallResult &result);
+    void measure(const Exchange &exchange);
+    bool retryLater(const ExchangePtr &exchange, const Http::CallResult &result);
+    void closeWhenDone();
+
+    Options m_options;
+    const Experiment::Definition &m_definition;
+    Experiment::Workload m_workload;
+    ChatHistory m_chats;
+    std::optional<Experiment::PlannedCall> m_next;
+    Base::MonoTime m_startedAt;
+    std::size_t m_inFlight = 0;
+    std::vector<Experiment::CallerRecord> m_records;
+    LoadFigures m_figures;
+};
+
+} // namespace Lagoonbank::Bench
--- a/src/libs/experiment/answercheck.cpp
+++ b/src/libs/experiment/answercheck.cpp
@@ -75,6 +75,24 @@
     return verdict;
 }
 
+std::string expectedReceipt(std::string_view body)
+{
+    constexpr int receiptDigits = 16;
+    std::ostringstream stream;
+    stream << std::hex << std::setfill('0') << std::setw(receiptDigits)
+           << XXH3_64bits(body.data(), body.size());
+    return stream.str();
+}
+
+AnswerCheck checkServiceAnswer(std::string_view requestBody, std::string_view answer)
+{
+    const nlohmann::json json = nlohmann::json::parse(answer, nullptr, false);
+    if (!json.is_object() || !json.contains("receipt"))
+        return AnswerCheck::Cut;
+    const bool isOwn = json["receipt"] == expectedReceipt(requestBody);
+    return isOwn ? AnswerCheck::Fits : AnswerCheck::Foreign;
+}
+
 void StreamReader::add(std::string_view piece)
 {
     m_rest.append(piece);
--- a/src/libs/experiment/answercheck.h
+++ b/src/libs/experiment/answercheck.h
@@ -23,6 +23,12 @@
 AnswerVerdict checkModelAnswer(std::string_view requestId, std::string_view text,
                                std::int64_t wantedTokens);
 
+/// The stand-in service's receipt for a request with that body.
+std::string expectedReceipt(std::string_view body);
+
+/// Compares a plain service's answer with the one that the request's body must get.
+AnswerCheck checkServiceAnswer(std::string_view requestBody, std::string_view answer);
+
 /// Puts the pieces of a streamed chat answer together.
 class StreamReader
 {
--- a/src/libs/experiment/recordreader.cpp
+++ b/src/libs/experiment/recordreader.cpp
@@ -90,17 +90,20 @@
     return outcomes;
 }
 
-Errors::Result<EngineLoad> readEngineLoad(std::string_view json)
+Errors::Result<LoadReport> readLoadReport(std::string_view json)
 {
     const Json parsed = Json::parse(json, nullptr, false);
     if (!parsed.is_object() || !parsed.contains("work") || !parsed["work"].is_number())
         return Errors::makeError(Errors::ErrorKind::BadMessage, "a load report has 'work'");
-    EngineLoad load;
-    load.work = parsed["work"].get<double>();
+    LoadReport report;
+    report.load.work = parsed["work"].get<double>();
     const auto capacity = parsed.find("capacity");
     if (capacity != parsed.end() && capacity->is_number())
-        load.capacity = capacity->get<double>();
-    return load;
+        report.load.capacity = capacity->get<double>();
+    report.incarnation = numberOf(parsed, "incarnation").value_or(0);
+    const auto draining = parsed.find("draining");
+    report.isDraining = draining != parsed.end() && draining->is_boolean() && draining->get<bool>();
+    return report;
 }
 
 std::optional<ErrorBody> readErrorBody(std::string_view json)
--- a/src/libs/experiment/recordreader.h
+++ b/src/libs/experiment/recordreader.h
@@ -18,8 +18,15 @@
 /// Reads a router's answer to GET /admin/outcomes: a list, or an object with "outcomes".
 Errors::Result<std::vector<OutcomeRecord>> readOutcomes(std::string_view json);
 
-/// Reads an engine's answer to GET /v1/load.
-Errors::Result<EngineLoad> readEngineLoad(std::string_view json);
+/// An engine's answer to GET /v1/load.
+struct LoadReport
+{
+    EngineLoad load;
+    std::int64_t incarnation = 0;
+    bool isDraining = false;
+};
+
+Errors::Result<LoadReport> readLoadReport(std::string_view json);
 
 /// What an error's body says.
 struct ErrorBody
--- a/tests/auto/experiment/tst_answercheck.cpp
+++ b/tests/auto/experiment/tst_answercheck.cpp
@@ -49,6 +49,14 @@
     BOOST_TEST((checkModelAnswer("r1", item.text, 5).check == item.check));
 }
 
+BOOST_AUTO_TEST_CASE(receiptBelongsToTheBody)
+{
+    const std::string answer = "{\"receipt\":\"" + expectedReceipt("{\"room\":1}") + "\"}";
+    BOOST_TEST((checkServiceAnswer("{\"room\":1}", answer) == AnswerCheck::Fits));
+    BOOST_TEST((checkServiceAnswer("{\"room\":2}", answer) == AnswerCheck::Foreign));
+    BOOST_TEST((checkServiceAnswer("{\"room\":1}", answer.substr(0, 9)) == AnswerCheck::Cut));
+}
+
 BOOST_AUTO_TEST_CASE(streamIsPutTogetherFromAnyPieces)
 {
     const std::string stream = "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n"
@@ -95,8 +103,8 @@
     BOOST_TEST(outcomes.value().front().ran == "no");
     BOOST_TEST(!readOutcomes("3").has_value());
 
-    BOOST_TEST(readEngineLoad(R"({"work": 12.5, "capacity": 4})").value().capacity == 4);
-    BOOST_TEST(!readEngineLoad("{}").has_value());
+    BOOST_TEST(readLoadReport(R"({"work": 12.5, "capacity": 4})").value().load.capacity == 4);
+    BOOST_TEST(!readLoadReport("{}").has_value());
     BOOST_TEST(readChatAnswer(R"({"choices":[{"message":{"content":"x"}}]})").value() == "x");
     BOOST_TEST(!readChatAnswer("{}").has_value());
     BOOST_TEST(!readErrorBody("gateway error").has_value());
