--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -244,7 +244,7 @@
             .deadline = {.at = m_options.route.deadline}};
 }
 
-void Exchange::failAttempt(Error error)
+void Exchange::failAttempt(const Error &error)
 {
     const auto self = shared_from_this();
     const Retry::AttemptFailure failure = failureOf(error);
--- a/src/libs/exchange/exchange.h
+++ b/src/libs/exchange/exchange.h
@@ -154,7 +154,7 @@
     virtual void cancelUpstream(const Target & /*target*/) { }
 
     /// Ends the running attempt with \a error and decides what comes next.
-    void failAttempt(Errors::Error error);
+    void failAttempt(const Errors::Error &error);
     void finishWhole(int status);
     void noteProgress();
     void setFirstToken();
--- a/src/libs/router/placer.cpp
+++ b/src/libs/router/placer.cpp
@@ -75,7 +75,7 @@
     return header;
 }
 
-Placer::Placer(Options options)
+Placer::Placer(const Options &options)
     : m_loop(*options.loop)
     , m_routing(options.routing)
     , m_queueOptions(options.queue)
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -29,7 +29,7 @@
         Routing::WaitQueue::Options queue;
     };
 
-    explicit Placer(Options options);
+    explicit Placer(const Options &options);
     ~Placer();
 
     Routing::Router &routing() { return m_routing; }
