Claims: Run each idempotency key at most once over all routers

The first claim of a key on the log's stream wins; a request is granted only when its claim is read back as the holder. Outcomes are recorded and answer later requests; a key used for another call is refused, a holder that is gone without an outcome gives unknown. Log out: refused, or protected on this router alone where the contract says so.

--- /dev/null
+++ b/src/libs/claims/claimer.cpp
@@ -0,0 +1,265 @@
+#include "claims/claimer.h"
+
+#include "claims/claimrecord.h"
+
+#include <utility>
+#include <variant>
+
+namespace Lagoonbank::Claims {
+
+using Errors::ErrorKind;
+using Platform::AppendState;
+
+ErrorKind errorKind(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::Running:
+        return ErrorKind::DuplicateRunning;
+    case Verdict::Unknown:
+        return ErrorKind::DuplicateUnknown;
+    case Verdict::OtherCall:
+        return ErrorKind::BadRequest;
+    case Verdict::Unavailable:
+        return ErrorKind::ClaimUnavailable;
+    case Verdict::Granted:
+    case Verdict::GrantedLocally:
+    case Verdict::Ended:
+        break;
+    }
+    return ErrorKind::Internal;
+}
+
+Claimer::Claimer(const Options &options)
+    : m_options(options)
+    , m_table(options.table)
+    , m_backoff(options.backoff)
+{ }
+
+Claimer::~Claimer()
+{
+    for (const auto &[id, pending] : m_pending)
+        m_options.timers->cancel(pending.deadline);
+    for (const auto &[id, unrecorded] : m_unrecorded)
+        m_options.timers->cancel(unrecorded.retry);
+}
+
+void Claimer::recordReceived(const Platform::StoredRecord &record)
+{
+    const auto parsed = parseRecord(record.data);
+    if (!parsed) {
+        ++m_skippedRecords;
+        return;
+    }
+    if (const auto *end = std::get_if<ClaimEnd>(&parsed.value())) {
+        m_table.apply(*end, now());
+        return settleAll(end->claim.key);
+    }
+    const Claim &claim = std::get<Claim>(parsed.value());
+    m_table.apply(claim, now());
+    const auto waiting = m_pendingByKey.find(claim.key);
+    if (waiting == m_pendingByKey.end())
+        return;
+    for (const PendingId id : waiting->second) {
+        Pending &pending = m_pending.at(id);
+        pending.isRead = pending.isRead || pending.claim.request == claim.request;
+    }
+    settleAll(claim.key);
+}
+
+Claimer::PendingId Claimer::claim(const Claim &claim, LogOutPolicy policy, Base::Duration timeout,
+                                  Decided decided)
+{
+    const PendingId id{++m_lastId};
+    Pending &pending = m_pending[id];
+    pending = {.claim = claim, .policy = policy, .decided = std::move(decided)};
+    m_pendingByKey[claim.key].push_back(id);
+    pending.deadline = m_options.timers->start({}, [this, id, timeout] {
+        m_pending.at(id).deadline = m_options.timers->start(timeout, [this, id] { expire(id); });
+        begin(id);
+    });
+    return id;
+}
+
+void Claimer::cancel(PendingId pending)
+{
+    if (m_pending.contains(pending))
+        release(take(pending));
+}
+
+void Claimer::finish(const Claim &claim, Outcome outcome)
+{
+    const ClaimEnd end{claim, std::move(outcome)};
+    m_table.apply(end, now());
+    settleAll(claim.key);
+    if (m_unrecorded.size() >= m_options.maxUnrecorded) {
+        ++m_lostOutcomes;
+        return;
+    }
+    const std::uint64_t id = ++m_lastId;
+    m_unrecorded[id].record = toRecord(end);
+    sendOutcome(id);
+}
+
+void Claimer::begin(PendingId id)
+{
+    if (settle(id))
+        return;
+    // Another request holds it; its outcome may come before the deadline.
+    if (standing(m_pending.at(id).claim) != Standing::Free)
+        return;
+    if (!m_isLogUsable)
+        return withoutLog(id);
+    if (m_table.isFull() || m_pending.size() > m_options.maxPending)
+        return decide(id, {.verdict = Verdict::Unavailable});
+    send(id);
+}
+
+void Claimer::send(PendingId id)
+{
+    Pending &pending = m_pending.at(id);
+    pending.isSent = m_options.append(
+        toRecord(pending.claim),
+        [this, id](const Platform::AppendOutcome &outcome) { appended(id, outcome.state); });
+    if (!pending.isSent)
+        decide(id, {.verdict = Verdict::Unavailable});
+}
+
+void Claimer::appended(PendingId id, AppendState state)
+{
+    // An appended claim counts once it is read back; one of unknown state may still be.
+    if (state != AppendState::NotAppended || !m_pending.contains(id))
+        return;
+    m_pending.at(id).isSent = false;
+    if (standing(m_pending.at(id).claim) == Standing::Free)
+        withoutLog(id);
+}
+
+void Claimer::withoutLog(PendingId id)
+{
+    const Pending &pending = m_pending.at(id);
+    if (pending.policy == LogOutPolicy::Refuse || m_table.isFull())
+        return decide(id, {.verdict = Verdict::Unavailable});
+    m_table.apply(pending.claim, now());
+    decide(id, {.verdict = Verdict::GrantedLocally});
+}
+
+void Claimer::expire(PendingId id)
+{
+    if (settle(id))
+        return;
+    const Pending &pending = m_pending.at(id);
+    if (standing(pending.claim) == Standing::Free)
+        return decide(id, {.verdict = Verdict::Unavailable});
+    decide(id,
+           {.verdict = Verdict::Running, .holder = m_table.find(pending.claim.key)->claim.request});
+}
+
+/// Decides the request if the table says enough.
+bool Claimer::settle(PendingId id)
+{
+    const Claim &claim = m_pending.at(id).claim;
+    const ClaimTable::Entry *entry = m_table.find(claim.key);
+    Decision decision;
+    switch (standing(claim)) {
+    case Standing::Free:
+    case Standing::Running:
+        return false;
+    case Standing::Held:
+        decision.verdict = Verdict::Granted;
+        break;
+    case Standing::Ended:
+        decision.verdict = Verdict::Ended;
+        decision.outcome = *entry->outcome;
+        break;
+    case Standing::Unknown:
+        decision.verdict = Verdict::Unknown;
+        break;
+    case Standing::OtherCall:
+        decision.verdict = Verdict::OtherCall;
+        break;
+    }
+    decision.holder = entry->claim.request;
+    decide(id, std::move(decision));
+    return true;
+}
+
+void Claimer::settleAll(const ClaimKey &key)
+{
+    const auto waiting = m_pendingByKey.find(key);
+    if (waiting == m_pendingByKey.end())
+        return;
+    const std::vector<PendingId> ids = waiting->second;
+    for (const PendingId id : ids) {
+        const auto found = m_pending.find(id);
+        if (found == m_pending.end() || settle(id))
+            continue;
+        if (standing(found->second.claim) == Standing::Free)
+            released(id);
+    }
+}
+
+/// The holder that the request waited for has ended without having run.
+void Claimer::released(PendingId id)
+{
+    const Pending &pending = m_pending.at(id);
+    if (pending.isRead)
+        return decide(id, {.verdict = Verdict::Running});
+    if (!pending.isSent)
+        begin(id);
+}
+
+void Claimer::decide(PendingId id, Decision decision)
+{
+    const Pending pending = take(id);
+    if (decision.verdict != Verdict::Granted)
+        release(pending);
+    pending.decided(decision);
+}
+
+Claimer::Pending Claimer::take(PendingId id)
+{
+    const auto found = m_pending.find(id);
+    Pending pending = std::move(found->second);
+    m_pending.erase(found);
+    m_options.timers->cancel(pending.deadline);
+    const auto waiting = m_pendingByKey.find(pending.claim.key);
+    std::erase(waiting->second, id);
+    if (waiting->second.empty())
+        m_pendingByKey.erase(waiting);
+    return pending;
+}
+
+/// Gives up a claim that may still show up on the log.
+void Claimer::release(const Pending &pending)
+{
+    if (pending.isSent && !pending.isRead)
+        finish(pending.claim, {.ran = Errors::Ran::No});
+}
+
+void Claimer::sendOutcome(std::uint64_t id)
+{
+    const bool isQueued = m_options.append(
+        m_unrecorded.at(id).record,
+        [this, id](const Platform::AppendOutcome &outcome) { outcomeAppended(id, outcome.state); });
+    if (!isQueued)
+        outcomeAppended(id, AppendState::NotAppended);
+}
+
+void Claimer::outcomeAppended(std::uint64_t id, AppendState state)
+{
+    if (state == AppendState::Appended) {
+        m_backoff.reset();
+        m_unrecorded.erase(id);
+        return;
+    }
+    // Appending an outcome again is harmless: its record's id is the same and the first counts.
+    m_unrecorded.at(id).retry =
+        m_options.timers->start(m_backoff.next(), [this, id] { sendOutcome(id); });
+}
+
+Standing Claimer::standing(const Claim &claim) const
+{
+    return m_table.standing(claim, now(), m_options.isGone);
+}
+
+} // namespace Lagoonbank::Claims
--- /dev/null
+++ b/src/libs/claims/claimrecord.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "claims/claim.h"
+#include "errors/result.h"
+#include "platform/record.h"
+
+#include <string_view>
+#include <variant>
+
+/// Records of the log's stream `claims`.
+namespace Lagoonbank::Claims {
+
+inline constexpr std::string_view claimsStream = "claims";
+/// Bodies above it are not kept with the outcome.
+inline constexpr std::size_t maxKeptBody = 16 * 1024;
+
+Platform::Record toRecord(const Claim &claim);
+Platform::Record toRecord(const ClaimEnd &end);
+/// An error for a malformed record or one of a newer version; readers skip it.
+Errors::Result<std::variant<Claim, ClaimEnd>> parseRecord(std::string_view data);
+
+} // namespace Lagoonbank::Claims
--- /dev/null
+++ b/src/libs/claims/claimtable.cpp
@@ -0,0 +1,88 @@
+#include "claims/claimtable.h"
+
+#include <utility>
+
+namespace Lagoonbank::Claims {
+
+using Errors::Ran;
+
+void ClaimTable::apply(const Claim &claim, Base::MonoTime now)
+{
+    forgetOld(now);
+    const auto found = m_entries.find(claim.key);
+    if (found == m_entries.end())
+        return insert(claim, std::nullopt, now);
+    const Entry &entry = found->second;
+    const bool isReleased = entry.outcome && entry.outcome->ran == Ran::No;
+    // A claim that comes in after its own release was given up and stays so.
+    if (isReleased && entry.claim.request != claim.request)
+        insert(claim, std::nullopt, now);
+}
+
+void ClaimTable::apply(const ClaimEnd &end, Base::MonoTime now)
+{
+    forgetOld(now);
+    const auto found = m_entries.find(end.claim.key);
+    if (found == m_entries.end())
+        return insert(end.claim, end.outcome, now);
+    Entry &entry = found->second;
+    if (entry.claim.request == end.claim.request) {
+        if (!entry.outcome || entry.outcome->ran == Ran::Unknown)
+            entry.outcome = end.outcome;
+        return;
+    }
+    // A request that ran without a claim on the log is still known to have run.
+    const bool isReleased = entry.outcome && entry.outcome->ran == Ran::No;
+    if (isReleased && end.outcome.ran != Ran::No)
+        insert(end.claim, end.outcome, now);
+}
+
+Standing ClaimTable::standing(const Claim &claim, Base::MonoTime now, const IsGone &isGone) const
+{
+    const Entry *entry = find(claim.key);
+    if (entry == nullptr)
+        return Standing::Free;
+    const bool isOwn = entry->claim.request == claim.request;
+    if (entry->outcome && entry->outcome->ran == Ran::No)
+        return isOwn ? Standing::Unknown : Standing::Free;
+    if (entry->claim.call != claim.call)
+        return Standing::OtherCall;
+    if (entry->outcome)
+        return entry->outcome->ran == Ran::Yes ? Standing::Ended : Standing::Unknown;
+    if (isOwn)
+        return Standing::Held;
+    const bool isLate = now - entry->since > m_options.longestRun;
+    return isLate || isGone(entry->claim.router) ? Standing::Unknown : Standing::Running;
+}
+
+const ClaimTable::Entry *ClaimTable::find(const ClaimKey &key) const
+{
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void ClaimTable::insert(const Claim &claim, std::optional<Outcome> outcome, Base::MonoTime now)
+{
+    const std::uint64_t sequence = ++m_lastSequence;
+    m_order.push_back({claim.key, sequence, now});
+    m_entries.insert_or_assign(claim.key, Entry{claim, now, sequence, std::move(outcome)});
+    while (m_entries.size() > m_options.capacity || m_order.size() > 2 * m_options.capacity)
+        forgetOldest();
+}
+
+void ClaimTable::forgetOld(Base::MonoTime now)
+{
+    while (!m_order.empty() && now - m_order.front().since > m_options.window)
+        forgetOldest();
+}
+
+void ClaimTable::forgetOldest()
+{
+    const Place place = std::move(m_order.front());
+    m_order.pop_front();
+    const auto found = m_entries.find(place.key);
+    if (found != m_entries.end() && found->second.sequence == place.sequence)
+        m_entries.erase(found);
+}
+
+} // namespace Lagoonbank::Claims
--- /dev/null
+++ b/tests/auto/claims/tst_claimtable.cpp
@@ -0,0 +1,125 @@
+#define BOOST_TEST_MODULE tst_claimtable
+#include <boost/test/unit_test.hpp>
+
+#include "claims/claimtable.h"
+#include "runtime/clock.h"
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Claims;
+using namespace std::chrono_literals;
+using Errors::Ran;
+
+namespace {
+
+Claim claimOf(const std::string &request, const std::string &key = "k", std::uint64_t call = 1)
+{
+    return {.key = {Base::WorkspaceId("qila"), Base::IdempotencyKey(key)},
+            .request = Base::RequestId(request),
+            .router = {Base::VmId("vm-" + request), Base::Incarnation(1)},
+            .call = CallHash(call)};
+}
+
+/// One record: a claim of `request`, or its end where `ran` is set.
+struct Step
+{
+    std::string request;
+    std::optional<Ran> ran;
+    std::uint64_t call = 1;
+};
+
+struct StandingCase
+{
+    const char *name;
+    std::vector<Step> steps;
+    Claim asked;
+    Standing standing;
+    bool holderIsGone = false;
+};
+
+const StandingCase standingCases[] = {
+    {"nobody asked before", {}, claimOf("a"), Standing::Free},
+    {"the first claim holds", {{"a"}, {"b"}}, claimOf("a"), Standing::Held},
+    {"the second claim waits", {{"a"}, {"b"}}, claimOf("b"), Standing::Running},
+    {"router crashed before the outcome", {{"a"}}, claimOf("b"), Standing::Unknown, true},
+    {"router crashed after the outcome",
+     {{"a"}, {"a", Ran::Yes}},
+     claimOf("b"),
+     Standing::Ended,
+     true},
+    {"outcome unknown", {{"a"}, {"a", Ran::Unknown}}, claimOf("b"), Standing::Unknown},
+    {"outcome found out later",
+     {{"a"}, {"a", Ran::Unknown}, {"a", Ran::Yes}},
+     claimOf("b"),
+     Standing::Ended},
+    {"an outcome stays", {{"a"}, {"a", Ran::Yes}, {"a", Ran::No}}, claimOf("b"), Standing::Ended},
+    {"did not run", {{"a"}, {"a", Ran::No}}, claimOf("b"), Standing::Free},
+    {"claimed again after it did not run",
+     {{"a"}, {"a", Ran::No}, {"b"}},
+     claimOf("b"),
+     Standing::Held},
+    {"claim read after it was given up", {{"a", Ran::No}, {"a"}}, claimOf("b"), Standing::Free},
+    {"outcome of a loser is none of the holder's",
+     {{"a"}, {"b"}, {"b", Ran::No}},
+     claimOf("c"),
+     Standing::Running},
+    {"ran without a claim on the log", {{"a", Ran::Yes}}, claimOf("b"), Standing::Ended},
+    {"another call under the key", {{"a"}}, claimOf("b", "k", 2), Standing::OtherCall},
+    {"another call after the end",
+     {{"a"}, {"a", Ran::Yes}},
+     claimOf("b", "k", 2),
+     Standing::OtherCall},
+    {"another key", {{"a"}}, claimOf("b", "l"), Standing::Free},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theFirstClaimOnTheLogWins)
+{
+    const Runtime::ManualClock clock;
+    for (const StandingCase &row : standingCases) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            ClaimTable table({});
+            for (const Step &step : row.steps) {
+                const Claim claim = claimOf(step.request, "k", step.call);
+                if (step.ran)
+                    table.apply(ClaimEnd{claim, {.ran = *step.ran}}, clock.now());
+                else
+                    table.apply(claim, clock.now());
+            }
+            const auto isGone = [&](const RouterRun &) { return row.holderIsGone; };
+            BOOST_TEST((table.standing(row.asked, clock.now(), isGone) == row.standing));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(forgetsAfterTheWindowAndStaysBounded)
+{
+    Runtime::ManualClock clock;
+    ClaimTable table({.window = 10s, .fullAt = 3, .capacity = 5});
+    for (int i = 0; i < 100; ++i)
+        table.apply(claimOf("r", std::to_string(i)), clock.now());
+    BOOST_TEST(table.size() == 5);
+    BOOST_TEST(table.isFull());
+    BOOST_TEST(table.find(claimOf("r", "99").key) != nullptr);
+    clock.advance(11s);
+    table.apply(claimOf("r", "new"), clock.now());
+    BOOST_TEST(table.size() == 1);
+    for (int i = 0; i < 100; ++i) {
+        table.apply(ClaimEnd{claimOf(std::to_string(i), "new"), {.ran = Ran::No}}, clock.now());
+        table.apply(claimOf(std::to_string(i + 1), "new"), clock.now());
+    }
+    BOOST_TEST(table.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aRunThatNeverEndsBecomesUnknown)
+{
+    Runtime::ManualClock clock;
+    ClaimTable table({.longestRun = 60s});
+    table.apply(claimOf("a"), clock.now());
+    const auto isGone = [](const RouterRun &) { return false; };
+    clock.advance(59s);
+    BOOST_TEST((table.standing(claimOf("b"), clock.now(), isGone) == Standing::Running));
+    clock.advance(2s);
+    BOOST_TEST((table.standing(claimOf("b"), clock.now(), isGone) == Standing::Unknown));
+}
