--- a/src/libs/schema/wire.h
+++ b/src/libs/schema/wire.h
@@ -2,15 +2,18 @@
 
 #include "base/strongtype.h"
 #include "base/units.h"
-#include "schema/yamlreader.h"
+#include "schema/enumname.h"
+#include "schema/typetraits.h"
 
 #include <cereal/cereal.hpp>
 
 #include <algorithm>
+#include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Compact binary form of messages over a cereal archive: counts are variable-length integers, and
@@ -21,6 +24,9 @@
 /// Bound on lists and texts for which the schema gives none.
 inline constexpr std::size_t defaultMaxItems = 65536;
 
+template<typename Archive, typename T>
+void wire(Archive &archive, T &value, std::size_t limit = defaultMaxItems);
+
 namespace Internal {
 
 template<typename Archive>
@@ -65,109 +71,151 @@
     }
 }
 
-/// Whole numbers in zigzag form, so that small negative ones stay short.
+/// Signed numbers go in zigzag form, so that small negative ones stay short.
 template<typename Archive, typename T>
 void wireInteger(Archive &archive, T &value)
 {
-    constexpr unsigned signShift = 63;
+    constexpr std::uint64_t allOnes = ~std::uint64_t{0};
     if constexpr (Archive::is_saving::value) {
         auto bits = static_cast<std::uint64_t>(value);
         if constexpr (std::signed_integral<T>)
-            bits = (bits << 1) ^ (value < 0 ? ~std::uint64_t{0} : 0);
+            bits = (bits << 1) ^ (value < 0 ? allOnes : 0);
         saveCount(archive, bits);
+    } else if constexpr (std::signed_integral<T>) {
+        const std::uint64_t bits = loadCount(archive);
+        const auto wide = static_cast<std::int64_t>((bits >> 1) ^ ((bits & 1) ? allOnes : 0));
+        if (!std::in_range<T>(wide))
+            throw cereal::Exception("a number is out of its range");
+        value = static_cast<T>(wide);
     } else {
-        std::uint64_t bits = loadCount(archive);
-        if constexpr (std::signed_integral<T>)
-            bits = (bits >> 1) ^ ((bits & 1) ? ~std::uint64_t{0} : 0);
-        value = static_cast<T>(bits);
-        if (static_cast<std::uint64_t>(static_cast<std::int64_t>(value)) != bits
-            && static_cast<std::uint64_t>(value) != bits)
+        const std::uint64_t bits = loadCount(archive);
+        if (!std::in_range<T>(bits))
             throw cereal::Exception("a number is out of its range");
+        value = static_cast<T>(bits);
+    }
+}
+
+template<typename Archive>
+void wireBool(Archive &archive, bool &value)
+{
+    auto byte = static_cast<std::uint8_t>(value);
+    archive(byte);
+    if (byte > 1)
+        throw cereal::Exception("a truth value is neither 0 nor 1");
+    value = byte == 1;
+}
+
+template<typename Archive, typename T>
+void wireEnum(Archive &archive, T &value)
+{
+    auto index = static_cast<std::uint8_t>(value);
+    archive(index);
+    if (index >= enumNames(T{}).size())
+        throw cereal::Exception("a choice is unknown");
+    value = static_cast<T>(index);
+}
+
+template<typename Archive>
+void wireText(Archive &archive, std::string &value, std::size_t limit)
+{
+    constexpr std::size_t step = 4096;
+    const std::size_t size = wireSize(archive, value.size(), limit);
+    if constexpr (Archive::is_saving::value) {
+        archive(cereal::binary_data(value.data(), size));
+    } else {
+        // In steps, so that a truncated message cannot claim more memory than it has bytes.
+        value.clear();
+        while (value.size() < size) {
+            const std::size_t begin = value.size();
+            value.resize(std::min(size, begin + step));
+            archive(cereal::binary_data(value.data() + begin, value.size() - begin));
+        }
+    }
+}
+
+template<typename Archive, typename T>
+void wireOptional(Archive &archive, std::optional<T> &value, std::size_t limit)
+{
+    bool isThere = value.has_value();
+    wireBool(archive, isThere);
+    if (!isThere) {
+        value.reset();
+        return;
+    }
+    if (!value)
+        value.emplace();
+    wire(archive, *value, limit);
+}
+
+template<typename Archive, typename T>
+void wireList(Archive &archive, std::vector<T> &value, std::size_t limit)
+{
+    const std::size_t size = wireSize(archive, value.size(), limit);
+    if constexpr (Archive::is_loading::value) {
+        value.clear();
+        for (std::size_t i = 0; i < size; ++i)
+            wire(archive, value.emplace_back(), defaultMaxItems);
+    } else {
+        for (T &item : value)
+            wire(archive, item, defaultMaxItems);
+    }
+}
+
+template<typename Archive, typename T>
+void wireMap(Archive &archive, std::map<std::string, T> &value, std::size_t limit)
+{
+    const std::size_t size = wireSize(archive, value.size(), limit);
+    if constexpr (Archive::is_loading::value) {
+        value.clear();
+        for (std::size_t i = 0; i < size; ++i) {
+            std::string key;
+            wireText(archive, key, defaultMaxItems);
+            wire(archive, value[std::move(key)], defaultMaxItems);
+        }
+    } else {
+        for (auto &[key, item] : value) {
+            std::string text = key;
+            wireText(archive, text, defaultMaxItems);
+            wire(archive, item, defaultMaxItems);
+        }
     }
-    static_assert(signShift == 63);
 }
 
 } // namespace Internal
 
+/// Reads or writes one field. `limit` bounds the items of a list or map and the bytes of a text.
 template<typename Archive, typename T>
-void wire(Archive &archive, T &value, std::size_t limit = defaultMaxItems)
+void wire(Archive &archive, T &value, std::size_t limit)
 {
     using namespace Internal;
-    constexpr bool isLoading = Archive::is_loading::value;
     if constexpr (std::same_as<T, bool>) {
-        auto byte = static_cast<std::uint8_t>(value);
-        archive(byte);
-        if (byte > 1)
-            throw cereal::Exception("a truth value is neither 0 nor 1");
-        value = byte == 1;
+        wireBool(archive, value);
     } else if constexpr (std::integral<T>) {
         wireInteger(archive, value);
     } else if constexpr (std::floating_point<T>) {
         archive(value);
     } else if constexpr (std::is_enum_v<T>) {
-        auto index = static_cast<std::uint8_t>(value);
-        archive(index);
-        if (index >= enumNames(T{}).size())
-            throw cereal::Exception("a choice is unknown");
-        value = static_cast<T>(index);
+        wireEnum(archive, value);
     } else if constexpr (std::same_as<T, Base::Duration>) {
-        auto count = static_cast<std::int64_t>(value.count());
-        wireInteger(archive, count);
-        value = Base::Duration(count);
+        std::int64_t nanoseconds = value.count();
+        wireInteger(archive, nanoseconds);
+        value = Base::Duration(nanoseconds);
     } else if constexpr (std::same_as<T, std::string>) {
-        const std::size_t size = wireSize(archive, value.size(), limit);
-        constexpr std::size_t step = 4096;
-        if constexpr (isLoading) {
-            value.clear();
-            while (value.size() < size) {
-                const std::size_t begin = value.size();
-                value.resize(std::min(size, begin + step));
-                archive(cereal::binary_data(value.data() + begin, value.size() - begin));
-            }
-        } else {
-            archive(cereal::binary_data(value.data(), size));
-        }
+        wireText(archive, value, limit);
     } else if constexpr (TextIdTrait<T>::value) {
         std::string text = value.value();
-        wire(archive, text, limit);
+        wireText(archive, text, limit);
         value = T(std::move(text));
     } else if constexpr (NumberTrait<T>::value) {
         typename NumberTrait<T>::Value number = value.value();
-        wire(archive, number);
+        wire(archive, number, limit);
         value = T(number);
     } else if constexpr (OptionalTrait<T>::value) {
-        bool has = value.has_value();
-        wire(archive, has);
-        if constexpr (isLoading)
-            value = has ? T(typename T::value_type{}) : std::nullopt;
-        if (has)
-            wire(archive, *value, limit);
+        wireOptional(archive, value, limit);
     } else if constexpr (ListTrait<T>::value) {
-        const std::size_t size = wireSize(archive, value.size(), limit);
-        if constexpr (isLoading) {
-            value.clear();
-            for (std::size_t i = 0; i < size; ++i)
-                wire(archive, value.emplace_back());
-        } else {
-            for (auto &item : value)
-                wire(archive, item);
-        }
+        wireList(archive, value, limit);
     } else if constexpr (MapTrait<T>::value) {
-        const std::size_t size = wireSize(archive, value.size(), limit);
-        if constexpr (isLoading) {
-            value.clear();
-            for (std::size_t i = 0; i < size; ++i) {
-                std::string key;
-                wire(archive, key);
-                wire(archive, value[std::move(key)]);
-            }
-        } else {
-            for (auto &[key, item] : value) {
-                std::string text = key;
-                wire(archive, text);
-                wire(archive, item);
-            }
-        }
+        wireMap(archive, value, limit);
     } else {
         serialize(archive, value);
     }
--- a/src/libs/schema/yamlreader.h
+++ b/src/libs/schema/yamlreader.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 #include "schema/enumname.h"
 #include "schema/settingserror.h"
+#include "schema/typetraits.h"
 
 #include <yaml-cpp/yaml.h>
 
@@ -140,39 +141,6 @@
 bool checkMap(const ValueContext &context);
 std::optional<std::string> readMapKey(const ValueContext &context, const YAML::Node &key);
 
-template<typename T>
-struct ListTrait : std::false_type
-{ };
-template<typename T>
-struct ListTrait<std::vector<T>> : std::true_type
-{ };
-template<typename T>
-struct MapTrait : std::false_type
-{ };
-template<typename T>
-struct MapTrait<std::map<std::string, T>> : std::true_type
-{ };
-template<typename T>
-struct OptionalTrait : std::false_type
-{ };
-template<typename T>
-struct OptionalTrait<std::optional<T>> : std::true_type
-{ };
-template<typename T>
-struct TextIdTrait : std::false_type
-{ };
-template<typename Tag>
-struct TextIdTrait<Base::TextId<Tag>> : std::true_type
-{ };
-template<typename T>
-struct NumberTrait : std::false_type
-{ };
-template<typename Tag, typename Rep>
-struct NumberTrait<Base::StrongNumber<Tag, Rep>> : std::true_type
-{
-    using Value = Rep;
-};
-
 template<typename T>
 void readValue(const ValueContext &context, T &out);
 
