--- a/src/libs/membership/peercodec.cpp
+++ b/src/libs/membership/peercodec.cpp
@@ -74,8 +74,8 @@
 std::string_view toString(DropReason reason)
 {
     static constexpr std::array<std::string_view, dropReasonCount> names{
-        "truncated", "oversized", "wrong_magic",     "wrong_version", "wrong_key",
-        "replayed",  "old_incarnation", "bad_body", "own_message"};
+        "truncated", "oversized",       "wrong_magic", "wrong_version", "wrong_key",
+        "replayed",  "old_incarnation", "bad_body",    "own_message"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -212,7 +212,7 @@
 
 std::optional<Opened> PeerCodec::open(std::string_view datagram, std::optional<Sender> *outdated)
 {
-    const std::optional<Opened> opened = openSealed(datagram, maxDatagramBytes);
+    std::optional<Opened> opened = openSealed(datagram, maxDatagramBytes);
     if (!opened)
         return std::nullopt;
     Window &window = m_windows[opened->sender.id];
