--- a/src/libs/membership/peercodec.cpp
+++ b/src/libs/membership/peercodec.cpp
@@ -212,7 +212,7 @@
 
 std::optional<Opened> PeerCodec::open(std::string_view datagram, std::optional<Sender> *outdated)
 {
-    const std::optional<Opened> opened = openSealed(datagram, maxDatagramBytes);
+    std::optional<Opened> opened = openSealed(datagram, maxDatagramBytes);
     if (!opened)
         return std::nullopt;
     Window &window = m_windows[opened->sender.id];
