--- /dev/null
+++ b/tests/contract/standins/fakeresponder.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "http/server.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Lagoonbank::Tests {
+
+/// Keeps what an answer would have sent.
+class FakeResponder final : public Http::Responder
+{
+public:
+    enum class State { Waiting, Streaming, Ended, Aborted };
+
+    void send(int status, const Http::Headers &headers, std::string body) override
+    {
+        begin(status, headers);
+        write(body);
+        end();
+    }
+    void begin(int status, const Http::Headers &headers) override
+    {
+        m_status = status;
+        m_headers = headers;
+        m_state = State::Streaming;
+    }
+    void write(std::string_view piece) override { m_body += piece; }
+    void end() override { m_state = State::Ended; }
+    void abort() override { m_state = State::Aborted; }
+    std::size_t queuedBytes() const override { return 0; }
+    bool isGone() const override { return m_gone; }
+    void setGone(std::function<void()> gone) override { m_goneHook = std::move(gone); }
+
+    void leave() { m_gone = true; }
+    State state() const { return m_state; }
+    int status() const { return m_status; }
+    const std::string &body() const { return m_body; }
+    std::string header(std::string_view name) const
+    {
+        return std::string(m_headers.find(name).value_or(std::string_view()));
+    }
+
+private:
+    State m_state = State::Waiting;
+    int m_status = 0;
+    Http::Headers m_headers;
+    std::string m_body;
+    bool m_gone = false;
+    std::function<void()> m_goneHook;
+};
+
+} // namespace Lagoonbank::Tests
