Configuration: Reduce the log to one state on every reader

A change is accepted only on top of the revision it names, judged by the state alone, so that readers agree wherever they began.

--- /dev/null
+++ b/src/libs/configuration/reducer.cpp
@@ -0,0 +1,285 @@
+#include "configuration/reducer.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Lagoonbank::Configuration {
+
+namespace {
+
+constexpr std::size_t maxRecordIdBytes = 256;
+constexpr Base::LogOffset one(1);
+
+constexpr std::array<std::string_view, 8> eventNames{
+    "record_skipped",   "gap_found",      "gap_closed",     "snapshot_seen",
+    "snapshot_refused", "state_imported", "import_refused", "state_differs"};
+
+Errors::Result<Record> decodeRecord(const LogRecord &record)
+{
+    if (record.id.empty() || record.id.size() > maxRecordIdBytes) {
+        return Errors::makeError(Errors::ErrorKind::BadMessage,
+                                 "the record's id is empty or too long");
+    }
+    Errors::Result<Record> decoded = decode(record.data);
+    const auto *part = decoded ? std::get_if<SnapshotPart>(&decoded.value()) : nullptr;
+    if (part && part->through > record.offset) {
+        return Errors::makeError(Errors::ErrorKind::BadMessage,
+                                 "the snapshot takes in records that come after it");
+    }
+    return decoded;
+}
+
+} // namespace
+
+std::string_view toString(EventKind kind)
+{
+    return eventNames.at(static_cast<std::size_t>(kind));
+}
+
+std::ostream &operator<<(std::ostream &stream, EventKind kind)
+{
+    return stream << toString(kind);
+}
+
+Reducer::Reducer(const Options &options)
+    : m_options(options)
+{ }
+
+void Reducer::recordRead(const LogRecord &record)
+{
+    if (record.offset < m_readNext)
+        return;
+    take(record);
+    drainEarly();
+}
+
+void Reducer::recordHeard(const LogRecord &record)
+{
+    if (record.offset < m_readNext)
+        return;
+    m_early.emplace(record.offset, record);
+    if (m_early.size() > m_options.maxEarly)
+        m_early.erase(std::prev(m_early.end()));
+    drainEarly();
+}
+
+void Reducer::drainEarly()
+{
+    while (!m_early.empty() && m_early.begin()->first <= m_readNext) {
+        const LogRecord record = std::move(m_early.begin()->second);
+        m_early.erase(m_early.begin());
+        if (record.offset == m_readNext)
+            take(record);
+    }
+}
+
+void Reducer::gapFound(Base::LogOffset first)
+{
+    if (first <= m_readNext)
+        return;
+    raise(EventKind::GapFound, first,
+          "records from " + std::to_string(m_readNext.value()) + " on are gone");
+    m_hasGap = true;
+    m_held.clear();
+    m_snapshots.clear();
+    m_heldFrom = first;
+    m_readNext = first;
+    drainEarly();
+}
+
+void Reducer::endReached()
+{
+    if (!m_hasGap)
+        m_isWhole = true;
+    updateReady();
+}
+
+void Reducer::take(const LogRecord &record)
+{
+    m_readNext = record.offset + one;
+    if (m_hasGap) {
+        hold(record);
+        return;
+    }
+    m_next = m_readNext;
+    apply(record);
+    updateReady();
+}
+
+void Reducer::hold(const LogRecord &record)
+{
+    m_held.emplace(record.offset, record);
+    if (m_held.size() > m_options.maxHeld) {
+        m_heldFrom = m_held.begin()->first + one;
+        m_held.erase(m_held.begin());
+    }
+    const Errors::Result<Record> decoded = decodeRecord(record);
+    const auto *part = decoded ? std::get_if<SnapshotPart>(&decoded.value()) : nullptr;
+    const std::optional<Snapshot> snapshot = part ? m_snapshots.add(*part) : std::nullopt;
+    if (!snapshot || snapshot->through < m_heldFrom)
+        return;
+    const Errors::Result<void> adopted = m_state.adopt(snapshot->objects, true, snapshot->hash);
+    if (!adopted) {
+        raise(EventKind::SnapshotRefused, record.offset, adopted.error().detail);
+        return;
+    }
+    closeGap(snapshot->through, "snapshot " + snapshot->id);
+}
+
+void Reducer::closeGap(Base::LogOffset from, const std::string &how)
+{
+    const bool hadGap = std::exchange(m_hasGap, false);
+    m_isWhole = true;
+    m_hasSkippedNewer = false;
+    m_snapshots.clear();
+    m_next = std::max(from, m_readNext);
+    m_readNext = m_next;
+    const std::map<Base::LogOffset, LogRecord> held = std::exchange(m_held, {});
+    if (hadGap)
+        raise(EventKind::GapClosed, from, how);
+    if (m_stateChanged)
+        m_stateChanged();
+    for (auto it = held.lower_bound(from); it != held.end(); ++it)
+        apply(it->second);
+    updateReady();
+}
+
+void Reducer::apply(const LogRecord &record)
+{
+    const Errors::Result<Record> decoded = decodeRecord(record);
+    if (!decoded)
+        skip(record, decoded.error());
+    else if (const auto *change = std::get_if<ChangeRecord>(&decoded.value()))
+        applyChange(record, *change);
+    else
+        noteSnapshot(record, std::get<SnapshotPart>(decoded.value()));
+}
+
+void Reducer::applyChange(const LogRecord &record, const ChangeRecord &change)
+{
+    Judgement judgement = m_state.apply(record, change);
+    const bool isAccepted = judgement.verdict == Verdict::Accepted;
+    if (judgement.verdict == Verdict::Stale) {
+        const Judgement *earlier = judgementOf(record.id);
+        if (earlier && earlier->verdict == Verdict::Accepted)
+            judgement.verdict = Verdict::Repeated;
+    }
+    addJudgement(std::move(judgement));
+    if (isAccepted && m_stateChanged)
+        m_stateChanged();
+}
+
+void Reducer::noteSnapshot(const LogRecord &record, const SnapshotPart &part)
+{
+    const std::optional<Snapshot> snapshot = m_snapshots.add(part);
+    if (!snapshot)
+        return;
+    raise(EventKind::SnapshotSeen, record.offset, snapshot->id);
+    // Only where no change came between is the snapshot's state still ours.
+    const bool isSameState = m_state.changedSince(snapshot->through).empty();
+    if (isSameState && !m_hasSkippedNewer && snapshot->hash != m_state.hash())
+        raise(EventKind::StateDiffers, record.offset, "snapshot " + snapshot->id);
+}
+
+void Reducer::skip(const LogRecord &record, const Errors::Error &error)
+{
+    const bool isNewer = error.kind == Errors::ErrorKind::WrongVersion;
+    m_hasSkippedNewer = m_hasSkippedNewer || isNewer;
+    raise(EventKind::RecordSkipped, record.offset, error.detail);
+    addJudgement({.offset = record.offset,
+                  .recordId = record.id,
+                  .verdict = isNewer ? Verdict::NewerVersion : Verdict::Malformed,
+                  .detail = error.detail});
+}
+
+void Reducer::addJudgement(Judgement judgement)
+{
+    m_judgements.push_back(std::move(judgement));
+    if (m_judgements.size() > m_options.maxJudgements)
+        m_judgements.pop_front();
+    if (m_judged)
+        m_judged(m_judgements.back());
+}
+
+Errors::Result<void> Reducer::importState(const Schema::ConfigurationState &state)
+{
+    if (state.since > m_next) {
+        return Errors::makeError(Errors::ErrorKind::BadMessage,
+                                 "the peer's state begins after ours");
+    }
+    if (state.next <= m_next) {
+        const bool isComparable = state.next == m_next && m_isWhole && !m_hasSkippedNewer;
+        if (isComparable && state.hash != m_state.hash())
+            raise(EventKind::StateDiffers, state.next, "a peer's state");
+        m_isWhole = m_isWhole || !m_hasGap;
+        updateReady();
+        return boost::outcome_v2::success();
+    }
+    const bool isAll = state.since == Base::LogOffset();
+    Errors::Result<void> adopted = m_state.adopt(state.objects, isAll, state.hash);
+    if (!adopted) {
+        raise(EventKind::ImportRefused, state.next, adopted.error().detail);
+        return adopted;
+    }
+    raise(EventKind::StateImported, state.next, std::to_string(state.objects.size()) + " objects");
+    const bool staysInGap = m_hasGap && state.next < m_heldFrom;
+    if (staysInGap) {
+        m_next = state.next;
+        m_isWhole = true;
+        if (m_stateChanged)
+            m_stateChanged();
+    } else {
+        closeGap(state.next, "a peer's state");
+    }
+    drainEarly();
+    updateReady();
+    return boost::outcome_v2::success();
+}
+
+std::optional<Schema::ConfigurationState> Reducer::exportState(Base::LogOffset since) const
+{
+    if (!m_isWhole)
+        return std::nullopt;
+    Schema::ConfigurationState state{.since = since, .next = m_next, .hash = m_state.hash()};
+    state.objects = m_state.changedSince(since);
+    return state;
+}
+
+std::vector<SnapshotPart> Reducer::makeSnapshot(const std::string &id,
+                                                const std::string &writer) const
+{
+    return Configuration::makeSnapshot(m_state, m_next, id, writer);
+}
+
+void Reducer::raiseFloor(Base::LogOffset offset)
+{
+    m_floor = std::max(m_floor, offset);
+    updateReady();
+}
+
+void Reducer::updateReady()
+{
+    m_isReady = m_isReady || (m_isWhole && m_next >= m_floor);
+}
+
+const Judgement *Reducer::judgementOf(const std::string &recordId) const
+{
+    const Judgement *found = nullptr;
+    for (const Judgement &judgement : m_judgements) {
+        if (judgement.recordId != recordId)
+            continue;
+        if (judgement.verdict == Verdict::Accepted)
+            return &judgement;
+        found = &judgement;
+    }
+    return found;
+}
+
+void Reducer::raise(EventKind kind, Base::LogOffset offset, std::string detail)
+{
+    if (m_eventRaised)
+        m_eventRaised({kind, offset, std::move(detail)});
+}
+
+} // namespace Lagoonbank::Configuration
--- /dev/null
+++ b/src/libs/configuration/snapshotscheduler.cpp
@@ -0,0 +1,21 @@
+#include "configuration/snapshotscheduler.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Configuration {
+
+Base::MonoTime SnapshotScheduler::dueAt(std::size_t rank) const
+{
+    // Even the last rank writes within half of the retention time.
+    const Base::Duration period = m_options.retention / m_options.snapshotsPerRetention;
+    const auto steps = static_cast<Base::Duration::rep>(std::min<std::size_t>(rank, 1U << 20U));
+    const Base::Duration headStart = std::min(m_options.rankStep * steps, period);
+    const Base::MonoTime due = m_seen
+        ? *m_seen + period + headStart
+        : m_start + std::min(m_options.startDelay, period) + headStart;
+    if (m_tried && (!m_seen || *m_tried > *m_seen))
+        return std::max(due, *m_tried + m_options.retryDelay);
+    return due;
+}
+
+} // namespace Lagoonbank::Configuration
--- a/src/libs/schema/objectreader.cpp
+++ b/src/libs/schema/objectreader.cpp
@@ -93,6 +93,32 @@
     }
 }
 
+constexpr int deepestJson = 16;
+
+/// The JSON value as the node that the YAML parser would have made of it.
+YAML::Node toNode(const nlohmann::json &json, int depth = 0)
+{
+    YAML::Node node;
+    if (depth > deepestJson)
+        return node;
+    if (json.is_object()) {
+        node = YAML::Node(YAML::NodeType::Map);
+        for (const auto &[key, value] : json.items())
+            node.force_insert(key, toNode(value, depth + 1));
+    } else if (json.is_array()) {
+        node = YAML::Node(YAML::NodeType::Sequence);
+        for (const nlohmann::json &item : json)
+            node.push_back(toNode(item, depth + 1));
+    } else if (json.is_string()) {
+        node = json.get<std::string>();
+        node.SetTag("!");
+    } else if (!json.is_null()) {
+        node = json.dump();
+        node.SetTag("?");
+    }
+    return node;
+}
+
 std::vector<std::string> yamlFiles(const std::string &path)
 {
     std::error_code error;
@@ -167,6 +193,21 @@
     return std::move(objects.value().front().object);
 }
 
+ReadResult<ConfigurationObject> readObjectJson(const std::string &json, const Source &source)
+{
+    const nlohmann::json parsed = nlohmann::json::parse(json, nullptr, false);
+    if (parsed.is_discarded())
+        return SettingsErrors{{source.file, source.line, "not valid JSON"}};
+    YamlReader reader(source.file, source.line);
+    std::optional<ConfigurationObject> object = readNode(reader, toNode(parsed));
+    if (!object)
+        return reader.takeErrors();
+    if (!reader.errors().empty())
+        return reader.takeErrors();
+    std::visit([&](auto &value) { value.source = source; }, *object);
+    return std::move(*object);
+}
+
 ReadResult<std::vector<ObjectDocument>> readObjectFiles(const std::string &path)
 {
     std::vector<ObjectDocument> objects;
--- a/src/libs/schema/objectreader.h
+++ b/src/libs/schema/objectreader.h
@@ -30,6 +30,11 @@
 ReadResult<ConfigurationObject> readObject(const std::string &file, const std::string &text,
                                            int firstLine = 1);
 
+/// Reads the JSON text of one object, as toJson() writes it. Safe for text from outside: it never
+/// reaches the YAML parser, which some malformed texts send into an endless loop. `source` tells
+/// where the object was written.
+ReadResult<ConfigurationObject> readObjectJson(const std::string &json, const Source &source);
+
 /// Reads a file, or all `.yaml` files below a folder in the order of their names.
 ReadResult<std::vector<ObjectDocument>> readObjectFiles(const std::string &path);
 
--- /dev/null
+++ b/tests/auto/configuration/tst_reducer.cpp
@@ -0,0 +1,331 @@
+#define BOOST_TEST_MODULE Reducer
+#include <boost/test/unit_test.hpp>
+
+#include "testlog.h"
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Configuration;
+
+namespace {
+
+/// A change in the log and what has to become of it.
+struct ChangeCase
+{
+    std::string id;
+    ChangeRecord change;
+    Verdict verdict;
+    std::uint64_t revision;
+};
+
+struct Watch
+{
+    explicit Watch(Reducer &reducer)
+    {
+        reducer.setEventRaised([this](const Event &event) { kinds.push_back(event.kind); });
+    }
+    std::size_t count(EventKind kind) const
+    {
+        return static_cast<std::size_t>(std::count(kinds.begin(), kinds.end(), kind));
+    }
+    std::vector<EventKind> kinds;
+};
+
+Schema::ConfigurationState exported(const Reducer &reducer, std::uint64_t since = 0)
+{
+    const auto state = reducer.exportState(Base::LogOffset(since));
+    BOOST_REQUIRE(state.has_value());
+    return *state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(eachChangeIsJudgedByItsBase)
+{
+    ChangeRecord wrongBody = dataCentreChange("north", 4);
+    wrongBody.body = dataCentreChange("south", 4).body;
+    ChangeRecord badBody = dataCentreChange("north", 4);
+    badBody.body = "{\"kind\":\"data_centre\",\"name\":\"north\",\"regon\":\"r\"}";
+    const std::vector<ChangeCase> cases{
+        {"a", dataCentreChange("north", 0, "r1", "ann"), Verdict::Accepted, 1},
+        {"a", dataCentreChange("north", 0, "r1", "ann"), Verdict::Repeated, 1},
+        {"b", dataCentreChange("north", 0, "r2", "ben"), Verdict::Stale, 1},
+        {"c", dataCentreChange("north", 1, "r3", "ann"), Verdict::Accepted, 2},
+        {"d", dataCentreChange("north", 1, "r4", "ben"), Verdict::Stale, 2},
+        {"a", dataCentreChange("north", 0, "r1", "ann"), Verdict::Repeated, 2},
+        {"e", dataCentreChange("north", 3, "r5", "ben"), Verdict::Stale, 2},
+        {"f", dataCentreChange("south", 0), Verdict::Accepted, 1},
+        {"g", removal("north", 2), Verdict::Accepted, 3},
+        {"a", dataCentreChange("north", 0, "r1", "ann"), Verdict::Repeated, 3},
+        {"h", dataCentreChange("north", 0), Verdict::Stale, 3},
+        {"i", removal("north", 3), Verdict::Invalid, 3},
+        {"j", dataCentreChange("north", 3, "r6"), Verdict::Accepted, 4},
+        {"k", wrongBody, Verdict::Invalid, 4},
+        {"l", badBody, Verdict::Invalid, 4},
+    };
+    TestLog log;
+    Reducer reducer;
+    for (const ChangeCase &row : cases) {
+        log.append(row.id, row.change);
+        reducer.recordRead(log.records.back());
+        const Judgement &judgement = reducer.judgements().back();
+        BOOST_TEST(judgement.verdict == row.verdict, row.id << ": " << judgement.detail);
+        BOOST_TEST(judgement.revision == Base::Revision(row.revision), row.id);
+        BOOST_TEST(judgement.offset == log.records.back().offset);
+    }
+    BOOST_TEST(regionOf(reducer, "north") == "r6");
+}
+
+BOOST_AUTO_TEST_CASE(aRaceHasOneWinnerAndAClearLoser)
+{
+    TestLog log;
+    log.append("first", dataCentreChange("north", 0));
+    log.append("ann-1", dataCentreChange("north", 1, "east", "ann"));
+    log.append("ben-1", dataCentreChange("north", 1, "west", "ben"));
+    Reducer reducer;
+    log.readInto(reducer);
+    BOOST_TEST(reducer.judgementOf("ann-1")->verdict == Verdict::Accepted);
+    const Judgement *loser = reducer.judgementOf("ben-1");
+    BOOST_REQUIRE(loser);
+    BOOST_TEST(loser->verdict == Verdict::Stale);
+    BOOST_TEST(loser->winner == "ann");
+    BOOST_TEST(loser->detail == "based on revision 1, but revision 2 stands");
+    BOOST_TEST(regionOf(reducer, "north") == "east");
+    BOOST_TEST(reducer.judgementOf("cleo-1") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(aRetryAfterALostAnswerFindsTheAcceptance)
+{
+    TestLog log;
+    log.append("ann-1", dataCentreChange("north", 0));
+    log.append("ben-1", dataCentreChange("north", 1, "west", "ben"));
+    log.append("ann-1", dataCentreChange("north", 0));
+    Reducer reducer;
+    log.readInto(reducer);
+    BOOST_TEST(reducer.judgementOf("ann-1")->verdict == Verdict::Accepted);
+    BOOST_TEST(reducer.judgementOf("ann-1")->offset == Base::LogOffset(0));
+    BOOST_TEST(regionOf(reducer, "north") == "west");
+}
+
+BOOST_AUTO_TEST_CASE(referencesAreJudgedAtTheRecordsOffset)
+{
+    const ChangeRecord endpoint = changeTo("e.yaml",
+                                           "kind: endpoint\nname: e\ntype: service\nservice: s\n"
+                                           "address: 127.0.0.1:1\ndata_centre: north\nregion: r\n"
+                                           "capacity: 1\n",
+                                           0);
+    TestLog log;
+    log.append("1", endpoint);
+    log.append("2", dataCentreChange("north", 0));
+    log.append("3", changeTo("s.yaml", "kind: service\nname: s\n", 0));
+    log.append("4", endpoint);
+    log.append("5", removal("north", 1));
+    Reducer reducer;
+    log.readInto(reducer);
+    const std::vector<Verdict> wanted{Verdict::Invalid, Verdict::Accepted, Verdict::Accepted,
+                                      Verdict::Accepted, Verdict::Invalid};
+    for (std::size_t i = 0; i < wanted.size(); ++i)
+        BOOST_TEST(reducer.judgements()[i].verdict == wanted[i], reducer.judgements()[i].detail);
+    BOOST_TEST(reducer.judgements()[0].detail
+               == "e.yaml:6: data_centre: there is no data_centre/north; publish it first or "
+                  "correct the name (and 1 more)");
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotBeReadIsSkippedWithAnEvent)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0));
+    log.append("2", "{\"version\":1,\"form\":");
+    log.append("3", "{\"version\":9,\"form\":\"change\"}");
+    log.append("", encode(dataCentreChange("south", 0)));
+    log.append("5", dataCentreChange("north", 1, "new"));
+    Reducer reducer;
+    const Watch watch(reducer);
+    log.readInto(reducer);
+    BOOST_TEST(watch.count(EventKind::RecordSkipped) == 3U);
+    BOOST_TEST(reducer.judgements()[1].verdict == Verdict::Malformed);
+    BOOST_TEST(reducer.judgements()[2].verdict == Verdict::NewerVersion);
+    BOOST_TEST(regionOf(reducer, "north") == "new");
+    BOOST_TEST(regionOf(reducer, "south") == "none");
+    // A snapshot by this program would leave out what the newer one wrote.
+    BOOST_TEST(!reducer.canWriteSnapshot());
+}
+
+BOOST_AUTO_TEST_CASE(readyOnlyWithAWholeConfiguration)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0));
+    Reducer reader;
+    reader.recordRead(log.records[0]);
+    BOOST_TEST(!reader.isReady());
+    BOOST_TEST(!reader.exportState(Base::LogOffset()).has_value());
+    reader.endReached();
+    BOOST_TEST(reader.isReady());
+
+    // The log is out: a peer's state is as good, but not one older than what others hold.
+    Reducer joining;
+    joining.raiseFloor(Base::LogOffset(2));
+    BOOST_REQUIRE(joining.importState(exported(reader)));
+    BOOST_TEST(regionOf(joining, "north") == "r");
+    BOOST_TEST(!joining.isReady());
+    log.append("2", dataCentreChange("north", 1, "new"));
+    reader.recordRead(log.records[1]);
+    BOOST_REQUIRE(joining.importState(exported(reader, 1)));
+    BOOST_TEST(joining.isReady());
+    BOOST_TEST(regionOf(joining, "north") == "new");
+    joining.raiseFloor(Base::LogOffset(50));
+    BOOST_TEST(joining.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(aSnapshotStartsAReaderAfterRetention)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0));
+    log.append("2", dataCentreChange("south", 0));
+    log.append("3", removal("south", 1));
+    Reducer writer;
+    log.readInto(writer);
+    const std::vector<SnapshotPart> snapshot = writer.makeSnapshot("s", "vm");
+    log.append("4", dataCentreChange("north", 1, "new")); // Comes before the snapshot's record.
+    log.append(snapshot);
+    log.append("5", dataCentreChange("south", 0));
+    log.append("6", dataCentreChange("south", 2, "back"));
+    Watch writerWatch(writer);
+    log.readInto(writer);
+    BOOST_TEST(writerWatch.count(EventKind::SnapshotSeen) == 1U);
+    BOOST_TEST(writerWatch.count(EventKind::StateDiffers) == 0U);
+
+    Reducer reader;
+    const Watch watch(reader);
+    log.readInto(reader, 3);
+    BOOST_TEST(watch.count(EventKind::GapClosed) == 1U);
+    BOOST_TEST(reader.isReady());
+    BOOST_TEST(reader.hash() == writer.hash());
+    BOOST_TEST(regionOf(reader, "north") == "new");
+    BOOST_TEST(regionOf(reader, "south") == "back");
+
+    // Record 4 is gone, and the snapshot does not hold it.
+    Reducer late;
+    log.readInto(late, 4);
+    BOOST_TEST(!late.isReady());
+    BOOST_TEST(late.hasGap());
+    BOOST_TEST(regionOf(late, "north") == "none");
+    BOOST_REQUIRE(late.importState(exported(reader)));
+    BOOST_TEST(late.isReady());
+    BOOST_TEST(late.hash() == writer.hash());
+}
+
+BOOST_AUTO_TEST_CASE(aGapLeavesTheOldConfigurationInForce)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0));
+    Reducer reader;
+    log.readInto(reader);
+    Reducer peer;
+    log.append("2", dataCentreChange("north", 1, "missed"));
+    log.append("3", dataCentreChange("south", 0));
+    log.readInto(peer);
+    reader.gapFound(Base::LogOffset(2));
+    reader.recordRead(log.records[2]);
+    BOOST_TEST(reader.isReady());
+    BOOST_TEST(reader.hasGap());
+    BOOST_TEST(!reader.canWriteSnapshot());
+    BOOST_TEST(regionOf(reader, "north") == "r");
+    BOOST_TEST(regionOf(reader, "south") == "none");
+    log.append(peer.makeSnapshot("s", "vm"));
+    reader.recordRead(log.records[3]);
+    BOOST_TEST(!reader.hasGap());
+    BOOST_TEST(reader.hash() == peer.hash());
+    BOOST_TEST(regionOf(reader, "north") == "missed");
+}
+
+BOOST_AUTO_TEST_CASE(nothingTakesAnObjectBack)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0, "old"));
+    Reducer behind;
+    log.readInto(behind);
+    log.append("2", dataCentreChange("north", 1, "new"));
+    Reducer reader;
+    log.readInto(reader);
+    const std::uint64_t hash = reader.hash();
+
+    BOOST_REQUIRE(reader.importState(exported(behind)));
+    BOOST_TEST(reader.hash() == hash);
+
+    const auto refused = [&](Schema::ConfigurationState state) {
+        state.next = Base::LogOffset(99);
+        Watch watch(reader);
+        BOOST_TEST(!reader.importState(state));
+        BOOST_TEST(watch.count(EventKind::ImportRefused) == 1U);
+        BOOST_TEST(reader.hash() == hash);
+        BOOST_TEST(reader.next() == Base::LogOffset(2));
+    };
+    refused(exported(behind)); // Claims to be ahead, but holds the older revision.
+    Schema::ConfigurationState empty = exported(behind);
+    empty.objects.clear();
+    empty.hash = State().hash();
+    refused(empty);
+    Schema::ConfigurationState wrongHash = exported(reader);
+    wrongHash.hash += 1;
+    refused(wrongHash);
+    Schema::ConfigurationState partial = exported(reader, 2);
+    partial.hash += 1;
+    refused(partial);
+
+    Schema::ConfigurationState ahead = exported(reader, 2);
+    ahead.since = Base::LogOffset(3);
+    ahead.next = Base::LogOffset(9);
+    BOOST_TEST(!reader.importState(ahead));
+
+    // The same from the log: a snapshot of the older state after a gap.
+    Watch watch(reader);
+    reader.gapFound(Base::LogOffset(10));
+    SnapshotPart part = behind.makeSnapshot("s", "vm").front();
+    part.through = Base::LogOffset(10);
+    reader.recordRead({Base::LogOffset(10), "s", encode(part)});
+    BOOST_TEST(watch.count(EventKind::SnapshotRefused) == 1U);
+    BOOST_TEST(reader.hash() == hash);
+    BOOST_TEST(reader.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(differingStatesAreToldOf)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0));
+    Reducer reader;
+    log.readInto(reader);
+    Watch watch(reader);
+    Schema::ConfigurationState other = exported(reader);
+    BOOST_REQUIRE(reader.importState(other));
+    BOOST_TEST(watch.count(EventKind::StateDiffers) == 0U);
+    other.hash += 1;
+    BOOST_REQUIRE(reader.importState(other));
+    BOOST_TEST(watch.count(EventKind::StateDiffers) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(heldRecordsAreBounded)
+{
+    TestLog log;
+    for (int i = 0; i < 10; ++i)
+        log.append("d" + std::to_string(i), dataCentreChange("d" + std::to_string(i), 0));
+    Reducer peer;
+    log.readInto(peer);
+    const std::vector<SnapshotPart> old = peer.makeSnapshot("old", "vm");
+    for (int i = 10; i < 20; ++i)
+        log.append("d" + std::to_string(i), dataCentreChange("d" + std::to_string(i), 0));
+    log.append(old);
+    log.readInto(peer);
+
+    Reducer small(Reducer::Options{.maxHeld = 5});
+    log.readInto(small, 5);
+    BOOST_TEST(small.hasGap()); // What came after the snapshot's state was dropped in part.
+    log.append(peer.makeSnapshot("new", "vm"));
+    log.readInto(small);
+    BOOST_TEST(!small.hasGap());
+    BOOST_TEST(small.hash() == peer.hash());
+
+    Reducer eager(Reducer::Options{.maxEarly = 3});
+    for (std::size_t i = log.records.size(); i-- > 0;)
+        eager.recordHeard(log.records[i]);
+    BOOST_TEST(eager.next() == Base::LogOffset(3));
+}
