--- a/src/libs/claims/claimer.cpp
+++ b/src/libs/claims/claimer.cpp
@@ -179,7 +179,7 @@
         break;
     }
     decision.holder = entry->claim.request;
-    decide(id, std::move(decision));
+    decide(id, decision);
     return true;
 }
 
@@ -208,7 +208,7 @@
         begin(id);
 }
 
-void Claimer::decide(PendingId id, Decision decision)
+void Claimer::decide(PendingId id, const Decision &decision)
 {
     const Pending pending = take(id);
     if (decision.verdict != Verdict::Granted)
--- a/src/libs/claims/claimer.h
+++ b/src/libs/claims/claimer.h
@@ -108,7 +108,7 @@
     bool settle(PendingId id);
     void settleAll(const ClaimKey &key);
     void released(PendingId id);
-    void decide(PendingId id, Decision decision);
+    void decide(PendingId id, const Decision &decision);
     Pending take(PendingId id);
     void release(const Pending &pending);
     void sendOutcome(std::uint64_t id);
