Tests: Prove the platform's interface and its clients under faults

Tables of requests and of faults against the stand-in and the clients in one process on a paused clock: answer lost after the append, outage, rate limit, retention gap, slow log, duplicate ids, silent connection, data centre cut off.

--- /dev/null
+++ b/tests/contract/platform/tst_platformfaults.cpp
@@ -0,0 +1,198 @@
+#define BOOST_TEST_MODULE tst_platformfaults
+#include "platformfixture.h"
+
+#include "platform/batchappender.h"
+#include "platform/tailer.h"
+#include "platform/vmlistclient.h"
+#include "platform/weightstoreclient.h"
+
+#include <map>
+
+using namespace Lagoonbank;
+using namespace std::chrono_literals;
+using Platform::AppendOutcome;
+using Platform::AppendState;
+
+namespace {
+
+struct Fixture : PlatformFixture
+{
+    explicit Fixture(const Standins::Platform::Platform::Options &options = {})
+        : PlatformFixture(options)
+    {
+        tailer.setRecordReceived([this](const auto &record) { seen += record.id; });
+        tailer.setGapFound([this](auto from, auto first) { gap += (first - from).value(); });
+    }
+
+    void add(const std::string &id)
+    {
+        appender.add({id, "data"}, [this, id](const auto &outcome) { outcomes[id] = outcome; });
+    }
+    AppendOutcome outcomeOf(const std::string &id)
+    {
+        BOOST_REQUIRE(runOnUntil([&] { return outcomes.contains(id); }));
+        return outcomes[id];
+    }
+    bool sees(const std::string &ids)
+    {
+        return runOnUntil([&] { return seen.size() >= ids.size(); }) && seen == ids;
+    }
+
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    Platform::Transport transport =
+        Platform::httpTransport({.client = &client,
+                                 .server = server.address(),
+                                 .vm = Base::VmId("vm1"),
+                                 .dataCentre = Base::DataCentreId("dha"),
+                                 .metered = [this](auto out, auto in) {
+                                     sent += out.value();
+                                     received += in.value();
+                                 }});
+    Platform::LogClient log{{.transport = transport, .timers = &loop.timers()}};
+    Platform::BatchAppender appender{{.log = &log, .timers = &loop.timers(), .stream = "claims"}};
+    Platform::Tailer tailer{{.log = &log, .timers = &loop.timers(), .stream = "claims"}};
+    std::map<std::string, AppendOutcome> outcomes;
+    std::string seen;
+    std::uint64_t gap = 0;
+};
+
+struct FaultCase
+{
+    const char *name;
+    const char *fault;
+    AppendState state;
+    bool isSeen; ///< Whether a reader finds the record while the fault lasts or afterwards.
+};
+
+const FaultCase faultCases[] = {
+    {"answer lost after the append", R"({"fault":"lose_append_answers","count":1})",
+     AppendState::Appended, true},
+    {"answer later than the deadline", R"({"fault":"late_append_answers","ms":60000})",
+     AppendState::Appended, true},
+    {"slow log", R"({"fault":"log_slow","ms":1500})", AppendState::Appended, true},
+    {"short outage", R"({"fault":"log_outage","count":4})", AppendState::Appended, true},
+    {"long outage of appends", R"({"fault":"append_outage"})", AppendState::NotAppended, false},
+    {"another stream's outage", R"({"fault":"log_outage","stream":"leases"})",
+     AppendState::Appended, true},
+    {"another data centre's outage", R"({"fault":"log_outage","from":"gulberg"})",
+     AppendState::Appended, true},
+    {"own VM's outage of appends", R"({"fault":"append_outage","from":"vm1"})",
+     AppendState::NotAppended, false},
+    {"rate spent for a while", R"({"fault":"appends_limited","count":3})", AppendState::Appended,
+     true},
+    {"append lost on its way", R"({"fault":"lose_appends","count":1})", AppendState::Unknown,
+     false},
+    {"one silent connection", R"({"fault":"silent","stream":"claims","count":1})",
+     AppendState::Unknown, false},
+    {"cut off", R"({"fault":"silent","from":"dha"})", AppendState::Unknown, false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(anAppendIsReportedAsWhatItWasUnderEachFault)
+{
+    for (const FaultCase &row : faultCases) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Fixture fixture;
+            fixture.order(row.fault);
+            fixture.add("a");
+            const AppendOutcome outcome = fixture.outcomeOf("a");
+            BOOST_TEST((outcome.state == row.state));
+            fixture.order(R"({"fault":"none"})");
+            fixture.add("b");
+            BOOST_TEST((fixture.outcomeOf("b").state == AppendState::Appended));
+            fixture.tailer.start();
+            BOOST_TEST(fixture.sees(row.isSeen ? "ab" : "b"));
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(aTailerReadsOnAfterASilentConnectionAndAnOutage, Fixture)
+{
+    tailer.start();
+    add("a");
+    BOOST_TEST(sees("a"));
+    // The poll that is open now is answered before the fault is in force.
+    order(R"({"fault":"silent","stream":"claims","count":1})");
+    BOOST_TEST(runOnUntil([&] { return !tailer.health().isUp; }, 6s));
+    order(R"({"fault":"log_outage"})");
+    runOn(5s);
+    BOOST_TEST(!tailer.health().isUp);
+    order(R"({"fault":"none"})");
+    add("b");
+    BOOST_TEST(sees("ab"));
+    BOOST_TEST(tailer.health().isUp);
+    BOOST_TEST(sent > 0);
+    BOOST_TEST(received > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aTailerTellsWhatRetentionTook)
+{
+    Fixture fixture({.retention = {.age = 10s}});
+    fixture.tailer.start();
+    fixture.add("a");
+    BOOST_TEST(fixture.sees("a"));
+    fixture.tailer.stop();
+    fixture.add("b");
+    fixture.outcomeOf("b");
+    fixture.advance(11s);
+    fixture.add("c");
+    fixture.outcomeOf("c");
+    fixture.tailer.start();
+    BOOST_TEST(fixture.sees("ac"));
+    BOOST_TEST(fixture.gap == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(aRecordThatWasAppendedTwiceIsReadOnce, Fixture)
+{
+    order(R"({"fault":"lose_append_answers","count":1})");
+    add("a");
+    BOOST_TEST((outcomeOf("a").state == AppendState::Appended));
+    outcomes.clear();
+    add("a");
+    BOOST_TEST((outcomeOf("a").state == AppendState::Appended));
+    add("b");
+    tailer.start();
+    BOOST_TEST(sees("ab"));
+    BOOST_TEST(tailer.position() == Base::LogOffset(3));
+}
+
+BOOST_AUTO_TEST_CASE(manyRecordsStayWithinTheLogsRate)
+{
+    Fixture fixture({.appendsPerSecond = 20});
+    for (int i = 0; i < 200; ++i) {
+        fixture.add(std::to_string(i));
+        fixture.runOn(10ms);
+    }
+    BOOST_TEST(fixture.runOnUntil([&] { return fixture.outcomes.size() == 200; }));
+    for (const auto &[id, outcome] : fixture.outcomes)
+        BOOST_TEST((outcome.state == AppendState::Appended));
+}
+
+BOOST_FIXTURE_TEST_CASE(theVmListIsKeptThroughAnOutage, Fixture)
+{
+    Platform::VmListClient vms({.transport = transport, .timers = &loop.timers()});
+    call("PUT", "/vms", R"({"vms":[{"address":"1:1","data_centre":"d","id":"a","state":"live"}]})");
+    vms.start();
+    BOOST_TEST(runOnUntil([&] { return vms.vms().size() == 1; }));
+    order(R"({"fault":"vms_outage"})");
+    BOOST_TEST(runOnUntil([&] { return !vms.isUp(); }));
+    BOOST_TEST(vms.vms().size() == 1);
+    order(R"({"fault":"none"})");
+    call("PUT", "/vms", R"({"vms":[]})");
+    BOOST_TEST(runOnUntil([&] { return vms.vms().empty(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(fetchesOfWeightsKeepToTheStoresRate, Fixture)
+{
+    Platform::WeightStoreClient weights({.transport = transport, .timers = &loop.timers()});
+    order(R"({"fault":"weights_outage","count":1})");
+    int fetched = 0;
+    for (int i = 0; i < 4; ++i) {
+        weights.fetch(Base::ModelId("hints"), "7",
+                      [&](const auto &result) { fetched += result.has_value() ? 1 : 0; });
+    }
+    BOOST_TEST(runOnUntil([&] { return fetched == 4; }));
+}
