Routing: Keep room for resident chats and let a warm chat wait briefly

Cause: at the bound of 1.25 a warm chat lost its place in one request of ten, as load in flight varies by a fifth around the mean. Change: an overflowing request takes the less loaded of its next two endpoints under 1.1 times the mean; a warm chat waits up to 100 ms for each 1000 cached tokens, at most 300 ms. The load history is interpolated within its slots.

--- a/bench/routing/policymodel/fleetmodel.cpp
+++ b/bench/routing/policymodel/fleetmodel.cpp
@@ -183,6 +183,7 @@
         .promptTokens = Base::Tokens(job.prompt),
         .expectedOutput = Base::Tokens(static_cast<std::int64_t>(expectedOutput)),
         .priority = job.priority,
+        .waited = Base::fromSeconds(m_now - job.arrivedAt),
     };
     const Chat &chat = m_chats[job.chat];
     const bool brings = Routing::mixHashes(job.chat, 1) % 1000 < m_scenario.tokenShare * 1000;
@@ -380,6 +381,7 @@
                                       : std::accumulate(m_waits.begin(), m_waits.end(), 0.0)
             / static_cast<double>(m_waits.size());
     result.waitP95 = quantile(m_waits, 0.95);
+    result.estimateErrorP50 = quantile(m_errors, 0.5);
     result.estimateErrorP99 = quantile(m_errors, 0.99);
     return result;
 }
--- a/bench/routing/policymodel/fleetmodel.h
+++ b/bench/routing/policymodel/fleetmodel.h
@@ -44,6 +44,7 @@
     double skewLessOneP99 = 0.0; ///< As skewP99, less the largest request that the engine holds.
     double waitMean = 0.0; ///< To the first token, s.
     double waitP95 = 0.0;
+    double estimateErrorP50 = 0.0;
     double estimateErrorP99 = 0.0; ///< |estimate - load| against the mean load.
     std::uint64_t requests = 0;
     std::uint64_t refused = 0;
--- a/bench/routing/policymodel/main.cpp
+++ b/bench/routing/policymodel/main.cpp
@@ -18,9 +18,12 @@
 ABSL_FLAG(bool, churn, true, "Engines drain, flap, join and crash.");
 ABSL_FLAG(bool, surge, true, "A tenth of the chats returns ten times as fast for 20 s.");
 ABSL_FLAG(double, multiple, 1.25, "Multiple c of the mean that the bound allows.");
+ABSL_FLAG(double, overflow_multiple, 1.1, "Multiple for endpoints after a chat's home.");
+ABSL_FLAG(double, warm_wait, 0.1, "Seconds of wait for the warm endpoint for each 1000 tokens.");
+ABSL_FLAG(double, longest_warm_wait, 0.3, "Longest wait for the warm endpoint.");
 ABSL_FLAG(double, full_at, 2.0, "Absolute bound against the capacity.");
 ABSL_FLAG(double, reserve, 0.1, "Part of the absolute bound kept for urgent priorities.");
-ABSL_FLAG(int, cold_choices, 1, "First endpoints that a chat without a warm place chooses from.");
+ABSL_FLAG(int, overflow_choices, 2, "Next endpoints that an overflowing chat chooses from.");
 ABSL_FLAG(double, ramp, 30.0, "Slow start in seconds.");
 ABSL_FLAG(double, first_share, 0.1, "Share at the beginning of the slow start.");
 ABSL_FLAG(int, seed, 1, "Seed of the run.");
@@ -46,8 +49,13 @@
     scenario.surge = absl::GetFlag(FLAGS_surge);
     scenario.seed = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed));
     scenario.router.selector.policy = policy;
-    scenario.router.selector.coldChoices = absl::GetFlag(FLAGS_cold_choices);
+    scenario.router.selector.overflowChoices = absl::GetFlag(FLAGS_overflow_choices);
     scenario.router.selector.bound.multiple = absl::GetFlag(FLAGS_multiple);
+    scenario.router.selector.bound.overflowMultiple = absl::GetFlag(FLAGS_overflow_multiple);
+    scenario.router.selector.warmWaitPerThousand =
+        Base::fromSeconds(absl::GetFlag(FLAGS_warm_wait));
+    scenario.router.selector.longestWarmWait =
+        Base::fromSeconds(absl::GetFlag(FLAGS_longest_warm_wait));
     scenario.router.selector.bound.fullAt = absl::GetFlag(FLAGS_full_at);
     scenario.router.selector.bound.reserve = absl::GetFlag(FLAGS_reserve);
     scenario.router.slowStart.rampTime = Base::fromSeconds(absl::GetFlag(FLAGS_ramp));
@@ -57,13 +65,14 @@
 
 void print(Routing::Policy policy, const PolicyModel::Figures &figures)
 {
-    std::printf("%-12s %7.2f %7.2f %8.3f %8.3f %8.3f %8.3f %8.1f %8.1f %8.3f %9llu %8llu %8llu\n",
-                std::string(toString(policy)).c_str(), 100.0 * figures.reuse, 100.0 * figures.hits,
-                figures.skewP50, figures.skewP99, figures.skewMax, figures.skewLessOneP99,
-                1000.0 * figures.waitMean, 1000.0 * figures.waitP95, figures.estimateErrorP99,
-                static_cast<unsigned long long>(figures.requests),
-                static_cast<unsigned long long>(figures.refused),
-                static_cast<unsigned long long>(figures.crashed));
+    std::printf(
+        "%-12s %7.2f %7.2f %8.3f %8.3f %8.3f %8.3f %8.1f %8.1f %8.3f %8.3f %9llu %8llu %8llu\n",
+        std::string(toString(policy)).c_str(), 100.0 * figures.reuse, 100.0 * figures.hits,
+        figures.skewP50, figures.skewP99, figures.skewMax, figures.skewLessOneP99,
+        1000.0 * figures.waitMean, 1000.0 * figures.waitP95, figures.estimateErrorP50,
+        figures.estimateErrorP99, static_cast<unsigned long long>(figures.requests),
+        static_cast<unsigned long long>(figures.refused),
+        static_cast<unsigned long long>(figures.crashed));
     std::fflush(stdout);
 }
 
@@ -73,9 +82,9 @@
 {
     absl::ParseCommandLine(argc, argv);
     const std::string chosen = absl::GetFlag(FLAGS_policy);
-    std::printf("%-12s %7s %7s %8s %8s %8s %8s %8s %8s %8s %9s %8s %8s\n", "policy", "reuse%",
-                "hits%", "skew50", "skew99", "skewmax", "less1_99", "wait ms", "w95 ms", "est99",
-                "requests", "refused", "crashed");
+    std::printf("%-12s %7s %7s %8s %8s %8s %8s %8s %8s %8s %8s %9s %8s %8s\n", "policy", "reuse%",
+                "hits%", "skew50", "skew99", "skewmax", "less1_99", "wait ms", "w95 ms", "est50",
+                "est99", "requests", "refused", "crashed");
     for (const auto policy :
          {Routing::Policy::RoundRobin, Routing::Policy::LeastLoad, Routing::Policy::TwoChoices,
           Routing::Policy::Rendezvous, Routing::Policy::Bounded}) {
--- a/src/libs/routing/selector.cpp
+++ b/src/libs/routing/selector.cpp
@@ -55,6 +55,8 @@
         return "baseline";
     case Why::AllFull:
         return "all_full";
+    case Why::WarmFull:
+        return "warm_full";
     case Why::NoneUsable:
         return "none_usable";
     }
@@ -154,6 +156,11 @@
     const EndpointIndex warmEndpoint = chooseWarm(request, candidates, warm, totals, &cached);
     if (warmEndpoint != noEndpoint)
         return sendTo(request, warmEndpoint, cached, Why::Warm);
+    if (waitsForWarm(request, candidates, warm)) {
+        return {.outcome = Outcome::Wait,
+                .why = Why::WarmFull,
+                .refusal = Errors::ErrorKind::Overloaded};
+    }
 
     const bool localFirst = !request.usesCache && m_options.localServices;
     Scan scan;
@@ -166,18 +173,30 @@
         return sendTo(request, scan.trial, {}, Why::Trial);
     if (scan.home == noEndpoint)
         return {};
-    if (scan.first == noEndpoint) {
+    const EndpointIndex taken = chooseCold(request, candidates, totals, scan);
+    if (taken == noEndpoint) {
         return {.outcome = Outcome::Wait,
                 .why = Why::AllFull,
                 .refusal = Errors::ErrorKind::Overloaded};
     }
-    const bool twoChoices = !request.usesCache || m_options.coldChoices > 1;
-    const EndpointIndex taken = twoChoices ? scan.lessLoaded(candidates) : scan.first;
     const bool left = !warm.empty() && warm.front().endpoint != taken;
     const Why why = taken == scan.home && !left ? Why::Home : Why::Overflow;
     return sendTo(request, taken, cachedAt(warm, taken), why);
 }
 
+EndpointIndex Selector::chooseCold(const RouteRequest &request,
+                                   std::span<const Candidate> candidates, const PoolTotals &totals,
+                                   const Scan &scan) const
+{
+    // The prefix may well be cached at the home of a chat that brings no token.
+    const Candidate &home = candidates[scan.home];
+    const bool homeAdmits = m_bound.admitsResident(home.load, home.weight, workOf(request, {}),
+                                                   totals, request.priority);
+    if (request.usesCache && homeAdmits)
+        return scan.home;
+    return m_options.overflowChoices > 1 ? scan.lessLoaded(candidates) : scan.first;
+}
+
 Selector::Scan Selector::scanBounded(const RouteRequest &request,
                                      std::span<const Candidate> candidates,
                                      std::span<const EndpointIndex> members,
@@ -206,7 +225,8 @@
             scan.homeCost = limit;
             scan.home = index;
         }
-        if (m_bound.admits(candidate.load, candidate.weight, work, totals, request.priority))
+        if (m_bound.admitsOverflow(candidate.load, candidate.weight, work, totals,
+                                   request.priority))
             scan.offer(index, limit);
     }
     return scan;
@@ -224,7 +244,8 @@
         if (!usable(candidate) || request.tried.contains(place.endpoint))
             continue;
         const double work = workOf(request, place.cached);
-        if (!m_bound.admits(candidate.load, candidate.weight, work, totals, request.priority))
+        if (!m_bound.admitsResident(candidate.load, candidate.weight, work, totals,
+                                    request.priority))
             continue;
         *cached = place.cached;
         return place.endpoint;
@@ -232,6 +253,21 @@
     return noEndpoint;
 }
 
+bool Selector::waitsForWarm(const RouteRequest &request, std::span<const Candidate> candidates,
+                            std::span<const WarmPlace> warm) const
+{
+    for (const WarmPlace &place : warm) {
+        if (place.endpoint >= candidates.size() || !usable(candidates[place.endpoint]))
+            continue;
+        if (request.tried.contains(place.endpoint))
+            continue;
+        const Base::Duration pays = m_options.warmWaitPerThousand * place.cached.value() / 1000;
+        if (request.waited < std::min(pays, m_options.longestWarmWait))
+            return true;
+    }
+    return false;
+}
+
 EndpointIndex Selector::nextInTurn(const RouteRequest &request,
                                    std::span<const Candidate> candidates,
                                    std::span<const EndpointIndex> members)
--- a/src/libs/routing/selector.h
+++ b/src/libs/routing/selector.h
@@ -62,12 +62,13 @@
     std::uint8_t priority = 1; ///< Zero is most urgent.
     bool repeatable = true;
     bool usesCache = true; ///< False for plain services.
+    Base::Duration waited{}; ///< Since the first decision on the request.
     TriedEndpoints tried;
 };
 
 enum class Outcome : std::uint8_t {
     Send,
-    Wait, ///< All candidates are at their bound; to be queued, or refused as not run.
+    Wait, ///< To be queued, or refused as not run: all are at their bound, or the warm one is.
     Refuse ///< No endpoint can take it at all.
 };
 
@@ -79,6 +80,7 @@
     Trial, ///< First in the chat's order, and on trial after failures.
     Baseline, ///< The policy looks at neither cache nor bound.
     AllFull,
+    WarmFull, ///< The warm one is at its bound, and a short wait for it pays.
     NoneUsable
 };
 
@@ -104,9 +106,13 @@
         LoadBound::Options bound;
         double outputWeight = 8.0; ///< Work of one output token against one of prompt.
         bool localServices = true; ///< Services: this data centre first, others over its bound.
-        /// Bounded only: a request without a known warm place takes the less loaded of this many
-        /// first endpoints under the bound; 1 or 2.
-        int coldChoices = 1;
+        /// Bounded only: what finds no room at its warm endpoint or home, and any call of a
+        /// service, takes the less loaded of this many next endpoints; 1 or 2.
+        int overflowChoices = 2;
+        /// Bounded only: how long a request may wait for its warm endpoint, for each 1000 tokens
+        /// cached there, and at most; zero for never.
+        Base::Duration warmWaitPerThousand = std::chrono::milliseconds(100);
+        Base::Duration longestWarmWait = std::chrono::milliseconds(300);
     };
 
     explicit Selector(Options options)
@@ -131,9 +137,13 @@
     Scan scanBounded(const RouteRequest &request, std::span<const Candidate> candidates,
                      std::span<const EndpointIndex> members, const PoolTotals &totals,
                      bool localOnly) const;
+    EndpointIndex chooseCold(const RouteRequest &request, std::span<const Candidate> candidates,
+                             const PoolTotals &totals, const Scan &scan) const;
     EndpointIndex chooseWarm(const RouteRequest &request, std::span<const Candidate> candidates,
                              std::span<const WarmPlace> warm, const PoolTotals &totals,
                              Base::Tokens *cached) const;
+    bool waitsForWarm(const RouteRequest &request, std::span<const Candidate> candidates,
+                      std::span<const WarmPlace> warm) const;
     EndpointIndex nextInTurn(const RouteRequest &request, std::span<const Candidate> candidates,
                              std::span<const EndpointIndex> members);
     EndpointIndex leastLoaded(const RouteRequest &request, std::span<const Candidate> candidates,
--- a/src/libs/routing/workhistory.cpp
+++ b/src/libs/routing/workhistory.cpp
@@ -19,9 +19,14 @@
 
 double WorkHistory::at(Base::MonoTime time) const
 {
-    // The end of the slot before the one of `time`, so that work sent in the same slot counts as
-    // sent after the sample: the estimate errs on the high side.
-    const std::int64_t slot = slotOf(time) - 1;
+    const std::int64_t slot = slotOf(time);
+    const double before = endOf(slot - 1);
+    const Base::Duration within = time.time_since_epoch() - slot * slotLength;
+    return before + (endOf(slot) - before) * Base::toSeconds(within) / Base::toSeconds(slotLength);
+}
+
+double WorkHistory::endOf(std::int64_t slot) const
+{
     const auto count = static_cast<std::int64_t>(slotCount);
     if (m_slot < 0 || slot >= m_slot)
         return m_current;
--- a/src/libs/routing/workhistory.h
+++ b/src/libs/routing/workhistory.h
@@ -18,13 +18,15 @@
     double current() const { return m_current; }
     void set(double work, Base::MonoTime now);
     void add(double work, Base::MonoTime now) { set(m_current + work, now); }
-    /// The amount at `time`, to one slot; for times before the oldest slot, the oldest known.
+    /// The amount at `time`, interpolated within its slot; for times before the oldest slot, the
+    /// oldest known.
     double at(Base::MonoTime time) const;
     /// Forgets the course; the amount is zero from the start on.
     void clear();
 
 private:
     static std::int64_t slotOf(Base::MonoTime time) { return time.time_since_epoch() / slotLength; }
+    double endOf(std::int64_t slot) const;
 
     double m_current = 0.0;
     std::int64_t m_slot = -1; ///< Slot of the newest entry; -1 before the first change.
