--- a/src/libs/routing/waitqueue.cpp
+++ b/src/libs/routing/waitqueue.cpp
@@ -62,7 +62,8 @@
     m_items.pop_back();
     if (m_lastPop) {
         const Base::Duration gap = std::max(now - *m_lastPop, shortestGap);
-        m_pace += paceGain * (1.0 / Base::toSeconds(gap) - m_pace);
+        const double pace = 1.0 / Base::toSeconds(gap);
+        m_pace = m_pace > 0.0 ? m_pace + paceGain * (pace - m_pace) : pace;
     }
     m_lastPop = now;
 }
