--- a/src/libs/admission/shareallocator.cpp
+++ b/src/libs/admission/shareallocator.cpp
@@ -38,10 +38,22 @@
 }
 
 template<typename T>
-void sortOnce(std::vector<T> &items)
+void sortOnce(std::vector<T> &items, const std::string &(*nameOf)(const T &))
 {
-    std::sort(items.begin(), items.end());
-    items.erase(std::unique(items.begin(), items.end()), items.end());
+    std::sort(items.begin(), items.end(),
+              [&](const T &a, const T &b) { return nameOf(a) < nameOf(b); });
+    const auto sameName = [&](const T &a, const T &b) { return nameOf(a) == nameOf(b); };
+    items.erase(std::unique(items.begin(), items.end(), sameName), items.end());
+}
+
+const std::string &nameOfMember(const ShareMember &member)
+{
+    return member.router;
+}
+
+const std::string &nameOfDataCentre(const DataCentreId &dataCentre)
+{
+    return dataCentre.value();
 }
 
 } // namespace
@@ -56,7 +68,7 @@
 void ShareAllocator::setDataCentres(std::vector<DataCentreId> dataCentres, MonoTime now)
 {
     dataCentres.push_back(m_options.dataCentre);
-    sortOnce(dataCentres);
+    sortOnce(dataCentres, nameOfDataCentre);
     m_dataCentres = std::move(dataCentres);
     const auto self =
         std::lower_bound(m_dataCentres.begin(), m_dataCentres.end(), m_options.dataCentre);
@@ -71,7 +83,7 @@
     const auto isSelf = [this](const ShareMember &m) { return m.router == m_options.self; };
     if (std::none_of(routers.begin(), routers.end(), isSelf))
         routers.push_back({.router = m_options.self, .dataCentre = m_options.dataCentre});
-    sortOnce(routers);
+    sortOnce(routers, nameOfMember);
     m_members = std::move(routers);
     m_routers.clear();
     std::copy_if(m_members.begin(), m_members.end(), std::back_inserter(m_routers),
--- a/src/libs/admission/shareallocator.h
+++ b/src/libs/admission/shareallocator.h
@@ -19,7 +19,7 @@
     Base::DataCentreId dataCentre;
     Base::Incarnation incarnation; ///< A restarted router starts anew.
 
-    auto operator<=>(const ShareMember &) const = default;
+    bool operator==(const ShareMember &) const = default;
 };
 
 struct ShareOptions
--- a/src/libs/admission/shareledger.cpp
+++ b/src/libs/admission/shareledger.cpp
@@ -25,9 +25,9 @@
 {
     std::int64_t units = base(participant);
     for (const auto &[cell, count] : m_cells) {
-        if (cell.from == participant)
+        if (cell.first == participant)
             units -= count.latest;
-        if (cell.to == participant)
+        if (cell.second == participant)
             units += countedAt(count, now);
     }
     return std::max<std::int64_t>(0, units);
@@ -37,7 +37,7 @@
 {
     if (cell.from >= m_participants || cell.to >= m_participants || cell.from == cell.to)
         return false;
-    Count &count = m_cells[cell];
+    Count &count = m_cells[{cell.from, cell.to}];
     if (given <= count.latest)
         return false;
     raise(count, given, now);
@@ -49,7 +49,7 @@
     const std::int64_t most = std::min(amount, units(cell.from, now));
     if (most <= 0)
         return 0;
-    const auto found = m_cells.find(cell);
+    const auto found = m_cells.find({cell.from, cell.to});
     const std::int64_t before = found == m_cells.end() ? 0 : found->second.latest;
     if (before + most > std::numeric_limits<std::uint32_t>::max())
         return 0;
--- a/src/libs/admission/shareledger.h
+++ b/src/libs/admission/shareledger.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace Lagoonbank::Admission {
@@ -23,7 +24,6 @@
     {
         std::uint16_t from = 0;
         std::uint16_t to = 0;
-        auto operator<=>(const Cell &) const = default;
     };
 
     ShareLedger() = default;
@@ -50,7 +50,7 @@
     void forEach(Visitor visitor) const
     {
         for (const auto &[cell, count] : m_cells)
-            visitor(cell, count.latest);
+            visitor(Cell{cell.first, cell.second}, count.latest);
     }
 
 private:
@@ -71,7 +71,7 @@
 
     std::size_t m_participants = 1;
     Base::Duration m_raiseDelay{};
-    std::map<Cell, Count> m_cells;
+    std::map<std::pair<std::uint16_t, std::uint16_t>, Count> m_cells; // by giver and receiver
 };
 
 } // namespace Lagoonbank::Admission
--- a/src/libs/membership/datacentrelinks.cpp
+++ b/src/libs/membership/datacentrelinks.cpp
@@ -43,8 +43,8 @@
     for (const auto &[key, contact] : m_contacts) {
         if (now - contact > m_timeout)
             continue;
-        const auto age = std::clamp<std::int64_t>(Base::toMilliseconds(now - contact), 0,
-                                                  UINT16_MAX);
+        const auto age =
+            std::clamp<std::int64_t>(Base::toMilliseconds(now - contact), 0, UINT16_MAX);
         result.push_back({.dataCentre = key, .ageMs = static_cast<std::uint16_t>(age)});
     }
     return result;
--- a/src/libs/membership/demanddigests.cpp
+++ b/src/libs/membership/demanddigests.cpp
@@ -14,8 +14,8 @@
     : m_options(options)
 { }
 
-void DemandDigests::set(std::uint32_t origin, const Base::WorkspaceId &workspace,
-                        std::string bytes, Base::MonoTime now)
+void DemandDigests::set(std::uint32_t origin, const Base::WorkspaceId &workspace, std::string bytes,
+                        Base::MonoTime now)
 {
     Entry entry{.digest = {.origin = origin,
                            .version = ++m_version,
@@ -62,8 +62,8 @@
             break;
         bytes -= size;
         ++entry->sends;
-        const auto age = std::clamp<std::int64_t>(Base::toMilliseconds(now - entry->writtenAt), 0,
-                                                  UINT16_MAX);
+        const auto age =
+            std::clamp<std::int64_t>(Base::toMilliseconds(now - entry->writtenAt), 0, UINT16_MAX);
         digests.push_back(entry->digest);
         digests.back().ageMs = static_cast<std::uint16_t>(age);
     }
@@ -72,16 +72,14 @@
 
 bool DemandDigests::hasDue() const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [this](const auto &item) {
-        return item.second.sends < m_options.sends;
-    });
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [this](const auto &item) { return item.second.sends < m_options.sends; });
 }
 
 void DemandDigests::age(Base::MonoTime now)
 {
-    std::erase_if(m_entries, [&](const auto &item) {
-        return now - item.second.writtenAt > m_options.maxAge;
-    });
+    std::erase_if(m_entries,
+                  [&](const auto &item) { return now - item.second.writtenAt > m_options.maxAge; });
 }
 
 } // namespace Lagoonbank::Membership
--- a/src/libs/membership/leavingendpoints.cpp
+++ b/src/libs/membership/leavingendpoints.cpp
@@ -30,8 +30,7 @@
     return true;
 }
 
-bool LeavingEndpoints::covers(const Base::EndpointId &endpoint,
-                              Base::Incarnation incarnation) const
+bool LeavingEndpoints::covers(const Base::EndpointId &endpoint, Base::Incarnation incarnation) const
 {
     const auto found = m_entries.find(endpoint.value());
     return found != m_entries.end() && incarnation.value() <= found->second.incarnation;
@@ -53,9 +52,8 @@
 
 void LeavingEndpoints::age(Base::MonoTime now)
 {
-    std::erase_if(m_entries, [&](const auto &item) {
-        return now - item.second.since > m_options.keepTime;
-    });
+    std::erase_if(m_entries,
+                  [&](const auto &item) { return now - item.second.since > m_options.keepTime; });
 }
 
 std::uint32_t LeavingEndpoints::hash() const
--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -72,8 +72,8 @@
     m_memberNews.add(m_self.id);
     // Members that start together don't probe in step.
     const auto jitter = [this](Base::Duration period) {
-        return Base::Duration(static_cast<std::int64_t>(
-            m_random() % static_cast<std::uint64_t>(period.count())));
+        return Base::Duration(
+            static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(period.count())));
     };
     m_probeAt = now + jitter(m_options.timing.probePeriod);
     m_crossAt = now + jitter(m_options.timing.crossProbePeriod);
@@ -99,8 +99,7 @@
         probeCross(now);
     }
     if (now >= m_joinAt) {
-        m_joinAt =
-            now + (m_table.aliveCount() > 1 ? timing.joinPeriod : timing.lonelyJoinPeriod);
+        m_joinAt = now + (m_table.aliveCount() > 1 ? timing.joinPeriod : timing.lonelyJoinPeriod);
         join(now);
     }
     if (now >= m_gossipAt) {
@@ -174,9 +173,10 @@
         const auto found = m_crossTries.find(member->info.dataCentre);
         return found == m_crossTries.end() ? Base::MonoTime::min() : found->second;
     };
-    const Member *first = *std::min_element(
-        members.begin(), members.end(),
-        [&](const Member *a, const Member *b) { return triedAt(a) < triedAt(b); });
+    const Member *first =
+        *std::min_element(members.begin(), members.end(), [&](const Member *a, const Member *b) {
+            return triedAt(a) < triedAt(b);
+        });
     const std::string dataCentre = first->info.dataCentre;
     std::erase_if(members,
                   [&](const Member *member) { return member->info.dataCentre != dataCentre; });
@@ -248,8 +248,8 @@
     for (const Member *helper : helpers) {
         PeerMessage request{
             .type = MessageType::PingRequest, .probe = number, .target = probe.target};
-        send(toSocketAddress(helper->info), helper, std::move(request),
-             ControlPriority::Essential, now);
+        send(toSocketAddress(helper->info), helper, std::move(request), ControlPriority::Essential,
+             now);
     }
 }
 
@@ -345,8 +345,7 @@
     m_leaving.age(now);
     m_demands.age(now);
     const std::vector<const Member *> gone = peersWhere([&](const Member &member) {
-        return member.isAlive() && !isOwnDataCentre(member) && !member.isListed
-            && !m_vmList.empty()
+        return member.isAlive() && !isOwnDataCentre(member) && !member.isListed && !m_vmList.empty()
             && now - m_links.lastContact(member.info.dataCentre) > m_options.timing.forgetTime;
     });
     for (const Member *member : gone) {
@@ -414,8 +413,7 @@
 
 bool Membership::isReachable(const Base::DataCentreId &dataCentre, Base::MonoTime now) const
 {
-    return dataCentre.value() == m_self.dataCentre
-        || m_links.isReachable(dataCentre.value(), now);
+    return dataCentre.value() == m_self.dataCentre || m_links.isReachable(dataCentre.value(), now);
 }
 
 std::vector<MemberUpdate> Membership::usableMembers(Base::MonoTime now, bool withDamped) const
--- a/src/libs/membership/membership.h
+++ b/src/libs/membership/membership.h
@@ -82,7 +82,8 @@
     std::function<void(const Runtime::SocketAddress &to, const PeerMessage &message)> messageReady;
     std::function<void(const Member &member, MemberEvent event)> memberChanged;
     /// State is to be pulled from this peer over TCP and given to mergeState().
-    std::function<void(const Runtime::SocketAddress &peer, const StateRequest &request)> stateWanted;
+    std::function<void(const Runtime::SocketAddress &peer, const StateRequest &request)>
+        stateWanted;
     /// A peer has applied more of the configuration stream.
     std::function<void(const Runtime::SocketAddress &peer, const ConfigurationMark &mark)>
         configurationAhead;
--- a/src/libs/membership/membershipmessages.cpp
+++ b/src/libs/membership/membershipmessages.cpp
@@ -98,16 +98,15 @@
         --m_awareness;
 }
 
-void Membership::receivePingRequest(const Runtime::SocketAddress &from,
-                                    const PeerMessage &message, Base::MonoTime now)
+void Membership::receivePingRequest(const Runtime::SocketAddress &from, const PeerMessage &message,
+                                    Base::MonoTime now)
 {
     const Member *target = m_table.find(message.target);
     if (!target || m_relays.size() >= maxRelays)
         return;
     const std::uint32_t number = ++m_probeNumber;
-    m_relays[number] = {.asker = from,
-                        .probe = message.probe,
-                        .until = now + m_options.timing.probeTimeout};
+    m_relays[number] = {
+        .asker = from, .probe = message.probe, .until = now + m_options.timing.probeTimeout};
     PeerMessage ping{.type = MessageType::Ping, .probe = number, .target = target->info.id};
     send(toSocketAddress(target->info), target, std::move(ping), ControlPriority::Essential, now);
 }
@@ -183,8 +182,7 @@
     m_tableChangedAt = now;
     setUrgent(now);
     if (endpointLeaving)
-        endpointLeaving(Base::EndpointId(leaving.endpoint),
-                        Base::Incarnation(leaving.incarnation));
+        endpointLeaving(Base::EndpointId(leaving.endpoint), Base::Incarnation(leaving.incarnation));
 }
 
 void Membership::send(const Runtime::SocketAddress &to, const Member *peer, PeerMessage message,
@@ -291,9 +289,8 @@
     m_tableChangedAt = now;
     m_memberNews.add(update.id);
     Member &member = *m_table.find(update.id);
-    member.isListed = std::any_of(m_vmList.begin(), m_vmList.end(), [&](const ListedVm &vm) {
-        return ipNumber(vm.ip) == update.ip;
-    });
+    member.isListed = std::any_of(m_vmList.begin(), m_vmList.end(),
+                                  [&](const ListedVm &vm) { return ipNumber(vm.ip) == update.ip; });
     if (update.status == MemberStatus::Suspect) {
         const bool isExpected = member.isListed || m_vmList.empty();
         member.suspectUntil = now + m_options.timing.suspicionTime / (isExpected ? 1 : 2);
@@ -321,9 +318,8 @@
 {
     std::vector<MemberUpdate> replaced;
     for (const Member *member : peersWhere([&](const Member &member) {
-             return member.isAlive() && member.info.id != update.id
-                 && member.info.ip == update.ip && member.info.port == update.port
-                 && member.info.incarnation < update.incarnation;
+             return member.isAlive() && member.info.id != update.id && member.info.ip == update.ip
+                 && member.info.port == update.port && member.info.incarnation < update.incarnation;
          }))
         replaced.push_back(member->info);
     for (MemberUpdate &old : replaced) {
--- a/src/libs/membership/peercodec.cpp
+++ b/src/libs/membership/peercodec.cpp
@@ -74,8 +74,8 @@
 std::string_view toString(DropReason reason)
 {
     static constexpr std::array<std::string_view, dropReasonCount> names{
-        "truncated", "oversized", "wrong_magic",     "wrong_version", "wrong_key",
-        "replayed",  "old_incarnation", "bad_body", "own_message"};
+        "truncated", "oversized",       "wrong_magic", "wrong_version", "wrong_key",
+        "replayed",  "old_incarnation", "bad_body",    "own_message"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/libs/membership/peercodec.h
+++ b/src/libs/membership/peercodec.h
@@ -116,7 +116,8 @@
     /// Checks size, magic, version, seal and, for datagrams, the replay window, in this order;
     /// nothing is allocated for a message before its seal is known to be right. On a drop the
     /// reason is counted; for OldIncarnation \a outdated gets the sender.
-    std::optional<Opened> open(std::string_view datagram, std::optional<Sender> *outdated = nullptr);
+    std::optional<Opened> open(std::string_view datagram,
+                               std::optional<Sender> *outdated = nullptr);
     /// The same for a body over TCP: bound to its request by the caller instead of a window.
     std::optional<Opened> openPulled(std::string_view sealed);
     void countDrop(DropReason reason) { ++m_drops[static_cast<std::size_t>(reason)]; }
