--- a/src/libs/membership/datacentrelinks.cpp
+++ b/src/libs/membership/datacentrelinks.cpp
@@ -44,8 +44,8 @@
         if (now - contact > m_timeout)
             continue;
         const auto age =
-            std::clamp<std::int64_t>(Base::toMilliseconds(now - contact), 0, UINT16_MAX);
-        result.push_back({.dataCentre = key, .ageMs = static_cast<std::uint16_t>(age)});
+            std::clamp<std::int64_t>(Base::toMilliseconds(now - contact), 0, UINT32_MAX);
+        result.push_back({.dataCentre = key, .ageMs = static_cast<std::uint32_t>(age)});
     }
     return result;
 }
--- a/src/libs/membership/demanddigests.cpp
+++ b/src/libs/membership/demanddigests.cpp
@@ -63,9 +63,9 @@
         bytes -= size;
         ++entry->sends;
         const auto age =
-            std::clamp<std::int64_t>(Base::toMilliseconds(now - entry->writtenAt), 0, UINT16_MAX);
+            std::clamp<std::int64_t>(Base::toMilliseconds(now - entry->writtenAt), 0, UINT32_MAX);
         digests.push_back(entry->digest);
-        digests.back().ageMs = static_cast<std::uint16_t>(age);
+        digests.back().ageMs = static_cast<std::uint32_t>(age);
     }
     return digests;
 }
--- a/src/libs/membership/leavingendpoints.cpp
+++ b/src/libs/membership/leavingendpoints.cpp
@@ -70,7 +70,7 @@
     const auto age = std::chrono::duration_cast<std::chrono::seconds>(now - entry.since).count();
     return {.endpoint = endpoint,
             .incarnation = entry.incarnation,
-            .ageSeconds = static_cast<std::uint16_t>(age)};
+            .ageSeconds = static_cast<std::uint32_t>(age)};
 }
 
 } // namespace Lagoonbank::Membership
--- a/src/libs/membership/loaddigests.cpp
+++ b/src/libs/membership/loaddigests.cpp
@@ -13,6 +13,7 @@
 
 /// Own work is told anew once it has changed by this part.
 constexpr double tellableChange = 0.1;
+constexpr std::size_t maxReports = 512;
 
 std::uint32_t toWire(double work)
 {
@@ -103,33 +104,33 @@
     return Base::WorkUnits(sum);
 }
 
-std::vector<LoadReport> LoadDigests::take(std::size_t count, Base::MonoTime now)
+std::vector<LoadReport> LoadDigests::take(std::size_t bytes, Base::MonoTime now)
 {
     std::vector<std::pair<std::uint32_t, Entry *>> due;
     for (auto &[key, entry] : m_entries) {
         if (isDue(entry, now))
             due.emplace_back(key, &entry);
     }
-    const auto isBefore = [](const auto &a, const auto &b) {
+    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
         if (a.second->sends != b.second->sends)
             return a.second->sends < b.second->sends;
         if (a.second->sampledAt != b.second->sampledAt)
             return a.second->sampledAt > b.second->sampledAt;
         return a.first < b.first;
-    };
-    const std::size_t taken = std::min(count, due.size());
-    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(taken), due.end(),
-                      isBefore);
+    });
     std::vector<LoadReport> reports;
-    reports.reserve(taken);
-    for (std::size_t i = 0; i < taken; ++i) {
-        Entry &entry = *due[i].second;
-        ++entry.sends;
-        const auto age = Base::toMilliseconds(now - entry.sampledAt);
-        reports.push_back({.endpoint = due[i].first,
-                           .work = toWire(entry.work),
-                           .ageMs = static_cast<std::uint16_t>(std::max<std::int64_t>(age, 0)),
-                           .sentSince = toWire(entry.sentSince)});
+    for (const auto &[key, entry] : due) {
+        const auto age = std::max<std::int64_t>(Base::toMilliseconds(now - entry->sampledAt), 0);
+        const LoadReport report{.endpoint = key,
+                                .work = toWire(entry->work),
+                                .ageMs = static_cast<std::uint32_t>(age),
+                                .sentSince = toWire(entry->sentSince)};
+        const std::size_t size = encodedSize(report);
+        if (size > bytes || reports.size() >= maxReports)
+            break;
+        bytes -= size;
+        ++entry->sends;
+        reports.push_back(report);
     }
     return reports;
 }
--- a/src/libs/membership/loaddigests.h
+++ b/src/libs/membership/loaddigests.h
@@ -47,8 +47,8 @@
     /// Sum of what peers said, in the last moments, that they sent after the sample.
     Base::WorkUnits peersSentSince(const Base::EndpointId &endpoint, Base::MonoTime now) const;
 
-    /// Up to \a count reports that are due to be sent, and marks them as sent.
-    std::vector<LoadReport> take(std::size_t count, Base::MonoTime now);
+    /// Reports due that fit into \a bytes; marks them as sent.
+    std::vector<LoadReport> take(std::size_t bytes, Base::MonoTime now);
     /// Whether take() would return any.
     bool hasDue(Base::MonoTime now) const;
     void remove(const Base::EndpointId &endpoint);
--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -26,7 +26,7 @@
     std::string ip;
     for (int shift = 24; shift >= 0; shift -= 8)
         ip += std::to_string((update.ip >> shift) & 0xff) + (shift > 0 ? "." : "");
-    return {.ip = ip, .port = update.port};
+    return {.ip = ip, .port = static_cast<std::uint16_t>(update.port)};
 }
 
 std::uint32_t ipNumber(const std::string &ip)
--- a/src/libs/membership/membershipmessages.cpp
+++ b/src/libs/membership/membershipmessages.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Leaves a byte more for the count of each section.
+constexpr std::size_t fillLimit = maxDatagramBytes + datagramOverheadBytes - 5;
 constexpr std::size_t maxRelays = 256;
 constexpr std::size_t maxKnownMembers = 4096;
 constexpr Base::Duration markAskPeriod = std::chrono::milliseconds(500);
@@ -195,6 +197,7 @@
     fillNews(message, peer, size, now);
     if (peer && message.type != MessageType::Outdated)
         fillDigests(message, *peer, size, now);
+    size = encodedSize(message) + sealSize(m_self.id) + datagramOverheadBytes;
     if (!m_options.budget->take(priority, trafficOf(message.type), size, now))
         return;
     if (messageReady)
@@ -204,9 +207,9 @@
 void Membership::fillNews(PeerMessage &message, const Member *peer, std::size_t &size,
                           Base::MonoTime now)
 {
-    const std::size_t limit = maxDatagramBytes + datagramOverheadBytes;
     const auto room = [&](ControlPriority priority) {
-        return std::min(limit, std::max(m_options.budget->available(priority, now), size)) - size;
+        return std::min(fillLimit, std::max(m_options.budget->available(priority, now), size))
+            - size;
     };
     const auto addMember = [&](const MemberUpdate &update, ControlPriority priority) {
         const std::size_t bytes = encodedSize(update);
@@ -249,13 +252,15 @@
 void Membership::fillDigests(PeerMessage &message, const Member &peer, std::size_t &size,
                              Base::MonoTime now)
 {
-    const std::size_t limit = maxDatagramBytes + datagramOverheadBytes;
     const auto room = [&](ControlPriority priority) {
-        return std::min(limit, std::max(m_options.budget->available(priority, now), size)) - size;
+        return std::min(fillLimit, std::max(m_options.budget->available(priority, now), size))
+            - size;
     };
     if (isOwnDataCentre(peer)) {
         std::vector<DataCentreContact> contacts = m_links.contacts(now);
-        const std::size_t bytes = contacts.size() * encodedSize(DataCentreContact());
+        std::size_t bytes = 0;
+        for (const DataCentreContact &contact : contacts)
+            bytes += encodedSize(contact);
         if (bytes <= room(ControlPriority::Membership)) {
             message.contacts = std::move(contacts);
             size += bytes;
@@ -265,9 +270,9 @@
         && message.type != MessageType::PingRequest;
     if (!takesLoads)
         return;
-    const std::size_t count = room(ControlPriority::Load) / encodedSize(LoadReport());
-    message.loads = m_loads.take(count, now);
-    size += message.loads.size() * encodedSize(LoadReport());
+    message.loads = m_loads.take(room(ControlPriority::Load), now);
+    for (const LoadReport &report : message.loads)
+        size += encodedSize(report);
     message.demands = m_demands.take(room(ControlPriority::Demand), now);
     for (const DemandDigest &digest : message.demands)
         size += encodedSize(digest);
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -142,7 +142,7 @@
     for (const auto &[id, member] : m_members) {
         const auto found = theirs.find(member.info.dataCentre);
         const bool isSame = found != theirs.end() && found->second == hash(member.info.dataCentre);
-        if (!isSame && result.size() < maxSectionEntries)
+        if (!isSame && result.size() < maxStateMembers)
             result.push_back(member.info);
     }
     return result;
--- a/src/libs/membership/peercodec.cpp
+++ b/src/libs/membership/peercodec.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <bit>
 #include <cstring>
 #include <sstream>
 #include <utility>
@@ -55,6 +56,27 @@
     }
 }
 
+/// Of a variable-length integer: seven bits a byte.
+std::size_t countSize(std::uint64_t value)
+{
+    constexpr std::size_t bitsPerByte = 7;
+    return std::max<std::size_t>(1, (std::bit_width(value) + bitsPerByte - 1) / bitsPerByte);
+}
+
+std::size_t textSize(std::string_view text)
+{
+    return countSize(text.size()) + text.size();
+}
+
+template<typename T>
+std::size_t sectionSize(const std::vector<T> &section)
+{
+    std::size_t size = countSize(section.size());
+    for (const T &entry : section)
+        size += encodedSize(entry);
+    return size;
+}
+
 void appendNumber(std::string &out, std::uint64_t number)
 {
     for (std::size_t i = 0; i < numberBytes; ++i)
@@ -116,45 +138,44 @@
 
 std::size_t encodedSize(const MemberUpdate &update)
 {
-    return 3 + update.id.size() + update.dataCentre.size() + update.region.size() + 2 + 4 + 2 + 8;
+    constexpr std::size_t enums = 2;
+    return enums + textSize(update.id) + textSize(update.dataCentre) + textSize(update.region)
+        + countSize(update.ip) + countSize(update.port) + countSize(update.incarnation);
 }
 
 std::size_t encodedSize(const LeavingEndpoint &leaving)
 {
-    return 1 + leaving.endpoint.size() + 8 + 2;
+    return textSize(leaving.endpoint) + countSize(leaving.incarnation)
+        + countSize(leaving.ageSeconds);
 }
 
-std::size_t encodedSize(const DataCentreContact &)
+std::size_t encodedSize(const DataCentreContact &contact)
 {
-    return 4 + 2;
+    return countSize(contact.dataCentre) + countSize(contact.ageMs);
 }
 
-std::size_t encodedSize(const LoadReport &)
+std::size_t encodedSize(const LoadReport &report)
 {
-    return 4 + 4 + 2 + 4;
+    return countSize(report.endpoint) + countSize(report.work) + countSize(report.ageMs)
+        + countSize(report.sentSince);
 }
 
 std::size_t encodedSize(const DemandDigest &digest)
 {
-    return 4 + 4 + 2 + 2 + digest.workspace.size() + digest.bytes.size();
+    return countSize(digest.origin) + countSize(digest.version) + countSize(digest.ageMs)
+        + textSize(digest.workspace) + textSize(digest.bytes);
 }
 
 std::size_t encodedSize(const PeerMessage &message)
 {
     constexpr std::size_t archiveHead = 1;
-    constexpr std::size_t numbers = 1 + 4 + 4 + 4 + 8 + 16;
-    constexpr std::size_t counts = 5 * 2;
-    std::size_t size = archiveHead + numbers + counts + 1 + message.target.size();
-    const auto add = [&size](const auto &section) {
-        for (const auto &entry : section)
-            size += encodedSize(entry);
-    };
-    add(message.leaving);
-    add(message.members);
-    add(message.contacts);
-    add(message.loads);
-    add(message.demands);
-    return size;
+    constexpr std::size_t versionAndType = 2;
+    return archiveHead + versionAndType + countSize(message.probe) + textSize(message.target)
+        + countSize(message.ownHash) + countSize(message.fleetHash)
+        + countSize(message.knownIncarnation) + countSize(message.configuration.offset)
+        + countSize(message.configuration.hash) + sectionSize(message.leaving)
+        + sectionSize(message.members) + sectionSize(message.contacts) + sectionSize(message.loads)
+        + sectionSize(message.demands);
 }
 
 std::size_t sealSize(std::string_view senderId)
