--- a/src/libs/runtime/timerqueue.cpp
+++ b/src/libs/runtime/timerqueue.cpp
@@ -5,6 +5,12 @@
 
 namespace Lagoonbank::Runtime {
 
+namespace {
+
+constexpr std::size_t minEntriesToSweep = 256;
+
+} // namespace
+
 TimerId TimerQueue::start(Base::Duration delay, Callback callback)
 {
     const TimerId id{++m_lastId};
@@ -16,6 +22,9 @@
 void TimerQueue::cancel(TimerId timer)
 {
     m_callbacks.erase(timer);
+    // Calls cancel nearly all their timers long before they are due.
+    if (m_entries.size() > minEntriesToSweep && m_entries.size() > 4 * m_callbacks.size())
+        sweepCancelled();
 }
 
 std::optional<Base::MonoTime> TimerQueue::nextDue()
@@ -53,6 +62,18 @@
     return count;
 }
 
+void TimerQueue::sweepCancelled()
+{
+    std::vector<Entry> kept;
+    kept.reserve(m_callbacks.size());
+    while (!m_entries.empty()) {
+        if (m_callbacks.contains(m_entries.top().id))
+            kept.push_back(m_entries.top());
+        m_entries.pop();
+    }
+    m_entries = decltype(m_entries)(std::greater<>(), std::move(kept));
+}
+
 void TimerQueue::dropCancelled()
 {
     while (!m_entries.empty() && !m_callbacks.contains(m_entries.top().id))
--- a/src/libs/runtime/timerqueue.h
+++ b/src/libs/runtime/timerqueue.h
@@ -50,6 +50,7 @@
         }
     };
     void dropCancelled();
+    void sweepCancelled();
 
     const Clock &m_clock;
     std::uint64_t m_lastId = 0;
