Platform: Keep to one batch at a time where an expiry hook adds a record

Cause: an expired record's hook that adds a record schedules a batch while one is about to be sent. Change: a batch that comes due meanwhile is left out and scheduled at the end of the running one; an answer that comes after the appender is gone is dropped.

--- a/src/libs/platform/batchappender.cpp
+++ b/src/libs/platform/batchappender.cpp
@@ -64,7 +64,8 @@
 void BatchAppender::sendBatch()
 {
     expire();
-    if (m_queue.empty())
+    // A hook of an expired record may have added one and so scheduled a batch of its own.
+    if (m_queue.empty() || m_isSending)
         return;
     m_isSending = true;
     m_nextBatch = m_options.timers->clock().now() + m_interval;
@@ -74,8 +75,10 @@
     for (const Entry &entry : batch)
         records.push_back(entry.record);
     m_options.log->append(m_options.stream, records,
-                          [this, batch = std::move(batch)](const AppendResult &result) mutable {
-                              batchEnded(std::move(batch), result);
+                          [this, alive = std::weak_ptr(m_alive),
+                           batch = std::move(batch)](const AppendResult &result) mutable {
+                              if (!alive.expired())
+                                  batchEnded(std::move(batch), result);
                           });
 }
 
--- a/src/libs/platform/batchappender.h
+++ b/src/libs/platform/batchappender.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,7 @@
     Base::MonoTime m_nextBatch;
     Runtime::TimerId m_batchTimer;
     Runtime::TimerId m_deadlineTimer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For calls that outlive it.
 };
 
 } // namespace Lagoonbank::Platform
