--- a/src/apps/bench/eventplayer.cpp
+++ b/src/apps/bench/eventplayer.cpp
@@ -55,11 +55,11 @@
     mark(nameOf(event.kind), event.target, event.body);
     switch (event.kind) {
     case EventKind::Fault:
-        return post(addressOf(event.target), "/faults", event.body, nullptr);
+        return send("POST", addressOf(event.target), "/faults", event.body, nullptr);
     case EventKind::PlatformFault:
-        return post(m_definition.platformAddress, "/faults", event.body, nullptr);
+        return send("POST", m_definition.platformAddress, "/faults", event.body, nullptr);
     case EventKind::VmChange:
-        return post(m_definition.platformAddress, "/vms", event.body, nullptr);
+        return send("PUT", m_definition.platformAddress, "/vms", event.body, nullptr);
     case EventKind::Drain:
     case EventKind::Undrain:
     case EventKind::Mark:
@@ -67,7 +67,7 @@
     }
 }
 
-void EventPlayer::end(std::function<void()> done)
+void EventPlayer::end(const std::function<void()> &done)
 {
     mark("end", "", "");
     std::set<std::string> faulty;
@@ -81,19 +81,20 @@
         return done();
     auto left = std::make_shared<std::size_t>(faulty.size());
     for (const std::string &address : faulty) {
-        post(address, "/faults", clearFaults, [left, done] {
+        send("POST", address, "/faults", clearFaults, [left, done] {
             if (--*left == 0)
                 done();
         });
     }
 }
 
-void EventPlayer::post(const std::string &address, const std::string &target,
-                       const std::string &body, std::function<void()> done)
+void EventPlayer::send(const std::string &method, const std::string &address,
+                       const std::string &target, const std::string &body,
+                       const std::function<void()> &done)
 {
     Http::Call call{
         .server = Runtime::parseSocketAddress(address).value(),
-        .method = "POST",
+        .method = method,
         .target = target,
         .headers = {{"content-type", "application/json"}},
         .body = body,
@@ -101,7 +102,7 @@
         .headTimeout = orderTimeout,
         .totalTimeout = orderTimeout,
     };
-    const std::string what = target + " at " + address + " with " + body;
+    const std::string what = method + " " + target + " at " + address + " with " + body;
     m_options.client->start(
         std::move(call), {.finished = [this, what, done](const Http::CallResult &result) {
             if (result.status != httpOk)
--- a/src/apps/bench/eventplayer.h
+++ b/src/apps/bench/eventplayer.h
@@ -34,15 +34,15 @@
     /// Schedules all events from now on and writes the mark "start".
     void start();
     /// Clears all faults and writes the mark "end"; \a done when that was answered.
-    void end(std::function<void()> done);
+    void end(const std::function<void()> &done);
     /// The drains that the acceptances file tells of.
     std::vector<Experiment::DrainMark> drains() const;
     const std::vector<std::string> &notes() const { return m_notes; }
 
 private:
     void play(const Experiment::Event &event);
-    void post(const std::string &address, const std::string &target, const std::string &body,
-              std::function<void()> done);
+    void send(const std::string &method, const std::string &address, const std::string &target,
+              const std::string &body, const std::function<void()> &done);
     std::string addressOf(const std::string &endpoint) const;
     void mark(std::string_view kind, const std::string &target, const std::string &text);
 
