--- a/src/apps/bench/loadgenerator.cpp
+++ b/src/apps/bench/loadgenerator.cpp
@@ -69,7 +69,12 @@
     , m_definition(*options.definition)
     , m_workload(m_definition)
     , m_chats(m_definition, options.runTag)
-{ }
+{
+    for (const Experiment::EndpointPlace &place : m_definition.endpoints) {
+        if (!place.isEngine)
+            m_services.push_back(Runtime::parseSocketAddress(place.address).value());
+    }
+}
 
 void LoadGenerator::start()
 {
@@ -155,6 +160,8 @@
     if (const auto *service = std::get_if<ServiceCall>(&exchange.kind->call)) {
         call.method = service->method;
         call.target = "/services/" + service->service.value() + "/" + service->path;
+        if (service->direct && !m_services.empty())
+            makeDirect(call, exchange);
     } else if (const std::string token = m_chats.placementToken(exchange.call); !token.empty()) {
         call.headers.add("x-placement", token);
     }
@@ -163,6 +170,16 @@
     return call;
 }
 
+void LoadGenerator::makeDirect(Http::Call &call, const Exchange &exchange) const
+{
+    const auto &service = std::get<ServiceCall>(exchange.kind->call);
+    call.server = m_services[exchange.call.balancerDraw % m_services.size()];
+    call.target = "/" + service.path;
+    call.headers = {
+        {"x-request-id", "direct." + m_options.runTag + "." + std::to_string(exchange.call.number)},
+        {"content-type", "application/json"}};
+}
+
 void LoadGenerator::receive(Exchange &exchange, std::string_view piece)
 {
     if (exchange.status != httpOk) {
@@ -278,7 +295,8 @@
 {
     const bool isWhole = exchange.record.view == CallerView::Whole;
     if (isWhole && exchange.record.counts && !isStreamed(*exchange.kind))
-        m_figures.wholeAnswerMs.add(milliseconds(m_options.loop->clock().now() - exchange.sentAt));
+        m_figures.wholeAnswerMs[exchange.kind->name].add(
+            milliseconds(m_options.loop->clock().now() - exchange.sentAt));
 }
 
 bool LoadGenerator::retryLater(const ExchangePtr &exchange, const Http::CallResult &result)
--- a/src/apps/bench/loadgenerator.h
+++ b/src/apps/bench/loadgenerator.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,7 +24,7 @@
 {
     Experiment::Samples firstTokenMs;
     Experiment::Samples betweenTokensMs;
-    Experiment::Samples wholeAnswerMs; ///< Unstreamed calls.
+    std::map<std::string, Experiment::Samples> wholeAnswerMs; ///< Unstreamed calls, by kind.
     Experiment::Samples sendDelayMs; ///< Between the planned and the real time of sending.
 };
 
@@ -72,6 +73,7 @@
     void open(const Experiment::PlannedCall &call);
     void send(const ExchangePtr &exchange);
     Http::Call httpCall(const Exchange &exchange) const;
+    void makeDirect(Http::Call &call, const Exchange &exchange) const;
     void receive(Exchange &exchange, std::string_view piece);
     void finish(const ExchangePtr &exchange, const Http::CallResult &result);
     void readHead(Exchange &exchange, const Http::CallResult &result);
@@ -86,6 +88,7 @@
     const Experiment::Definition &m_definition;
     Experiment::Workload m_workload;
     ChatHistory m_chats;
+    std::vector<Runtime::SocketAddress> m_services; ///< For direct calls.
     std::optional<Experiment::PlannedCall> m_next;
     Base::MonoTime m_startedAt;
     std::size_t m_inFlight = 0;
--- a/src/libs/experiment/definition.h
+++ b/src/libs/experiment/definition.h
@@ -43,6 +43,7 @@
     double duplicateShare = 0; ///< Share of calls sent once more through another router.
     Spread duplicateSeconds; ///< Time from the first to the second sending.
     int bodyBytes = 64;
+    bool direct = false; ///< Goes to an endpoint without a router, for comparison.
 };
 
 /// One kind of call of a workspace.
--- a/src/libs/experiment/definitionreader.cpp
+++ b/src/libs/experiment/definitionreader.cpp
@@ -252,13 +252,14 @@
     static ServiceCall readService(const YamlReader &yaml)
     {
         yaml.expectMap({"name", "weight", "service", "method", "path", "idempotent", "with_key",
-                        "duplicates", "duplicate_after", "body_bytes"});
+                        "duplicates", "duplicate_after", "body_bytes", "direct"});
         ServiceCall service;
         service.service = Base::ServiceId(yaml.at("service").text());
         service.method = yaml.text("method", "POST");
         service.path = yaml.text("path", "");
         service.idempotent = yaml.flag("idempotent", true);
         service.withKey = yaml.flag("with_key", false);
+        service.direct = yaml.flag("direct", false);
         service.duplicateShare = yaml.number("duplicates", 0, 0, 1);
         service.duplicateSeconds = readSpread(yaml, "duplicate_after", 0, maxSeconds);
         service.bodyBytes = static_cast<int>(yaml.number("body_bytes", 64, 0, maxTokens));
--- a/src/libs/experiment/report.cpp
+++ b/src/libs/experiment/report.cpp
@@ -98,12 +98,20 @@
             {"first_token_p95", numberOrNull(report.firstTokenMs.percentile(95))},
             {"first_token_p99", numberOrNull(report.firstTokenMs.percentile(99))},
             {"between_tokens_p95", numberOrNull(report.betweenTokensMs.percentile(95))},
-            {"unstreamed_p50", numberOrNull(report.wholeAnswerMs.percentile(50))},
-            {"unstreamed_p95", numberOrNull(report.wholeAnswerMs.percentile(95))},
-            {"unstreamed_p99", numberOrNull(report.wholeAnswerMs.percentile(99))},
             {"send_delay_p99", numberOrNull(report.sendDelayMs.percentile(99))}};
 }
 
+Json unstreamedToJson(const std::map<std::string, Samples> &kinds)
+{
+    Json json = Json::object();
+    for (const auto &[kind, samples] : kinds)
+        json[kind] = {{"whole", samples.size()},
+                      {"p50", numberOrNull(samples.percentile(50))},
+                      {"p95", numberOrNull(samples.percentile(95))},
+                      {"p99", numberOrNull(samples.percentile(99))}};
+    return json;
+}
+
 void collectFigures(const Json &json, const std::string &path, ReportFile &file)
 {
     if (json.is_number()) {
@@ -165,6 +173,7 @@
         {"decision_us",
          {{"p50", numberOrNull(report.decisionUsP50)},
           {"p99", numberOrNull(report.decisionUsP99)}}},
+        {"unstreamed_ms", unstreamedToJson(report.wholeAnswerMs)},
         {"workspaces", workspaces},
         {"error_kinds", report.errorKinds},
         {"unreconciled", report.reconciliation.unreconciled},
--- a/src/libs/experiment/report.h
+++ b/src/libs/experiment/report.h
@@ -39,7 +39,7 @@
     Samples controlBytesPerSecond; ///< One sample a router.
     Samples firstTokenMs;
     Samples betweenTokensMs;
-    Samples wholeAnswerMs; ///< Of unstreamed calls and services.
+    std::map<std::string, Samples> wholeAnswerMs; ///< Of unstreamed calls, by kind.
     Samples sendDelayMs; ///< How late the bench itself sent.
     std::optional<double> decisionUsP50;
     std::optional<double> decisionUsP99;
--- a/src/libs/experiment/reportview.cpp
+++ b/src/libs/experiment/reportview.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cmath>
 #include <filesystem>
+#include <set>
 
 namespace Lagoonbank::Experiment {
 
@@ -53,13 +54,12 @@
     TableRow{"first token p95", "latency_ms.first_token_p95"},
     TableRow{"first token p99", "latency_ms.first_token_p99"},
     TableRow{"between tokens p95", "latency_ms.between_tokens_p95"},
-    TableRow{"unstreamed p50", "latency_ms.unstreamed_p50"},
-    TableRow{"unstreamed p99", "latency_ms.unstreamed_p99"},
     TableRow{"decision, us", ""},
     TableRow{"p50", "decision_us.p50"},
     TableRow{"p99", "decision_us.p99"},
 };
 
+constexpr std::string_view unstreamedPrefix = "unstreamed_ms.";
 constexpr int titleWidth = 26;
 constexpr int minColumnWidth = 12;
 
@@ -72,6 +72,19 @@
     return absl::StrFormat("%.3f", *value);
 }
 
+/// Rows for the kinds of unstreamed calls, which differ from experiment to experiment.
+std::vector<std::string> unstreamedPaths(const std::vector<ReportFile> &reports)
+{
+    std::set<std::string> paths;
+    for (const ReportFile &report : reports) {
+        for (const auto &[path, value] : report.figures) {
+            if (path.starts_with(unstreamedPrefix))
+                paths.insert(path);
+        }
+    }
+    return {paths.begin(), paths.end()};
+}
+
 std::string columnTitle(const ReportFile &report)
 {
     const std::string stem = std::filesystem::path(report.file).stem().string();
@@ -151,6 +164,16 @@
             absl::StrAppendFormat(&table, "%*s", width, cell(report.figure(std::string(row.path))));
         table += '\n';
     }
+    const std::vector<std::string> paths = unstreamedPaths(reports);
+    if (!paths.empty())
+        table += "unstreamed calls, ms\n";
+    for (const std::string &path : paths) {
+        absl::StrAppendFormat(&table, "  %-*s", titleWidth - 2,
+                              path.substr(unstreamedPrefix.size()));
+        for (const ReportFile &report : reports)
+            absl::StrAppendFormat(&table, "%*s", width, cell(report.figure(path)));
+        table += '\n';
+    }
     return table;
 }
 
