--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,3 +1,5 @@
+#include "configuration/rules.h"
+#include "logging/logging.h"
 #include "router/routerprocess.h"
 #include "runtime/loop.h"
 #include "schema/generated/settings.h"
@@ -12,6 +14,8 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <utility>
+#include <vector>
 
 ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this router");
 
@@ -22,6 +26,11 @@
 constexpr int runTimeFailure = 1;
 constexpr int usageFailure = 2;
 
+Logging::Level levelOf(Schema::LogLevel level)
+{
+    return Logging::parseLevel(Schema::toString(level)).value();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -40,6 +49,24 @@
         return usageFailure;
     }
 
+    const Schema::LogSettings &log = settings.value().log;
+    Logging::configure({.level = levelOf(log.level), .json = log.json});
+    std::vector<Schema::ConfigurationObject> fixed;
+    if (settings.value().bootstrap) {
+        const auto read = Schema::readObjectFiles(*settings.value().bootstrap);
+        if (!read) {
+            std::cerr << Schema::toText(read.error());
+            return usageFailure;
+        }
+        const Schema::SettingsErrors wrong = Configuration::checkAll(read.value());
+        if (!wrong.empty()) {
+            std::cerr << Schema::toText(wrong);
+            return usageFailure;
+        }
+        for (const Schema::ObjectDocument &document : read.value())
+            fixed.push_back(document.object);
+    }
+
     Runtime::Loop loop;
     Router::RouterProcess router(loop, settings.value());
     const auto started = router.start();
@@ -47,19 +74,11 @@
         std::cerr << "lagoonbank-router: " << started.error() << '\n';
         return runTimeFailure;
     }
-    if (settings.value().bootstrap) {
-        const auto objects = Schema::readObjectFiles(*settings.value().bootstrap);
-        if (!objects) {
-            std::cerr << Schema::toText(objects.error());
-            return usageFailure;
-        }
-        std::vector<Schema::ConfigurationObject> configuration;
-        for (const Schema::ObjectDocument &document : objects.value())
-            configuration.push_back(document.object);
-        router.setConfiguration(configuration);
-    }
+    if (settings.value().bootstrap)
+        router.setFixedConfiguration(std::move(fixed));
     loop.onSignal(SIGTERM, [&router] { router.stopGracefully(); });
     loop.onSignal(SIGINT, [&router] { router.stopGracefully(); });
+    loop.onSignal(SIGHUP, [&router] { router.reload(); });
     loop.run();
     return 0;
 }
--- a/src/libs/configuration/objecttable.h
+++ b/src/libs/configuration/objecttable.h
@@ -40,6 +40,7 @@
     void remove(const ObjectKey &key);
 
     std::size_t size() const { return m_objects.size(); }
+    const std::map<ObjectKey, Object> &objects() const { return m_objects; }
     const Schema::ConfigurationObject *find(const ObjectKey &key) const;
     bool contains(const ObjectKey &key) const { return find(key) != nullptr; }
 
--- /dev/null
+++ b/src/libs/node/configurationfollower.cpp
@@ -0,0 +1,133 @@
+#include "node/configurationfollower.h"
+
+#include "schema/messagecodec.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <utility>
+
+namespace Lagoonbank::Node {
+
+namespace {
+
+constexpr Base::Duration longPoll = std::chrono::seconds(5);
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(const Options &options)
+    : m_loop(*options.loop)
+    , m_log(options.log)
+{
+    m_reducer.setStateChanged([this] { stateChanged(); });
+    m_reducer.setEventRaised([this](const Configuration::Event &event) {
+        if (eventRaised)
+            eventRaised(event);
+    });
+    m_reducer.setJudged([this](const Configuration::Judgement &judgement) {
+        if (judged)
+            judged(judgement);
+    });
+}
+
+void ConfigurationFollower::start()
+{
+    setReadsLog(true);
+}
+
+void ConfigurationFollower::setReadsLog(bool readsLog)
+{
+    if (!m_log || m_isFixed || readsLog == (m_tailer != nullptr))
+        return;
+    if (readsLog) {
+        makeTailer();
+        return;
+    }
+    // Not from within one of the tailer's own hooks.
+    m_tailer->stop();
+    m_loop.post([tailer = std::shared_ptr<Platform::Tailer>(std::move(m_tailer))] {});
+}
+
+void ConfigurationFollower::makeTailer()
+{
+    m_tailer = std::make_unique<Platform::Tailer>(
+        Platform::Tailer::Options{.log = m_log,
+                                  .timers = &m_loop.timers(),
+                                  .stream = std::string(Configuration::streamName),
+                                  .from = m_reducer.next(),
+                                  .wait = longPoll});
+    m_tailer->setRecordReceived([this](const Platform::StoredRecord &stored) {
+        const Configuration::LogRecord record{stored.offset, stored.id, stored.data};
+        m_reducer.recordRead(record);
+        if (recordRead)
+            recordRead(record);
+    });
+    m_tailer->setGapFound(
+        [this](Base::LogOffset, Base::LogOffset first) { m_reducer.gapFound(first); });
+    m_tailer->setCaughtUp([this] {
+        m_reducer.endReached();
+        stateChanged();
+    });
+    m_tailer->setHealthChanged([this](const Platform::LogHealth &health) {
+        if (logHealthChanged)
+            logHealthChanged(health.isUp);
+    });
+    m_tailer->start();
+}
+
+void ConfigurationFollower::setFixed(std::vector<Schema::ConfigurationObject> objects)
+{
+    m_fixed = std::move(objects);
+    m_isFixed = true;
+    stateChanged();
+}
+
+std::vector<Schema::ConfigurationObject> ConfigurationFollower::objects() const
+{
+    if (m_isFixed)
+        return m_fixed;
+    std::vector<Schema::ConfigurationObject> objects;
+    for (const auto &[key, object] : m_reducer.objects().objects())
+        objects.push_back(*object);
+    return objects;
+}
+
+bool ConfigurationFollower::isLogUp() const
+{
+    return m_tailer && m_tailer->health().isUp;
+}
+
+void ConfigurationFollower::stateChanged()
+{
+    // A page of the log changes many objects; what follows from them is worked out once.
+    if (m_isChangePosted)
+        return;
+    m_isChangePosted = true;
+    m_loop.post([this] {
+        m_isChangePosted = false;
+        if (changed)
+            changed();
+    });
+}
+
+Errors::Result<std::string> ConfigurationFollower::answer(std::string_view request) const
+{
+    BOOST_OUTCOME_TRY(wanted, Schema::decodeMessage<Schema::ConfigurationRequest>(request));
+    const auto state = m_reducer.exportState(wanted.since);
+    if (!state)
+        return Errors::makeError(Errors::ErrorKind::NotReady);
+    return Schema::encodeMessage(*state);
+}
+
+std::string ConfigurationFollower::request(bool wantsAll) const
+{
+    const Schema::ConfigurationRequest request{wantsAll ? Base::LogOffset() : m_reducer.next()};
+    return Schema::encodeMessage(request).value();
+}
+
+Errors::Result<void> ConfigurationFollower::take(std::string_view answer)
+{
+    BOOST_OUTCOME_TRY(state, Schema::decodeMessage<Schema::ConfigurationState>(answer));
+    return m_reducer.importState(state);
+}
+
+} // namespace Lagoonbank::Node
--- /dev/null
+++ b/src/libs/node/configurationfollower.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "base/ids.h"
+#include "configuration/reducer.h"
+#include "errors/result.h"
+#include "platform/logclient.h"
+#include "platform/tailer.h"
+#include "runtime/loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What routers and controllers have in common as processes of the fleet.
+namespace Lagoonbank::Node {
+
+/// Keeps the configuration in force: few processes of a data centre follow the log, the others take
+/// what is new from peers. Serves from memory while the log is out.
+class ConfigurationFollower
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Platform::LogClient *log = nullptr; ///< Null without a platform.
+    };
+
+    explicit ConfigurationFollower(const Options &options);
+
+    void start();
+    /// Whether this process reads the log itself.
+    void setReadsLog(bool readsLog);
+    /// Objects from files, for running without the platform.
+    void setFixed(std::vector<Schema::ConfigurationObject> objects);
+
+    bool isReady() const { return m_isFixed || m_reducer.isReady(); }
+    /// All objects that are in force.
+    std::vector<Schema::ConfigurationObject> objects() const;
+    Configuration::Reducer &reducer() { return m_reducer; }
+    const Configuration::Reducer &reducer() const { return m_reducer; }
+    bool isLogUp() const;
+
+    /// For peers: what changed since the offset that \a request names.
+    Errors::Result<std::string> answer(std::string_view request) const;
+    /// The request that brings this process up to date.
+    std::string request(bool wantsAll) const;
+    /// Takes a peer's answer in; an error asks for the whole state next time.
+    Errors::Result<void> take(std::string_view answer);
+    /// A peer holds the configuration up to this offset.
+    void peerIsAhead(Base::LogOffset next) { m_reducer.raiseFloor(next); }
+
+    /// The objects in force have changed, or the configuration has become whole.
+    std::function<void()> changed;
+    std::function<void(bool isUp)> logHealthChanged;
+    std::function<void(const Configuration::Event &event)> eventRaised;
+    std::function<void(const Configuration::Judgement &judgement)> judged;
+    /// A record of the log came in.
+    std::function<void(const Configuration::LogRecord &record)> recordRead;
+
+private:
+    void makeTailer();
+    void stateChanged();
+
+    Runtime::Loop &m_loop;
+    Platform::LogClient *m_log;
+    Configuration::Reducer m_reducer;
+    std::unique_ptr<Platform::Tailer> m_tailer;
+    std::vector<Schema::ConfigurationObject> m_fixed;
+    bool m_isFixed = false;
+    bool m_isChangePosted = false;
+};
+
+} // namespace Lagoonbank::Node
--- /dev/null
+++ b/src/libs/node/peerlink.cpp
@@ -0,0 +1,129 @@
+#include "node/peerlink.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <utility>
+
+namespace Lagoonbank::Node {
+
+namespace {
+
+constexpr Base::Duration dutyInterval = std::chrono::seconds(1);
+constexpr const char *configurationPull = "configuration";
+
+Membership::ControlBudget::Options budgetOptions(const Schema::ControlSettings &control)
+{
+    // A margin keeps bursts under the limit as well.
+    constexpr double margin = 0.92;
+    const double rate = control.bytesPerSecond * margin;
+    return {.bytesPerSecond = rate, .burstBytes = rate, .overdraftBytes = rate / 2};
+}
+
+} // namespace
+
+PeerLink::PeerLink(Options options)
+    : m_options(std::move(options))
+    , m_budget(budgetOptions(m_options.control))
+{
+    const char *roleName =
+        m_options.role == Membership::MemberRole::Router ? "/router" : "/controller";
+    Membership::MemberUpdate self{.id = m_options.vm.value() + roleName,
+                                  .role = m_options.role,
+                                  .status = Membership::MemberStatus::Alive,
+                                  .dataCentre = m_options.dataCentre.value(),
+                                  .region = m_options.region.value(),
+                                  .ip = Membership::ipNumber(m_options.address.ip),
+                                  .port = m_options.address.port,
+                                  .incarnation = m_options.incarnation.value()};
+    m_membership = std::make_unique<Membership::Membership>(
+        Membership::Membership::Options{.self = std::move(self),
+                                        .seeds = m_options.seeds,
+                                        .listedPorts = {m_options.address.port},
+                                        .randomSeed = m_options.incarnation.value(),
+                                        .budget = &m_budget},
+        m_options.loop->clock().now());
+    m_membership->memberChanged = [this](const Membership::Member &member,
+                                         Membership::MemberEvent event) {
+        if (memberChanged)
+            memberChanged(member, event);
+    };
+    m_membership->configurationAhead = [this](const Runtime::SocketAddress &peer,
+                                              const Membership::ConfigurationMark &mark) {
+        m_options.configuration->peerIsAhead(Base::LogOffset(mark.offset));
+        pullConfiguration(peer, false);
+    };
+}
+
+PeerLink::~PeerLink()
+{
+    m_options.loop->timers().cancel(m_dutyTimer);
+}
+
+Errors::Result<void> PeerLink::start()
+{
+    BOOST_OUTCOME_TRY(transport,
+                      Membership::PeerTransport::start({.loop = m_options.loop,
+                                                        .client = m_options.client,
+                                                        .budget = &m_budget,
+                                                        .membership = m_membership.get(),
+                                                        .address = m_options.address,
+                                                        .keys = m_options.keys}));
+    m_transport = std::move(transport);
+    m_transport->setProvider(configurationPull, [this](std::string_view request) {
+        return m_options.configuration->answer(request);
+    });
+    checkDuties();
+    return boost::outcome_v2::success();
+}
+
+void PeerLink::leave()
+{
+    m_membership->leave(m_options.loop->clock().now());
+}
+
+void PeerLink::setVms(const std::vector<Platform::VmEntry> &vms)
+{
+    std::vector<Membership::ListedVm> listed;
+    for (const Platform::VmEntry &vm : vms) {
+        const auto address = Runtime::parseSocketAddress(vm.address);
+        listed.push_back({.id = vm.id,
+                          .ip = address ? address.value().ip : vm.address,
+                          .dataCentre = vm.dataCentre,
+                          .isLeaving = vm.state == Platform::VmState::Leaving});
+    }
+    m_membership->setVmList(listed);
+}
+
+void PeerLink::configurationChanged()
+{
+    const Configuration::Reducer &reducer = m_options.configuration->reducer();
+    m_membership->setConfigurationMark({.offset = reducer.next().value(), .hash = reducer.hash()},
+                                       m_options.loop->clock().now());
+}
+
+void PeerLink::pullConfiguration(const Runtime::SocketAddress &peer, bool wantsAll)
+{
+    if (m_isPulling)
+        return;
+    m_isPulling = true;
+    m_transport->pull(peer, configurationPull, m_options.configuration->request(wantsAll),
+                      [this, peer, wantsAll](Errors::Result<std::string> answer) {
+                          m_isPulling = false;
+                          if (!answer)
+                              return;
+                          const auto taken = m_options.configuration->take(answer.value());
+                          if (!taken && !wantsAll)
+                              pullConfiguration(peer, true);
+                      });
+}
+
+/// Few processes of a data centre read the log; the others hear from them.
+void PeerLink::checkDuties()
+{
+    const Base::MonoTime now = m_options.loop->clock().now();
+    const bool isReader = m_membership->rankInDataCentre(now) < logReadersPerDataCentre;
+    m_options.configuration->setReadsLog(isReader || !m_options.configuration->isReady());
+    m_dutyTimer = m_options.loop->timers().start(dutyInterval, [this] { checkDuties(); });
+}
+
+} // namespace Lagoonbank::Node
--- /dev/null
+++ b/src/libs/node/peerlink.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "errors/result.h"
+#include "http/client.h"
+#include "membership/controlbudget.h"
+#include "membership/membership.h"
+#include "membership/peertransport.h"
+#include "node/configurationfollower.h"
+#include "platform/vmlistclient.h"
+#include "runtime/loop.h"
+#include "schema/generated/settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Node {
+
+/// This process among its peers: membership, digests, and the configuration that peers pass on.
+class PeerLink
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Http::Client *client = nullptr;
+        ConfigurationFollower *configuration = nullptr;
+        Membership::MemberRole role = Membership::MemberRole::Router;
+        Base::VmId vm;
+        Base::DataCentreId dataCentre;
+        Base::RegionId region;
+        Runtime::SocketAddress address;
+        std::vector<Runtime::SocketAddress> seeds;
+        std::vector<std::string> keys;
+        Base::Incarnation incarnation;
+        Schema::ControlSettings control;
+    };
+
+    /// Processes of a data centre that read the log themselves.
+    static constexpr std::size_t logReadersPerDataCentre = 2;
+
+    explicit PeerLink(Options options);
+    ~PeerLink();
+
+    Errors::Result<void> start();
+    /// Tells the peers that this process leaves.
+    void leave();
+    void setVms(const std::vector<Platform::VmEntry> &vms);
+    /// To be called when the configuration has changed.
+    void configurationChanged();
+
+    Membership::Membership &membership() { return *m_membership; }
+    const Membership::Membership &membership() const { return *m_membership; }
+    Membership::ControlBudget &budget() { return m_budget; }
+    const Membership::PeerTransport *transport() const { return m_transport.get(); }
+
+    std::function<void(const Membership::Member &member, Membership::MemberEvent event)>
+        memberChanged;
+
+private:
+    void pullConfiguration(const Runtime::SocketAddress &peer, bool wantsAll);
+    void checkDuties();
+
+    Options m_options;
+    Membership::ControlBudget m_budget;
+    std::unique_ptr<Membership::Membership> m_membership;
+    std::unique_ptr<Membership::PeerTransport> m_transport;
+    bool m_isPulling = false;
+    Runtime::TimerId m_dutyTimer;
+};
+
+} // namespace Lagoonbank::Node
--- a/src/libs/router/callerapi.cpp
+++ b/src/libs/router/callerapi.cpp
@@ -1,6 +1,7 @@
 #include "router/callerapi.h"
 
 #include "exchange/modelexchange.h"
+#include "router/contractrules.h"
 #include "routing/rendezvous.h"
 #include "runtime/loop.h"
 
@@ -28,11 +29,12 @@
 {
     Http::Request request;
     std::shared_ptr<Http::Responder> responder;
-    std::shared_ptr<const FleetView> view;
+    std::shared_ptr<const Configuration::ObjectTable> objects;
     const Schema::Contract *contract = nullptr;
     RequestInfo info;
     Exchange::RouteQuery route;
     Admission::Ticket ticket;
+    bool isAnnounced = false;
     bool isClaimed = false;
 };
 
@@ -40,9 +42,9 @@
     : m_options(std::move(options))
 { }
 
-void CallerApi::setView(std::shared_ptr<const FleetView> view)
+void CallerApi::setObjects(std::shared_ptr<const Configuration::ObjectTable> objects)
 {
-    m_view = std::move(view);
+    m_objects = std::move(objects);
 }
 
 void CallerApi::handle(Http::Request request, std::shared_ptr<Http::Responder> responder)
@@ -59,13 +61,10 @@
     const auto context = std::make_shared<Context>();
     context->request = std::move(request);
     context->responder = std::move(responder);
-    context->view = m_view;
+    context->objects = m_objects;
     context->info.id = m_options.nextRequestId();
     context->info.started = m_options.loop->clock().now();
     ++m_inFlight;
-    if (requestStarted)
-        requestStarted(context->info);
-
     if (m_draining || !m_ready) {
         const ErrorKind kind = m_draining ? ErrorKind::Draining : ErrorKind::NotReady;
         refuse(context,
@@ -89,7 +88,7 @@
         refuse(context, key.error());
         return false;
     }
-    context->contract = context->view->contractOfKey(key.value());
+    context->contract = context->objects->contractOfKey(keyHash(key.value()));
     if (!context->contract) {
         refuse(context, Errors::makeError(ErrorKind::UnknownKey));
         return false;
@@ -106,8 +105,18 @@
     return true;
 }
 
+void CallerApi::announce(const ContextPtr &context)
+{
+    if (context->isAnnounced)
+        return;
+    context->isAnnounced = true;
+    if (requestStarted)
+        requestStarted(context->info);
+}
+
 bool CallerApi::admit(const ContextPtr &context, const Admission::Call &call)
 {
+    announce(context);
     const Base::MonoTime now = m_options.loop->clock().now();
     auto admitted = m_options.admission->admit(context->info.workspace, call, now);
     if (!admitted) {
@@ -142,7 +151,7 @@
     }
     Exchange::ModelCall call = std::move(read.value());
     context->info.model = call.model;
-    if (!context->view->model(call.model)) {
+    if (!context->objects->model(call.model)) {
         refuse(context, Errors::makeError(ErrorKind::UnknownModel));
         return;
     }
@@ -182,12 +191,20 @@
     const std::string_view rest = std::string_view(request.path).substr(servicesPrefix.size());
     const std::size_t slash = std::min(rest.find('/'), rest.size());
     const Base::ServiceId service{std::string(rest.substr(0, slash))};
-    const Schema::Service *known = context->view->service(service);
+    const Schema::Service *known = context->objects->service(service);
     context->info.service = service;
     if (!known) {
         refuse(context, Errors::makeError(ErrorKind::UnknownService));
         return;
     }
+    Exchange::ServiceCall call{
+        .method = request.method,
+        .target = slash == rest.size() ? "/" : std::string(rest.substr(slash)),
+        .body = std::move(context->request.body),
+        .contentType = std::string(request.headers.find("content-type").value_or("")),
+        .key = context->info.key};
+    const bool isOnce = isNonIdempotent(*context->contract, service, call.method, call.target);
+    context->info.idempotent = !isOnce;
     const auto deadline = Exchange::readDeadline(request.headers);
     if (!deadline) {
         refuse(context, deadline.error());
@@ -199,13 +216,6 @@
                 .service = service.value()}))
         return;
 
-    Exchange::ServiceCall call{
-        .method = request.method,
-        .target = slash == rest.size() ? "/" : std::string(rest.substr(slash)),
-        .body = std::move(context->request.body),
-        .contentType = std::string(request.headers.find("content-type").value_or("")),
-        .key = context->info.key};
-    const bool isOnce = isNonIdempotent(*context->contract, service, call.method, call.target);
     if (!request.query.empty())
         call.target += '?' + request.query;
 
@@ -214,16 +224,14 @@
     route.chatHash = Routing::stableHash(context->info.id.value());
     route.promptTokens = Base::Tokens(static_cast<std::int64_t>(known->workPerCall));
     route.idempotent = !isOnce;
-    context->info.idempotent = !isOnce;
     if (!isOnce || !context->info.key || !claim) {
         runServiceCall(context, std::move(call), false);
         return;
     }
-    const ClaimRequest claimRequest{
-        .info = context->info,
-        .bodyHash = keyHash(call.method + '\n' + call.target + '\n' + call.body),
-        .whenLogIsOut = context->contract->whenLogIsOut,
-        .deadline = route.deadline};
+    const ClaimRequest claimRequest{.info = context->info,
+                                    .call = Claims::hashCall(call.method, call.target, call.body),
+                                    .whenLogIsOut = context->contract->whenLogIsOut,
+                                    .deadline = route.deadline};
     claim(claimRequest, [this, context, call = std::move(call)](ClaimVerdict verdict) mutable {
         claimed(context, std::move(call), std::move(verdict));
     });
@@ -231,6 +239,13 @@
 
 void CallerApi::claimed(const ContextPtr &context, Exchange::ServiceCall call, ClaimVerdict verdict)
 {
+    if (context->responder->isGone()) {
+        if (verdict.kind == ClaimVerdict::Kind::Run)
+            claimFailed(context->info, Ran::No);
+        finished(context,
+                 {.refusal = Exchange::Refusal{.error = {ErrorKind::CallerLeft, {}, Ran::No}}});
+        return;
+    }
     switch (verdict.kind) {
     case ClaimVerdict::Kind::Run:
         runServiceCall(context, std::move(call), true);
@@ -274,7 +289,7 @@
 
 Exchange::Timeouts CallerApi::timeouts() const
 {
-    const Schema::Policy &policy = m_view->policy();
+    const Schema::Policy &policy = m_objects->policy();
     return {.connect = policy.connectTimeout,
             .head = policy.firstByteTimeout,
             .firstToken = policy.firstByteTimeout,
@@ -333,6 +348,7 @@
 
 void CallerApi::finished(const ContextPtr &context, const Exchange::ExchangeEnd &end)
 {
+    announce(context);
     --m_inFlight;
     const Base::MonoTime now = m_options.loop->clock().now();
     const bool didNotRun = end.refusal && end.refusal->error.ran == Ran::No;
--- a/src/libs/router/callerapi.h
+++ b/src/libs/router/callerapi.h
@@ -2,11 +2,12 @@
 
 #include "admission/admissioncontrol.h"
 #include "base/ids.h"
+#include "claims/claim.h"
+#include "configuration/objecttable.h"
 #include "exchange/exchange.h"
 #include "exchange/modelcall.h"
 #include "exchange/serviceexchange.h"
 #include "http/server.h"
-#include "router/fleetview.h"
 #include "router/placer.h"
 #include "router/retrybudgets.h"
 
@@ -49,7 +50,7 @@
 struct ClaimRequest
 {
     RequestInfo info;
-    std::string bodyHash; ///< Of method, path and body: the same key with another body is refused.
+    Claims::CallHash call; ///< The same key with another call is refused.
     Schema::LogOutPolicy whenLogIsOut = Schema::LogOutPolicy::Refuse;
     Base::MonoTime deadline;
 };
@@ -70,7 +71,7 @@
 
     explicit CallerApi(Options options);
 
-    void setView(std::shared_ptr<const FleetView> view);
+    void setObjects(std::shared_ptr<const Configuration::ObjectTable> objects);
     void setReady(bool ready) { m_ready = ready; }
     void setDraining(bool draining) { m_draining = draining; }
     bool isReady() const { return m_ready && !m_draining; }
@@ -78,7 +79,7 @@
 
     void handle(Http::Request request, std::shared_ptr<Http::Responder> responder);
 
-    /// A request has been read; before anything else is done for it.
+    /// A request has been read, or refused before it could be; always before requestEnded.
     std::function<void(const RequestInfo &info)> requestStarted;
     /// Its answer has been given or its caller has left.
     std::function<void(const RequestInfo &info, const Exchange::ExchangeEnd &end)> requestEnded;
@@ -102,6 +103,7 @@
     void runServiceCall(const ContextPtr &context, Exchange::ServiceCall call, bool claimed);
     void claimed(const ContextPtr &context, Exchange::ServiceCall call, ClaimVerdict verdict);
     bool identify(const ContextPtr &context);
+    void announce(const ContextPtr &context);
     bool admit(const ContextPtr &context, const Admission::Call &call);
     Exchange::Exchange::Options exchangeOptions(const ContextPtr &context);
     Exchange::Hooks hooks(const ContextPtr &context);
@@ -111,7 +113,8 @@
     void finished(const ContextPtr &context, const Exchange::ExchangeEnd &end);
 
     Options m_options;
-    std::shared_ptr<const FleetView> m_view = std::make_shared<FleetView>();
+    std::shared_ptr<const Configuration::ObjectTable> m_objects =
+        std::make_shared<Configuration::ObjectTable>();
     bool m_ready = false;
     bool m_draining = false;
     std::size_t m_inFlight = 0;
--- /dev/null
+++ b/src/libs/router/claimdesk.cpp
@@ -0,0 +1,128 @@
+#include "router/claimdesk.h"
+
+#include "claims/claimrecord.h"
+
+#include <utility>
+
+namespace Lagoonbank::Router {
+
+namespace {
+
+constexpr Base::Duration batchInterval = std::chrono::milliseconds(5);
+/// A claim waits for the log at most this long, however late the call's deadline is.
+constexpr Base::Duration longestClaim = std::chrono::seconds(5);
+constexpr Base::Duration runningWait = std::chrono::seconds(1);
+
+Claims::LogOutPolicy policyOf(Schema::LogOutPolicy policy)
+{
+    return policy == Schema::LogOutPolicy::Local ? Claims::LogOutPolicy::LocalOnly
+                                                 : Claims::LogOutPolicy::Refuse;
+}
+
+} // namespace
+
+ClaimDesk::ClaimDesk(const Options &options)
+    : m_options(options)
+    , m_appender({.log = options.log,
+                  .timers = &options.loop->timers(),
+                  .stream = std::string(Claims::claimsStream),
+                  .interval = batchInterval})
+    , m_claimer({.timers = &options.loop->timers(),
+                 .append =
+                     [this](Platform::Record record,
+                            std::function<void(Platform::AppendOutcome)> appended) {
+                         return m_appender.add(std::move(record), std::move(appended));
+                     },
+                 .isGone = options.isGone})
+    , m_tailer({.log = options.log,
+                .timers = &options.loop->timers(),
+                .stream = std::string(Claims::claimsStream)})
+{
+    const auto updateUsable = [this] {
+        m_claimer.setLogUsable(m_tailer.health().isUp && m_tailer.isCaughtUp());
+    };
+    m_tailer.setRecordReceived(
+        [this](const Platform::StoredRecord &record) { m_claimer.recordReceived(record); });
+    m_tailer.setHealthChanged([updateUsable](const Platform::LogHealth &) { updateUsable(); });
+    m_tailer.setCaughtUp(updateUsable);
+}
+
+void ClaimDesk::start()
+{
+    m_tailer.start();
+}
+
+Claims::Claim ClaimDesk::claimOf(const ClaimRequest &request) const
+{
+    return {.key = {request.info.workspace, *request.info.key},
+            .request = request.info.id,
+            .router = m_options.run,
+            .call = request.call};
+}
+
+ClaimVerdict ClaimDesk::verdictOf(const Claims::Decision &decision)
+{
+    using Claims::Verdict;
+    switch (decision.verdict) {
+    case Verdict::Granted:
+    case Verdict::GrantedLocally:
+        return {.kind = ClaimVerdict::Kind::Run};
+    case Verdict::Ended:
+        if (decision.outcome.ran == Errors::Ran::Yes && decision.outcome.isBodyKept)
+            return {.kind = ClaimVerdict::Kind::Recorded,
+                    .answer = {.status = decision.outcome.status,
+                               .contentType = decision.outcome.contentType,
+                               .body = decision.outcome.body}};
+        break;
+    case Verdict::Running:
+    case Verdict::Unknown:
+    case Verdict::OtherCall:
+    case Verdict::Unavailable:
+        break;
+    }
+    Exchange::Refusal refusal;
+    refusal.error = Errors::makeError(Claims::errorKind(decision.verdict));
+    if (!decision.holder.empty())
+        refusal.error.detail = "The earlier call is " + decision.holder.value() + ".";
+    if (Errors::errorRow(refusal.error.kind).retryable)
+        refusal.retryAfter = runningWait;
+    return {.kind = ClaimVerdict::Kind::Refused, .refusal = std::move(refusal)};
+}
+
+void ClaimDesk::claim(const ClaimRequest &request, std::function<void(ClaimVerdict)> claimed)
+{
+    const Claims::Claim claim = claimOf(request);
+    const Base::Duration left = request.deadline - m_options.loop->clock().now();
+    m_claimer.claim(claim, policyOf(request.whenLogIsOut), std::min(left, longestClaim),
+                    [this, claim, claimed = std::move(claimed)](const Claims::Decision &decision) {
+                        ClaimVerdict verdict = verdictOf(decision);
+                        if (verdict.kind == ClaimVerdict::Kind::Run)
+                            m_granted.emplace(claim.request, claim);
+                        claimed(std::move(verdict));
+                    });
+}
+
+void ClaimDesk::finish(const RequestInfo &info, Claims::Outcome outcome)
+{
+    const auto found = m_granted.find(info.id);
+    if (found == m_granted.end())
+        return;
+    m_claimer.finish(found->second, std::move(outcome));
+    m_granted.erase(found);
+}
+
+void ClaimDesk::answered(const RequestInfo &info, const Exchange::ServiceAnswer &answer)
+{
+    finish(info,
+           {.ran = Errors::Ran::Yes,
+            .status = answer.status,
+            .contentType = answer.contentType,
+            .body = answer.body});
+}
+
+void ClaimDesk::failed(const RequestInfo &info, Errors::Ran ran)
+{
+    finish(info, {.ran = ran});
+}
+
+} // namespace Lagoonbank::Router
--- /dev/null
+++ b/src/libs/router/claimdesk.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "claims/claimer.h"
+#include "platform/batchappender.h"
+#include "platform/logclient.h"
+#include "platform/tailer.h"
+#include "router/callerapi.h"
+#include "runtime/loop.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <memory>
+
+namespace Lagoonbank::Router {
+
+/// Claims idempotency keys on the platform's log for the calls of this router.
+class ClaimDesk
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Platform::LogClient *log = nullptr;
+        Claims::RouterRun run; ///< This start of this router.
+        Claims::ClaimTable::IsGone isGone;
+    };
+
+    explicit ClaimDesk(const Options &options);
+
+    void start();
+    void claim(const ClaimRequest &request, std::function<void(ClaimVerdict)> claimed);
+    void answered(const RequestInfo &info, const Exchange::ServiceAnswer &answer);
+    void failed(const RequestInfo &info, Errors::Ran ran);
+    std::size_t pending() const { return m_claimer.pending(); }
+    /// Outcomes that are not yet on the log.
+    std::size_t unrecorded() const { return m_claimer.unrecorded(); }
+
+private:
+    Claims::Claim claimOf(const ClaimRequest &request) const;
+    static ClaimVerdict verdictOf(const Claims::Decision &decision);
+    void finish(const RequestInfo &info, Claims::Outcome outcome);
+
+    Options m_options;
+    Platform::BatchAppender m_appender;
+    Claims::Claimer m_claimer;
+    Platform::Tailer m_tailer;
+    absl::flat_hash_map<Base::RequestId, Claims::Claim> m_granted;
+};
+
+} // namespace Lagoonbank::Router
--- a/src/libs/router/placer.cpp
+++ b/src/libs/router/placer.cpp
@@ -90,6 +90,15 @@
         m_loop.timers().cancel(*m_serveTimer);
 }
 
+void Placer::setPolicy(const Routing::Router::Options &routing,
+                       const Routing::WaitQueue::Options &queue)
+{
+    m_routing.setPolicy(routing);
+    m_queueOptions = queue;
+    for (const auto &[pool, waiting] : m_queues)
+        waiting->setOptions(queue);
+}
+
 void Placer::refresh()
 {
     const Base::MonoTime now = m_loop.clock().now();
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -17,6 +17,16 @@
 
 namespace Lagoonbank::Router {
 
+/// What an X-Load header says; nothing if it is malformed.
+struct LoadHeader
+{
+    Base::WorkUnits work;
+    Base::Duration age;
+    Base::WorkUnits capacity; ///< Zero if it is not told.
+    Base::Incarnation incarnation;
+};
+std::optional<LoadHeader> readLoadHeader(std::string_view text);
+
 /// Joins the routing decision with the requests of this router: keeps what each attempt has in
 /// flight, and lets requests wait while every endpoint is at its bound.
 class Placer
@@ -32,6 +42,10 @@
     explicit Placer(const Options &options);
     ~Placer();
 
+    /// Another policy for requests that come from now on.
+    void setPolicy(const Routing::Router::Options &routing,
+                   const Routing::WaitQueue::Options &queue);
+
     Routing::Router &routing() { return m_routing; }
     const Routing::Router &routing() const { return m_routing; }
 
@@ -46,6 +60,8 @@
 
     std::size_t waiting() const { return m_waiting.size(); }
 
+    /// An endpoint's own report of its load came with an answer.
+    std::function<void(const Base::EndpointId &endpoint, const LoadHeader &header)> reported;
     /// Time that one decision took and why it fell so; for metrics.
     std::function<void(Base::Duration took, const Routing::Decision &decision)> decided;
 
@@ -87,14 +103,4 @@
     std::optional<Runtime::TimerId> m_serveTimer;
 };
 
-/// What an X-Load header says; nothing if it is malformed.
-struct LoadHeader
-{
-    Base::WorkUnits work;
-    Base::Duration age;
-    Base::WorkUnits capacity; ///< Zero if it is not told.
-    Base::Incarnation incarnation;
-};
-std::optional<LoadHeader> readLoadHeader(std::string_view text);
-
 } // namespace Lagoonbank::Router
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -1,17 +1,20 @@
 #include "router/routerprocess.h"
 
+#include "router/contractrules.h"
 #include "runtime/udpsocket.h"
+#include "timeline/requestid.h"
 
 #include <boost/outcome/try.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
 
 namespace Lagoonbank::Router {
 
-using Errors::ErrorKind;
 using Errors::Result;
+using Timeline::EventType;
 
 namespace {
 
@@ -33,112 +36,388 @@
     return Routing::servicePool(endpoint.service.value_or(Base::ServiceId()));
 }
 
+Routing::Router::Options routingOptions(const Schema::RouterSettings &settings,
+                                        const Schema::Policy &policy)
+{
+    return {.dataCentre = settings.dataCentre,
+            .selector = {.policy = policyOf(policy.routing),
+                         .bound = {.multiple = policy.loadBound,
+                                   .reserve = policy.priorityReserve,
+                                   .urgentBelow =
+                                       static_cast<std::uint8_t>(policy.reservePriority + 1)}},
+            .suspicion = {.breaksToSuspect = static_cast<int>(policy.suspicionFailures),
+                          .firstWait = policy.suspicionHold,
+                          .trialsToTrust = static_cast<int>(policy.recoverySuccesses)},
+            .slowStart = {.rampTime = policy.slowStart},
+            .tokens = {.currentKey = settings.placementKey}};
+}
+
+EventType eventOf(Membership::MemberEvent event)
+{
+    switch (event) {
+    case Membership::MemberEvent::Joined:
+        return EventType::MemberJoined;
+    case Membership::MemberEvent::Restarted:
+        return EventType::MemberRestarted;
+    case Membership::MemberEvent::Suspected:
+        return EventType::MemberSuspected;
+    case Membership::MemberEvent::Restored:
+        return EventType::MemberRestored;
+    case Membership::MemberEvent::Died:
+        return EventType::MemberDied;
+    case Membership::MemberEvent::Left:
+        break;
+    }
+    return EventType::MemberLeft;
+}
+
+Base::Incarnation incarnationAt(Base::WallTime wall)
+{
+    return Base::Incarnation(
+        static_cast<std::uint64_t>(Base::toMilliseconds(wall.time_since_epoch())));
+}
+
 } // namespace
 
 RouterProcess::RouterProcess(Runtime::Loop &loop, Schema::RouterSettings settings)
     : m_loop(loop)
     , m_settings(std::move(settings))
+    , m_incarnation(incarnationAt(loop.clock().wallNow()))
     , m_client({.loop = &loop})
+    , m_events({.process = m_settings.vm.value() + "/router",
+                .capacity = m_settings.limits.eventRingSize})
 {
-    const auto wall = m_loop.clock().wallNow().time_since_epoch();
-    m_incarnation = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
-    makePlacer(Schema::Policy());
-    m_callerApi = std::make_unique<CallerApi>(CallerApi::Options{
-        .loop = &m_loop,
-        .client = &m_client,
-        .placer = m_placer.get(),
-        .admission = &m_admission,
-        .retries = &m_retries,
-        .nextRequestId = [this] {
-            return Base::RequestId(m_settings.dataCentre.value() + '.' + m_settings.vm.value() + '.'
-                                   + std::to_string(m_incarnation) + '.'
-                                   + std::to_string(++m_lastRequest));
-        }});
+    m_placer = std::make_unique<Placer>(
+        Placer::Options{.loop = &m_loop, .routing = routingOptions(m_settings, {})});
+    m_placer->decided = [this](Base::Duration took, const Routing::Decision &) {
+        m_metrics.decision.observe(Base::toSeconds(took));
+    };
 }
 
 RouterProcess::~RouterProcess() = default;
 
-void RouterProcess::makePlacer(const Schema::Policy &policy)
-{
-    Routing::Router::Options routing{
-        .dataCentre = m_settings.dataCentre,
-        .selector = {.policy = policyOf(policy.routing),
-                     .bound = {.multiple = policy.loadBound,
-                               .reserve = policy.priorityReserve,
-                               .urgentBelow =
-                                   static_cast<std::uint8_t>(policy.reservePriority + 1)}},
-        .slowStart = {.rampTime = policy.slowStart},
-        .tokens = {.currentKey = m_settings.placementKey}};
-    m_placer = std::make_unique<Placer>(
-        Placer::Options{.loop = &m_loop,
-                        .routing = std::move(routing),
-                        .queue = {.limit = policy.maxQueue, .longestWait = policy.maxQueueWait}});
+Result<void> RouterProcess::start()
+{
+    noteEvent(EventType::ProcessStarted, m_settings.vm.value());
+    startPlatform();
+    m_configuration = std::make_unique<Node::ConfigurationFollower>(
+        Node::ConfigurationFollower::Options{.loop = &m_loop, .log = m_log.get()});
+    BOOST_OUTCOME_TRYV(startPeers());
+    m_recorder = std::make_unique<RequestRecorder>(
+        RequestRecorder::Options{.clock = &m_loop.clock(),
+                                 .metrics = &m_metrics,
+                                 .events = &m_events,
+                                 .outcomes = m_outcomeAppender.get(),
+                                 .ringSize = m_settings.limits.outcomeRingSize});
+    makeCallerApi();
+    wireRequests();
+    wireConfiguration();
+    BOOST_OUTCOME_TRYV(startServers());
+    m_configuration->start();
+    return boost::outcome_v2::success();
 }
 
-Result<void> RouterProcess::start()
+void RouterProcess::startPlatform()
 {
-    return startServers();
+    if (!m_settings.platformAddress)
+        return;
+    Platform::Transport transport = Platform::httpTransport(
+        {.client = &m_client,
+         .server = Runtime::parseSocketAddress(*m_settings.platformAddress).value(),
+         .vm = m_settings.vm,
+         .dataCentre = m_settings.dataCentre,
+         .metered = [this](Base::Bytes sent, Base::Bytes received) {
+             Metrics::Registry &registry = m_metrics.registry;
+             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "sent"}})
+                 .increment(static_cast<double>(sent.value()));
+             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "received"}})
+                 .increment(static_cast<double>(received.value()));
+         }});
+    m_log = std::make_unique<Platform::LogClient>(
+        Platform::LogClient::Options{.transport = transport, .timers = &m_loop.timers()});
+    m_vmList = std::make_unique<Platform::VmListClient>(
+        Platform::VmListClient::Options{.transport = transport, .timers = &m_loop.timers()});
+    m_outcomeAppender = std::make_unique<Platform::BatchAppender>(
+        Platform::BatchAppender::Options{.log = m_log.get(),
+                                         .timers = &m_loop.timers(),
+                                         .stream = outcomesStream,
+                                         .interval = std::chrono::milliseconds(500)});
+    m_claims = std::make_unique<ClaimDesk>(
+        ClaimDesk::Options{.loop = &m_loop,
+                           .log = m_log.get(),
+                           .run = {m_settings.vm, m_incarnation},
+                           .isGone = [this](const Claims::RouterRun &run) { return isGone(run); }});
+    m_claims->start();
+    m_vmList->setChanged([this](const Platform::VmChanges &) { m_peers->setVms(m_vmList->vms()); });
+}
+
+Result<void> RouterProcess::startPeers()
+{
+    BOOST_OUTCOME_TRY(address, Runtime::parseSocketAddress(m_settings.peerAddress));
+    std::vector<Runtime::SocketAddress> seeds;
+    for (const std::string &seed : m_settings.seeds) {
+        BOOST_OUTCOME_TRY(parsed, Runtime::parseSocketAddress(seed));
+        seeds.push_back(parsed);
+    }
+    m_peers = std::make_unique<Node::PeerLink>(
+        Node::PeerLink::Options{.loop = &m_loop,
+                                .client = &m_client,
+                                .configuration = m_configuration.get(),
+                                .role = Membership::MemberRole::Router,
+                                .vm = m_settings.vm,
+                                .dataCentre = m_settings.dataCentre,
+                                .region = m_settings.region,
+                                .address = address,
+                                .seeds = std::move(seeds),
+                                .keys = m_settings.peerKeys,
+                                .incarnation = m_incarnation,
+                                .control = m_settings.control});
+    m_peers->memberChanged = [this](const Membership::Member &member,
+                                    Membership::MemberEvent event) { noteMember(member, event); };
+    m_peers->budget().spent = [this](Membership::ControlTraffic traffic, std::size_t bytes) {
+        m_metrics.registry
+            .counter("lagoonbank_control_bytes_total",
+                     {{"message", std::string(Membership::toString(traffic))}})
+            .increment(static_cast<double>(bytes));
+    };
+    m_loadSharing = std::make_unique<LoadSharing>(m_loop, *m_placer, m_peers->membership());
+    m_shareSharing =
+        std::make_unique<ShareSharing>(ShareSharing::Options{.loop = &m_loop,
+                                                             .admission = &m_admission,
+                                                             .membership = &m_peers->membership(),
+                                                             .dataCentre = m_settings.dataCentre});
+    BOOST_OUTCOME_TRYV(m_peers->start());
+    if (m_vmList)
+        m_vmList->start();
+    return boost::outcome_v2::success();
+}
+
+void RouterProcess::makeCallerApi()
+{
+    m_callerApi = std::make_unique<CallerApi>(
+        CallerApi::Options{.loop = &m_loop,
+                           .client = &m_client,
+                           .placer = m_placer.get(),
+                           .admission = &m_admission,
+                           .retries = &m_retries,
+                           .nextRequestId = [this] {
+                               return Timeline::makeRequestId({.dataCentre = m_settings.dataCentre,
+                                                               .vm = m_settings.vm,
+                                                               .incarnation = m_incarnation,
+                                                               .sequence = ++m_lastRequest});
+                           }});
+}
+
+void RouterProcess::wireRequests()
+{
+    CallerApi &api = *m_callerApi;
+    api.requestStarted = [this](const RequestInfo &info) { m_recorder->started(info); };
+    api.requestEnded = [this](const RequestInfo &info, const Exchange::ExchangeEnd &end) {
+        m_recorder->ended(info, end);
+    };
+    api.attemptStarted = [this](const RequestInfo &info, const Exchange::Target &target) {
+        m_recorder->attemptStarted(info, target);
+    };
+    api.attemptEnded = [this](const RequestInfo &info, const Exchange::AttemptResult &result) {
+        m_recorder->attemptEnded(info, result);
+    };
+    if (!m_claims)
+        return;
+    api.claim = [this](const ClaimRequest &request, std::function<void(ClaimVerdict)> claimed) {
+        m_claims->claim(request, std::move(claimed));
+    };
+    api.claimAnswered = [this](const RequestInfo &info, const Exchange::ServiceAnswer &answer) {
+        m_claims->answered(info, answer);
+    };
+    api.claimFailed = [this](const RequestInfo &info, Errors::Ran ran) {
+        m_claims->failed(info, ran);
+    };
+}
+
+void RouterProcess::wireConfiguration()
+{
+    m_configuration->changed = [this] { configurationChanged(); };
+    m_configuration->logHealthChanged = [this](bool isUp) {
+        noteEvent(isUp ? EventType::LogBack : EventType::LogLost, "configuration");
+        if (isUp)
+            m_logger.info("The log answers.");
+        else
+            m_logger.warning("The log does not answer.");
+    };
+    m_configuration->eventRaised = [this](const Configuration::Event &event) {
+        m_logger.warning("Configuration at offset {}: {}. {}", event.offset,
+                         Configuration::toString(event.kind), event.detail);
+    };
 }
 
 Result<void> RouterProcess::startServers()
 {
     BOOST_OUTCOME_TRY(callers, Runtime::parseSocketAddress(m_settings.listenAddress));
+    std::optional<Http::Server::Tls> tls;
+    if (m_settings.tlsCertificate && m_settings.tlsKey)
+        tls = Http::Server::Tls{*m_settings.tlsCertificate, *m_settings.tlsKey};
     m_callerServer = std::make_unique<Http::Server>(
         Http::Server::Options{.loop = &m_loop,
                               .address = callers,
                               .maxBodyBytes = m_settings.limits.maxBodyBytes,
-                              .requestTimeout = m_settings.limits.requestTimeout});
+                              .requestTimeout = m_settings.limits.requestTimeout,
+                              .tls = tls});
     m_callerServer->setHandler(
         [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
             m_callerApi->handle(std::move(request), std::move(responder));
         });
-    return m_callerServer->listen();
+    BOOST_OUTCOME_TRYV(m_callerServer->listen());
+
+    BOOST_OUTCOME_TRY(admin, Runtime::parseSocketAddress(m_settings.adminAddress));
+    m_adminPort = std::make_unique<Node::AdminPort>(m_loop, admin);
+    m_admin =
+        std::make_unique<RouterAdmin>(*m_adminPort,
+                                      RouterAdmin::Sources{.clock = &m_loop.clock(),
+                                                           .metrics = &m_metrics,
+                                                           .recorder = m_recorder.get(),
+                                                           .events = &m_events,
+                                                           .configuration = m_configuration.get(),
+                                                           .peers = m_peers.get(),
+                                                           .placer = m_placer.get(),
+                                                           .callerApi = m_callerApi.get(),
+                                                           .claims = m_claims.get(),
+                                                           .process = m_events.process()});
+    BOOST_OUTCOME_TRYV(m_adminPort->listen());
+    m_logger.info("Listening on {}.", m_settings.listenAddress);
+    return boost::outcome_v2::success();
 }
 
-void RouterProcess::setConfiguration(const std::vector<Schema::ConfigurationObject> &objects)
+void RouterProcess::setFixedConfiguration(std::vector<Schema::ConfigurationObject> objects)
 {
-    m_view = std::make_shared<FleetView>(objects);
+    m_configuration->setFixed(std::move(objects));
+}
+
+void RouterProcess::configurationChanged()
+{
+    m_objects = std::make_shared<Configuration::ObjectTable>();
+    for (Schema::ConfigurationObject &object : m_configuration->objects())
+        m_objects->set(std::move(object));
+    applyPolicy();
     updateEndpoints();
     updateWorkspaces();
-    m_callerApi->setView(m_view);
-    m_callerApi->setReady(true);
+    m_callerApi->setObjects(m_objects);
+    m_peers->configurationChanged();
+    if (m_configuration->isReady() && !m_callerApi->isReady() && !m_isStopping) {
+        m_callerApi->setReady(true);
+        noteEvent(EventType::ProcessReady, m_settings.vm.value());
+        m_logger.info("Ready.");
+    }
+    noteEvent(EventType::ConfigurationApplied,
+              std::to_string(m_configuration->reducer().next().value()));
+}
+
+void RouterProcess::applyPolicy()
+{
+    const Schema::Policy &policy = m_objects->policy();
+    m_placer->setPolicy(routingOptions(m_settings, policy),
+                        {.limit = policy.maxQueue, .longestWait = policy.maxQueueWait});
+    m_retries.setEndpointRatio(policy.retryBudget);
+    m_retries.setMaxAttempts(static_cast<int>(policy.maxAttempts));
 }
 
 void RouterProcess::updateEndpoints()
 {
     const Base::MonoTime now = m_loop.clock().now();
-    for (const auto &[id, endpoint] : m_view->endpoints()) {
-        m_placer->routing().upsert({.id = id,
+    std::vector<Base::EndpointId> known;
+    std::vector<Base::DataCentreId> dataCentres;
+    m_objects->each<Schema::Endpoint>([&](const Schema::Endpoint &endpoint) {
+        if (endpoint.state == Schema::EndpointState::Removed
+            || endpoint.region != m_settings.region)
+            return;
+        known.push_back(endpoint.name);
+        m_placer->routing().upsert({.id = endpoint.name,
                                     .address = endpoint.address,
                                     .dataCentre = endpoint.dataCentre,
                                     .pool = poolOf(endpoint),
                                     .capacity = endpoint.capacity,
                                     .state = stateOf(endpoint.state)},
                                    now);
+    });
+    for (const Base::EndpointId &old : m_knownEndpoints) {
+        if (std::find(known.begin(), known.end(), old) == known.end())
+            m_placer->routing().remove(old, now);
     }
+    m_knownEndpoints = std::move(known);
+    m_loadSharing->endpointsChanged();
+    m_objects->each<Schema::DataCentre>(
+        [&](const Schema::DataCentre &dataCentre) { dataCentres.push_back(dataCentre.name); });
+    m_shareSharing->setDataCentres(std::move(dataCentres));
 }
 
 void RouterProcess::updateWorkspaces()
 {
     const Base::MonoTime now = m_loop.clock().now();
-    for (const auto &[id, contract] : m_view->contracts()) {
-        m_admission.setLimits(id, limitsOf(contract), now);
-        m_retries.setWorkspaceRatio(id, contract.retryBudget);
+    std::vector<Base::WorkspaceId> known;
+    m_objects->each<Schema::Contract>([&](const Schema::Contract &contract) {
+        known.push_back(contract.name);
+        m_admission.setLimits(contract.name, limitsOf(contract), now);
+        m_retries.setWorkspaceRatio(contract.name, contract.retryBudget);
+    });
+    for (const Base::WorkspaceId &old : m_knownWorkspaces) {
+        if (std::find(known.begin(), known.end(), old) == known.end())
+            m_admission.remove(old);
     }
+    m_knownWorkspaces = known;
+    m_shareSharing->setWorkspaces(std::move(known));
+}
+
+void RouterProcess::noteMember(const Membership::Member &member, Membership::MemberEvent event)
+{
+    noteEvent(eventOf(event), member.info.id);
+    m_logger.info("Member {} {}.", member.info.id, Membership::toString(event));
+}
+
+void RouterProcess::noteEvent(EventType type, std::string subject, std::string detail)
+{
+    m_events.record(type, {.subject = std::move(subject), .detail = std::move(detail)},
+                    m_loop.clock().wallNow());
+}
+
+bool RouterProcess::isGone(const Claims::RouterRun &run) const
+{
+    const Membership::Member *member =
+        m_peers->membership().table().find(run.vm.value() + "/router");
+    if (!member)
+        return false;
+    const bool isNewer = member->info.incarnation > run.incarnation.value();
+    return isNewer || member->info.status == Membership::MemberStatus::Left;
+}
+
+void RouterProcess::reload()
+{
+    const auto reloaded = m_callerServer->reloadTls();
+    if (reloaded)
+        m_logger.info("Read the certificate again.");
+    else
+        m_logger.error("The old certificate stays in use. {}", reloaded.error());
 }
 
 void RouterProcess::stopGracefully()
 {
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_logger.info("Stopping; {} requests are in flight.", m_callerApi->inFlight());
+    noteEvent(EventType::ProcessDraining, m_settings.vm.value());
     m_callerApi->setDraining(true);
     m_callerServer->stopAccepting();
+    m_peers->leave();
+    m_stopBy = m_loop.clock().now() + m_objects->policy().drainTimeout;
     stopWhenIdle();
 }
 
 void RouterProcess::stopWhenIdle()
 {
     constexpr Base::Duration interval = std::chrono::milliseconds(50);
-    if (m_callerApi->inFlight() == 0) {
+    const bool isIdle = m_callerApi->inFlight() == 0 && (!m_claims || m_claims->unrecorded() == 0)
+        && (!m_outcomeAppender || m_outcomeAppender->queued() == 0);
+    if (isIdle || m_loop.clock().now() >= m_stopBy) {
+        m_logger.info("Stopped.");
         m_loop.stop();
         return;
     }
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -4,15 +4,29 @@
 #include "errors/result.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "logging/logger.h"
+#include "node/adminport.h"
+#include "node/configurationfollower.h"
+#include "node/peerlink.h"
+#include "platform/batchappender.h"
+#include "platform/logclient.h"
+#include "platform/vmlistclient.h"
 #include "router/callerapi.h"
-#include "router/fleetview.h"
+#include "router/claimdesk.h"
+#include "router/loadsharing.h"
 #include "router/placer.h"
+#include "router/requestrecorder.h"
 #include "router/retrybudgets.h"
+#include "router/routeradmin.h"
+#include "router/routermetrics.h"
+#include "router/sharesharing.h"
 #include "runtime/loop.h"
 #include "schema/generated/settings.h"
+#include "timeline/eventlog.h"
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace Lagoonbank::Router {
@@ -24,32 +38,61 @@
     RouterProcess(Runtime::Loop &loop, Schema::RouterSettings settings);
     ~RouterProcess();
 
-    /// Listens; an error says which address could not be had.
+    /// Listens and joins the fleet; an error says which address could not be had.
     Errors::Result<void> start();
+    /// Objects from files, for running without the platform.
+    void setFixedConfiguration(std::vector<Schema::ConfigurationObject> objects);
     /// Takes no new work, lets what is in flight finish, then stops the loop.
     void stopGracefully();
-    /// Puts a whole configuration in force.
-    void setConfiguration(const std::vector<Schema::ConfigurationObject> &objects);
+    /// Reads the certificate files again.
+    void reload();
 
 private:
     Errors::Result<void> startServers();
-    void makePlacer(const Schema::Policy &policy);
+    Errors::Result<void> startPeers();
+    void startPlatform();
+    void makeCallerApi();
+    void wireConfiguration();
+    void wireRequests();
+    void configurationChanged();
+    void applyPolicy();
     void updateEndpoints();
     void updateWorkspaces();
+    void noteMember(const Membership::Member &member, Membership::MemberEvent event);
+    void noteEvent(Timeline::EventType type, std::string subject, std::string detail = {});
+    bool isGone(const Claims::RouterRun &run) const;
     void stopWhenIdle();
 
     Runtime::Loop &m_loop;
     Schema::RouterSettings m_settings;
+    Logging::Logger m_logger{"router"};
+    Base::Incarnation m_incarnation;
+    std::uint64_t m_lastRequest = 0;
     Http::Client m_client;
-    std::unique_ptr<Http::Server> m_callerServer;
-    std::unique_ptr<Http::Server> m_adminServer;
-    std::shared_ptr<const FleetView> m_view = std::make_shared<FleetView>();
-    std::unique_ptr<Placer> m_placer;
+    RouterMetrics m_metrics;
+    Timeline::EventLog m_events;
+    std::unique_ptr<Platform::LogClient> m_log;
+    std::unique_ptr<Platform::VmListClient> m_vmList;
+    std::unique_ptr<Platform::BatchAppender> m_outcomeAppender;
+    std::unique_ptr<Node::ConfigurationFollower> m_configuration;
+    std::unique_ptr<Node::PeerLink> m_peers;
+    std::unique_ptr<ClaimDesk> m_claims;
     Admission::AdmissionControl m_admission;
     RetryBudgets m_retries;
+    std::unique_ptr<Placer> m_placer;
+    std::unique_ptr<RequestRecorder> m_recorder;
     std::unique_ptr<CallerApi> m_callerApi;
-    std::uint64_t m_incarnation = 0;
-    std::uint64_t m_lastRequest = 0;
+    std::unique_ptr<LoadSharing> m_loadSharing;
+    std::unique_ptr<ShareSharing> m_shareSharing;
+    std::unique_ptr<Http::Server> m_callerServer;
+    std::unique_ptr<Node::AdminPort> m_adminPort;
+    std::unique_ptr<RouterAdmin> m_admin;
+    std::shared_ptr<Configuration::ObjectTable> m_objects =
+        std::make_shared<Configuration::ObjectTable>();
+    std::vector<Base::EndpointId> m_knownEndpoints;
+    std::vector<Base::WorkspaceId> m_knownWorkspaces;
+    Base::MonoTime m_stopBy;
+    bool m_isStopping = false;
 };
 
 } // namespace Lagoonbank::Router
--- /dev/null
+++ b/src/libs/router/sharesharing.cpp
@@ -0,0 +1,77 @@
+#include "router/sharesharing.h"
+
+#include <utility>
+
+namespace Lagoonbank::Router {
+
+namespace {
+
+constexpr Base::Duration interval = std::chrono::seconds(1);
+/// What digests of demand may take of the control traffic, in bytes per interval.
+constexpr Base::Bytes digestBytes{1200};
+constexpr Base::Bytes datagramBytes{16};
+
+} // namespace
+
+ShareSharing::ShareSharing(const Options &options)
+    : m_options(options)
+    , m_allocator({.self = options.membership->self().id, .dataCentre = options.dataCentre})
+{
+    m_options.membership->demandReceived = [this](const Membership::DemandDigest &digest) {
+        m_allocator.receive(Base::WorkspaceId(digest.workspace), digest.bytes,
+                            m_options.loop->clock().now());
+    };
+    m_timer = m_options.loop->timers().start(interval, [this] { advance(); });
+}
+
+ShareSharing::~ShareSharing()
+{
+    m_options.loop->timers().cancel(m_timer);
+}
+
+void ShareSharing::setDataCentres(std::vector<Base::DataCentreId> dataCentres)
+{
+    m_allocator.setDataCentres(std::move(dataCentres), m_options.loop->clock().now());
+}
+
+void ShareSharing::setWorkspaces(std::vector<Base::WorkspaceId> workspaces)
+{
+    for (const Base::WorkspaceId &old : m_workspaces) {
+        if (std::find(workspaces.begin(), workspaces.end(), old) == workspaces.end())
+            m_allocator.remove(old);
+    }
+    m_workspaces = std::move(workspaces);
+    advance();
+}
+
+std::vector<Admission::ShareMember> ShareSharing::routers(Base::MonoTime now) const
+{
+    std::vector<Admission::ShareMember> routers;
+    for (const Membership::MemberUpdate &member : m_options.membership->usableMembers(now)) {
+        if (member.role == Membership::MemberRole::Router)
+            routers.push_back({.router = member.id,
+                               .dataCentre = Base::DataCentreId(member.dataCentre),
+                               .incarnation = Base::Incarnation(member.incarnation)});
+    }
+    return routers;
+}
+
+void ShareSharing::advance()
+{
+    m_options.loop->timers().cancel(m_timer);
+    const Base::MonoTime now = m_options.loop->clock().now();
+    m_allocator.setRouters(routers(now), now);
+    for (const Base::WorkspaceId &workspace : m_workspaces) {
+        const Admission::WorkspaceGate *gate = m_options.admission->gate(workspace);
+        if (!gate)
+            continue;
+        m_allocator.advance(workspace, gate->demandedShare(now), now);
+        m_options.admission->setShare(workspace, m_allocator.share(workspace, now), now);
+    }
+    for (Admission::ShareAllocator::Outgoing &digest :
+         m_allocator.digests(now, digestBytes, datagramBytes))
+        m_options.membership->setDemand(digest.workspace, std::move(digest.bytes), now);
+    m_timer = m_options.loop->timers().start(interval, [this] { advance(); });
+}
+
+} // namespace Lagoonbank::Router
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -14,6 +14,16 @@
     , m_selector(options.selector)
 { }
 
+void Router::setPolicy(const Options &options)
+{
+    m_options.selector = options.selector;
+    m_options.suspicion = options.suspicion;
+    m_options.slowStart = options.slowStart;
+    m_selector.setOptions(options.selector);
+    m_suspicion.setOptions(options.suspicion);
+    m_slowStart = SlowStart(options.slowStart);
+}
+
 EndpointIndex Router::upsert(const EndpointInfo &info, Base::MonoTime now)
 {
     const bool added = m_table.find(info.id) == noEndpoint;
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -56,6 +56,9 @@
     static constexpr Base::Duration refreshInterval = std::chrono::milliseconds(100);
 
     explicit Router(const Options &options);
+    /// Another policy for decisions from now on; what is known of endpoints and chats stays, and so
+    /// do data centre, token keys and the number of placements.
+    void setPolicy(const Options &options);
 
     // Endpoints.
     EndpointIndex upsert(const EndpointInfo &info, Base::MonoTime now);
--- a/src/libs/routing/selector.h
+++ b/src/libs/routing/selector.h
@@ -128,6 +128,11 @@
     /// Work of the request where `cached` tokens of its prompt need no prefill.
     double workOf(const RouteRequest &request, Base::Tokens cached) const;
     const Options &options() const { return m_options; }
+    void setOptions(const Options &options)
+    {
+        m_options = options;
+        m_bound = LoadBound(options.bound);
+    }
 
 private:
     struct Scan;
--- a/src/libs/routing/suspicion.h
+++ b/src/libs/routing/suspicion.h
@@ -39,6 +39,8 @@
         : m_options(options)
     { }
 
+    /// For decisions from now on; what is known of the endpoints stays.
+    void setOptions(const Options &options) { m_options = options; }
     void resize(std::size_t size);
     void reset(EndpointIndex endpoint) { m_rows[endpoint] = {}; }
 
--- a/src/libs/routing/waitqueue.h
+++ b/src/libs/routing/waitqueue.h
@@ -35,6 +35,9 @@
 
     explicit WaitQueue(Options options);
 
+    /// For requests that come from now on.
+    void setOptions(const Options &options) { m_options = options; }
+
     /// A request is given up on; it did not run.
     std::function<void(Ticket, Errors::ErrorKind)> gaveUp;
 
