--- a/bench/routing/decision/decision.cpp
+++ b/bench/routing/decision/decision.cpp
@@ -136,7 +136,7 @@
     for (auto unused : state) {
         (void)unused;
         const PlacementToken::Text text =
-            token.write(++chat, {.endpointHash = chat, .cached = Base::Tokens(100)}, wall);
+            token.write(chat, {.endpointHash = chat, .cached = Base::Tokens(100)}, wall);
         benchmark::DoNotOptimize(token.read(toView(text), chat, wall));
     }
 }
