--- a/bench/routing/decision/decision.cpp
+++ b/bench/routing/decision/decision.cpp
@@ -135,6 +135,7 @@
     std::uint64_t chat = 0;
     for (auto unused : state) {
         (void)unused;
+        ++chat;
         const PlacementToken::Text text =
             token.write(chat, {.endpointHash = chat, .cached = Base::Tokens(100)}, wall);
         benchmark::DoNotOptimize(token.read(toView(text), chat, wall));
