Timeline: Keep events and outcomes and merge them over processes

A closed catalogue of events from the schema, hybrid logical clocks, a bounded event log, outcomes by request id and idempotency key with one plain sentence each, and renderings as text, JSON lines and one HTML page.

--- a/src/libs/admission/shareallocator.cpp
+++ b/src/libs/admission/shareallocator.cpp
@@ -41,7 +41,7 @@
 void sortOnce(std::vector<T> &items, const std::string &(*nameOf)(const T &))
 {
     std::sort(items.begin(), items.end(),
-              [&](const T &a, const T &b) { return nameOf(a) < nameOf(b); });
+              [&](const T &a, const T &b) { return nameOf(a).compare(nameOf(b)) < 0; });
     const auto sameName = [&](const T &a, const T &b) { return nameOf(a) == nameOf(b); };
     items.erase(std::unique(items.begin(), items.end(), sameName), items.end());
 }
--- /dev/null
+++ b/src/libs/timeline/eventfilter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "timeline/event.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace Lagoonbank::Timeline {
+
+/// Which events are wanted. Empty fields let everything through.
+struct EventFilter
+{
+    std::optional<std::int64_t> sinceMs; ///< Wall time in milliseconds since 1970.
+    Base::RequestId request;
+    Base::WorkspaceId workspace;
+    Base::EndpointId endpoint;
+    std::uint64_t afterSequence = 0; ///< Of the process; to follow its events.
+
+    bool matches(const Event &event) const
+    {
+        const auto fits = [](const auto &wanted, const auto &has) {
+            return wanted.empty() || wanted == has;
+        };
+        return (!sinceMs || event.time.wallMs >= *sinceMs) && event.sequence > afterSequence
+            && fits(request, event.fields.request) && fits(workspace, event.fields.workspace)
+            && fits(endpoint, event.fields.endpoint);
+    }
+};
+
+} // namespace Lagoonbank::Timeline
--- /dev/null
+++ b/src/libs/timeline/eventlog.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "timeline/event.h"
+#include "timeline/eventfilter.h"
+#include "timeline/hybridclock.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Timeline {
+
+/// The latest events of one process, in a ring of fixed size.
+class EventLog
+{
+public:
+    struct Options
+    {
+        std::string process; ///< Name of the process in merged time lines.
+        std::size_t capacity = 16384;
+        Base::Duration maxDrift = std::chrono::seconds(60);
+    };
+
+    explicit EventLog(Options options);
+
+    const std::string &process() const { return m_options.process; }
+    HybridClock &clock() { return m_clock; }
+
+    /// Adds an event; the oldest one goes when the ring is full. Returns its time.
+    HybridTime record(EventType type, EventFields fields, Base::WallTime wall);
+
+    std::size_t size() const { return m_events.size(); }
+    /// Events that are no longer kept.
+    std::uint64_t dropped() const { return m_sequence - m_events.size(); }
+    std::uint64_t lastSequence() const { return m_sequence; }
+
+    /// Oldest first; at most `most`, the latest ones.
+    std::vector<ProcessEvent> events(const EventFilter &filter, std::size_t most = SIZE_MAX) const;
+
+private:
+    const Event &at(std::size_t index) const;
+
+    Options m_options;
+    HybridClock m_clock;
+    std::vector<Event> m_events;
+    std::size_t m_first = 0;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace Lagoonbank::Timeline
--- /dev/null
+++ b/src/libs/timeline/outcome.cpp
@@ -0,0 +1,115 @@
+#include "timeline/outcome.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
+namespace Lagoonbank::Timeline {
+
+using Errors::ErrorKind;
+using Errors::Ran;
+
+namespace {
+
+std::string_view limitSubject(ErrorKind cause)
+{
+    switch (cause) {
+    case ErrorKind::RateLimited:
+        return "the contract's request rate";
+    case ErrorKind::TokenRateLimited:
+        return "the contract's token rate";
+    case ErrorKind::ConcurrencyLimited:
+        return "the contract's limit of concurrent requests";
+    default:
+        return {};
+    }
+}
+
+std::string inBrackets(const OutcomeEnd &end)
+{
+    const std::string &text = end.source.empty() ? end.limit : end.source;
+    return text.empty() ? std::string() : absl::StrCat(" (", text, ")");
+}
+
+// The cause as the second half of a sentence.
+std::string causeText(const OutcomeEnd &end)
+{
+    if (!end.cause)
+        return "the cause is not known";
+    if (const std::string_view subject = limitSubject(*end.cause); !subject.empty())
+        return absl::StrCat(std::string(subject), inBrackets(end), " was used up");
+    std::string text(Errors::errorRow(*end.cause).text);
+    if (!text.empty() && text.back() == '.')
+        text.pop_back();
+    if (!text.empty())
+        text.front() = absl::ascii_tolower(static_cast<unsigned char>(text.front()));
+    return text + inBrackets(end);
+}
+
+std::string place(const Outcome &outcome)
+{
+    if (outcome.attempts.empty())
+        return {};
+    const std::string noun = outcome.isModelCall ? " on engine " : " on endpoint ";
+    return noun + outcome.attempts.back().endpoint.value();
+}
+
+std::string after(const Outcome &outcome)
+{
+    return outcome.tookMs ? absl::StrCat(" after ", *outcome.tookMs, " ms") : std::string();
+}
+
+std::string ranText(Ran ran)
+{
+    switch (ran) {
+    case Ran::No:
+        return "It did not run.";
+    case Ran::Yes:
+        return "It ran.";
+    case Ran::Unknown:
+        break;
+    }
+    return "It may have run.";
+}
+
+std::string wholeSentence(const Outcome &outcome)
+{
+    std::string text = absl::StrCat("The request ran whole", place(outcome));
+    if (outcome.tookMs)
+        absl::StrAppend(&text, " in ", *outcome.tookMs, " ms");
+    if (outcome.attempts.size() > 1)
+        absl::StrAppend(&text, ", at attempt ", outcome.attempts.size());
+    return text + ".";
+}
+
+} // namespace
+
+OutcomeKind outcomeKind(Ran ran, bool callerHasPart)
+{
+    if (callerHasPart)
+        return OutcomeKind::CutOff;
+    if (ran == Ran::No)
+        return OutcomeKind::Refused;
+    return ran == Ran::Yes ? OutcomeKind::CutOff : OutcomeKind::Unknown;
+}
+
+std::string sentence(const Outcome &outcome, std::int64_t nowWallMs)
+{
+    switch (outcome.end.kind) {
+    case OutcomeKind::Running:
+        return absl::StrCat("The request is running", place(outcome), " since ",
+                            std::max<std::int64_t>(0, nowWallMs - outcome.startedWallMs), " ms.");
+    case OutcomeKind::Whole:
+        return wholeSentence(outcome);
+    case OutcomeKind::Refused:
+        return absl::StrCat("It was refused and did not run: ", causeText(outcome.end), ".");
+    case OutcomeKind::CutOff:
+        return absl::StrCat("It was cut off", place(outcome), after(outcome), ": ",
+                            causeText(outcome.end), ". ", ranText(outcome.end.ran));
+    case OutcomeKind::Unknown:
+        break;
+    }
+    return absl::StrCat("It is not known what became of it", place(outcome), after(outcome), ": ",
+                        causeText(outcome.end), ". ", ranText(outcome.end.ran));
+}
+
+} // namespace Lagoonbank::Timeline
