--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -344,6 +344,12 @@
     m_table.age(now);
     m_leaving.age(now);
     m_demands.age(now);
+    // A suspect hears of it again each second, from everyone, so that loss can't keep its answer
+    // away.
+    for (const Member *suspect : peersWhere([this](const Member &member) {
+             return member.info.status == MemberStatus::Suspect && isOwnDataCentre(member);
+         }))
+        startProbe(*suspect, false, now);
     const std::vector<const Member *> gone = peersWhere([&](const Member &member) {
         return member.isAlive() && !isOwnDataCentre(member) && !member.isListed && !m_vmList.empty()
             && now - m_links.lastContact(member.info.dataCentre) > m_options.timing.forgetTime;
--- /dev/null
+++ b/src/libs/membership/peertransport.cpp
@@ -0,0 +1,250 @@
+#include "membership/peertransport.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Membership {
+
+namespace {
+
+constexpr std::string_view pullPath = "/peer/";
+constexpr std::string_view stateName = "membership";
+constexpr Base::Duration minTick = std::chrono::milliseconds(5);
+constexpr Base::Duration pullConnectTimeout = std::chrono::seconds(1);
+constexpr Base::Duration pullTimeout = std::chrono::seconds(5);
+constexpr std::size_t maxPullRequestBytes = 256 * 1024;
+/// Rough cost of the heads of request and answer.
+constexpr std::size_t pullHeadBytes = 400;
+
+Errors::Error badMessage(std::string detail)
+{
+    return Errors::makeError(Errors::ErrorKind::BadMessage, std::move(detail));
+}
+
+/// Ties an answer to its request, so that an old answer can't be passed off as a new one.
+std::string bindingOf(const std::string &id, std::uint64_t incarnation, std::uint64_t number)
+{
+    return id + '/' + std::to_string(incarnation) + '/' + std::to_string(number);
+}
+
+/// A sealed body over TCP: name and binding on a line each, then the contents.
+std::string frame(std::string_view name, std::string_view binding, std::string_view contents)
+{
+    std::string text;
+    text.append(name).append("\n").append(binding).append("\n").append(contents);
+    return text;
+}
+
+struct Frame
+{
+    std::string_view name;
+    std::string_view binding;
+    std::string_view contents;
+};
+
+std::optional<Frame> readFrame(std::string_view text)
+{
+    const std::size_t first = text.find('\n');
+    if (first == std::string_view::npos)
+        return std::nullopt;
+    const std::size_t second = text.find('\n', first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    return Frame{text.substr(0, first), text.substr(first + 1, second - first - 1),
+                 text.substr(second + 1)};
+}
+
+} // namespace
+
+Errors::Result<std::unique_ptr<PeerTransport>> PeerTransport::start(Options options)
+{
+    if (auto checked = PeerCodec::checkKeys(options.keys); !checked)
+        return std::move(checked).error();
+    std::unique_ptr<PeerTransport> transport(new PeerTransport(std::move(options)));
+    auto socket = Runtime::UdpSocket::bind(
+        {.loop = transport->m_options.loop, .address = transport->m_options.address});
+    if (!socket)
+        return std::move(socket).error();
+    transport->m_socket = std::move(socket).value();
+    transport->m_server = std::make_unique<Http::Server>(
+        Http::Server::Options{.loop = transport->m_options.loop,
+                              .address = transport->m_socket->address(),
+                              .maxBodyBytes = maxPullRequestBytes});
+    transport->connect();
+    if (auto listening = transport->m_server->listen(); !listening)
+        return std::move(listening).error();
+    transport->tick();
+    return transport;
+}
+
+PeerTransport::PeerTransport(Options options)
+    : m_options(std::move(options))
+    , m_codec({.id = m_options.membership->self().id,
+               .incarnation = m_options.membership->self().incarnation,
+               .keys = m_options.keys})
+{ }
+
+PeerTransport::~PeerTransport()
+{
+    *m_isAlive = false;
+    m_options.loop->timers().cancel(m_timer);
+    m_options.membership->messageReady = nullptr;
+    m_options.membership->stateWanted = nullptr;
+    m_options.membership->incarnationRaised = nullptr;
+}
+
+void PeerTransport::connect()
+{
+    Membership &membership = *m_options.membership;
+    membership.messageReady = [this](const Runtime::SocketAddress &to, const PeerMessage &message) {
+        const Errors::Result<std::string> body = encodeMessage(message);
+        if (body)
+            m_socket->send(to, m_codec.seal(body.value()));
+    };
+    membership.incarnationRaised = [this](Base::Incarnation incarnation) {
+        m_codec.setIncarnation(incarnation.value());
+    };
+    membership.stateWanted = [this](const Runtime::SocketAddress &peer,
+                                    const StateRequest &request) { pullState(peer, request); };
+    m_socket->setReceived([this](const Runtime::SocketAddress &from, std::string_view datagram) {
+        receive(from, datagram);
+    });
+    m_server->setHandler(
+        [this](const Http::Request &request, const std::shared_ptr<Http::Responder> &responder) {
+            answer(request, *responder);
+        });
+    setProvider(std::string(stateName),
+                [this](std::string_view argument) -> Errors::Result<std::string> {
+                    const Errors::Result<StateRequest> request = decodeStateRequest(argument);
+                    if (!request)
+                        return request.error();
+                    return encodeStateAnswer(m_options.membership->answer(request.value(), now()));
+                });
+}
+
+void PeerTransport::setProvider(const std::string &name, Provider provider)
+{
+    m_providers[name] = std::move(provider);
+}
+
+void PeerTransport::receive(const Runtime::SocketAddress &from, std::string_view datagram)
+{
+    std::optional<Sender> outdated;
+    const std::optional<Opened> opened = m_codec.open(datagram, &outdated);
+    if (outdated)
+        m_options.membership->receiveOutdated(*outdated, from,
+                                              m_codec.seenIncarnation(outdated->id), now());
+    if (!opened)
+        return;
+    const Errors::Result<PeerMessage> message = decodeMessage(opened->body);
+    if (!message) {
+        m_codec.countDrop(DropReason::BadBody);
+        return;
+    }
+    m_options.membership->receive(opened->sender, from, message.value(), now());
+}
+
+void PeerTransport::answer(const Http::Request &request, Http::Responder &responder)
+{
+    const auto refuse = [&responder](Errors::ErrorKind kind) {
+        responder.send(Errors::errorRow(kind).httpStatus, {}, {});
+    };
+    if (request.method != "POST" || !request.path.starts_with(pullPath))
+        return refuse(Errors::ErrorKind::NotFound);
+    const std::optional<Opened> opened = m_codec.openPulled(request.body);
+    if (!opened)
+        return refuse(Errors::ErrorKind::WrongPeerKey);
+    const std::optional<Frame> asked = readFrame(opened->body);
+    if (!asked || asked->name != std::string_view(request.path).substr(pullPath.size())) {
+        m_codec.countDrop(DropReason::BadBody);
+        return refuse(Errors::ErrorKind::BadMessage);
+    }
+    const auto provider = m_providers.find(std::string(asked->name));
+    if (provider == m_providers.end())
+        return refuse(Errors::ErrorKind::NotFound);
+    const Errors::Result<std::string> contents = provider->second(asked->contents);
+    if (!contents)
+        return refuse(contents.error().kind);
+    std::string sealed = m_codec.seal(frame(asked->name, asked->binding, contents.value()));
+    if (!m_options.budget->takePull(sealed.size() + pullHeadBytes, now()))
+        return refuse(Errors::ErrorKind::Overloaded);
+    responder.send(200, {{"content-type", "application/octet-stream"}}, std::move(sealed));
+}
+
+void PeerTransport::pull(const Runtime::SocketAddress &peer, const std::string &name,
+                         std::string argument, Pulled pulled)
+{
+    const MemberUpdate &self = m_options.membership->self();
+    const std::string binding = bindingOf(self.id, self.incarnation, ++m_pullNumber);
+    std::string sealed = m_codec.seal(frame(name, binding, argument));
+    if (!m_options.budget->takePull(sealed.size() + pullHeadBytes, now())) {
+        m_options.loop->post([pulled = std::move(pulled)] {
+            pulled(Errors::makeError(Errors::ErrorKind::Overloaded, "pull budget spent"));
+        });
+        return;
+    }
+    Http::Call call{.server = peer,
+                    .method = "POST",
+                    .target = std::string(pullPath) + name,
+                    .headers = {{"content-type", "application/octet-stream"}},
+                    .body = std::move(sealed),
+                    .connectTimeout = pullConnectTimeout,
+                    .headTimeout = pullTimeout,
+                    .progressTimeout = pullTimeout,
+                    .totalTimeout = 2 * pullTimeout,
+                    .maxBodyBytes = maxPullBytes};
+    Http::Hooks hooks;
+    hooks.finished = [this, binding, isAlive = m_isAlive,
+                      pulled = std::move(pulled)](Http::CallResult result) {
+        if (*isAlive)
+            finishPull(binding, std::move(result), pulled);
+    };
+    m_options.client->start(std::move(call), std::move(hooks));
+}
+
+void PeerTransport::finishPull(const std::string &binding, Http::CallResult result,
+                               const Pulled &pulled)
+{
+    using Errors::ErrorKind;
+    if (result.end != Http::CallEnd::Whole || result.status != 200) {
+        pulled(Errors::makeError(ErrorKind::EndpointUnreachable, "the peer gave no answer"));
+        return;
+    }
+    const std::optional<Opened> opened = m_codec.openPulled(result.body);
+    if (!opened) {
+        pulled(Errors::makeError(ErrorKind::WrongPeerKey, "the answer's seal is wrong"));
+        return;
+    }
+    const std::optional<Frame> answered = readFrame(opened->body);
+    if (!answered || answered->binding != binding) {
+        pulled(badMessage("the answer is not to this request"));
+        return;
+    }
+    pulled(std::string(answered->contents));
+}
+
+void PeerTransport::pullState(const Runtime::SocketAddress &peer, const StateRequest &request)
+{
+    Errors::Result<std::string> body = encodeStateRequest(request);
+    if (!body)
+        return;
+    pull(peer, std::string(stateName), std::move(body).value(),
+         [this](const Errors::Result<std::string> &answer) {
+             if (!answer)
+                 return;
+             const Errors::Result<StateAnswer> state = decodeStateAnswer(answer.value());
+             if (state)
+                 m_options.membership->mergeState(state.value(), now());
+         });
+}
+
+void PeerTransport::tick()
+{
+    m_options.membership->advance(now());
+    const Base::Duration wait = m_options.membership->nextDue() - now();
+    constexpr Base::Duration maxTick = std::chrono::milliseconds(50);
+    m_timer =
+        m_options.loop->timers().start(std::clamp(wait, minTick, maxTick), [this] { tick(); });
+}
+
+} // namespace Lagoonbank::Membership
--- /dev/null
+++ b/src/libs/membership/peertransport.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "errors/result.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "membership/controlbudget.h"
+#include "membership/membership.h"
+#include "membership/peercodec.h"
+#include "runtime/loop.h"
+#include "runtime/udpsocket.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Lagoonbank::Membership {
+
+/// Carries a Membership over the network: datagrams over UDP, pulls over TCP (HTTP with sealed
+/// bodies) on the same address and port number.
+class PeerTransport
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Http::Client *client = nullptr;
+        ControlBudget *budget = nullptr;
+        Membership *membership = nullptr;
+        Runtime::SocketAddress address; ///< Has to be that of Membership::self().
+        std::vector<std::string> keys; ///< See PeerCodec::checkKeys().
+    };
+    /// Answers a pull; `argument` is what the asker sent. Both are opaque here.
+    using Provider = std::function<Errors::Result<std::string>(std::string_view argument)>;
+    using Pulled = std::function<void(Errors::Result<std::string> answer)>;
+
+    /// Binds both sockets and starts the membership's clockwork.
+    static Errors::Result<std::unique_ptr<PeerTransport>> start(Options options);
+    ~PeerTransport();
+    PeerTransport(const PeerTransport &) = delete;
+    PeerTransport &operator=(const PeerTransport &) = delete;
+
+    /// Answers pulls of this name; a name is a word without slashes.
+    void setProvider(const std::string &name, Provider provider);
+    /// Asks a peer's provider; \a pulled is called once, never from within this call.
+    void pull(const Runtime::SocketAddress &peer, const std::string &name, std::string argument,
+              Pulled pulled);
+    void setKeys(std::vector<std::string> keys) { m_codec.setKeys(std::move(keys)); }
+    const PeerCodec &codec() const { return m_codec; }
+    const Runtime::SocketAddress &address() const { return m_socket->address(); }
+
+private:
+    explicit PeerTransport(Options options);
+    void connect();
+    void receive(const Runtime::SocketAddress &from, std::string_view datagram);
+    void answer(const Http::Request &request, Http::Responder &responder);
+    void finishPull(const std::string &binding, Http::CallResult result, const Pulled &pulled);
+    void pullState(const Runtime::SocketAddress &peer, const StateRequest &request);
+    void tick();
+    Base::MonoTime now() const { return m_options.loop->clock().now(); }
+
+    Options m_options;
+    PeerCodec m_codec;
+    std::unique_ptr<Runtime::UdpSocket> m_socket;
+    std::unique_ptr<Http::Server> m_server;
+    std::map<std::string, Provider> m_providers;
+    std::uint64_t m_pullNumber = 0;
+    Runtime::TimerId m_timer;
+    /// Pulls that end after this object is gone find it out by this.
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace Lagoonbank::Membership
--- a/tests/auto/membership/fakefleet.h
+++ b/tests/auto/membership/fakefleet.h
@@ -64,7 +64,7 @@
         }
         std::vector<Runtime::SocketAddress> seeds;
         for (std::size_t i = 0; i < std::min<std::size_t>(m_nodes.size(), 4); ++i)
-            seeds.push_back(toSocketAddress(m_nodes[i]->info));
+            seeds.push_back(Membership::toSocketAddress(m_nodes[i]->info));
         m_seeds = seeds;
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
             start(i, firstIncarnation);
@@ -206,7 +206,8 @@
                                                   const Membership::PeerMessage &message) {
             const auto found = m_byAddress.find({Membership::ipNumber(to.ip), to.port});
             if (found != m_byAddress.end())
-                launch(i, found->second, m_nodes[i]->codec->seal(encodeMessage(message).value()));
+                launch(i, found->second,
+                       m_nodes[i]->codec->seal(Membership::encodeMessage(message).value()));
         };
         node.membership->memberChanged = [this, i](const Membership::Member &member,
                                                    Membership::MemberEvent what) {
@@ -257,7 +258,7 @@
             return;
         std::optional<Membership::Sender> outdated;
         const auto opened = node.codec->open(flight.datagram, &outdated);
-        const Runtime::SocketAddress from = toSocketAddress(m_nodes[flight.from]->info);
+        const Runtime::SocketAddress from = Membership::toSocketAddress(m_nodes[flight.from]->info);
         if (outdated)
             node.membership->receiveOutdated(*outdated, from,
                                              node.codec->seenIncarnation(outdated->id), m_now);
@@ -281,7 +282,7 @@
         if (!isUp || (isCut && (isCut(pull.asker, pull.peer) || isCut(pull.peer, pull.asker))))
             return;
         const Membership::StateAnswer answer = peer.membership->answer(pull.request, m_now);
-        const std::string body = encodeStateAnswer(answer).value();
+        const std::string body = Membership::encodeStateAnswer(answer).value();
         ++asker.pulls;
         if (peer.budget->takePull(body.size(), m_now))
             asker.membership->mergeState(Membership::decodeStateAnswer(body).value(), m_now);
--- /dev/null
+++ b/tests/auto/membership/tst_peertransport.cpp
@@ -0,0 +1,105 @@
+#define BOOST_TEST_MODULE PeerTransport
+#include "membership/peertransport.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Membership;
+
+namespace {
+
+constexpr Base::Duration turn = std::chrono::milliseconds(20);
+constexpr int maxTurns = 1000;
+const std::string key = "0123456789abcdef";
+
+Runtime::SocketAddress freeAddress(Runtime::Loop &loop)
+{
+    auto socket = Runtime::UdpSocket::bind({.loop = &loop, .address = {"127.0.0.1", 0}});
+    return socket.value()->address();
+}
+
+struct Process
+{
+    Process(Runtime::Loop &loop, const std::string &id, std::vector<Runtime::SocketAddress> seeds,
+            std::vector<std::string> keys = {key})
+        : client({.loop = &loop})
+    {
+        const Runtime::SocketAddress address = freeAddress(loop);
+        membership = std::make_unique<Membership::Membership>(
+            Membership::Membership::Options{.self = {.id = id,
+                                                     .dataCentre = "gulberg",
+                                                     .region = "lahore",
+                                                     .ip = ipNumber(address.ip),
+                                                     .port = address.port,
+                                                     .incarnation = 1},
+                                            .seeds = std::move(seeds),
+                                            .budget = &budget},
+            loop.clock().now());
+        transport = PeerTransport::start({.loop = &loop,
+                                          .client = &client,
+                                          .budget = &budget,
+                                          .membership = membership.get(),
+                                          .address = address,
+                                          .keys = std::move(keys)})
+                        .value();
+    }
+
+    ControlBudget budget;
+    Http::Client client;
+    std::unique_ptr<Membership::Membership> membership;
+    std::unique_ptr<PeerTransport> transport;
+};
+
+template<typename Done>
+bool runUntil(Runtime::Loop &loop, Done done)
+{
+    for (int i = 0; i < maxTurns && !done(); ++i)
+        loop.runOnce(turn);
+    return done();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(processesFindEachOtherAndPull)
+{
+    Runtime::Loop loop;
+    Process a(loop, "vm-a/router", {});
+    Process b(loop, "vm-b/router", {a.transport->address()});
+    Process c(loop, "vm-c/router", {a.transport->address()});
+    const auto isWhole = [&] {
+        return a.membership->table().aliveCount() == 3 && b.membership->table().aliveCount() == 3
+            && c.membership->table().aliveCount() == 3;
+    };
+    BOOST_REQUIRE(runUntil(loop, isWhole));
+    BOOST_TEST(a.budget.spentBytes(ControlTraffic::Pull) > 0U);
+
+    a.transport->setProvider("configuration",
+                             [](std::string_view argument) -> Errors::Result<std::string> {
+                                 return "since " + std::string(argument);
+                             });
+    std::string answer;
+    b.transport->pull(a.transport->address(), "configuration", "7",
+                      [&](const Errors::Result<std::string> &pulled) { answer = pulled.value(); });
+    BOOST_TEST(runUntil(loop, [&] { return !answer.empty(); }));
+    BOOST_TEST(answer == "since 7");
+}
+
+BOOST_AUTO_TEST_CASE(strangersAreDropped)
+{
+    Runtime::Loop loop;
+    Process a(loop, "vm-a/router", {});
+    Process stranger(loop, "vm-x/router", {a.transport->address()}, {"another-key-0123"});
+    BOOST_REQUIRE(
+        runUntil(loop, [&] { return a.transport->codec().drops(DropReason::WrongKey) > 0; }));
+    BOOST_TEST(a.membership->table().aliveCount() == 1U);
+
+    bool isRefused = false;
+    stranger.transport->pull(
+        a.transport->address(), "membership", {},
+        [&](const Errors::Result<std::string> &pulled) { isRefused = !pulled.has_value(); });
+    BOOST_TEST(runUntil(loop, [&] { return isRefused; }));
+}
