--- /dev/null
+++ b/src/libs/orders/orderplan.cpp
@@ -0,0 +1,98 @@
+#include "orders/orderplan.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Orders {
+
+namespace {
+
+template<typename T>
+void keepDifference(std::optional<T> &set, const std::optional<T> &desired,
+                    const std::optional<T> &seen)
+{
+    if (desired && desired != seen)
+        set = desired;
+}
+
+std::uint64_t hashOf(const std::string &text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+std::optional<Order> planOrder(const Base::EndpointId &endpoint, const EndpointSettings &desired,
+                               const EndpointSettings &seen, Base::Revision revision)
+{
+    Order order{.endpoint = endpoint};
+    keepDifference(order.set.model, desired.model, seen.model);
+    keepDifference(order.set.adapter, desired.adapter, seen.adapter);
+    keepDifference(order.set.version, desired.version, seen.version);
+    keepDifference(order.set.role, desired.role, seen.role);
+    keepDifference(order.set.draining, desired.draining, seen.draining);
+    if (order.set.isEmpty())
+        return std::nullopt;
+    order.loadsWeights = order.set.model || order.set.adapter || order.set.version;
+    const std::string wish = order.set.model.value_or("-") + '|' + order.set.adapter.value_or("-")
+        + '|' + order.set.version.value_or("-") + '|' + order.set.role.value_or("-") + '|'
+        + (order.set.draining ? (*order.set.draining ? "1" : "0") : "-");
+    order.id = endpoint.value() + '@' + std::to_string(revision.value()) + '-'
+        + std::to_string(hashOf(wish));
+    return order;
+}
+
+bool WeightLoads::mayStart(Base::MonoTime now)
+{
+    std::erase_if(m_running,
+                  [&](const auto &load) { return now - load.second > m_options.longest; });
+    return now >= m_nextAt && m_running.size() < m_options.maxRunning;
+}
+
+void WeightLoads::started(const Base::EndpointId &endpoint, Base::MonoTime now)
+{
+    m_running[endpoint] = now;
+    m_nextAt = std::max(m_nextAt, now + m_options.spacing);
+}
+
+void WeightLoads::refused(const Base::EndpointId &endpoint, Base::Duration retryAfter,
+                          Base::MonoTime now)
+{
+    m_running.erase(endpoint);
+    m_nextAt = std::max(m_nextAt, now + retryAfter);
+}
+
+DrainStep nextDrainStep(const DrainView &view, Base::Duration longestExport)
+{
+    if (!view.isDraining)
+        return DrainStep::OrderDraining;
+    if (view.chatsToExport > 0 && view.sinceDraining < longestExport)
+        return DrainStep::ExportCache;
+    return view.inFlight > 0 ? DrainStep::Wait : DrainStep::Done;
+}
+
+ProbeSchedule::Result ProbeSchedule::probesOf(const std::string &member,
+                                              const std::vector<std::string> &members,
+                                              const std::vector<Base::EndpointId> &endpoints) const
+{
+    Result result{.period = m_options.period};
+    for (const Base::EndpointId &endpoint : endpoints) {
+        const auto weight = [&](const std::string &name) {
+            return std::pair(hashOf(name + '|' + endpoint.value()), name);
+        };
+        const auto own = weight(member);
+        const auto above =
+            std::count_if(members.begin(), members.end(), [&](const std::string &other) {
+                return other != member && weight(other) > own;
+            });
+        if (static_cast<std::size_t>(above) < m_options.probersPerEndpoint)
+            result.endpoints.push_back(endpoint);
+    }
+    const double cost = static_cast<double>(result.endpoints.size()) * m_options.bytesPerProbe;
+    result.period = std::max(result.period, Base::fromSeconds(cost / m_options.bytesPerSecond));
+    return result;
+}
+
+} // namespace Lagoonbank::Orders
