--- a/bench/http/http_proxy.cpp
+++ b/bench/http/http_proxy.cpp
@@ -55,8 +55,7 @@
                         .body = std::move(request.body)};
         m_upstream.start(std::move(call),
                          {.finished = [responder = std::move(responder)](Http::CallResult result) {
-                             responder->send(result.status, result.headers,
-                                             std::move(result.body));
+                             responder->send(result.status, result.headers, std::move(result.body));
                          }});
     }
 
--- a/src/libs/configuration/rules.cpp
+++ b/src/libs/configuration/rules.cpp
@@ -1,7 +1,7 @@
 #include "configuration/rules.h"
 
 #include <algorithm>
-#include <map>
+#include <tuple>
 
 namespace Lagoonbank::Configuration {
 
@@ -216,8 +216,7 @@
     }
     std::ranges::sort(
         errors, {}, [](const auto &error) { return std::tie(error.file, error.line, error.text); });
-    const auto repeated = std::ranges::unique(errors);
-    errors.erase(repeated.begin(), repeated.end());
+    errors.erase(std::unique(errors.begin(), errors.end()), errors.end());
     return errors;
 }
 
