Http: Check the names of certificates and offer HTTP/1.1 over TLS

The event loop's library takes any name of a certificate that its authority signed, so a call that asked for two.test was answered by one.test. OpenSSL now checks the name or the address itself. ALPN offered HTTP/2 alone; it offers both.

--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -135,6 +135,12 @@
     }
     const std::string name =
         self.m_call.serverName.empty() ? self.m_call.server.ip : self.m_call.serverName;
+    // The connection takes its checks over from the context when it is made, just below.
+    X509_VERIFY_PARAM *checks = SSL_CTX_get0_param(self.m_context.tls);
+    X509_VERIFY_PARAM_set1_host(checks, nullptr, 0);
+    X509_VERIFY_PARAM_set1_ip(checks, nullptr, 0);
+    if (X509_VERIFY_PARAM_set1_ip_asc(checks, name.c_str()) != 1)
+        X509_VERIFY_PARAM_set1_host(checks, name.c_str(), name.size());
     h2o_socket_ssl_handshake(socket, self.m_context.tls, name.c_str(), secured);
 }
 
--- a/src/libs/http/h2oresponder.cpp
+++ b/src/libs/http/h2oresponder.cpp
@@ -191,7 +191,7 @@
     // Dissolving the association resets the connection.
     sockaddr none{};
     none.sa_family = AF_UNSPEC;
-    connect(fd, &none, sizeof none);
+    static_cast<void>(connect(fd, &none, sizeof none));
 }
 
 void H2oResponder::reportGone()
--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -173,7 +173,7 @@
 
 Errors::Result<void> H2oServer::loadTls()
 {
-    const auto bad = [this](std::string_view what, const std::string &file) {
+    const auto bad = [](std::string_view what, const std::string &file) {
         return Errors::makeError(Errors::ErrorKind::BadSettings,
                                  "cannot read the " + std::string(what) + " in " + file
                                      + "; it must be PEM and the two must belong together");
@@ -192,7 +192,7 @@
         || SSL_CTX_check_private_key(context.get()) != 1) {
         return bad("key", m_options.tls->keyFile);
     }
-    h2o_ssl_register_alpn_protocols(context.get(), h2o_http2_alpn_protocols);
+    h2o_ssl_register_alpn_protocols(context.get(), h2o_alpn_protocols);
     // Connections that are open hold their own reference.
     SSL_CTX_up_ref(context.get());
     if (m_accept.ssl_ctx)
--- a/src/libs/runtime/timerqueue.cpp
+++ b/src/libs/runtime/timerqueue.cpp
@@ -15,7 +15,7 @@
 {
     const TimerId id{++m_lastId};
     m_entries.push({m_clock.now() + std::max(delay, Base::Duration::zero()), id});
-    m_callbacks.emplace(id, std::move(callback));
+    m_callbacks.insert_or_assign(id, std::move(callback));
     return id;
 }
 
