--- a/src/libs/timeline/outcomering.h
+++ b/src/libs/timeline/outcomering.h
@@ -34,6 +34,14 @@
     /// The latest request with this key.
     const Outcome *find(const Base::WorkspaceId &workspace, const Base::IdempotencyKey &key) const;
 
+    /// Visits all outcomes, oldest first.
+    template<typename Visitor>
+    void forEach(Visitor visitor) const
+    {
+        for (const Entry &entry : m_entries)
+            visitor(entry.outcome);
+    }
+
     std::size_t size() const { return m_entries.size(); }
     std::size_t running() const { return m_running; }
     /// Outcomes that are no longer kept.
