Router: Let a request wait a moment for the engine that holds its chat

Cause: a wait for the one engine that holds a chat stood in the queue of its pool and held up requests for other engines. Change: such a request is looked at again every 50 ms outside of the queue.

--- a/src/libs/router/placer.cpp
+++ b/src/libs/router/placer.cpp
@@ -15,6 +15,8 @@
 /// Above all that can be meant: work units, or milliseconds since 1970.
 constexpr double largestAmount = 1e15;
 constexpr std::int64_t oldestReportMs = 60'000;
+/// How often a request that waits for the engine that holds its chat is looked at again.
+constexpr Base::Duration warmRetryInterval = std::chrono::milliseconds(50);
 
 Routing::ExchangeResult healthOf(const Exchange::AttemptResult &result)
 {
@@ -143,14 +145,16 @@
     return request;
 }
 
-Routing::Decision Placer::choose(const Exchange::RouteQuery &query)
+Routing::Decision Placer::choose(const Exchange::RouteQuery &query, Base::Duration waited)
 {
     const Base::MonoTime started = m_loop.clock().now();
     std::optional<Routing::Placement> token;
     if (!query.placementToken.empty())
         token =
             m_routing.tokens().read(query.placementToken, query.chatHash, m_loop.clock().wallNow());
-    const Routing::Decision decision = m_routing.choose(requestOf(query), token);
+    Routing::RouteRequest request = requestOf(query);
+    request.waited = waited;
+    const Routing::Decision decision = m_routing.choose(request, token);
     if (decided)
         decided(m_loop.clock().now() - started, decision);
     return decision;
@@ -186,33 +190,71 @@
 Exchange::Abandon Placer::place(const Exchange::RouteQuery &query,
                                 std::function<void(Exchange::Placement)> placed)
 {
-    const Routing::Decision decision = choose(query);
+    const Routing::Decision decision = choose(query, {});
     if (decision.outcome == Routing::Outcome::Send) {
         placed(send(query, decision));
         return {};
     }
-    Routing::WaitQueue &queue = queueOf(query);
-    if (decision.outcome == Routing::Outcome::Refuse) {
-        placed(refusalOf(decision.refusal, queue));
-        return {};
-    }
     const std::uint64_t ticket = ++m_lastTicket;
-    m_waiting.emplace(ticket, Waiting{query, std::move(placed), &queue});
-    const auto refused =
-        queue.push({.ticket = ticket,
-                    .priority = static_cast<std::uint8_t>(std::clamp(query.priority, 0, 255)),
-                    .deadline = query.deadline},
-                   m_loop.clock().now());
-    if (refused) {
-        giveUp(ticket, *refused);
-        return {};
-    }
-    return [this, ticket, &queue] {
-        queue.remove(ticket);
-        m_waiting.erase(ticket);
+    m_waiting.emplace(ticket, Waiting{query, std::move(placed), m_loop.clock().now(), nullptr});
+    settle(ticket, decision);
+    return [this, ticket] {
+        const auto found = m_waiting.find(ticket);
+        if (found == m_waiting.end())
+            return;
+        if (found->second.queue)
+            found->second.queue->remove(ticket);
+        m_waiting.erase(found);
     };
 }
 
+/// Acts on a decision for a request that waits outside of the queues.
+void Placer::settle(std::uint64_t ticket, const Routing::Decision &decision)
+{
+    if (decision.outcome == Routing::Outcome::Wait) {
+        if (decision.why == Routing::Why::WarmFull)
+            waitForWarm(ticket);
+        else
+            enqueue(ticket);
+        return;
+    }
+    const auto found = m_waiting.find(ticket);
+    const Waiting waiting = std::move(found->second);
+    m_waiting.erase(found);
+    if (decision.outcome == Routing::Outcome::Send)
+        waiting.placed(send(waiting.query, decision));
+    else
+        waiting.placed(refusalOf(decision.refusal, queueOf(waiting.query)));
+}
+
+void Placer::waitForWarm(std::uint64_t ticket)
+{
+    m_loop.timers().start(warmRetryInterval, [this, ticket] { tryAgain(ticket); });
+}
+
+void Placer::tryAgain(std::uint64_t ticket)
+{
+    const auto found = m_waiting.find(ticket);
+    if (found == m_waiting.end())
+        return;
+    const Base::Duration waited = m_loop.clock().now() - found->second.since;
+    settle(ticket, choose(found->second.query, waited));
+}
+
+void Placer::enqueue(std::uint64_t ticket)
+{
+    Waiting &waiting = m_waiting.find(ticket)->second;
+    Routing::WaitQueue &queue = queueOf(waiting.query);
+    waiting.queue = &queue;
+    const auto refused = queue.push(
+        {.ticket = ticket,
+         .priority = static_cast<std::uint8_t>(std::clamp(waiting.query.priority, 0, 255)),
+         .deadline = waiting.query.deadline},
+        m_loop.clock().now());
+    if (refused)
+        giveUp(ticket, *refused);
+}
+
 void Placer::giveUp(std::uint64_t ticket, ErrorKind kind)
 {
     const auto found = m_waiting.find(ticket);
@@ -243,7 +285,8 @@
 {
     while (const auto ticket = queue.front()) {
         const auto found = m_waiting.find(*ticket);
-        const Routing::Decision decision = choose(found->second.query);
+        const Base::Duration waited = m_loop.clock().now() - found->second.since;
+        const Routing::Decision decision = choose(found->second.query, waited);
         if (decision.outcome == Routing::Outcome::Wait)
             return;
         queue.pop(m_loop.clock().now());
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -70,6 +70,8 @@
     {
         Exchange::RouteQuery query;
         std::function<void(Exchange::Placement)> placed;
+        Base::MonoTime since;
+        /// Null for one that waits a moment for the engine that holds its chat.
         Routing::WaitQueue *queue = nullptr;
     };
     struct Running
@@ -80,7 +82,11 @@
 
     static std::string poolOf(const Exchange::RouteQuery &query);
     Routing::RouteRequest requestOf(const Exchange::RouteQuery &query) const;
-    Routing::Decision choose(const Exchange::RouteQuery &query);
+    Routing::Decision choose(const Exchange::RouteQuery &query, Base::Duration waited);
+    void waitForWarm(std::uint64_t ticket);
+    void tryAgain(std::uint64_t ticket);
+    void settle(std::uint64_t ticket, const Routing::Decision &decision);
+    void enqueue(std::uint64_t ticket);
     Exchange::Target send(const Exchange::RouteQuery &query, const Routing::Decision &decision);
     Exchange::Refusal refusalOf(Errors::ErrorKind kind, const Routing::WaitQueue &queue) const;
     Routing::WaitQueue &queueOf(const Exchange::RouteQuery &query);
