Http: Let many servers of a loop share one context

Each context of h2o costs every turn of the loop its timeouts. Programs with hundreds of servers set Server::Options::sharesContext. Sent bytes that a caller does not acknowledge for 30 s now end its connection.

--- a/bench/http/http_proxy.cpp
+++ b/bench/http/http_proxy.cpp
@@ -107,12 +107,10 @@
     std::size_t m_failed = 0;
 };
 
-void measure(benchmark::State &state, bool throughProxy)
+void measure(benchmark::State &state, Runtime::Loop &loop, bool throughProxy, std::size_t inFlight)
 {
-    Runtime::Loop loop;
     Pair pair(loop);
     Load load(loop, throughProxy ? pair.proxy() : pair.origin());
-    const auto inFlight = static_cast<std::size_t>(state.range(0));
     std::size_t sent = 0;
     std::size_t done = 0;
     for (auto _ : state) {
@@ -134,14 +132,44 @@
 
 void BM_ServerAlone(benchmark::State &state)
 {
-    measure(state, false);
+    Runtime::Loop loop;
+    measure(state, loop, false, static_cast<std::size_t>(state.range(0)));
 }
 
 void BM_ThroughProxy(benchmark::State &state)
 {
-    measure(state, true);
+    Runtime::Loop loop;
+    measure(state, loop, true, static_cast<std::size_t>(state.range(0)));
+}
+
+/// Idle servers in the same process: what each costs the others.
+void besideIdleServers(benchmark::State &state, bool shareContext)
+{
+    Runtime::Loop loop;
+    std::vector<std::unique_ptr<Http::Server>> idle;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        const std::string ip =
+            "127.9." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1);
+        idle.push_back(std::make_unique<Http::Server>(Http::Server::Options{
+            .loop = &loop, .address = {ip, 0}, .sharesContext = shareContext}));
+        if (!idle.back()->listen())
+            std::abort();
+    }
+    measure(state, loop, false, 1);
+}
+
+void BM_BesideIdleServers(benchmark::State &state)
+{
+    besideIdleServers(state, false);
+}
+
+void BM_BesideIdleSharingServers(benchmark::State &state)
+{
+    besideIdleServers(state, true);
 }
 
+BENCHMARK(BM_BesideIdleServers)->Arg(0)->Arg(100)->Arg(400);
+BENCHMARK(BM_BesideIdleSharingServers)->Arg(400);
 BENCHMARK(BM_ServerAlone)->Arg(1)->Arg(16)->Arg(128);
 BENCHMARK(BM_ThroughProxy)->Arg(1)->Arg(16)->Arg(128);
 
--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -23,9 +23,6 @@
 
 namespace {
 
-/// h2o's own timeouts run on the wall clock, so they are set where they never fire: a year. They
-/// must stay below the wall clock's time since 1970, from which h2o subtracts them.
-constexpr std::uint64_t neverMilliseconds = 365ULL * 24 * 3600 * 1000;
 /// How often connections are looked at for slow senders and resets.
 constexpr Base::Duration sweepInterval = std::chrono::milliseconds(250);
 /// How long a connection may stay without a request.
@@ -33,12 +30,6 @@
 constexpr int maxAcceptsPerTurn = 32;
 constexpr int listenBacklog = 4096;
 
-struct Handler
-{
-    h2o_handler_t super;
-    H2oServer *server;
-};
-
 std::string_view view(h2o_iovec_t text)
 {
     return {text.base, text.len};
@@ -102,23 +93,12 @@
 H2oServer::H2oServer(Server::Options options)
     : m_options(std::move(options))
     , m_loop(*m_options.loop)
+    , m_context(m_options.sharesContext
+                    ? H2oContext::shared(m_loop, m_options.maxBodyBytes, handleRequest)
+                    : std::make_shared<H2oContext>(m_loop, m_options.maxBodyBytes, handleRequest))
 {
-    h2o_config_init(&m_configuration);
-    m_configuration.server_name = h2o_iovec_init(H2O_STRLIT("lagoonbank"));
-    m_configuration.max_request_entity_size = m_options.maxBodyBytes;
-    m_configuration.handshake_timeout = neverMilliseconds;
-    m_configuration.http1.req_timeout = neverMilliseconds;
-    m_configuration.http2.idle_timeout = neverMilliseconds;
-    h2o_hostconf_t *host =
-        h2o_config_register_host(&m_configuration, h2o_iovec_init(H2O_STRLIT("default")), 65535);
-    installErrorFilter(&host->fallback_path);
-    auto *entry =
-        reinterpret_cast<Handler *>(h2o_create_handler(&host->fallback_path, sizeof(Handler)));
-    entry->super.on_req = handleRequest;
-    entry->server = this;
-    h2o_context_init(&m_context, m_loop.native(), &m_configuration);
-    m_accept.ctx = &m_context;
-    m_accept.hosts = m_configuration.hosts;
+    m_accept.ctx = m_context->native();
+    m_accept.hosts = m_context->hosts();
 }
 
 H2oServer::~H2oServer()
@@ -127,16 +107,6 @@
         m_loop.timers().cancel(*m_sweepTimer);
     if (m_listener)
         h2o_socket_close(m_listener);
-    // h2o leaves this one linked after a request to shut down.
-    if (h2o_timeout_is_linked(&m_context.http2._graceful_shutdown_timeout))
-        h2o_timeout_unlink(&m_context.http2._graceful_shutdown_timeout);
-    // h2o closes its queue and does not free it.
-    static_assert(H2O_LIBRARY_VERSION_MAJOR == 0 && H2O_LIBRARY_VERSION_MINOR == 13,
-                  "look again whether h2o frees its queue");
-    h2o_multithread_queue_t *queue = m_context.queue;
-    h2o_context_dispose(&m_context);
-    std::free(queue); // NOLINT(cppcoreguidelines-no-malloc)
-    h2o_config_dispose(&m_configuration);
     if (m_accept.ssl_ctx)
         SSL_CTX_free(m_accept.ssl_ctx);
 }
@@ -212,16 +182,22 @@
     m_isStopping = true;
     if (m_listener)
         h2o_socket_close(std::exchange(m_listener, nullptr));
-    h2o_context_request_shutdown(&m_context);
+    if (!m_options.sharesContext)
+        h2o_context_request_shutdown(m_context->native());
     for (ServerConnection *connection : m_connections) {
         for (H2oResponder *responder : connection->open)
             responder->closeAfterAnswer();
-        const bool isIdle = connection->open.empty() && connection->socket->input->size == 0;
-        if (isIdle && !connection->isHttp2)
-            shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+        if (!connection->isHttp2 || m_options.sharesContext)
+            closeIfIdle(*connection);
     }
 }
 
+void H2oServer::closeIfIdle(ServerConnection &connection)
+{
+    if (connection.open.empty() && connection.socket->input->size == 0)
+        shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
+}
+
 void H2oServer::shutDown()
 {
     handler = nullptr;
@@ -252,8 +228,11 @@
 
 void H2oServer::start(h2o_socket_t *socket)
 {
+    const int fd = h2o_socket_get_fd(socket);
     const int on = 1;
-    setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto unacknowledged = static_cast<unsigned>(Base::toMilliseconds(m_options.userTimeout));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
     auto *connection = new ServerConnection{.server = this,
                                             .socket = socket,
                                             .peer = peerOf(socket),
@@ -277,9 +256,9 @@
         server->m_loop.post([last = std::exchange(server->m_self, nullptr)] {});
 }
 
-int H2oServer::handleRequest(h2o_handler_t *handler, h2o_req_t *request)
+int H2oServer::handleRequest(h2o_handler_t * /*handler*/, h2o_req_t *request)
 {
-    return reinterpret_cast<Handler *>(handler)->server->dispatch(request);
+    return connectionOf(request)->server->dispatch(request);
 }
 
 int H2oServer::dispatch(h2o_req_t *source)
@@ -340,6 +319,8 @@
     for (ServerConnection *connection : m_connections) {
         if (connection->open.empty())
             cutIfSlow(*connection, now);
+        if (m_isStopping && m_options.sharesContext)
+            closeIfIdle(*connection);
     }
     findResets();
 }
--- a/src/libs/http/h2oserver.h
+++ b/src/libs/http/h2oserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/h2ocontext.h"
 #include "http/h2oresponder.h"
 #include "http/server.h"
 #include "runtime/loop.h"
@@ -64,11 +65,11 @@
     void sweep();
     void cutIfSlow(ServerConnection &connection, Base::MonoTime now);
     void findResets();
+    static void closeIfIdle(ServerConnection &connection);
 
     Server::Options m_options;
     Runtime::Loop &m_loop;
-    h2o_globalconf_t m_configuration{};
-    h2o_context_t m_context{};
+    std::shared_ptr<H2oContext> m_context;
     h2o_accept_ctx_t m_accept{};
     h2o_socket_t *m_listener = nullptr;
     std::optional<Runtime::TimerId> m_sweepTimer;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -5,6 +5,7 @@
 #include "http/headers.h"
 #include "runtime/udpsocket.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -69,7 +70,14 @@
         std::size_t maxBodyBytes = 8 * 1024 * 1024;
         Base::Duration requestTimeout =
             std::chrono::seconds(10); ///< For a whole request to come in.
+        /// TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged, by a caller that vanished
+        /// or does not read.
+        Base::Duration userTimeout = std::chrono::seconds(30);
         std::optional<Tls> tls;
+        /// Set by programs with hundreds of servers on a loop, so that the idle ones cost nothing.
+        /// stopAccepting() then closes HTTP/2 connections when they are idle, without telling
+        /// before.
+        bool sharesContext = false;
     };
     using Handler = std::function<void(Request request, std::shared_ptr<Responder> responder)>;
 
--- a/tests/auto/http/tst_protocols.cpp
+++ b/tests/auto/http/tst_protocols.cpp
@@ -124,7 +124,7 @@
                                reinterpret_cast<const unsigned char *>(name.c_str()), -1, -1, 0);
     X509_set_issuer_name(certificate.get(), subject);
     X509_sign(certificate.get(), key.get(), EVP_sha256());
-    const Server::Tls files{folder / "certificate.pem", folder / "key.pem"};
+    Server::Tls files{folder / "certificate.pem", folder / "key.pem"};
     std::FILE *certificateFile = std::fopen(files.certificateFile.c_str(), "w");
     PEM_write_X509(certificateFile, certificate.get());
     std::fclose(certificateFile);
--- a/tests/auto/http/tst_server.cpp
+++ b/tests/auto/http/tst_server.cpp
@@ -374,6 +374,34 @@
     BOOST_TEST(f.server->openConnections() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(serversThatShareAContextStopAlone)
+{
+    PausedLoop loop;
+    const auto make = [&](const std::string &name) {
+        auto server = std::make_unique<Server>(Server::Options{
+            .loop = &loop.loop, .address = {"127.0.0.1", 0}, .sharesContext = true});
+        server->setHandler([name](const Request &, const std::shared_ptr<Responder> &responder) {
+            responder->send(200, {}, name);
+        });
+        BOOST_REQUIRE(server->listen());
+        return server;
+    };
+    auto first = make("first");
+    const auto second = make("second");
+    RawSocket toFirst(first->address());
+    RawSocket toSecond(second->address());
+    toFirst.send(get);
+    toSecond.send(get);
+    BOOST_TEST(loop.runUntil([&] { return toFirst.has("first") && toSecond.has("second"); }));
+    first->stopAccepting();
+    BOOST_TEST(loop.runUntil([&] { return toFirst.isEnded(); }));
+    first.reset();
+    toSecond.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    BOOST_TEST(
+        loop.runUntil([&] { return toSecond.receive().find("second", 200) != std::string::npos; }));
+    BOOST_TEST(!toSecond.has("Connection: close"));
+}
+
 BOOST_AUTO_TEST_CASE(destroyedServerBreaksOffItsConnections)
 {
     Fixture f;
