--- a/bench/routing/policymodel/fleetmodel.cpp
+++ b/bench/routing/policymodel/fleetmodel.cpp
@@ -158,8 +158,8 @@
 void FleetModel::turn(std::uint32_t chat)
 {
     Chat &state = m_chats[chat];
-    const bool long_ = chat % 50 == 1;
-    std::lognormal_distribution<double> promptDraw(long_ ? 8.5 : 4.6, 0.6);
+    const bool restocks = chat % 50 == 1;
+    std::lognormal_distribution<double> promptDraw(restocks ? 8.5 : 4.6, 0.6);
     std::lognormal_distribution<double> outputDraw(4.8, 0.6);
     const auto added = static_cast<std::int64_t>(promptDraw(m_random)) + 1;
     if (state.tokens > longestChat)
@@ -183,6 +183,7 @@
         .promptTokens = Base::Tokens(job.prompt),
         .expectedOutput = Base::Tokens(static_cast<std::int64_t>(expectedOutput)),
         .priority = job.priority,
+        .waited = Base::fromSeconds(m_now - job.arrivedAt),
     };
     const Chat &chat = m_chats[job.chat];
     const bool brings = Routing::mixHashes(job.chat, 1) % 1000 < m_scenario.tokenShare * 1000;
@@ -196,8 +197,10 @@
         at(m_now + retryTime, [this, job] { route(job); });
         return;
     }
-    if (m_now >= m_scenario.warmUp)
+    if (m_now >= m_scenario.warmUp) {
         ++m_figures.refused;
+        m_figures.refusedUrgent += job.priority == 0 ? 1 : 0;
+    }
     const std::uint32_t again = job.chat;
     at(m_now + exponential(m_scenario.meanPause), [this, again] { turn(again); });
 }
@@ -380,6 +383,7 @@
                                       : std::accumulate(m_waits.begin(), m_waits.end(), 0.0)
             / static_cast<double>(m_waits.size());
     result.waitP95 = quantile(m_waits, 0.95);
+    result.estimateErrorP50 = quantile(m_errors, 0.5);
     result.estimateErrorP99 = quantile(m_errors, 0.99);
     return result;
 }
