--- a/tests/auto/orders/tst_orderplan.cpp
+++ b/tests/auto/orders/tst_orderplan.cpp
@@ -77,9 +77,11 @@
 {
     const ProbeSchedule schedule({.probersPerEndpoint = 2});
     std::vector<std::string> members;
+    members.reserve(25);
     for (int i = 0; i < 25; ++i)
         members.push_back("vm-" + std::to_string(i) + "/controller");
     std::vector<EndpointId> endpoints;
+    endpoints.reserve(120);
     for (int i = 0; i < 120; ++i)
         endpoints.emplace_back("engine-" + std::to_string(i));
     std::map<EndpointId, int> probers;
