--- a/src/libs/node/configurationfollower.cpp
+++ b/src/libs/node/configurationfollower.cpp
@@ -49,12 +49,14 @@
 
 void ConfigurationFollower::makeTailer()
 {
+    // The verdict on a repeated record follows from the state, so that none may be left out.
     m_tailer = std::make_unique<Platform::Tailer>(
         Platform::Tailer::Options{.log = m_log,
                                   .timers = &m_loop.timers(),
                                   .stream = std::string(Configuration::streamName),
                                   .from = m_reducer.next(),
-                                  .wait = longPoll});
+                                  .wait = longPoll,
+                                  .rememberedIds = 0});
     m_tailer->setRecordReceived([this](const Platform::StoredRecord &stored) {
         const Configuration::LogRecord record{stored.offset, stored.id, stored.data};
         m_reducer.recordRead(record);
