Router: Count down the work of an answer as its tokens come

Cause: the estimate took a request's whole work off when it ended, while the engine's report had counted only what was left of it, so that loads were estimated too low after each end. Change: each piece of an answer takes its tokens' work off, the first one the prompt's. An endpoint that joins a running router starts with a cold cache.

--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -137,7 +137,10 @@
 
 void Exchange::countAnswerTokens(std::int64_t count)
 {
+    const bool isFirst = m_attemptTokens == 0;
     m_attemptTokens += count;
+    if (m_options.hooks.progressed)
+        m_options.hooks.progressed(*m_target, Base::Tokens(count), isFirst);
     m_end.answerTokens += Base::Tokens(count);
 }
 
--- a/src/libs/exchange/exchange.h
+++ b/src/libs/exchange/exchange.h
@@ -94,6 +94,8 @@
     /// Finds an endpoint; \a placed is called once, at once or later, unless abandoned.
     std::function<Abandon(const RouteQuery &query, std::function<void(Placement)> placed)> place;
     std::function<void(const Target &target)> attemptStarted;
+    /// Tokens of the answer have come; \a isFirst with the first ones of an attempt.
+    std::function<void(const Target &target, Base::Tokens tokens, bool isFirst)> progressed;
     std::function<void(const AttemptResult &result)> attemptEnded;
     /// Decides about a further attempt and charges it to its budgets.
     std::function<Retry::RetryDecision(
--- a/src/libs/exchange/modelexchange.cpp
+++ b/src/libs/exchange/modelexchange.cpp
@@ -62,10 +62,13 @@
 {
     if (!m_isStream)
         return;
+    const std::int64_t before = m_nextIndex;
     const bool isReadable = m_reader.read(piece, [this](const StreamEvent &event) {
         if (!m_isMalformed && !m_done)
             onEvent(event);
     });
+    if (m_nextIndex > before)
+        countAnswerTokens(m_nextIndex - before);
     if (!isReadable || m_isMalformed) {
         failAttempt({ErrorKind::EndpointBroke, "The stream is malformed.", Ran::Unknown});
         return;
@@ -95,7 +98,6 @@
     m_text += event.text;
     if (m_call.stream)
         m_unsent += event.text;
-    countAnswerTokens(1);
 }
 
 void ModelExchange::forward()
--- a/src/libs/router/callerapi.cpp
+++ b/src/libs/router/callerapi.cpp
@@ -310,6 +310,10 @@
                 if (attemptStarted)
                     attemptStarted(context->info, target);
             },
+        .progressed =
+            [this](const Exchange::Target &target, Base::Tokens tokens, bool isFirst) {
+                m_options.placer->attemptProgressed(target, tokens, isFirst);
+            },
         .attemptEnded =
             [this, context](const Exchange::AttemptResult &result) {
                 m_options.placer->attemptEnded(result);
--- a/src/libs/router/placer.cpp
+++ b/src/libs/router/placer.cpp
@@ -163,8 +163,11 @@
 Exchange::Target Placer::send(const Exchange::RouteQuery &query, const Routing::Decision &decision)
 {
     const std::uint64_t ticket = ++m_lastTicket;
-    m_running.emplace(ticket,
-                      Running{m_routing.noteSent(decision, m_loop.clock().now()), query.chatHash});
+    const auto prefill = static_cast<double>(
+        std::max<std::int64_t>(0, query.promptTokens.value() - decision.expectedCached.value()));
+    m_running.emplace(
+        ticket,
+        Running{m_routing.noteSent(decision, m_loop.clock().now()), Base::WorkUnits(prefill)});
     const Routing::EndpointInfo &info = m_routing.endpoints().info(decision.endpoint);
     Exchange::Target target{.endpoint = info.id,
                             .work = decision.work,
@@ -310,7 +313,18 @@
     const Routing::Decision decision{
         .outcome = Routing::Outcome::Send, .endpoint = endpoint, .work = target.work};
     m_running.emplace(target.ticket,
-                      Running{m_routing.noteSent(decision, m_loop.clock().now()), 0});
+                      Running{m_routing.noteSent(decision, m_loop.clock().now()), {}});
+}
+
+void Placer::attemptProgressed(const Exchange::Target &target, Base::Tokens tokens, bool isFirst)
+{
+    const auto found = m_running.find(target.ticket);
+    if (found == m_running.end())
+        return;
+    Base::WorkUnits done(m_routing.outputWeight() * static_cast<double>(tokens.value()));
+    if (isFirst)
+        done += found->second.prefill;
+    m_routing.noteProgress(&found->second.sent, done, m_loop.clock().now());
 }
 
 void Placer::attemptEnded(const Exchange::AttemptResult &result)
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -52,6 +52,8 @@
     Exchange::Abandon place(const Exchange::RouteQuery &query,
                             std::function<void(Exchange::Placement)> placed);
     void attemptStarted(const Exchange::Target &target);
+    /// Tokens of an answer have come, so that less of its work is left.
+    void attemptProgressed(const Exchange::Target &target, Base::Tokens tokens, bool isFirst);
     void attemptEnded(const Exchange::AttemptResult &result);
     /// \a report is an X-Load header: work=<n>;age=<ms>;running=<n>;queued=<n>;capacity=<n>.
     void loadReported(const Base::EndpointId &endpoint, std::string_view report);
@@ -77,7 +79,7 @@
     struct Running
     {
         Routing::Sent sent;
-        std::uint64_t chatHash = 0;
+        Base::WorkUnits prefill; ///< Part of the work that is done with the first token.
     };
 
     static std::string poolOf(const Exchange::RouteQuery &query);
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -330,12 +330,19 @@
             || endpoint.region != m_settings.region)
             return;
         known.push_back(endpoint.name);
+        // One that comes into a running router has nothing cached yet and takes its share slowly.
+        const Routing::EndpointTable &table = m_placer->routing().endpoints();
+        const Routing::EndpointIndex index = table.find(endpoint.name);
+        Base::MonoTime coldSince = m_callerApi->isReady() ? now : Base::MonoTime();
+        if (index != Routing::noEndpoint)
+            coldSince = table.info(index).coldSince;
         m_placer->routing().upsert({.id = endpoint.name,
                                     .address = endpoint.address,
                                     .dataCentre = endpoint.dataCentre,
                                     .pool = poolOf(endpoint),
                                     .capacity = endpoint.capacity,
-                                    .state = stateOf(endpoint.state)},
+                                    .state = stateOf(endpoint.state),
+                                    .coldSince = coldSince},
                                    now);
     });
     for (const Base::EndpointId &old : m_knownEndpoints) {
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -92,6 +92,8 @@
     /// The endpoint has served the chat and now holds so many tokens of it.
     Placement noteServed(std::uint64_t chatHash, EndpointIndex endpoint, Base::Tokens cached);
 
+    /// Work of one token of an answer.
+    double outputWeight() const { return m_options.selector.outputWeight; }
     const PlacementToken &tokens() const { return m_tokens; }
     std::span<const Candidate> candidates() const { return m_candidates; }
     const LoadEstimator &loads() const { return m_loads; }
