--- a/bench/http/http_proxy.cpp
+++ b/bench/http/http_proxy.cpp
@@ -30,10 +30,11 @@
         , m_proxy({.loop = &loop, .address = {"127.0.0.1", 0}})
         , m_upstream({.loop = &loop, .maxIdlePerServer = maxIdle})
     {
-        m_origin.setHandler([](Http::Request, const std::shared_ptr<Http::Responder> &responder) {
-            responder->send(200, {{"content-type", "application/json"}},
-                            std::string(answerBytes, 'x'));
-        });
+        m_origin.setHandler(
+            [](const Http::Request &, const std::shared_ptr<Http::Responder> &responder) {
+                responder->send(200, {{"content-type", "application/json"}},
+                                std::string(answerBytes, 'x'));
+            });
         m_proxy.setHandler(
             [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
                 pass(std::move(request), std::move(responder));
--- a/tests/auto/http/tst_protocols.cpp
+++ b/tests/auto/http/tst_protocols.cpp
@@ -85,7 +85,7 @@
                   .maxBodyBytes = 1000,
                   .tls = std::move(tls)})
     {
-        server.setHandler([this](Request request, std::shared_ptr<Responder> responder) {
+        server.setHandler([this](Request request, const std::shared_ptr<Responder> &responder) {
             requests.push_back(std::move(request));
             responders.push_back(responder);
             responder->setGone([this] { ++gone; });
--- a/tests/auto/http/tst_server.cpp
+++ b/tests/auto/http/tst_server.cpp
@@ -21,7 +21,7 @@
                                                      .address = {"127.0.0.1", 0},
                                                      .maxBodyBytes = 1000,
                                                      .requestTimeout = std::chrono::seconds(10)});
-        server->setHandler([this](Request request, std::shared_ptr<Responder> responder) {
+        server->setHandler([this](Request request, const std::shared_ptr<Responder> &responder) {
             requests.push_back(std::move(request));
             responders.push_back(responder);
             responder->setGone([this] { ++gone; });
--- a/tests/auto/http/tst_walljump.cpp
+++ b/tests/auto/http/tst_walljump.cpp
@@ -39,8 +39,9 @@
         : server({.loop = &loop, .address = {"127.0.0.1", 0}})
         , client({.loop = &loop})
     {
-        server.setHandler(
-            [this](Request, std::shared_ptr<Responder> given) { responder = std::move(given); });
+        server.setHandler([this](const Request &, std::shared_ptr<Responder> given) {
+            responder = std::move(given);
+        });
         BOOST_REQUIRE(server.listen());
     }
     ~Fixture() { wallJumpSeconds() = 0; }
