--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -17,6 +17,16 @@
 
 namespace Lagoonbank::Router {
 
+/// What an X-Load header says; nothing if it is malformed.
+struct LoadHeader
+{
+    Base::WorkUnits work;
+    Base::Duration age;
+    Base::WorkUnits capacity; ///< Zero if it is not told.
+    Base::Incarnation incarnation;
+};
+std::optional<LoadHeader> readLoadHeader(std::string_view text);
+
 /// Joins the routing decision with the requests of this router: keeps what each attempt has in
 /// flight, and lets requests wait while every endpoint is at its bound.
 class Placer
@@ -32,12 +42,18 @@
     explicit Placer(const Options &options);
     ~Placer();
 
+    /// Another policy for requests that come from now on.
+    void setPolicy(const Routing::Router::Options &routing,
+                   const Routing::WaitQueue::Options &queue);
+
     Routing::Router &routing() { return m_routing; }
     const Routing::Router &routing() const { return m_routing; }
 
     Exchange::Abandon place(const Exchange::RouteQuery &query,
                             std::function<void(Exchange::Placement)> placed);
     void attemptStarted(const Exchange::Target &target);
+    /// Tokens of an answer have come, so that less of its work is left.
+    void attemptProgressed(const Exchange::Target &target, Base::Tokens tokens, bool isFirst);
     void attemptEnded(const Exchange::AttemptResult &result);
     /// \a report is an X-Load header: work=<n>;age=<ms>;running=<n>;queued=<n>;capacity=<n>.
     void loadReported(const Base::EndpointId &endpoint, std::string_view report);
@@ -46,6 +62,8 @@
 
     std::size_t waiting() const { return m_waiting.size(); }
 
+    /// An endpoint's own report of its load came with an answer.
+    std::function<void(const Base::EndpointId &endpoint, const LoadHeader &header)> reported;
     /// Time that one decision took and why it fell so; for metrics.
     std::function<void(Base::Duration took, const Routing::Decision &decision)> decided;
 
@@ -54,17 +72,23 @@
     {
         Exchange::RouteQuery query;
         std::function<void(Exchange::Placement)> placed;
+        Base::MonoTime since;
+        /// Null for one that waits a moment for the engine that holds its chat.
         Routing::WaitQueue *queue = nullptr;
     };
     struct Running
     {
         Routing::Sent sent;
-        std::uint64_t chatHash = 0;
+        Base::WorkUnits prefill; ///< Part of the work that is done with the first token.
     };
 
     static std::string poolOf(const Exchange::RouteQuery &query);
     Routing::RouteRequest requestOf(const Exchange::RouteQuery &query) const;
-    Routing::Decision choose(const Exchange::RouteQuery &query);
+    Routing::Decision choose(const Exchange::RouteQuery &query, Base::Duration waited);
+    void waitForWarm(std::uint64_t ticket);
+    void tryAgain(std::uint64_t ticket);
+    void settle(std::uint64_t ticket, const Routing::Decision &decision);
+    void enqueue(std::uint64_t ticket);
     Exchange::Target send(const Exchange::RouteQuery &query, const Routing::Decision &decision);
     Exchange::Refusal refusalOf(Errors::ErrorKind kind, const Routing::WaitQueue &queue) const;
     Routing::WaitQueue &queueOf(const Exchange::RouteQuery &query);
@@ -87,14 +111,4 @@
     std::optional<Runtime::TimerId> m_serveTimer;
 };
 
-/// What an X-Load header says; nothing if it is malformed.
-struct LoadHeader
-{
-    Base::WorkUnits work;
-    Base::Duration age;
-    Base::WorkUnits capacity; ///< Zero if it is not told.
-    Base::Incarnation incarnation;
-};
-std::optional<LoadHeader> readLoadHeader(std::string_view text);
-
 } // namespace Lagoonbank::Router
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -56,6 +56,9 @@
     static constexpr Base::Duration refreshInterval = std::chrono::milliseconds(100);
 
     explicit Router(const Options &options);
+    /// Another policy for decisions from now on; what is known of endpoints and chats stays, and so
+    /// do data centre, token keys and the number of placements.
+    void setPolicy(const Options &options);
 
     // Endpoints.
     EndpointIndex upsert(const EndpointInfo &info, Base::MonoTime now);
@@ -89,6 +92,8 @@
     /// The endpoint has served the chat and now holds so many tokens of it.
     Placement noteServed(std::uint64_t chatHash, EndpointIndex endpoint, Base::Tokens cached);
 
+    /// Work of one token of an answer.
+    double outputWeight() const { return m_options.selector.outputWeight; }
     const PlacementToken &tokens() const { return m_tokens; }
     std::span<const Candidate> candidates() const { return m_candidates; }
     const LoadEstimator &loads() const { return m_loads; }
