--- a/src/libs/experiment/recordreader.cpp
+++ b/src/libs/experiment/recordreader.cpp
@@ -119,6 +119,17 @@
     return report;
 }
 
+std::optional<std::int64_t> readConfigurationOffset(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("ready") || parsed["ready"] != true)
+        return std::nullopt;
+    const auto configuration = parsed.find("configuration");
+    if (configuration == parsed.end() || !configuration->is_object())
+        return std::nullopt;
+    return numberOf(*configuration, "next");
+}
+
 std::optional<ErrorBody> readErrorBody(std::string_view json)
 {
     const Json parsed = Json::parse(json, nullptr, false);
