--- a/bench/http/http_proxy.cpp
+++ b/bench/http/http_proxy.cpp
@@ -30,10 +30,11 @@
         , m_proxy({.loop = &loop, .address = {"127.0.0.1", 0}})
         , m_upstream({.loop = &loop, .maxIdlePerServer = maxIdle})
     {
-        m_origin.setHandler([](Http::Request, const std::shared_ptr<Http::Responder> &responder) {
-            responder->send(200, {{"content-type", "application/json"}},
-                            std::string(answerBytes, 'x'));
-        });
+        m_origin.setHandler(
+            [](const Http::Request &, const std::shared_ptr<Http::Responder> &responder) {
+                responder->send(200, {{"content-type", "application/json"}},
+                                std::string(answerBytes, 'x'));
+            });
         m_proxy.setHandler(
             [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
                 pass(std::move(request), std::move(responder));
@@ -107,12 +108,10 @@
     std::size_t m_failed = 0;
 };
 
-void measure(benchmark::State &state, bool throughProxy)
+void measure(benchmark::State &state, Runtime::Loop &loop, bool throughProxy, std::size_t inFlight)
 {
-    Runtime::Loop loop;
     Pair pair(loop);
     Load load(loop, throughProxy ? pair.proxy() : pair.origin());
-    const auto inFlight = static_cast<std::size_t>(state.range(0));
     std::size_t sent = 0;
     std::size_t done = 0;
     for (auto _ : state) {
@@ -134,14 +133,44 @@
 
 void BM_ServerAlone(benchmark::State &state)
 {
-    measure(state, false);
+    Runtime::Loop loop;
+    measure(state, loop, false, static_cast<std::size_t>(state.range(0)));
 }
 
 void BM_ThroughProxy(benchmark::State &state)
 {
-    measure(state, true);
+    Runtime::Loop loop;
+    measure(state, loop, true, static_cast<std::size_t>(state.range(0)));
+}
+
+/// Idle servers in the same process: what each costs the others.
+void besideIdleServers(benchmark::State &state, bool shareContext)
+{
+    Runtime::Loop loop;
+    std::vector<std::unique_ptr<Http::Server>> idle;
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        const std::string ip =
+            "127.9." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1);
+        idle.push_back(std::make_unique<Http::Server>(Http::Server::Options{
+            .loop = &loop, .address = {ip, 0}, .sharesContext = shareContext}));
+        if (!idle.back()->listen())
+            std::abort();
+    }
+    measure(state, loop, false, 1);
+}
+
+void BM_BesideIdleServers(benchmark::State &state)
+{
+    besideIdleServers(state, false);
+}
+
+void BM_BesideIdleSharingServers(benchmark::State &state)
+{
+    besideIdleServers(state, true);
 }
 
+BENCHMARK(BM_BesideIdleServers)->Arg(0)->Arg(100)->Arg(400);
+BENCHMARK(BM_BesideIdleSharingServers)->Arg(400);
 BENCHMARK(BM_ServerAlone)->Arg(1)->Arg(16)->Arg(128);
 BENCHMARK(BM_ThroughProxy)->Arg(1)->Arg(16)->Arg(128);
 
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -52,6 +52,8 @@
     Exchange::Abandon place(const Exchange::RouteQuery &query,
                             std::function<void(Exchange::Placement)> placed);
     void attemptStarted(const Exchange::Target &target);
+    /// Tokens of an answer have come, so that less of its work is left.
+    void attemptProgressed(const Exchange::Target &target, Base::Tokens tokens, bool isFirst);
     void attemptEnded(const Exchange::AttemptResult &result);
     /// \a report is an X-Load header: work=<n>;age=<ms>;running=<n>;queued=<n>;capacity=<n>.
     void loadReported(const Base::EndpointId &endpoint, std::string_view report);
@@ -70,17 +72,23 @@
     {
         Exchange::RouteQuery query;
         std::function<void(Exchange::Placement)> placed;
+        Base::MonoTime since;
+        /// Null for one that waits a moment for the engine that holds its chat.
         Routing::WaitQueue *queue = nullptr;
     };
     struct Running
     {
         Routing::Sent sent;
-        std::uint64_t chatHash = 0;
+        Base::WorkUnits prefill; ///< Part of the work that is done with the first token.
     };
 
     static std::string poolOf(const Exchange::RouteQuery &query);
     Routing::RouteRequest requestOf(const Exchange::RouteQuery &query) const;
-    Routing::Decision choose(const Exchange::RouteQuery &query);
+    Routing::Decision choose(const Exchange::RouteQuery &query, Base::Duration waited);
+    void waitForWarm(std::uint64_t ticket);
+    void tryAgain(std::uint64_t ticket);
+    void settle(std::uint64_t ticket, const Routing::Decision &decision);
+    void enqueue(std::uint64_t ticket);
     Exchange::Target send(const Exchange::RouteQuery &query, const Routing::Decision &decision);
     Exchange::Refusal refusalOf(Errors::ErrorKind kind, const Routing::WaitQueue &queue) const;
     Routing::WaitQueue &queueOf(const Exchange::RouteQuery &query);
