--- a/tests/auto/docs/tst_documents.cpp
+++ b/tests/auto/docs/tst_documents.cpp
@@ -100,11 +100,27 @@
 {
     static const std::regex declaration(
         R"re(ABSL_FLAG\(\s*[\w:<>]+,\s*(\w+),\s*("[^"]*"|[^,"]*),\s*((?:"(?:[^"\\]|\\.)*"\s*)+)\))re");
+    static const std::regex digitSeparator("'");
     std::vector<Flag> flags;
     for (const fs::path &file : filesBelow(folder, ".cpp")) {
         const std::string text = readText(file);
         for (const std::smatch &match : matches(text, declaration))
-            flags.push_back({match[1], match[2], joinedLiterals(match[3])});
+            flags.push_back({match[1], std::regex_replace(match[2].str(), digitSeparator, ""),
+                             joinedLiterals(match[3])});
+    }
+    return flags;
+}
+
+/// Flags stand in the program's folder or in a library that its build names.
+std::vector<Flag> flagsOfProgram(const fs::path &folder, const std::string &dependencies)
+{
+    std::vector<Flag> flags = flagsBelow(folder);
+    for (const std::smatch &match : matches(dependencies, std::regex(R"([a-z]+)"))) {
+        const fs::path library = sourceDir() / "src" / "libs" / match[0].str();
+        if (!fs::is_directory(library))
+            continue;
+        for (Flag &flag : flagsBelow(library))
+            flags.push_back(std::move(flag));
     }
     return flags;
 }
@@ -113,14 +129,14 @@
 std::map<std::string, std::vector<Flag>> programs()
 {
     static const std::regex target(
-        R"((?:lagoonbank_application|add_executable)\((lagoonbank-[\w-]+))");
+        R"((?:lagoonbank_application|add_executable)\((lagoonbank-[\w-]+)([^)]*))");
     std::map<std::string, std::vector<Flag>> found;
     for (const char *part : {"src/apps", "src/standins"}) {
         for (const fs::path &file : filesBelow(sourceDir() / part, ".txt")) {
             const std::string text = readText(file);
             std::smatch match;
             if (std::regex_search(text, match, target))
-                found[match[1]] = flagsBelow(file.parent_path());
+                found[match[1]] = flagsOfProgram(file.parent_path(), match[2]);
         }
     }
     return found;
