--- a/src/libs/exchange/eventstream.cpp
+++ b/src/libs/exchange/eventstream.cpp
@@ -14,7 +14,18 @@
 std::int64_t number(const Json &object, const char *name)
 {
     const auto found = object.find(name);
-    return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>() : 0;
+    return found != object.end() && found->is_number() ? found->get<std::int64_t>() : 0;
+}
+
+/// The load object of the last event in the form of an X-Load header.
+std::string loadText(const Json &body)
+{
+    const auto load = body.find("load");
+    if (load == body.end() || !load->is_object())
+        return {};
+    return "work=" + std::to_string(number(*load, "work"))
+        + ";age=" + std::to_string(number(*load, "age_ms"))
+        + ";capacity=" + std::to_string(number(*load, "capacity"));
 }
 
 std::string text(const Json &object, const char *name)
@@ -53,7 +64,8 @@
         read.done = StreamDone{.tokens = Base::Tokens(number(body, "n")),
                                .promptTokens = Base::Tokens(number(body, "prompt_tokens")),
                                .cachedTokens = Base::Tokens(number(body, "cached_tokens")),
-                               .requestId = text(body, "request_id")};
+                               .requestId = text(body, "request_id"),
+                               .load = loadText(body)};
         event(read);
         return true;
     }
--- a/src/libs/exchange/eventstream.h
+++ b/src/libs/exchange/eventstream.h
@@ -17,6 +17,7 @@
     Base::Tokens promptTokens;
     Base::Tokens cachedTokens; ///< Of the prompt, found in the engine's cache.
     std::string requestId;
+    std::string load; ///< As an X-Load header says it; empty if the event tells none.
 };
 
 /// What one event of an engine's stream says.
--- a/src/libs/exchange/modelexchange.cpp
+++ b/src/libs/exchange/modelexchange.cpp
@@ -121,6 +121,8 @@
 {
     const auto self = shared_from_this();
     setCachedTokens(m_done->cachedTokens);
+    if (!m_done->load.empty())
+        options().hooks.loadReported(target().endpoint, m_done->load);
     const std::shared_ptr<Http::Responder> &responder = options().responder;
     if (m_call.stream && m_begun) {
         responder->write(completionEnd(request(), m_call.model, *m_done));
--- a/src/libs/experiment/recordreader.cpp
+++ b/src/libs/experiment/recordreader.cpp
@@ -110,6 +110,7 @@
         return Errors::makeError(Errors::ErrorKind::BadMessage, "a load report has 'work'");
     LoadReport report;
     report.load.work = parsed["work"].get<double>();
+    report.load.largest = static_cast<double>(numberOf(parsed, "largest").value_or(0));
     const auto capacity = parsed.find("capacity");
     if (capacity != parsed.end() && capacity->is_number())
         report.load.capacity = capacity->get<double>();
--- a/src/libs/experiment/report.cpp
+++ b/src/libs/experiment/report.cpp
@@ -83,6 +83,8 @@
     return {{"max_over_mean_p50", numberOrNull(samples.percentile(50))},
             {"max_over_mean_p99", numberOrNull(samples.percentile(99))},
             {"max_over_mean_max", numberOrNull(samples.max())},
+            {"less_largest_p50", numberOrNull(skew->lessLargest().percentile(50))},
+            {"less_largest_p99", numberOrNull(skew->lessLargest().percentile(99))},
             {"bound", skew->options().bound},
             {"samples", samples.size()},
             {"idle_samples", skew->idle()},
--- a/src/libs/experiment/reportview.cpp
+++ b/src/libs/experiment/reportview.cpp
@@ -46,6 +46,7 @@
     TableRow{"samples", "skew.samples"},
     TableRow{"over bound + 1 request", "skew.over_bound_plus_one_request"},
     TableRow{"excess requests p99", "skew.excess_requests_p99"},
+    TableRow{"less largest request p99", "skew.less_largest_p99"},
     TableRow{"control bytes/s", ""},
     TableRow{"mean per router", "control_bytes_per_s.mean_per_router"},
     TableRow{"max per router", "control_bytes_per_s.max_per_router"},
--- a/src/libs/experiment/statistics.cpp
+++ b/src/libs/experiment/statistics.cpp
@@ -46,6 +46,7 @@
     double work = 0;
     double load = 0;
     double highest = 0;
+    double highestLess = 0;
     double capacity = 0;
     for (const EngineLoad &engine : engines) {
         const double own = engine.capacity > 0 ? engine.work / engine.capacity : 0;
@@ -53,6 +54,8 @@
         capacity += engine.capacity;
         load += own;
         highest = std::max(highest, own);
+        if (engine.capacity > 0)
+            highestLess = std::max(highestLess, (engine.work - engine.largest) / engine.capacity);
     }
     const auto count = static_cast<double>(engines.size());
     if (work / count < m_options.typicalWork || load <= 0) {
@@ -61,6 +64,7 @@
     }
     const double mean = load / count;
     m_samples.add(highest / mean);
+    m_lessLargest.add(highestLess / mean);
     const double oneRequest = m_options.typicalWork / (capacity / count);
     const double excess = std::max(highest - m_options.bound * mean, 0.0);
     m_excessRequests.add(oneRequest > 0 ? excess / oneRequest : 0);
--- a/src/libs/experiment/statistics.h
+++ b/src/libs/experiment/statistics.h
@@ -28,6 +28,7 @@
 {
     double work = 0; ///< Work units still to be done.
     double capacity = 1; ///< Work units that the engine takes at full speed.
+    double largest = 0; ///< Work units of its largest request.
 };
 
 /// How uneven load is over engines: the highest work per capacity over the mean of all.
@@ -55,11 +56,15 @@
     std::size_t overBound() const { return m_overBound; }
     /// How many typical requests the highest engine has above bound times the mean; 0 if under.
     const Samples &excessRequests() const { return m_excessRequests; }
+    /// Highest load less the largest request of that engine, over the mean: what the bound plus one
+    /// request is about, whatever the sizes of the requests.
+    const Samples &lessLargest() const { return m_lessLargest; }
     const Options &options() const { return m_options; }
 
 private:
     Options m_options;
     Samples m_samples;
+    Samples m_lessLargest;
     Samples m_excessRequests;
     std::size_t m_idle = 0;
     std::size_t m_overBound = 0;
--- a/src/libs/router/loadsharing.cpp
+++ b/src/libs/router/loadsharing.cpp
@@ -4,14 +4,6 @@
 
 namespace Lagoonbank::Router {
 
-namespace {
-
-constexpr Base::Duration interval = std::chrono::milliseconds(100);
-/// What all peers together have in flight counts as one peer's.
-constexpr Routing::PeerIndex allPeers = 0;
-
-} // namespace
-
 LoadSharing::LoadSharing(Runtime::Loop &loop, Placer &placer, Membership::Membership &membership)
     : m_loop(loop)
     , m_placer(placer)
@@ -22,12 +14,12 @@
     };
     m_membership.loadReceived = [this](const Membership::LoadReport &report,
                                        Base::MonoTime sampledAt) { received(report, sampledAt); };
-    exchange();
 }
 
 LoadSharing::~LoadSharing()
 {
-    m_loop.timers().cancel(m_timer);
+    m_placer.reported = nullptr;
+    m_membership.loadReceived = nullptr;
 }
 
 void LoadSharing::endpointsChanged()
@@ -59,19 +51,4 @@
                                   {}, m_loop.clock().now());
 }
 
-void LoadSharing::exchange()
-{
-    const Base::MonoTime now = m_loop.clock().now();
-    Routing::Router &routing = m_placer.routing();
-    const Routing::EndpointTable &endpoints = routing.endpoints();
-    for (Routing::EndpointIndex i = 0; i < endpoints.size(); ++i) {
-        if (!endpoints.contains(i))
-            continue;
-        const Base::EndpointId &id = endpoints.info(i).id;
-        m_membership.loads().setSentSince(id, routing.loads().ownInFlight(i));
-        routing.notePeer(allPeers, i, m_membership.loads().peersSentSince(id, now), now);
-    }
-    m_timer = m_loop.timers().start(interval, [this] { exchange(); });
-}
-
 } // namespace Lagoonbank::Router
--- a/src/libs/router/loadsharing.h
+++ b/src/libs/router/loadsharing.h
@@ -10,7 +10,7 @@
 
 namespace Lagoonbank::Router {
 
-/// Passes load reports and work in flight on to peers, and theirs to the routing decision.
+/// Passes endpoints' load reports on to peers, and theirs to the routing decision.
 class LoadSharing
 {
 public:
@@ -25,13 +25,11 @@
 private:
     void reported(const Base::EndpointId &endpoint, const LoadHeader &header);
     void received(const Membership::LoadReport &report, Base::MonoTime sampledAt);
-    void exchange();
 
     Runtime::Loop &m_loop;
     Placer &m_placer;
     Membership::Membership &m_membership;
     absl::flat_hash_map<std::uint32_t, Base::EndpointId> m_endpointByKey;
-    Runtime::TimerId m_timer;
 };
 
 } // namespace Lagoonbank::Router
--- a/src/standins/engine/engineapi.cpp
+++ b/src/standins/engine/engineapi.cpp
@@ -327,6 +327,7 @@
     return {.running = report.load.running,
             .queued = report.load.queued,
             .work = report.load.work.value(),
+            .largest = report.load.largest.value(),
             .capacity = m_model.capacity().value(),
             .age = report.age};
 }
--- a/src/standins/engine/enginemodel.cpp
+++ b/src/standins/engine/enginemodel.cpp
@@ -249,8 +249,12 @@
 
 void EngineModel::recordLoad()
 {
-    m_loadHistory.record(m_options.clock->now(),
-                         {m_batch.size(), m_queue.size(), Base::WorkUnits(m_work)});
+    double largest = 0;
+    for (const Run *run : m_batch)
+        largest = std::max(largest, workOf(*run));
+    m_loadHistory.record(
+        m_options.clock->now(),
+        {m_batch.size(), m_queue.size(), Base::WorkUnits(m_work), Base::WorkUnits(largest)});
 }
 
 LoadReport EngineModel::load() const
--- a/src/standins/support/answers.h
+++ b/src/standins/support/answers.h
@@ -48,6 +48,7 @@
     std::size_t running = 0;
     std::size_t queued = 0;
     double work = 0;
+    double largest = 0; ///< Work of the largest request; 0 if it is not told.
     double capacity = 0;
     Base::Duration age{};
 };
--- a/src/standins/support/loadhistory.h
+++ b/src/standins/support/loadhistory.h
@@ -13,6 +13,7 @@
     std::size_t running = 0;
     std::size_t queued = 0;
     Base::WorkUnits work;
+    Base::WorkUnits largest; ///< Of one request that is running.
 };
 
 struct LoadReport
--- a/tests/auto/experiment/tst_statistics.cpp
+++ b/tests/auto/experiment/tst_statistics.cpp
@@ -45,6 +45,13 @@
     BOOST_TEST(meter.overBound() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(skewLessTheLargestRequestIgnoresItsSize)
+{
+    SkewMeter meter({.bound = 1.25, .typicalWork = 100});
+    meter.add({{1000, 1, 900}, {200, 1, 50}});
+    BOOST_TEST(meter.lessLargest().max().value() == 150.0 / 600.0);
+}
+
 BOOST_AUTO_TEST_CASE(nearlyIdleFleetHasNoSkew)
 {
     SkewMeter meter({.bound = 1.25, .typicalWork = 100});
