--- a/src/apps/bench/fleetprobe.cpp
+++ b/src/apps/bench/fleetprobe.cpp
@@ -19,7 +19,6 @@
 
 constexpr std::string_view controlBytesMetric = "lagoonbank_control_bytes_total";
 constexpr std::string_view decisionMetric = "lagoonbank_decision_seconds";
-constexpr std::string_view revisionMetric = "lagoonbank_configuration_revision";
 
 bool isGood(const Http::CallResult &result)
 {
@@ -136,7 +135,7 @@
         return;
     for (const Experiment::RouterPlace &place : m_definition.routers) {
         const std::string name = place.vm.value();
-        ask(place.adminAddress, "/metrics", metricsTimeout,
+        ask(place.adminAddress, "/admin/status", metricsTimeout,
             [this, name](const Http::CallResult &result) { addRevisions(name, result); });
     }
     m_options.loop->timers().start(revisionInterval, [this] { sampleRevisions(); });
@@ -146,16 +145,12 @@
 {
     if (!isGood(result))
         return;
-    const std::int64_t now =
-        Base::toMilliseconds(m_options.loop->clock().wallNow().time_since_epoch());
-    for (const Experiment::Metric &metric : Experiment::readMetrics(result.body)) {
-        if (metric.name != revisionMetric || metric.value <= 0)
-            continue;
-        std::string object;
-        for (const auto &[label, value] : metric.labels)
-            object += (object.empty() ? "" : "/") + value;
-        m_revisions.push_back({router, object, now, static_cast<std::int64_t>(metric.value)});
-    }
+    const auto offset = Experiment::readConfigurationOffset(result.body);
+    if (!offset)
+        return;
+    const Base::WallTime now = m_options.loop->clock().wallNow();
+    m_revisions.push_back(
+        {router, "configuration", Base::toMilliseconds(now.time_since_epoch()), *offset});
 }
 
 void FleetProbe::collect(Experiment::Evidence &evidence, std::function<void()> done)
--- a/tests/auto/experiment/tst_answercheck.cpp
+++ b/tests/auto/experiment/tst_answercheck.cpp
@@ -102,6 +102,10 @@
     BOOST_REQUIRE(outcomes.has_value());
     BOOST_TEST(outcomes.value().front().ran == "no");
     BOOST_TEST(!readOutcomes("3").has_value());
+    BOOST_TEST(readConfigurationOffset(R"({"ready": true, "configuration": {"next": 7}})").value()
+               == 7);
+    BOOST_TEST(
+        !readConfigurationOffset(R"({"ready": false, "configuration": {"next": 7}})").has_value());
     const auto tried = readOutcomes(
         R"({"outcomes": [{"request": "r2", "attempts": [{"endpoint": "a"}, {"endpoint": "b"}]}]})");
     BOOST_TEST(tried.value().front().requestId == "r2");
