Operations: Publish configuration and ask what became of requests

lagoonbank-ctl has check, diff, publish, remove, history, show, endpoint add, drain and undrain, status, request and timeline. A publish is a compare-and-set on the object's revision and counts as accepted only when it is read back at its offset.

--- /dev/null
+++ b/src/apps/ctl/main.cpp
@@ -0,0 +1,113 @@
+/// \file Runs one command of operators or support engineers to its end.
+
+#include "http/client.h"
+#include "operations/commandline.h"
+#include "platform/logclient.h"
+#include "runtime/loop.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+using namespace Lagoonbank;
+
+namespace {
+
+/// Unique for each run: when it began and a random number.
+std::string makeInvocation(const Runtime::Clock &clock)
+{
+    std::random_device random;
+    return absl::StrCat(absl::Hex(Base::toMilliseconds(clock.wallNow().time_since_epoch())), "-",
+                        absl::Hex(random(), absl::kZeroPad8));
+}
+
+int print(const Operations::Report &report, bool isJson)
+{
+    if (isJson) {
+        std::cout << Operations::toJsonText(report);
+    } else {
+        std::cout << report.text;
+        std::cout.flush();
+        std::cerr << report.errors;
+    }
+    return static_cast<int>(report.status);
+}
+
+/// Goes to the server that each call names.
+Platform::Transport directTransport(Http::Client &client)
+{
+    return {.start =
+                [&client](Http::Call call, Platform::Transport::Finished finished) {
+                    return client.start(std::move(call), {.finished = std::move(finished)});
+                },
+            .cancel = [&client](Http::CallId call) { client.cancel(call); }};
+}
+
+/// Runs the command on a loop until it has its report.
+Operations::Report run(const Operations::CommandLine &line)
+{
+    Runtime::Loop loop;
+    Http::Client client({.loop = &loop});
+    const Base::Duration timeout = line.settings.timeout;
+    Operations::Context context{
+        .timers = &loop.timers(),
+        .admin = directTransport(client),
+        .operatorName = line.settings.operatorName,
+        .invocation = makeInvocation(loop.clock()),
+        .timeout = timeout,
+        .print = [](const std::string &text) { std::cout << text << std::flush; }};
+    std::unique_ptr<Platform::LogClient> log;
+    if (!line.settings.platformAddress.empty()) {
+        context.platform = Platform::httpTransport(
+            {.client = &client,
+             .server = Runtime::parseSocketAddress(line.settings.platformAddress).value()});
+        log = std::make_unique<Platform::LogClient>(
+            Platform::LogClient::Options{.transport = context.platform,
+                                         .timers = &loop.timers(),
+                                         .appendTimeout = timeout,
+                                         .settleTimeout = timeout,
+                                         .readTimeout = timeout});
+        context.log = log.get();
+    }
+    for (const std::string &address : line.settings.adminAddresses)
+        context.admins.push_back(Runtime::parseSocketAddress(address).value());
+
+    Operations::MadeCommand made = Operations::makeCommand(*line.row, context, line.arguments);
+    if (const auto *error = std::get_if<Operations::Report>(&made))
+        return *error;
+    const auto &command = std::get<std::unique_ptr<Operations::Command>>(made);
+    std::optional<Operations::Report> report;
+    const auto end = [&](Operations::Report ended) {
+        if (!report)
+            report = std::move(ended);
+        loop.stop();
+    };
+    const bool follows = line.arguments.follows;
+    loop.onSignal(SIGINT, [&] { end(follows ? Operations::Report() : command->giveUp()); });
+    loop.onSignal(SIGTERM, [&] { end(follows ? Operations::Report() : command->giveUp()); });
+    if (!follows)
+        loop.timers().start(line.patience, [&] { end(command->giveUp()); });
+    loop.post([&] { command->start(end); });
+    loop.run();
+    return *report;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const Operations::ParsedCommandLine parsed = Operations::parseCommandLine(words);
+    if (const auto *ended = std::get_if<Operations::Report>(&parsed))
+        return print(*ended, false);
+    const auto &line = std::get<Operations::CommandLine>(parsed);
+    return print(run(line), line.isJson);
+}
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -86,14 +86,9 @@
 
 std::size_t MemberTable::aliveCount() const
 {
-    rehash();
-    return m_aliveCount;
-}
-
-std::size_t MemberTable::suspectCount() const
-{
-    rehash();
-    return m_suspectCount;
+    return static_cast<std::size_t>(
+        std::count_if(m_members.begin(), m_members.end(),
+                      [](const auto &entry) { return entry.second.isAlive(); }));
 }
 
 void MemberTable::age(Base::MonoTime now)
@@ -174,16 +169,12 @@
         return;
     m_hashes.clear();
     m_fleetHash = 0;
-    m_aliveCount = 0;
-    m_suspectCount = 0;
     for (const auto &[id, member] : m_members) {
         if (!isAlive(member.info.status))
             continue;
         const std::uint32_t hash = memberHash(member.info);
         m_hashes[member.info.dataCentre] ^= hash;
         m_fleetHash ^= hash;
-        ++m_aliveCount;
-        m_suspectCount += member.info.status == MemberStatus::Suspect ? 1 : 0;
     }
     m_hashesAreOld = false;
 }
--- /dev/null
+++ b/src/libs/operations/changepublisher.cpp
@@ -0,0 +1,222 @@
+#include "operations/changepublisher.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Lagoonbank::Operations {
+
+using Configuration::Judgement;
+using Configuration::Verdict;
+
+namespace {
+
+constexpr std::array<std::string_view, 5> stateNames{"accepted", "unchanged", "rejected", "unknown",
+                                                     "not_sent"};
+constexpr std::size_t batchRecords = 100;
+constexpr std::size_t batchBytes = 256 * 1024;
+
+Platform::Record toRecord(const std::string &id, const Configuration::ChangeRecord &change)
+{
+    return {.id = id, .data = Configuration::encode(change)};
+}
+
+} // namespace
+
+std::string_view toString(ChangeState state)
+{
+    return stateNames.at(static_cast<std::size_t>(state));
+}
+
+ChangePublisher::ChangePublisher(const Context &context, ConfigurationLog &log)
+    : m_context(context)
+    , m_log(log)
+{ }
+
+ChangePublisher::~ChangePublisher()
+{
+    m_context.timers->cancel(m_timer);
+}
+
+void ChangePublisher::addObject(const Schema::ConfigurationObject &object,
+                                std::optional<Base::Revision> base)
+{
+    const Base::Revision stands = m_log.reducer().state().revision(Configuration::keyOf(object));
+    Change change{
+        .record = Configuration::makeChange(object, base.value_or(stands), m_context.operatorName),
+        .object = object};
+    add(std::move(change), base);
+}
+
+void ChangePublisher::addRemoval(const Configuration::ObjectKey &key,
+                                 std::optional<Base::Revision> base)
+{
+    Change change;
+    change.record.key = key;
+    change.record.base = base.value_or(m_log.reducer().state().revision(key));
+    change.record.publisher = m_context.operatorName;
+    change.record.removes = true;
+    add(std::move(change), base);
+}
+
+void ChangePublisher::add(Change change, std::optional<Base::Revision> base)
+{
+    change.outcome.key = change.record.key;
+    const Schema::ObjectState *entry = m_log.entry(change.record.key);
+    if (entry) {
+        change.outcome.revision = entry->revision;
+        change.outcome.offset = entry->offset;
+    }
+    if (stands(change)) {
+        change.outcome.state = ChangeState::Unchanged;
+        change.isSettled = true;
+    } else if (base && *base != change.outcome.revision) {
+        rejectStale(change,
+                    absl::StrCat("based on revision ", base->value(), ", but revision ",
+                                 change.outcome.revision.value(), " stands"));
+    } else {
+        change.outcome.recordId = absl::StrCat("ctl:", m_context.operatorName, ":",
+                                               m_context.invocation, ":", m_changes.size() + 1);
+    }
+    m_changes.push_back(std::move(change));
+}
+
+void ChangePublisher::rejectStale(Change &change, const std::string &why) const
+{
+    change.outcome.state = ChangeState::Rejected;
+    change.outcome.detail = why;
+    change.isSettled = true;
+    if (const Schema::ObjectState *entry = m_log.entry(change.record.key)) {
+        absl::StrAppend(&change.outcome.detail, "; the change of ", entry->publisher, " won (",
+                        entry->recordId, ")");
+    }
+}
+
+bool ChangePublisher::stands(const Change &change) const
+{
+    const Schema::ConfigurationObject *object = m_log.objects().find(change.record.key);
+    if (change.record.removes)
+        return !object && m_log.entry(change.record.key);
+    return object && *object == *change.object;
+}
+
+void ChangePublisher::start(Done done)
+{
+    m_done = std::move(done);
+    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    sendNext();
+}
+
+std::vector<ChangePublisher::Change *> ChangePublisher::batch()
+{
+    std::vector<Change *> batch;
+    std::size_t bytes = 0;
+    for (Change &change : m_changes) {
+        if (change.isSettled)
+            continue;
+        bytes += change.record.body.size();
+        if (!batch.empty() && (batch.size() >= batchRecords || bytes > batchBytes))
+            break;
+        batch.push_back(&change);
+    }
+    return batch;
+}
+
+void ChangePublisher::sendNext()
+{
+    std::vector<Platform::Record> records;
+    for (Change *change : batch())
+        records.push_back(toRecord(change->outcome.recordId, change->record));
+    if (records.empty())
+        return end();
+    m_context.log->append(std::string(Configuration::streamName), records,
+                          [this](const Platform::AppendResult &result) { appended(result); });
+}
+
+void ChangePublisher::appended(const Platform::AppendResult &result)
+{
+    const std::vector<Change *> sent = batch();
+    bool mayBeThere = false;
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        if (result.outcomes[i].state != Platform::AppendState::NotAppended)
+            sent[i]->mayHaveLeft = true;
+        mayBeThere = mayBeThere || sent[i]->mayHaveLeft;
+    }
+    if (mayBeThere)
+        return readBack();
+    tryAgainOrEnd();
+}
+
+void ChangePublisher::readBack()
+{
+    m_log.read([this](const Errors::Result<void> &result) {
+        if (!result)
+            return tryAgainOrEnd();
+        judge();
+    });
+}
+
+void ChangePublisher::judge()
+{
+    bool hasProgress = false;
+    for (Change &change : m_changes) {
+        if (!change.isSettled && change.mayHaveLeft && settle(change))
+            hasProgress = true;
+    }
+    if (!hasProgress)
+        return tryAgainOrEnd();
+    m_backoff.reset();
+    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    sendNext();
+}
+
+bool ChangePublisher::settle(Change &change) const
+{
+    const Judgement *judgement = m_log.reducer().judgementOf(change.outcome.recordId);
+    if (!judgement)
+        return false;
+    change.isSettled = true;
+    change.outcome.revision = judgement->revision;
+    change.outcome.offset = judgement->offset;
+    if (judgement->verdict == Verdict::Accepted) {
+        change.outcome.state = ChangeState::Accepted;
+    } else if (judgement->verdict == Verdict::Stale && stands(change)) {
+        change.outcome.state = ChangeState::Unchanged;
+        change.outcome.detail = absl::StrCat(judgement->winner, " published the same first");
+    } else if (judgement->verdict == Verdict::Stale) {
+        rejectStale(change, judgement->detail);
+    } else {
+        change.outcome.state = ChangeState::Rejected;
+        change.outcome.detail = judgement->detail;
+    }
+    return true;
+}
+
+void ChangePublisher::tryAgainOrEnd()
+{
+    const Base::Duration delay = m_backoff.next();
+    if (m_context.timers->clock().now() + delay >= m_deadline)
+        return end();
+    m_timer = m_context.timers->start(delay, [this] { sendNext(); });
+}
+
+void ChangePublisher::end()
+{
+    const Done done = std::exchange(m_done, nullptr);
+    done();
+}
+
+std::vector<ChangeOutcome> ChangePublisher::outcomes() const
+{
+    std::vector<ChangeOutcome> outcomes;
+    for (const Change &change : m_changes) {
+        outcomes.push_back(change.outcome);
+        if (!change.isSettled && change.mayHaveLeft)
+            outcomes.back().state = ChangeState::Unknown;
+    }
+    return outcomes;
+}
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/checkcommand.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "operations/command.h"
+
+namespace Lagoonbank::Operations {
+
+/// `check PATH...`: whether the files hold a whole and right configuration, without the platform.
+class CheckCommand : public Command
+{
+public:
+    explicit CheckCommand(std::vector<std::string> paths)
+        : m_paths(std::move(paths))
+    { }
+
+    void start(Finished finished) override;
+
+private:
+    std::vector<std::string> m_paths;
+};
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/command.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/units.h"
+#include "operations/report.h"
+#include "platform/logclient.h"
+#include "platform/transport.h"
+#include "runtime/timerqueue.h"
+#include "runtime/udpsocket.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+/// The commands of operators and support engineers.
+namespace Lagoonbank::Operations {
+
+/// What commands work with.
+struct Context
+{
+    Runtime::TimerQueue *timers = nullptr;
+    Platform::LogClient *log = nullptr;
+    Platform::Transport platform;
+    Platform::Transport admin; ///< Goes to the server that the call names.
+    std::vector<Runtime::SocketAddress> admins; ///< Of routers and controllers.
+    std::string operatorName;
+    std::string invocation; ///< Unique for each run of the program; part of record ids.
+    Base::Duration timeout = std::chrono::seconds(5); ///< For one answer, its retries included.
+    /// Takes whole lines while a command goes on.
+    std::function<void(const std::string &text)> print;
+};
+
+/// One command that runs until it has its report.
+class Command
+{
+public:
+    using Finished = std::function<void(Report report)>;
+
+    virtual ~Command() = default;
+
+    /// `finished` is called once; the command must live on until it has returned.
+    virtual void start(Finished finished) = 0;
+    /// What is known if the command is not waited for any longer.
+    virtual Report giveUp() const
+    {
+        return failure(ExitStatus::Failed,
+                       "No answer in time. Check the addresses and ask again, or raise --timeout.");
+    }
+};
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/commandtable.cpp
@@ -0,0 +1,328 @@
+#include "operations/commandtable.h"
+
+#include "base/parsenumber.h"
+#include "operations/checkcommand.h"
+#include "operations/diffcommand.h"
+#include "operations/endpointcommands.h"
+#include "operations/historycommand.h"
+#include "operations/publishcommand.h"
+#include "operations/recordcommand.h"
+#include "operations/removecommand.h"
+#include "operations/requestcommand.h"
+#include "operations/showcommand.h"
+#include "operations/statuscommand.h"
+#include "operations/texts.h"
+#include "operations/timelinecommand.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace Lagoonbank::Operations {
+
+namespace {
+
+constexpr std::size_t anyNumber = std::numeric_limits<std::size_t>::max();
+
+Report usage(const std::string &what)
+{
+    return failure(ExitStatus::Usage, what);
+}
+
+MadeCommand withBase(const Arguments &arguments,
+                     const std::function<MadeCommand(std::optional<Base::Revision>)> &make)
+{
+    if (arguments.base.empty())
+        return make(std::nullopt);
+    const auto number = Base::parseNumber<std::uint64_t>(arguments.base);
+    if (!number)
+        return usage("--base takes the number of a revision, as `show` prints it.");
+    return make(Base::Revision(*number));
+}
+
+MadeCommand makeCheck(const Context & /*context*/, const Arguments &arguments)
+{
+    return std::make_unique<CheckCommand>(arguments.words);
+}
+
+MadeCommand makeDiff(const Context &context, const Arguments &arguments)
+{
+    return std::make_unique<DiffCommand>(context, arguments.words);
+}
+
+MadeCommand makePublish(const Context &context, const Arguments &arguments)
+{
+    return withBase(arguments, [&](std::optional<Base::Revision> base) -> MadeCommand {
+        return std::make_unique<PublishCommand>(
+            context, PublishCommand::Options{.paths = arguments.words, .base = base});
+    });
+}
+
+MadeCommand makeRemove(const Context &context, const Arguments &arguments)
+{
+    const auto key = keyFromWords(arguments.words[0], arguments.words[1]);
+    if (!key)
+        return unknownKind(arguments.words[0]);
+    return withBase(arguments, [&](std::optional<Base::Revision> base) -> MadeCommand {
+        return std::make_unique<RemoveCommand>(context, *key, base);
+    });
+}
+
+MadeCommand makeHistory(const Context &context, const Arguments &arguments)
+{
+    if (arguments.words.empty())
+        return std::make_unique<HistoryCommand>(context, std::nullopt);
+    if (arguments.words.size() == 1)
+        return usage("'history' takes KIND and NAME, or neither.");
+    const auto key = keyFromWords(arguments.words[0], arguments.words[1]);
+    if (!key)
+        return unknownKind(arguments.words[0]);
+    return std::make_unique<HistoryCommand>(context, key);
+}
+
+MadeCommand makeShow(const Context &context, const Arguments &arguments)
+{
+    ShowCommand::Options options;
+    if (!arguments.words.empty()) {
+        options.kind = Schema::enumFromName<Schema::ObjectKind>(arguments.words[0]);
+        if (!options.kind)
+            return unknownKind(arguments.words[0]);
+    }
+    if (arguments.words.size() > 1)
+        options.name = arguments.words[1];
+    return std::make_unique<ShowCommand>(context, options);
+}
+
+MadeCommand makeEndpointAdd(const Context &context, const Arguments &arguments)
+{
+    return std::make_unique<EndpointAddCommand>(context, arguments.words[0]);
+}
+
+MadeCommand makeEndpointDrain(const Context &context, const Arguments &arguments)
+{
+    return std::make_unique<EndpointStateCommand>(context, arguments.words[0],
+                                                  Schema::EndpointState::Draining);
+}
+
+MadeCommand makeEndpointUndrain(const Context &context, const Arguments &arguments)
+{
+    return std::make_unique<EndpointStateCommand>(context, arguments.words[0],
+                                                  Schema::EndpointState::Active);
+}
+
+MadeCommand makeStatus(const Context &context, const Arguments &arguments)
+{
+    if (arguments.record.empty())
+        return std::make_unique<StatusCommand>(context);
+    if (!context.log)
+        return usage("'status --record' needs --platform or platform_address in the settings.");
+    return std::make_unique<RecordCommand>(context, arguments.record);
+}
+
+MadeCommand makeRequest(const Context &context, const Arguments &arguments)
+{
+    const bool hasKey = !arguments.workspace.empty() && !arguments.key.empty();
+    if (arguments.words.empty() != hasKey)
+        return usage("'request' takes a request id, or --workspace and --key.");
+    RequestQuery query;
+    if (hasKey) {
+        query.workspace = Base::WorkspaceId(arguments.workspace);
+        query.key = Base::IdempotencyKey(arguments.key);
+    } else {
+        query.request = Base::RequestId(arguments.words[0]);
+    }
+    return std::make_unique<RequestCommand>(context, query);
+}
+
+MadeCommand makeTimeline(const Context &context, const Arguments &arguments)
+{
+    TimelineCommand::Options options{.query = {.workspace = arguments.workspace,
+                                               .endpoint = arguments.endpoint,
+                                               .request = arguments.request},
+                                     .file = arguments.out,
+                                     .follows = arguments.follows};
+    const auto format = timelineFormat(arguments.format);
+    if (!format)
+        return usage("--format takes text, json or html.");
+    options.format = *format;
+    if (!arguments.since.empty()) {
+        options.query.since = parsePeriod(arguments.since);
+        if (!options.query.since)
+            return usage("--since takes a number with s, m, h or d, such as 10m.");
+    }
+    const bool isPage = options.format == TimelineFormat::Html;
+    if (options.follows && (isPage || !options.file.empty()))
+        return usage("--follow goes to the standard output as text or json; leave out --out.");
+    return std::make_unique<TimelineCommand>(context, options);
+}
+
+const std::vector<CommandRow> &rows()
+{
+    static const std::vector<CommandRow> rows{
+        {"check",
+         "PATH...",
+         "Check files of configuration objects, without the platform.",
+         {},
+         1,
+         anyNumber,
+         false,
+         makeCheck},
+        {"diff",
+         "PATH...",
+         "Show what publishing the files would change.",
+         {},
+         1,
+         anyNumber,
+         true,
+         makeDiff},
+        {"publish",
+         "PATH...",
+         "Publish the files' objects; unchanged ones are left alone.",
+         {"base"},
+         1,
+         anyNumber,
+         true,
+         makePublish},
+        {"remove", "KIND NAME", "Remove an object.", {"base"}, 2, 2, true, makeRemove},
+        {"history",
+         "[KIND NAME]",
+         "List the changes and what became of each.",
+         {},
+         0,
+         2,
+         true,
+         makeHistory},
+        {"show",
+         "[KIND [NAME]]",
+         "Show an object as YAML, or list what there is.",
+         {},
+         0,
+         2,
+         true,
+         makeShow},
+        {"endpoint add",
+         "FILE",
+         "Publish endpoints that are not there yet.",
+         {},
+         1,
+         1,
+         true,
+         makeEndpointAdd},
+        {"endpoint drain",
+         "NAME",
+         "Give an endpoint no new work; what runs there finishes.",
+         {},
+         1,
+         1,
+         true,
+         makeEndpointDrain},
+        {"endpoint undrain",
+         "NAME",
+         "Give an endpoint work again.",
+         {},
+         1,
+         1,
+         true,
+         makeEndpointUndrain},
+        {"status",
+         "",
+         "Show how each process stands, or what became of one change.",
+         {"record"},
+         0,
+         0,
+         false,
+         makeStatus},
+        {"request",
+         "[ID]",
+         "Tell what became of a request.",
+         {"workspace", "key"},
+         0,
+         1,
+         false,
+         makeRequest},
+        {"timeline",
+         "",
+         "Show the events of all processes in causal order.",
+         {"since", "workspace", "endpoint", "request", "follow", "format", "out"},
+         0,
+         0,
+         false,
+         makeTimeline},
+    };
+    return rows;
+}
+
+std::string listOfNames()
+{
+    return absl::StrJoin(rows(), ", ",
+                         [](std::string *out, const CommandRow &row) { out->append(row.name); });
+}
+
+} // namespace
+
+std::span<const CommandRow> commandTable()
+{
+    return rows();
+}
+
+ChosenCommand chooseCommand(const std::vector<std::string> &words)
+{
+    for (const CommandRow &row : rows()) {
+        const std::size_t length = row.name.find(' ') == std::string_view::npos ? 1 : 2;
+        if (words.size() < length)
+            continue;
+        if (absl::StrJoin(words.begin(), words.begin() + static_cast<int>(length), " ") == row.name)
+            return {.row = &row, .words = {words.begin() + static_cast<int>(length), words.end()}};
+    }
+    const std::string what =
+        words.empty() ? "No command is given" : "Unknown command '" + words[0] + "'";
+    return {.error = usage(what + "; give one of " + listOfNames() + ". See --help.")};
+}
+
+MadeCommand makeCommand(const CommandRow &row, const Context &context, const Arguments &arguments)
+{
+    const std::size_t count = arguments.words.size();
+    if (count < row.minWords || count > row.maxWords) {
+        return usage(absl::StrCat("'", std::string(row.name), "' takes ",
+                                  row.words.empty() ? "no more words" : std::string(row.words),
+                                  ". See --help."));
+    }
+    if (row.needsLog && !context.log) {
+        return usage(absl::StrCat("'", std::string(row.name),
+                                  "' needs --platform or platform_address in the settings."));
+    }
+    return row.make(context, arguments);
+}
+
+std::optional<Base::Duration> parsePeriod(std::string_view text)
+{
+    if (text.empty())
+        return std::nullopt;
+    constexpr int mostDays = 36500;
+    const auto number = Base::parseNumber<std::uint32_t>(text.substr(0, text.size() - 1));
+    if (!number)
+        return std::nullopt;
+    const auto as = [&](std::chrono::seconds unit) -> std::optional<Base::Duration> {
+        const std::chrono::seconds period = unit * static_cast<std::int64_t>(*number);
+        if (period > std::chrono::hours(24) * mostDays)
+            return std::nullopt;
+        return period;
+    };
+    switch (text.back()) {
+    case 's':
+        return as(std::chrono::seconds(1));
+    case 'm':
+        return as(std::chrono::minutes(1));
+    case 'h':
+        return as(std::chrono::hours(1));
+    case 'd':
+        return as(std::chrono::hours(24));
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/configurationlog.cpp
@@ -0,0 +1,50 @@
+#include "operations/configurationlog.h"
+
+namespace Lagoonbank::Operations {
+
+namespace {
+
+/// The history shows them all.
+constexpr std::size_t maxJudgements = 1'000'000;
+
+} // namespace
+
+ConfigurationLog::ConfigurationLog(const Context &context)
+    : m_reducer({.maxJudgements = maxJudgements})
+    , m_stream(context, std::string(Configuration::streamName))
+{
+    m_stream.setRecordRead([this](const Platform::StoredRecord &record) {
+        m_reducer.recordRead({.offset = record.offset, .id = record.id, .data = record.data});
+    });
+    m_stream.setGapFound([this](Base::LogOffset first) { m_reducer.gapFound(first); });
+}
+
+void ConfigurationLog::read(Read done)
+{
+    m_stream.readToEnd([this, done = std::move(done)](const Errors::Result<void> &result) {
+        if (!result)
+            return done(result);
+        m_reducer.endReached();
+        done(checkWhole());
+    });
+}
+
+Errors::Result<void> ConfigurationLog::checkWhole() const
+{
+    if (!m_reducer.hasGap())
+        return boost::outcome_v2::success();
+    return Errors::makeError(Errors::ErrorKind::NotReady,
+                             "The log has lost its records before offset "
+                                 + std::to_string(first().value())
+                                 + " and holds no snapshot. Wait until a controller has appended "
+                                   "one and ask again.");
+}
+
+const Schema::ObjectState *ConfigurationLog::entry(const Configuration::ObjectKey &key) const
+{
+    const auto &entries = m_reducer.state().entries();
+    const auto found = entries.find(key);
+    return found == entries.end() ? nullptr : &found->second;
+}
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/endpointcommands.cpp
@@ -0,0 +1,61 @@
+#include "operations/endpointcommands.h"
+
+#include "operations/objectfiles.h"
+#include "operations/texts.h"
+
+namespace Lagoonbank::Operations {
+
+EndpointAddCommand::EndpointAddCommand(const Context &context, std::string file)
+    : ChangeCommand(context)
+    , m_file(std::move(file))
+{ }
+
+std::optional<Report> EndpointAddCommand::plan()
+{
+    const auto read = readPaths({m_file});
+    if (!read)
+        return fileFailure(read.error());
+    const Schema::SettingsErrors errors = checkOnTop(read.value(), log().objects());
+    if (!errors.empty())
+        return fileFailure(errors);
+    for (const Schema::ObjectDocument &document : read.value()) {
+        const Configuration::ObjectKey key = Configuration::keyOf(document.object);
+        if (key.kind != Schema::ObjectKind::Endpoint) {
+            return failure(ExitStatus::Usage,
+                           Schema::sourceOf(document.object).at("kind")
+                               + ": is no endpoint; use `lagoonbank-ctl publish` for it.");
+        }
+        const Schema::ConfigurationObject *standing = log().objects().find(key);
+        if (standing && *standing != document.object) {
+            return failure(ExitStatus::Rejected,
+                           toString(key)
+                               + " is there already and differs; use `lagoonbank-ctl diff` and "
+                                 "`lagoonbank-ctl publish` to change it.");
+        }
+        publisher().addObject(document.object, std::nullopt);
+    }
+    return std::nullopt;
+}
+
+EndpointStateCommand::EndpointStateCommand(const Context &context, std::string name,
+                                           Schema::EndpointState state)
+    : ChangeCommand(context)
+    , m_name(std::move(name))
+    , m_state(state)
+{ }
+
+std::optional<Report> EndpointStateCommand::plan()
+{
+    const Schema::Endpoint *standing = log().objects().endpoint(Base::EndpointId(m_name));
+    if (!standing) {
+        return failure(ExitStatus::NotFound,
+                       "There is no endpoint " + m_name
+                           + "; `lagoonbank-ctl show endpoint` lists them.");
+    }
+    Schema::Endpoint wanted = *standing;
+    wanted.state = m_state;
+    publisher().addObject(wanted, std::nullopt);
+    return std::nullopt;
+}
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/historycommand.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "operations/readcommand.h"
+
+#include <optional>
+
+namespace Lagoonbank::Operations {
+
+/// `history [KIND NAME]`: the changes that the log still holds, and what became of each.
+class HistoryCommand final : public ReadCommand
+{
+public:
+    HistoryCommand(const Context &context, std::optional<Configuration::ObjectKey> key)
+        : ReadCommand(context)
+        , m_key(std::move(key))
+    { }
+
+protected:
+    Report report() const override;
+
+private:
+    std::optional<Configuration::ObjectKey> m_key;
+};
+
+/// One judgement as a line of the history.
+std::string toText(const Configuration::Judgement &judgement);
+Json toJson(const Configuration::Judgement &judgement);
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/readcommand.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "operations/command.h"
+#include "operations/configurationlog.h"
+
+namespace Lagoonbank::Operations {
+
+/// A command that reads the configuration from the log and tells something about it.
+class ReadCommand : public Command
+{
+public:
+    explicit ReadCommand(const Context &context)
+        : m_log(context)
+    { }
+
+    void start(Finished finished) final;
+
+protected:
+    virtual Report report() const = 0;
+    const ConfigurationLog &log() const { return m_log; }
+
+private:
+    ConfigurationLog m_log;
+    Finished m_finished;
+};
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/removecommand.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "operations/changecommand.h"
+
+namespace Lagoonbank::Operations {
+
+/// `remove KIND NAME`
+class RemoveCommand final : public ChangeCommand
+{
+public:
+    RemoveCommand(const Context &context, Configuration::ObjectKey key,
+                  std::optional<Base::Revision> base);
+
+protected:
+    std::optional<Report> plan() override;
+
+private:
+    Configuration::ObjectKey m_key;
+    std::optional<Base::Revision> m_base;
+};
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/requestcommand.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "operations/adminclient.h"
+#include "operations/command.h"
+#include "operations/logoutcomes.h"
+#include "timeline/outcome.h"
+#include "timeline/requestid.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Operations {
+
+/// `request ID` and `request --workspace W --key K`: what became of a request. Asks its router
+/// first, then all processes, then the log, so that it answers for replaced routers too.
+class RequestCommand final : public Command
+{
+public:
+    RequestCommand(const Context &context, RequestQuery query);
+    ~RequestCommand() override;
+    RequestCommand(const RequestCommand &) = delete;
+    RequestCommand &operator=(const RequestCommand &) = delete;
+
+    void start(Finished finished) override;
+
+private:
+    void findRouter();
+    void vmsRead(const Http::CallResult &result);
+    void askRouter(const std::vector<Runtime::SocketAddress> &addresses);
+    void askAll();
+    void allAnswered(const std::vector<AdminAnswer> &answers);
+    void take(const std::vector<AdminAnswer> &answers);
+    void readLog();
+    void logRead();
+    void askEvents();
+    void askEvents(const Base::RequestId &request);
+    void finish(const std::vector<AdminAnswer> &answers);
+    Report nothingKnown() const;
+
+    const Context &m_context;
+    RequestQuery m_query;
+    std::optional<Timeline::RequestOrigin> m_origin;
+    AdminClient m_client;
+    LogOutcomes m_log;
+    Http::CallId m_vmCall;
+    std::vector<FoundOutcome> m_found;
+    std::string m_unreached;
+    std::size_t m_asked = 0;
+    std::size_t m_reached = 0;
+    bool m_wasLogRead = false;
+    Finished m_finished;
+};
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/statuscommand.cpp
@@ -0,0 +1,163 @@
+#include "operations/statuscommand.h"
+
+#include "configuration/record.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+
+namespace Lagoonbank::Operations {
+
+namespace {
+
+/// What the tool reads of one answer; a process may leave parts out.
+struct ProcessStatus
+{
+    std::string process;
+    bool isReady = true;
+    std::uint64_t next = 0; ///< First record of the configuration that it has not taken in.
+    bool isLogUp = true;
+    std::size_t members = 0;
+    std::size_t reachable = 0;
+    std::size_t endpoints = 0;
+    std::size_t leaving = 0;
+    std::size_t suspected = 0;
+};
+
+const Json &member(const Json &json, const char *name)
+{
+    static const Json none;
+    const auto found = json.is_object() ? json.find(name) : json.end();
+    return json.is_object() && found != json.end() ? *found : none;
+}
+
+bool flag(const Json &json, const char *name, bool otherwise)
+{
+    const Json &value = member(json, name);
+    return value.is_boolean() ? value.get<bool>() : otherwise;
+}
+
+std::size_t count(const Json &list, const char *name)
+{
+    std::size_t count = 0;
+    for (const Json &item : list)
+        count += flag(item, name, false) ? 1 : 0;
+    return count;
+}
+
+ProcessStatus readStatus(const AdminAnswer &answer)
+{
+    ProcessStatus status{.process = Runtime::toString(answer.from)};
+    if (const Json &process = member(answer.body, "process"); process.is_string())
+        status.process = process.get<std::string>();
+    status.isReady = flag(answer.body, "ready", true);
+    const Json &configuration = member(answer.body, "configuration");
+    if (const Json &next = member(configuration, "next"); next.is_number_unsigned())
+        status.next = next.get<std::uint64_t>();
+    status.isLogUp = flag(configuration, "log_up", true);
+    if (const Json &members = member(answer.body, "members"); members.is_array()) {
+        status.members = members.size();
+        status.reachable = count(members, "reachable");
+    }
+    if (const Json &endpoints = member(answer.body, "endpoints"); endpoints.is_array()) {
+        status.endpoints = endpoints.size();
+        status.leaving = count(endpoints, "leaving");
+        status.suspected = count(endpoints, "suspected");
+    }
+    return status;
+}
+
+std::string marksOf(const ProcessStatus &status, std::uint64_t wanted)
+{
+    std::string marks;
+    if (status.next < wanted)
+        absl::StrAppend(&marks, "  BEHIND by ", wanted - status.next, " records");
+    if (!status.isReady)
+        marks += "  NOT READY";
+    if (!status.isLogUp)
+        marks += "  log not followed";
+    return marks;
+}
+
+std::string lineOf(const ProcessStatus &status, std::uint64_t wanted)
+{
+    return absl::StrFormat("%-32s offset %-8d members %d/%d  endpoints %d (%d leaving, %d "
+                           "suspected)%s\n",
+                           status.process, status.next, status.reachable, status.members,
+                           status.endpoints, status.leaving, status.suspected,
+                           marksOf(status, wanted));
+}
+
+} // namespace
+
+StatusCommand::StatusCommand(const Context &context)
+    : m_context(context)
+    , m_stream(context, std::string(Configuration::streamName))
+    , m_client(context)
+{ }
+
+void StatusCommand::start(Finished finished)
+{
+    m_finished = std::move(finished);
+    if (m_context.admins.empty()) {
+        return m_finished(failure(ExitStatus::Usage,
+                                  "No process to ask; give --admin or admin_addresses in the "
+                                  "settings."));
+    }
+    if (!m_context.log)
+        return logRead(Errors::makeError(Errors::ErrorKind::LogUnavailable, "No --platform."));
+    m_stream.readToEnd([this](const Errors::Result<void> &result) { logRead(result); });
+}
+
+void StatusCommand::logRead(const Errors::Result<void> &result)
+{
+    if (result)
+        m_logEnd = m_stream.next();
+    else
+        m_logError = result.error().detail;
+    m_client.ask(m_context.admins, "/admin/status",
+                 [this](const std::vector<AdminAnswer> &answers) { m_finished(report(answers)); });
+}
+
+Report StatusCommand::report(const std::vector<AdminAnswer> &answers) const
+{
+    std::vector<ProcessStatus> processes;
+    Report report;
+    report.json["processes"] = Json::array();
+    std::uint64_t wanted = m_logEnd.value_or(Base::LogOffset()).value();
+    for (const AdminAnswer &answer : answers) {
+        if (!answer.isOk()) {
+            absl::StrAppend(&report.errors, Runtime::toString(answer.from),
+                            " gave no status: ", answer.error, "\n");
+            continue;
+        }
+        processes.push_back(readStatus(answer));
+        wanted = std::max(wanted, processes.back().next);
+        Json item = answer.body;
+        item["address"] = Runtime::toString(answer.from);
+        report.json["processes"].push_back(std::move(item));
+    }
+    if (!report.errors.empty())
+        report.errors += "Check that these processes run, and their addresses in --admin.\n";
+    report.text = m_logEnd
+        ? absl::StrCat("log: configuration ends at offset ", wanted, "\n")
+        : absl::StrCat("log: OUT (", m_logError, ") highest offset held ", wanted, "\n");
+    bool isWhole = report.errors.empty();
+    for (std::size_t i = 0; i < processes.size(); ++i) {
+        const ProcessStatus &status = processes[i];
+        report.text += lineOf(status, wanted);
+        const bool isBehind = status.next < wanted;
+        isWhole = isWhole && status.isReady && !isBehind;
+        report.json["processes"][i]["behind"] = isBehind;
+    }
+    report.json["log_up"] = m_logEnd.has_value();
+    report.json["offset"] = wanted;
+    report.json["unreached"] = unreachedJson(answers);
+    report.status = isWhole ? ExitStatus::Ok : ExitStatus::Failed;
+    return report;
+}
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/streamreader.cpp
@@ -0,0 +1,76 @@
+#include "operations/streamreader.h"
+
+#include <utility>
+
+namespace Lagoonbank::Operations {
+
+namespace {
+
+constexpr std::size_t pageRecords = 1000;
+
+} // namespace
+
+StreamReader::StreamReader(const Context &context, std::string stream)
+    : m_context(context)
+    , m_stream(std::move(stream))
+{ }
+
+StreamReader::~StreamReader()
+{
+    if (m_context.log)
+        m_context.log->cancel(m_read);
+    m_context.timers->cancel(m_timer);
+}
+
+void StreamReader::readToEnd(Finished finished)
+{
+    m_finished = std::move(finished);
+    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    m_backoff.reset();
+    readPage();
+}
+
+void StreamReader::readPage()
+{
+    m_read = m_context.log->read(
+        {.stream = m_stream, .from = m_next, .limit = pageRecords},
+        [this](const Errors::Result<Platform::ReadPage> &page) { pageRead(page); });
+}
+
+void StreamReader::pageRead(const Errors::Result<Platform::ReadPage> &page)
+{
+    if (!page)
+        return retryOrFail(page.error());
+    const Platform::ReadPage &read = page.value();
+    if (read.first > m_next) {
+        m_first = read.first;
+        m_next = read.first;
+        if (m_gapFound)
+            m_gapFound(read.first);
+    }
+    for (const Platform::StoredRecord &record : read.records) {
+        if (m_recordRead)
+            m_recordRead(record);
+    }
+    if (read.records.empty() || read.next <= m_next)
+        return finish(boost::outcome_v2::success());
+    m_next = read.next;
+    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    readPage();
+}
+
+void StreamReader::retryOrFail(const Errors::Error &error)
+{
+    const Base::Duration delay = m_backoff.next();
+    if (m_context.timers->clock().now() + delay >= m_deadline)
+        return finish(error);
+    m_timer = m_context.timers->start(delay, [this] { readPage(); });
+}
+
+void StreamReader::finish(Errors::Result<void> result)
+{
+    const Finished finished = std::exchange(m_finished, nullptr);
+    finished(std::move(result));
+}
+
+} // namespace Lagoonbank::Operations
--- /dev/null
+++ b/src/libs/operations/streamreader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "errors/result.h"
+#include "operations/command.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Lagoonbank::Operations {
+
+/// Reads a stream of the log to its end, trying again for as long as the context's timeout.
+class StreamReader
+{
+public:
+    using RecordRead = std::function<void(const Platform::StoredRecord &record)>;
+    using Finished = std::function<void(Errors::Result<void> result)>;
+
+    StreamReader(const Context &context, std::string stream);
+    ~StreamReader();
+    StreamReader(const StreamReader &) = delete;
+    StreamReader &operator=(const StreamReader &) = delete;
+
+    void setRecordRead(RecordRead hook) { m_recordRead = std::move(hook); }
+    /// Records before `first` were lost by retention.
+    void setGapFound(std::function<void(Base::LogOffset first)> hook)
+    {
+        m_gapFound = std::move(hook);
+    }
+
+    /// Reads on from where it stands; one read at a time.
+    void readToEnd(Finished finished);
+
+    Base::LogOffset first() const { return m_first; }
+    Base::LogOffset next() const { return m_next; }
+
+private:
+    void readPage();
+    void pageRead(const Errors::Result<Platform::ReadPage> &page);
+    void retryOrFail(const Errors::Error &error);
+    void finish(Errors::Result<void> result);
+
+    const Context &m_context;
+    std::string m_stream;
+    RecordRead m_recordRead;
+    std::function<void(Base::LogOffset)> m_gapFound;
+    Finished m_finished;
+    Base::LogOffset m_first;
+    Base::LogOffset m_next;
+    Base::MonoTime m_deadline;
+    Platform::Backoff m_backoff{Platform::Backoff::Options()};
+    Platform::LogClient::ReadId m_read;
+    Runtime::TimerId m_timer;
+};
+
+} // namespace Lagoonbank::Operations
