Operations: Retry a lost append and tell recorded answers apart

Cause: reading back took the whole time for an answer, so that a lost append was never tried again. Change: read back for a second at most and append again under the same id. An answer that came from an earlier request's record is said to be that.

--- a/src/apps/ctl/main.cpp
+++ b/src/apps/ctl/main.cpp
@@ -7,6 +7,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -21,6 +23,10 @@
 
 namespace {
 
+/// For reading back an append whose answer was lost, before it is tried again.
+constexpr Base::Duration longestSettling = std::chrono::seconds(1);
+constexpr int settlingShare = 4;
+
 /// Unique for each run: when it began and a random number.
 std::string makeInvocation(const Runtime::Clock &clock)
 {
@@ -69,12 +75,12 @@
         context.platform = Platform::httpTransport(
             {.client = &client,
              .server = Runtime::parseSocketAddress(line.settings.platformAddress).value()});
-        log = std::make_unique<Platform::LogClient>(
-            Platform::LogClient::Options{.transport = context.platform,
-                                         .timers = &loop.timers(),
-                                         .appendTimeout = timeout,
-                                         .settleTimeout = timeout,
-                                         .readTimeout = timeout});
+        log = std::make_unique<Platform::LogClient>(Platform::LogClient::Options{
+            .transport = context.platform,
+            .timers = &loop.timers(),
+            .appendTimeout = timeout,
+            .settleTimeout = std::min(longestSettling, timeout / settlingShare),
+            .readTimeout = timeout});
         context.log = log.get();
     }
     for (const std::string &address : line.settings.adminAddresses)
--- a/src/libs/operations/logoutcomes.cpp
+++ b/src/libs/operations/logoutcomes.cpp
@@ -30,6 +30,21 @@
     return outcome.workspace == workspace && outcome.key == key;
 }
 
+bool FoundOutcome::wasRecorded() const
+{
+    return !isClaim && outcome.key && outcome.attempts.empty()
+        && outcome.end.kind == OutcomeKind::Whole;
+}
+
+std::string sentenceOf(const FoundOutcome &found, Base::WallTime now)
+{
+    if (found.wasRecorded()) {
+        return "The request did not run again: its caller got the recorded answer of an earlier "
+               "request with the same key.";
+    }
+    return Timeline::sentence(found.outcome, Base::toMilliseconds(now.time_since_epoch()));
+}
+
 LogOutcomes::LogOutcomes(const Context &context, RequestQuery query)
     : m_query(std::move(query))
     , m_outcomes(context, std::string(outcomesStream))
@@ -66,7 +81,8 @@
         return;
     const auto outcome = Timeline::outcomeFromJson(json);
     if (outcome && m_query.matches(outcome.value()))
-        m_found[outcome.value().request] = {outcome.value(), "the log's stream outcomes"};
+        m_found[outcome.value().request] = {.outcome = outcome.value(),
+                                            .source = "the log's stream outcomes"};
 }
 
 void LogOutcomes::claimRead(const Platform::StoredRecord &record)
@@ -95,7 +111,8 @@
     }
     if (!m_query.matches(outcome))
         return;
-    FoundOutcome found{std::move(outcome), "the log's stream claims"};
+    FoundOutcome found{
+        .outcome = std::move(outcome), .source = "the log's stream claims", .isClaim = true};
     if (end)
         m_claimed[claim.request] = std::move(found);
     else
--- a/src/libs/operations/logoutcomes.h
+++ b/src/libs/operations/logoutcomes.h
@@ -27,8 +27,15 @@
 {
     Timeline::Outcome outcome;
     std::string source;
+    bool isClaim = false; ///< Told by its claim alone, which does not name the attempts.
+
+    /// The caller got the recorded answer of an earlier request with the same key.
+    bool wasRecorded() const;
 };
 
+/// One plain sentence for a support engineer.
+std::string sentenceOf(const FoundOutcome &found, Base::WallTime now);
+
 /// Looks for outcomes in the log's streams `outcomes` and `claims`.
 class LogOutcomes
 {
--- a/src/libs/operations/requestcommand.cpp
+++ b/src/libs/operations/requestcommand.cpp
@@ -30,9 +30,12 @@
 }
 
 /// Of several requests of one matter the one that says most about it comes first.
-int rankOf(OutcomeKind kind)
+int rankOf(const FoundOutcome &found)
 {
-    switch (kind) {
+    constexpr int last = 5;
+    if (found.wasRecorded())
+        return last - 1;
+    switch (found.outcome.end.kind) {
     case OutcomeKind::Whole:
         return 0;
     case OutcomeKind::Running:
@@ -44,7 +47,17 @@
     case OutcomeKind::Refused:
         break;
     }
-    return 4;
+    return last;
+}
+
+/// The other requests of the same key may say more.
+std::string hintOf(const FoundOutcome &found)
+{
+    if (!found.wasRecorded())
+        return {};
+    return absl::StrCat("  the request that ran: lagoonbank-ctl request --workspace '",
+                        found.outcome.workspace.value(), "' --key '", found.outcome.key->value(),
+                        "'\n");
 }
 
 std::string attemptLine(std::size_t number, const Timeline::OutcomeAttempt &attempt)
@@ -192,7 +205,8 @@
             continue;
         const auto outcome = Timeline::outcomeFromJson(answer.body);
         if (outcome && m_query.matches(outcome.value()))
-            m_found.push_back({outcome.value(), "the router at " + Runtime::toString(answer.from)});
+            m_found.push_back({.outcome = outcome.value(),
+                               .source = "the router at " + Runtime::toString(answer.from)});
     }
 }
 
@@ -241,10 +255,8 @@
 
 void RequestCommand::finish(const std::vector<AdminAnswer> &answers)
 {
-    const Base::WallTime now = m_context.timers->clock().wallNow();
-    const std::int64_t nowMs = Base::toMilliseconds(now.time_since_epoch());
     const std::vector<ProcessEvent> events = mergedEvents(answers);
-    const std::string sentence = Timeline::sentence(m_found.front().outcome, nowMs);
+    const std::string sentence = sentenceOf(m_found.front(), m_context.timers->clock().wallNow());
     Report report;
     report.text = sentence + "\n";
     report.json["sentence"] = sentence;
@@ -255,6 +267,8 @@
         item["source"] = found.source;
         report.json["outcomes"].push_back(std::move(item));
     }
+    if (!m_query.request.empty())
+        report.text += hintOf(m_found.front());
     report.json["events"] = Json::array();
     for (const ProcessEvent &event : events)
         report.json["events"].push_back(Timeline::toJson(event));
--- a/src/libs/operations/statuscommand.cpp
+++ b/src/libs/operations/statuscommand.cpp
@@ -145,7 +145,7 @@
     report.text = m_logEnd
         ? absl::StrCat("log: configuration ends at offset ", wanted, "\n")
         : absl::StrCat("log: OUT (", m_logError, ") highest offset held ", wanted, "\n");
-    bool isWhole = report.errors.empty();
+    bool isWhole = m_logEnd && report.errors.empty();
     for (std::size_t i = 0; i < processes.size(); ++i) {
         const ProcessStatus &status = processes[i];
         report.text += lineOf(status, wanted);
