--- /dev/null
+++ b/src/libs/controller/cachemover.cpp
@@ -0,0 +1,178 @@
+#include "controller/cachemover.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <utility>
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+constexpr int httpOk = 200;
+
+bool isGood(const Http::CallResult &result)
+{
+    return result.end == Http::CallEnd::Whole && result.status == httpOk;
+}
+
+/// Chats are named by the routers, in characters that need no escapes; others are left alone.
+bool isPlainName(const std::string &chat)
+{
+    return Routing::chatHashFromName(chat).has_value();
+}
+
+} // namespace
+
+std::vector<std::string> hotChats(const std::vector<CacheEvent> &events, std::size_t most)
+{
+    std::map<std::string, std::size_t> storedAt;
+    for (std::size_t i = 0; i < events.size(); ++i) {
+        if (events[i].isStored)
+            storedAt[events[i].chat] = i;
+        else
+            storedAt.erase(events[i].chat);
+    }
+    std::vector<std::pair<std::size_t, std::string>> order;
+    for (const auto &[chat, index] : storedAt) {
+        if (isPlainName(chat))
+            order.emplace_back(index, chat);
+    }
+    std::sort(order.rbegin(), order.rend());
+    std::vector<std::string> chats;
+    for (std::size_t i = 0; i < std::min(most, order.size()); ++i)
+        chats.push_back(order[i].second);
+    return chats;
+}
+
+const CacheHome *nextHome(const std::string &chat, const std::vector<CacheHome> &homes)
+{
+    const auto hash = Routing::chatHashFromName(chat);
+    if (!hash)
+        return nullptr;
+    const Routing::RendezvousCost order(*hash);
+    const CacheHome *best = nullptr;
+    double cost = std::numeric_limits<double>::infinity();
+    for (const CacheHome &home : homes) {
+        if (order.improves(Routing::stableHash(home.endpoint.value()), home.capacity, &cost))
+            best = &home;
+    }
+    return best;
+}
+
+CacheMover::CacheMover(Options options)
+    : m_options(std::move(options))
+{ }
+
+void CacheMover::start()
+{
+    m_deadline = m_options.timers->clock().now() + m_options.longest;
+    m_timer =
+        m_options.timers->start(m_options.longest, [self = shared_from_this()] { self->finish(); });
+    if (m_options.homes.empty()) {
+        m_options.timers->start({}, [self = shared_from_this()] { self->finish(); });
+        return;
+    }
+    readEvents(0);
+}
+
+Base::Duration CacheMover::timeLeft() const
+{
+    return std::max(m_deadline - m_options.timers->clock().now(), Base::Duration(1));
+}
+
+void CacheMover::call(const CacheHome &home, std::string method, std::string target,
+                      std::string body, std::function<void(const Http::CallResult &)> ended)
+{
+    Http::Call call{.server = home.address,
+                    .method = std::move(method),
+                    .target = std::move(target),
+                    .body = std::move(body),
+                    .totalTimeout = timeLeft()};
+    if (!call.body.empty())
+        call.headers.add("content-type", "application/json");
+    m_options.calls.start(
+        std::move(call), m_options.mayLeave,
+        [self = shared_from_this(), ended = std::move(ended)](const Http::CallResult &result) {
+            if (!self->m_isFinished)
+                ended(result);
+        });
+}
+
+void CacheMover::readEvents(std::uint64_t from)
+{
+    call(m_options.from, "GET", "/v1/cache/events?from=" + std::to_string(from), {},
+         [this, from](const Http::CallResult &result) { eventsRead(from, result); });
+}
+
+void CacheMover::eventsRead(std::uint64_t from, const Http::CallResult &result)
+{
+    const auto page = readCacheEvents(result.body);
+    if (!isGood(result) || !page)
+        return finish();
+    const CacheEventPage &read = page.value();
+    m_events.insert(m_events.end(), read.events.begin(), read.events.end());
+    const bool hasMore = !read.events.empty() && read.next > from;
+    if (hasMore && ++m_pages < m_options.mostEventPages)
+        return readEvents(read.next);
+    for (std::string &chat : hotChats(m_events, m_options.mostChats))
+        m_chats.push_back(std::move(chat));
+    pump();
+}
+
+void CacheMover::pump()
+{
+    while (!m_chats.empty() && m_running < m_options.mostRunning) {
+        const std::string chat = std::move(m_chats.front());
+        m_chats.pop_front();
+        ++m_running;
+        exportChat(chat);
+    }
+    if (m_chats.empty() && m_running == 0)
+        finish();
+}
+
+void CacheMover::exportChat(const std::string &chat)
+{
+    call(m_options.from, "GET", "/v1/cache/export?chat=" + chat, {},
+         [this, chat](const Http::CallResult &result) {
+             if (isGood(result))
+                 importChat(chat, result.body);
+             else
+                 chatEnded(false, 0);
+         });
+}
+
+void CacheMover::importChat(const std::string &chat, const std::string &body)
+{
+    const CacheHome *home = nextHome(chat, m_options.homes);
+    call(*home, "POST", "/v1/cache/import", body,
+         [this, bytes = body.size()](const Http::CallResult &result) {
+             chatEnded(isGood(result), bytes);
+         });
+}
+
+void CacheMover::chatEnded(bool isMoved, std::size_t bytes)
+{
+    --m_running;
+    if (isMoved) {
+        ++m_moved.chats;
+        m_moved.bytes += bytes;
+    } else {
+        ++m_moved.failures;
+    }
+    pump();
+}
+
+void CacheMover::finish()
+{
+    if (std::exchange(m_isFinished, true))
+        return;
+    m_options.timers->cancel(m_timer);
+    if (finished)
+        finished(m_moved);
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/cachemover.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "controller/endpointanswers.h"
+#include "controller/endpointcalls.h"
+#include "runtime/timerqueue.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Controller {
+
+/// An engine as a place for cached prefixes.
+struct CacheHome
+{
+    Base::EndpointId endpoint;
+    Runtime::SocketAddress address;
+    double capacity = 1;
+};
+
+/// The chats whose prefixes an engine holds, latest first, as far as its events tell.
+std::vector<std::string> hotChats(const std::vector<CacheEvent> &events, std::size_t most);
+
+/// The engine among \a homes to which routers send the chat once its own is gone: the first in
+/// rendezvous order. Null if there is none.
+const CacheHome *nextHome(const std::string &chat, const std::vector<CacheHome> &homes);
+
+/// Moves the KV cache of an engine's hot chats to other engines of its model, a bounded number in
+/// a bounded time, since the engine's draining waits for it.
+class CacheMover : public std::enable_shared_from_this<CacheMover>
+{
+public:
+    struct Options
+    {
+        Runtime::TimerQueue *timers = nullptr;
+        EndpointCalls calls;
+        EndpointCalls::MayLeave mayLeave;
+        CacheHome from;
+        std::vector<CacheHome> homes; ///< Without \a from.
+        std::size_t mostChats = 64;
+        std::size_t mostRunning = 4;
+        std::size_t mostEventPages = 64;
+        Base::Duration longest = std::chrono::seconds(2);
+    };
+    struct Moved
+    {
+        std::size_t chats = 0;
+        std::size_t failures = 0;
+        std::uint64_t bytes = 0;
+    };
+
+    explicit CacheMover(Options options);
+
+    /// Called once, when all is moved or time is up.
+    std::function<void(const Moved &moved)> finished;
+    void start();
+
+private:
+    void readEvents(std::uint64_t from);
+    void eventsRead(std::uint64_t from, const Http::CallResult &result);
+    void pump();
+    void exportChat(const std::string &chat);
+    void importChat(const std::string &chat, const std::string &body);
+    void chatEnded(bool isMoved, std::size_t bytes);
+    void finish();
+    void call(const CacheHome &home, std::string method, std::string target, std::string body,
+              std::function<void(const Http::CallResult &)> ended);
+    Base::Duration timeLeft() const;
+
+    Options m_options;
+    Base::MonoTime m_deadline;
+    std::vector<CacheEvent> m_events;
+    std::size_t m_pages = 0;
+    std::deque<std::string> m_chats;
+    std::size_t m_running = 0;
+    Moved m_moved;
+    bool m_isFinished = false;
+    Runtime::TimerId m_timer;
+};
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/controlleradmin.cpp
@@ -0,0 +1,69 @@
+#include "controller/controlleradmin.h"
+
+#include "node/adminanswers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+using Node::AdminPort;
+
+std::string leaseState(const LeaseDesk &lease)
+{
+    if (lease.mayOrder(true))
+        return "held";
+    return lease.state().holder().empty() ? "free" : "followed";
+}
+
+} // namespace
+
+ControllerAdmin::ControllerAdmin(AdminPort &port, Sources sources)
+    : m_sources(std::move(sources))
+{
+    port.add("/metrics", [this](const Node::QueryParameters &) { return metrics(); });
+    port.add("/admin/status", [this](const Node::QueryParameters &) { return status(); });
+    port.add("/admin/events", [this](const Node::QueryParameters &query) {
+        return Node::eventsAnswer(*m_sources.events, query);
+    });
+}
+
+AdminPort::Answer ControllerAdmin::metrics() const
+{
+    ControllerMetrics &metrics = *m_sources.metrics;
+    const bool isHolder = m_sources.lease->mayOrder(true).has_value();
+    metrics.configurationOffset.set(
+        static_cast<double>(m_sources.configuration->reducer().next().value()));
+    metrics.logUp.set(m_sources.lease->isLogUp() ? 1 : 0);
+    metrics.members.set(static_cast<double>(
+        m_sources.peers->membership().usableMembers(m_sources.clock->now(), true).size()));
+    metrics.leaseHeld.set(isHolder ? 1 : 0);
+    metrics.probedEndpoints.set(static_cast<double>(m_sources.prober->share()));
+    metrics.ordersPending.set(isHolder ? static_cast<double>(m_sources.orders->pending()) : 0);
+    return {.contentType = std::string(Metrics::Registry::textType),
+            .body = metrics.registry.text()};
+}
+
+AdminPort::Answer ControllerAdmin::status() const
+{
+    const LeaseDesk &lease = *m_sources.lease;
+    Json leaseJson{{"holder", lease.state().holder()}, {"fencing", nullptr}};
+    if (lease.state().fencing())
+        leaseJson["fencing"] = lease.state().fencing()->value();
+    leaseJson["state"] = leaseState(lease);
+    return AdminPort::json(
+        {{"process", m_sources.events->process()},
+         {"ready", m_sources.isReady()},
+         {"configuration", Node::configurationJson(*m_sources.configuration)},
+         {"members", Node::membersJson(*m_sources.peers, m_sources.clock->now())},
+         {"lease", std::move(leaseJson)},
+         {"orders_pending", m_sources.orders->pending()},
+         {"probed_endpoints", m_sources.prober->share()}});
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/controllerprocess.cpp
@@ -0,0 +1,411 @@
+#include "controller/controllerprocess.h"
+
+#include "controller/targets.h"
+#include "node/memberevents.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Controller {
+
+using Errors::Result;
+using Timeline::EventType;
+
+namespace {
+
+/// Controllers of a data centre that may claim its lease.
+constexpr std::size_t candidatesPerDataCentre = 2;
+constexpr Base::Duration dutyInterval = std::chrono::seconds(1);
+/// How long a stop waits for the log and for what is under way.
+constexpr Base::Duration longestStop = std::chrono::seconds(10);
+
+} // namespace
+
+ControllerProcess::ControllerProcess(Runtime::Loop &loop, Schema::ControllerSettings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_incarnation(Node::incarnationAt(loop.clock().wallNow()))
+    , m_run(m_settings.vm.value() + "/controller#" + std::to_string(m_incarnation.value()))
+    , m_client({.loop = &loop})
+    , m_events(
+          {.process = m_settings.vm.value() + "/controller", .capacity = m_settings.eventRingSize})
+{ }
+
+ControllerProcess::~ControllerProcess()
+{
+    m_loop.timers().cancel(m_dutyTimer);
+}
+
+Result<void> ControllerProcess::start()
+{
+    noteEvent(EventType::ProcessStarted, {.subject = m_settings.vm.value()});
+    BOOST_OUTCOME_TRYV(startPlatform());
+    m_configuration = std::make_unique<Node::ConfigurationFollower>(
+        Node::ConfigurationFollower::Options{.loop = &m_loop, .log = m_log.get()});
+    BOOST_OUTCOME_TRYV(startPeers());
+    makeLease();
+    makeProber();
+    makeOrders();
+    makeSnapshots();
+    wireConfiguration();
+    BOOST_OUTCOME_TRYV(startAdmin());
+    m_configuration->start();
+    m_vmList->start();
+    m_lease->start();
+    m_prober->start();
+    m_orders->start();
+    m_snapshots->start();
+    checkDuties();
+    return boost::outcome_v2::success();
+}
+
+Result<void> ControllerProcess::startPlatform()
+{
+    BOOST_OUTCOME_TRY(server, Runtime::parseSocketAddress(m_settings.platformAddress));
+    const Platform::Transport transport = Platform::httpTransport(
+        {.client = &m_client,
+         .server = server,
+         .vm = m_settings.vm,
+         .dataCentre = m_settings.dataCentre,
+         .metered = [this](Base::Bytes sent, Base::Bytes received) {
+             Metrics::Registry &registry = m_metrics.registry;
+             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "sent"}})
+                 .increment(static_cast<double>(sent.value()));
+             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "received"}})
+                 .increment(static_cast<double>(received.value()));
+         }});
+    Runtime::TimerQueue *timers = &m_loop.timers();
+    m_log = std::make_unique<Platform::LogClient>(
+        Platform::LogClient::Options{.transport = transport, .timers = timers});
+    m_vmList = std::make_unique<Platform::VmListClient>(
+        Platform::VmListClient::Options{.transport = transport, .timers = timers});
+    m_weightStore = std::make_unique<Platform::WeightStoreClient>(
+        Platform::WeightStoreClient::Options{.transport = transport, .timers = timers});
+    m_vmList->setChanged([this](const Platform::VmChanges &) { m_peers->setVms(m_vmList->vms()); });
+    return boost::outcome_v2::success();
+}
+
+Result<void> ControllerProcess::startPeers()
+{
+    BOOST_OUTCOME_TRY(address, Runtime::parseSocketAddress(m_settings.peerAddress));
+    std::vector<Runtime::SocketAddress> seeds;
+    for (const std::string &seed : m_settings.seeds) {
+        BOOST_OUTCOME_TRY(parsed, Runtime::parseSocketAddress(seed));
+        seeds.push_back(parsed);
+    }
+    m_peers = std::make_unique<Node::PeerLink>(
+        Node::PeerLink::Options{.loop = &m_loop,
+                                .client = &m_client,
+                                .configuration = m_configuration.get(),
+                                .role = Membership::MemberRole::Controller,
+                                .vm = m_settings.vm,
+                                .dataCentre = m_settings.dataCentre,
+                                .region = m_settings.region,
+                                .address = address,
+                                .seeds = std::move(seeds),
+                                .keys = m_settings.peerKeys,
+                                .incarnation = m_incarnation,
+                                .control = m_settings.control});
+    m_peers->memberChanged = [this](const Membership::Member &member,
+                                    Membership::MemberEvent event) {
+        noteEvent(Node::eventTypeOf(event), {.subject = member.info.id});
+        m_logger.info("Member {} {}.", member.info.id, Membership::toString(event));
+    };
+    m_peers->budget().spent = [this](Membership::ControlTraffic traffic, std::size_t bytes) {
+        m_metrics.registry
+            .counter("lagoonbank_control_bytes_total",
+                     {{"message", std::string(Membership::toString(traffic))}})
+            .increment(static_cast<double>(bytes));
+    };
+    return m_peers->start();
+}
+
+Result<void> ControllerProcess::startAdmin()
+{
+    BOOST_OUTCOME_TRY(address, Runtime::parseSocketAddress(m_settings.adminAddress));
+    m_adminPort = std::make_unique<Node::AdminPort>(m_loop, address);
+    m_admin = std::make_unique<ControllerAdmin>(
+        *m_adminPort,
+        ControllerAdmin::Sources{.clock = &m_loop.clock(),
+                                 .metrics = &m_metrics,
+                                 .events = &m_events,
+                                 .configuration = m_configuration.get(),
+                                 .peers = m_peers.get(),
+                                 .lease = m_lease.get(),
+                                 .orders = m_orders.get(),
+                                 .prober = m_prober.get(),
+                                 .isReady = [this] { return m_isReady && !m_isStopping; }});
+    BOOST_OUTCOME_TRYV(m_adminPort->listen());
+    m_logger.info("Listening on {}.", m_settings.adminAddress);
+    return boost::outcome_v2::success();
+}
+
+void ControllerProcess::wireConfiguration()
+{
+    m_configuration->changed = [this] { configurationChanged(); };
+    m_configuration->logHealthChanged = [this](bool isUp) {
+        noteEvent(isUp ? EventType::LogBack : EventType::LogLost, {.subject = "configuration"});
+        if (isUp)
+            m_logger.info("The log answers.");
+        else
+            m_logger.warning("The log does not answer.");
+    };
+    m_configuration->eventRaised = [this](const Configuration::Event &event) {
+        if (event.kind == Configuration::EventKind::SnapshotSeen) {
+            if (m_configuration->isAtEnd())
+                m_snapshots->snapshotSeen();
+            return;
+        }
+        m_logger.warning("Configuration at offset {}: {}. {}", event.offset,
+                         Configuration::toString(event.kind), event.detail);
+    };
+}
+
+void ControllerProcess::makeSnapshots()
+{
+    m_snapshotAppender = std::make_unique<Platform::BatchAppender>(
+        Platform::BatchAppender::Options{.log = m_log.get(),
+                                         .timers = &m_loop.timers(),
+                                         .stream = std::string(Configuration::streamName)});
+    m_snapshots = std::make_unique<SnapshotWriter>(
+        SnapshotWriter::Options{.timers = &m_loop.timers(),
+                                .appender = m_snapshotAppender.get(),
+                                .reducer = &m_configuration->reducer(),
+                                .schedule = {.retention = m_settings.retention},
+                                .writer = m_run,
+                                .rank = [this] { return snapshotRank(); }});
+    m_snapshots->appended = [this](const std::string &id, std::size_t parts) {
+        m_metrics.snapshots.increment();
+        noteEvent(EventType::SnapshotAppended,
+                  {.subject = id, .detail = std::to_string(parts) + " parts"});
+    };
+    m_snapshots->failed = [this](const std::string &id) {
+        m_metrics.snapshotFailures.increment();
+        m_logger.warning("The snapshot {} is not known to be on the log.", id);
+    };
+}
+
+/// Only processes that follow the log see the others' snapshots.
+std::optional<std::size_t> ControllerProcess::snapshotRank() const
+{
+    if (m_isStopping || !m_configuration->isAtEnd())
+        return std::nullopt;
+    const Membership::Membership &membership = m_peers->membership();
+    const std::vector<Membership::MemberUpdate> members = membership.usableMembers(now());
+    const auto isBefore = [&](const Membership::MemberUpdate &member) {
+        return member.role == Membership::MemberRole::Controller
+            && member.id < membership.self().id;
+    };
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), isBefore));
+}
+
+void ControllerProcess::makeLease()
+{
+    m_lease = std::make_unique<LeaseDesk>(
+        LeaseDesk::Options{.timers = &m_loop.timers(),
+                           .log = m_log.get(),
+                           .lease = {.dataCentre = m_settings.dataCentre,
+                                     .holder = m_run,
+                                     .term = m_settings.lease,
+                                     .margin = m_settings.leaseMargin,
+                                     .renewPeriod = m_settings.lease / 3,
+                                     .longestOrder = m_settings.longestOrder}});
+    m_lease->gained = [this](Base::FencingNumber fencing) {
+        noteEvent(EventType::LeaseTaken, {.subject = std::to_string(fencing.value())});
+        m_logger.info("Holds the lease with fencing number {}.", fencing);
+        m_orders->leaseGained();
+    };
+    m_lease->lost = [this] {
+        noteEvent(EventType::LeaseLost,
+                  {.subject = m_settings.dataCentre.value(),
+                   .detail = m_isStopping ? "given up" : "not renewed in time or taken over"});
+        m_logger.info("Holds the lease no longer.");
+        if (!m_isStopping)
+            m_metrics.leaseLosses.increment();
+    };
+}
+
+std::vector<std::string> ControllerProcess::probers() const
+{
+    std::vector<std::string> names;
+    for (const Membership::MemberUpdate &member : m_peers->membership().usableMembers(now())) {
+        if (member.role == Membership::MemberRole::Controller
+            && member.dataCentre == m_settings.dataCentre.value())
+            names.push_back(member.id);
+    }
+    return names;
+}
+
+void ControllerProcess::makeProber()
+{
+    m_prober = std::make_unique<Prober>(Prober::Options{
+        .timers = &m_loop.timers(),
+        .calls = httpEndpointCalls(m_loop, m_client),
+        .member = m_peers->membership().self().id,
+        .members = [this] { return probers(); },
+        .spend =
+            [this](std::size_t bytes) {
+                return m_peers->budget().take(Membership::ControlPriority::Load,
+                                              Membership::ControlTraffic::Probe, bytes, now());
+            }});
+    m_prober->putOff = [this] { m_metrics.probesPutOff.increment(); };
+    m_prober->reported = [this](const Base::EndpointId &endpoint, const LoadAnswer &load,
+                                Base::MonoTime sampledAt) {
+        m_metrics.probes.increment();
+        m_peers->membership().loads().report(endpoint, load.work, sampledAt);
+        noteProbe(endpoint, true, {});
+    };
+    m_prober->failed = [this](const Base::EndpointId &endpoint, const std::string &why) {
+        m_metrics.probeFailures.increment();
+        noteProbe(endpoint, false, why);
+    };
+}
+
+void ControllerProcess::noteProbe(const Base::EndpointId &endpoint, bool isAnswered,
+                                  const std::string &detail)
+{
+    const bool hasChanged =
+        isAnswered ? m_silent.erase(endpoint) > 0 : m_silent.insert(endpoint).second;
+    if (!hasChanged)
+        return;
+    noteEvent(isAnswered ? EventType::EndpointTrusted : EventType::EndpointSuspected,
+              {.endpoint = endpoint, .detail = isAnswered ? "answers probes" : detail});
+    m_logger.info("Endpoint {} {}.", endpoint,
+                  isAnswered ? "answers again" : "does not answer a probe");
+}
+
+void ControllerProcess::makeOrders()
+{
+    m_orders = std::make_unique<OrderDesk>(OrderDesk::Options{
+        .timers = &m_loop.timers(),
+        .calls = httpEndpointCalls(m_loop, m_client),
+        .mayOrder = [this](bool checksFencing) { return m_lease->mayOrder(checksFencing); },
+        .fetchWeights =
+            [this](const Base::ModelId &model, const std::string &version,
+                   OrderDesk::WeightsFetched fetched) {
+                m_weightStore->fetch(model, version, std::move(fetched));
+            },
+        .spend =
+            [this](std::size_t bytes) {
+                return m_peers->budget().take(Membership::ControlPriority::Configuration,
+                                              Membership::ControlTraffic::Probe, bytes, now());
+            },
+        .longestOrder = m_settings.longestOrder});
+    wireOrders();
+}
+
+void ControllerProcess::wireOrders()
+{
+    m_orders->orderSent = [this](const OrderTarget &target, const Orders::Order &order,
+                                 Base::FencingNumber fencing) {
+        m_metrics.ordersSent.increment();
+        noteEvent(EventType::OrderSent,
+                  {.endpoint = target.endpoint,
+                   .subject = order.id,
+                   .detail = "fencing number " + std::to_string(fencing.value())});
+    };
+    m_orders->orderDone = [this](const OrderTarget &target) {
+        noteEvent(EventType::OrderDone, {.endpoint = target.endpoint});
+        m_logger.info("Endpoint {} is as the configuration wants.", target.endpoint);
+    };
+    m_orders->orderRefused = [this](const OrderTarget &target, int status) {
+        const std::string text = std::to_string(status);
+        m_metrics.registry.counter("lagoonbank_orders_refused_total", {{"status", text}})
+            .increment();
+        noteEvent(EventType::OrderRefused,
+                  {.endpoint = target.endpoint, .detail = "status " + text});
+        m_logger.warning("Endpoint {} refused an order with status {}.", target.endpoint, status);
+    };
+    m_orders->failed = [this](const OrderTarget &target, const std::string &why) {
+        m_metrics.orderFailures.increment();
+        m_logger.warning("Endpoint {}: {}.", target.endpoint, why);
+    };
+    m_orders->cacheMoved = [this](const OrderTarget &target, const CacheMover::Moved &moved) {
+        m_metrics.movedChats.increment(static_cast<double>(moved.chats));
+        m_metrics.movedBytes.increment(static_cast<double>(moved.bytes));
+        noteEvent(EventType::EndpointDraining,
+                  {.endpoint = target.endpoint,
+                   .detail = "caches of " + std::to_string(moved.chats) + " chats moved"});
+    };
+}
+
+void ControllerProcess::configurationChanged()
+{
+    m_objects = Configuration::ObjectTable();
+    for (Schema::ConfigurationObject &object : m_configuration->objects())
+        m_objects.set(std::move(object));
+    if (m_configuration->isReady()) {
+        // Not before: a part of the configuration must not be ordered as if it were all.
+        updateTargets();
+        if (!std::exchange(m_isReady, true)) {
+            noteEvent(EventType::ProcessReady, {.subject = m_settings.vm.value()});
+            m_logger.info("Ready.");
+        }
+    }
+    m_peers->configurationChanged();
+    noteEvent(EventType::ConfigurationApplied,
+              {.subject = std::to_string(m_configuration->reducer().next().value())});
+}
+
+void ControllerProcess::updateTargets()
+{
+    const auto revisionOf = [this](const Base::EndpointId &endpoint) {
+        return m_configuration->reducer().state().revision(
+            {Schema::ObjectKind::Endpoint, endpoint.value()});
+    };
+    const std::vector<Prober::Target> probed = probeTargets(m_objects, m_settings.dataCentre);
+    m_prober->setPeriod(m_objects.policy().probeInterval);
+    m_prober->setTargets(probed);
+    m_orders->setTargets(orderTargets(m_objects, m_settings.dataCentre, revisionOf));
+    std::erase_if(m_silent, [&](const Base::EndpointId &endpoint) {
+        return std::none_of(probed.begin(), probed.end(), [&](const Prober::Target &target) {
+            return target.endpoint == endpoint;
+        });
+    });
+}
+
+void ControllerProcess::checkDuties()
+{
+    m_dutyTimer = m_loop.timers().start(dutyInterval, [this] { checkDuties(); });
+    const bool isCandidate =
+        m_peers->membership().rankInDataCentre(now()) < candidatesPerDataCentre;
+    m_lease->setCandidate(isCandidate && m_isReady && !m_isStopping);
+}
+
+void ControllerProcess::noteEvent(EventType type, Timeline::EventFields fields)
+{
+    m_events.record(type, std::move(fields), m_loop.clock().wallNow());
+}
+
+void ControllerProcess::stopGracefully()
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_logger.info("Stopping; {} orders are under way.", m_orders->underWay());
+    noteEvent(EventType::ProcessDraining, {.subject = m_settings.vm.value()});
+    m_orders->stop();
+    m_lease->setCandidate(false);
+    m_peers->leave();
+    m_stopBy = now() + longestStop;
+    stopWhenIdle();
+}
+
+void ControllerProcess::stopWhenIdle()
+{
+    constexpr Base::Duration interval = std::chrono::milliseconds(50);
+    // An order may take effect for a while after it was sent; the next holder must not come first.
+    if (m_orders->underWay() == 0)
+        m_lease->release();
+    const bool isIdle = m_orders->underWay() == 0 && !m_lease->isReleasing();
+    if (isIdle || now() >= m_stopBy) {
+        m_logger.info("Stopped.");
+        m_loop.stop();
+        return;
+    }
+    m_loop.timers().start(interval, [this] { stopWhenIdle(); });
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/controllerprocess.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "configuration/objecttable.h"
+#include "controller/controlleradmin.h"
+#include "controller/controllermetrics.h"
+#include "controller/leasedesk.h"
+#include "controller/orderdesk.h"
+#include "controller/prober.h"
+#include "controller/snapshotwriter.h"
+#include "errors/result.h"
+#include "http/client.h"
+#include "logging/logger.h"
+#include "node/adminport.h"
+#include "node/configurationfollower.h"
+#include "node/peerlink.h"
+#include "platform/batchappender.h"
+#include "platform/logclient.h"
+#include "platform/vmlistclient.h"
+#include "platform/weightstoreclient.h"
+#include "runtime/loop.h"
+#include "schema/generated/settings.h"
+#include "timeline/eventlog.h"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Controller {
+
+/// A whole controller: joins the libraries to one process.
+class ControllerProcess
+{
+public:
+    ControllerProcess(Runtime::Loop &loop, Schema::ControllerSettings settings);
+    ~ControllerProcess();
+
+    /// Listens and joins the fleet; an error says which address could not be had.
+    Errors::Result<void> start();
+    /// Sends no new orders, gives the lease up once none is under way, leaves the fleet, then
+    /// stops the loop.
+    void stopGracefully();
+
+private:
+    Errors::Result<void> startPlatform();
+    Errors::Result<void> startPeers();
+    Errors::Result<void> startAdmin();
+    void wireConfiguration();
+    void makeSnapshots();
+    void makeLease();
+    void makeProber();
+    void makeOrders();
+    void wireOrders();
+    void configurationChanged();
+    void updateTargets();
+    void checkDuties();
+    std::optional<std::size_t> snapshotRank() const;
+    std::vector<std::string> probers() const;
+    void noteProbe(const Base::EndpointId &endpoint, bool isAnswered, const std::string &detail);
+    void noteEvent(Timeline::EventType type, Timeline::EventFields fields);
+    void stopWhenIdle();
+    Base::MonoTime now() const { return m_loop.clock().now(); }
+
+    Runtime::Loop &m_loop;
+    Schema::ControllerSettings m_settings;
+    Logging::Logger m_logger{"controller"};
+    Base::Incarnation m_incarnation;
+    std::string m_run; ///< Names this start of the process.
+    Http::Client m_client;
+    ControllerMetrics m_metrics;
+    Timeline::EventLog m_events;
+    std::unique_ptr<Platform::LogClient> m_log;
+    std::unique_ptr<Platform::VmListClient> m_vmList;
+    std::unique_ptr<Platform::WeightStoreClient> m_weightStore;
+    std::unique_ptr<Platform::BatchAppender> m_snapshotAppender;
+    std::unique_ptr<Node::ConfigurationFollower> m_configuration;
+    std::unique_ptr<Node::PeerLink> m_peers;
+    std::unique_ptr<SnapshotWriter> m_snapshots;
+    std::unique_ptr<LeaseDesk> m_lease;
+    std::unique_ptr<Prober> m_prober;
+    std::unique_ptr<OrderDesk> m_orders;
+    std::unique_ptr<Node::AdminPort> m_adminPort;
+    std::unique_ptr<ControllerAdmin> m_admin;
+    Configuration::ObjectTable m_objects;
+    std::set<Base::EndpointId> m_silent; ///< Endpoints whose last probe failed.
+    bool m_isReady = false;
+    bool m_isStopping = false;
+    Base::MonoTime m_stopBy;
+    Runtime::TimerId m_dutyTimer;
+};
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/endpointcalls.cpp
@@ -0,0 +1,43 @@
+#include "controller/endpointcalls.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+void finishUnsent(Runtime::Loop &loop, EndpointCalls::Finished finished)
+{
+    loop.post([finished = std::move(finished)] {
+        finished({.end = Http::CallEnd::NotConnected, .detail = "the call may not leave any more"});
+    });
+}
+
+} // namespace
+
+EndpointCalls httpEndpointCalls(Runtime::Loop &loop, Http::Client &client)
+{
+    EndpointCalls calls;
+    calls.start = [&loop, &client](Http::Call call, EndpointCalls::MayLeave mayLeave,
+                                   EndpointCalls::Finished finished) {
+        if (!mayLeave())
+            return finishUnsent(loop, std::move(finished));
+        // On a pooled connection the first byte leaves within start(), right after the check above.
+        // A new connection takes a while to make, so there the check is made again.
+        const auto id = std::make_shared<std::optional<Http::CallId>>();
+        Http::Hooks hooks;
+        hooks.leaving = [&loop, &client, id, mayLeave = std::move(mayLeave), finished] {
+            if (!*id || mayLeave())
+                return;
+            client.cancel(**id);
+            finishUnsent(loop, finished);
+        };
+        hooks.finished = [finished](const Http::CallResult &result) { finished(result); };
+        *id = client.start(std::move(call), std::move(hooks));
+    };
+    return calls;
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/leasedesk.cpp
@@ -0,0 +1,88 @@
+#include "controller/leasedesk.h"
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+constexpr Base::Duration turnInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+LeaseDesk::LeaseDesk(const Options &options)
+    : m_options(options)
+    , m_keeper(options.lease, options.timers->clock().now())
+    , m_tailer({.log = options.log, .timers = options.timers, .stream = streamName})
+{
+    m_keeper.appendWanted = [this](const std::string &id, const Orders::LeaseRecord &record) {
+        append(id, record);
+    };
+    m_keeper.gained = [this](Base::FencingNumber fencing) {
+        if (gained)
+            gained(fencing);
+    };
+    m_keeper.lost = [this] {
+        if (lost)
+            lost();
+    };
+    m_tailer.setRecordReceived(
+        [this](const Platform::StoredRecord &stored) { recordRead(stored); });
+    m_tailer.setGapFound([this](Base::LogOffset, Base::LogOffset first) { m_logFirst = first; });
+}
+
+LeaseDesk::~LeaseDesk()
+{
+    m_options.timers->cancel(m_timer);
+    m_tailer.stop();
+}
+
+void LeaseDesk::start()
+{
+    m_tailer.start();
+    turn();
+}
+
+void LeaseDesk::recordRead(const Platform::StoredRecord &stored)
+{
+    const auto record = Orders::leaseRecordFromText(stored.data);
+    if (record)
+        m_keeper.recordRead(stored.offset, stored.id, record.value(), now());
+}
+
+void LeaseDesk::append(const std::string &id, const Orders::LeaseRecord &record)
+{
+    // What became of it shows when the stream is read.
+    m_options.log->append(streamName, {{.id = id, .data = Orders::toText(record)}},
+                          [](const Platform::AppendResult &) {});
+}
+
+void LeaseDesk::turn()
+{
+    m_timer = m_options.timers->start(turnInterval, [this] { turn(); });
+    if (m_tailer.health().isUp && m_tailer.isCaughtUp())
+        m_keeper.caughtUp(m_logFirst);
+    else
+        m_keeper.logFailed();
+    // A claim that was under way at the release may have won since.
+    if (m_hasReleased && mayOrder(true))
+        m_keeper.release(now());
+    m_keeper.advance(m_isCandidate && !m_hasReleased, now());
+}
+
+void LeaseDesk::release()
+{
+    m_hasReleased = true;
+    m_keeper.release(now());
+}
+
+bool LeaseDesk::isReleasing() const
+{
+    return m_hasReleased && m_keeper.state().fencing()
+        && m_keeper.state().holder() == m_options.lease.holder;
+}
+
+std::optional<Base::FencingNumber> LeaseDesk::mayOrder(bool endpointChecksFencing) const
+{
+    return m_keeper.mayOrder(endpointChecksFencing, now());
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/orderdesk.cpp
@@ -0,0 +1,319 @@
+#include "controller/orderdesk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+constexpr Base::Duration turnInterval = std::chrono::milliseconds(100);
+/// How often an engine that loads weights is looked at.
+constexpr Base::Duration loadingPeriod = std::chrono::seconds(1);
+/// How long the weight store is left alone after it failed.
+constexpr Base::Duration weightsRetry = std::chrono::seconds(5);
+constexpr int httpOk = 200;
+constexpr std::size_t maxAnswerBytes = 64 * 1024;
+/// Request, answer's acknowledgements and headers.
+constexpr std::size_t bytesPerCheck = 600;
+
+} // namespace
+
+OrderDesk::OrderDesk(Options options)
+    : m_options(std::move(options))
+    , m_weightLoads(m_options.weightLoads)
+{ }
+
+OrderDesk::~OrderDesk()
+{
+    *m_alive = false;
+    m_options.timers->cancel(m_timer);
+}
+
+void OrderDesk::start()
+{
+    turn();
+}
+
+void OrderDesk::setTargets(const std::vector<OrderTarget> &targets)
+{
+    std::set<Base::EndpointId> wanted;
+    for (const OrderTarget &target : targets) {
+        wanted.insert(target.endpoint);
+        Entry &entry = m_entries[target.endpoint];
+        if (entry.target == target)
+            continue;
+        entry.target = target;
+        ++entry.round;
+        entry.isConverged = false;
+        entry.checkAt = now();
+        if (!target.desired.draining.value_or(false))
+            entry.isCacheMoved = false;
+    }
+    std::erase_if(m_entries, [&](const auto &entry) { return !wanted.contains(entry.first); });
+    std::erase_if(m_loading, [&](const auto &endpoint) { return !wanted.contains(endpoint); });
+}
+
+void OrderDesk::leaseGained()
+{
+    for (auto &[endpoint, entry] : m_entries) {
+        entry.isConverged = false;
+        entry.checkAt = now();
+    }
+}
+
+std::size_t OrderDesk::pending() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(),
+                      [](const auto &entry) { return !entry.second.isConverged; }));
+}
+
+void OrderDesk::turn()
+{
+    m_timer = m_options.timers->start(turnInterval, [this] { turn(); });
+    if (m_isStopped)
+        return;
+    auto running = static_cast<std::size_t>(std::count_if(
+        m_entries.begin(), m_entries.end(), [](const auto &entry) { return entry.second.isBusy; }));
+    for (auto &[endpoint, entry] : m_entries) {
+        const bool isDue = !entry.isBusy && now() >= entry.checkAt;
+        if (!isDue || !m_options.mayOrder(entry.target.checksFencing))
+            continue;
+        if (running >= m_options.mostRunning || !m_options.spend(bytesPerCheck))
+            return;
+        ++running;
+        readState(entry);
+    }
+}
+
+Http::Call OrderDesk::callOf(const Entry &entry) const
+{
+    // An order that has not been answered by then counts as lost. It may still take effect for a
+    // while, which longestOrder allows for.
+    const Base::Duration timeout = m_options.longestOrder / 2;
+    return {.server = entry.target.address,
+            .connectTimeout = std::min<Base::Duration>(timeout, std::chrono::seconds(1)),
+            .headTimeout = timeout,
+            .progressTimeout = timeout,
+            .totalTimeout = timeout,
+            .maxBodyBytes = maxAnswerBytes};
+}
+
+void OrderDesk::readState(Entry &entry)
+{
+    entry.isBusy = true;
+    Http::Call call = callOf(entry);
+    call.target = "/v1/state";
+    const Ticket ticket{.endpoint = entry.target.endpoint, .round = entry.round};
+    m_options.calls.start(
+        std::move(call), [] { return true; },
+        [this, alive = m_alive, ticket](const Http::CallResult &result) {
+            if (*alive)
+                stateRead(ticket, result);
+        });
+}
+
+OrderDesk::Entry *OrderDesk::take(const Ticket &ticket)
+{
+    const auto found = m_entries.find(ticket.endpoint);
+    if (found == m_entries.end())
+        return nullptr;
+    Entry &entry = found->second;
+    entry.isBusy = false;
+    if (entry.round == ticket.round)
+        return &entry;
+    entry.checkAt = now();
+    return nullptr;
+}
+
+void OrderDesk::checkAgain(Entry &entry, Base::Duration delay)
+{
+    entry.checkAt = now() + delay;
+}
+
+void OrderDesk::report(const Entry &entry, const std::string &why) const
+{
+    if (failed)
+        failed(entry.target, why);
+}
+
+void OrderDesk::stateRead(const Ticket &ticket, const Http::CallResult &result)
+{
+    Entry *entry = take(ticket);
+    if (!entry)
+        return;
+    checkAgain(*entry, m_options.retryPeriod);
+    const auto seen = readStateAnswer(result.body);
+    if (result.end != Http::CallEnd::Whole || result.status != httpOk || !seen) {
+        entry->isConverged = false;
+        // It may be gone; the others of its model need not wait for it.
+        m_loading.erase(ticket.endpoint);
+        m_weightLoads.finished(ticket.endpoint);
+        return report(*entry, "its state could not be read");
+    }
+    const auto order = Orders::planOrder(ticket.endpoint, entry->target.desired,
+                                         seen.value().settings, entry->target.revision);
+    if (order)
+        advance(*entry, *order, seen.value());
+    else
+        converged(*entry, seen.value().isLoading);
+}
+
+void OrderDesk::converged(Entry &entry, bool isLoading)
+{
+    if (isLoading) {
+        m_loading.insert(entry.target.endpoint);
+        return checkAgain(entry, loadingPeriod);
+    }
+    m_loading.erase(entry.target.endpoint);
+    m_weightLoads.finished(entry.target.endpoint);
+    entry.weightsFor.clear();
+    entry.isConverged = true;
+    checkAgain(entry, m_options.checkPeriod);
+    if (std::exchange(entry.wasOrdered, false) && orderDone)
+        orderDone(entry.target);
+}
+
+void OrderDesk::advance(Entry &entry, const Orders::Order &order, const StateAnswer &seen)
+{
+    entry.isConverged = false;
+    if (m_isStopped)
+        return;
+    if (order.set.draining.value_or(false) && !entry.isCacheMoved)
+        return moveCache(entry);
+    if (order.loadsWeights && entry.weightsFor != order.id)
+        return fetchWeights(entry, order, seen);
+    sendOrder(entry, order);
+}
+
+void OrderDesk::moveCache(Entry &entry)
+{
+    entry.isBusy = true;
+    const OrderTarget &target = entry.target;
+    const auto mover = std::make_shared<CacheMover>(
+        CacheMover::Options{.timers = m_options.timers,
+                            .calls = m_options.calls,
+                            .mayLeave =
+                                [this, alive = m_alive, checks = target.checksFencing] {
+                                    return *alive && m_options.mayOrder(checks).has_value();
+                                },
+                            .from = {target.endpoint, target.address, target.capacity},
+                            .homes = homesFor(entry),
+                            .mostChats = m_options.mostMovedChats,
+                            .longest = m_options.longestMove});
+    const Ticket ticket{.endpoint = target.endpoint, .round = entry.round};
+    mover->finished = [this, alive = m_alive, ticket](const CacheMover::Moved &moved) {
+        if (!*alive)
+            return;
+        Entry *waiting = take(ticket);
+        if (!waiting)
+            return;
+        waiting->isCacheMoved = true;
+        // The state is read again, since the moving took a while.
+        checkAgain(*waiting, {});
+        if (cacheMoved)
+            cacheMoved(waiting->target, moved);
+    };
+    mover->start();
+}
+
+std::vector<CacheHome> OrderDesk::homesFor(const Entry &entry) const
+{
+    std::vector<CacheHome> homes;
+    for (const auto &[endpoint, other] : m_entries) {
+        const bool isLeaving = other.target.desired.draining.value_or(false);
+        if (endpoint != entry.target.endpoint && !isLeaving
+            && other.target.model == entry.target.model)
+            homes.push_back({endpoint, other.target.address, other.target.capacity});
+    }
+    return homes;
+}
+
+bool OrderDesk::isModelLoading(const Entry &entry) const
+{
+    return std::any_of(m_loading.begin(), m_loading.end(), [&](const Base::EndpointId &loading) {
+        return loading != entry.target.endpoint
+            && m_entries.at(loading).target.model == entry.target.model;
+    });
+}
+
+void OrderDesk::fetchWeights(Entry &entry, const Orders::Order &order, const StateAnswer &seen)
+{
+    // An engine takes no requests while it loads: one of a model at a time.
+    if (isModelLoading(entry) || !m_weightLoads.mayStart(now()))
+        return;
+    const Base::EndpointId endpoint = entry.target.endpoint;
+    m_weightLoads.started(endpoint, now());
+    m_loading.insert(endpoint);
+    const auto &version = order.set.version ? order.set.version : seen.settings.version;
+    if (!version || version->empty()) {
+        entry.weightsFor = order.id;
+        return checkAgain(entry, {});
+    }
+    entry.isBusy = true;
+    const Ticket ticket{.endpoint = endpoint, .round = entry.round};
+    m_options.fetchWeights(
+        entry.target.model, *version,
+        [this, alive = m_alive, ticket, id = order.id](const Errors::Result<Base::Bytes> &size) {
+            if (!*alive)
+                return;
+            if (!size) {
+                m_weightLoads.refused(ticket.endpoint, weightsRetry, now());
+                m_loading.erase(ticket.endpoint);
+            }
+            Entry *waiting = take(ticket);
+            if (!waiting)
+                return;
+            checkAgain(*waiting, size ? Base::Duration() : m_options.retryPeriod);
+            if (size)
+                waiting->weightsFor = id;
+            else
+                report(*waiting, "the weight store gave no weights out");
+        });
+}
+
+void OrderDesk::sendOrder(Entry &entry, const Orders::Order &order)
+{
+    const bool checksFencing = entry.target.checksFencing;
+    const auto fencing = m_options.mayOrder(checksFencing);
+    if (!fencing)
+        return;
+    entry.isBusy = true;
+    entry.wasOrdered = true;
+    ++m_underWay;
+    Http::Call call = callOf(entry);
+    call.method = "POST";
+    call.target = "/v1/order";
+    call.headers.add("content-type", "application/json");
+    call.body = orderBody(order, *fencing);
+    if (orderSent)
+        orderSent(entry.target, order, *fencing);
+    const Ticket ticket{.endpoint = entry.target.endpoint, .round = entry.round};
+    m_options.calls.start(
+        std::move(call),
+        [this, alive = m_alive, checksFencing, fencing] {
+            return *alive && m_options.mayOrder(checksFencing) == fencing;
+        },
+        [this, alive = m_alive, ticket](const Http::CallResult &result) {
+            if (*alive)
+                orderEnded(ticket, result);
+        });
+}
+
+void OrderDesk::orderEnded(const Ticket &ticket, const Http::CallResult &result)
+{
+    --m_underWay;
+    Entry *entry = take(ticket);
+    if (!entry)
+        return;
+    const bool isTaken = result.end == Http::CallEnd::Whole && result.status == httpOk;
+    // Whatever the answer, or without one: the state tells what is still to be done.
+    checkAgain(*entry, isTaken ? Base::Duration() : m_options.retryPeriod);
+    if (result.end != Http::CallEnd::Whole)
+        return report(*entry, "an order was not answered");
+    if (!isTaken && orderRefused)
+        orderRefused(entry->target, result.status);
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/orderdesk.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "controller/cachemover.h"
+#include "controller/endpointanswers.h"
+#include "controller/endpointcalls.h"
+#include "errors/result.h"
+#include "orders/orderplan.h"
+#include "runtime/timerqueue.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Controller {
+
+/// An engine and what the configuration wants of it.
+struct OrderTarget
+{
+    Base::EndpointId endpoint;
+    Runtime::SocketAddress address;
+    bool checksFencing = false;
+    double capacity = 1;
+    Base::ModelId model;
+    Orders::EndpointSettings desired;
+    Base::Revision revision; ///< Of the endpoint's object.
+
+    bool operator==(const OrderTarget &) const = default;
+};
+
+/// Brings the engines of a data centre to what the configuration wants, as long as the lease is
+/// held: reads an engine's state, sends what differs as values to set, and reads again. What
+/// became of an order is never guessed; a lost answer is settled by reading the state.
+class OrderDesk
+{
+public:
+    using WeightsFetched = std::function<void(Errors::Result<Base::Bytes>)>;
+    struct Options
+    {
+        Runtime::TimerQueue *timers = nullptr;
+        EndpointCalls calls;
+        /// See LeaseDesk::mayOrder().
+        std::function<std::optional<Base::FencingNumber>(bool checksFencing)> mayOrder;
+        /// Asks the weight store to give weights out.
+        std::function<void(const Base::ModelId &model, const std::string &version,
+                           WeightsFetched fetched)>
+            fetchWeights;
+        /// Takes bytes from the control budget; false if it has none left.
+        std::function<bool(std::size_t bytes)> spend;
+        /// By when an order has taken effect or never will.
+        Base::Duration longestOrder = std::chrono::seconds(5);
+        Base::Duration retryPeriod = std::chrono::seconds(1);
+        Base::Duration checkPeriod = std::chrono::seconds(30); ///< Of engines that are as wanted.
+        std::size_t mostRunning = 8; ///< Engines that are dealt with at a time.
+        Orders::WeightLoads::Options weightLoads;
+        Base::Duration longestMove = std::chrono::seconds(2); ///< See CacheMover.
+        std::size_t mostMovedChats = 64;
+    };
+
+    explicit OrderDesk(Options options);
+    ~OrderDesk();
+    OrderDesk(const OrderDesk &) = delete;
+    OrderDesk &operator=(const OrderDesk &) = delete;
+
+    void start();
+    void setTargets(const std::vector<OrderTarget> &targets);
+    /// The lease was gained: nothing is known of the engines any more.
+    void leaseGained();
+    /// No new orders from now on.
+    void stop() { m_isStopped = true; }
+    /// Orders whose fate is not known.
+    std::size_t underWay() const { return m_underWay; }
+    /// Engines that are not known to be as wanted.
+    std::size_t pending() const;
+
+    std::function<void(const OrderTarget &target, const Orders::Order &order,
+                       Base::FencingNumber fencing)>
+        orderSent;
+    /// The engine's state is as wanted after an order.
+    std::function<void(const OrderTarget &target)> orderDone;
+    std::function<void(const OrderTarget &target, int status)> orderRefused;
+    std::function<void(const OrderTarget &target, const std::string &why)> failed;
+    std::function<void(const OrderTarget &target, const CacheMover::Moved &moved)> cacheMoved;
+
+private:
+    struct Entry
+    {
+        OrderTarget target;
+        std::uint64_t round = 0; ///< Raised when the target changes.
+        Base::MonoTime checkAt{};
+        bool isBusy = false;
+        bool isConverged = false;
+        bool wasOrdered = false;
+        bool isCacheMoved = false;
+        std::string weightsFor; ///< Id of the order that the weight store gave weights out for.
+    };
+    /// Which entry a call belongs to, and to which wish for it.
+    struct Ticket
+    {
+        Base::EndpointId endpoint;
+        std::uint64_t round = 0;
+    };
+
+    void turn();
+    void readState(Entry &entry);
+    void stateRead(const Ticket &ticket, const Http::CallResult &result);
+    void converged(Entry &entry, bool isLoading);
+    void advance(Entry &entry, const Orders::Order &order, const StateAnswer &seen);
+    void moveCache(Entry &entry);
+    void fetchWeights(Entry &entry, const Orders::Order &order, const StateAnswer &seen);
+    void sendOrder(Entry &entry, const Orders::Order &order);
+    void orderEnded(const Ticket &ticket, const Http::CallResult &result);
+    Entry *take(const Ticket &ticket);
+    void checkAgain(Entry &entry, Base::Duration delay);
+    void report(const Entry &entry, const std::string &why) const;
+    bool isModelLoading(const Entry &entry) const;
+    std::vector<CacheHome> homesFor(const Entry &entry) const;
+    Http::Call callOf(const Entry &entry) const;
+    Base::MonoTime now() const { return m_options.timers->clock().now(); }
+
+    Options m_options;
+    Orders::WeightLoads m_weightLoads;
+    std::map<Base::EndpointId, Entry> m_entries;
+    std::set<Base::EndpointId> m_loading; ///< Engines that load weights, or are about to.
+    std::size_t m_underWay = 0;
+    bool m_isStopped = false;
+    Runtime::TimerId m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For calls that outlive it.
+};
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/prober.cpp
@@ -0,0 +1,105 @@
+#include "controller/prober.h"
+
+#include <utility>
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+constexpr Base::Duration turnInterval = std::chrono::milliseconds(100);
+constexpr int httpOk = 200;
+constexpr std::size_t maxAnswerBytes = 16 * 1024;
+
+} // namespace
+
+Prober::Prober(Options options)
+    : m_options(std::move(options))
+{ }
+
+Prober::~Prober()
+{
+    *m_alive = false;
+    m_options.timers->cancel(m_timer);
+}
+
+void Prober::start()
+{
+    turn();
+}
+
+void Prober::setTargets(const std::vector<Target> &targets)
+{
+    m_targets.clear();
+    for (const Target &target : targets)
+        m_targets.emplace(target.endpoint, target);
+    std::erase_if(m_dueAt, [this](const auto &due) { return !m_targets.contains(due.first); });
+}
+
+void Prober::setPeriod(Base::Duration period)
+{
+    m_options.schedule.period = period;
+}
+
+void Prober::turn()
+{
+    m_timer = m_options.timers->start(turnInterval, [this] { turn(); });
+    std::vector<Base::EndpointId> endpoints;
+    endpoints.reserve(m_targets.size());
+    for (const auto &[endpoint, target] : m_targets)
+        endpoints.push_back(endpoint);
+    const Orders::ProbeSchedule schedule(m_options.schedule);
+    const auto mine = schedule.probesOf(m_options.member, m_options.members(), endpoints);
+    m_share = mine.endpoints.size();
+    const Base::MonoTime now = m_options.timers->clock().now();
+    for (const Base::EndpointId &endpoint : mine.endpoints) {
+        Base::MonoTime &due = m_dueAt[endpoint];
+        if (now < due || m_running.contains(endpoint))
+            continue;
+        if (!m_options.spend(static_cast<std::size_t>(m_options.schedule.bytesPerProbe))) {
+            if (putOff)
+                putOff();
+            return;
+        }
+        due = now + mine.period;
+        probe(m_targets.at(endpoint));
+    }
+}
+
+void Prober::probe(const Target &target)
+{
+    const Base::MonoTime sentAt = m_options.timers->clock().now();
+    m_running[target.endpoint] = sentAt;
+    Http::Call call{.server = target.address,
+                    .target = "/v1/load",
+                    .connectTimeout = m_options.timeout,
+                    .headTimeout = m_options.timeout,
+                    .progressTimeout = m_options.timeout,
+                    .totalTimeout = m_options.timeout,
+                    .maxBodyBytes = maxAnswerBytes};
+    m_options.calls.start(
+        std::move(call), [] { return true; },
+        [this, alive = m_alive, endpoint = target.endpoint, sentAt](const auto &result) {
+            if (*alive)
+                ended(endpoint, sentAt, result);
+        });
+}
+
+void Prober::ended(const Base::EndpointId &endpoint, Base::MonoTime sentAt,
+                   const Http::CallResult &result)
+{
+    m_running.erase(endpoint);
+    if (!m_targets.contains(endpoint))
+        return;
+    const auto load = readLoadAnswer(result.body);
+    const bool isAnswer = result.end == Http::CallEnd::Whole && result.status == httpOk;
+    if (isAnswer && load) {
+        // Not later than the sample was taken, whichever way took the time.
+        if (reported)
+            reported(endpoint, load.value(), sentAt - load.value().age);
+        return;
+    }
+    if (failed)
+        failed(endpoint, isAnswer ? load.error().detail : result.detail);
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/prober.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "controller/endpointanswers.h"
+#include "controller/endpointcalls.h"
+#include "orders/orderplan.h"
+#include "runtime/timerqueue.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Controller {
+
+/// Asks its share of a data centre's endpoints for their load, within the control budget.
+class Prober
+{
+public:
+    struct Target
+    {
+        Base::EndpointId endpoint;
+        Runtime::SocketAddress address;
+    };
+    struct Options
+    {
+        Runtime::TimerQueue *timers = nullptr;
+        EndpointCalls calls;
+        std::string member; ///< This process.
+        /// Who shares the work now, this process included.
+        std::function<std::vector<std::string>()> members;
+        /// Takes bytes from the control budget; false if it has none left.
+        std::function<bool(std::size_t bytes)> spend;
+        Orders::ProbeSchedule::Options schedule;
+        Base::Duration timeout = std::chrono::seconds(1);
+    };
+
+    explicit Prober(Options options);
+    ~Prober();
+    Prober(const Prober &) = delete;
+    Prober &operator=(const Prober &) = delete;
+
+    void start();
+    void setTargets(const std::vector<Target> &targets);
+    void setPeriod(Base::Duration period);
+
+    /// An endpoint told its load; the sample was taken at \a sampledAt by this process's clock.
+    std::function<void(const Base::EndpointId &endpoint, const LoadAnswer &load,
+                       Base::MonoTime sampledAt)>
+        reported;
+    std::function<void(const Base::EndpointId &endpoint, const std::string &why)> failed;
+    /// A probe waits because the budget is spent.
+    std::function<void()> putOff;
+
+    /// Endpoints that this process probes at present.
+    std::size_t share() const { return m_share; }
+
+private:
+    void turn();
+    void probe(const Target &target);
+    void ended(const Base::EndpointId &endpoint, Base::MonoTime sentAt,
+               const Http::CallResult &result);
+
+    Options m_options;
+    std::map<Base::EndpointId, Target> m_targets;
+    std::map<Base::EndpointId, Base::MonoTime> m_running;
+    std::map<Base::EndpointId, Base::MonoTime> m_dueAt;
+    std::size_t m_share = 0;
+    Runtime::TimerId m_timer;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For calls that outlive it.
+};
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/snapshotwriter.cpp
@@ -0,0 +1,79 @@
+#include "controller/snapshotwriter.h"
+
+#include <memory>
+#include <vector>
+
+namespace Lagoonbank::Controller {
+
+namespace {
+
+constexpr Base::Duration turnInterval = std::chrono::milliseconds(500);
+
+/// What became of the parts of one snapshot.
+struct Progress
+{
+    std::size_t waiting = 0;
+    bool isWhole = true;
+};
+
+} // namespace
+
+SnapshotWriter::SnapshotWriter(const Options &options)
+    : m_options(options)
+    , m_scheduler(options.schedule, options.timers->clock().now())
+{ }
+
+SnapshotWriter::~SnapshotWriter()
+{
+    m_options.timers->cancel(m_timer);
+}
+
+void SnapshotWriter::start()
+{
+    turn();
+}
+
+void SnapshotWriter::snapshotSeen()
+{
+    m_scheduler.snapshotSeen(m_options.timers->clock().now());
+}
+
+void SnapshotWriter::turn()
+{
+    m_timer = m_options.timers->start(turnInterval, [this] { turn(); });
+    const auto rank = m_options.rank();
+    const Base::MonoTime now = m_options.timers->clock().now();
+    if (!rank || !m_options.reducer->canWriteSnapshot() || !m_scheduler.isDue(now, *rank))
+        return;
+    m_scheduler.appendStarted(now);
+    write();
+}
+
+void SnapshotWriter::write()
+{
+    const std::string id = m_options.writer + "/snapshot-" + std::to_string(++m_written);
+    const std::vector<Configuration::SnapshotPart> parts =
+        m_options.reducer->makeSnapshot(id, m_options.writer);
+    const auto progress = std::make_shared<Progress>();
+    const auto partEnded = [this, id, progress, count = parts.size()](bool isAppended) {
+        progress->isWhole = progress->isWhole && isAppended;
+        if (--progress->waiting > 0)
+            return;
+        if (progress->isWhole && appended)
+            appended(id, count);
+        if (!progress->isWhole && failed)
+            failed(id);
+    };
+    progress->waiting = parts.size();
+    for (const Configuration::SnapshotPart &part : parts) {
+        const bool isQueued = m_options.appender->add(
+            {.id = id + '/' + std::to_string(part.part), .data = Configuration::encode(part)},
+            [partEnded](Platform::AppendOutcome outcome) {
+                partEnded(outcome.state == Platform::AppendState::Appended);
+            });
+        if (!isQueued)
+            partEnded(false);
+    }
+}
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/snapshotwriter.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "configuration/reducer.h"
+#include "configuration/snapshotscheduler.h"
+#include "platform/batchappender.h"
+#include "runtime/timerqueue.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Lagoonbank::Controller {
+
+/// Appends snapshots of the configuration to the log, so that one always stands in it.
+class SnapshotWriter
+{
+public:
+    struct Options
+    {
+        Runtime::TimerQueue *timers = nullptr;
+        Platform::BatchAppender *appender = nullptr; ///< Of the stream `configuration`.
+        const Configuration::Reducer *reducer = nullptr;
+        Configuration::SnapshotScheduler::Options schedule;
+        std::string writer; ///< Unique for each start of a process.
+        /// Place of this process among all controllers that may write; none if it must not now.
+        std::function<std::optional<std::size_t>()> rank;
+    };
+
+    explicit SnapshotWriter(const Options &options);
+    ~SnapshotWriter();
+    SnapshotWriter(const SnapshotWriter &) = delete;
+    SnapshotWriter &operator=(const SnapshotWriter &) = delete;
+
+    void start();
+    /// A whole snapshot came in while the end of the log had been reached.
+    void snapshotSeen();
+
+    std::function<void(const std::string &id, std::size_t parts)> appended;
+    std::function<void(const std::string &id)> failed;
+
+private:
+    void turn();
+    void write();
+
+    Options m_options;
+    Configuration::SnapshotScheduler m_scheduler;
+    std::uint64_t m_written = 0;
+    Runtime::TimerId m_timer;
+};
+
+} // namespace Lagoonbank::Controller
--- /dev/null
+++ b/src/libs/controller/targets.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "configuration/objecttable.h"
+#include "controller/orderdesk.h"
+#include "controller/prober.h"
+
+#include <functional>
+#include <vector>
+
+namespace Lagoonbank::Controller {
+
+/// Endpoints of a data centre that are to be asked for their load.
+std::vector<Prober::Target> probeTargets(const Configuration::ObjectTable &objects,
+                                         const Base::DataCentreId &dataCentre);
+
+/// Engines of a data centre with what the configuration wants of them. Plain services take no
+/// orders.
+std::vector<OrderTarget>
+orderTargets(const Configuration::ObjectTable &objects, const Base::DataCentreId &dataCentre,
+             const std::function<Base::Revision(const Base::EndpointId &)> &revisionOf);
+
+} // namespace Lagoonbank::Controller
--- a/src/libs/node/configurationfollower.h
+++ b/src/libs/node/configurationfollower.h
@@ -41,6 +41,8 @@
     Configuration::Reducer &reducer() { return m_reducer; }
     const Configuration::Reducer &reducer() const { return m_reducer; }
     bool isLogUp() const;
+    /// This process reads the log itself and has come to its end.
+    bool isAtEnd() const { return m_tailer && m_tailer->isCaughtUp(); }
 
     /// For peers: what changed since the offset that \a request names.
     Errors::Result<std::string> answer(std::string_view request) const;
