--- a/tests/auto/http/tst_protocols.cpp
+++ b/tests/auto/http/tst_protocols.cpp
@@ -85,7 +85,7 @@
                   .maxBodyBytes = 1000,
                   .tls = std::move(tls)})
     {
-        server.setHandler([this](Request request, std::shared_ptr<Responder> responder) {
+        server.setHandler([this](Request request, const std::shared_ptr<Responder> &responder) {
             requests.push_back(std::move(request));
             responders.push_back(responder);
             responder->setGone([this] { ++gone; });
@@ -124,7 +124,7 @@
                                reinterpret_cast<const unsigned char *>(name.c_str()), -1, -1, 0);
     X509_set_issuer_name(certificate.get(), subject);
     X509_sign(certificate.get(), key.get(), EVP_sha256());
-    const Server::Tls files{folder / "certificate.pem", folder / "key.pem"};
+    Server::Tls files{folder / "certificate.pem", folder / "key.pem"};
     std::FILE *certificateFile = std::fopen(files.certificateFile.c_str(), "w");
     PEM_write_X509(certificateFile, certificate.get());
     std::fclose(certificateFile);
