--- a/bench/membership/bm_gossip.cpp
+++ b/bench/membership/bm_gossip.cpp
@@ -35,7 +35,6 @@
 public:
     Loads(Tests::FakeFleet &fleet, const Case &row)
         : m_fleet(fleet)
-        , m_regions(row.regions)
         , m_perRegion(std::max<std::size_t>(row.engines / row.regions, 1))
         , m_random(99)
     { }
@@ -77,7 +76,6 @@
     }
 
     Tests::FakeFleet &m_fleet;
-    std::size_t m_regions;
     std::size_t m_perRegion;
     std::mt19937_64 m_random;
 };
--- a/src/libs/experiment/recordreader.cpp
+++ b/src/libs/experiment/recordreader.cpp
@@ -42,6 +42,20 @@
     };
 }
 
+/// The endpoint is that of the last attempt.
+OutcomeRecord outcomeOf(const Json &json)
+{
+    OutcomeRecord record{textOf(json, "request"), textOf(json, "outcome"), textOf(json, "ran"),
+                         textOf(json, "endpoint")};
+    if (record.requestId.empty())
+        record.requestId = textOf(json, "request_id");
+    const auto attempts = json.find("attempts");
+    const bool hasAttempt = attempts != json.end() && attempts->is_array() && !attempts->empty();
+    if (record.endpoint.empty() && hasAttempt && attempts->back().is_object())
+        record.endpoint = textOf(attempts->back(), "endpoint");
+    return record;
+}
+
 const Json *listOf(const Json &json, const char *key)
 {
     if (json.is_array())
@@ -84,8 +98,7 @@
     for (const Json &item : *list) {
         if (!item.is_object())
             continue;
-        outcomes.push_back({textOf(item, "request_id"), textOf(item, "outcome"),
-                            textOf(item, "ran"), textOf(item, "endpoint")});
+        outcomes.push_back(outcomeOf(item));
     }
     return outcomes;
 }
@@ -107,6 +120,17 @@
     return report;
 }
 
+std::optional<std::int64_t> readConfigurationOffset(std::string_view json)
+{
+    const Json parsed = Json::parse(json, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("ready") || parsed["ready"] != true)
+        return std::nullopt;
+    const auto configuration = parsed.find("configuration");
+    if (configuration == parsed.end() || !configuration->is_object())
+        return std::nullopt;
+    return numberOf(*configuration, "next");
+}
+
 std::optional<ErrorBody> readErrorBody(std::string_view json)
 {
     const Json parsed = Json::parse(json, nullptr, false);
--- a/src/libs/experiment/recordreader.h
+++ b/src/libs/experiment/recordreader.h
@@ -28,6 +28,10 @@
 
 Errors::Result<LoadReport> readLoadReport(std::string_view json);
 
+/// Place in the configuration stream up to which a router has it in force, from its answer to
+/// GET /admin/status; nothing before it is ready.
+std::optional<std::int64_t> readConfigurationOffset(std::string_view json);
+
 /// What an error's body says.
 struct ErrorBody
 {
--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -278,6 +278,8 @@
 
 void Membership::confirmSuspects(Base::MonoTime now)
 {
+    if (m_table.suspectCount() == 0)
+        return;
     const std::vector<const Member *> expired = peersWhere([&](const Member &member) {
         return member.info.status == MemberStatus::Suspect && isOwnDataCentre(member)
             && now >= member.suspectUntil;
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -86,9 +86,14 @@
 
 std::size_t MemberTable::aliveCount() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_members.begin(), m_members.end(),
-                      [](const auto &entry) { return entry.second.isAlive(); }));
+    rehash();
+    return m_aliveCount;
+}
+
+std::size_t MemberTable::suspectCount() const
+{
+    rehash();
+    return m_suspectCount;
 }
 
 void MemberTable::age(Base::MonoTime now)
@@ -169,12 +174,16 @@
         return;
     m_hashes.clear();
     m_fleetHash = 0;
+    m_aliveCount = 0;
+    m_suspectCount = 0;
     for (const auto &[id, member] : m_members) {
         if (!isAlive(member.info.status))
             continue;
         const std::uint32_t hash = memberHash(member.info);
         m_hashes[member.info.dataCentre] ^= hash;
         m_fleetHash ^= hash;
+        ++m_aliveCount;
+        m_suspectCount += member.info.status == MemberStatus::Suspect ? 1 : 0;
     }
     m_hashesAreOld = false;
 }
--- a/src/libs/membership/membertable.h
+++ b/src/libs/membership/membertable.h
@@ -58,6 +58,7 @@
     const std::map<std::string, Member> &members() const { return m_members; }
     std::size_t aliveCount(const std::string &dataCentre) const;
     std::size_t aliveCount() const;
+    std::size_t suspectCount() const;
 
     /// Drops old tombstones and lifts damping that has decayed.
     void age(Base::MonoTime now);
@@ -81,6 +82,8 @@
     mutable bool m_hashesAreOld = true;
     mutable std::map<std::string, std::uint32_t> m_hashes;
     mutable std::uint32_t m_fleetHash = 0;
+    mutable std::size_t m_aliveCount = 0;
+    mutable std::size_t m_suspectCount = 0;
 };
 
 } // namespace Lagoonbank::Membership
--- a/src/libs/membership/peertransport.cpp
+++ b/src/libs/membership/peertransport.cpp
@@ -172,7 +172,7 @@
 }
 
 void PeerTransport::pull(const Runtime::SocketAddress &peer, const std::string &name,
-                         std::string argument, Pulled pulled)
+                         std::string_view argument, Pulled pulled)
 {
     const MemberUpdate &self = m_options.membership->self();
     const std::string binding = bindingOf(self.id, self.incarnation, ++m_pullNumber);
@@ -195,14 +195,14 @@
                     .maxBodyBytes = maxPullBytes};
     Http::Hooks hooks;
     hooks.finished = [this, binding, isAlive = m_isAlive,
-                      pulled = std::move(pulled)](Http::CallResult result) {
+                      pulled = std::move(pulled)](const Http::CallResult &result) {
         if (*isAlive)
-            finishPull(binding, std::move(result), pulled);
+            finishPull(binding, result, pulled);
     };
     m_options.client->start(std::move(call), std::move(hooks));
 }
 
-void PeerTransport::finishPull(const std::string &binding, Http::CallResult result,
+void PeerTransport::finishPull(const std::string &binding, const Http::CallResult &result,
                                const Pulled &pulled)
 {
     using Errors::ErrorKind;
@@ -225,10 +225,10 @@
 
 void PeerTransport::pullState(const Runtime::SocketAddress &peer, const StateRequest &request)
 {
-    Errors::Result<std::string> body = encodeStateRequest(request);
+    const Errors::Result<std::string> body = encodeStateRequest(request);
     if (!body)
         return;
-    pull(peer, std::string(stateName), std::move(body).value(),
+    pull(peer, std::string(stateName), body.value(),
          [this](const Errors::Result<std::string> &answer) {
              if (!answer)
                  return;
--- a/src/libs/membership/peertransport.h
+++ b/src/libs/membership/peertransport.h
@@ -45,8 +45,8 @@
     /// Answers pulls of this name; a name is a word without slashes.
     void setProvider(const std::string &name, Provider provider);
     /// Asks a peer's provider; \a pulled is called once, never from within this call.
-    void pull(const Runtime::SocketAddress &peer, const std::string &name, std::string argument,
-              Pulled pulled);
+    void pull(const Runtime::SocketAddress &peer, const std::string &name,
+              std::string_view argument, Pulled pulled);
     void setKeys(std::vector<std::string> keys) { m_codec.setKeys(std::move(keys)); }
     const PeerCodec &codec() const { return m_codec; }
     const Runtime::SocketAddress &address() const { return m_socket->address(); }
@@ -56,7 +56,8 @@
     void connect();
     void receive(const Runtime::SocketAddress &from, std::string_view datagram);
     void answer(const Http::Request &request, Http::Responder &responder);
-    void finishPull(const std::string &binding, Http::CallResult result, const Pulled &pulled);
+    void finishPull(const std::string &binding, const Http::CallResult &result,
+                    const Pulled &pulled);
     void pullState(const Runtime::SocketAddress &peer, const StateRequest &request);
     void tick();
     Base::MonoTime now() const { return m_options.loop->clock().now(); }
--- a/src/libs/router/routeradmin.cpp
+++ b/src/libs/router/routeradmin.cpp
@@ -33,6 +33,11 @@
     return out;
 }
 
+void raiseTo(Metrics::Counter counter, std::uint64_t total)
+{
+    counter.increment(static_cast<double>(total) - counter.value());
+}
+
 AdminPort::Answer notFound()
 {
     return AdminPort::json({{"error", "This router does not know the request, or no longer."}},
@@ -66,10 +71,50 @@
     if (m_sources.claims)
         metrics.registry.gauge("lagoonbank_claims_pending")
             .set(static_cast<double>(m_sources.claims->pending()));
+    updateEndpointMetrics();
+    updatePeerMetrics();
     return {.contentType = std::string(Metrics::Registry::textType),
             .body = metrics.registry.text()};
 }
 
+void RouterAdmin::updateEndpointMetrics()
+{
+    int usable = 0;
+    int suspected = 0;
+    int leaving = 0;
+    const Routing::Router &routing = m_sources.placer->routing();
+    for (Routing::EndpointIndex i = 0; i < routing.endpoints().size(); ++i) {
+        if (!routing.endpoints().contains(i))
+            continue;
+        if (routing.endpoints().info(i).state == Routing::EndpointState::Leaving)
+            ++leaving;
+        else if (routing.suspicion(i) != Routing::Suspicion::State::Trusted)
+            ++suspected;
+        else
+            ++usable;
+    }
+    Metrics::Registry &registry = m_sources.metrics->registry;
+    registry.gauge("lagoonbank_endpoints", {{"state", "usable"}}).set(usable);
+    registry.gauge("lagoonbank_endpoints", {{"state", "suspected"}}).set(suspected);
+    registry.gauge("lagoonbank_endpoints", {{"state", "leaving"}}).set(leaving);
+}
+
+void RouterAdmin::updatePeerMetrics()
+{
+    Metrics::Registry &registry = m_sources.metrics->registry;
+    raiseTo(registry.counter("lagoonbank_control_refused_total"),
+            m_sources.peers->budget().refusals());
+    const Membership::PeerTransport *transport = m_sources.peers->transport();
+    if (!transport)
+        return;
+    for (std::size_t i = 0; i < Membership::dropReasonCount; ++i) {
+        const auto reason = static_cast<Membership::DropReason>(i);
+        raiseTo(registry.counter("lagoonbank_peer_drops_total",
+                                 {{"reason", std::string(Membership::toString(reason))}}),
+                transport->codec().drops(reason));
+    }
+}
+
 AdminPort::Answer RouterAdmin::status() const
 {
     const Base::MonoTime now = m_sources.clock->now();
--- a/src/libs/router/routeradmin.h
+++ b/src/libs/router/routeradmin.h
@@ -36,6 +36,8 @@
 
 private:
     Node::AdminPort::Answer metrics();
+    void updateEndpointMetrics();
+    void updatePeerMetrics();
     Node::AdminPort::Answer status() const;
     Node::AdminPort::Answer outcome(const Node::QueryParameters &query) const;
     Node::AdminPort::Answer outcomes(const Node::QueryParameters &query) const;
--- a/tests/auto/claims/tst_claimer.cpp
+++ b/tests/auto/claims/tst_claimer.cpp
@@ -171,6 +171,22 @@
     BOOST_TEST((a.verdict() == Verdict::Granted));
 }
 
+BOOST_FIXTURE_TEST_CASE(aLostAnswerAndARetryThroughAnotherRouterRunOnce, Fixture)
+{
+    a.claim("a1");
+    log.take(true, AppendState::Unknown);
+    b.claim("b1");
+    spread();
+    BOOST_TEST((a.verdict() == Verdict::Granted));
+    BOOST_TEST(b.decisions.empty());
+    a.claimer->finish(a.claimOf("a1"), {.ran = Ran::Yes, .status = 201, .body = "receipt 8"});
+    log.take(true, AppendState::Unknown); // The outcome's answer is lost too.
+    spread();
+    BOOST_TEST((b.verdict() == Verdict::Ended));
+    BOOST_TEST(b.decisions[0].outcome.body == "receipt 8");
+    BOOST_TEST(a.decisions.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(aClaimThatNeverShowsIsRefusedAndGivenUpForGood, Fixture)
 {
     a.claim("a1");
--- /dev/null
+++ b/tests/auto/docs/tst_documents.cpp
@@ -0,0 +1,297 @@
+/// Compares the pages with the code: error kinds, metrics, flags, examples and names of tests.
+#define BOOST_TEST_MODULE tst_documents
+#include <boost/test/unit_test.hpp>
+
+#include "errors/errorkind.h"
+#include "metrics/catalogue.h"
+#include "router/routermetrics.h"
+#include "schema/objectreader.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <regex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fs = std::filesystem;
+using namespace Lagoonbank;
+
+namespace {
+
+using Names = std::set<std::string>;
+
+fs::path sourceDir()
+{
+    const char *folder = std::getenv("LAGOONBANK_SOURCE_DIR");
+    BOOST_REQUIRE_MESSAGE(folder, "LAGOONBANK_SOURCE_DIR is not set; run this test by ctest");
+    return folder;
+}
+
+std::string readText(const fs::path &file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    BOOST_REQUIRE_MESSAGE(stream, file << " cannot be read");
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+std::vector<fs::path> filesBelow(const fs::path &folder, const std::string &extension)
+{
+    std::vector<fs::path> files;
+    for (const fs::directory_entry &entry : fs::recursive_directory_iterator(folder)) {
+        if (entry.is_regular_file() && entry.path().extension() == extension)
+            files.push_back(entry.path());
+    }
+    return files;
+}
+
+/// README and all pages under docs.
+std::vector<fs::path> pages()
+{
+    std::vector<fs::path> files = filesBelow(sourceDir() / "docs", ".md");
+    files.push_back(sourceDir() / "README.md");
+    return files;
+}
+
+std::vector<std::smatch> matches(const std::string &text, const std::regex &pattern)
+{
+    return {std::sregex_iterator(text.begin(), text.end(), pattern), std::sregex_iterator()};
+}
+
+/// Keeps the text that a page should have beside the build, to be copied where it is right.
+void checkPage(const std::string &page, const std::string &expected)
+{
+    const bool isCurrent = readText(sourceDir() / "docs" / page) == expected;
+    const fs::path copy = fs::current_path() / fs::path(page).filename();
+    if (!isCurrent)
+        std::ofstream(copy) << expected;
+    BOOST_TEST(isCurrent, "docs/" << page << " differs from the code; " << copy << " is current");
+}
+
+std::string metricsPage()
+{
+    return "# Metrics\n\nEach router serves these at `/metrics` of its admin address, in "
+           "Prometheus's text format. `tst_documents` compares\nthis page with the code.\n\n"
+        + Metrics::toMarkdown(Router::routerCatalogue());
+}
+
+struct Flag
+{
+    std::string name;
+    std::string defaultValue;
+    std::string help;
+};
+
+std::string joinedLiterals(const std::string &text)
+{
+    static const std::regex literal(R"re("((?:[^"\\]|\\.)*)")re");
+    std::string joined;
+    for (const std::smatch &match : matches(text, literal))
+        joined += match[1];
+    return std::regex_replace(joined, std::regex(R"(\\")"), "\"");
+}
+
+/// The flags of all sources of one program's folder, in their order.
+std::vector<Flag> flagsBelow(const fs::path &folder)
+{
+    static const std::regex declaration(
+        R"re(ABSL_FLAG\(\s*[\w:<>]+,\s*(\w+),\s*("[^"]*"|[^,"]*),\s*((?:"(?:[^"\\]|\\.)*"\s*)+)\))re");
+    static const std::regex digitSeparator("'");
+    std::vector<Flag> flags;
+    for (const fs::path &file : filesBelow(folder, ".cpp")) {
+        const std::string text = readText(file);
+        for (const std::smatch &match : matches(text, declaration))
+            flags.push_back({match[1], std::regex_replace(match[2].str(), digitSeparator, ""),
+                             joinedLiterals(match[3])});
+    }
+    return flags;
+}
+
+/// Flags stand in the program's folder or in a library that its build names.
+std::vector<Flag> flagsOfProgram(const fs::path &folder, const std::string &dependencies)
+{
+    std::vector<Flag> flags = flagsBelow(folder);
+    for (const std::smatch &match : matches(dependencies, std::regex(R"([a-z]+)"))) {
+        const fs::path library = sourceDir() / "src" / "libs" / match[0].str();
+        if (!fs::is_directory(library))
+            continue;
+        for (Flag &flag : flagsBelow(library))
+            flags.push_back(std::move(flag));
+    }
+    return flags;
+}
+
+/// Programs and their flags.
+std::map<std::string, std::vector<Flag>> programs()
+{
+    static const std::regex target(
+        R"((?:lagoonbank_application|add_executable)\((lagoonbank-[\w-]+)([^)]*))");
+    std::map<std::string, std::vector<Flag>> found;
+    for (const char *part : {"src/apps", "src/standins"}) {
+        for (const fs::path &file : filesBelow(sourceDir() / part, ".txt")) {
+            const std::string text = readText(file);
+            std::smatch match;
+            if (std::regex_search(text, match, target))
+                found[match[1]] = flagsOfProgram(file.parent_path(), match[2]);
+        }
+    }
+    return found;
+}
+
+std::string flagsPage()
+{
+    std::string page = "# Flags\n\nEvery program also takes `--help`. `tst_documents` compares "
+                       "this page with the code.\n";
+    for (const auto &[program, flags] : programs()) {
+        page += "\n## " + program + "\n\n| flag | default | what |\n|---|---|---|\n";
+        for (const Flag &flag : flags)
+            page += "| `--" + flag.name + "` | `" + flag.defaultValue + "` | " + flag.help + " |\n";
+    }
+    return page;
+}
+
+/// Every name of a metric in the programs' sources.
+Names metricsInCode()
+{
+    static const std::regex name(R"re("(lagoonbank_[a-z_]+)")re");
+    Names names;
+    for (const fs::path &file : filesBelow(sourceDir() / "src" / "libs", ".cpp")) {
+        const std::string text = readText(file);
+        for (const std::smatch &match : matches(text, name))
+            names.insert(match[1]);
+    }
+    return names;
+}
+
+/// The YAML blocks of a page that are configuration objects.
+std::vector<std::string> objectExamples(const std::string &page)
+{
+    static const std::regex block("```yaml\n([^`]*)```");
+    std::vector<std::string> examples;
+    for (const std::smatch &match : matches(page, block)) {
+        if (match[1].str().starts_with("kind:"))
+            examples.push_back(match[1]);
+    }
+    return examples;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(everyErrorKindHasItsRow)
+{
+    const std::string page = readText(sourceDir() / "docs" / "OPERATIONS.md");
+    static const std::regex row(R"(\n\| `(\w+)` \| (\d{3}) \| (no|yes|unknown) \| (yes|no) \|)");
+    std::vector<std::string> rows;
+    for (const std::smatch &match : matches(page, row))
+        rows.push_back(match[1].str() + ' ' + match[2].str() + ' ' + match[3].str() + ' '
+                       + match[4].str());
+    std::vector<std::string> expected;
+    for (const Errors::ErrorRow &error : Errors::errorTable())
+        expected.push_back(std::string(error.name) + ' ' + std::to_string(error.httpStatus) + ' '
+                           + std::string(Errors::toString(error.ran)) + ' '
+                           + (error.retryable ? "yes" : "no"));
+    BOOST_TEST(rows == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(metricsPageIsCurrent)
+{
+    checkPage("reference/metrics.md", metricsPage());
+}
+
+BOOST_AUTO_TEST_CASE(metricsNamedInPagesExist)
+{
+    static const std::regex name(R"(\blagoonbank_[a-z_]+)");
+    static const std::regex histogramPart("_(bucket|count|sum)$");
+    const Names known = metricsInCode();
+    for (const fs::path &file : pages()) {
+        const std::string text = readText(file);
+        for (const std::smatch &match : matches(text, name)) {
+            const std::string found = match[0];
+            const std::string whole = std::regex_replace(found, histogramPart, "");
+            BOOST_TEST((known.contains(found) || known.contains(whole)),
+                       file << " names " << found << ", which no program has");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(metricsOfTheCodeAreInThePage)
+{
+    const std::string page = readText(sourceDir() / "docs" / "reference" / "metrics.md");
+    for (const std::string &name : metricsInCode())
+        BOOST_TEST(page.find('`' + name + '`') != std::string::npos, name << " is not described");
+}
+
+BOOST_AUTO_TEST_CASE(flagsPageIsCurrent)
+{
+    checkPage("reference/flags.md", flagsPage());
+}
+
+BOOST_AUTO_TEST_CASE(flagsNamedInPagesExist)
+{
+    static const std::regex command(R"((lagoonbank-(?:[a-z]+-)?[a-z]+)\b([^\n`]*))");
+    static const std::regex flagName(R"( --([a-z_-]+))");
+    const auto known = programs();
+    for (const fs::path &file : pages()) {
+        const std::string text = readText(file);
+        for (const std::smatch &line : matches(text, command)) {
+            const auto program = known.find(line[1]);
+            const std::string words = line[2];
+            for (const std::smatch &match : matches(words, flagName)) {
+                Names names{"help"};
+                if (program != known.end()) {
+                    for (const Flag &flag : program->second)
+                        names.insert(flag.name);
+                }
+                BOOST_TEST(names.contains(match[1]),
+                           file << ": " << line[1] << " has no flag --" << match[1]);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(programsNamedInPagesExist)
+{
+    static const std::regex name(R"(bin/([\w-]+))");
+    Names known{"http_proxy", "bm_gossip", "bench-routing-decision", "routing-policies"};
+    for (const auto &[program, flags] : programs())
+        known.insert(program);
+    for (const fs::path &file : pages()) {
+        const std::string text = readText(file);
+        for (const std::smatch &match : matches(text, name))
+            BOOST_TEST(known.contains(match[1]), file << " names the program " << match[1]);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(exampleObjectsAreRight)
+{
+    std::size_t count = 0;
+    for (const fs::path &file : pages()) {
+        for (const std::string &example : objectExamples(readText(file))) {
+            ++count;
+            const auto read = Schema::readObjects(file.filename(), example);
+            BOOST_TEST(read.has_value(),
+                       (read ? std::string() : Schema::toText(read.error())) << example);
+        }
+    }
+    BOOST_TEST(count > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(testsNamedForFailuresExist)
+{
+    static const std::regex reference(R"(`(tst_\w+)/(\w+)`)");
+    std::map<std::string, std::string> sources;
+    for (const fs::path &file : filesBelow(sourceDir() / "tests", ".cpp"))
+        sources[file.stem()] = readText(file);
+    const std::string page = readText(sourceDir() / "docs" / "design" / "failures.md");
+    const auto named = matches(page, reference);
+    BOOST_TEST(!named.empty());
+    for (const std::smatch &match : named) {
+        const std::regex definition("TEST_CASE\\(" + match[2].str() + "\\b");
+        BOOST_TEST(std::regex_search(sources[match[1]], definition),
+                   match[1] << " has no case " << match[2]);
+    }
+}
--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -173,6 +173,38 @@
     BOOST_TEST(f.finished().end == CallEnd::Broken);
 }
 
+BOOST_AUTO_TEST_CASE(answerThatComesBeforeTheRequestIsSentIsRead)
+{
+    Fixture f;
+    Call call = f.call("POST");
+    call.body = std::string(16 * 1024 * 1024, 'x'); // More than the socket's buffers hold.
+    f.start(std::move(call));
+    RawSocket server = f.accept();
+    f.runTurns(5);
+    server.send("HTTP/1.1 413 Content Too Large\r\ncontent-length: 2\r\n\r\nno");
+    const CallResult &result = f.finished();
+    BOOST_TEST(result.end == CallEnd::Whole);
+    BOOST_TEST(result.status == 413);
+    BOOST_TEST(result.body == "no");
+    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+}
+
+BOOST_AUTO_TEST_CASE(endlessHeadIsBroken)
+{
+    Fixture f;
+    f.start(f.call());
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send("HTTP/1.1 200 OK\r\na: ");
+    const std::string part(1000, 'x');
+    for (int sent = 0; sent < 1000 && f.results.empty(); ++sent) {
+        server.send(part);
+        f.runTurns(1);
+    }
+    BOOST_REQUIRE(!f.results.empty());
+    BOOST_TEST(f.results.back().end == CallEnd::Broken);
+}
+
 BOOST_AUTO_TEST_CASE(requestIsWrittenWhole)
 {
     Fixture f;
@@ -232,6 +264,28 @@
     BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
 }
 
+BOOST_AUTO_TEST_CASE(connectionWithBytesAfterTheAnswerIsNotUsedAgain)
+{
+    for (const std::string_view answer :
+         {"HTTP/1.1 204 No Content\r\n\r\nmore", "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nab",
+          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\nmore"}) {
+        BOOST_TEST_CONTEXT(answer)
+        {
+            Fixture f;
+            f.start(f.call());
+            RawSocket first = f.accept();
+            BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+            first.send(answer);
+            BOOST_TEST(f.finished(1).end == CallEnd::Whole);
+            f.start(f.call());
+            int second = -1;
+            BOOST_TEST(f.runUntil([&] { return (second = f.listener.accept()) >= 0; }));
+            const RawSocket owner(second);
+            BOOST_TEST(first.isEnded());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(pooledConnectionThatTheServerClosedIsNotUsed)
 {
     Fixture f;
--- a/tests/auto/membership/tst_peertransport.cpp
+++ b/tests/auto/membership/tst_peertransport.cpp
@@ -14,6 +14,7 @@
 
 constexpr Base::Duration turn = std::chrono::milliseconds(20);
 constexpr int maxTurns = 1000;
+constexpr int maxPortTries = 200;
 const std::string key = "0123456789abcdef";
 
 Runtime::SocketAddress freeAddress(Runtime::Loop &loop)
@@ -24,9 +25,20 @@
 
 struct Process
 {
-    Process(Runtime::Loop &loop, const std::string &id, std::vector<Runtime::SocketAddress> seeds,
-            std::vector<std::string> keys = {key})
+    Process(Runtime::Loop &loop, const std::string &id,
+            const std::vector<Runtime::SocketAddress> &seeds,
+            const std::vector<std::string> &keys = {key})
         : client({.loop = &loop})
+    {
+        // The number has to be free for UDP and for TCP, and others may take it meanwhile.
+        for (int i = 0; i < maxPortTries && !transport; ++i)
+            tryStart(loop, id, seeds, keys);
+        BOOST_REQUIRE(transport);
+    }
+
+    void tryStart(Runtime::Loop &loop, const std::string &id,
+                  const std::vector<Runtime::SocketAddress> &seeds,
+                  const std::vector<std::string> &keys)
     {
         const Runtime::SocketAddress address = freeAddress(loop);
         membership = std::make_unique<Membership::Membership>(
@@ -36,16 +48,17 @@
                                                      .ip = ipNumber(address.ip),
                                                      .port = address.port,
                                                      .incarnation = 1},
-                                            .seeds = std::move(seeds),
+                                            .seeds = seeds,
                                             .budget = &budget},
             loop.clock().now());
-        transport = PeerTransport::start({.loop = &loop,
-                                          .client = &client,
-                                          .budget = &budget,
-                                          .membership = membership.get(),
-                                          .address = address,
-                                          .keys = std::move(keys)})
-                        .value();
+        auto started = PeerTransport::start({.loop = &loop,
+                                             .client = &client,
+                                             .budget = &budget,
+                                             .membership = membership.get(),
+                                             .address = address,
+                                             .keys = keys});
+        if (started)
+            transport = std::move(started).value();
     }
 
     ControlBudget budget;
--- a/tests/auto/orders/tst_lease.cpp
+++ b/tests/auto/orders/tst_lease.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -28,6 +29,17 @@
     std::vector<Entry> entries;
     std::size_t first = 0;
     bool isOut = false;
+    /// Appends on their way; each lands once its time has come, whatever became of its sender.
+    std::multimap<MonoTime, Entry> inFlight;
+    Duration delay{};
+
+    void land(MonoTime now)
+    {
+        while (!inFlight.empty() && inFlight.begin()->first <= now) {
+            entries.push_back(inFlight.begin()->second);
+            inFlight.erase(inFlight.begin());
+        }
+    }
 };
 
 /// A controller's keeper and its place in the log.
@@ -39,13 +51,14 @@
     {
         keeper.appendWanted = [this](const std::string &id, const LeaseRecord &record) {
             if (!log.isOut)
-                log.entries.push_back({id, record});
+                log.inFlight.insert({turnedAt + log.delay, {id, record}});
         };
     }
     void turn(MonoTime now)
     {
         if (isPaused)
             return;
+        turnedAt = now;
         if (log.isOut) {
             keeper.logFailed();
         } else {
@@ -61,6 +74,7 @@
     FakeLog &log;
     LeaseKeeper keeper;
     std::size_t next = 0;
+    MonoTime turnedAt{};
     bool isPaused = false;
     bool isCandidate = true;
 };
@@ -81,6 +95,7 @@
     {
         constexpr Duration step = std::chrono::milliseconds(100);
         for (const MonoTime end = now + duration; now < end; now += step) {
+            log.land(now);
             for (const auto &controller : controllers)
                 controller->turn(now);
             BOOST_REQUIRE(holders(true) <= 1);
@@ -223,17 +238,69 @@
         bench.add(name);
     for (int i = 0; i < 60; ++i) {
         bench.log.isOut = random() % 5 == 0;
+        bench.log.delay = std::chrono::milliseconds(random() % 3 == 0 ? random() % 12000 : 200);
         for (const auto &controller : bench.controllers)
             controller->isPaused = random() % 3 == 0;
         bench.run(std::chrono::milliseconds(500 + random() % 12000));
     }
     bench.log.isOut = false;
+    bench.log.delay = {};
     for (const auto &controller : bench.controllers)
         controller->isPaused = false;
     bench.run(std::chrono::seconds(30));
     BOOST_TEST(bench.holders(true) == 1);
 }
 
+// Every reader reduces the stream by the same rule.
+BOOST_AUTO_TEST_CASE(stateFollowsTheOffsets)
+{
+    struct Row
+    {
+        const char *name;
+        LeaseRecord record;
+        bool takesEffect;
+    };
+    // Claimed by a/1 at offset 5, renewed at offset 6.
+    const std::vector<Row> rows{
+        {"claim that had not read the renewal",
+         {.holder = "b/1", .base = LogOffset(5), .logFirst = LogOffset(1)},
+         false},
+        {"claim that had read nothing", {.holder = "b/1", .logFirst = LogOffset(1)}, false},
+        {"claim on the last record",
+         {.holder = "b/1", .base = LogOffset(6), .logFirst = LogOffset(1)},
+         true},
+        {"claim after retention took all", {.holder = "b/1", .logFirst = LogOffset(7)}, true},
+        {"renewal of an older lease",
+         {.step = LeaseStep::Renew, .holder = "a/1", .fencing = FencingNumber(2)},
+         false},
+        {"renewal by another",
+         {.step = LeaseStep::Renew, .holder = "b/1", .fencing = FencingNumber(5)},
+         false},
+        {"release by another",
+         {.step = LeaseStep::Release, .holder = "b/1", .fencing = FencingNumber(5)},
+         false},
+        {"renewal", {.step = LeaseStep::Renew, .holder = "a/1", .fencing = FencingNumber(5)}, true},
+    };
+    for (const Row &row : rows) {
+        LeaseState state(gulberg);
+        BOOST_TEST(state.apply(LogOffset(5), {.dataCentre = gulberg, .holder = "a/1"}));
+        BOOST_TEST(state.apply(LogOffset(6),
+                               {.step = LeaseStep::Renew,
+                                .dataCentre = gulberg,
+                                .holder = "a/1",
+                                .fencing = FencingNumber(5)}));
+        LeaseRecord record = row.record;
+        record.dataCentre = gulberg;
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            BOOST_TEST(!state.apply(LogOffset(6), record)); // Seen already.
+            BOOST_TEST(state.apply(LogOffset(8), record) == row.takesEffect);
+        }
+        record.dataCentre = DataCentreId("dha");
+        BOOST_TEST(!state.apply(LogOffset(9), record));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(recordsComeBackWhole)
 {
     const LeaseRecord record{.step = LeaseStep::Renew,
