Membership: Tell less often while very much is news

At a cold start of 330 processes the news of members filled the budget for over 80 s, and load samples were 6.8 s old at the median. While more than 32 members are news each is told four times.

--- a/src/libs/membership/membershipmessages.cpp
+++ b/src/libs/membership/membershipmessages.cpp
@@ -245,7 +245,10 @@
         }
         if (!addMember(member->info, ControlPriority::Membership))
             break;
-        m_memberNews.told(name, rumourLimit());
+        // After a cold start or a long cut pulls carry the bulk; news alone would fill the budget.
+        constexpr std::size_t manyNews = 32;
+        constexpr std::uint32_t fewTimes = 4;
+        m_memberNews.told(name, m_memberNews.count() > manyNews ? fewTimes : rumourLimit());
     }
 }
 
--- a/src/libs/membership/rumours.h
+++ b/src/libs/membership/rumours.h
@@ -17,6 +17,7 @@
     void add(const std::string &name) { m_sends[name] = 0; }
     void remove(const std::string &name) { m_sends.erase(name); }
     bool isEmpty() const { return m_sends.empty(); }
+    std::size_t count() const { return m_sends.size(); }
 
     /// Names in the order of telling.
     std::vector<std::string> names() const
