--- a/src/libs/membership/controlbudget.cpp
+++ b/src/libs/membership/controlbudget.cpp
@@ -15,7 +15,7 @@
 std::string_view toString(ControlTraffic traffic)
 {
     static constexpr std::array<std::string_view, controlTrafficCount> names{
-        "ping", "ack", "ping_request", "gossip", "outdated", "pull", "probe"};
+        "ping", "ack", "ping_request", "gossip", "outdated", "pull", "probe", "beacon"};
     return names.at(static_cast<std::size_t>(traffic));
 }
 
--- a/src/libs/membership/controlbudget.h
+++ b/src/libs/membership/controlbudget.h
@@ -27,9 +27,10 @@
     Gossip,
     Outdated,
     Pull, ///< Requests and answers over TCP; metered, with a bucket of their own.
-    Probe ///< Probes of endpoints.
+    Probe, ///< Probes of endpoints.
+    Beacon ///< Work in flight, told directly.
 };
-constexpr std::size_t controlTrafficCount = 7;
+constexpr std::size_t controlTrafficCount = 8;
 std::string_view toString(ControlTraffic traffic);
 
 /// Token bucket over what a process sends for control, headers of UDP and IP included.
--- a/src/libs/membership/peertransport.cpp
+++ b/src/libs/membership/peertransport.cpp
@@ -136,6 +136,11 @@
                                               m_codec.seenIncarnation(outdated->id), now());
     if (!opened)
         return;
+    if (!opened->body.empty() && opened->body.front() == directMark) {
+        if (directReceived)
+            directReceived(opened->sender, opened->body);
+        return;
+    }
     const Errors::Result<PeerMessage> message = decodeMessage(opened->body);
     if (!message) {
         m_codec.countDrop(DropReason::BadBody);
@@ -144,6 +149,15 @@
     m_options.membership->receive(opened->sender, from, message.value(), now());
 }
 
+bool PeerTransport::sendDirect(const Runtime::SocketAddress &to, std::string_view body)
+{
+    const std::string sealed = m_codec.seal(body);
+    const std::size_t bytes = sealed.size() + datagramOverheadBytes;
+    if (!m_options.budget->take(ControlPriority::Membership, ControlTraffic::Beacon, bytes, now()))
+        return false;
+    return m_socket->send(to, sealed);
+}
+
 void PeerTransport::answer(const Http::Request &request, Http::Responder &responder)
 {
     const auto refuse = [&responder](Errors::ErrorKind kind) {
--- a/src/libs/membership/peertransport.h
+++ b/src/libs/membership/peertransport.h
@@ -47,6 +47,13 @@
     /// Asks a peer's provider; \a pulled is called once, never from within this call.
     void pull(const Runtime::SocketAddress &peer, const std::string &name,
               std::string_view argument, Pulled pulled);
+    /// Sends a sealed datagram that is not for the Membership: \a body begins with directMark.
+    /// False if the budget does not allow it.
+    bool sendDirect(const Runtime::SocketAddress &to, std::string_view body);
+    /// First byte of such a body; no version of a PeerMessage has this number.
+    static constexpr char directMark = '\xbe';
+    /// A datagram of sendDirect() came; its seal and its sequence were right.
+    std::function<void(const Sender &sender, std::string_view body)> directReceived;
     void setKeys(std::vector<std::string> keys) { m_codec.setKeys(std::move(keys)); }
     const PeerCodec &codec() const { return m_codec; }
     const Runtime::SocketAddress &address() const { return m_socket->address(); }
--- a/src/libs/node/peerlink.h
+++ b/src/libs/node/peerlink.h
@@ -54,7 +54,8 @@
     Membership::Membership &membership() { return *m_membership; }
     const Membership::Membership &membership() const { return *m_membership; }
     Membership::ControlBudget &budget() { return m_budget; }
-    const Membership::PeerTransport *transport() const { return m_transport.get(); }
+    /// Null before start().
+    Membership::PeerTransport *transport() { return m_transport.get(); }
 
     std::function<void(const Membership::Member &member, Membership::MemberEvent event)>
         memberChanged;
--- /dev/null
+++ b/src/libs/router/inflightbeacon.cpp
@@ -0,0 +1,56 @@
+#include "router/inflightbeacon.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Lagoonbank::Router {
+
+namespace {
+
+constexpr double workStep = 8;
+constexpr double mostSteps = 65535;
+constexpr int keyBytes = 4;
+constexpr int workBytes = 2;
+
+void appendNumber(std::string &out, std::uint32_t number, int bytes)
+{
+    for (int i = 0; i < bytes; ++i)
+        out.push_back(static_cast<char>((number >> (8 * i)) & 0xff));
+}
+
+std::uint32_t readNumber(std::string_view text, int bytes)
+{
+    std::uint32_t number = 0;
+    for (int i = 0; i < bytes; ++i)
+        number |= static_cast<std::uint32_t>(static_cast<unsigned char>(text[i])) << (8 * i);
+    return number;
+}
+
+} // namespace
+
+std::string encodeBeacon(char mark, const std::vector<InFlight> &entries)
+{
+    std::string body(1, mark);
+    for (std::size_t i = 0; i < std::min(entries.size(), maxBeaconEntries); ++i) {
+        appendNumber(body, entries[i].endpoint, keyBytes);
+        const double steps =
+            std::clamp(std::round(entries[i].work.value() / workStep), 0.0, mostSteps);
+        appendNumber(body, static_cast<std::uint32_t>(steps), workBytes);
+    }
+    return body;
+}
+
+std::optional<std::vector<InFlight>> decodeBeacon(char mark, std::string_view body)
+{
+    if (body.empty() || body.front() != mark || (body.size() - 1) % beaconEntryBytes != 0)
+        return std::nullopt;
+    std::vector<InFlight> entries;
+    for (std::size_t at = 1; at < body.size(); at += beaconEntryBytes) {
+        const std::uint32_t steps = readNumber(body.substr(at + keyBytes), workBytes);
+        entries.push_back({readNumber(body.substr(at), keyBytes),
+                           Base::WorkUnits(static_cast<double>(steps) * workStep)});
+    }
+    return entries;
+}
+
+} // namespace Lagoonbank::Router
--- /dev/null
+++ b/src/libs/router/inflightsharing.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "node/peerlink.h"
+#include "router/inflightbeacon.h"
+#include "router/placer.h"
+#include "runtime/loop.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::Router {
+
+/// In a region of few routers, tells each of them directly what this one has in flight, many times
+/// a second, so that the load of every engine is known as the sum of all routers' work. Reports of
+/// engines are older than short answers are long. In larger regions it does nothing.
+class InFlightSharing
+{
+public:
+    /// Above this many peers one beacon to each would be too seldom to help.
+    static constexpr std::size_t mostPeers = 12;
+
+    InFlightSharing(Runtime::Loop &loop, Placer &placer, Node::PeerLink &peers);
+    ~InFlightSharing();
+    InFlightSharing(const InFlightSharing &) = delete;
+    InFlightSharing &operator=(const InFlightSharing &) = delete;
+
+    /// To be called when the peers' transport has started.
+    void start();
+    /// To be called when endpoints have changed.
+    void endpointsChanged();
+
+private:
+    struct Peer
+    {
+        Routing::PeerIndex index = 0;
+        Base::MonoTime heard;
+    };
+
+    void tell();
+    Base::Duration tellAll(const std::vector<Membership::MemberUpdate> &peers);
+    std::vector<InFlight> changedWork();
+    void received(const std::string &sender, std::string_view body);
+    void judgePeers(const std::vector<Membership::MemberUpdate> &peers, Base::MonoTime now);
+    std::vector<Membership::MemberUpdate> regionPeers(Base::MonoTime now) const;
+
+    Runtime::Loop &m_loop;
+    Placer &m_placer;
+    Node::PeerLink &m_peers;
+    absl::flat_hash_map<std::uint32_t, Base::EndpointId> m_endpointByKey;
+    absl::flat_hash_map<std::string, Peer> m_heard;
+    std::vector<InFlight> m_told; ///< By endpoint index, as of the last beacon.
+    std::uint64_t m_round = 0;
+    Runtime::TimerId m_timer;
+};
+
+} // namespace Lagoonbank::Router
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -187,6 +187,8 @@
                                                              .membership = &m_peers->membership(),
                                                              .dataCentre = m_settings.dataCentre});
     BOOST_OUTCOME_TRYV(m_peers->start());
+    m_inFlightSharing = std::make_unique<InFlightSharing>(m_loop, *m_placer, *m_peers);
+    m_inFlightSharing->start();
     if (m_vmList)
         m_vmList->start();
     return boost::outcome_v2::success();
@@ -351,6 +353,7 @@
     }
     m_knownEndpoints = std::move(known);
     m_loadSharing->endpointsChanged();
+    m_inFlightSharing->endpointsChanged();
     m_objects->each<Schema::DataCentre>(
         [&](const Schema::DataCentre &dataCentre) { dataCentres.push_back(dataCentre.name); });
     m_shareSharing->setDataCentres(std::move(dataCentres));
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -13,6 +13,7 @@
 #include "platform/vmlistclient.h"
 #include "router/callerapi.h"
 #include "router/claimdesk.h"
+#include "router/inflightsharing.h"
 #include "router/loadsharing.h"
 #include "router/placer.h"
 #include "router/requestrecorder.h"
@@ -83,6 +84,7 @@
     std::unique_ptr<RequestRecorder> m_recorder;
     std::unique_ptr<CallerApi> m_callerApi;
     std::unique_ptr<LoadSharing> m_loadSharing;
+    std::unique_ptr<InFlightSharing> m_inFlightSharing;
     std::unique_ptr<ShareSharing> m_shareSharing;
     std::unique_ptr<Http::Server> m_callerServer;
     std::unique_ptr<Node::AdminPort> m_adminPort;
--- a/src/libs/routing/loadestimator.cpp
+++ b/src/libs/routing/loadestimator.cpp
@@ -85,6 +85,15 @@
     update(endpoint);
 }
 
+void LoadEstimator::setPeersComplete(bool complete)
+{
+    if (complete == m_isPeersComplete)
+        return;
+    m_isPeersComplete = complete;
+    for (EndpointIndex endpoint = 0; endpoint < m_rows.size(); ++endpoint)
+        update(endpoint);
+}
+
 void LoadEstimator::forgetPeer(PeerIndex peer, Base::MonoTime now)
 {
     if (peer >= m_peerWork.size())
@@ -138,7 +147,8 @@
 void LoadEstimator::update(EndpointIndex endpoint)
 {
     const Row &row = m_rows[endpoint];
-    m_load[endpoint] = std::max(row.kept + row.own.current() + row.peers.current(), 0.0);
+    const double beyond = m_isPeersComplete ? 0.0 : row.kept;
+    m_load[endpoint] = std::max(beyond + row.own.current() + row.peers.current(), 0.0);
 }
 
 double LoadEstimator::weightOf(const Row &row, Base::MonoTime now) const
--- a/src/libs/routing/loadestimator.h
+++ b/src/libs/routing/loadestimator.h
@@ -68,6 +68,9 @@
     /// What a peer had in flight at the endpoint by its latest digest; replaces the former.
     void notePeer(PeerIndex peer, EndpointIndex endpoint, Base::WorkUnits inFlight,
                   Base::MonoTime now);
+    /// Whether peers' work in flight is known of all of them and fresh. All load comes from
+    /// routers, so that then it is the sum of their work and late reports add nothing.
+    void setPeersComplete(bool complete);
     /// The peer is gone; what it had in flight no longer counts.
     void forgetPeer(PeerIndex peer, Base::MonoTime now);
 
@@ -107,6 +110,7 @@
     double weightOf(const Row &row, Base::MonoTime now) const;
 
     Options m_options;
+    bool m_isPeersComplete = false;
     std::vector<Row> m_rows;
     std::vector<double> m_load;
     std::vector<std::vector<float>> m_peerWork; ///< By peer, then endpoint.
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -87,6 +87,13 @@
         updateLoad(endpoint);
 }
 
+void Router::setPeersComplete(bool complete)
+{
+    m_loads.setPeersComplete(complete);
+    for (EndpointIndex endpoint = 0; endpoint < m_candidates.size(); ++endpoint)
+        updateLoad(endpoint);
+}
+
 void Router::suspect(EndpointIndex endpoint, Base::MonoTime now)
 {
     m_suspicion.suspect(endpoint, now);
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -73,6 +73,8 @@
     void notePeer(PeerIndex peer, EndpointIndex endpoint, Base::WorkUnits inFlight,
                   Base::MonoTime now);
     void forgetPeer(PeerIndex peer, Base::MonoTime now);
+    /// See LoadEstimator::setPeersComplete().
+    void setPeersComplete(bool complete);
     /// A probe, or a peer's, has found the endpoint out of order.
     void suspect(EndpointIndex endpoint, Base::MonoTime now);
     void noteCacheEvent(EndpointIndex endpoint, const CacheEvent &event);
