Operations: Try each failed step once more in any case

Cause: a first try that met a silent connection used up the whole time for an answer. Change: the same rule for reading and appending; a second try always follows.

--- a/src/libs/operations/changepublisher.cpp
+++ b/src/libs/operations/changepublisher.cpp
@@ -33,6 +33,7 @@
 ChangePublisher::ChangePublisher(const Context &context, ConfigurationLog &log)
     : m_context(context)
     , m_log(log)
+    , m_patience(context)
 { }
 
 ChangePublisher::~ChangePublisher()
@@ -105,7 +106,7 @@
 void ChangePublisher::start(Done done)
 {
     m_done = std::move(done);
-    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    m_patience.renew();
     sendNext();
 }
 
@@ -167,8 +168,7 @@
     }
     if (!hasProgress)
         return tryAgainOrEnd();
-    m_backoff.reset();
-    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    m_patience.renew();
     sendNext();
 }
 
@@ -196,10 +196,10 @@
 
 void ChangePublisher::tryAgainOrEnd()
 {
-    const Base::Duration delay = m_backoff.next();
-    if (m_context.timers->clock().now() + delay >= m_deadline)
+    const std::optional<Base::Duration> delay = m_patience.next();
+    if (!delay)
         return end();
-    m_timer = m_context.timers->start(delay, [this] { sendNext(); });
+    m_timer = m_context.timers->start(*delay, [this] { sendNext(); });
 }
 
 void ChangePublisher::end()
--- a/src/libs/operations/changepublisher.h
+++ b/src/libs/operations/changepublisher.h
@@ -79,8 +79,7 @@
     ConfigurationLog &m_log;
     std::vector<Change> m_changes;
     Done m_done;
-    Platform::Backoff m_backoff{Platform::Backoff::Options()};
-    Base::MonoTime m_deadline;
+    Patience m_patience;
     Runtime::TimerId m_timer;
 };
 
--- a/src/libs/operations/command.h
+++ b/src/libs/operations/command.h
@@ -8,6 +8,7 @@
 #include "runtime/udpsocket.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,27 @@
     std::function<void(const std::string &text)> print;
 };
 
+/// Decides whether a step that failed is tried again: for as long as the context's timeout, and
+/// once more in any case, since the first try may have met a dead connection.
+class Patience
+{
+public:
+    explicit Patience(const Context &context)
+        : m_context(context)
+    { }
+
+    /// A step begins or has got on.
+    void renew();
+    /// The delay before the next try, or nothing if it is time to give up.
+    std::optional<Base::Duration> next();
+
+private:
+    const Context &m_context;
+    Platform::Backoff m_backoff{Platform::Backoff::Options()};
+    Base::MonoTime m_deadline;
+    bool m_hasRetried = false;
+};
+
 /// One command that runs until it has its report.
 class Command
 {
--- a/src/libs/operations/streamreader.cpp
+++ b/src/libs/operations/streamreader.cpp
@@ -13,6 +13,7 @@
 StreamReader::StreamReader(const Context &context, std::string stream)
     : m_context(context)
     , m_stream(std::move(stream))
+    , m_patience(context)
 { }
 
 StreamReader::~StreamReader()
@@ -25,8 +26,7 @@
 void StreamReader::readToEnd(Finished finished)
 {
     m_finished = std::move(finished);
-    m_deadline = m_context.timers->clock().now() + m_context.timeout;
-    m_backoff.reset();
+    m_patience.renew();
     readPage();
 }
 
@@ -55,16 +55,16 @@
     if (read.records.empty() || read.next <= m_next)
         return finish(boost::outcome_v2::success());
     m_next = read.next;
-    m_deadline = m_context.timers->clock().now() + m_context.timeout;
+    m_patience.renew();
     readPage();
 }
 
 void StreamReader::retryOrFail(const Errors::Error &error)
 {
-    const Base::Duration delay = m_backoff.next();
-    if (m_context.timers->clock().now() + delay >= m_deadline)
+    const std::optional<Base::Duration> delay = m_patience.next();
+    if (!delay)
         return finish(error);
-    m_timer = m_context.timers->start(delay, [this] { readPage(); });
+    m_timer = m_context.timers->start(*delay, [this] { readPage(); });
 }
 
 void StreamReader::finish(Errors::Result<void> result)
--- a/src/libs/operations/streamreader.h
+++ b/src/libs/operations/streamreader.h
@@ -9,7 +9,7 @@
 
 namespace Lagoonbank::Operations {
 
-/// Reads a stream of the log to its end, trying again for as long as the context's timeout.
+/// Reads a stream of the log to its end, trying again where it fails.
 class StreamReader
 {
 public:
@@ -47,8 +47,7 @@
     Finished m_finished;
     Base::LogOffset m_first;
     Base::LogOffset m_next;
-    Base::MonoTime m_deadline;
-    Platform::Backoff m_backoff{Platform::Backoff::Options()};
+    Patience m_patience;
     Platform::LogClient::ReadId m_read;
     Runtime::TimerId m_timer;
 };
