--- a/tests/auto/docs/tst_documents.cpp
+++ b/tests/auto/docs/tst_documents.cpp
@@ -2,8 +2,11 @@
 #define BOOST_TEST_MODULE tst_documents
 #include <boost/test/unit_test.hpp>
 
+#include "controller/controllermetrics.h"
 #include "errors/errorkind.h"
 #include "metrics/catalogue.h"
+#include "operations/commandline.h"
+#include "operations/commandtable.h"
 #include "router/routermetrics.h"
 #include "schema/objectreader.h"
 
@@ -74,9 +77,11 @@
 
 std::string metricsPage()
 {
-    return "# Metrics\n\nEach router serves these at `/metrics` of its admin address, in "
-           "Prometheus's text format. `tst_documents` compares\nthis page with the code.\n\n"
-        + Metrics::toMarkdown(Router::routerCatalogue());
+    return "# Metrics\n\nEach router and controller serves these at `/metrics` of its admin "
+           "address, in Prometheus's text format.\n`tst_documents` compares this page with the "
+           "code.\n\n## lagoonbank-router\n\n"
+        + Metrics::toMarkdown(Router::routerCatalogue()) + "\n## lagoonbank-controller\n\n"
+        + Metrics::toMarkdown(Controller::controllerCatalogue());
 }
 
 struct Flag
@@ -154,6 +159,32 @@
     return page;
 }
 
+std::string commandsPage()
+{
+    std::string page = "# Commands of lagoonbank-ctl\n\nFlags: [flags](flags.md). Each command "
+                       "also takes those of all:";
+    for (const std::string_view flag : Operations::commonFlagNames())
+        page += " `--" + std::string(flag) + '`';
+    page += ".\n`tst_documents` compares this page with the code.\n\n"
+            "| command | what | own flags |\n|---|---|---|\n";
+    for (const Operations::CommandRow &row : Operations::commandTable()) {
+        page += "| `" + std::string(row.name);
+        page += (row.words.empty() ? "" : " ") + std::string(row.words) + "` | ";
+        page += std::string(row.summary) + " |";
+        for (const std::string_view flag : row.flags)
+            page += " `--" + std::string(flag) + '`';
+        page += " |\n";
+    }
+    return page
+        + "\n| status | meaning |\n|---|---|\n"
+          "| 0 | done |\n"
+          "| 1 | something could not be reached or is not as it should be |\n"
+          "| 2 | the command line or a file is wrong; nothing was sent |\n"
+          "| 3 | the change was refused, or another one won |\n"
+          "| 4 | the change may or may not have landed; ask again |\n"
+          "| 5 | nothing is known by that name or id |\n";
+}
+
 /// Every name of a metric in the programs' sources.
 Names metricsInCode()
 {
@@ -230,6 +261,25 @@
     checkPage("reference/flags.md", flagsPage());
 }
 
+BOOST_AUTO_TEST_CASE(commandsPageIsCurrent)
+{
+    checkPage("reference/ctl.md", commandsPage());
+}
+
+BOOST_AUTO_TEST_CASE(commandsNamedInPagesExist)
+{
+    static const std::regex call(R"(lagoonbank-ctl((?: --[a-z_]+ [^\s`]+)*) ([a-z]+)( [a-z]+)?)");
+    for (const fs::path &file : pages()) {
+        const std::string text = readText(file);
+        for (const std::smatch &match : matches(text, call)) {
+            const std::vector<std::string> words{
+                match[2], match[3].matched ? match[3].str().substr(1) : std::string()};
+            BOOST_TEST(Operations::chooseCommand(words).row != nullptr,
+                       file << " names the command " << match[2] << match[3]);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(flagsNamedInPagesExist)
 {
     static const std::regex command(R"((lagoonbank-(?:[a-z]+-)?[a-z]+)\b([^\n`]*))");
