Operations: Rank a found outcome as the whole record again

Cause: a merge left one call of rankOf() with the outcome's kind after it had come to take the found outcome; the command line did not compile.

--- a/src/libs/operations/requestcommand.cpp
+++ b/src/libs/operations/requestcommand.cpp
@@ -234,8 +234,7 @@
         if (!isKnown)
             m_found.push_back(std::move(found));
     }
-    std::ranges::stable_sort(
-        m_found, {}, [](const FoundOutcome &found) { return rankOf(found.outcome.end.kind); });
+    std::ranges::stable_sort(m_found, {}, [](const FoundOutcome &found) { return rankOf(found); });
     askEvents();
 }
 
