--- a/src/libs/operations/adminclient.cpp
+++ b/src/libs/operations/adminclient.cpp
@@ -20,12 +20,12 @@
     }
     answer.status = result.status;
     answer.body = Json::parse(result.body, nullptr, false);
-    if (answer.body.is_discarded())
+    if (!answer.body.is_object())
         answer.body = nullptr;
     if (result.status != statusOk)
         answer.error = absl::StrCat("answered ", result.status);
     else if (answer.body.is_null())
-        answer.error = "answered something that is not JSON";
+        answer.error = "answered something that is not a JSON object";
     return answer;
 }
 
@@ -33,7 +33,7 @@
 
 bool AdminAnswer::isOk() const
 {
-    return status == statusOk && !body.is_null();
+    return status == statusOk && body.is_object();
 }
 
 struct AdminClient::Round
--- a/src/libs/operations/adminclient.h
+++ b/src/libs/operations/adminclient.h
@@ -15,7 +15,7 @@
 {
     Runtime::SocketAddress from;
     int status = 0; ///< 0 if there was no answer.
-    Json body; ///< Null where the answer is not JSON.
+    Json body; ///< Null where the answer is not a JSON object.
     std::string error; ///< Why there is no answer.
 
     bool isOk() const;
