Controller: Test orders, leases and probes on a paused clock

An order's id now counts the model's revision too, so that a wish that comes back later has an id of its own.

--- a/src/libs/controller/controlleradmin.cpp
+++ b/src/libs/controller/controlleradmin.cpp
@@ -36,19 +36,24 @@
 AdminPort::Answer ControllerAdmin::metrics() const
 {
     ControllerMetrics &metrics = *m_sources.metrics;
-    const bool isHolder = m_sources.lease->mayOrder(true).has_value();
     metrics.configurationOffset.set(
         static_cast<double>(m_sources.configuration->reducer().next().value()));
     metrics.logUp.set(m_sources.lease->isLogUp() ? 1 : 0);
     metrics.members.set(static_cast<double>(
         m_sources.peers->membership().usableMembers(m_sources.clock->now(), true).size()));
-    metrics.leaseHeld.set(isHolder ? 1 : 0);
+    metrics.leaseHeld.set(m_sources.lease->mayOrder(true) ? 1 : 0);
     metrics.probedEndpoints.set(static_cast<double>(m_sources.prober->share()));
-    metrics.ordersPending.set(isHolder ? static_cast<double>(m_sources.orders->pending()) : 0);
+    metrics.ordersPending.set(static_cast<double>(ordersPending()));
     return {.contentType = std::string(Metrics::Registry::textType),
             .body = metrics.registry.text()};
 }
 
+/// Only the lease's holder knows what is pending.
+std::size_t ControllerAdmin::ordersPending() const
+{
+    return m_sources.lease->mayOrder(true) ? m_sources.orders->pending() : 0;
+}
+
 AdminPort::Answer ControllerAdmin::status() const
 {
     const LeaseDesk &lease = *m_sources.lease;
@@ -62,7 +67,7 @@
          {"configuration", Node::configurationJson(*m_sources.configuration)},
          {"members", Node::membersJson(*m_sources.peers, m_sources.clock->now())},
          {"lease", std::move(leaseJson)},
-         {"orders_pending", m_sources.orders->pending()},
+         {"orders_pending", ordersPending()},
          {"probed_endpoints", m_sources.prober->share()}});
 }
 
--- a/src/libs/controller/controlleradmin.h
+++ b/src/libs/controller/controlleradmin.h
@@ -9,6 +9,7 @@
 #include "node/peerlink.h"
 #include "timeline/eventlog.h"
 
+#include <cstddef>
 #include <functional>
 
 namespace Lagoonbank::Controller {
@@ -35,6 +36,7 @@
 private:
     Node::AdminPort::Answer metrics() const;
     Node::AdminPort::Answer status() const;
+    std::size_t ordersPending() const;
 
     Sources m_sources;
 };
--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -244,12 +244,10 @@
         .timers = &m_loop.timers(),
         .calls = httpEndpointCalls(m_loop, m_client),
         .member = m_peers->membership().self().id,
-        .members = [this] { return probers(); },
-        .spend =
-            [this](std::size_t bytes) {
-                return m_peers->budget().take(Membership::ControlPriority::Load,
-                                              Membership::ControlTraffic::Probe, bytes, now());
-            }});
+        .spend = [this](std::size_t bytes) {
+            return m_peers->budget().take(Membership::ControlPriority::Load,
+                                          Membership::ControlTraffic::Probe, bytes, now());
+        }});
     m_prober->putOff = [this] { m_metrics.probesPutOff.increment(); };
     m_prober->reported = [this](const Base::EndpointId &endpoint, const LoadAnswer &load,
                                 Base::MonoTime sampledAt) {
@@ -351,19 +349,28 @@
 
 void ControllerProcess::updateTargets()
 {
-    const auto revisionOf = [this](const Base::EndpointId &endpoint) {
-        return m_configuration->reducer().state().revision(
-            {Schema::ObjectKind::Endpoint, endpoint.value()});
+    const auto revisionOf = [this](const Configuration::ObjectKey &key) {
+        return m_configuration->reducer().state().revision(key);
     };
     const std::vector<Prober::Target> probed = probeTargets(m_objects, m_settings.dataCentre);
     m_prober->setPeriod(m_objects.policy().probeInterval);
     m_prober->setTargets(probed);
     m_orders->setTargets(orderTargets(m_objects, m_settings.dataCentre, revisionOf));
-    std::erase_if(m_silent, [&](const Base::EndpointId &endpoint) {
-        return std::none_of(probed.begin(), probed.end(), [&](const Prober::Target &target) {
-            return target.endpoint == endpoint;
-        });
-    });
+    for (const Base::EndpointId &old : m_probed) {
+        const bool isKept = std::any_of(probed.begin(), probed.end(),
+                                        [&](const auto &target) { return target.endpoint == old; });
+        if (!isKept)
+            forget(old);
+    }
+    m_probed.clear();
+    for (const Prober::Target &target : probed)
+        m_probed.push_back(target.endpoint);
+}
+
+void ControllerProcess::forget(const Base::EndpointId &endpoint)
+{
+    m_silent.erase(endpoint);
+    m_peers->membership().loads().remove(endpoint);
 }
 
 void ControllerProcess::checkDuties()
@@ -372,6 +379,7 @@
     const bool isCandidate =
         m_peers->membership().rankInDataCentre(now()) < candidatesPerDataCentre;
     m_lease->setCandidate(isCandidate && m_isReady && !m_isStopping);
+    m_prober->setMembers(probers());
 }
 
 void ControllerProcess::noteEvent(EventType type, Timeline::EventFields fields)
--- a/src/libs/controller/controllerprocess.h
+++ b/src/libs/controller/controllerprocess.h
@@ -55,6 +55,7 @@
     void wireOrders();
     void configurationChanged();
     void updateTargets();
+    void forget(const Base::EndpointId &endpoint);
     void checkDuties();
     std::optional<std::size_t> snapshotRank() const;
     std::vector<std::string> probers() const;
@@ -84,6 +85,7 @@
     std::unique_ptr<Node::AdminPort> m_adminPort;
     std::unique_ptr<ControllerAdmin> m_admin;
     Configuration::ObjectTable m_objects;
+    std::vector<Base::EndpointId> m_probed;
     std::set<Base::EndpointId> m_silent; ///< Endpoints whose last probe failed.
     bool m_isReady = false;
     bool m_isStopping = false;
--- a/src/libs/controller/orderdesk.h
+++ b/src/libs/controller/orderdesk.h
@@ -30,7 +30,9 @@
     double capacity = 1;
     Base::ModelId model;
     Orders::EndpointSettings desired;
-    Base::Revision revision; ///< Of the endpoint's object.
+    /// Goes up with each change of what is desired, so that an order's id is never used again for
+    /// a later wish of the same content.
+    Base::Revision revision;
 
     bool operator==(const OrderTarget &) const = default;
 };
--- a/src/libs/controller/prober.cpp
+++ b/src/libs/controller/prober.cpp
@@ -48,7 +48,7 @@
     for (const auto &[endpoint, target] : m_targets)
         endpoints.push_back(endpoint);
     const Orders::ProbeSchedule schedule(m_options.schedule);
-    const auto mine = schedule.probesOf(m_options.member, m_options.members(), endpoints);
+    const auto mine = schedule.probesOf(m_options.member, m_members, endpoints);
     m_share = mine.endpoints.size();
     const Base::MonoTime now = m_options.timers->clock().now();
     for (const Base::EndpointId &endpoint : mine.endpoints) {
--- a/src/libs/controller/prober.h
+++ b/src/libs/controller/prober.h
@@ -9,8 +9,8 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Lagoonbank::Controller {
@@ -29,8 +29,6 @@
         Runtime::TimerQueue *timers = nullptr;
         EndpointCalls calls;
         std::string member; ///< This process.
-        /// Who shares the work now, this process included.
-        std::function<std::vector<std::string>()> members;
         /// Takes bytes from the control budget; false if it has none left.
         std::function<bool(std::size_t bytes)> spend;
         Orders::ProbeSchedule::Options schedule;
@@ -44,6 +42,8 @@
 
     void start();
     void setTargets(const std::vector<Target> &targets);
+    /// Who shares the work now, this process included.
+    void setMembers(std::vector<std::string> members) { m_members = std::move(members); }
     void setPeriod(Base::Duration period);
 
     /// An endpoint told its load; the sample was taken at \a sampledAt by this process's clock.
@@ -64,6 +64,7 @@
                const Http::CallResult &result);
 
     Options m_options;
+    std::vector<std::string> m_members;
     std::map<Base::EndpointId, Target> m_targets;
     std::map<Base::EndpointId, Base::MonoTime> m_running;
     std::map<Base::EndpointId, Base::MonoTime> m_dueAt;
--- a/src/libs/controller/targets.cpp
+++ b/src/libs/controller/targets.cpp
@@ -40,7 +40,7 @@
 
 std::vector<OrderTarget>
 orderTargets(const Configuration::ObjectTable &objects, const Base::DataCentreId &dataCentre,
-             const std::function<Base::Revision(const Base::EndpointId &)> &revisionOf)
+             const std::function<Base::Revision(const Configuration::ObjectKey &)> &revisionOf)
 {
     std::vector<OrderTarget> targets;
     objects.each<Schema::Endpoint>([&](const Schema::Endpoint &endpoint) {
@@ -49,13 +49,16 @@
         if (!isEngine || !isOurs(endpoint, dataCentre) || !address)
             return;
         const Base::ModelId name = endpoint.model.value_or(Base::ModelId());
-        targets.push_back({.endpoint = endpoint.name,
-                           .address = address.value(),
-                           .checksFencing = endpoint.checksFencing,
-                           .capacity = endpoint.capacity.value(),
-                           .model = name,
-                           .desired = desiredOf(endpoint, objects.model(name)),
-                           .revision = revisionOf(endpoint.name)});
+        targets.push_back(
+            {.endpoint = endpoint.name,
+             .address = address.value(),
+             .checksFencing = endpoint.checksFencing,
+             .capacity = endpoint.capacity.value(),
+             .model = name,
+             .desired = desiredOf(endpoint, objects.model(name)),
+             // Both only go up, and so does their sum with a change of either.
+             .revision = revisionOf({Schema::ObjectKind::Endpoint, endpoint.name.value()})
+                 + revisionOf({Schema::ObjectKind::Model, name.value()})});
     });
     return targets;
 }
--- a/src/libs/controller/targets.h
+++ b/src/libs/controller/targets.h
@@ -17,6 +17,6 @@
 /// orders.
 std::vector<OrderTarget>
 orderTargets(const Configuration::ObjectTable &objects, const Base::DataCentreId &dataCentre,
-             const std::function<Base::Revision(const Base::EndpointId &)> &revisionOf);
+             const std::function<Base::Revision(const Configuration::ObjectKey &)> &revisionOf);
 
 } // namespace Lagoonbank::Controller
--- /dev/null
+++ b/tests/auto/controller/fakeengines.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "controller/endpointcalls.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Engines in memory that answer a controller's calls when a test says so.
+class FakeEngines
+{
+public:
+    struct Engine
+    {
+        nlohmann::json state{{"model", "m"},  {"adapter", ""},     {"version", "v1"},
+                             {"role", "any"}, {"draining", false}, {"loading", false}};
+        std::uint64_t fencing = 0; ///< Highest seen.
+        bool checksFencing = true;
+        bool isDown = false;
+        int ordersToLose = 0; ///< Orders that never arrive.
+        int answersToLose = 0; ///< Orders that take effect without an answer.
+        std::string silentPath; ///< Calls of it are never answered.
+        bool loadsForever = false; ///< Stays loading after an order of another version.
+        std::vector<std::string> chats;
+        std::vector<std::string> requests; ///< Method and path, in the order of arrival.
+        std::vector<nlohmann::json> orders; ///< Bodies that arrived.
+    };
+
+    Engine &operator[](std::uint16_t port) { return m_engines[port]; }
+
+    Lagoonbank::Controller::EndpointCalls calls(const bool *isPaused = nullptr)
+    {
+        return {
+            .start = [this, isPaused](Lagoonbank::Http::Call call, auto mayLeave, auto finished) {
+                m_calls.push_back(
+                    {std::move(call), std::move(mayLeave), std::move(finished), isPaused});
+            }};
+    }
+
+    /// Answers all calls of callers that are not paused, those that the answers bring included.
+    void deliver()
+    {
+        const auto isAwake = [](const Pending &call) { return !call.isPaused || !*call.isPaused; };
+        for (auto next = std::find_if(m_calls.begin(), m_calls.end(), isAwake);
+             next != m_calls.end(); next = std::find_if(m_calls.begin(), m_calls.end(), isAwake)) {
+            const Pending call = std::move(*next);
+            m_calls.erase(next);
+            const std::string &silent = m_engines[call.call.server.port].silentPath;
+            if (!silent.empty() && call.call.target.starts_with(silent))
+                continue;
+            call.finished(call.mayLeave() ? answer(call.call)
+                                          : Lagoonbank::Http::CallResult{
+                                              .end = Lagoonbank::Http::CallEnd::NotConnected});
+        }
+    }
+    std::size_t waiting() const { return m_calls.size(); }
+
+private:
+    struct Pending
+    {
+        Lagoonbank::Http::Call call;
+        Lagoonbank::Controller::EndpointCalls::MayLeave mayLeave;
+        Lagoonbank::Controller::EndpointCalls::Finished finished;
+        const bool *isPaused = nullptr;
+    };
+    using Result = Lagoonbank::Http::CallResult;
+
+    static Result ok(const nlohmann::json &body) { return {.status = 200, .body = body.dump()}; }
+    static Result broken()
+    {
+        return {.end = Lagoonbank::Http::CallEnd::Broken, .mayHaveLeft = true};
+    }
+
+    Result answer(const Lagoonbank::Http::Call &call)
+    {
+        Engine &engine = m_engines[call.server.port];
+        const std::string path = call.target.substr(0, call.target.find('?'));
+        if (engine.isDown)
+            return broken();
+        if (path == "/v1/order" && engine.ordersToLose > 0) {
+            --engine.ordersToLose;
+            return broken();
+        }
+        engine.requests.push_back(call.method + ' ' + path);
+        if (path == "/v1/load")
+            return ok({{"work", 7.5}, {"age_ms", 40}, {"running", 1}, {"incarnation", 3}});
+        if (path == "/v1/state")
+            return ok(engine.state);
+        if (path == "/v1/order")
+            return order(engine, nlohmann::json::parse(call.body));
+        if (path == "/v1/cache/events")
+            return cacheEvents(engine, call.target);
+        if (path == "/v1/cache/export")
+            return ok({{"chat", call.target.substr(call.target.find('=') + 1)}});
+        if (path == "/v1/cache/import") {
+            engine.chats.push_back(nlohmann::json::parse(call.body)["chat"]);
+            return ok({{"tokens", 16}});
+        }
+        return {.status = 404};
+    }
+    static Result order(Engine &engine, const nlohmann::json &body)
+    {
+        engine.orders.push_back(body);
+        const auto fencing = body["fencing"].get<std::uint64_t>();
+        if (engine.checksFencing && fencing < engine.fencing)
+            return {.status = 409};
+        engine.fencing = std::max(engine.fencing, fencing);
+        engine.state.update(body["set"]);
+        if (engine.loadsForever && body["set"].contains("version"))
+            engine.state["loading"] = true;
+        if (engine.answersToLose > 0) {
+            --engine.answersToLose;
+            return broken();
+        }
+        return ok(engine.state);
+    }
+    static Result cacheEvents(const Engine &engine, const std::string &target)
+    {
+        nlohmann::json events = nlohmann::json::array();
+        const std::size_t from = std::stoul(target.substr(target.find('=') + 1));
+        for (std::size_t i = from; i < engine.chats.size(); ++i)
+            events.push_back(
+                {{"offset", i}, {"op", "stored"}, {"chat", engine.chats[i]}, {"tokens", 16}});
+        return ok({{"first", 0}, {"next", engine.chats.size()}, {"events", events}});
+    }
+
+    std::map<std::uint16_t, Engine> m_engines;
+    std::deque<Pending> m_calls;
+};
--- /dev/null
+++ b/tests/auto/controller/tst_controllerlease.cpp
@@ -0,0 +1,242 @@
+#define BOOST_TEST_MODULE ControllerLease
+#include <boost/test/unit_test.hpp>
+
+#include "controller/leasedesk.h"
+#include "controller/orderdesk.h"
+#include "controller/prober.h"
+#include "fakeengines.h"
+#include "fakelog.h"
+
+#include <memory>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Controller;
+using Base::operator""ms;
+using Base::operator""s;
+
+namespace {
+
+constexpr Base::Duration term = 6s;
+constexpr Base::Duration longestOrder = 5s;
+/// Longest time in which a free lease is taken by a controller that reads the log.
+constexpr Base::Duration toTake = term + 1s;
+constexpr std::uint16_t checkingPort = 1;
+constexpr std::uint16_t ignoringPort = 2;
+
+/// One controller's parts that order and probe.
+struct ControllerParts
+{
+    ControllerParts(const std::string &name, const Runtime::Clock &clock, FakeLog &fakeLog,
+                    FakeEngines &engines)
+        : timers(clock)
+        , log({.transport = fakeLog.transport(&isPaused), .timers = &timers})
+        , lease({.timers = &timers,
+                 .log = &log,
+                 .lease = {.dataCentre = Base::DataCentreId("here"),
+                           .holder = name,
+                           .term = term,
+                           .renewPeriod = term / 3,
+                           .longestOrder = longestOrder}})
+        , orders({.timers = &timers,
+                  .calls = engines.calls(&isPaused),
+                  .mayOrder = [this](bool checks) { return lease.mayOrder(checks); },
+                  .spend = [](std::size_t) { return true; },
+                  .longestOrder = longestOrder})
+        , prober({.timers = &timers,
+                  .calls = engines.calls(&isPaused),
+                  .member = name,
+                  .spend = [](std::size_t) { return true; }})
+    {
+        lease.gained = [this](Base::FencingNumber) { orders.leaseGained(); };
+        prober.reported = [this](const Base::EndpointId &, const LoadAnswer &, Base::MonoTime) {
+            ++reports;
+        };
+        prober.setMembers({name});
+        prober.setTargets({{Base::EndpointId("checking"), {"10.0.0.1", checkingPort}}});
+        lease.setCandidate(true);
+        lease.start();
+        orders.start();
+        prober.start();
+    }
+    bool holds() const { return lease.mayOrder(true).has_value(); }
+
+    bool isPaused = false;
+    Runtime::TimerQueue timers;
+    Platform::LogClient log;
+    LeaseDesk lease;
+    OrderDesk orders;
+    Prober prober;
+    int reports = 0;
+};
+
+struct Bench
+{
+    Bench()
+    {
+        engines[ignoringPort].checksFencing = false;
+        add("a");
+        run(toTake);
+        BOOST_REQUIRE(a().holds());
+        add("b");
+    }
+    void add(const std::string &name)
+    {
+        controllers.push_back(std::make_unique<ControllerParts>(name, clock, log, engines));
+        want(role);
+    }
+    ControllerParts &a() { return *controllers.at(0); }
+    ControllerParts &b() { return *controllers.at(1); }
+
+    void want(const std::string &wanted)
+    {
+        role = wanted;
+        revision += Base::Revision(1);
+        std::vector<OrderTarget> targets;
+        for (const std::uint16_t port : {checkingPort, ignoringPort}) {
+            targets.push_back(
+                {.endpoint = Base::EndpointId(port == checkingPort ? "checking" : "ignoring"),
+                 .address = {"10.0.0.1", port},
+                 .checksFencing = port == checkingPort,
+                 .model = Base::ModelId("m"),
+                 .desired = {.role = role},
+                 .revision = revision});
+        }
+        for (const auto &controller : controllers)
+            controller->orders.setTargets(targets);
+    }
+    void run(Base::Duration duration)
+    {
+        constexpr Base::Duration step = 20ms;
+        for (Base::Duration past{}; past < duration; past += step) {
+            clock.advance(step);
+            for (const auto &controller : controllers) {
+                if (!controller->isPaused)
+                    controller->timers.runDue();
+            }
+            log.deliver();
+            engines.deliver();
+            const auto holders =
+                std::count_if(controllers.begin(), controllers.end(),
+                              [](const auto &controller) { return controller->holds(); });
+            BOOST_TEST(holders <= 1);
+        }
+    }
+    std::size_t orders(std::uint16_t port) { return engines[port].orders.size(); }
+
+    Runtime::ManualClock clock;
+    FakeLog log;
+    FakeEngines engines;
+    std::string role = "any";
+    Base::Revision revision;
+    std::vector<std::unique_ptr<ControllerParts>> controllers;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(pausedHolderIssuesNoOrderAfterWaking)
+{
+    // A pause that ends while the lease is free, and one that ends under another holder.
+    for (const bool isTakenOver : {false, true}) {
+        Bench bench;
+        bench.b().lease.setCandidate(isTakenOver);
+        bench.run(1s);
+        bench.a().isPaused = true;
+        bench.run(term + toTake);
+        BOOST_TEST(bench.b().holds() == isTakenOver);
+        const std::size_t checking = bench.orders(checkingPort);
+        const std::size_t ignoring = bench.orders(ignoringPort);
+
+        // What the woken one believes to be wanted, it alone wants.
+        bench.b().orders.stop();
+        bench.want("prefill");
+        bench.a().lease.setCandidate(false);
+        bench.a().isPaused = false;
+        bench.run(10s);
+        BOOST_TEST(!bench.a().holds());
+        BOOST_TEST(bench.orders(checkingPort) == checking);
+        BOOST_TEST(bench.orders(ignoringPort) == ignoring);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(holderPausedWithAnOrderConnectingDoesNotSendIt)
+{
+    Bench bench;
+    bench.run(longestOrder);
+    bench.want("prefill");
+    // Its next call, for an engine's state, is under way when it stands still.
+    bench.clock.advance(100ms);
+    bench.a().timers.runDue();
+    BOOST_REQUIRE(bench.engines.waiting() >= 2U);
+    bench.a().isPaused = true;
+    bench.b().orders.stop();
+    bench.run(term + toTake);
+    BOOST_TEST(bench.b().holds());
+    bench.a().isPaused = false;
+    bench.run(5s);
+    BOOST_TEST(bench.orders(checkingPort) == 0U);
+    BOOST_TEST(bench.orders(ignoringPort) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(newHolderWaitsBeforeOrderingEnginesThatIgnoreFencing)
+{
+    Bench bench;
+    bench.a().isPaused = true;
+    while (!bench.b().holds())
+        bench.run(100ms);
+    bench.want("prefill");
+    bench.run(longestOrder - 1s);
+    BOOST_TEST(bench.orders(checkingPort) == 1U);
+    BOOST_TEST(bench.orders(ignoringPort) == 0U);
+    bench.run(3s);
+    BOOST_TEST(bench.orders(ignoringPort) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(logOutMeansNoLeaseAndNoOrdersButProbesGoOn)
+{
+    Bench bench;
+    bench.log.isOut = true;
+    bench.run(term);
+    BOOST_TEST(!bench.a().holds());
+    bench.want("prefill");
+    const int reports = bench.a().reports;
+    constexpr int minutes = 2;
+    bench.run(std::chrono::minutes(minutes));
+    BOOST_TEST(!bench.a().holds());
+    BOOST_TEST(!bench.b().holds());
+    BOOST_TEST(bench.orders(checkingPort) + bench.orders(ignoringPort) == 0U);
+    BOOST_TEST(bench.a().reports >= reports + minutes * 60 - 2);
+
+    bench.log.isOut = false;
+    bench.run(toTake + longestOrder + 2s);
+    BOOST_TEST((bench.a().holds() || bench.b().holds()));
+    BOOST_TEST(bench.engines[checkingPort].state["role"] == "prefill");
+    BOOST_TEST(bench.engines[ignoringPort].state["role"] == "prefill");
+    BOOST_TEST(bench.orders(checkingPort) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lostAnswersOfTheLogDoNotCostTheLease)
+{
+    Bench bench;
+    const auto fencing = bench.a().lease.mayOrder(true);
+    for (int i = 0; i < 5; ++i) {
+        bench.log.answersToLose = 1;
+        bench.run(term);
+        BOOST_TEST((bench.a().lease.mayOrder(true) == fencing));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(releasedLeaseIsTakenAtOnceAndNotClaimedAgain)
+{
+    Bench bench;
+    bench.run(1s);
+    bench.a().orders.stop();
+    bench.a().lease.release();
+    BOOST_TEST(bench.a().lease.isReleasing());
+    bench.run(1s);
+    BOOST_TEST(!bench.a().lease.isReleasing());
+    BOOST_TEST(bench.b().holds());
+    bench.b().lease.release();
+    bench.run(toTake + term);
+    BOOST_TEST(!bench.a().holds());
+    BOOST_TEST(!bench.b().holds());
+}
