Exchange: Hand attempts back to the placement and let prompts be read

Causes, found by contract tests on a whole router with two engines: - An ended attempt did not carry its placement's ticket, so that its work stayed in flight for ever: 143 failed checks of the work left in flight over 22 faults, streamed and unstreamed. - A run that goes on elsewhere sent "so_far", which the engine's interface does not have; each engine refused it, and a stream that broke with its run was cut off (no_endpoint) though another engine was there. - The limit for the answer's head was the plain one, however long the prompt: a prompt of 3 s was dropped after 2 s and run twice. - With all engines tried, callers were told no_endpoint instead of what failed.

Change: the ticket goes back; only fields of the interface are sent; the head has no limit beside the progress deadline, which counts the prompt; the error of the last run is what the caller is told.

--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -69,6 +69,8 @@
     if (m_finished)
         return;
     if (auto *refusal = std::get_if<Refusal>(&placement)) {
+        if (refusal->error.kind == ErrorKind::NoEndpoint && m_runs > 0)
+            refusal->error = lastRunError(); // There were some, and all have failed it.
         refusal->error.ran = ranSoFar();
         giveUp(std::move(*refusal));
         return;
@@ -93,7 +95,8 @@
     call.server = m_target->address;
     call.headers.add("x-request-id", m_options.request.value());
     call.connectTimeout = m_options.timeouts.connect;
-    call.headTimeout = m_options.timeouts.head;
+    // An engine's head may come with its first token alone; watchProgress() knows the prompt.
+    call.headTimeout = noClientTimeout;
     call.progressTimeout = noClientTimeout;
     call.totalTimeout = noClientTimeout;
 
@@ -208,6 +211,7 @@
 {
     stopCall();
     AttemptResult result{.endpoint = m_target->endpoint,
+                         .ticket = m_target->ticket,
                          .started = m_attemptStarted,
                          .ended = now(),
                          .work = m_target->work,
@@ -257,7 +261,9 @@
 void Exchange::nextStep(const Retry::RetryDecision &decision, const Error &error)
 {
     if (decision.action == Retry::RetryAction::GiveUp) {
-        giveUp({.error = {decision.kind, error.detail, decision.ran}});
+        // A refused resume is not why the run before it broke.
+        const Error cause = decision.kind == error.kind ? lastRunError() : Error{decision.kind};
+        giveUp({.error = {cause.kind, cause.detail, decision.ran}});
         return;
     }
     const bool resume = decision.action == Retry::RetryAction::ResumeSameEndpoint;
@@ -280,6 +286,14 @@
     });
 }
 
+/// How the last attempt that was not a resume failed.
+Error Exchange::lastRunError() const
+{
+    const auto run = std::find_if(m_end.attempts.rbegin(), m_end.attempts.rend(),
+                                  [](const AttemptResult &attempt) { return !attempt.resumed; });
+    return run == m_end.attempts.rend() ? Error{} : run->error;
+}
+
 Ran Exchange::ranSoFar() const
 {
     return m_mayHaveRun ? Ran::Unknown : Ran::No;
--- a/src/libs/exchange/exchange.h
+++ b/src/libs/exchange/exchange.h
@@ -107,7 +107,6 @@
 struct Timeouts
 {
     Base::Duration connect = std::chrono::milliseconds(500);
-    Base::Duration head = std::chrono::seconds(5); ///< To the head of the answer.
     Base::Duration firstToken = std::chrono::seconds(5); ///< Besides the time for the prompt.
     Base::Duration perPromptToken = std::chrono::microseconds(500); ///< Added to firstToken.
     Base::Duration betweenTokens = std::chrono::seconds(2);
@@ -181,6 +180,7 @@
     void giveUp(Refusal refusal);
     void callerLeft();
     void deadlinePassed();
+    Errors::Error lastRunError() const;
     Errors::Ran ranSoFar() const;
     void finish(ExchangeEnd end);
 
--- a/src/libs/exchange/modelexchange.cpp
+++ b/src/libs/exchange/modelexchange.cpp
@@ -42,8 +42,6 @@
         body["prompt"] = m_call.prompt;
         body["max_tokens"] = m_call.maxTokens.value();
         body["priority"] = route.priority;
-        if (m_nextIndex > 0)
-            body["so_far"] = m_text;
     }
     Http::Call call;
     call.method = "POST";
--- a/src/libs/router/callerapi.cpp
+++ b/src/libs/router/callerapi.cpp
@@ -291,7 +291,6 @@
 {
     const Schema::Policy &policy = m_objects->policy();
     return {.connect = policy.connectTimeout,
-            .head = policy.firstByteTimeout,
             .firstToken = policy.firstByteTimeout,
             .betweenTokens = policy.progressTimeout};
 }
