Http: Give refusals by the server itself a request id and an outcome

Cause: a body too large, a slow sender or a malformed field is refused before any handler sees it; those answers and the health checks had no X-Request-Id, and nobody could ask what became of them. Change: the server asks for an id when it refuses a request itself, and the router records the refusal under it.

--- a/src/libs/http/errorfilter.cpp
+++ b/src/libs/http/errorfilter.cpp
@@ -1,6 +1,7 @@
 #include "http/errorfilter.h"
 
 #include "http/h2oresponder.h"
+#include "http/h2oserver.h"
 
 #include <string_view>
 
@@ -43,7 +44,9 @@
     const bool isHandled =
         h2o_req_getenv(request, handledMark.data(), handledMark.size(), 0) != nullptr;
     if (!isHandled && request->res.status >= 400) {
-        const std::string body = errorBody(kindOf(request->res.status));
+        const Errors::ErrorKind kind = kindOf(request->res.status);
+        const std::string id = H2oServer::refusedId(request, kind);
+        const std::string body = errorBody(kind, id);
         auto *stream =
             reinterpret_cast<ErrorStream *>(h2o_add_ostream(request, sizeof(ErrorStream), slot));
         stream->super.do_send = sendBody;
@@ -52,6 +55,11 @@
         request->res.content_length = body.size();
         h2o_set_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE,
                        H2O_STRLIT("application/json"), 1);
+        if (!id.empty()) {
+            const h2o_iovec_t value = h2o_strdup(&request->pool, id.data(), id.size());
+            h2o_add_header_by_str(&request->pool, &request->res.headers, H2O_STRLIT("x-request-id"),
+                                  1, nullptr, value.base, value.len);
+        }
     }
     h2o_setup_next_ostream(request, slot);
 }
@@ -69,7 +77,7 @@
     h2o_req_getenv(request, handledMark.data(), handledMark.size(), 1);
 }
 
-std::string errorBody(Errors::ErrorKind kind)
+std::string errorBody(Errors::ErrorKind kind, const std::string &requestId)
 {
     const Errors::ErrorRow &row = Errors::errorRow(kind);
     std::string body = R"({"error":{"kind":")";
@@ -78,17 +86,24 @@
     body += Errors::toString(row.ran);
     body += R"(","message":")";
     body += row.text;
+    if (!requestId.empty()) {
+        body += R"(","request_id":")";
+        body += requestId;
+    }
     body += R"("}})";
     return body;
 }
 
-std::string rawErrorAnswer(Errors::ErrorKind kind)
+std::string rawErrorAnswer(Errors::ErrorKind kind, const std::string &requestId)
 {
     const Errors::ErrorRow &row = Errors::errorRow(kind);
-    const std::string body = errorBody(kind);
+    const std::string body = errorBody(kind, requestId);
     std::string answer = "HTTP/1.1 " + std::to_string(row.httpStatus) + " "
         + reasonPhrase(row.httpStatus) + "\r\nconnection: close\r\ncontent-type: application/json"
-        + "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n";
+        + "\r\ncontent-length: " + std::to_string(body.size());
+    if (!requestId.empty())
+        answer += "\r\nx-request-id: " + requestId;
+    answer += "\r\n\r\n";
     answer += body;
     return answer;
 }
--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -261,6 +261,11 @@
     return connectionOf(request)->server->dispatch(request);
 }
 
+std::string H2oServer::refusedId(h2o_req_t *request, Errors::ErrorKind kind)
+{
+    return connectionOf(request)->server->refusedId(kind);
+}
+
 int H2oServer::dispatch(h2o_req_t *source)
 {
     ServerConnection *connection = connectionOf(source);
@@ -278,8 +283,11 @@
     Request request = readRequest(source, *connection);
     if (hasUnsafeField(request)) {
         responder->closeAfterAnswer();
-        responder->send(400, {{"content-type", "application/json"}},
-                        errorBody(Errors::ErrorKind::BadRequest));
+        const std::string id = refusedId(Errors::ErrorKind::BadRequest);
+        Headers headers{{"content-type", "application/json"}};
+        if (!id.empty())
+            headers.add("x-request-id", id);
+        responder->send(400, headers, errorBody(Errors::ErrorKind::BadRequest, id));
         return 0;
     }
     if (handler)
@@ -338,7 +346,8 @@
     const int fd = h2o_socket_get_fd(connection.socket);
     if (isPartial && now - *connection.partialSince >= m_options.requestTimeout) {
         if (!connection.isTls && !connection.isHttp2) {
-            const std::string answer = rawErrorAnswer(Errors::ErrorKind::SlowSender);
+            constexpr auto kind = Errors::ErrorKind::SlowSender;
+            const std::string answer = rawErrorAnswer(kind, refusedId(kind));
             send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         }
         shutdown(fd, SHUT_RDWR);
--- a/src/libs/http/h2oserver.h
+++ b/src/libs/http/h2oserver.h
@@ -47,6 +47,11 @@
     const Runtime::SocketAddress &address() const { return m_options.address; }
     std::size_t openConnections() const { return m_connections.size(); }
     Server::Handler handler;
+    Server::Refused refused;
+
+    /// The id for a request that is answered without the handler; empty if none is given.
+    std::string refusedId(Errors::ErrorKind kind) const { return refused ? refused(kind) : ""; }
+    static std::string refusedId(h2o_req_t *request, Errors::ErrorKind kind);
 
 private:
     struct RequestSlot
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -30,6 +30,11 @@
     d->server->handler = std::move(handler);
 }
 
+void Server::setRefused(Refused refused)
+{
+    d->server->refused = std::move(refused);
+}
+
 Errors::Result<void> Server::listen()
 {
     return d->server->listen();
--- a/src/libs/router/callerapi.cpp
+++ b/src/libs/router/callerapi.cpp
@@ -49,13 +49,8 @@
 
 void CallerApi::handle(Http::Request request, std::shared_ptr<Http::Responder> responder)
 {
-    if (request.path == "/healthz") {
-        responder->send(200, {{"content-type", "text/plain"}}, "alive\n");
-        return;
-    }
-    if (request.path == "/readyz") {
-        responder->send(isReady() ? 200 : 503, {{"content-type", "text/plain"}},
-                        isReady() ? "ready\n" : "not ready\n");
+    if (request.path == "/healthz" || request.path == "/readyz") {
+        answerHealth(request.path, *responder);
         return;
     }
     const auto context = std::make_shared<Context>();
@@ -79,6 +74,29 @@
         refuse(context, Errors::makeError(ErrorKind::NotFound));
 }
 
+void CallerApi::answerHealth(const std::string &path, Http::Responder &responder)
+{
+    const Http::Headers headers{{"content-type", "text/plain"},
+                                {"x-request-id", m_options.nextRequestId().value()}};
+    if (path == "/healthz")
+        responder.send(200, headers, "alive\n");
+    else
+        responder.send(isReady() ? 200 : 503, headers, isReady() ? "ready\n" : "not ready\n");
+}
+
+std::string CallerApi::refusedByServer(ErrorKind kind)
+{
+    const RequestInfo info{.id = m_options.nextRequestId(),
+                           .started = m_options.loop->clock().now()};
+    if (requestStarted)
+        requestStarted(info);
+    if (requestEnded)
+        requestEnded(info,
+                     {.refusal = Exchange::Refusal{.error = Errors::makeError(kind)},
+                      .status = Errors::errorRow(kind).httpStatus});
+    return info.id.value();
+}
+
 /// Finds the workspace of the bearer key and reads what all kinds of call have.
 bool CallerApi::identify(const ContextPtr &context)
 {
--- a/src/libs/router/callerapi.h
+++ b/src/libs/router/callerapi.h
@@ -78,6 +78,8 @@
     std::size_t inFlight() const { return m_inFlight; }
 
     void handle(Http::Request request, std::shared_ptr<Http::Responder> responder);
+    /// The server has refused a request that it could not read; returns the request's id.
+    std::string refusedByServer(Errors::ErrorKind kind);
 
     /// A request has been read, or refused before it could be; always before requestEnded.
     std::function<void(const RequestInfo &info)> requestStarted;
@@ -98,6 +100,7 @@
     struct Context;
     using ContextPtr = std::shared_ptr<Context>;
 
+    void answerHealth(const std::string &path, Http::Responder &responder);
     void handleModelCall(const ContextPtr &context);
     void handleServiceCall(const ContextPtr &context);
     void runServiceCall(const ContextPtr &context, Exchange::ServiceCall call, bool claimed);
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -266,6 +266,8 @@
         [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
             m_callerApi->handle(std::move(request), std::move(responder));
         });
+    m_callerServer->setRefused(
+        [this](Errors::ErrorKind kind) { return m_callerApi->refusedByServer(kind); });
     BOOST_OUTCOME_TRYV(m_callerServer->listen());
 
     BOOST_OUTCOME_TRY(admin, Runtime::parseSocketAddress(m_settings.adminAddress));
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -47,6 +47,14 @@
     /// Reads the certificate files again.
     void reload();
 
+    /// Where it listens after start(), with the ports that were chosen for 0.
+    const Runtime::SocketAddress &callerAddress() const { return m_callerServer->address(); }
+    const Runtime::SocketAddress &adminAddress() const { return m_adminPort->address(); }
+    const CallerApi &callerApi() const { return *m_callerApi; }
+    const Placer &placer() const { return *m_placer; }
+    /// Calls to endpoints, peers and the platform that are under way.
+    std::size_t activeCalls() const { return m_client.activeCalls(); }
+
 private:
     Errors::Result<void> startServers();
     Errors::Result<void> startPeers();
--- a/src/libs/runtime/timerqueue.h
+++ b/src/libs/runtime/timerqueue.h
@@ -38,6 +38,8 @@
     std::optional<Base::MonoTime> nextDue();
     /// Runs every timer due now, in order of due time, then of start; returns how many ran.
     std::size_t runDue();
+    /// Timers that will still fire.
+    std::size_t pending() const { return m_callbacks.size(); }
 
 private:
     struct Entry
