--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -187,6 +187,8 @@
                                                              .membership = &m_peers->membership(),
                                                              .dataCentre = m_settings.dataCentre});
     BOOST_OUTCOME_TRYV(m_peers->start());
+    m_inFlightSharing = std::make_unique<InFlightSharing>(m_loop, *m_placer, *m_peers);
+    m_inFlightSharing->start();
     if (m_vmList)
         m_vmList->start();
     return boost::outcome_v2::success();
@@ -332,12 +334,19 @@
             || endpoint.region != m_settings.region)
             return;
         known.push_back(endpoint.name);
+        // One that comes into a running router has nothing cached yet and takes its share slowly.
+        const Routing::EndpointTable &table = m_placer->routing().endpoints();
+        const Routing::EndpointIndex index = table.find(endpoint.name);
+        Base::MonoTime coldSince = m_callerApi->isReady() ? now : Base::MonoTime();
+        if (index != Routing::noEndpoint)
+            coldSince = table.info(index).coldSince;
         m_placer->routing().upsert({.id = endpoint.name,
                                     .address = endpoint.address,
                                     .dataCentre = endpoint.dataCentre,
                                     .pool = poolOf(endpoint),
                                     .capacity = endpoint.capacity,
-                                    .state = stateOf(endpoint.state)},
+                                    .state = stateOf(endpoint.state),
+                                    .coldSince = coldSince},
                                    now);
     });
     for (const Base::EndpointId &old : m_knownEndpoints) {
@@ -346,6 +355,7 @@
     }
     m_knownEndpoints = std::move(known);
     m_loadSharing->endpointsChanged();
+    m_inFlightSharing->endpointsChanged();
     m_objects->each<Schema::DataCentre>(
         [&](const Schema::DataCentre &dataCentre) { dataCentres.push_back(dataCentre.name); });
     m_shareSharing->setDataCentres(std::move(dataCentres));
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -73,6 +73,8 @@
     void notePeer(PeerIndex peer, EndpointIndex endpoint, Base::WorkUnits inFlight,
                   Base::MonoTime now);
     void forgetPeer(PeerIndex peer, Base::MonoTime now);
+    /// See LoadEstimator::setPeersComplete().
+    void setPeersComplete(bool complete);
     /// A probe, or a peer's, has found the endpoint out of order.
     void suspect(EndpointIndex endpoint, Base::MonoTime now);
     void noteCacheEvent(EndpointIndex endpoint, const CacheEvent &event);
@@ -92,6 +94,8 @@
     /// The endpoint has served the chat and now holds so many tokens of it.
     Placement noteServed(std::uint64_t chatHash, EndpointIndex endpoint, Base::Tokens cached);
 
+    /// Work of one token of an answer.
+    double outputWeight() const { return m_options.selector.outputWeight; }
     const PlacementToken &tokens() const { return m_tokens; }
     std::span<const Candidate> candidates() const { return m_candidates; }
     const LoadEstimator &loads() const { return m_loads; }
