Router: Look every 10 ms whether the engine of a chat has room again

Cause: a chat whose engine was at its bound waited at least 50 ms, longer than reading 300 tokens takes there. Change: it looks again every 10 ms, up to the wait that the selector allows.

--- a/src/libs/router/placer.cpp
+++ b/src/libs/router/placer.cpp
@@ -16,7 +16,7 @@
 constexpr double largestAmount = 1e15;
 constexpr std::int64_t oldestReportMs = 60'000;
 /// How often a request that waits for the engine that holds its chat is looked at again.
-constexpr Base::Duration warmRetryInterval = std::chrono::milliseconds(50);
+constexpr Base::Duration warmRetryInterval = std::chrono::milliseconds(10);
 
 Routing::ExchangeResult healthOf(const Exchange::AttemptResult &result)
 {
