Controller: Tell when an engine is drained and move what was cached meanwhile

After the order to drain the engine's load is read until nothing is in flight; then what was cached since the first moving is moved as well and an event says that the engine may be stopped.

--- a/src/libs/controller/cachemover.cpp
+++ b/src/libs/controller/cachemover.cpp
@@ -69,13 +69,14 @@
 void CacheMover::start()
 {
     m_deadline = m_options.timers->clock().now() + m_options.longest;
+    m_moved.nextEvent = m_options.firstEvent;
     m_timer =
         m_options.timers->start(m_options.longest, [self = shared_from_this()] { self->finish(); });
     if (m_options.homes.empty()) {
         m_options.timers->start({}, [self = shared_from_this()] { self->finish(); });
         return;
     }
-    readEvents(0);
+    readEvents(m_options.firstEvent);
 }
 
 Base::Duration CacheMover::timeLeft() const
@@ -114,6 +115,7 @@
         return finish();
     const CacheEventPage &read = page.value();
     m_events.insert(m_events.end(), read.events.begin(), read.events.end());
+    m_moved.nextEvent = std::max(from, read.next);
     const bool hasMore = !read.events.empty() && read.next > from;
     if (hasMore && ++m_pages < m_options.mostEventPages)
         return readEvents(read.next);
--- a/src/libs/controller/cachemover.h
+++ b/src/libs/controller/cachemover.h
@@ -43,6 +43,7 @@
         EndpointCalls::MayLeave mayLeave;
         CacheHome from;
         std::vector<CacheHome> homes; ///< Without \a from.
+        std::uint64_t firstEvent = 0; ///< Offset of the first cache event to look at.
         std::size_t mostChats = 64;
         std::size_t mostRunning = 4;
         std::size_t mostEventPages = 64;
@@ -53,6 +54,7 @@
         std::size_t chats = 0;
         std::size_t failures = 0;
         std::uint64_t bytes = 0;
+        std::uint64_t nextEvent = 0; ///< Where to look on for what was cached since.
     };
 
     explicit CacheMover(Options options);
--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -323,10 +323,17 @@
     m_orders->cacheMoved = [this](const OrderTarget &target, const CacheMover::Moved &moved) {
         m_metrics.movedChats.increment(static_cast<double>(moved.chats));
         m_metrics.movedBytes.increment(static_cast<double>(moved.bytes));
+        if (moved.chats == 0)
+            return;
         noteEvent(EventType::EndpointDraining,
                   {.endpoint = target.endpoint,
                    .detail = "caches of " + std::to_string(moved.chats) + " chats moved"});
     };
+    m_orders->drained = [this](const OrderTarget &target) {
+        noteEvent(EventType::EndpointDraining,
+                  {.endpoint = target.endpoint, .detail = "nothing is in flight any more"});
+        m_logger.info("Endpoint {} is drained.", target.endpoint);
+    };
 }
 
 void ControllerProcess::configurationChanged()
--- a/src/libs/controller/orderdesk.cpp
+++ b/src/libs/controller/orderdesk.cpp
@@ -47,8 +47,9 @@
         ++entry.round;
         entry.isConverged = false;
         entry.checkAt = now();
-        if (!target.desired.draining.value_or(false))
-            entry.isCacheMoved = false;
+        if (target.desired.draining.value_or(false))
+            continue;
+        entry.isCacheMoved = entry.isLateCacheMoved = entry.isDrained = false;
     }
     std::erase_if(m_entries, [&](const auto &entry) { return !wanted.contains(entry.first); });
     std::erase_if(m_loading, [&](const auto &endpoint) { return !wanted.contains(endpoint); });
@@ -173,6 +174,8 @@
     checkAgain(entry, m_options.checkPeriod);
     if (std::exchange(entry.wasOrdered, false) && orderDone)
         orderDone(entry.target);
+    if (entry.target.desired.draining.value_or(false) && !entry.isDrained)
+        readLoad(entry);
 }
 
 void OrderDesk::advance(Entry &entry, const Orders::Order &order, const StateAnswer &seen)
@@ -200,24 +203,69 @@
                                 },
                             .from = {target.endpoint, target.address, target.capacity},
                             .homes = homesFor(entry),
+                            .firstEvent = entry.nextCacheEvent,
                             .mostChats = m_options.mostMovedChats,
                             .longest = m_options.longestMove});
     const Ticket ticket{.endpoint = target.endpoint, .round = entry.round};
     mover->finished = [this, alive = m_alive, ticket](const CacheMover::Moved &moved) {
         if (!*alive)
             return;
-        Entry *waiting = take(ticket);
-        if (!waiting)
-            return;
-        waiting->isCacheMoved = true;
-        // The state is read again, since the moving took a while.
-        checkAgain(*waiting, {});
-        if (cacheMoved)
-            cacheMoved(waiting->target, moved);
+        if (Entry *waiting = take(ticket))
+            cacheWasMoved(*waiting, moved);
     };
     mover->start();
 }
 
+void OrderDesk::cacheWasMoved(Entry &entry, const CacheMover::Moved &moved)
+{
+    entry.isLateCacheMoved = std::exchange(entry.isCacheMoved, true);
+    entry.nextCacheEvent = moved.nextEvent;
+    // The state is read again, since the moving took a while.
+    checkAgain(entry, {});
+    if (cacheMoved)
+        cacheMoved(entry.target, moved);
+}
+
+void OrderDesk::readLoad(Entry &entry)
+{
+    entry.isBusy = true;
+    Http::Call call = callOf(entry);
+    call.target = "/v1/load";
+    const Ticket ticket{.endpoint = entry.target.endpoint, .round = entry.round};
+    m_options.calls.start(
+        std::move(call), [] { return true; },
+        [this, alive = m_alive, ticket](const Http::CallResult &result) {
+            if (*alive)
+                loadRead(ticket, result);
+        });
+}
+
+void OrderDesk::loadRead(const Ticket &ticket, const Http::CallResult &result)
+{
+    Entry *entry = take(ticket);
+    if (!entry)
+        return;
+    checkAgain(*entry, m_options.retryPeriod);
+    const auto load = readLoadAnswer(result.body);
+    if (m_isStopped || result.end != Http::CallEnd::Whole || result.status != httpOk || !load)
+        return;
+    const std::size_t inFlight = load.value().running + load.value().queued;
+    // What was in flight at the order may have left chats in the cache since.
+    const bool hasLateChats = inFlight == 0 && !entry->isLateCacheMoved;
+    const Orders::DrainView view{
+        .isDraining = true, .chatsToExport = hasLateChats ? 1U : 0U, .inFlight = inFlight};
+    // The mover keeps to a time of its own.
+    const auto step = Orders::nextDrainStep(view, Base::Duration::max());
+    if (step == Orders::DrainStep::ExportCache)
+        return moveCache(*entry);
+    if (step != Orders::DrainStep::Done)
+        return;
+    entry->isDrained = true;
+    checkAgain(*entry, m_options.checkPeriod);
+    if (drained)
+        drained(entry->target);
+}
+
 std::vector<CacheHome> OrderDesk::homesFor(const Entry &entry) const
 {
     std::vector<CacheHome> homes;
--- a/tests/auto/controller/fakeengines.h
+++ b/tests/auto/controller/fakeengines.h
@@ -27,6 +27,7 @@
         int answersToLose = 0; ///< Orders that take effect without an answer.
         std::string silentPath; ///< Calls of it are never answered.
         bool loadsForever = false; ///< Stays loading after an order of another version.
+        int running = 0;
         std::vector<std::string> chats;
         std::vector<std::string> requests; ///< Method and path, in the order of arrival.
         std::vector<nlohmann::json> orders; ///< Bodies that arrived.
@@ -89,7 +90,8 @@
         }
         engine.requests.push_back(call.method + ' ' + path);
         if (path == "/v1/load")
-            return ok({{"work", 7.5}, {"age_ms", 40}, {"running", 1}, {"incarnation", 3}});
+            return ok(
+                {{"work", 7.5}, {"age_ms", 40}, {"running", engine.running}, {"incarnation", 3}});
         if (path == "/v1/state")
             return ok(engine.state);
         if (path == "/v1/order")
--- a/tests/auto/controller/tst_orderdesk.cpp
+++ b/tests/auto/controller/tst_orderdesk.cpp
@@ -9,6 +9,7 @@
 using namespace Lagoonbank::Controller;
 using Base::operator""ms;
 using Base::operator""s;
+using std::chrono_literals::operator""min;
 
 namespace {
 
@@ -30,7 +31,9 @@
         }
         desk.orderDone = [this](const OrderTarget &) { ++done; };
         desk.orderRefused = [this](const OrderTarget &, int status) { refusals.push_back(status); };
-        desk.cacheMoved = [this](const OrderTarget &, const CacheMover::Moved &m) { moved = m; };
+        desk.cacheMoved = [this](const OrderTarget &, const CacheMover::Moved &moved) {
+            movedChats += moved.chats;
+        };
         desk.start();
     }
     static std::uint16_t port(int engine) { return static_cast<std::uint16_t>(firstPort + engine); }
@@ -65,7 +68,7 @@
     std::vector<OrderTarget> targets;
     int done = 0;
     std::vector<int> refusals;
-    std::optional<CacheMover::Moved> moved;
+    std::size_t movedChats = 0;
     OrderDesk desk{
         {.timers = &timers,
          .calls = engines.calls(),
@@ -252,8 +255,7 @@
     BOOST_REQUIRE((order != requests.end()));
     BOOST_TEST(std::count(order, requests.end(), "GET /v1/cache/export") == 0);
     BOOST_TEST(bench.engine(0).state["draining"] == true);
-    BOOST_REQUIRE(bench.moved);
-    BOOST_TEST(bench.moved->chats == mostMoved);
+    BOOST_TEST(bench.movedChats == mostMoved);
     // Each went where routers will send its chat, the latest ones first.
     BOOST_TEST(bench.engine(1).chats.size() + bench.engine(2).chats.size() == mostMoved);
     for (const int i : {1, 2}) {
@@ -265,6 +267,32 @@
         == 0);
 }
 
+BOOST_AUTO_TEST_CASE(drainEndsOnceNothingIsInFlight)
+{
+    Bench bench;
+    int drained = 0;
+    bench.desk.drained = [&](const OrderTarget &) { ++drained; };
+    bench.engine(0).running = 2;
+    bench.engine(0).chats.push_back(Routing::chatName(1));
+    bench.set(0, {.draining = true});
+    bench.run(5min);
+    BOOST_TEST(bench.engine(0).state["draining"] == true);
+    BOOST_TEST(drained == 0);
+    // The last request left its chat in the cache, which moves too.
+    bench.engine(0).chats.push_back(Routing::chatName(2));
+    bench.engine(0).running = 0;
+    bench.run(3s);
+    BOOST_TEST(drained == 1);
+    BOOST_TEST(count(bench.engine(0), "GET /v1/cache/export") == 2U);
+    // Taken back and drained anew, it goes through all of it again.
+    bench.set(0, {.draining = false});
+    bench.run(3s);
+    BOOST_TEST(bench.engine(0).state["draining"] == false);
+    bench.set(0, {.draining = true});
+    bench.run(5s);
+    BOOST_TEST(drained == 2);
+}
+
 BOOST_AUTO_TEST_CASE(drainDoesNotWaitForCachesThatCannotMove)
 {
     enum class Trouble { Silent, SilentImport, OthersDown, NoOthers };
