--- a/src/libs/membership/peercodec.cpp
+++ b/src/libs/membership/peercodec.cpp
@@ -1,6 +1,6 @@
 #include "membership/peercodec.h"
 
-#include <cereal/archives/portable_binary.hpp>
+#include "schema/messagecodec.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <bit>
 #include <cstring>
-#include <sstream>
 #include <utility>
 
 namespace Lagoonbank::Membership {
@@ -27,35 +26,6 @@
 constexpr std::size_t minKeyBytes = 16;
 constexpr std::size_t maxKeys = 2;
 
-template<typename T>
-Errors::Result<std::string> encode(const T &value)
-{
-    try {
-        std::ostringstream stream(std::ios::binary);
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(value);
-        return std::move(stream).str();
-    } catch (const cereal::Exception &exception) {
-        return Errors::makeError(Errors::ErrorKind::BadMessage, exception.what());
-    }
-}
-
-template<typename T>
-Errors::Result<T> decode(std::string_view body)
-{
-    try {
-        std::istringstream stream{std::string(body), std::ios::binary};
-        cereal::PortableBinaryInputArchive archive(stream);
-        T value;
-        archive(value);
-        if (stream.peek() != std::istringstream::traits_type::eof())
-            return Errors::makeError(Errors::ErrorKind::BadMessage, "bytes after the end");
-        return value;
-    } catch (const cereal::Exception &exception) {
-        return Errors::makeError(Errors::ErrorKind::BadMessage, exception.what());
-    }
-}
-
 /// Of a variable-length integer: seven bits a byte.
 std::size_t countSize(std::uint64_t value)
 {
@@ -108,32 +78,32 @@
 
 Errors::Result<std::string> encodeMessage(const PeerMessage &message)
 {
-    return encode(message);
+    return Schema::encodeMessage(message);
 }
 
 Errors::Result<PeerMessage> decodeMessage(std::string_view body)
 {
-    return decode<PeerMessage>(body);
+    return Schema::decodeMessage<PeerMessage>(body);
 }
 
 Errors::Result<std::string> encodeStateRequest(const StateRequest &request)
 {
-    return encode(request);
+    return Schema::encodeMessage(request);
 }
 
 Errors::Result<StateRequest> decodeStateRequest(std::string_view body)
 {
-    return decode<StateRequest>(body);
+    return Schema::decodeMessage<StateRequest>(body);
 }
 
 Errors::Result<std::string> encodeStateAnswer(const StateAnswer &answer)
 {
-    return encode(answer);
+    return Schema::encodeMessage(answer);
 }
 
 Errors::Result<StateAnswer> decodeStateAnswer(std::string_view body)
 {
-    return decode<StateAnswer>(body);
+    return Schema::decodeMessage<StateAnswer>(body);
 }
 
 std::size_t encodedSize(const MemberUpdate &update)
--- a/src/libs/node/adminanswers.cpp
+++ b/src/libs/node/adminanswers.cpp
@@ -16,22 +16,22 @@
 
 constexpr std::size_t mostEvents = 20'000;
 
-std::string text(const QueryParameters &query, std::string_view name)
+} // namespace
+
+std::string textParameter(const QueryParameters &query, std::string_view name)
 {
     const auto found = query.find(name);
     return found == query.end() ? std::string() : found->second;
 }
 
-std::int64_t number(const QueryParameters &query, std::string_view name)
+std::int64_t numberParameter(const QueryParameters &query, std::string_view name)
 {
-    const std::string value = text(query, name);
+    const std::string value = textParameter(query, name);
     std::int64_t out = 0;
     std::from_chars(value.data(), value.data() + value.size(), out);
     return out;
 }
 
-} // namespace
-
 Json membersJson(const PeerLink &peers, Base::MonoTime now)
 {
     Json members = Json::array();
@@ -54,13 +54,13 @@
 
 AdminPort::Answer eventsAnswer(const Timeline::EventLog &events, const QueryParameters &query)
 {
-    Timeline::EventFilter filter{.request = Base::RequestId(text(query, "request")),
-                                 .workspace = Base::WorkspaceId(text(query, "workspace")),
-                                 .endpoint = Base::EndpointId(text(query, "endpoint")),
+    Timeline::EventFilter filter{.request = Base::RequestId(textParameter(query, "request")),
+                                 .workspace = Base::WorkspaceId(textParameter(query, "workspace")),
+                                 .endpoint = Base::EndpointId(textParameter(query, "endpoint")),
                                  .afterSequence =
-                                     static_cast<std::uint64_t>(number(query, "after"))};
+                                     static_cast<std::uint64_t>(numberParameter(query, "after"))};
     if (query.contains("since"))
-        filter.sinceMs = number(query, "since");
+        filter.sinceMs = numberParameter(query, "since");
     Json list = Json::array();
     for (const Timeline::ProcessEvent &event : events.events(filter, mostEvents))
         list.push_back(Timeline::toJson(event));
