--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,19 +1,17 @@
 #include "configuration/rules.h"
-#include "logging/logging.h"
+#include "node/program.h"
 #include "router/routerprocess.h"
 #include "runtime/loop.h"
 #include "schema/generated/settings.h"
 #include "schema/objectreader.h"
-#include "schema/settingserror.h"
-#include "schema/yamlreader.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <csignal>
-#include <iostream>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,12 +21,23 @@
 
 namespace {
 
-constexpr int runTimeFailure = 1;
-constexpr int usageFailure = 2;
+constexpr std::string_view program = "lagoonbank-router";
 
-Logging::Level levelOf(Schema::LogLevel level)
+using Objects = std::vector<Schema::ConfigurationObject>;
+
+/// The configuration's objects from a file or folder, checked like published ones.
+Schema::ReadResult<Objects> readObjects(const std::string &path)
 {
-    return Logging::parseLevel(Schema::toString(level)).value();
+    auto read = Schema::readObjectFiles(path);
+    if (!read)
+        return read.error();
+    Schema::SettingsErrors wrong = Configuration::checkAll(read.value());
+    if (!wrong.empty())
+        return wrong;
+    Objects objects;
+    for (const Schema::ObjectDocument &document : read.value())
+        objects.push_back(document.object);
+    return objects;
 }
 
 } // namespace
@@ -38,47 +47,25 @@
     absl::SetProgramUsageMessage("Takes callers' requests and passes them to endpoints.\n"
                                  "lagoonbank-router --settings router.yaml");
     absl::ParseCommandLine(argc, argv);
-    const std::string file = absl::GetFlag(FLAGS_settings);
-    if (file.empty()) {
-        std::cerr << "lagoonbank-router: --settings is missing; give a YAML file.\n";
-        return usageFailure;
-    }
-    const auto settings = Schema::readSettingsFile<Schema::RouterSettings>(file);
-    if (!settings) {
-        std::cerr << Schema::toText(settings.error());
-        return usageFailure;
-    }
-
-    const Schema::LogSettings &log = settings.value().log;
-    Logging::configure({.level = levelOf(log.level), .json = log.json});
-    std::vector<Schema::ConfigurationObject> fixed;
-    if (settings.value().bootstrap) {
-        const auto read = Schema::readObjectFiles(*settings.value().bootstrap);
-        if (!read) {
-            std::cerr << Schema::toText(read.error());
-            return usageFailure;
-        }
-        const Schema::SettingsErrors wrong = Configuration::checkAll(read.value());
-        if (!wrong.empty()) {
-            std::cerr << Schema::toText(wrong);
-            return usageFailure;
-        }
-        for (const Schema::ObjectDocument &document : read.value())
-            fixed.push_back(document.object);
+    const auto settings =
+        Node::loadSettings<Schema::RouterSettings>(program, absl::GetFlag(FLAGS_settings));
+    if (!settings)
+        return Node::usageFailure;
+    Objects fixed;
+    if (settings->bootstrap) {
+        auto read = readObjects(*settings->bootstrap);
+        if (!read)
+            return Node::settingsFailure(read.error());
+        fixed = std::move(read.value());
     }
 
     Runtime::Loop loop;
-    Router::RouterProcess router(loop, settings.value());
-    const auto started = router.start();
-    if (!started) {
-        std::cerr << "lagoonbank-router: " << started.error() << '\n';
-        return runTimeFailure;
-    }
-    if (settings.value().bootstrap)
+    Router::RouterProcess router(loop, *settings);
+    if (!Node::startProcess(program, router))
+        return Node::runTimeFailure;
+    if (settings->bootstrap)
         router.setFixedConfiguration(std::move(fixed));
-    loop.onSignal(SIGTERM, [&router] { router.stopGracefully(); });
-    loop.onSignal(SIGINT, [&router] { router.stopGracefully(); });
     loop.onSignal(SIGHUP, [&router] { router.reload(); });
-    loop.run();
+    Node::runUntilStopped(loop, router);
     return 0;
 }
