--- a/src/libs/operations/requestcommand.cpp
+++ b/src/libs/operations/requestcommand.cpp
@@ -234,7 +234,7 @@
         if (!isKnown)
             m_found.push_back(std::move(found));
     }
-    std::ranges::stable_sort(m_found, {}, rankOf);
+    std::ranges::stable_sort(m_found, {}, [](const FoundOutcome &found) { return rankOf(found); });
     askEvents();
 }
 
