Timeline: Let hybrid times travel with messages and changes

Cause: nothing handed the hybrid clock's times to other processes, so that merged time lines were in the order of wall clocks that differ by seconds. The field of a change is optional and never refused, so that old and new programs come to the same verdicts.

--- a/src/libs/configuration/record.cpp
+++ b/src/libs/configuration/record.cpp
@@ -9,6 +9,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t maxNameBytes = 256;
+constexpr std::size_t maxTimeBytes = 64;
 constexpr std::size_t maxFileBytes = 4096;
 constexpr std::size_t maxLines = 64;
 constexpr std::uint32_t maxParts = 100000;
@@ -29,6 +30,13 @@
             return fail<std::string>(key);
         return value->get<std::string>();
     }
+    /// Empty for a missing or wrong one: programs that don't know it take the record, so all do.
+    std::string optionalText(const char *key, std::size_t maxBytes) const
+    {
+        const Json *value = find(key);
+        const auto *text = value ? value->get_ptr<const std::string *>() : nullptr;
+        return text && text->size() <= maxBytes ? *text : std::string();
+    }
     std::uint64_t number(const char *key, std::uint64_t max = UINT64_MAX)
     {
         const Json *value = find(key);
@@ -143,6 +151,7 @@
     change.line = static_cast<std::uint32_t>(reader.number("line", INT32_MAX));
     change.lines = reader.lines("lines");
     change.body = reader.text("body", maxBodyBytes);
+    change.time = reader.optionalText("time", maxTimeBytes);
     if (!reader.mistake().empty())
         return malformed("change: " + reader.mistake());
     return Record(std::move(change));
@@ -189,17 +198,20 @@
 
 std::string encode(const ChangeRecord &change)
 {
-    return dump({{"form", "change"},
-                 {"version", recordVersion},
-                 {"kind", Schema::toString(change.key.kind)},
-                 {"name", change.key.name},
-                 {"base", change.base.value()},
-                 {"publisher", change.publisher},
-                 {"removes", change.removes},
-                 {"file", change.file},
-                 {"line", change.line},
-                 {"lines", change.lines},
-                 {"body", change.body}});
+    Json json{{"form", "change"},
+              {"version", recordVersion},
+              {"kind", Schema::toString(change.key.kind)},
+              {"name", change.key.name},
+              {"base", change.base.value()},
+              {"publisher", change.publisher},
+              {"removes", change.removes},
+              {"file", change.file},
+              {"line", change.line},
+              {"lines", change.lines},
+              {"body", change.body}};
+    if (!change.time.empty())
+        json["time"] = change.time;
+    return dump(json);
 }
 
 std::string encode(const SnapshotPart &part)
--- a/src/libs/configuration/record.h
+++ b/src/libs/configuration/record.h
@@ -41,6 +41,8 @@
     std::uint32_t line = 1; ///< Line of the file on which the object begins.
     std::map<std::string, std::uint32_t> lines; ///< Line of each field that was written.
     std::string body; ///< JSON text of the object.
+    /// Hybrid time of the publisher as text; empty if it told none. No verdict depends on it.
+    std::string time;
 
     bool operator==(const ChangeRecord &) const = default;
 };
--- a/src/libs/configuration/state.cpp
+++ b/src/libs/configuration/state.cpp
@@ -76,7 +76,8 @@
                         .recordId = record.id,
                         .key = change.key,
                         .publisher = change.publisher,
-                        .base = change.base};
+                        .base = change.base,
+                        .time = change.time};
     std::optional<Schema::ConfigurationObject> object;
     judge(record, change, judgement, object);
     if (judgement.verdict == Verdict::Accepted)
--- a/src/libs/configuration/state.h
+++ b/src/libs/configuration/state.h
@@ -36,6 +36,7 @@
     Base::Revision revision; ///< Of the object after this record.
     std::string winner; ///< Of a stale change: who published the revision that stands.
     std::string detail;
+    std::string time; ///< Hybrid time that the record carries; empty if none.
 };
 
 /// The configuration after all records before some offset. The verdict on a change follows from
--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -42,8 +42,9 @@
 {
     noteEvent(EventType::ProcessStarted, {.subject = m_settings.vm.value()});
     BOOST_OUTCOME_TRYV(startPlatform());
-    m_configuration = std::make_unique<Node::ConfigurationFollower>(
-        Node::ConfigurationFollower::Options{.loop = &m_loop, .log = m_log.get()});
+    m_configuration =
+        std::make_unique<Node::ConfigurationFollower>(Node::ConfigurationFollower::Options{
+            .loop = &m_loop, .log = m_log.get(), .events = &m_events});
     BOOST_OUTCOME_TRYV(startPeers());
     makeLease();
     makeProber();
@@ -107,7 +108,8 @@
                                 .seeds = std::move(seeds),
                                 .keys = m_settings.peerKeys,
                                 .incarnation = m_incarnation,
-                                .control = m_settings.control});
+                                .control = m_settings.control,
+                                .events = &m_events});
     m_peers->memberChanged = [this](const Membership::Member &member,
                                     Membership::MemberEvent event) {
         noteEvent(Node::eventTypeOf(event), {.subject = member.info.id});
--- a/src/libs/membership/membershipmessages.cpp
+++ b/src/libs/membership/membershipmessages.cpp
@@ -36,7 +36,11 @@
 void Membership::receive(const Sender &sender, const Runtime::SocketAddress &from,
                          const PeerMessage &message, Base::MonoTime now)
 {
-    if (m_isLeaving || sender.id == m_self.id)
+    if (sender.id == m_self.id)
+        return;
+    // Also one that leaves records events that others cause.
+    receiveTime(message.time);
+    if (m_isLeaving)
         return;
     if (message.type == MessageType::Outdated) {
         if (message.knownIncarnation > m_self.incarnation)
@@ -61,6 +65,12 @@
     compareState(sender, from, message, now);
 }
 
+void Membership::receiveTime(const MessageTime &time) const
+{
+    if (timeReceived && time.wallMs != 0)
+        timeReceived(time);
+}
+
 void Membership::receiveOutdated(const Sender &sender, const Runtime::SocketAddress &from,
                                  std::uint64_t knownIncarnation, Base::MonoTime now)
 {
@@ -190,6 +200,7 @@
 void Membership::send(const Runtime::SocketAddress &to, const Member *peer, PeerMessage message,
                       ControlPriority priority, Base::MonoTime now)
 {
+    message.time = stamp();
     message.ownHash = ownHash();
     message.fleetHash = fleetHash();
     message.configuration = m_mark;
--- a/src/libs/membership/peercodec.cpp
+++ b/src/libs/membership/peercodec.cpp
@@ -170,7 +170,8 @@
 {
     constexpr std::size_t archiveHead = 1;
     constexpr std::size_t versionAndType = 2;
-    return archiveHead + versionAndType + countSize(message.probe) + textSize(message.target)
+    return archiveHead + versionAndType + countSize(message.time.wallMs)
+        + countSize(message.time.counter) + countSize(message.probe) + textSize(message.target)
         + countSize(message.ownHash) + countSize(message.fleetHash)
         + countSize(message.knownIncarnation) + countSize(message.configuration.offset)
         + countSize(message.configuration.hash) + sectionSize(message.leaving)
--- a/src/libs/membership/peermessages.h
+++ b/src/libs/membership/peermessages.h
@@ -14,6 +14,7 @@
 using Schema::MemberRole;
 using Schema::MemberStatus;
 using Schema::MemberUpdate;
+using Schema::MessageTime;
 using Schema::MessageType;
 using Schema::PeerMessage;
 using Schema::StateAnswer;
--- a/src/libs/membership/peertransport.cpp
+++ b/src/libs/membership/peertransport.cpp
@@ -1,6 +1,8 @@
 #include "membership/peertransport.h"
 
 #include <algorithm>
+#include <charconv>
+#include <system_error>
 #include <utility>
 
 namespace Lagoonbank::Membership {
@@ -27,11 +29,14 @@
     return id + '/' + std::to_string(incarnation) + '/' + std::to_string(number);
 }
 
-/// A sealed body over TCP: name and binding on a line each, then the contents.
-std::string frame(std::string_view name, std::string_view binding, std::string_view contents)
+/// A sealed body over TCP: name, binding and logical time on a line each, then the contents.
+std::string frame(std::string_view name, std::string_view binding, const MessageTime &time,
+                  std::string_view contents)
 {
     std::string text;
-    text.append(name).append("\n").append(binding).append("\n").append(contents);
+    text.append(name).append("\n").append(binding).append("\n");
+    text.append(std::to_string(time.wallMs)).append("+").append(std::to_string(time.counter));
+    text.append("\n").append(contents);
     return text;
 }
 
@@ -39,9 +44,27 @@
 {
     std::string_view name;
     std::string_view binding;
+    MessageTime time;
     std::string_view contents;
 };
 
+/// `<wall ms>+<counter>`
+std::optional<MessageTime> readTime(std::string_view text)
+{
+    const std::size_t plus = text.find('+');
+    if (plus == std::string_view::npos)
+        return std::nullopt;
+    const auto read = [](std::string_view digits, auto &number) {
+        const char *end = digits.data() + digits.size();
+        const auto [stop, error] = std::from_chars(digits.data(), end, number);
+        return error == std::errc() && stop == end;
+    };
+    MessageTime time;
+    if (!read(text.substr(0, plus), time.wallMs) || !read(text.substr(plus + 1), time.counter))
+        return std::nullopt;
+    return time;
+}
+
 std::optional<Frame> readFrame(std::string_view text)
 {
     const std::size_t first = text.find('\n');
@@ -50,8 +73,14 @@
     const std::size_t second = text.find('\n', first + 1);
     if (second == std::string_view::npos)
         return std::nullopt;
-    return Frame{text.substr(0, first), text.substr(first + 1, second - first - 1),
-                 text.substr(second + 1)};
+    const std::size_t third = text.find('\n', second + 1);
+    if (third == std::string_view::npos)
+        return std::nullopt;
+    const auto time = readTime(text.substr(second + 1, third - second - 1));
+    if (!time)
+        return std::nullopt;
+    return Frame{text.substr(0, first), text.substr(first + 1, second - first - 1), *time,
+                 text.substr(third + 1)};
 }
 
 } // namespace
@@ -159,13 +188,15 @@
         m_codec.countDrop(DropReason::BadBody);
         return refuse(Errors::ErrorKind::BadMessage);
     }
+    m_options.membership->receiveTime(asked->time);
     const auto provider = m_providers.find(std::string(asked->name));
     if (provider == m_providers.end())
         return refuse(Errors::ErrorKind::NotFound);
     const Errors::Result<std::string> contents = provider->second(asked->contents);
     if (!contents)
         return refuse(contents.error().kind);
-    std::string sealed = m_codec.seal(frame(asked->name, asked->binding, contents.value()));
+    std::string sealed = m_codec.seal(
+        frame(asked->name, asked->binding, m_options.membership->stamp(), contents.value()));
     if (!m_options.budget->takePull(sealed.size() + pullHeadBytes, now()))
         return refuse(Errors::ErrorKind::Overloaded);
     responder.send(200, {{"content-type", "application/octet-stream"}}, std::move(sealed));
@@ -176,7 +207,8 @@
 {
     const MemberUpdate &self = m_options.membership->self();
     const std::string binding = bindingOf(self.id, self.incarnation, ++m_pullNumber);
-    std::string sealed = m_codec.seal(frame(name, binding, argument));
+    std::string sealed =
+        m_codec.seal(frame(name, binding, m_options.membership->stamp(), argument));
     if (!m_options.budget->takePull(sealed.size() + pullHeadBytes, now())) {
         m_options.loop->post([pulled = std::move(pulled)] {
             pulled(Errors::makeError(Errors::ErrorKind::Overloaded, "pull budget spent"));
@@ -220,6 +252,7 @@
         pulled(badMessage("the answer is not to this request"));
         return;
     }
+    m_options.membership->receiveTime(answered->time);
     pulled(std::string(answered->contents));
 }
 
--- a/src/libs/node/configurationfollower.cpp
+++ b/src/libs/node/configurationfollower.cpp
@@ -1,5 +1,6 @@
 #include "node/configurationfollower.h"
 
+#include "node/logicaltime.h"
 #include "schema/messagecodec.h"
 
 #include <boost/outcome/try.hpp>
@@ -17,6 +18,7 @@
 ConfigurationFollower::ConfigurationFollower(const Options &options)
     : m_loop(*options.loop)
     , m_log(options.log)
+    , m_events(options.events)
 {
     m_reducer.setStateChanged([this] { stateChanged(); });
     m_reducer.setEventRaised([this](const Configuration::Event &event) {
@@ -24,6 +26,8 @@
             eventRaised(event);
     });
     m_reducer.setJudged([this](const Configuration::Judgement &judgement) {
+        if (m_events)
+            mergeRecordTime(judgement.time, *m_events, m_loop.clock());
         if (judged)
             judged(judgement);
     });
--- a/src/libs/node/configurationfollower.h
+++ b/src/libs/node/configurationfollower.h
@@ -6,6 +6,7 @@
 #include "platform/logclient.h"
 #include "platform/tailer.h"
 #include "runtime/loop.h"
+#include "timeline/eventlog.h"
 
 #include <functional>
 #include <memory>
@@ -25,6 +26,8 @@
     {
         Runtime::Loop *loop = nullptr;
         Platform::LogClient *log = nullptr; ///< Null without a platform.
+        /// Its clock merges the times that records carry; null for none.
+        Timeline::EventLog *events = nullptr;
     };
 
     explicit ConfigurationFollower(const Options &options);
@@ -67,6 +70,7 @@
 
     Runtime::Loop &m_loop;
     Platform::LogClient *m_log;
+    Timeline::EventLog *m_events;
     Configuration::Reducer m_reducer;
     std::unique_ptr<Platform::Tailer> m_tailer;
     std::vector<Schema::ConfigurationObject> m_fixed;
--- a/src/libs/node/peerlink.cpp
+++ b/src/libs/node/peerlink.cpp
@@ -1,5 +1,7 @@
 #include "node/peerlink.h"
 
+#include "node/logicaltime.h"
+
 #include <boost/outcome/try.hpp>
 
 #include <utility>
@@ -52,6 +54,8 @@
         m_options.configuration->peerIsAhead(Base::LogOffset(mark.offset));
         pullConfiguration(peer, false);
     };
+    if (m_options.events)
+        connectClock(*m_membership, *m_options.events, m_options.loop->clock());
 }
 
 PeerLink::~PeerLink()
--- a/src/libs/node/peerlink.h
+++ b/src/libs/node/peerlink.h
@@ -9,6 +9,7 @@
 #include "platform/vmlistclient.h"
 #include "runtime/loop.h"
 #include "schema/generated/settings.h"
+#include "timeline/eventlog.h"
 
 #include <cstdint>
 #include <functional>
@@ -36,6 +37,8 @@
         std::vector<std::string> keys;
         Base::Incarnation incarnation;
         Schema::ControlSettings control;
+        /// Its clock travels with the messages to and from peers; null for none.
+        Timeline::EventLog *events = nullptr;
     };
 
     /// Processes of a data centre that read the log themselves.
--- a/src/libs/operations/changepublisher.cpp
+++ b/src/libs/operations/changepublisher.cpp
@@ -79,10 +79,22 @@
     } else {
         change.outcome.recordId = absl::StrCat("ctl:", m_context.operatorName, ":",
                                                m_context.invocation, ":", m_changes.size() + 1);
+        change.record.time = stamp();
     }
     m_changes.push_back(std::move(change));
 }
 
+/// Later than the changes that were read from the log, whatever this machine's clock says.
+std::string ChangePublisher::stamp()
+{
+    const Base::WallTime wall = m_context.timers->clock().wallNow();
+    for (const Judgement &judgement : m_log.reducer().judgements()) {
+        if (const auto time = Timeline::parseHybridTime(judgement.time))
+            m_clock.received(*time, wall);
+    }
+    return Timeline::toString(m_clock.tick(wall));
+}
+
 void ChangePublisher::rejectStale(Change &change, const std::string &why) const
 {
     change.outcome.state = ChangeState::Rejected;
--- a/src/libs/operations/changepublisher.h
+++ b/src/libs/operations/changepublisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "operations/configurationlog.h"
+#include "timeline/hybridclock.h"
 
 #include <functional>
 #include <optional>
@@ -64,6 +65,7 @@
     };
 
     void add(Change change, std::optional<Base::Revision> base);
+    std::string stamp();
     void rejectStale(Change &change, const std::string &why) const;
     void sendNext();
     void appended(const Platform::AppendResult &result);
@@ -78,6 +80,7 @@
     const Context &m_context;
     ConfigurationLog &m_log;
     std::vector<Change> m_changes;
+    Timeline::HybridClock m_clock;
     Done m_done;
     Platform::Backoff m_backoff{Platform::Backoff::Options()};
     Base::MonoTime m_deadline;
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -100,8 +100,9 @@
 {
     noteEvent(EventType::ProcessStarted, m_settings.vm.value());
     startPlatform();
-    m_configuration = std::make_unique<Node::ConfigurationFollower>(
-        Node::ConfigurationFollower::Options{.loop = &m_loop, .log = m_log.get()});
+    m_configuration =
+        std::make_unique<Node::ConfigurationFollower>(Node::ConfigurationFollower::Options{
+            .loop = &m_loop, .log = m_log.get(), .events = &m_events});
     BOOST_OUTCOME_TRYV(startPeers());
     m_recorder = std::make_unique<RequestRecorder>(
         RequestRecorder::Options{.clock = &m_loop.clock(),
@@ -171,7 +172,8 @@
                                 .seeds = std::move(seeds),
                                 .keys = m_settings.peerKeys,
                                 .incarnation = m_incarnation,
-                                .control = m_settings.control});
+                                .control = m_settings.control,
+                                .events = &m_events});
     m_peers->memberChanged = [this](const Membership::Member &member,
                                     Membership::MemberEvent event) { noteMember(member, event); };
     m_peers->budget().spent = [this](Membership::ControlTraffic traffic, std::size_t bytes) {
--- a/tests/auto/configuration/tst_configurationrecord.cpp
+++ b/tests/auto/configuration/tst_configurationrecord.cpp
@@ -46,6 +46,22 @@
     BOOST_TEST((std::get<SnapshotPart>(decode(encode(part)).value()) == part));
 }
 
+// Programs that don't know the time take the record, so that a wrong one must not be refused.
+BOOST_AUTO_TEST_CASE(timeIsOptionalAndNeverRefused)
+{
+    ChangeRecord change = dataCentreChange("north", 7);
+    const std::string without = encode(change);
+    BOOST_TEST(without.find("\"time\"") == std::string::npos);
+    change.time = "2026-12-02T17:48:31.123Z+4";
+    const std::string with = encode(change);
+    BOOST_TEST((std::get<ChangeRecord>(decode(with).value()) == change));
+    const ChangeRecord plain = std::get<ChangeRecord>(decode(without).value());
+    for (const std::string &wrong : {std::string("5"), '"' + std::string(65, 'x') + '"'}) {
+        const std::string record = replaced(with, '"' + change.time + '"', wrong);
+        BOOST_TEST((std::get<ChangeRecord>(decode(record).value()) == plain));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusesWhatItCannotRead)
 {
     const std::string change = encode(dataCentreChange("north", 7));
--- a/tests/auto/membership/tst_peercodec.cpp
+++ b/tests/auto/membership/tst_peercodec.cpp
@@ -29,6 +29,7 @@
 PeerMessage fullMessage()
 {
     return {.type = MessageType::Ack,
+            .time = {.wallMs = 1'796'233'711'123, .counter = 300},
             .probe = 77,
             .target = "vm-2/router",
             .ownHash = 1,
