Routing: Share the wait queue fairly between workspaces

Cause: the queue was ordered by priority and deadline alone, so that one workspace could fill it, and FairShare stood beside unused. Change: FairShare moves to routing and orders WaitQueue: priority, then the workspace with the least work, then the earliest deadline within it. A full queue gives up on the workspace that waits with most. The router passes workspace and expected work.

--- a/src/libs/router/placer.cpp
+++ b/src/libs/router/placer.cpp
@@ -244,6 +244,15 @@
     settle(ticket, choose(found->second.query, waited));
 }
 
+/// With nothing cached, as the endpoint is not known yet.
+Base::WorkUnits Placer::expectedWork(const Exchange::RouteQuery &query) const
+{
+    const auto prompt = static_cast<double>(query.promptTokens.value());
+    const auto output = static_cast<double>(query.maxTokens.value());
+    // A call of a service has no tokens.
+    return Base::WorkUnits(std::max(1.0, prompt + m_routing.outputWeight() * output));
+}
+
 void Placer::enqueue(std::uint64_t ticket)
 {
     Waiting &waiting = m_waiting.find(ticket)->second;
@@ -252,7 +261,9 @@
     const auto refused = queue.push(
         {.ticket = ticket,
          .priority = static_cast<std::uint8_t>(std::clamp(waiting.query.priority, 0, 255)),
-         .deadline = waiting.query.deadline},
+         .deadline = waiting.query.deadline,
+         .workspace = waiting.query.workspace,
+         .work = expectedWork(waiting.query)},
         m_loop.clock().now());
     if (refused)
         giveUp(ticket, *refused);
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -89,6 +89,7 @@
     void tryAgain(std::uint64_t ticket);
     void settle(std::uint64_t ticket, const Routing::Decision &decision);
     void enqueue(std::uint64_t ticket);
+    Base::WorkUnits expectedWork(const Exchange::RouteQuery &query) const;
     Exchange::Target send(const Exchange::RouteQuery &query, const Routing::Decision &decision);
     Exchange::Refusal refusalOf(Errors::ErrorKind kind, const Routing::WaitQueue &queue) const;
     Routing::WaitQueue &queueOf(const Exchange::RouteQuery &query);
--- a/src/libs/admission/fairshare.cpp
+++ b/src/libs/routing/fairshare.cpp
@@ -1,10 +1,10 @@
-#include "admission/fairshare.h"
+#include "routing/fairshare.h"
 
 #include <algorithm>
 #include <iterator>
 #include <string>
 
-namespace Lagoonbank::Admission {
+namespace Lagoonbank::Routing {
 
 namespace {
 
@@ -28,7 +28,9 @@
         const double before = finished.empty() ? 0 : finished.mapped();
         lane->second.start = std::max(level.now, before);
     }
-    lane->second.entries.push_back(entry);
+    std::deque<Entry> &entries = lane->second.entries;
+    const auto isEarlier = [](const Entry &a, const Entry &b) { return a.deadline < b.deadline; };
+    entries.insert(std::upper_bound(entries.begin(), entries.end(), entry, isEarlier), entry);
     m_where.emplace(entry.ticket, std::pair(entry.priority, workspace));
     ++m_waiting[workspace];
     if (m_where.size() <= m_limit)
@@ -120,4 +122,4 @@
     level.now = 0;
 }
 
-} // namespace Lagoonbank::Admission
+} // namespace Lagoonbank::Routing
--- a/src/libs/admission/fairshare.h
+++ b/src/libs/routing/fairshare.h
@@ -13,12 +13,13 @@
 #include <string>
 #include <utility>
 
-namespace Lagoonbank::Admission {
+namespace Lagoonbank::Routing {
 
 /// Says whose request goes next while endpoints are the bottleneck: the most urgent priority first
 /// and, within it, the workspace that has had the least work for its weight (start-time fair
-/// queueing). A workspace that was away gets no credit for it. When it is full, the workspace that
-/// waits with most gives way, so that one that surges fills only what others leave.
+/// queueing), with its earliest deadline. A workspace that was away gets no credit for it. When it
+/// is full, the workspace that waits with most gives way, so that one that surges fills only what
+/// others leave.
 class FairShare
 {
 public:
@@ -31,12 +32,16 @@
         int priority = 0; ///< 0 is the most urgent.
         Base::WorkUnits work{1}; ///< Expected work; at least a small positive number.
         double weight = 1; ///< Of the workspace.
+        Base::MonoTime deadline{}; ///< Earlier ones go first within their workspace and priority.
     };
 
     explicit FairShare(std::size_t limit)
         : m_limit(limit)
     { }
 
+    /// For requests that come from now on.
+    void setLimit(std::size_t limit) { m_limit = limit; }
+
     /// Queues a request. Returns the one that has to give way if the queue was full: it may be this
     /// one, and it did not run.
     std::optional<Ticket> push(const Entry &entry);
@@ -72,4 +77,4 @@
     absl::flat_hash_map<std::string, std::size_t> m_waiting;
 };
 
-} // namespace Lagoonbank::Admission
+} // namespace Lagoonbank::Routing
--- a/src/libs/routing/waitqueue.cpp
+++ b/src/libs/routing/waitqueue.cpp
@@ -14,52 +14,50 @@
 
 WaitQueue::WaitQueue(Options options)
     : m_options(options)
+    , m_order(options.limit)
 {
     m_items.reserve(options.limit + 1);
 }
 
-bool WaitQueue::moreUrgent(const Item &a, const Item &b)
+void WaitQueue::setOptions(const Options &options)
 {
-    if (a.entry.priority != b.entry.priority)
-        return a.entry.priority < b.entry.priority;
-    if (a.entry.deadline != b.entry.deadline)
-        return a.entry.deadline < b.entry.deadline;
-    return a.arrival < b.arrival;
+    m_options = options;
+    m_order.setLimit(options.limit);
 }
 
 std::optional<Errors::ErrorKind> WaitQueue::push(const Entry &entry, Base::MonoTime now)
 {
     if (entry.deadline <= now)
         return Errors::ErrorKind::DeadlinePassed;
-    const Item item{.entry = entry,
-                    .giveUpAt = std::min(entry.deadline, now + m_options.longestWait),
-                    .arrival = ++m_arrivals};
     if (m_options.limit == 0)
         return Errors::ErrorKind::QueueFull;
-    std::optional<Ticket> loser;
-    if (m_items.size() >= m_options.limit) {
-        if (!moreUrgent(item, m_items.front()))
-            return Errors::ErrorKind::QueueFull;
-        loser = m_items.front().entry.ticket;
-        m_items.erase(m_items.begin());
-    }
-    const auto lessUrgent = [](const Item &a, const Item &b) { return moreUrgent(b, a); };
-    m_items.insert(std::upper_bound(m_items.begin(), m_items.end(), item, lessUrgent), item);
-    if (loser && gaveUp)
+    const std::optional<Ticket> loser = m_order.push({.ticket = entry.ticket,
+                                                      .workspace = entry.workspace,
+                                                      .priority = entry.priority,
+                                                      .work = entry.work,
+                                                      .deadline = entry.deadline});
+    if (loser == entry.ticket)
+        return Errors::ErrorKind::QueueFull;
+    m_items.push_back({.ticket = entry.ticket,
+                       .deadline = entry.deadline,
+                       .giveUpAt = std::min(entry.deadline, now + m_options.longestWait)});
+    if (!loser)
+        return std::nullopt;
+    forget(*loser);
+    if (gaveUp)
         gaveUp(*loser, Errors::ErrorKind::QueueFull);
     return std::nullopt;
 }
 
 std::optional<WaitQueue::Ticket> WaitQueue::front() const
 {
-    if (m_items.empty())
-        return std::nullopt;
-    return m_items.back().entry.ticket;
+    return m_order.front();
 }
 
 void WaitQueue::pop(Base::MonoTime now)
 {
-    m_items.pop_back();
+    if (const std::optional<Ticket> ticket = m_order.pop())
+        forget(*ticket);
     if (m_lastPop) {
         const Base::Duration gap = std::max(now - *m_lastPop, shortestGap);
         const double pace = 1.0 / Base::toSeconds(gap);
@@ -70,8 +68,13 @@
 
 bool WaitQueue::remove(Ticket ticket)
 {
-    return std::erase_if(m_items, [&](const Item &item) { return item.entry.ticket == ticket; })
-        > 0;
+    forget(ticket);
+    return m_order.remove(ticket);
+}
+
+void WaitQueue::forget(Ticket ticket)
+{
+    std::erase_if(m_items, [&](const Item &item) { return item.ticket == ticket; });
 }
 
 void WaitQueue::expire(Base::MonoTime now)
@@ -81,12 +84,12 @@
                                        [&](const Item &item) { return item.giveUpAt <= now; });
         if (over == m_items.end())
             return;
-        const Entry entry = over->entry;
-        m_items.erase(over);
-        const bool late = entry.deadline <= now;
+        const Item item = *over;
+        remove(item.ticket);
+        const bool isLate = item.deadline <= now;
         if (gaveUp) {
-            gaveUp(entry.ticket,
-                   late ? Errors::ErrorKind::DeadlinePassed : Errors::ErrorKind::Overloaded);
+            gaveUp(item.ticket,
+                   isLate ? Errors::ErrorKind::DeadlinePassed : Errors::ErrorKind::Overloaded);
         }
     }
 }
--- a/src/libs/routing/waitqueue.h
+++ b/src/libs/routing/waitqueue.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "base/ids.h"
 #include "base/units.h"
 #include "errors/errorkind.h"
+#include "routing/fairshare.h"
 
 #include <cstdint>
 #include <functional>
@@ -10,8 +12,9 @@
 
 namespace Lagoonbank::Routing {
 
-/// Requests that wait for an endpoint under its bound: few, by priority, then by deadline. All
-/// that is given up on is told at once through `gaveUp`, as not run.
+/// Requests that wait for an endpoint under its bound: few, by priority, then fairly between
+/// workspaces, by deadline within one. All that is given up on is told at once through `gaveUp`, as
+/// not run.
 class WaitQueue
 {
 public:
@@ -31,18 +34,20 @@
         Ticket ticket = 0;
         std::uint8_t priority = 1; ///< Zero is most urgent.
         Base::MonoTime deadline; ///< Of the whole request.
+        Base::WorkspaceId workspace;
+        Base::WorkUnits work{1}; ///< Expected work, which counts towards the workspace's share.
     };
 
     explicit WaitQueue(Options options);
 
     /// For requests that come from now on.
-    void setOptions(const Options &options) { m_options = options; }
+    void setOptions(const Options &options);
 
     /// A request is given up on; it did not run.
     std::function<void(Ticket, Errors::ErrorKind)> gaveUp;
 
-    /// Queues the request, or returns why not. A full queue gives up on the least urgent
-    /// request, be it the new one or one that waits.
+    /// Queues the request, or returns why not. A full queue gives up on the least urgent request of
+    /// the workspace that waits with most, be it the new one or one that waits.
     std::optional<Errors::ErrorKind> push(const Entry &entry, Base::MonoTime now);
     /// The request to try next; nothing if none waits. It stays until pop().
     std::optional<Ticket> front() const;
@@ -63,16 +68,16 @@
 private:
     struct Item
     {
-        Entry entry;
+        Ticket ticket = 0;
+        Base::MonoTime deadline;
         Base::MonoTime giveUpAt;
-        std::uint64_t arrival = 0;
     };
 
-    static bool moreUrgent(const Item &a, const Item &b);
+    void forget(Ticket ticket);
 
     Options m_options;
-    std::vector<Item> m_items; ///< Sorted, the front last.
-    std::uint64_t m_arrivals = 0;
+    FairShare m_order;
+    std::vector<Item> m_items; ///< By arrival.
     double m_pace = 0.0; ///< Pops a second, smoothed.
     std::optional<Base::MonoTime> m_lastPop;
 };
--- a/tests/auto/admission/tst_fairshare.cpp
+++ b/tests/auto/routing/tst_fairshare.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE fairshare
 #include <boost/test/unit_test.hpp>
 
-#include "admission/fairshare.h"
+#include "routing/fairshare.h"
 
 #include <cstdlib>
 #include <map>
@@ -9,7 +9,7 @@
 #include <vector>
 
 using namespace Lagoonbank::Base;
-using Lagoonbank::Admission::FairShare;
+using Lagoonbank::Routing::FairShare;
 
 namespace {
 
