--- a/src/libs/operations/changepublisher.h
+++ b/src/libs/operations/changepublisher.h
@@ -82,8 +82,7 @@
     std::vector<Change> m_changes;
     Timeline::HybridClock m_clock;
     Done m_done;
-    Platform::Backoff m_backoff{Platform::Backoff::Options()};
-    Base::MonoTime m_deadline;
+    Patience m_patience;
     Runtime::TimerId m_timer;
 };
 
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -13,6 +13,7 @@
 #include "platform/vmlistclient.h"
 #include "router/callerapi.h"
 #include "router/claimdesk.h"
+#include "router/inflightsharing.h"
 #include "router/loadsharing.h"
 #include "router/placer.h"
 #include "router/requestrecorder.h"
@@ -47,6 +48,14 @@
     /// Reads the certificate files again.
     void reload();
 
+    /// Where it listens after start(), with the ports that were chosen for 0.
+    const Runtime::SocketAddress &callerAddress() const { return m_callerServer->address(); }
+    const Runtime::SocketAddress &adminAddress() const { return m_adminPort->address(); }
+    const CallerApi &callerApi() const { return *m_callerApi; }
+    const Placer &placer() const { return *m_placer; }
+    /// Calls to endpoints, peers and the platform that are under way.
+    std::size_t activeCalls() const { return m_client.activeCalls(); }
+
 private:
     Errors::Result<void> startServers();
     Errors::Result<void> startPeers();
@@ -83,6 +92,7 @@
     std::unique_ptr<RequestRecorder> m_recorder;
     std::unique_ptr<CallerApi> m_callerApi;
     std::unique_ptr<LoadSharing> m_loadSharing;
+    std::unique_ptr<InFlightSharing> m_inFlightSharing;
     std::unique_ptr<ShareSharing> m_shareSharing;
     std::unique_ptr<Http::Server> m_callerServer;
     std::unique_ptr<Node::AdminPort> m_adminPort;
