--- a/src/libs/operations/requestcommand.cpp
+++ b/src/libs/operations/requestcommand.cpp
@@ -55,9 +55,9 @@
 {
     if (!found.wasRecorded())
         return {};
-    return absl::StrCat("  the request that ran: lagoonbank-ctl request --workspace '",
-                        found.outcome.workspace.value(), "' --key '", found.outcome.key->value(),
-                        "'\n");
+    return absl::StrCat("  the request that ran: lagoonbank-ctl request --workspace ",
+                        shellQuote(found.outcome.workspace.value()), " --key ",
+                        shellQuote(found.outcome.key->value()), "\n");
 }
 
 std::string attemptLine(std::size_t number, const Timeline::OutcomeAttempt &attempt)
--- a/src/libs/operations/statuscommand.cpp
+++ b/src/libs/operations/statuscommand.cpp
@@ -22,9 +22,7 @@
     bool isLogUp = true;
     std::size_t members = 0;
     std::size_t reachable = 0;
-    std::size_t endpoints = 0;
-    std::size_t leaving = 0;
-    std::size_t suspected = 0;
+    std::string duty; ///< A router's endpoints or a controller's lease.
 };
 
 const Json &member(const Json &json, const char *name)
@@ -48,6 +46,21 @@
     return count;
 }
 
+std::string describeEndpoints(const Json &endpoints)
+{
+    return absl::StrCat("endpoints ", endpoints.size(), " (", count(endpoints, "leaving"),
+                        " leaving, ", count(endpoints, "suspected"), " suspected)");
+}
+
+std::string describeLease(const Json &lease)
+{
+    const Json &state = member(lease, "state");
+    std::string text = "lease " + (state.is_string() ? state.get<std::string>() : "unknown");
+    if (const Json &fencing = member(lease, "fencing"); fencing.is_number_unsigned())
+        absl::StrAppend(&text, ", fencing number ", fencing.get<std::uint64_t>());
+    return text;
+}
+
 ProcessStatus readStatus(const AdminAnswer &answer)
 {
     ProcessStatus status{.process = Runtime::toString(answer.from)};
@@ -62,11 +75,10 @@
         status.members = members.size();
         status.reachable = count(members, "reachable");
     }
-    if (const Json &endpoints = member(answer.body, "endpoints"); endpoints.is_array()) {
-        status.endpoints = endpoints.size();
-        status.leaving = count(endpoints, "leaving");
-        status.suspected = count(endpoints, "suspected");
-    }
+    if (const Json &endpoints = member(answer.body, "endpoints"); endpoints.is_array())
+        status.duty = describeEndpoints(endpoints);
+    else if (const Json &lease = member(answer.body, "lease"); lease.is_object())
+        status.duty = describeLease(lease);
     return status;
 }
 
@@ -84,11 +96,8 @@
 
 std::string lineOf(const ProcessStatus &status, std::uint64_t wanted)
 {
-    return absl::StrFormat("%-32s offset %-8d members %d/%d  endpoints %d (%d leaving, %d "
-                           "suspected)%s\n",
-                           status.process, status.next, status.reachable, status.members,
-                           status.endpoints, status.leaving, status.suspected,
-                           marksOf(status, wanted));
+    return absl::StrFormat("%-32s offset %-8d members %d/%d  %s%s\n", status.process, status.next,
+                           status.reachable, status.members, status.duty, marksOf(status, wanted));
 }
 
 } // namespace
--- a/src/libs/operations/texts.cpp
+++ b/src/libs/operations/texts.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_replace.h>
 
 namespace Lagoonbank::Operations {
 
@@ -51,6 +52,11 @@
     return failure(ExitStatus::Usage, text + ".");
 }
 
+std::string shellQuote(const std::string &text)
+{
+    return absl::StrCat("'", absl::StrReplaceAll(text, {{"'", "'\\''"}}), "'");
+}
+
 std::string percentEncode(std::string_view text)
 {
     constexpr std::string_view unreserved = "-._~";
--- a/src/libs/operations/texts.h
+++ b/src/libs/operations/texts.h
@@ -23,6 +23,9 @@
 /// Says which kinds there are.
 Report unknownKind(const std::string &kind);
 
+/// The text as one word of a POSIX shell.
+std::string shellQuote(const std::string &text);
+
 /// Escapes all but letters, digits and `-._~` for a query.
 std::string percentEncode(std::string_view text);
 
--- a/tests/auto/operations/tst_requestcommand.cpp
+++ b/tests/auto/operations/tst_requestcommand.cpp
@@ -174,6 +174,12 @@
     knows = "10.0.0.1";
     outcome.request = Base::RequestId("dha~dha-vm-2~rs~8");
     outcome.attempts.clear();
+    outcome.key = Base::IdempotencyKey("k'1");
+    const Context context = this->context();
+    RequestCommand recorded(context, {.request = outcome.request});
+    BOOST_TEST(contains(run(recorded).text, R"(request --workspace 'parties' --key 'k'\''1')"));
+
+    outcome.key = whole().key;
     add("outcomes", "x", Timeline::toJson(whole()).dump());
     const Report report = ask(true);
     BOOST_TEST(report.text.starts_with("The request ran whole on endpoint b1"));
@@ -217,6 +223,8 @@
         {statusOf(1, true), ExitStatus::Ok, "offset 1"},
         {statusOf(0, true), ExitStatus::Failed, "BEHIND by 1 records"},
         {statusOf(1, false), ExitStatus::Failed, "NOT READY"},
+        {R"({"process": "c", "configuration": {"next": 1}, "lease": {"state": "held", "fencing": 4}})",
+         ExitStatus::Ok, "lease held, fencing number 4"},
         {std::nullopt, ExitStatus::Failed, "10.0.0.2:1 gave no status"},
         {"[]", ExitStatus::Failed, "not a JSON object"},
         {"{}", ExitStatus::Failed, "BEHIND"},
