--- a/src/libs/router/routeradmin.cpp
+++ b/src/libs/router/routeradmin.cpp
@@ -1,6 +1,6 @@
 #include "router/routeradmin.h"
 
-#include "timeline/eventjson.h"
+#include "node/adminanswers.h"
 #include "timeline/outcome.h"
 
 #include <nlohmann/json.hpp>
@@ -16,7 +16,6 @@
 using Json = nlohmann::ordered_json;
 using Node::AdminPort;
 
-constexpr std::size_t mostEvents = 20'000;
 constexpr std::size_t mostOutcomes = 200'000;
 
 std::string text(const Node::QueryParameters &query, std::string_view name)
@@ -55,7 +54,9 @@
              [this](const Node::QueryParameters &query) { return outcome(query); });
     port.add("/admin/outcomes",
              [this](const Node::QueryParameters &query) { return outcomes(query); });
-    port.add("/admin/events", [this](const Node::QueryParameters &query) { return events(query); });
+    port.add("/admin/events", [this](const Node::QueryParameters &query) {
+        return Node::eventsAnswer(*m_sources.events, query);
+    });
 }
 
 AdminPort::Answer RouterAdmin::metrics()
@@ -118,14 +119,6 @@
 AdminPort::Answer RouterAdmin::status() const
 {
     const Base::MonoTime now = m_sources.clock->now();
-    const Configuration::Reducer &reducer = m_sources.configuration->reducer();
-    Json members = Json::array();
-    for (const auto &[id, member] : m_sources.peers->membership().table().members()) {
-        members.push_back({{"id", id},
-                           {"data_centre", member.info.dataCentre},
-                           {"status", std::string(Schema::toString(member.info.status))},
-                           {"reachable", m_sources.peers->membership().isReachable(member, now)}});
-    }
     Json endpoints = Json::array();
     const Routing::Router &routing = m_sources.placer->routing();
     for (Routing::EndpointIndex i = 0; i < routing.endpoints().size(); ++i) {
@@ -143,11 +136,8 @@
                             {"ready", m_sources.callerApi->isReady()},
                             {"in_flight", m_sources.callerApi->inFlight()},
                             {"waiting", m_sources.placer->waiting()},
-                            {"configuration",
-                             {{"next", reducer.next().value()},
-                              {"hash", reducer.hash()},
-                              {"log_up", m_sources.configuration->isLogUp()}}},
-                            {"members", std::move(members)},
+                            {"configuration", Node::configurationJson(*m_sources.configuration)},
+                            {"members", Node::membersJson(*m_sources.peers, now)},
                             {"endpoints", std::move(endpoints)}});
 }
 
@@ -174,19 +164,4 @@
         {{"outcomes", std::move(list)}, {"dropped", m_sources.recorder->ring().dropped()}});
 }
 
-AdminPort::Answer RouterAdmin::events(const Node::QueryParameters &query) const
-{
-    Timeline::EventFilter filter{.request = Base::RequestId(text(query, "request")),
-                                 .workspace = Base::WorkspaceId(text(query, "workspace")),
-                                 .endpoint = Base::EndpointId(text(query, "endpoint")),
-                                 .afterSequence =
-                                     static_cast<std::uint64_t>(number(query, "after"))};
-    if (query.contains("since"))
-        filter.sinceMs = number(query, "since");
-    Json list = Json::array();
-    for (const Timeline::ProcessEvent &event : m_sources.events->events(filter, mostEvents))
-        list.push_back(Timeline::toJson(event));
-    return AdminPort::json({{"events", std::move(list)}});
-}
-
 } // namespace Lagoonbank::Router
--- a/src/libs/router/routeradmin.h
+++ b/src/libs/router/routeradmin.h
@@ -41,7 +41,6 @@
     Node::AdminPort::Answer status() const;
     Node::AdminPort::Answer outcome(const Node::QueryParameters &query) const;
     Node::AdminPort::Answer outcomes(const Node::QueryParameters &query) const;
-    Node::AdminPort::Answer events(const Node::QueryParameters &query) const;
 
     Sources m_sources;
 };
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -1,5 +1,6 @@
 #include "router/routerprocess.h"
 
+#include "node/memberevents.h"
 #include "router/contractrules.h"
 #include "runtime/udpsocket.h"
 #include "timeline/requestid.h"
@@ -52,37 +53,12 @@
             .tokens = {.currentKey = settings.placementKey}};
 }
 
-EventType eventOf(Membership::MemberEvent event)
-{
-    switch (event) {
-    case Membership::MemberEvent::Joined:
-        return EventType::MemberJoined;
-    case Membership::MemberEvent::Restarted:
-        return EventType::MemberRestarted;
-    case Membership::MemberEvent::Suspected:
-        return EventType::MemberSuspected;
-    case Membership::MemberEvent::Restored:
-        return EventType::MemberRestored;
-    case Membership::MemberEvent::Died:
-        return EventType::MemberDied;
-    case Membership::MemberEvent::Left:
-        break;
-    }
-    return EventType::MemberLeft;
-}
-
-Base::Incarnation incarnationAt(Base::WallTime wall)
-{
-    return Base::Incarnation(
-        static_cast<std::uint64_t>(Base::toMilliseconds(wall.time_since_epoch())));
-}
-
 } // namespace
 
 RouterProcess::RouterProcess(Runtime::Loop &loop, Schema::RouterSettings settings)
     : m_loop(loop)
     , m_settings(std::move(settings))
-    , m_incarnation(incarnationAt(loop.clock().wallNow()))
+    , m_incarnation(Node::incarnationAt(loop.clock().wallNow()))
     , m_client({.loop = &loop})
     , m_events({.process = m_settings.vm.value() + "/router",
                 .capacity = m_settings.limits.eventRingSize})
@@ -380,7 +356,7 @@
 
 void RouterProcess::noteMember(const Membership::Member &member, Membership::MemberEvent event)
 {
-    noteEvent(eventOf(event), member.info.id);
+    noteEvent(Node::eventTypeOf(event), member.info.id);
     m_logger.info("Member {} {}.", member.info.id, Membership::toString(event));
 }
 
