--- a/src/libs/router/routeradmin.cpp
+++ b/src/libs/router/routeradmin.cpp
@@ -5,7 +5,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -15,23 +14,11 @@
 
 using Json = nlohmann::ordered_json;
 using Node::AdminPort;
+using Node::numberParameter;
+using Node::textParameter;
 
 constexpr std::size_t mostOutcomes = 200'000;
 
-std::string text(const Node::QueryParameters &query, std::string_view name)
-{
-    const auto found = query.find(name);
-    return found == query.end() ? std::string() : found->second;
-}
-
-std::int64_t number(const Node::QueryParameters &query, std::string_view name)
-{
-    const std::string value = text(query, name);
-    std::int64_t out = 0;
-    std::from_chars(value.data(), value.data() + value.size(), out);
-    return out;
-}
-
 void raiseTo(Metrics::Counter counter, std::uint64_t total)
 {
     counter.increment(static_cast<double>(total) - counter.value());
@@ -144,17 +131,17 @@
 AdminPort::Answer RouterAdmin::outcome(const Node::QueryParameters &query) const
 {
     const Timeline::OutcomeRing &ring = m_sources.recorder->ring();
-    const std::string id = text(query, "id");
+    const std::string id = textParameter(query, "id");
     const Timeline::Outcome *found = id.empty()
-        ? ring.find(Base::WorkspaceId(text(query, "workspace")),
-                    Base::IdempotencyKey(text(query, "key")))
+        ? ring.find(Base::WorkspaceId(textParameter(query, "workspace")),
+                    Base::IdempotencyKey(textParameter(query, "key")))
         : ring.find(Base::RequestId(id));
     return found ? AdminPort::json(Timeline::toJson(*found)) : notFound();
 }
 
 AdminPort::Answer RouterAdmin::outcomes(const Node::QueryParameters &query) const
 {
-    const std::int64_t since = number(query, "since");
+    const std::int64_t since = numberParameter(query, "since");
     Json list = Json::array();
     m_sources.recorder->ring().forEach([&](const Timeline::Outcome &outcome) {
         if (outcome.startedWallMs >= since && list.size() < mostOutcomes)
