--- a/src/libs/router/routeradmin.cpp
+++ b/src/libs/router/routeradmin.cpp
@@ -1,7 +1,6 @@
 #include "router/routeradmin.h"
 
 #include "node/adminanswers.h"
-#include "timeline/eventjson.h"
 #include "timeline/outcome.h"
 
 #include <nlohmann/json.hpp>
