--- a/tests/contract/router/fleetfixture.h
+++ b/tests/contract/router/fleetfixture.h
@@ -311,7 +311,7 @@
 
     AnswerPtr start(const Runtime::SocketAddress &server, Http::Call call)
     {
-        const auto answer = std::make_shared<Answer>();
+        auto answer = std::make_shared<Answer>();
         call.server = server;
         call.freshConnection = true;
         call.headTimeout = call.progressTimeout = std::chrono::minutes(5);
--- a/tests/contract/router/tst_callerinterface.cpp
+++ b/tests/contract/router/tst_callerinterface.cpp
@@ -268,6 +268,8 @@
         halfClosed.send(head + goodBody);
         halfClosed.finishSending();
         BOOST_TEST(fleet.runOnUntil([&] { return halfClosed.isEnded(); }));
+        BOOST_TEST(halfClosed.has(" 200 "));
+        BOOST_TEST(halfClosed.has("data: [DONE]"));
     }
     checkNextWorks(fleet);
     fleet.checkNothingLeft();
