--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -42,8 +42,9 @@
 {
     noteEvent(EventType::ProcessStarted, {.subject = m_settings.vm.value()});
     BOOST_OUTCOME_TRYV(startPlatform());
-    m_configuration = std::make_unique<Node::ConfigurationFollower>(
-        Node::ConfigurationFollower::Options{.loop = &m_loop, .log = m_log.get()});
+    m_configuration =
+        std::make_unique<Node::ConfigurationFollower>(Node::ConfigurationFollower::Options{
+            .loop = &m_loop, .log = m_log.get(), .events = &m_events});
     BOOST_OUTCOME_TRYV(startPeers());
     makeLease();
     makeProber();
@@ -107,7 +108,8 @@
                                 .seeds = std::move(seeds),
                                 .keys = m_settings.peerKeys,
                                 .incarnation = m_incarnation,
-                                .control = m_settings.control});
+                                .control = m_settings.control,
+                                .events = &m_events});
     m_peers->memberChanged = [this](const Membership::Member &member,
                                     Membership::MemberEvent event) {
         noteEvent(Node::eventTypeOf(event), {.subject = member.info.id});
@@ -244,12 +246,10 @@
         .timers = &m_loop.timers(),
         .calls = httpEndpointCalls(m_loop, m_client),
         .member = m_peers->membership().self().id,
-        .members = [this] { return probers(); },
-        .spend =
-            [this](std::size_t bytes) {
-                return m_peers->budget().take(Membership::ControlPriority::Load,
-                                              Membership::ControlTraffic::Probe, bytes, now());
-            }});
+        .spend = [this](std::size_t bytes) {
+            return m_peers->budget().take(Membership::ControlPriority::Load,
+                                          Membership::ControlTraffic::Probe, bytes, now());
+        }});
     m_prober->putOff = [this] { m_metrics.probesPutOff.increment(); };
     m_prober->reported = [this](const Base::EndpointId &endpoint, const LoadAnswer &load,
                                 Base::MonoTime sampledAt) {
@@ -325,10 +325,17 @@
     m_orders->cacheMoved = [this](const OrderTarget &target, const CacheMover::Moved &moved) {
         m_metrics.movedChats.increment(static_cast<double>(moved.chats));
         m_metrics.movedBytes.increment(static_cast<double>(moved.bytes));
+        if (moved.chats == 0)
+            return;
         noteEvent(EventType::EndpointDraining,
                   {.endpoint = target.endpoint,
                    .detail = "caches of " + std::to_string(moved.chats) + " chats moved"});
     };
+    m_orders->drained = [this](const OrderTarget &target) {
+        noteEvent(EventType::EndpointDraining,
+                  {.endpoint = target.endpoint, .detail = "nothing is in flight any more"});
+        m_logger.info("Endpoint {} is drained.", target.endpoint);
+    };
 }
 
 void ControllerProcess::configurationChanged()
@@ -351,19 +358,28 @@
 
 void ControllerProcess::updateTargets()
 {
-    const auto revisionOf = [this](const Base::EndpointId &endpoint) {
-        return m_configuration->reducer().state().revision(
-            {Schema::ObjectKind::Endpoint, endpoint.value()});
+    const auto revisionOf = [this](const Configuration::ObjectKey &key) {
+        return m_configuration->reducer().state().revision(key);
     };
     const std::vector<Prober::Target> probed = probeTargets(m_objects, m_settings.dataCentre);
     m_prober->setPeriod(m_objects.policy().probeInterval);
     m_prober->setTargets(probed);
     m_orders->setTargets(orderTargets(m_objects, m_settings.dataCentre, revisionOf));
-    std::erase_if(m_silent, [&](const Base::EndpointId &endpoint) {
-        return std::none_of(probed.begin(), probed.end(), [&](const Prober::Target &target) {
-            return target.endpoint == endpoint;
-        });
-    });
+    for (const Base::EndpointId &old : m_probed) {
+        const bool isKept = std::any_of(probed.begin(), probed.end(),
+                                        [&](const auto &target) { return target.endpoint == old; });
+        if (!isKept)
+            forget(old);
+    }
+    m_probed.clear();
+    for (const Prober::Target &target : probed)
+        m_probed.push_back(target.endpoint);
+}
+
+void ControllerProcess::forget(const Base::EndpointId &endpoint)
+{
+    m_silent.erase(endpoint);
+    m_peers->membership().loads().remove(endpoint);
 }
 
 void ControllerProcess::checkDuties()
@@ -372,6 +388,7 @@
     const bool isCandidate =
         m_peers->membership().rankInDataCentre(now()) < candidatesPerDataCentre;
     m_lease->setCandidate(isCandidate && m_isReady && !m_isStopping);
+    m_prober->setMembers(probers());
 }
 
 void ControllerProcess::noteEvent(EventType type, Timeline::EventFields fields)
