Runtime: Count time on while the VM is suspended

Cause: the steady clock stands still while a whole VM is suspended, so that a lease's holder could wake and believe in it. Change: the runtime's clock is the boot-time clock.

--- a/src/libs/runtime/clock.cpp
+++ b/src/libs/runtime/clock.cpp
@@ -1,12 +1,18 @@
 #include "runtime/clock.h"
 
+#include <ctime>
+
 #include <chrono>
 
 namespace Lagoonbank::Runtime {
 
 Base::MonoTime SystemClock::now() const
 {
-    return Base::MonoTime(std::chrono::steady_clock::now().time_since_epoch());
+    // Counts on while the VM is suspended, so that no lease outlives a suspension.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Base::MonoTime(std::chrono::seconds(time.tv_sec)
+                          + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 Base::WallTime SystemClock::wallNow() const
