Exchange: Cancel the run of a request that is given up

Cause: a run was cancelled when the request went on elsewhere, but not when it was given up, so that the engine went on for nobody. Change: giving up cancels as well where something may run. Before: with one attempt and a crossed answer the run stayed in the ledger until its end. After: it is cancelled.

--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -264,6 +264,8 @@
 void Exchange::nextStep(const Retry::RetryDecision &decision, const Error &error)
 {
     if (decision.action == Retry::RetryAction::GiveUp) {
+        if (decision.ran != Ran::No)
+            cancelUpstream(*m_target);
         // A refused resume is not why the run before it broke.
         const Error cause = decision.kind == error.kind ? lastRunError() : Error{decision.kind};
         giveUp({.error = {cause.kind, cause.detail, decision.ran}});
--- a/tests/contract/router/tst_enginefaults.cpp
+++ b/tests/contract/router/tst_enginefaults.cpp
@@ -155,3 +155,31 @@
     }
     fleet.checkNothingLeft();
 }
+
+BOOST_AUTO_TEST_CASE(whatIsGivenUpIsCancelled)
+{
+    struct Row
+    {
+        const char *fault; ///< At both engines, with one attempt for each call.
+        const char *deadline;
+        const char *kind;
+    };
+    for (const Row &row : {Row{R"({"fault": "crossed"})", "20000", "answer_mismatch"},
+                           Row{R"({"fault": "slow", "factor": 40})", "700", "deadline_passed"}}) {
+        BOOST_TEST_CONTEXT(row.fault)
+        {
+            Fleet fleet({.policy = "max_attempts: 1"});
+            for (const auto &engine : fleet.engines)
+                fleet.order(*engine, row.fault);
+            Http::Call call = chatCall({.tokens = 100, .stream = false});
+            call.headers.add("x-deadline-ms", row.deadline);
+            const Answer answer = fleet.finish(fleet.start(call));
+            BOOST_TEST(read(answer).kind == row.kind);
+            BOOST_TEST(read(answer).ran == "unknown");
+            fleet.checkOutcome(answer);
+            fleet.runOn(std::chrono::milliseconds(200));
+            checkRuns(fleet.runs("request_id", answer.requestId()), {"cancelled"});
+            fleet.checkNothingLeft();
+        }
+    }
+}
