Router: Give applying the configuration a class of its own

routerprocess.cpp had the wiring of the process and what each change of the configuration means for its parts; ConfigurationApplier now has the latter.

--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -1,7 +1,6 @@
 #include "router/routerprocess.h"
 
 #include "node/memberevents.h"
-#include "router/contractrules.h"
 #include "runtime/udpsocket.h"
 #include "timeline/requestid.h"
 
@@ -17,44 +16,6 @@
 using Errors::Result;
 using Timeline::EventType;
 
-namespace {
-
-Routing::Policy policyOf(Schema::RoutingPolicy policy)
-{
-    return Routing::policyFromName(Schema::toString(policy)).value_or(Routing::Policy::Bounded);
-}
-
-Routing::EndpointState stateOf(Schema::EndpointState state)
-{
-    return state == Schema::EndpointState::Active ? Routing::EndpointState::Live
-                                                  : Routing::EndpointState::Leaving;
-}
-
-std::string poolOf(const Schema::Endpoint &endpoint)
-{
-    if (endpoint.type == Schema::EndpointType::Engine)
-        return Routing::modelPool(endpoint.model.value_or(Base::ModelId()));
-    return Routing::servicePool(endpoint.service.value_or(Base::ServiceId()));
-}
-
-Routing::Router::Options routingOptions(const Schema::RouterSettings &settings,
-                                        const Schema::Policy &policy)
-{
-    return {.dataCentre = settings.dataCentre,
-            .selector = {.policy = policyOf(policy.routing),
-                         .bound = {.multiple = policy.loadBound,
-                                   .reserve = policy.priorityReserve,
-                                   .urgentBelow =
-                                       static_cast<std::uint8_t>(policy.reservePriority + 1)}},
-            .suspicion = {.breaksToSuspect = static_cast<int>(policy.suspicionFailures),
-                          .firstWait = policy.suspicionHold,
-                          .trialsToTrust = static_cast<int>(policy.recoverySuccesses)},
-            .slowStart = {.rampTime = policy.slowStart},
-            .tokens = {.currentKey = settings.placementKey}};
-}
-
-} // namespace
-
 RouterProcess::RouterProcess(Runtime::Loop &loop, Schema::RouterSettings settings)
     : m_loop(loop)
     , m_settings(std::move(settings))
@@ -165,6 +126,15 @@
     BOOST_OUTCOME_TRYV(m_peers->start());
     m_inFlightSharing = std::make_unique<InFlightSharing>(m_loop, *m_placer, *m_peers);
     m_inFlightSharing->start();
+    m_applier = std::make_unique<ConfigurationApplier>(
+        ConfigurationApplier::Parts{.loop = &m_loop,
+                                    .settings = &m_settings,
+                                    .placer = m_placer.get(),
+                                    .admission = &m_admission,
+                                    .retries = &m_retries,
+                                    .loadSharing = m_loadSharing.get(),
+                                    .inFlightSharing = m_inFlightSharing.get(),
+                                    .shareSharing = m_shareSharing.get()});
     if (m_vmList)
         m_vmList->start();
     return boost::outcome_v2::success();
@@ -277,9 +247,7 @@
     m_objects = std::make_shared<Configuration::ObjectTable>();
     for (Schema::ConfigurationObject &object : m_configuration->objects())
         m_objects->set(std::move(object));
-    applyPolicy();
-    updateEndpoints();
-    updateWorkspaces();
+    m_applier->apply(*m_objects, m_callerApi->isReady());
     m_callerApi->setObjects(m_objects);
     m_peers->configurationChanged();
     if (m_configuration->isReady() && !m_callerApi->isReady() && !m_isStopping) {
@@ -291,69 +259,6 @@
               std::to_string(m_configuration->reducer().next().value()));
 }
 
-void RouterProcess::applyPolicy()
-{
-    const Schema::Policy &policy = m_objects->policy();
-    m_placer->setPolicy(routingOptions(m_settings, policy),
-                        {.limit = policy.maxQueue, .longestWait = policy.maxQueueWait});
-    m_retries.setEndpointRatio(policy.retryBudget);
-    m_retries.setMaxAttempts(static_cast<int>(policy.maxAttempts));
-}
-
-void RouterProcess::updateEndpoints()
-{
-    const Base::MonoTime now = m_loop.clock().now();
-    std::vector<Base::EndpointId> known;
-    std::vector<Base::DataCentreId> dataCentres;
-    m_objects->each<Schema::Endpoint>([&](const Schema::Endpoint &endpoint) {
-        if (endpoint.state == Schema::EndpointState::Removed
-            || endpoint.region != m_settings.region)
-            return;
-        known.push_back(endpoint.name);
-        // One that comes into a running router has nothing cached yet and takes its share slowly.
-        const Routing::EndpointTable &table = m_placer->routing().endpoints();
-        const Routing::EndpointIndex index = table.find(endpoint.name);
-        Base::MonoTime coldSince = m_callerApi->isReady() ? now : Base::MonoTime();
-        if (index != Routing::noEndpoint)
-            coldSince = table.info(index).coldSince;
-        m_placer->routing().upsert({.id = endpoint.name,
-                                    .address = endpoint.address,
-                                    .dataCentre = endpoint.dataCentre,
-                                    .pool = poolOf(endpoint),
-                                    .capacity = endpoint.capacity,
-                                    .state = stateOf(endpoint.state),
-                                    .coldSince = coldSince},
-                                   now);
-    });
-    for (const Base::EndpointId &old : m_knownEndpoints) {
-        if (std::find(known.begin(), known.end(), old) == known.end())
-            m_placer->routing().remove(old, now);
-    }
-    m_knownEndpoints = std::move(known);
-    m_loadSharing->endpointsChanged();
-    m_inFlightSharing->endpointsChanged();
-    m_objects->each<Schema::DataCentre>(
-        [&](const Schema::DataCentre &dataCentre) { dataCentres.push_back(dataCentre.name); });
-    m_shareSharing->setDataCentres(std::move(dataCentres));
-}
-
-void RouterProcess::updateWorkspaces()
-{
-    const Base::MonoTime now = m_loop.clock().now();
-    std::vector<Base::WorkspaceId> known;
-    m_objects->each<Schema::Contract>([&](const Schema::Contract &contract) {
-        known.push_back(contract.name);
-        m_admission.setLimits(contract.name, limitsOf(contract), now);
-        m_retries.setWorkspaceRatio(contract.name, contract.retryBudget);
-    });
-    for (const Base::WorkspaceId &old : m_knownWorkspaces) {
-        if (std::find(known.begin(), known.end(), old) == known.end())
-            m_admission.remove(old);
-    }
-    m_knownWorkspaces = known;
-    m_shareSharing->setWorkspaces(std::move(known));
-}
-
 void RouterProcess::noteMember(const Membership::Member &member, Membership::MemberEvent event)
 {
     noteEvent(Node::eventTypeOf(event), member.info.id);
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -13,6 +13,7 @@
 #include "platform/vmlistclient.h"
 #include "router/callerapi.h"
 #include "router/claimdesk.h"
+#include "router/configurationapplier.h"
 #include "router/inflightsharing.h"
 #include "router/loadsharing.h"
 #include "router/placer.h"
@@ -64,9 +65,6 @@
     void wireConfiguration();
     void wireRequests();
     void configurationChanged();
-    void applyPolicy();
-    void updateEndpoints();
-    void updateWorkspaces();
     void noteMember(const Membership::Member &member, Membership::MemberEvent event);
     void noteEvent(Timeline::EventType type, std::string subject, std::string detail = {});
     bool isGone(const Claims::RouterRun &run) const;
@@ -94,13 +92,12 @@
     std::unique_ptr<LoadSharing> m_loadSharing;
     std::unique_ptr<InFlightSharing> m_inFlightSharing;
     std::unique_ptr<ShareSharing> m_shareSharing;
+    std::unique_ptr<ConfigurationApplier> m_applier;
     std::unique_ptr<Http::Server> m_callerServer;
     std::unique_ptr<Node::AdminPort> m_adminPort;
     std::unique_ptr<RouterAdmin> m_admin;
     std::shared_ptr<Configuration::ObjectTable> m_objects =
         std::make_shared<Configuration::ObjectTable>();
-    std::vector<Base::EndpointId> m_knownEndpoints;
-    std::vector<Base::WorkspaceId> m_knownWorkspaces;
     Base::MonoTime m_stopBy;
     bool m_isStopping = false;
 };
--- a/src/libs/router/sharesharing.cpp
+++ b/src/libs/router/sharesharing.cpp
@@ -1,5 +1,6 @@
 #include "router/sharesharing.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Lagoonbank::Router {
