--- a/src/libs/configuration/reducer.cpp
+++ b/src/libs/configuration/reducer.cpp
@@ -48,12 +48,29 @@
 
 void Reducer::recordRead(const LogRecord &record)
 {
-    if (record.offset < m_readNext)
+    if (record.offset < m_readNext) {
+        notePassed(record);
         return;
+    }
     take(record);
     drainEarly();
 }
 
+/// A peer's state came before this record; a snapshot is still to be told of, or this process would
+/// think that none stands in the log.
+void Reducer::notePassed(const LogRecord &record)
+{
+    const auto decoded = decode(record.data);
+    if (!decoded)
+        return;
+    const auto *part = std::get_if<SnapshotPart>(&decoded.value());
+    if (!part)
+        return;
+    const std::optional<Snapshot> snapshot = m_passedSnapshots.add(*part);
+    if (snapshot)
+        raise(EventKind::SnapshotSeen, record.offset, snapshot->id);
+}
+
 void Reducer::recordHeard(const LogRecord &record)
 {
     if (record.offset < m_readNext)
--- a/src/libs/configuration/reducer.h
+++ b/src/libs/configuration/reducer.h
@@ -106,6 +106,7 @@
     const Judgement *judgementOf(const std::string &recordId) const;
 
 private:
+    void notePassed(const LogRecord &record);
     void take(const LogRecord &record);
     void hold(const LogRecord &record);
     void apply(const LogRecord &record);
@@ -121,6 +122,7 @@
     Options m_options;
     State m_state;
     SnapshotCollector m_snapshots;
+    SnapshotCollector m_passedSnapshots; ///< Of records that a peer's state went past.
     Base::LogOffset m_next;
     Base::LogOffset m_readNext;
     Base::LogOffset m_heldFrom; ///< All records read from here on are held.
--- a/src/libs/router/placer.h
+++ b/src/libs/router/placer.h
@@ -21,7 +21,7 @@
 struct LoadHeader
 {
     Base::WorkUnits work;
-    Base::Duration age;
+    Base::Duration age{};
     Base::WorkUnits capacity; ///< Zero if it is not told.
     Base::Incarnation incarnation;
 };
--- a/tests/auto/configuration/tst_reducer.cpp
+++ b/tests/auto/configuration/tst_reducer.cpp
@@ -238,6 +238,24 @@
     BOOST_TEST(regionOf(reader, "north") == "missed");
 }
 
+BOOST_AUTO_TEST_CASE(snapshotThatAPeersStateWentPastIsStillSeen)
+{
+    TestLog log;
+    log.append("1", dataCentreChange("north", 0));
+    Reducer peer;
+    log.readInto(peer);
+    log.append(peer.makeSnapshot("s", "vm"));
+    log.readInto(peer);
+
+    Reducer reader;
+    const Watch watch(reader);
+    BOOST_REQUIRE(reader.importState(exported(peer)));
+    for (const LogRecord &record : log.records)
+        reader.recordRead(record);
+    BOOST_TEST(watch.count(EventKind::SnapshotSeen) == 1U);
+    BOOST_TEST(reader.hash() == peer.hash());
+}
+
 BOOST_AUTO_TEST_CASE(nothingTakesAnObjectBack)
 {
     TestLog log;
--- /dev/null
+++ b/tests/auto/placing/tst_inflightbeacon.cpp
@@ -0,0 +1,51 @@
+#define BOOST_TEST_MODULE tst_inflightbeacon
+#include <boost/test/unit_test.hpp>
+
+#include "router/inflightbeacon.h"
+
+#include <string>
+
+using namespace Lagoonbank;
+using Base::WorkUnits;
+using Router::InFlight;
+
+namespace {
+
+constexpr char mark = '\xbe';
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(workComesBackInStepsOfEight)
+{
+    struct Row
+    {
+        double sent;
+        double read;
+    };
+    for (const Row &row : {Row{0, 0}, Row{3, 0}, Row{4, 8}, Row{800, 800}, Row{1e9, 524280}}) {
+        const std::string body = Router::encodeBeacon(mark, {{0x89abcdefU, WorkUnits(row.sent)}});
+        BOOST_TEST(body.size() == 1 + Router::beaconEntryBytes);
+        const auto read = Router::decodeBeacon(mark, body);
+        BOOST_REQUIRE(read.has_value());
+        BOOST_CHECK(read->front() == (InFlight{0x89abcdefU, WorkUnits(row.read)}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNoBeaconIsRefused)
+{
+    const std::string body = Router::encodeBeacon(mark, {{1, WorkUnits(8)}, {2, WorkUnits(16)}});
+    BOOST_TEST(Router::decodeBeacon(mark, body)->size() == 2U);
+    BOOST_TEST(!Router::decodeBeacon(mark, "").has_value());
+    BOOST_TEST(!Router::decodeBeacon('\x01', body).has_value());
+    for (std::size_t length = 2; length < body.size(); ++length) {
+        const bool isWhole = (length - 1) % Router::beaconEntryBytes == 0;
+        BOOST_TEST(Router::decodeBeacon(mark, body.substr(0, length)).has_value() == isWhole);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(beaconFitsOneDatagram)
+{
+    const std::vector<InFlight> many(1000, InFlight{7, WorkUnits(8)});
+    const auto read = Router::decodeBeacon(mark, Router::encodeBeacon(mark, many));
+    BOOST_TEST(read->size() == Router::maxBeaconEntries);
+}
