Platform: Give each process a seed of its own for its backoff

Cause: no program set Backoff's seed, so that all routers and controllers drew the same delays and tried the platform again in step after an outage. Change: routers and controllers derive it from their name and incarnation.

--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -27,6 +27,7 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_incarnation(Node::incarnationAt(loop.clock().wallNow()))
+    , m_backoff(Node::backoffOf(m_settings.vm.value() + "/controller", m_incarnation))
     , m_run(m_settings.vm.value() + "/controller#" + std::to_string(m_incarnation.value()))
     , m_client({.loop = &loop})
     , m_events(
@@ -44,7 +45,7 @@
     BOOST_OUTCOME_TRYV(startPlatform());
     m_configuration =
         std::make_unique<Node::ConfigurationFollower>(Node::ConfigurationFollower::Options{
-            .loop = &m_loop, .log = m_log.get(), .events = &m_events});
+            .loop = &m_loop, .log = m_log.get(), .backoff = m_backoff, .events = &m_events});
     BOOST_OUTCOME_TRYV(startPeers());
     makeLease();
     makeProber();
@@ -78,12 +79,13 @@
                  .increment(static_cast<double>(received.value()));
          }});
     Runtime::TimerQueue *timers = &m_loop.timers();
-    m_log = std::make_unique<Platform::LogClient>(
-        Platform::LogClient::Options{.transport = transport, .timers = timers});
-    m_vmList = std::make_unique<Platform::VmListClient>(
-        Platform::VmListClient::Options{.transport = transport, .timers = timers});
-    m_weightStore = std::make_unique<Platform::WeightStoreClient>(
-        Platform::WeightStoreClient::Options{.transport = transport, .timers = timers});
+    m_log = std::make_unique<Platform::LogClient>(Platform::LogClient::Options{
+        .transport = transport, .timers = timers, .backoff = m_backoff});
+    m_vmList = std::make_unique<Platform::VmListClient>(Platform::VmListClient::Options{
+        .transport = transport, .timers = timers, .backoff = m_backoff});
+    m_weightStore =
+        std::make_unique<Platform::WeightStoreClient>(Platform::WeightStoreClient::Options{
+            .transport = transport, .timers = timers, .backoff = m_backoff});
     m_vmList->setChanged([this](const Platform::VmChanges &) { m_peers->setVms(m_vmList->vms()); });
     return boost::outcome_v2::success();
 }
@@ -170,7 +172,8 @@
     m_snapshotAppender = std::make_unique<Platform::BatchAppender>(
         Platform::BatchAppender::Options{.log = m_log.get(),
                                          .timers = &m_loop.timers(),
-                                         .stream = std::string(Configuration::streamName)});
+                                         .stream = std::string(Configuration::streamName),
+                                         .backoff = m_backoff});
     m_snapshots = std::make_unique<SnapshotWriter>(
         SnapshotWriter::Options{.timers = &m_loop.timers(),
                                 .appender = m_snapshotAppender.get(),
--- a/src/libs/controller/controllerprocess.h
+++ b/src/libs/controller/controllerprocess.h
@@ -68,6 +68,7 @@
     Schema::ControllerSettings m_settings;
     Logging::Logger m_logger{"controller"};
     Base::Incarnation m_incarnation;
+    Platform::Backoff::Options m_backoff;
     std::string m_run; ///< Names this start of the process.
     Http::Client m_client;
     ControllerMetrics m_metrics;
--- a/src/libs/node/configurationfollower.cpp
+++ b/src/libs/node/configurationfollower.cpp
@@ -18,6 +18,7 @@
 ConfigurationFollower::ConfigurationFollower(const Options &options)
     : m_loop(*options.loop)
     , m_log(options.log)
+    , m_backoff(options.backoff)
     , m_events(options.events)
 {
     m_reducer.setStateChanged([this] { stateChanged(); });
@@ -60,7 +61,8 @@
                                   .stream = std::string(Configuration::streamName),
                                   .from = m_reducer.next(),
                                   .wait = longPoll,
-                                  .rememberedIds = 0});
+                                  .rememberedIds = 0,
+                                  .backoff = m_backoff});
     m_tailer->setRecordReceived([this](const Platform::StoredRecord &stored) {
         const Configuration::LogRecord record{stored.offset, stored.id, stored.data};
         m_reducer.recordRead(record);
--- a/src/libs/node/configurationfollower.h
+++ b/src/libs/node/configurationfollower.h
@@ -26,6 +26,7 @@
     {
         Runtime::Loop *loop = nullptr;
         Platform::LogClient *log = nullptr; ///< Null without a platform.
+        Platform::Backoff::Options backoff; ///< While the log cannot be read.
         /// Its clock merges the times that records carry; null for none.
         Timeline::EventLog *events = nullptr;
     };
@@ -70,6 +71,7 @@
 
     Runtime::Loop &m_loop;
     Platform::LogClient *m_log;
+    Platform::Backoff::Options m_backoff;
     Timeline::EventLog *m_events;
     Configuration::Reducer m_reducer;
     std::unique_ptr<Platform::Tailer> m_tailer;
--- a/src/libs/node/memberevents.cpp
+++ b/src/libs/node/memberevents.cpp
@@ -1,5 +1,7 @@
 #include "node/memberevents.h"
 
+#include "membership/peercodec.h"
+
 #include <cstdint>
 
 namespace Lagoonbank::Node {
@@ -24,6 +26,11 @@
     return EventType::MemberLeft;
 }
 
+Platform::Backoff::Options backoffOf(const std::string &process, Base::Incarnation incarnation)
+{
+    return {.seed = Membership::nameKey(process + '/' + std::to_string(incarnation.value()))};
+}
+
 Base::Incarnation incarnationAt(Base::WallTime wall)
 {
     return Base::Incarnation(
--- a/src/libs/router/claimdesk.cpp
+++ b/src/libs/router/claimdesk.cpp
@@ -26,17 +26,20 @@
     , m_appender({.log = options.log,
                   .timers = &options.loop->timers(),
                   .stream = std::string(Claims::claimsStream),
-                  .interval = batchInterval})
+                  .interval = batchInterval,
+                  .backoff = options.backoff})
     , m_claimer({.timers = &options.loop->timers(),
                  .append =
                      [this](Platform::Record record,
                             std::function<void(Platform::AppendOutcome)> appended) {
                          return m_appender.add(std::move(record), std::move(appended));
                      },
-                 .isGone = options.isGone})
+                 .isGone = options.isGone,
+                 .backoff = options.backoff})
     , m_tailer({.log = options.log,
                 .timers = &options.loop->timers(),
-                .stream = std::string(Claims::claimsStream)})
+                .stream = std::string(Claims::claimsStream),
+                .backoff = options.backoff})
 {
     const auto updateUsable = [this] {
         m_claimer.setLogUsable(m_tailer.health().isUp && m_tailer.isCaughtUp());
--- a/src/libs/router/claimdesk.h
+++ b/src/libs/router/claimdesk.h
@@ -24,6 +24,7 @@
         Platform::LogClient *log = nullptr;
         Claims::RouterRun run; ///< This start of this router.
         Claims::ClaimTable::IsGone isGone;
+        Platform::Backoff::Options backoff; ///< While the log does not answer.
     };
 
     explicit ClaimDesk(const Options &options);
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -20,6 +20,7 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_incarnation(Node::incarnationAt(loop.clock().wallNow()))
+    , m_backoff(Node::backoffOf(m_settings.vm.value() + "/router", m_incarnation))
     , m_client({.loop = &loop})
     , m_events({.process = m_settings.vm.value() + "/router",
                 .capacity = m_settings.limits.eventRingSize})
@@ -39,7 +40,7 @@
     startPlatform();
     m_configuration =
         std::make_unique<Node::ConfigurationFollower>(Node::ConfigurationFollower::Options{
-            .loop = &m_loop, .log = m_log.get(), .events = &m_events});
+            .loop = &m_loop, .log = m_log.get(), .backoff = m_backoff, .events = &m_events});
     BOOST_OUTCOME_TRYV(startPeers());
     m_recorder = std::make_unique<RequestRecorder>(
         RequestRecorder::Options{.clock = &m_loop.clock(),
@@ -71,20 +72,22 @@
              registry.counter("lagoonbank_platform_bytes_total", {{"direction", "received"}})
                  .increment(static_cast<double>(received.value()));
          }});
-    m_log = std::make_unique<Platform::LogClient>(
-        Platform::LogClient::Options{.transport = transport, .timers = &m_loop.timers()});
-    m_vmList = std::make_unique<Platform::VmListClient>(
-        Platform::VmListClient::Options{.transport = transport, .timers = &m_loop.timers()});
+    m_log = std::make_unique<Platform::LogClient>(Platform::LogClient::Options{
+        .transport = transport, .timers = &m_loop.timers(), .backoff = m_backoff});
+    m_vmList = std::make_unique<Platform::VmListClient>(Platform::VmListClient::Options{
+        .transport = transport, .timers = &m_loop.timers(), .backoff = m_backoff});
     m_outcomeAppender = std::make_unique<Platform::BatchAppender>(
         Platform::BatchAppender::Options{.log = m_log.get(),
                                          .timers = &m_loop.timers(),
                                          .stream = outcomesStream,
-                                         .interval = std::chrono::milliseconds(500)});
+                                         .interval = std::chrono::milliseconds(500),
+                                         .backoff = m_backoff});
     m_claims = std::make_unique<ClaimDesk>(
         ClaimDesk::Options{.loop = &m_loop,
                            .log = m_log.get(),
                            .run = {m_settings.vm, m_incarnation},
-                           .isGone = [this](const Claims::RouterRun &run) { return isGone(run); }});
+                           .isGone = [this](const Claims::RouterRun &run) { return isGone(run); },
+                           .backoff = m_backoff});
     m_claims->start();
     m_vmList->setChanged([this](const Platform::VmChanges &) { m_peers->setVms(m_vmList->vms()); });
 }
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -74,6 +74,7 @@
     Schema::RouterSettings m_settings;
     Logging::Logger m_logger{"router"};
     Base::Incarnation m_incarnation;
+    Platform::Backoff::Options m_backoff;
     std::uint64_t m_lastRequest = 0;
     Http::Client m_client;
     RouterMetrics m_metrics;
