Timeline: Test times in pulls and in published changes

Pulls hand over the time both ways before the contents are acted on; a change's time is later than those of the changes that its publisher read, though its clock is 10 s behind. The transport's test names Membership in full, since clang finds the short name ambiguous.

--- a/tests/auto/membership/tst_peertransport.cpp
+++ b/tests/auto/membership/tst_peertransport.cpp
@@ -41,15 +41,15 @@
                   const std::vector<std::string> &keys)
     {
         const Runtime::SocketAddress address = freeAddress(loop);
-        membership = std::make_unique<Membership::Membership>(
-            Membership::Membership::Options{.self = {.id = id,
-                                                     .dataCentre = "gulberg",
-                                                     .region = "lahore",
-                                                     .ip = ipNumber(address.ip),
-                                                     .port = address.port,
-                                                     .incarnation = 1},
-                                            .seeds = seeds,
-                                            .budget = &budget},
+        membership = std::make_unique<Lagoonbank::Membership::Membership>(
+            Lagoonbank::Membership::Membership::Options{.self = {.id = id,
+                                                                 .dataCentre = "gulberg",
+                                                                 .region = "lahore",
+                                                                 .ip = ipNumber(address.ip),
+                                                                 .port = address.port,
+                                                                 .incarnation = 1},
+                                                        .seeds = seeds,
+                                                        .budget = &budget},
             loop.clock().now());
         auto started = PeerTransport::start({.loop = &loop,
                                              .client = &client,
@@ -63,7 +63,7 @@
 
     ControlBudget budget;
     Http::Client client;
-    std::unique_ptr<Membership::Membership> membership;
+    std::unique_ptr<Lagoonbank::Membership::Membership> membership;
     std::unique_ptr<PeerTransport> transport;
 };
 
@@ -101,6 +101,33 @@
     BOOST_TEST(answer == "since 7");
 }
 
+BOOST_AUTO_TEST_CASE(pullsCarryTheTimeBothWays)
+{
+    Runtime::Loop loop;
+    Process a(loop, "vm-a/router", {});
+    Process b(loop, "vm-b/router", {});
+    std::vector<std::string> seen;
+    a.membership->timeAsked = [] { return MessageTime{.wallMs = 2000, .counter = 1}; };
+    b.membership->timeAsked = [] { return MessageTime{.wallMs = 1000, .counter = 300}; };
+    a.membership->timeReceived = [&](const MessageTime &time) {
+        seen.push_back("asked " + std::to_string(time.wallMs) + "+" + std::to_string(time.counter));
+    };
+    b.membership->timeReceived = [&](const MessageTime &time) {
+        seen.push_back("told " + std::to_string(time.wallMs) + "+" + std::to_string(time.counter));
+    };
+    a.transport->setProvider("greeting", [&](std::string_view) -> Errors::Result<std::string> {
+        seen.emplace_back("answering");
+        return std::string("first\nsecond");
+    });
+    b.transport->pull(
+        a.transport->address(), "greeting", {},
+        [&](const Errors::Result<std::string> &answer) { seen.push_back(answer.value()); });
+    BOOST_REQUIRE(runUntil(loop, [&] { return seen.size() >= 4; }));
+    const std::vector<std::string> expected{"asked 1000+300", "answering", "told 2000+1",
+                                            "first\nsecond"};
+    BOOST_TEST(seen == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(strangersAreDropped)
 {
     Runtime::Loop loop;
--- a/tests/auto/operations/tst_publishing.cpp
+++ b/tests/auto/operations/tst_publishing.cpp
@@ -11,6 +11,7 @@
 #include "operations/recordcommand.h"
 #include "operations/removecommand.h"
 #include "operations/showcommand.h"
+#include "timeline/hybridclock.h"
 
 #include <filesystem>
 #include <fstream>
@@ -123,6 +124,27 @@
     BOOST_TEST(records("configuration").size() == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(changesCarryATimeAfterThoseThatWereRead)
+{
+    publishBase();
+    const auto changeOf = [this](std::size_t index) {
+        const std::string data = records("configuration").at(index)["data"];
+        return std::get<Configuration::ChangeRecord>(Configuration::decode(data).value());
+    };
+    // The operator before had a clock that was 10 s ahead of ours.
+    Configuration::ChangeRecord before = changeOf(0);
+    auto time = Timeline::parseHybridTime(before.time);
+    BOOST_REQUIRE(time.has_value());
+    time->wallMs += 10'000;
+    before.time = Timeline::toString(*time);
+    records("configuration").at(0)["data"] = Configuration::encode(before);
+    const std::size_t next = records("configuration").size();
+    publish(files.write("hall.yml", contract(1)));
+    const auto ours = Timeline::parseHybridTime(changeOf(next).time);
+    BOOST_REQUIRE(ours.has_value());
+    BOOST_TEST((*time < *ours));
+}
+
 /// What becomes of a publish whose appends go wrong, and of asking again.
 BOOST_AUTO_TEST_CASE(tellsWhatBecameOfAppendsThatWentWrong)
 {
