--- a/src/libs/router/configurationapplier.cpp
+++ b/src/libs/router/configurationapplier.cpp
@@ -66,6 +66,23 @@
     m_parts.retries->setMaxAttempts(static_cast<int>(policy.maxAttempts));
 }
 
+void ConfigurationApplier::noteEndpoint(const Schema::Endpoint &endpoint,
+                                        Routing::EndpointIndex index, bool isServing) const
+{
+    const bool drains = stateOf(endpoint.state) == Routing::EndpointState::Leaving;
+    if (index == Routing::noEndpoint) {
+        if (isServing)
+            m_parts.noted(Timeline::EventType::EndpointAdded, endpoint.name);
+        return;
+    }
+    const Routing::EndpointInfo &before = m_parts.placer->routing().endpoints().info(index);
+    const bool drained = before.state == Routing::EndpointState::Leaving;
+    if (drains != drained)
+        m_parts.noted(drains ? Timeline::EventType::EndpointDraining
+                             : Timeline::EventType::EndpointAdded,
+                      endpoint.name);
+}
+
 void ConfigurationApplier::updateEndpoints(const Configuration::ObjectTable &objects,
                                            bool isServing)
 {
@@ -79,6 +96,7 @@
         // One that comes into a running router has nothing cached yet and takes its share slowly.
         const Routing::EndpointTable &table = m_parts.placer->routing().endpoints();
         const Routing::EndpointIndex index = table.find(endpoint.name);
+        noteEndpoint(endpoint, index, isServing);
         Base::MonoTime coldSince = isServing ? now : Base::MonoTime();
         if (index != Routing::noEndpoint)
             coldSince = table.info(index).coldSince;
@@ -92,8 +110,10 @@
                                          now);
     });
     for (const Base::EndpointId &old : m_knownEndpoints) {
-        if (std::find(known.begin(), known.end(), old) == known.end())
-            m_parts.placer->routing().remove(old, now);
+        if (std::find(known.begin(), known.end(), old) != known.end())
+            continue;
+        m_parts.placer->routing().remove(old, now);
+        m_parts.noted(Timeline::EventType::EndpointRemoved, old);
     }
     m_knownEndpoints = std::move(known);
     m_parts.loadSharing->endpointsChanged();
--- a/src/libs/router/configurationapplier.h
+++ b/src/libs/router/configurationapplier.h
@@ -9,7 +9,9 @@
 #include "router/retrybudgets.h"
 #include "router/sharesharing.h"
 #include "schema/generated/settings.h"
+#include "timeline/event.h"
 
+#include <functional>
 #include <vector>
 
 namespace Lagoonbank::Router {
@@ -33,6 +35,8 @@
         LoadSharing *loadSharing = nullptr;
         InFlightSharing *inFlightSharing = nullptr;
         ShareSharing *shareSharing = nullptr;
+        /// An endpoint came, drains or went.
+        std::function<void(Timeline::EventType type, const Base::EndpointId &endpoint)> noted;
     };
 
     explicit ConfigurationApplier(const Parts &parts);
@@ -43,6 +47,8 @@
 
 private:
     void applyPolicy(const Schema::Policy &policy);
+    void noteEndpoint(const Schema::Endpoint &endpoint, Routing::EndpointIndex index,
+                      bool isServing) const;
     void updateEndpoints(const Configuration::ObjectTable &objects, bool isServing);
     void updateDataCentres(const Configuration::ObjectTable &objects);
     void updateWorkspaces(const Configuration::ObjectTable &objects);
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -128,15 +128,18 @@
     BOOST_OUTCOME_TRYV(m_peers->start());
     m_inFlightSharing = std::make_unique<InFlightSharing>(m_loop, *m_placer, *m_peers);
     m_inFlightSharing->start();
-    m_applier = std::make_unique<ConfigurationApplier>(
-        ConfigurationApplier::Parts{.loop = &m_loop,
-                                    .settings = &m_settings,
-                                    .placer = m_placer.get(),
-                                    .admission = &m_admission,
-                                    .retries = &m_retries,
-                                    .loadSharing = m_loadSharing.get(),
-                                    .inFlightSharing = m_inFlightSharing.get(),
-                                    .shareSharing = m_shareSharing.get()});
+    m_applier = std::make_unique<ConfigurationApplier>(ConfigurationApplier::Parts{
+        .loop = &m_loop,
+        .settings = &m_settings,
+        .placer = m_placer.get(),
+        .admission = &m_admission,
+        .retries = &m_retries,
+        .loadSharing = m_loadSharing.get(),
+        .inFlightSharing = m_inFlightSharing.get(),
+        .shareSharing = m_shareSharing.get(),
+        .noted = [this](EventType type, const Base::EndpointId &endpoint) {
+            m_events.record(type, {.endpoint = endpoint}, m_loop.clock().wallNow());
+        }});
     if (m_vmList)
         m_vmList->start();
     return boost::outcome_v2::success();
@@ -194,7 +197,16 @@
         else
             m_logger.warning("The log does not answer.");
     };
+    m_configuration->judged = [this](const Configuration::Judgement &judgement) {
+        const bool isAccepted = judgement.verdict == Configuration::Verdict::Accepted;
+        noteEvent(isAccepted ? EventType::ConfigurationAccepted : EventType::ConfigurationRejected,
+                  judgement.key ? Configuration::toString(*judgement.key) : judgement.recordId,
+                  isAccepted ? "revision " + std::to_string(judgement.revision.value())
+                             : std::string(Configuration::toString(judgement.verdict)));
+    };
     m_configuration->eventRaised = [this](const Configuration::Event &event) {
+        if (event.kind == Configuration::EventKind::SnapshotSeen)
+            return;
         m_logger.warning("Configuration at offset {}: {}. {}", event.offset,
                          Configuration::toString(event.kind), event.detail);
     };
