--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -40,6 +40,19 @@
     return objects;
 }
 
+/// What no single field shows to be wrong.
+Schema::SettingsErrors checkTogether(const Schema::RouterSettings &settings,
+                                     const std::string &file)
+{
+    if (settings.tlsCertificate.has_value() == settings.tlsKey.has_value())
+        return {};
+    const char *there = settings.tlsCertificate ? "tls_certificate" : "tls_key";
+    const char *missing = settings.tlsCertificate ? "tls_key" : "tls_certificate";
+    return {{file, 1,
+             std::string(there) + " is given without " + missing
+                 + "; give both, or neither for plain text"}};
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -51,6 +64,9 @@
         Node::loadSettings<Schema::RouterSettings>(program, absl::GetFlag(FLAGS_settings));
     if (!settings)
         return Node::usageFailure;
+    const Schema::SettingsErrors wrong = checkTogether(*settings, absl::GetFlag(FLAGS_settings));
+    if (!wrong.empty())
+        return Node::settingsFailure(wrong);
     Objects fixed;
     if (settings->bootstrap) {
         auto read = readObjects(*settings->bootstrap);
