Membership: Spread the probes of other data centres over a data centre's processes

Cause: each process probed the data centre that it had tried longest ago, all in the same order, so that those of one data centre tried the same ones at the same moment and left others without contact for over 6 s. A test with 13 data centres holds it on a paused clock.

--- a/src/libs/membership/membership.cpp
+++ b/src/libs/membership/membership.cpp
@@ -155,35 +155,6 @@
     }
 }
 
-void Membership::probeCross(Base::MonoTime now)
-{
-    // The data centre tried longest ago; every second time one of the own region.
-    const bool ownRegionOnly = ++m_crossTurn % 2 == 0;
-    const auto isCandidate = [&](const Member &member) {
-        return member.isAlive() && !isOwnDataCentre(member)
-            && (!ownRegionOnly || isOwnRegion(member));
-    };
-    std::vector<const Member *> members = peersWhere(isCandidate);
-    if (members.empty() && ownRegionOnly)
-        members = peersWhere(
-            [&](const Member &member) { return member.isAlive() && !isOwnDataCentre(member); });
-    if (members.empty())
-        return;
-    const auto triedAt = [this](const Member *member) {
-        const auto found = m_crossTries.find(member->info.dataCentre);
-        return found == m_crossTries.end() ? Base::MonoTime::min() : found->second;
-    };
-    const Member *first =
-        *std::min_element(members.begin(), members.end(), [&](const Member *a, const Member *b) {
-            return triedAt(a) < triedAt(b);
-        });
-    const std::string dataCentre = first->info.dataCentre;
-    std::erase_if(members,
-                  [&](const Member *member) { return member->info.dataCentre != dataCentre; });
-    m_crossTries[dataCentre] = now;
-    startProbe(*randomOf(members), true, now);
-}
-
 void Membership::startProbe(const Member &member, bool isCross, Base::MonoTime now)
 {
     const std::uint32_t number = ++m_probeNumber;
--- a/src/libs/membership/membership.h
+++ b/src/libs/membership/membership.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Lagoonbank::Membership {
@@ -186,6 +187,13 @@
     void setUrgent(Base::MonoTime now);
     std::vector<const Member *> peersWhere(const std::function<bool(const Member &)> &is) const;
     const Member *randomOf(const std::vector<const Member *> &members);
+    /// The members' data centres, the one that was heard of or tried longest ago first.
+    std::vector<std::string> crossOrder(const std::vector<const Member *> &members) const;
+    /// When a data centre was last heard of or tried.
+    Base::MonoTime crossTouched(const std::string &dataCentre) const;
+    /// This process's place among those of its data centre by id, and how many they are.
+    std::pair<std::size_t, std::size_t> ownRank() const;
+    std::size_t crossProbes(std::size_t dataCentres, std::size_t processes) const;
     bool isOwnDataCentre(const Member &member) const;
     bool isOwnRegion(const Member &member) const;
     std::uint32_t rumourLimit() const;
--- a/tests/auto/membership/tst_membership.cpp
+++ b/tests/auto/membership/tst_membership.cpp
@@ -145,6 +145,21 @@
 }
 
 // One direction between two members of a data centre is lost: others vouch, nobody dies.
+// With many data centres each one stays within reach of all, also of one with a single process.
+BOOST_DATA_TEST_CASE(manyDataCentresStayInReach, boost::unit_test::data::make({13, 65}), vms)
+{
+    FakeFleet fleet({.seed = 11, .vms = static_cast<std::size_t>(vms), .dataCentres = 13});
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.isConverged(); }, settleTime));
+    fleet.run(std::chrono::seconds(60));
+    std::size_t lost = 0;
+    fleet.eachStep = [&] {
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            lost += fleet.size() - fleet.at(i).usableMembers(fleet.now(), true).size();
+    };
+    fleet.run(std::chrono::seconds(30));
+    BOOST_TEST(lost == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(oneWayCutWithinADataCentre)
 {
     FakeFleet fleet({.seed = 9, .vms = 6, .dataCentres = 1});
