--- a/src/libs/router/inflightsharing.cpp
+++ b/src/libs/router/inflightsharing.cpp
@@ -12,10 +12,12 @@
 constexpr double bytesPerSecond = 2800;
 constexpr Base::Duration shortestInterval = std::chrono::milliseconds(50);
 constexpr Base::Duration longestInterval = std::chrono::seconds(1);
+/// With nothing to tell, a beacon only shows that this router is there.
+constexpr Base::Duration idleInterval = std::chrono::milliseconds(600);
 /// A peer that was not heard of for so long may be gone or cut off.
 constexpr Base::Duration silence = std::chrono::milliseconds(1500);
-/// Every so many beacons tell all endpoints, since datagrams get lost.
-constexpr std::uint64_t roundsBetweenFull = 8;
+/// How often all endpoints are told, since datagrams get lost.
+constexpr Base::Duration fullInterval = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -42,7 +44,7 @@
 void InFlightSharing::endpointsChanged()
 {
     m_endpointByKey.clear();
-    m_told.clear();
+    m_told.work.clear();
     const Routing::EndpointTable &endpoints = m_placer.routing().endpoints();
     for (Routing::EndpointIndex i = 0; i < endpoints.size(); ++i) {
         if (endpoints.contains(i))
@@ -76,7 +78,12 @@
 /// Returns when the next beacons may follow within their part of the budget.
 Base::Duration InFlightSharing::tellAll(const std::vector<Membership::MemberUpdate> &peers)
 {
-    const std::string body = encodeBeacon(Membership::PeerTransport::directMark, changedWork());
+    const Base::MonoTime now = m_loop.clock().now();
+    const std::vector<InFlight> changed = changedWork();
+    if (changed.empty() && now - m_told.at < idleInterval)
+        return shortestInterval;
+    m_told.at = now;
+    const std::string body = encodeBeacon(Membership::PeerTransport::directMark, changed);
     for (const Membership::MemberUpdate &peer : peers)
         m_peers.transport()->sendDirect(Membership::toSocketAddress(peer), body);
     const std::size_t datagram = body.size() + Membership::datagramOverheadBytes
@@ -89,17 +96,19 @@
 {
     const Routing::Router &routing = m_placer.routing();
     const Routing::EndpointTable &endpoints = routing.endpoints();
-    const bool tellsAll = m_round++ % roundsBetweenFull == 0;
-    m_told.resize(endpoints.size());
+    const bool tellsAll = m_loop.clock().now() - m_told.allAt >= fullInterval;
+    if (tellsAll)
+        m_told.allAt = m_loop.clock().now();
+    m_told.work.resize(endpoints.size());
     std::vector<InFlight> changed;
     for (Routing::EndpointIndex i = 0; i < endpoints.size(); ++i) {
         if (!endpoints.contains(i))
             continue;
         const InFlight now{Membership::nameKey(endpoints.info(i).id.value()),
                            routing.loads().ownInFlight(i)};
-        if (!tellsAll && now == m_told[i])
+        if (!tellsAll && now == m_told.work[i])
             continue;
-        m_told[i] = now;
+        m_told.work[i] = now;
         changed.push_back(now);
     }
     return changed;
--- a/src/libs/router/inflightsharing.h
+++ b/src/libs/router/inflightsharing.h
@@ -39,6 +39,14 @@
         Base::MonoTime heard;
     };
 
+    /// What the beacons have said.
+    struct Told
+    {
+        std::vector<InFlight> work; ///< By endpoint index.
+        Base::MonoTime at; ///< Of the last beacon.
+        Base::MonoTime allAt; ///< Of the last one that told all endpoints.
+    };
+
     void tell();
     Base::Duration tellAll(const std::vector<Membership::MemberUpdate> &peers);
     std::vector<InFlight> changedWork();
@@ -51,8 +59,7 @@
     Node::PeerLink &m_peers;
     absl::flat_hash_map<std::uint32_t, Base::EndpointId> m_endpointByKey;
     absl::flat_hash_map<std::string, Peer> m_heard;
-    std::vector<InFlight> m_told; ///< By endpoint index, as of the last beacon.
-    std::uint64_t m_round = 0;
+    Told m_told;
     Runtime::TimerId m_timer;
 };
 
