--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -92,37 +92,20 @@
 
 Result<void> ControllerProcess::startPeers()
 {
-    BOOST_OUTCOME_TRY(address, Runtime::parseSocketAddress(m_settings.peerAddress));
-    std::vector<Runtime::SocketAddress> seeds;
-    for (const std::string &seed : m_settings.seeds) {
-        BOOST_OUTCOME_TRY(parsed, Runtime::parseSocketAddress(seed));
-        seeds.push_back(parsed);
-    }
-    m_peers = std::make_unique<Node::PeerLink>(
-        Node::PeerLink::Options{.loop = &m_loop,
-                                .client = &m_client,
-                                .configuration = m_configuration.get(),
-                                .role = Membership::MemberRole::Controller,
-                                .vm = m_settings.vm,
-                                .dataCentre = m_settings.dataCentre,
-                                .region = m_settings.region,
-                                .address = address,
-                                .seeds = std::move(seeds),
-                                .keys = m_settings.peerKeys,
-                                .incarnation = m_incarnation,
-                                .control = m_settings.control,
-                                .events = &m_events});
+    BOOST_OUTCOME_TRY(peers,
+                      Node::PeerLink::create({.loop = &m_loop,
+                                              .client = &m_client,
+                                              .configuration = m_configuration.get(),
+                                              .role = Membership::MemberRole::Controller,
+                                              .incarnation = m_incarnation,
+                                              .events = &m_events},
+                                             m_settings, m_metrics.registry));
+    m_peers = std::move(peers);
     m_peers->memberChanged = [this](const Membership::Member &member,
                                     Membership::MemberEvent event) {
         noteEvent(Node::eventTypeOf(event), {.subject = member.info.id});
         m_logger.info("Member {} {}.", member.info.id, Membership::toString(event));
     };
-    m_peers->budget().spent = [this](Membership::ControlTraffic traffic, std::size_t bytes) {
-        m_metrics.registry
-            .counter("lagoonbank_control_bytes_total",
-                     {{"message", std::string(Membership::toString(traffic))}})
-            .increment(static_cast<double>(bytes));
-    };
     return m_peers->start();
 }
 
--- a/src/libs/node/peerlink.cpp
+++ b/src/libs/node/peerlink.cpp
@@ -58,6 +58,27 @@
         connectClock(*m_membership, *m_options.events, m_options.loop->clock());
 }
 
+Errors::Result<std::unique_ptr<PeerLink>> PeerLink::create(Options options,
+                                                           const std::string &address,
+                                                           const std::vector<std::string> &seeds,
+                                                           Metrics::Registry &metrics)
+{
+    BOOST_OUTCOME_TRY(own, Runtime::parseSocketAddress(address));
+    options.address = own;
+    for (const std::string &seed : seeds) {
+        BOOST_OUTCOME_TRY(parsed, Runtime::parseSocketAddress(seed));
+        options.seeds.push_back(parsed);
+    }
+    auto link = std::make_unique<PeerLink>(std::move(options));
+    link->budget().spent = [&metrics](Membership::ControlTraffic traffic, std::size_t bytes) {
+        metrics
+            .counter("lagoonbank_control_bytes_total",
+                     {{"message", std::string(Membership::toString(traffic))}})
+            .increment(static_cast<double>(bytes));
+    };
+    return link;
+}
+
 PeerLink::~PeerLink()
 {
     m_options.loop->timers().cancel(m_dutyTimer);
--- a/src/libs/node/peerlink.h
+++ b/src/libs/node/peerlink.h
@@ -5,6 +5,7 @@
 #include "membership/controlbudget.h"
 #include "membership/membership.h"
 #include "membership/peertransport.h"
+#include "metrics/registry.h"
 #include "node/configurationfollower.h"
 #include "platform/vmlistclient.h"
 #include "runtime/loop.h"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Lagoonbank::Node {
@@ -44,6 +46,20 @@
     /// Processes of a data centre that read the log themselves.
     static constexpr std::size_t logReadersPerDataCentre = 2;
 
+    /// Fills \a options up from the settings of a router or controller and counts control traffic
+    /// in lagoonbank_control_bytes_total of \a metrics.
+    template<typename Settings>
+    static Errors::Result<std::unique_ptr<PeerLink>>
+    create(Options options, const Settings &settings, Metrics::Registry &metrics)
+    {
+        options.vm = settings.vm;
+        options.dataCentre = settings.dataCentre;
+        options.region = settings.region;
+        options.keys = settings.peerKeys;
+        options.control = settings.control;
+        return create(std::move(options), settings.peerAddress, settings.seeds, metrics);
+    }
+
     explicit PeerLink(Options options);
     ~PeerLink();
 
@@ -64,6 +80,10 @@
         memberChanged;
 
 private:
+    static Errors::Result<std::unique_ptr<PeerLink>> create(Options options,
+                                                            const std::string &address,
+                                                            const std::vector<std::string> &seeds,
+                                                            Metrics::Registry &metrics);
     void pullConfiguration(const Runtime::SocketAddress &peer, bool wantsAll);
     void checkDuties();
 
