Runtime: Run timers and posted callbacks within the event loop

Cause: h2o aborted (write_pending: _cb.write != NULL) in the load tool at 12,000 calls a second, and would have in a router. A socket written from a timer, outside of the library's own turn, still counted as writing at the next wait; when its event did not fit among the 256 of that wait, its callback ran without the poll being taken back, and the next event found none. Ruled out: the pool's kept connections (the first round aborts too) and the answer parser. Change: due timers and posted callbacks run from a timeout of the event loop.

--- a/src/libs/runtime/loop.cpp
+++ b/src/libs/runtime/loop.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -53,16 +54,33 @@
         , timers(clock)
         , native(h2o_evloop_create())
         , lastWallOffset(wallOffset())
-    { }
+    {
+        h2o_timeout_init(native, &ownTimeout, 0);
+        ownEntry.entry.cb = [](h2o_timeout_entry_t *entry) {
+            H2O_STRUCT_FROM_MEMBER(OwnEntry, entry, entry)->loop->runOwn();
+        };
+        ownEntry.loop = this;
+    }
+
+    /// An entry of the event loop's timeouts that runs this loop's own callbacks.
+    struct OwnEntry
+    {
+        h2o_timeout_entry_t entry{};
+        Private *loop = nullptr;
+    };
 
     void followWallClock();
     void readSignals();
     void runPosted();
+    void runOwn();
+    void runOwnWithin();
 
     SystemClock systemClock;
     const Clock &clock;
     TimerQueue timers;
     h2o_evloop_t *native;
+    h2o_timeout_t ownTimeout{};
+    OwnEntry ownEntry;
     Base::Duration lastWallOffset;
     bool stopped = false;
     std::vector<std::function<void()>> posted;
@@ -114,6 +132,29 @@
         callback();
 }
 
+void Loop::Private::runOwn()
+{
+    runPosted();
+    timers.runDue();
+}
+
+/// Runs posted callbacks and due timers from a callback of the event loop, which ends with what
+/// they wrote being told. Written from outside of it, a socket would still count as writing at the
+/// next wait; when its event then does not fit among the 256 of one wait, the library aborts.
+void Loop::Private::runOwnWithin()
+{
+    const std::optional<Base::MonoTime> due = timers.nextDue();
+    if (posted.empty() && (!due || *due > clock.now()))
+        return;
+    h2o_timeout_link(native, &ownTimeout, &ownEntry.entry);
+    h2o_evloop_run(native, 0);
+    if (!h2o_timeout_is_linked(&ownEntry.entry))
+        return;
+    // The wall clock, by which the event loop counts, went back just now.
+    h2o_timeout_unlink(&ownEntry.entry);
+    runOwn();
+}
+
 Loop::Loop()
     : Loop(Options{})
 { }
@@ -137,6 +178,7 @@
         d->runPosted();
         h2o_evloop_run(d->native, 0);
     }
+    h2o_timeout_dispose(d->native, &d->ownTimeout);
     // The event loop must not be destroyed under timeouts that something still owns.
     if (h2o_linklist_is_empty(&d->native->_timeouts))
         h2o_evloop_destroy(d->native);
@@ -173,8 +215,7 @@
         wait = std::min(wait, *due - d->clock.now());
     d->followWallClock();
     h2o_evloop_run(d->native, waitMilliseconds(wait));
-    d->runPosted();
-    d->timers.runDue();
+    d->runOwnWithin();
 }
 
 void Loop::post(std::function<void()> callback)
--- /dev/null
+++ b/tests/auto/http/tst_manycalls.cpp
@@ -0,0 +1,48 @@
+#define BOOST_TEST_MODULE tst_manycalls
+#include "loopback.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lagoonbank;
+
+namespace {
+
+/// More than the events that the event loop takes in at once.
+constexpr int manyCalls = 900;
+
+struct Fixture : Test::PausedLoop
+{
+    Fixture()
+    {
+        server.setHandler(
+            [](const auto &, const auto &responder) { responder->send(200, {}, "answer"); });
+        BOOST_REQUIRE(server.listen());
+    }
+    void startMany()
+    {
+        for (int i = 0; i < manyCalls; ++i) {
+            client.start({.server = server.address()},
+                         {.finished = [&](const Http::CallResult &result) {
+                             ++ended;
+                             whole += result.end == Http::CallEnd::Whole;
+                         }});
+        }
+    }
+
+    int whole = 0;
+    int ended = 0;
+    Http::Server server{{.loop = &loop, .address = {"127.0.0.1", 0}}};
+    Http::Client client{{.loop = &loop, .maxIdlePerServer = manyCalls}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(callsThatBeginTogetherFromATimerAllEnd, Fixture)
+{
+    // The second and later rounds write on kept connections.
+    for (int round = 1; round <= 4; ++round) {
+        loop.timers().start({}, [&] { startMany(); });
+        BOOST_REQUIRE(runUntil([&] { return ended == round * manyCalls; }));
+    }
+    BOOST_TEST(whole == ended);
+}
