--- a/src/libs/controller/controllerprocess.cpp
+++ b/src/libs/controller/controllerprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "controller/targets.h"
 #include "node/memberevents.h"
+#include "node/platformbytes.h"
 
 #include <boost/outcome/try.hpp>
 
@@ -66,18 +67,12 @@
 Result<void> ControllerProcess::startPlatform()
 {
     BOOST_OUTCOME_TRY(server, Runtime::parseSocketAddress(m_settings.platformAddress));
-    const Platform::Transport transport = Platform::httpTransport(
-        {.client = &m_client,
-         .server = server,
-         .vm = m_settings.vm,
-         .dataCentre = m_settings.dataCentre,
-         .metered = [this](Base::Bytes sent, Base::Bytes received) {
-             Metrics::Registry &registry = m_metrics.registry;
-             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "sent"}})
-                 .increment(static_cast<double>(sent.value()));
-             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "received"}})
-                 .increment(static_cast<double>(received.value()));
-         }});
+    const Platform::Transport transport =
+        Platform::httpTransport({.client = &m_client,
+                                 .server = server,
+                                 .vm = m_settings.vm,
+                                 .dataCentre = m_settings.dataCentre,
+                                 .metered = Node::platformByteCounter(m_metrics.registry)});
     Runtime::TimerQueue *timers = &m_loop.timers();
     m_log = std::make_unique<Platform::LogClient>(Platform::LogClient::Options{
         .transport = transport, .timers = timers, .backoff = m_backoff});
@@ -326,9 +321,7 @@
 
 void ControllerProcess::configurationChanged()
 {
-    m_objects = Configuration::ObjectTable();
-    for (Schema::ConfigurationObject &object : m_configuration->objects())
-        m_objects.set(std::move(object));
+    m_objects = m_configuration->objects();
     if (m_configuration->isReady()) {
         // Not before: a part of the configuration must not be ordered as if it were all.
         updateTargets();
--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -189,17 +189,13 @@
         return;
     }
     if (result.headers.find("x-ran") == "no") {
-        refuseByStatus(result.status, result.headers);
+        failAttempt(
+            {ErrorKind::EndpointRefused, "Status " + std::to_string(result.status) + ".", Ran::No});
         return;
     }
     onCallWhole(std::move(result));
 }
 
-void Exchange::refuseByStatus(int status, const Http::Headers & /*headers*/)
-{
-    failAttempt({ErrorKind::EndpointRefused, "Status " + std::to_string(status) + ".", Ran::No});
-}
-
 void Exchange::stopCall()
 {
     if (m_call)
--- a/src/libs/exchange/exchange.h
+++ b/src/libs/exchange/exchange.h
@@ -171,7 +171,6 @@
     void placed(Placement placement);
     void startAttempt(bool resume);
     void callFinished(Http::CallResult result);
-    void refuseByStatus(int status, const Http::Headers &headers);
     void endAttempt(bool whole, Errors::Error error);
     void stopCall();
     void watchProgress();
--- a/src/libs/node/configurationfollower.cpp
+++ b/src/libs/node/configurationfollower.cpp
@@ -84,19 +84,16 @@
 
 void ConfigurationFollower::setFixed(std::vector<Schema::ConfigurationObject> objects)
 {
-    m_fixed = std::move(objects);
+    m_fixed = Configuration::ObjectTable();
+    for (Schema::ConfigurationObject &object : objects)
+        m_fixed.set(std::move(object));
     m_isFixed = true;
     stateChanged();
 }
 
-std::vector<Schema::ConfigurationObject> ConfigurationFollower::objects() const
+const Configuration::ObjectTable &ConfigurationFollower::objects() const
 {
-    if (m_isFixed)
-        return m_fixed;
-    std::vector<Schema::ConfigurationObject> objects;
-    for (const auto &[key, object] : m_reducer.objects().objects())
-        objects.push_back(*object);
-    return objects;
+    return m_isFixed ? m_fixed : m_reducer.objects();
 }
 
 bool ConfigurationFollower::isLogUp() const
--- a/src/libs/node/configurationfollower.h
+++ b/src/libs/node/configurationfollower.h
@@ -41,7 +41,7 @@
 
     bool isReady() const { return m_isFixed || m_reducer.isReady(); }
     /// All objects that are in force.
-    std::vector<Schema::ConfigurationObject> objects() const;
+    const Configuration::ObjectTable &objects() const;
     Configuration::Reducer &reducer() { return m_reducer; }
     const Configuration::Reducer &reducer() const { return m_reducer; }
     bool isLogUp() const;
@@ -75,7 +75,7 @@
     Timeline::EventLog *m_events;
     Configuration::Reducer m_reducer;
     std::unique_ptr<Platform::Tailer> m_tailer;
-    std::vector<Schema::ConfigurationObject> m_fixed;
+    Configuration::ObjectTable m_fixed;
     bool m_isFixed = false;
     bool m_isChangePosted = false;
 };
--- a/src/libs/router/inflightsharing.cpp
+++ b/src/libs/router/inflightsharing.cpp
@@ -43,14 +43,8 @@
 
 void InFlightSharing::endpointsChanged()
 {
-    m_endpointByKey.clear();
     m_told.work.clear();
-    const Routing::EndpointTable &endpoints = m_placer.routing().endpoints();
-    for (Routing::EndpointIndex i = 0; i < endpoints.size(); ++i) {
-        if (endpoints.contains(i))
-            m_endpointByKey.emplace(Membership::nameKey(endpoints.info(i).id.value()),
-                                    endpoints.info(i).id);
-    }
+    m_keys.update(m_placer.routing().endpoints());
 }
 
 std::vector<Membership::MemberUpdate> InFlightSharing::regionPeers(Base::MonoTime now) const
@@ -123,12 +117,10 @@
     const auto nextIndex = static_cast<Routing::PeerIndex>(m_heard.size());
     Peer &peer = m_heard.try_emplace(sender, Peer{nextIndex, now}).first->second;
     peer.heard = now;
+    peer.isForgotten = false;
     Routing::Router &routing = m_placer.routing();
     for (const InFlight &entry : *entries) {
-        const auto found = m_endpointByKey.find(entry.endpoint);
-        if (found == m_endpointByKey.end())
-            continue;
-        const Routing::EndpointIndex index = routing.endpoints().find(found->second);
+        const Routing::EndpointIndex index = m_keys.find(entry.endpoint, routing.endpoints());
         if (index != Routing::noEndpoint)
             routing.notePeer(peer.index, index, entry.work, now);
     }
@@ -139,8 +131,10 @@
                                  Base::MonoTime now)
 {
     for (auto &[id, peer] : m_heard) {
-        if (now - peer.heard > silence)
-            m_placer.routing().forgetPeer(peer.index, now);
+        if (now - peer.heard <= silence || peer.isForgotten)
+            continue;
+        peer.isForgotten = true;
+        m_placer.routing().forgetPeer(peer.index, now);
     }
     const bool isComplete =
         peers.size() <= mostPeers
--- a/src/libs/router/inflightsharing.h
+++ b/src/libs/router/inflightsharing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/peerlink.h"
+#include "router/endpointkeys.h"
 #include "router/inflightbeacon.h"
 #include "router/placer.h"
 #include "runtime/loop.h"
@@ -37,6 +38,7 @@
     {
         Routing::PeerIndex index = 0;
         Base::MonoTime heard;
+        bool isForgotten = false; ///< What it told no longer counts.
     };
 
     /// What the beacons have said.
@@ -57,7 +59,7 @@
     Runtime::Loop &m_loop;
     Placer &m_placer;
     Node::PeerLink &m_peers;
-    absl::flat_hash_map<std::uint32_t, Base::EndpointId> m_endpointByKey;
+    EndpointKeys m_keys;
     absl::flat_hash_map<std::string, Peer> m_heard;
     Told m_told;
     Runtime::TimerId m_timer;
--- a/src/libs/router/loadsharing.cpp
+++ b/src/libs/router/loadsharing.cpp
@@ -1,7 +1,5 @@
 #include "router/loadsharing.h"
 
-#include "membership/peercodec.h"
-
 namespace Lagoonbank::Router {
 
 LoadSharing::LoadSharing(Runtime::Loop &loop, Placer &placer, Membership::Membership &membership)
@@ -24,13 +22,7 @@
 
 void LoadSharing::endpointsChanged()
 {
-    m_endpointByKey.clear();
-    const Routing::EndpointTable &endpoints = m_placer.routing().endpoints();
-    for (Routing::EndpointIndex i = 0; i < endpoints.size(); ++i) {
-        if (endpoints.contains(i))
-            m_endpointByKey.emplace(Membership::nameKey(endpoints.info(i).id.value()),
-                                    endpoints.info(i).id);
-    }
+    m_keys.update(m_placer.routing().endpoints());
 }
 
 void LoadSharing::reported(const Base::EndpointId &endpoint, const LoadHeader &header)
@@ -40,10 +32,8 @@
 
 void LoadSharing::received(const Membership::LoadReport &report, Base::MonoTime sampledAt)
 {
-    const auto found = m_endpointByKey.find(report.endpoint);
-    if (found == m_endpointByKey.end())
-        return;
-    const Routing::EndpointIndex index = m_placer.routing().endpoints().find(found->second);
+    const Routing::EndpointIndex index =
+        m_keys.find(report.endpoint, m_placer.routing().endpoints());
     if (index == Routing::noEndpoint)
         return;
     m_placer.routing().noteReport(index,
--- a/src/libs/router/loadsharing.h
+++ b/src/libs/router/loadsharing.h
@@ -1,13 +1,10 @@
 #pragma once
 
 #include "membership/membership.h"
+#include "router/endpointkeys.h"
 #include "router/placer.h"
 #include "runtime/loop.h"
 
-#include <absl/container/flat_hash_map.h>
-
-#include <cstdint>
-
 namespace Lagoonbank::Router {
 
 /// Passes endpoints' load reports on to peers, and theirs to the routing decision.
@@ -29,7 +26,7 @@
     Runtime::Loop &m_loop;
     Placer &m_placer;
     Membership::Membership &m_membership;
-    absl::flat_hash_map<std::uint32_t, Base::EndpointId> m_endpointByKey;
+    EndpointKeys m_keys;
 };
 
 } // namespace Lagoonbank::Router
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -1,6 +1,7 @@
 #include "router/routerprocess.h"
 
 #include "node/memberevents.h"
+#include "node/platformbytes.h"
 #include "runtime/udpsocket.h"
 #include "timeline/requestid.h"
 
@@ -65,13 +66,7 @@
          .server = Runtime::parseSocketAddress(*m_settings.platformAddress).value(),
          .vm = m_settings.vm,
          .dataCentre = m_settings.dataCentre,
-         .metered = [this](Base::Bytes sent, Base::Bytes received) {
-             Metrics::Registry &registry = m_metrics.registry;
-             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "sent"}})
-                 .increment(static_cast<double>(sent.value()));
-             registry.counter("lagoonbank_platform_bytes_total", {{"direction", "received"}})
-                 .increment(static_cast<double>(received.value()));
-         }});
+         .metered = Node::platformByteCounter(m_metrics.registry)});
     m_log = std::make_unique<Platform::LogClient>(Platform::LogClient::Options{
         .transport = transport, .timers = &m_loop.timers(), .backoff = m_backoff});
     m_vmList = std::make_unique<Platform::VmListClient>(Platform::VmListClient::Options{
@@ -244,9 +239,8 @@
 
 void RouterProcess::configurationChanged()
 {
-    m_objects = std::make_shared<Configuration::ObjectTable>();
-    for (Schema::ConfigurationObject &object : m_configuration->objects())
-        m_objects->set(std::move(object));
+    // Copies share the objects.
+    m_objects = std::make_shared<Configuration::ObjectTable>(m_configuration->objects());
     m_applier->apply(*m_objects, m_callerApi->isReady());
     m_callerApi->setObjects(m_objects);
     m_peers->configurationChanged();
--- a/src/libs/routing/loadestimator.cpp
+++ b/src/libs/routing/loadestimator.cpp
@@ -85,13 +85,14 @@
     update(endpoint);
 }
 
-void LoadEstimator::setPeersComplete(bool complete)
+bool LoadEstimator::setPeersComplete(bool complete)
 {
     if (complete == m_isPeersComplete)
-        return;
+        return false;
     m_isPeersComplete = complete;
     for (EndpointIndex endpoint = 0; endpoint < m_rows.size(); ++endpoint)
         update(endpoint);
+    return true;
 }
 
 void LoadEstimator::forgetPeer(PeerIndex peer, Base::MonoTime now)
--- a/src/libs/routing/loadestimator.h
+++ b/src/libs/routing/loadestimator.h
@@ -70,7 +70,8 @@
                   Base::MonoTime now);
     /// Whether peers' work in flight is known of all of them and fresh. All load comes from
     /// routers, so that then it is the sum of their work and late reports add nothing.
-    void setPeersComplete(bool complete);
+    /// False if it was so already.
+    bool setPeersComplete(bool complete);
     /// The peer is gone; what it had in flight no longer counts.
     void forgetPeer(PeerIndex peer, Base::MonoTime now);
 
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -89,7 +89,8 @@
 
 void Router::setPeersComplete(bool complete)
 {
-    m_loads.setPeersComplete(complete);
+    if (!m_loads.setPeersComplete(complete))
+        return;
     for (EndpointIndex endpoint = 0; endpoint < m_candidates.size(); ++endpoint)
         updateLoad(endpoint);
 }
