--- /dev/null
+++ b/src/libs/gateway/endpointbook.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "fleet/endpoint.h"
+#include "gateway/endpointprotocol.h"
+#include "routing/suspicion.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Lagoonbank::Gateway {
+
+/// A mean over the last observations that forgets what is old.
+class FadingMean
+{
+public:
+    /// \a weight is that of the newest observation.
+    void add(double value, Base::MonoTime now, double weight = 0.2);
+    /// What is expected now: the mean while it is fresh, then more and more \a usual.
+    double value(double usual, Base::MonoTime now, Base::Duration halfLife) const;
+    bool isEmpty() const { return !m_at; }
+
+private:
+    double m_mean = 0;
+    std::optional<Base::MonoTime> m_at;
+};
+
+/// What this router knows of one endpoint.
+struct EndpointRecord
+{
+    Fleet::Endpoint info;
+    std::uint64_t hash = 0; ///< Of its id; the same on every router.
+    Routing::EndpointIndex index = Routing::noEndpoint;
+    bool isGone = false; ///< Its entry is gone; requests may still be in flight.
+    int inFlight = 0; ///< Requests of this router.
+    std::optional<LoadReport> report;
+    Base::MonoTime reportedAt;
+    int inFlightAtReport = 0;
+    FadingMean latency; ///< Seconds to the answer, or to the first event of a stream.
+    FadingMean pause; ///< Seconds between two events of a stream.
+    FadingMean failures; ///< 1 for an answer that failed, 0 for a good one.
+};
+
+using EndpointPtr = std::shared_ptr<EndpointRecord>;
+
+/// What this router knows of all endpoints. Pure: time is an argument.
+class EndpointBook
+{
+public:
+    struct Options
+    {
+        Routing::Suspicion::Options suspicion;
+        /// Age at which a report of load says no more than what this router has in flight.
+        Base::Duration reportLife = std::chrono::seconds(3);
+    };
+
+    explicit EndpointBook(Options options)
+        : m_options(options)
+        , m_suspicion(options.suspicion)
+    { }
+
+    void put(const Fleet::Endpoint &endpoint);
+    void remove(const Base::EndpointId &id);
+    /// Endpoints of a service, in the order of their ids.
+    const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
+    EndpointPtr find(const Base::EndpointId &id) const;
+    std::size_t size() const { return m_records.size(); }
+
+    void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
+    void requestEnded(EndpointRecord &endpoint) const { --endpoint.inFlight; }
+    void loadReported(EndpointRecord &endpoint, const LoadReport &report, Base::MonoTime now) const;
+    /// Requests that the endpoint has, from all routers, as far as can be told.
+    double load(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    Routing::Suspicion &suspicion() { return m_suspicion; }
+    const Routing::Suspicion &suspicion() const { return m_suspicion; }
+
+private:
+    Options m_options;
+    Routing::Suspicion m_suspicion;
+    absl::flat_hash_map<Base::EndpointId, EndpointPtr> m_records;
+    absl::flat_hash_map<Base::ServiceId, std::vector<EndpointPtr>> m_services;
+    std::vector<Routing::EndpointIndex> m_freeIndices;
+    Routing::EndpointIndex m_nextIndex = 0;
+};
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/eventcutter.cpp
@@ -0,0 +1,73 @@
+#include "gateway/eventcutter.h"
+
+#include "base/parsenumber.h"
+
+namespace Lagoonbank::Gateway {
+
+namespace {
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view eventEndWithReturns = "\r\n\r\n";
+constexpr std::string_view idField = "id:";
+/// Events hold a few tokens; this is far above and bounds the memory of a stream.
+constexpr std::size_t longestEvent = 1024 * 1024;
+
+std::string_view withoutBlanks(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
+        text.remove_suffix(1);
+    return text;
+}
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        if (line.starts_with(idField))
+            return Base::parseNumber<std::uint64_t>(withoutBlanks(line.substr(idField.size())));
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return std::nullopt;
+}
+
+/// Where the first event of \a text ends; nothing if it is not whole.
+std::optional<std::size_t> endOfEvent(std::string_view text, std::size_t from)
+{
+    const std::size_t plain = text.find(eventEnd, from);
+    const std::size_t returns = text.find(eventEndWithReturns, from);
+    if (plain == std::string_view::npos && returns == std::string_view::npos)
+        return std::nullopt;
+    return plain < returns ? plain + eventEnd.size() : returns + eventEndWithReturns.size();
+}
+
+} // namespace
+
+bool EventCutter::read(std::string_view piece, const std::function<void(const Event &event)> &event)
+{
+    m_rest.append(piece);
+    std::size_t start = 0;
+    std::size_t from = m_searched;
+    while (const auto end = endOfEvent(m_rest, from)) {
+        const std::string_view bytes = std::string_view(m_rest).substr(start, *end - start);
+        event({bytes, idOf(bytes)});
+        start = *end;
+        from = start;
+    }
+    m_rest.erase(0, start);
+    const std::size_t overlap = eventEndWithReturns.size() - 1;
+    m_searched = m_rest.size() > overlap ? m_rest.size() - overlap : 0;
+    return m_rest.size() <= longestEvent;
+}
+
+void EventCutter::clear()
+{
+    m_rest.clear();
+    m_searched = 0;
+}
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/gateway.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "fleet/configuration.h"
+#include "gateway/callerrequest.h"
+#include "gateway/endpointbook.h"
+#include "gateway/endpointprotocol.h"
+#include "gateway/fleetretrybudget.h"
+#include "gateway/gatewaymetrics.h"
+#include "gateway/placement.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "logging/decisionlog.h"
+#include "runtime/loop.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <functional>
+#include <memory>
+
+namespace Lagoonbank::Gateway {
+
+class RequestRun;
+
+/// How long a gateway waits for what.
+struct GatewayPatience
+{
+    /// For a connection to an endpoint. A live one accepts within a few ms; one that is cut off
+    /// does not answer at all, and the request has to be tried elsewhere in time.
+    Base::Duration connect = std::chrono::milliseconds(250);
+    /// Part of the target latency after which a request that may be repeated and has no answer
+    /// yet is sent elsewhere, so that the other endpoint still has time.
+    double firstShare = 0.6;
+    /// The same for a pause within a stream.
+    double pauseShare = 0.6;
+    /// Beyond a route's timeout, for the endpoint's own answer that it gave up.
+    Base::Duration afterTimeout = std::chrono::milliseconds(60);
+    /// What a caller is told when no endpoint could take its request.
+    Base::Duration comeBack = std::chrono::milliseconds(150);
+};
+
+/// Runs callers' requests: checks them, chooses an endpoint, sends them, passes the answer on, and
+/// repeats what may be repeated. It knows no header and no wire name.
+class Gateway
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Http::Client *client = nullptr;
+        EndpointProtocol protocol;
+        /// Tells a caller that its request is not answered by an endpoint.
+        std::function<void(Http::Responder &responder, const Refusal &refusal)> refuse;
+        Placement::Options placement;
+        EndpointBook::Options endpoints;
+        FleetRetryBudget::Options retryBudget;
+        GatewayPatience patience;
+        Logging::DecisionLog *log = nullptr;
+        GatewayMetrics *metrics = nullptr;
+    };
+
+    explicit Gateway(Options options);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /// Puts a configuration in force; an older one than that in force is left out.
+    void setConfiguration(std::shared_ptr<const Fleet::Configuration> configuration);
+    const std::shared_ptr<const Fleet::Configuration> &configuration() const
+    {
+        return m_configuration;
+    }
+    EndpointBook &endpoints() { return m_endpoints; }
+    FleetRetryBudget &retryBudget() { return m_retryBudget; }
+
+    void run(CallerRequest request, std::shared_ptr<Http::Responder> responder);
+    std::size_t inFlight() const { return m_runs.size(); }
+
+private:
+    friend class RequestRun;
+
+    Options m_options;
+    std::shared_ptr<const Fleet::Configuration> m_configuration;
+    EndpointBook m_endpoints;
+    Placement m_placement;
+    FleetRetryBudget m_retryBudget;
+    absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
+};
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -0,0 +1,112 @@
+#include "gateway/gatewaymetrics.h"
+
+#include <array>
+#include <string>
+
+namespace Lagoonbank::Gateway {
+
+namespace {
+
+using Metrics::Kind;
+using Metrics::Metric;
+
+const std::array catalogue{
+    Metric{"lagoonbank_gateway_requests_total",
+           Kind::Counter,
+           "requests",
+           "Requests that callers sent.",
+           "Compare with the usual load; a surge shows in the refusals.",
+           {}},
+    Metric{"lagoonbank_gateway_in_flight",
+           Kind::Gauge,
+           "requests",
+           "Requests that have not ended.",
+           "Endpoints have become slower or more callers came.",
+           {}},
+    Metric{"lagoonbank_gateway_answers_total",
+           Kind::Counter,
+           "requests",
+           "Whole answers of endpoints that were passed on, by the first digit of their status.",
+           "Rising 5xx: an endpoint fails; the log line of an answer names it.",
+           {}},
+    Metric{"lagoonbank_gateway_refusals_total",
+           Kind::Counter,
+           "requests",
+           "Requests that no endpoint answered, by error kind.",
+           "Look the kind up in OPERATIONS.md.",
+           {}},
+    Metric{"lagoonbank_gateway_repeats_total",
+           Kind::Counter,
+           "sends",
+           "Sends beyond the first of a request, by error kind of the one before.",
+           "An endpoint fails, is full or silent; the log lines of the sends name it.",
+           {}},
+    Metric{"lagoonbank_gateway_first_event_seconds", Kind::Histogram, "seconds",
+           "Time from a request to the first event of its stream.",
+           "Engines are full, or prompts are read again after they moved.", Metrics::latencyBounds},
+    Metric{"lagoonbank_gateway_request_seconds", Kind::Histogram, "seconds",
+           "Time from a request to the end of its answer.",
+           "See the first event; if that is steady, engines generate more slowly.",
+           Metrics::latencyBounds},
+    Metric{"lagoonbank_gateway_endpoints",
+           Kind::Gauge,
+           "endpoints",
+           "Endpoints that are known.",
+           "It falls: endpoints left, crashed, or their entries in the store lapsed.",
+           {}},
+    Metric{"lagoonbank_gateway_configuration_revision",
+           Kind::Gauge,
+           "revision",
+           "Revision of the configuration in force; 0 before the first.",
+           "It differs between routers: one does not reach the store nor its peers.",
+           {}},
+    Metric{"lagoonbank_gateway_store_up",
+           Kind::Gauge,
+           "1 or 0",
+           "Whether the last read of a topic of the store was answered, by topic.",
+           "0: the router goes on with what it knows; look at the age.",
+           {}},
+    Metric{"lagoonbank_gateway_store_calls_total",
+           Kind::Counter,
+           "calls",
+           "Calls to the store, by outcome.",
+           "Refused or lost calls: the store is down, slow or turns this router away.",
+           {}},
+};
+
+} // namespace
+
+Metrics::Catalogue gatewayCatalogue()
+{
+    return catalogue;
+}
+
+GatewayMetrics::GatewayMetrics()
+    : registry(gatewayCatalogue())
+    , requests(registry.counter("lagoonbank_gateway_requests_total"))
+    , inFlight(registry.gauge("lagoonbank_gateway_in_flight"))
+    , firstEvent(registry.histogram("lagoonbank_gateway_first_event_seconds"))
+    , requestTime(registry.histogram("lagoonbank_gateway_request_seconds"))
+    , endpoints(registry.gauge("lagoonbank_gateway_endpoints"))
+    , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
+{ }
+
+Metrics::Counter GatewayMetrics::answers(int status)
+{
+    return registry.counter("lagoonbank_gateway_answers_total",
+                            {{"status", std::to_string(status / 100) + "xx"}});
+}
+
+Metrics::Counter GatewayMetrics::refusals(Errors::ErrorKind kind)
+{
+    return registry.counter("lagoonbank_gateway_refusals_total",
+                            {{"kind", std::string(Errors::toString(kind))}});
+}
+
+Metrics::Counter GatewayMetrics::repeats(Errors::ErrorKind kind)
+{
+    return registry.counter("lagoonbank_gateway_repeats_total",
+                            {{"kind", std::string(Errors::toString(kind))}});
+}
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "errors/errorkind.h"
+#include "metrics/registry.h"
+
+namespace Lagoonbank::Gateway {
+
+/// All metrics of a gateway process, for its page and its tests.
+Metrics::Catalogue gatewayCatalogue();
+
+/// What a gateway counts. Label values come from closed lists.
+class GatewayMetrics
+{
+public:
+    GatewayMetrics();
+
+    Metrics::Registry registry;
+    Metrics::Counter requests;
+    Metrics::Gauge inFlight;
+    Metrics::Histogram firstEvent;
+    Metrics::Histogram requestTime;
+    Metrics::Gauge endpoints;
+    Metrics::Gauge configuration;
+
+    Metrics::Counter answers(int status);
+    Metrics::Counter refusals(Errors::ErrorKind kind);
+    Metrics::Counter repeats(Errors::ErrorKind kind);
+};
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/placement.cpp
@@ -0,0 +1,157 @@
+#include "gateway/placement.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace Lagoonbank::Gateway {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> reasonNames{"home",       "home_busy", "home_slow",
+                                                      "least_cost", "trial",     "last_resort"};
+
+bool isTried(const PlacementRequest &request, const EndpointPtr &endpoint)
+{
+    return std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
+}
+
+} // namespace
+
+std::string_view toString(PlacementReason reason)
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+Place Placement::choose(const PlacementRequest &request, EndpointBook &book,
+                        Base::MonoTime now) const
+{
+    Candidates candidates = candidatesFor(request, book, now);
+    if (candidates.empty())
+        return lastResort(request, book);
+    double sum = 0;
+    for (const Candidate &candidate : candidates)
+        sum += candidate.load;
+    const double mean = sum / static_cast<double>(candidates.size());
+    const std::size_t count = candidates.size();
+    Place place;
+    const auto trial = std::find_if(candidates.begin(), candidates.end(),
+                                    [](const Candidate &one) { return one.isTrial; });
+    if (trial != candidates.end()) {
+        place = {
+            .endpoint = trial->endpoint, .reason = PlacementReason::Trial, .load = trial->load};
+        book.suspicion().noteTrialSent(trial->endpoint->index, now);
+    } else if (request.affinity) {
+        place = byAffinity(request, std::move(candidates), now);
+    } else {
+        place = byCost(candidates, now);
+    }
+    place.meanLoad = mean;
+    place.candidates = count;
+    return place;
+}
+
+Placement::Candidates Placement::candidatesFor(const PlacementRequest &request,
+                                               const EndpointBook &book, Base::MonoTime now) const
+{
+    Candidates candidates;
+    for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
+        if (endpoint->info.state != Fleet::EndpointState::Ready || isTried(request, endpoint))
+            continue;
+        const bool isTrusted =
+            book.suspicion().state(endpoint->index) == Routing::Suspicion::State::Trusted;
+        const bool isTrial =
+            !isTrusted && request.mayRepeat && book.suspicion().admitsTrial(endpoint->index, now);
+        if (isTrusted || isTrial)
+            candidates.push_back({endpoint, book.load(*endpoint, now), isTrial});
+    }
+    return candidates;
+}
+
+Place Placement::byAffinity(const PlacementRequest &request, Candidates candidates,
+                            Base::MonoTime now) const
+{
+    const Routing::RendezvousCost order(*request.affinity);
+    std::sort(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
+        return order.cost(a.endpoint->hash, 1) < order.cost(b.endpoint->hash, 1);
+    });
+    double sum = 1; // The request itself.
+    for (const Candidate &candidate : candidates)
+        sum += candidate.load;
+    const double bound =
+        m_options.boundFactor * sum / static_cast<double>(candidates.size()) + m_options.boundSlack;
+    PlacementReason reason = PlacementReason::Home;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.load + 1 > bound) {
+            reason = PlacementReason::HomeBusy;
+            continue;
+        }
+        if (isSlow(request, *candidate.endpoint, now)) {
+            reason = PlacementReason::HomeSlow;
+            continue;
+        }
+        return {.endpoint = candidate.endpoint, .reason = reason, .load = candidate.load};
+    }
+    const auto least =
+        std::min_element(candidates.begin(), candidates.end(),
+                         [](const Candidate &a, const Candidate &b) { return a.load < b.load; });
+    return {.endpoint = least->endpoint, .reason = reason, .load = least->load};
+}
+
+Place Placement::byCost(const Candidates &candidates, Base::MonoTime now) const
+{
+    double usual = 0;
+    for (const Candidate &candidate : candidates)
+        usual += candidate.endpoint->latency.value(0, now, m_options.speedHalfLife);
+    usual /= static_cast<double>(candidates.size());
+    Place best;
+    double least = std::numeric_limits<double>::max();
+    for (const Candidate &candidate : candidates) {
+        const EndpointRecord &endpoint = *candidate.endpoint;
+        const double slots = std::max(1, endpoint.info.slots);
+        const double queues = std::max(1.0, (candidate.load + 1) / slots);
+        const bool isRemote = endpoint.info.dataCentre != m_options.dataCentre;
+        const double cost = endpoint.latency.value(usual, now, m_options.speedHalfLife) * queues
+            + 0.001 * candidate.load / slots
+            + (isRemote ? Base::toSeconds(m_options.remoteCost) : 0.0);
+        if (cost >= least)
+            continue;
+        least = cost;
+        best = {.endpoint = candidate.endpoint,
+                .reason = PlacementReason::LeastCost,
+                .load = candidate.load};
+    }
+    return best;
+}
+
+Place Placement::lastResort(const PlacementRequest &request, const EndpointBook &book) const
+{
+    Place place{.reason = PlacementReason::LastResort};
+    for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
+        const bool isUsable =
+            endpoint->info.state == Fleet::EndpointState::Ready && !isTried(request, endpoint);
+        if (!isUsable)
+            continue;
+        const bool isBetter = !place.endpoint
+            || book.suspicion().suspectedSince(endpoint->index)
+                < book.suspicion().suspectedSince(place.endpoint->index);
+        if (isBetter)
+            place.endpoint = endpoint;
+    }
+    return place;
+}
+
+bool Placement::isSlow(const PlacementRequest &request, const EndpointRecord &endpoint,
+                       Base::MonoTime now) const
+{
+    const double pause = endpoint.pause.value(0, now, m_options.speedHalfLife);
+    const double latency = endpoint.latency.value(0, now, m_options.speedHalfLife);
+    const double longestPause = Base::toSeconds(request.longestPause);
+    const double target = Base::toSeconds(request.targetLatency);
+    return (longestPause > 0 && pause > m_options.slowShare * longestPause)
+        || (target > 0 && latency > m_options.slowShare * target);
+}
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/placement.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "gateway/endpointbook.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace Lagoonbank::Gateway {
+
+/// One request, as far as its place depends on it.
+struct PlacementRequest
+{
+    Base::ServiceId service;
+    /// Requests with the same value share a prompt and belong on the same endpoint; nothing where
+    /// endpoints cache nothing.
+    std::optional<std::uint64_t> affinity;
+    Base::Duration targetLatency{};
+    Base::Duration longestPause{};
+    bool mayRepeat = false; ///< Only such a request finds out whether a suspected endpoint is back.
+    std::vector<EndpointPtr> tried; ///< Not to be taken again.
+};
+
+/// Why an endpoint was taken.
+enum class PlacementReason : std::uint8_t {
+    Home, ///< First in the order of the request's affinity.
+    HomeBusy, ///< Endpoints before it in that order had too much work.
+    HomeSlow, ///< Endpoints before it in that order were too slow.
+    LeastCost, ///< Soonest done, by its load, its speed and its data centre.
+    Trial, ///< Suspected before; finds out whether it is back.
+    LastResort ///< All are suspected; the one that was suspected longest ago.
+};
+std::string_view toString(PlacementReason reason);
+
+struct Place
+{
+    EndpointPtr endpoint; ///< Null if there is none.
+    PlacementReason reason = PlacementReason::Home;
+    double load = 0; ///< Of the endpoint, in requests.
+    double meanLoad = 0; ///< Of the service.
+    std::size_t candidates = 0;
+};
+
+/// Chooses the endpoint of a request. Pure: state and time in, a place out.
+class Placement
+{
+public:
+    struct Options
+    {
+        Base::DataCentreId dataCentre; ///< Of this router.
+        /// A cached prompt is left when its endpoint has this many times the mean load, plus
+        /// `boundSlack`. The fleet's rule allows 2 and 3; late reports take up the rest.
+        double boundFactor = 1.5;
+        double boundSlack = 2;
+        /// An endpoint is slow when it takes this part of the time that a request has.
+        double slowShare = 0.6;
+        /// In which half of what was learnt of an endpoint's speed is forgotten, so that one that
+        /// has become fast again is found out.
+        Base::Duration speedHalfLife = std::chrono::seconds(4);
+        /// What an endpoint of another data centre costs beyond its own time: the way there and
+        /// the price of the bytes.
+        Base::Duration remoteCost = std::chrono::milliseconds(10);
+    };
+
+    explicit Placement(Options options)
+        : m_options(std::move(options))
+    { }
+
+    Place choose(const PlacementRequest &request, EndpointBook &book, Base::MonoTime now) const;
+
+private:
+    struct Candidate
+    {
+        EndpointPtr endpoint;
+        double load = 0;
+        bool isTrial = false;
+    };
+    using Candidates = std::vector<Candidate>;
+
+    Candidates candidatesFor(const PlacementRequest &request, const EndpointBook &book,
+                             Base::MonoTime now) const;
+    Place byAffinity(const PlacementRequest &request, Candidates candidates,
+                     Base::MonoTime now) const;
+    Place byCost(const Candidates &candidates, Base::MonoTime now) const;
+    Place lastResort(const PlacementRequest &request, const EndpointBook &book) const;
+    bool isSlow(const PlacementRequest &request, const EndpointRecord &endpoint,
+                Base::MonoTime now) const;
+
+    Options m_options;
+};
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/requestrun.cpp
@@ -0,0 +1,526 @@
+#include "gateway/requestrun.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lagoonbank::Gateway {
+
+namespace {
+
+using Errors::ErrorKind;
+using Errors::Ran;
+
+constexpr std::string_view part = "gateway";
+/// For requests whose caller and route set no limit: far above what callers wait.
+constexpr Base::Duration longestRequest = std::chrono::minutes(10);
+/// An answer that is not a stream is passed on when it is whole; larger ones are cut off.
+constexpr std::size_t longestAnswer = 16 * 1024 * 1024;
+/// Sends that endpoints refused or that found no connection, for one request.
+constexpr std::size_t mostTries = 4;
+/// Less time than this is not worth a send: no endpoint answers so soon.
+constexpr Base::Duration leastTime = std::chrono::milliseconds(10);
+
+/// Above the share of errors that good endpoints give for requests that are wrong themselves.
+constexpr double failureShareToSuspect = 0.4;
+constexpr Base::Duration failureHalfLife = std::chrono::seconds(4);
+
+} // namespace
+
+RequestRun::RequestRun(Gateway &gateway, CallerRequest request,
+                       std::shared_ptr<Http::Responder> responder)
+    : m_gateway(gateway)
+    , m_timers(gateway.m_options.loop->timers())
+    , m_request(std::move(request))
+    , m_responder(std::move(responder))
+    , m_configuration(gateway.m_configuration)
+    , m_cameAt(m_timers.clock().now())
+    , m_deadline(m_cameAt + longestRequest)
+{ }
+
+RequestRun::~RequestRun()
+{
+    if (m_deadlineTimer)
+        m_timers.cancel(*m_deadlineTimer);
+    if (m_silenceTimer)
+        m_timers.cancel(*m_silenceTimer);
+}
+
+void RequestRun::start()
+{
+    m_responder->setGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerLeft();
+    });
+    if (m_isEnded || !isAdmitted())
+        return;
+    m_deadlineTimer = m_timers.start(m_deadline - m_timers.clock().now(), [this] {
+        m_deadlineTimer.reset();
+        deadlinePassed();
+    });
+    m_gateway.m_retryBudget.requestCame(m_service, m_cameAt);
+    place();
+}
+
+void RequestRun::drop()
+{
+    m_isEnded = true;
+    cancelAttempt();
+    m_responder->setGone(nullptr);
+    m_responder->abort();
+}
+
+bool RequestRun::isAdmitted()
+{
+    if (!m_configuration) {
+        refuse(ErrorKind::NotReady, Ran::No, m_gateway.m_options.patience.comeBack);
+        return false;
+    }
+    m_route = m_configuration->findRoute(m_request.host, m_request.path);
+    if (!m_route) {
+        refuse(ErrorKind::NotFound, Ran::No);
+        return false;
+    }
+    if (m_configuration->hasWorkspaces() && m_request.key)
+        m_workspace = m_configuration->findWorkspace(*m_request.key);
+    const bool needsKey = m_configuration->hasWorkspaces() && !m_route->isAnonymous;
+    if (needsKey && !m_workspace) {
+        refuse(m_request.key ? ErrorKind::UnknownKey : ErrorKind::MissingKey, Ran::No);
+        return false;
+    }
+    m_priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
+    m_service = Fleet::serviceFor(*m_route, Routing::stableHash(m_request.id.value()));
+    if (m_request.patience)
+        m_deadline = std::min(m_deadline, m_cameAt + *m_request.patience);
+    if (m_route->timeout > Base::Duration::zero())
+        m_deadline = std::min(m_deadline, m_cameAt + m_route->timeout);
+    return true;
+}
+
+Base::Duration RequestRun::timeLeft() const
+{
+    return m_deadline - m_timers.clock().now();
+}
+
+/// Requests that share all but their last part belong on one endpoint.
+std::optional<std::uint64_t> RequestRun::affinity() const
+{
+    if (!m_route->usesPromptCache || !m_request.prompt || m_request.prompt->parts.empty())
+        return std::nullopt;
+    const std::vector<PromptPart> &parts = m_request.prompt->parts;
+    const std::size_t shared = std::max<std::size_t>(1, parts.size() - 1);
+    std::uint64_t hash = Routing::stableHash(m_request.prompt->model);
+    for (std::size_t i = 0; i < shared; ++i)
+        hash = Routing::mixHashes(hash, parts[i].id);
+    return hash;
+}
+
+std::optional<std::uint64_t> RequestRun::resumeAfter() const
+{
+    return m_lastEvent ? m_lastEvent : m_request.resumeAfter;
+}
+
+void RequestRun::place()
+{
+    const Base::MonoTime now = m_timers.clock().now();
+    const Place place = m_gateway.m_placement.choose({.service = m_service,
+                                                      .affinity = affinity(),
+                                                      .targetLatency = m_route->targetLatency,
+                                                      .longestPause = m_route->longestPause,
+                                                      .mayRepeat = m_route->mayRepeat(),
+                                                      .tried = m_tried},
+                                                     m_gateway.m_endpoints, now);
+    if (!place.endpoint) {
+        giveUp({.kind = ErrorKind::NoEndpoint, .hasReached = false, .hasRun = m_ranAt > 0});
+        return;
+    }
+    m_gateway.m_options.log->request(part, "Sending.",
+                                     {{"request", m_request.id.value()},
+                                      {"route", m_route->name},
+                                      {"endpoint", place.endpoint->info.id.value()},
+                                      {"reason", toString(place.reason)},
+                                      {"load", place.load},
+                                      {"mean_load", place.meanLoad},
+                                      {"candidates", place.candidates},
+                                      {"load_age_ms", now - place.endpoint->reportedAt},
+                                      {"send", m_tried.size() + 1},
+                                      {"revision", m_configuration->revision().value()},
+                                      {"left_ms", timeLeft()}});
+    send(place);
+}
+
+void RequestRun::send(const Place &place)
+{
+    m_tried.push_back(place.endpoint);
+    m_attempt.emplace();
+    m_attempt->endpoint = place.endpoint;
+    m_attempt->startedAt = m_timers.clock().now();
+    m_gateway.m_endpoints.requestSent(*place.endpoint);
+    m_cutter.clear();
+    Http::Call call = m_gateway.m_options.protocol.makeCall(
+        {.request = &m_request,
+         .endpoint = &place.endpoint->info,
+         .workspace = m_workspace ? m_workspace->name : Base::WorkspaceId(),
+         .timeLeft = std::max(timeLeft(), Base::Duration::zero()),
+         .priority = m_priority,
+         .resumeAfter = resumeAfter()});
+    call.freshConnection = !m_route->mayRepeat();
+    call.connectTimeout = m_gateway.m_options.patience.connect;
+    // The run's own timers watch the answer.
+    call.headTimeout = longestRequest;
+    call.progressTimeout = longestRequest;
+    call.totalTimeout = longestRequest;
+    const Base::Duration target = m_route->targetLatency;
+    if (m_route->mayRepeat() && target > Base::Duration::zero()) {
+        armSilence(std::chrono::duration_cast<Base::Duration>(
+            target * m_gateway.m_options.patience.firstShare));
+    }
+    m_attempt->call = m_gateway.m_options.client->start(std::move(call), hooks());
+}
+
+Http::Hooks RequestRun::hooks()
+{
+    const std::weak_ptr<RequestRun> weak = weak_from_this();
+    return {.leaving =
+                [weak] {
+                    const auto self = weak.lock();
+                    if (!self || !self->m_attempt)
+                        return;
+                    self->m_attempt->hasLeft = true;
+                    ++self->m_ranAt;
+                    ++self->m_sends;
+                },
+            .headReceived =
+                [weak](int status, const Http::Headers &headers) {
+                    if (const auto self = weak.lock())
+                        self->headReceived(status, headers);
+                },
+            .bodyReceived =
+                [weak](std::string_view piece) {
+                    if (const auto self = weak.lock())
+                        self->bodyReceived(piece);
+                },
+            .finished =
+                [weak](const Http::CallResult &result) {
+                    if (const auto self = weak.lock())
+                        self->callFinished(result);
+                }};
+}
+
+void RequestRun::headReceived(int status, const Http::Headers &headers)
+{
+    Attempt &attempt = *m_attempt;
+    attempt.status = status;
+    attempt.headers = headers;
+    attempt.facts = m_gateway.m_options.protocol.readHead(m_request, status, headers);
+    if (attempt.facts.load) {
+        m_gateway.m_endpoints.loadReported(*attempt.endpoint, *attempt.facts.load,
+                                           m_timers.clock().now());
+    }
+    const bool isGood = status >= 200 && status < 300 && attempt.facts.isOwn;
+    attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
+    if (attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
+        return;
+    attemptFailed({.kind = ErrorKind::AnswerMismatch});
+}
+
+void RequestRun::bodyReceived(std::string_view piece)
+{
+    if (!m_attempt)
+        return;
+    if (!m_attempt->isStreaming) {
+        m_attempt->body += piece;
+        if (m_attempt->body.size() > longestAnswer)
+            attemptFailed({.kind = ErrorKind::EndpointBroke});
+        return;
+    }
+    bool isInOrder = true;
+    const bool isRead = m_cutter.read(
+        piece, [&](const EventCutter::Event &event) { isInOrder = isInOrder && passEvent(event); });
+    if (!isRead || !isInOrder)
+        attemptFailed({.kind = ErrorKind::EndpointBroke});
+}
+
+/// Passes a whole event on; false if events before it are missing.
+bool RequestRun::passEvent(const EventCutter::Event &event)
+{
+    Attempt &attempt = *m_attempt;
+    const Base::MonoTime now = m_timers.clock().now();
+    if (event.id && m_lastEvent) {
+        if (*event.id <= *m_lastEvent)
+            return true; // The caller has it already.
+        if (*event.id > *m_lastEvent + 1)
+            return false;
+    }
+    if (event.id)
+        m_lastEvent = event.id;
+    if (!m_hasBegun) {
+        m_hasBegun = true;
+        m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_cameAt));
+        m_responder->begin(attempt.status, attempt.headers);
+    }
+    if (attempt.lastEventAt)
+        attempt.endpoint->pause.add(Base::toSeconds(now - *attempt.lastEventAt), now);
+    else
+        attempt.endpoint->latency.add(Base::toSeconds(now - attempt.startedAt), now);
+    attempt.lastEventAt = now;
+    ++m_events;
+    m_responder->write(event.bytes);
+    if (m_route->mayRepeat() && m_route->longestPause > Base::Duration::zero()) {
+        armSilence(std::chrono::duration_cast<Base::Duration>(
+            m_route->longestPause * m_gateway.m_options.patience.pauseShare));
+    }
+    return true;
+}
+
+void RequestRun::callFinished(const Http::CallResult &result)
+{
+    if (!m_attempt || m_isEnded)
+        return;
+    if (result.end == Http::CallEnd::Whole) {
+        answerWhole();
+        return;
+    }
+    const bool isNotConnected = result.end == Http::CallEnd::NotConnected;
+    attemptFailed(
+        {.kind = isNotConnected ? ErrorKind::EndpointUnreachable : ErrorKind::EndpointBroke,
+         .hasReached = !isNotConnected,
+         .hasRun = !isNotConnected});
+}
+
+void RequestRun::answerWhole()
+{
+    const Attempt &attempt = *m_attempt;
+    const HeadFacts &facts = attempt.facts;
+    if (facts.isNotRun || facts.isOtherEndpoint) {
+        --m_ranAt;
+        attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
+        return;
+    }
+    const bool isFailure = attempt.status >= 500;
+    // A failure after the head of a stream has been passed on cannot be passed on itself.
+    const bool isUnusable = m_hasBegun && !attempt.isStreaming;
+    if (isUnusable || (isFailure && mayGoOn())) {
+        attemptFailed({.kind = ErrorKind::EndpointBroke});
+        return;
+    }
+    noteAnswer(!isFailure);
+    passWhole();
+}
+
+void RequestRun::passWhole()
+{
+    Attempt &attempt = *m_attempt;
+    const Base::MonoTime now = m_timers.clock().now();
+    const int status = attempt.status;
+    if (attempt.isStreaming) {
+        if (!m_hasBegun)
+            m_responder->begin(status, attempt.headers);
+        m_responder->write(m_cutter.rest());
+        m_responder->end();
+    } else {
+        attempt.endpoint->latency.add(Base::toSeconds(now - attempt.startedAt), now);
+        m_responder->send(status, attempt.headers, std::move(attempt.body));
+    }
+    m_gateway.m_options.metrics->answers(status).increment();
+    end("answered", status);
+}
+
+/// The send under way has failed; goes on elsewhere or gives up.
+void RequestRun::attemptFailed(const Failure &failure)
+{
+    noteFailure(failure);
+    cancelAttempt();
+    const bool goesOn = mayGoOn();
+    m_gateway.m_options.log->request(
+        part, "The send failed.",
+        {{"request", m_request.id.value()},
+         {"endpoint", m_tried.back()->info.id.value()},
+         {"kind", Errors::toString(failure.kind)},
+         {"reached", failure.hasReached},
+         {"may_have_run", failure.hasRun},
+         {"events", m_events},
+         {"goes_on", goesOn},
+         {"repeats_left", m_gateway.m_retryBudget.left(m_service, m_timers.clock().now())},
+         {"left_ms", timeLeft()}});
+    if (goesOn)
+        goOn(failure);
+    else
+        giveUp(failure);
+}
+
+bool RequestRun::mayGoOn()
+{
+    if (m_tried.size() >= mostTries || timeLeft() < leastTime)
+        return false;
+    if (m_ranAt > 0 && (!m_route->mayRepeat() || m_ranAt >= m_route->maxEndpoints))
+        return false;
+    const bool isRepeat = m_sends > 0;
+    return !isRepeat || m_gateway.m_retryBudget.left(m_service, m_timers.clock().now()) >= 1;
+}
+
+void RequestRun::goOn(const Failure &failure)
+{
+    if (m_sends > 0)
+        m_gateway.m_retryBudget.spend(m_service, m_timers.clock().now());
+    m_gateway.m_options.metrics->repeats(failure.kind).increment();
+    place();
+}
+
+void RequestRun::noteFailure(const Failure &failure)
+{
+    if (!m_attempt || m_attempt->endpoint->isGone)
+        return;
+    using Routing::ExchangeResult;
+    EndpointRecord &endpoint = *m_attempt->endpoint;
+    const Base::MonoTime now = m_timers.clock().now();
+    Routing::Suspicion &suspicion = m_gateway.m_endpoints.suspicion();
+    if (!failure.hasReached)
+        suspicion.noteResult(endpoint.index, ExchangeResult::Unreachable, now);
+    else if (failure.hasRun)
+        noteAnswer(false);
+}
+
+void RequestRun::giveUp(const Failure &failure)
+{
+    if (m_hasBegun) {
+        m_responder->abort();
+        end("cut", 0);
+        return;
+    }
+    const bool hasRun = failure.hasRun || m_ranAt > 0;
+    if (hasRun)
+        refuse(failure.kind, Ran::Unknown);
+    else
+        refuse(failure.kind, Ran::No, m_gateway.m_options.patience.comeBack);
+}
+
+void RequestRun::refuse(ErrorKind kind, Ran ran, std::optional<Base::Duration> retryAfter)
+{
+    m_gateway.m_options.metrics->refusals(kind).increment();
+    m_gateway.m_options.log->request(
+        part, "Refused.",
+        {{"request", m_request.id.value()},
+         {"kind", Errors::toString(kind)},
+         {"ran", Errors::toString(ran)},
+         {"host", m_request.host},
+         {"path", m_request.path},
+         {"revision", m_configuration ? m_configuration->revision().value() : 0},
+         {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
+    m_gateway.m_options.refuse(*m_responder, {.kind = kind, .ran = ran, .retryAfter = retryAfter});
+    end("refused", 0);
+}
+
+void RequestRun::callerLeft()
+{
+    if (m_isEnded)
+        return;
+    cancelAttempt();
+    end("caller_left", 0);
+}
+
+void RequestRun::deadlinePassed()
+{
+    if (m_isEnded)
+        return;
+    const bool isInFlight = m_attempt && m_attempt->hasLeft;
+    const bool isLate =
+        m_timers.clock().now() >= m_deadline + m_gateway.m_options.patience.afterTimeout;
+    if (isInFlight && !isLate) {
+        // The endpoint was told the same time and is about to say so itself.
+        m_deadlineTimer = m_timers.start(m_gateway.m_options.patience.afterTimeout, [this] {
+            m_deadlineTimer.reset();
+            deadlinePassed();
+        });
+        return;
+    }
+    if (m_attempt)
+        noteAnswer(false);
+    cancelAttempt();
+    giveUp({.kind = m_ranAt > 0 ? ErrorKind::EndpointTimeout : ErrorKind::EndpointUnreachable,
+            .hasRun = m_ranAt > 0});
+}
+
+void RequestRun::armSilence(Base::Duration limit)
+{
+    m_silentAt = m_timers.clock().now() + limit;
+    if (m_silenceTimer)
+        return;
+    m_silenceTimer = m_timers.start(limit, [this] {
+        m_silenceTimer.reset();
+        silent();
+    });
+}
+
+/// The endpoint of a request that may be repeated says nothing for too long.
+void RequestRun::silent()
+{
+    if (m_isEnded || !m_attempt)
+        return;
+    const Base::Duration left = m_silentAt - m_timers.clock().now();
+    if (left > Base::Duration::zero()) {
+        armSilence(left);
+        return;
+    }
+    const bool mayRunOnceMore = !m_attempt->hasLeft || m_ranAt < m_route->maxEndpoints;
+    if (mayRunOnceMore && mayGoOn())
+        attemptFailed({.kind = ErrorKind::EndpointTimeout});
+}
+
+void RequestRun::cancelAttempt()
+{
+    if (!m_attempt)
+        return;
+    m_gateway.m_options.client->cancel(m_attempt->call);
+    releaseEndpoint();
+}
+
+void RequestRun::releaseEndpoint()
+{
+    if (!m_attempt)
+        return;
+    m_gateway.m_endpoints.requestEnded(*m_attempt->endpoint);
+    m_attempt.reset();
+}
+
+/// A share of failed answers makes an endpoint suspect; a single one does not.
+void RequestRun::noteAnswer(bool isGood)
+{
+    EndpointRecord &endpoint = *m_attempt->endpoint;
+    if (endpoint.isGone)
+        return;
+    const Base::MonoTime now = m_timers.clock().now();
+    endpoint.failures.add(isGood ? 0 : 1, now);
+    const bool isHealthy =
+        isGood || endpoint.failures.value(0, now, failureHalfLife) < failureShareToSuspect;
+    m_gateway.m_endpoints.suspicion().noteResult(
+        endpoint.index,
+        isHealthy ? Routing::ExchangeResult::Answered : Routing::ExchangeResult::Broke, now);
+}
+
+void RequestRun::end(std::string_view outcome, int status)
+{
+    if (m_isEnded)
+        return;
+    const std::shared_ptr<RequestRun> self = shared_from_this();
+    m_isEnded = true;
+    const Base::Duration took = m_timers.clock().now() - m_cameAt;
+    m_gateway.m_options.metrics->requestTime.observe(Base::toSeconds(took));
+    m_gateway.m_options.log->request(
+        part, "Ended.",
+        {{"request", m_request.id.value()},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", m_route ? m_route->name : std::string_view()},
+         {"workspace", m_workspace ? m_workspace->name.value() : std::string_view()},
+         {"endpoint", m_tried.empty() ? std::string_view() : m_tried.back()->info.id.value()},
+         {"sends", m_sends},
+         {"events", m_events},
+         {"took_ms", took}});
+    cancelAttempt();
+    m_gateway.m_runs.erase(self);
+    m_gateway.m_options.metrics->inFlight.set(static_cast<double>(m_gateway.m_runs.size()));
+}
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/requestrun.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "gateway/eventcutter.h"
+#include "gateway/gateway.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lagoonbank::Gateway {
+
+/// One request of a caller, from its arrival to the end of its answer.
+class RequestRun : public std::enable_shared_from_this<RequestRun>
+{
+public:
+    RequestRun(Gateway &gateway, CallerRequest request, std::shared_ptr<Http::Responder> responder);
+    ~RequestRun();
+    RequestRun(const RequestRun &) = delete;
+    RequestRun &operator=(const RequestRun &) = delete;
+
+    void start();
+    /// Ends without a word to the caller.
+    void drop();
+
+private:
+    /// The send that is under way.
+    struct Attempt
+    {
+        EndpointPtr endpoint;
+        Http::CallId call;
+        Base::MonoTime startedAt;
+        bool hasLeft = false; ///< A byte may have left, so that the request may run.
+        int status = 0;
+        Http::Headers headers;
+        HeadFacts facts;
+        bool isStreaming = false; ///< Its events are passed on as they come.
+        std::optional<Base::MonoTime> lastEventAt;
+        std::string body; ///< Of an answer that is passed on as a whole.
+    };
+    /// How a send ended other than by a good answer.
+    struct Failure
+    {
+        Errors::ErrorKind kind = Errors::ErrorKind::Internal;
+        bool hasReached = true; ///< The endpoint may have got it: a repeat counts as one.
+        bool hasRun = true; ///< It may have run.
+    };
+
+    bool isAdmitted();
+    Base::Duration timeLeft() const;
+    std::optional<std::uint64_t> affinity() const;
+    std::optional<std::uint64_t> resumeAfter() const;
+    /// Sends the request to another endpoint; one that was reached before makes it a repeat.
+    void goOn(const Failure &failure);
+    void place();
+    void send(const Place &place);
+    Http::Hooks hooks();
+    void headReceived(int status, const Http::Headers &headers);
+    void bodyReceived(std::string_view piece);
+    bool passEvent(const EventCutter::Event &event);
+    void callFinished(const Http::CallResult &result);
+    void answerWhole();
+    void passWhole();
+    void attemptFailed(const Failure &failure);
+    /// Whether the request may be sent to another endpoint now.
+    bool mayGoOn();
+    void noteFailure(const Failure &failure);
+    void giveUp(const Failure &failure);
+    void refuse(Errors::ErrorKind kind, Errors::Ran ran,
+                std::optional<Base::Duration> retryAfter = std::nullopt);
+    void callerLeft();
+    void deadlinePassed();
+    void armSilence(Base::Duration limit);
+    void silent();
+    void cancelAttempt();
+    void releaseEndpoint();
+    void noteAnswer(bool isGood);
+    void end(std::string_view outcome, int status);
+
+    Gateway &m_gateway;
+    Runtime::TimerQueue &m_timers;
+    CallerRequest m_request;
+    std::shared_ptr<Http::Responder> m_responder;
+    std::shared_ptr<const Fleet::Configuration> m_configuration;
+    const Fleet::Route *m_route = nullptr;
+    const Fleet::Workspace *m_workspace = nullptr;
+    Base::ServiceId m_service;
+    int m_priority = 0;
+    Base::MonoTime m_cameAt;
+    Base::MonoTime m_deadline;
+    std::optional<Attempt> m_attempt;
+    std::vector<EndpointPtr> m_tried;
+    int m_ranAt = 0; ///< Endpoints at which it may have run.
+    int m_sends = 0; ///< That reached an endpoint.
+    bool m_hasBegun = false; ///< The head of a stream has been passed on.
+    std::optional<std::uint64_t> m_lastEvent;
+    std::int64_t m_events = 0;
+    EventCutter m_cutter;
+    std::optional<Runtime::TimerId> m_deadlineTimer;
+    std::optional<Runtime::TimerId> m_silenceTimer;
+    Base::MonoTime m_silentAt;
+    bool m_isEnded = false;
+};
+
+} // namespace Lagoonbank::Gateway
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -46,6 +46,7 @@
     std::string target = "/"; ///< Path and query.
     Headers headers; ///< Without host, content-length and connection.
     std::string body;
+    std::string host; ///< The host field; the server's address if empty.
     bool freshConnection = false; ///< Never a pooled one: for calls that must run at most once.
     bool tls = false;
     std::string serverName; ///< For TLS: the name that the certificate must hold; the ip if empty.
--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -92,6 +92,8 @@
     if (!isSafeHeaderName(m_call.method) || !isSafeTarget(m_call.target))
         return false;
     const auto &fields = m_call.headers.fields();
+    if (!isSafeHeaderValue(m_call.host))
+        return false;
     return std::all_of(fields.begin(), fields.end(), [](const Header &field) {
         return isSafeHeaderName(field.name) && isSafeHeaderValue(field.value);
     });
@@ -176,7 +178,7 @@
     m_head += ' ';
     m_head += m_call.target;
     m_head += " HTTP/1.1\r\n";
-    appendField(m_head, "host", toString(m_call.server));
+    appendField(m_head, "host", m_call.host.empty() ? toString(m_call.server) : m_call.host);
     for (const Header &field : m_call.headers.fields()) {
         if (!belongsToConnection(field.name))
             appendField(m_head, field.name, field.value);
--- a/src/libs/http/messagesyntax.cpp
+++ b/src/libs/http/messagesyntax.cpp
@@ -1,27 +1,11 @@
 #include "http/messagesyntax.h"
 
+#include <algorithm>
 #include <charconv>
+#include <vector>
 
 namespace Lagoonbank::Http::Internal {
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
-std::string lowered(std::string_view text)
-{
-    std::string lower(text);
-    for (char &c : lower) {
-        if (c >= 'A' && c <= 'Z')
-            c = static_cast<char>(c - 'A' + 'a');
-    }
-    return lower;
-}
-
 bool readNumber(std::string_view text, int base, std::uint64_t &number)
 {
     const char *end = text.data() + text.size();
@@ -44,15 +28,9 @@
 
 bool holdsToken(std::string_view value, std::string_view token)
 {
-    while (!value.empty()) {
-        const std::size_t comma = value.find(',');
-        if (lowered(trimmed(value.substr(0, comma))) == token)
-            return true;
-        if (comma == std::string_view::npos)
-            return false;
-        value.remove_prefix(comma + 1);
-    }
-    return false;
+    const std::vector<std::string_view> pieces = Base::split(value, ',');
+    return std::any_of(pieces.begin(), pieces.end(),
+                       [token](std::string_view piece) { return lowered(piece) == token; });
 }
 
 } // namespace Lagoonbank::Http::Internal
--- a/src/libs/http/messagesyntax.h
+++ b/src/libs/http/messagesyntax.h
@@ -1,24 +1,24 @@
 #pragma once
 
+#include "base/text.h"
 #include "http/headers.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
 
 /// The syntax that requests and answers of HTTP/1.1 share (RFC 9112). Strict: what could be read in
 /// two ways is refused.
 namespace Lagoonbank::Http::Internal {
 
+using Base::lowered;
+using Base::trimmed;
+
 constexpr std::string_view lineEnd = "\r\n";
 constexpr std::string_view headEnd = "\r\n\r\n";
 /// More fields than any sender needs; bounds the memory of one head.
 constexpr std::size_t maxFields = 200;
 
-/// Without spaces and tabs at both ends.
-std::string_view trimmed(std::string_view text);
-std::string lowered(std::string_view text);
 /// Digits only: no sign, no space, no list. False where \a text is anything else or too large.
 bool readNumber(std::string_view text, int base, std::uint64_t &number);
 /// Adds one field line, without its line end, to \a headers. False where it is malformed: folded,
--- /dev/null
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -0,0 +1,185 @@
+#include "keyedlog/keyedview.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Lagoonbank::KeyedLog {
+
+KeyedView::KeyedView(Options options)
+    : m_options(std::move(options))
+    , m_backoff(m_options.backoff)
+{ }
+
+KeyedView::~KeyedView()
+{
+    stop();
+}
+
+void KeyedView::start()
+{
+    m_isRunning = true;
+    fill();
+}
+
+void KeyedView::stop()
+{
+    m_isRunning = false;
+    m_options.timers->cancel(m_timer);
+    if (m_read)
+        m_options.source.cancel(*std::exchange(m_read, std::nullopt));
+}
+
+void KeyedView::restart()
+{
+    if (!m_isRunning)
+        return;
+    stop();
+    m_isRunning = true;
+    if (m_isFilling)
+        fill();
+    else
+        follow();
+}
+
+std::optional<Base::Duration> KeyedView::age() const
+{
+    if (!m_answeredAt)
+        return std::nullopt;
+    return m_options.timers->clock().now() - *m_answeredAt;
+}
+
+void KeyedView::fill()
+{
+    m_isFilling = true;
+    m_after.clear();
+    m_fillEnd.reset();
+    m_seen.clear();
+    m_read = m_options.source.readNewest(
+        m_after, [this](const Errors::Result<NewestPage> &page) { pageRead(page); });
+}
+
+void KeyedView::pageRead(const Errors::Result<NewestPage> &page)
+{
+    m_read.reset();
+    if (!page) {
+        failed(&KeyedView::fill);
+        return;
+    }
+    answered();
+    if (!m_fillEnd)
+        m_fillEnd = page.value().end;
+    for (const KeyedRecord &record : page.value().records) {
+        m_seen[record.key] = record.offset;
+        apply(record);
+    }
+    if (!m_isRunning)
+        return;
+    if (!page.value().hasMore || page.value().records.empty()) {
+        fillEnded();
+        return;
+    }
+    m_after = page.value().records.back().key;
+    m_read = m_options.source.readNewest(
+        m_after, [this](const Errors::Result<NewestPage> &next) { pageRead(next); });
+}
+
+/// A key that was not among the newest has been dropped, unless its record is newer than the pages.
+void KeyedView::fillEnded()
+{
+    std::vector<std::pair<std::string, Base::LogOffset>> dropped;
+    for (const auto &[key, offset] : m_offsets) {
+        if (!m_seen.contains(key) && offset < *m_fillEnd)
+            dropped.emplace_back(key, offset);
+    }
+    for (const auto &[key, offset] : dropped) {
+        m_offsets.erase(key);
+        if (keyDropped)
+            keyDropped(key, offset);
+    }
+    m_seen.clear();
+    m_isFilling = false;
+    m_isFilled = true;
+    // Records that came while the pages were read are read again, which changes nothing.
+    m_position = std::max(m_position, *m_fillEnd);
+    if (filled)
+        filled();
+    if (m_isRunning)
+        later(m_options.interval, &KeyedView::follow);
+}
+
+void KeyedView::follow()
+{
+    m_read =
+        m_options.source.readTail(m_position, m_options.wait,
+                                  [this](const Errors::Result<TailPage> &page) { tailRead(page); });
+}
+
+void KeyedView::tailRead(const Errors::Result<TailPage> &page)
+{
+    m_read.reset();
+    if (!page) {
+        failed(&KeyedView::follow);
+        return;
+    }
+    answered();
+    if (page.value().isLost) {
+        fill();
+        return;
+    }
+    for (const KeyedRecord &record : page.value().records) {
+        m_position = std::max(m_position, record.offset + Base::LogOffset(1));
+        apply(record);
+    }
+    if (!m_isRunning)
+        return;
+    const bool isBehind = !page.value().records.empty() && m_position < page.value().end;
+    later(isBehind ? Base::Duration::zero() : m_options.interval, &KeyedView::follow);
+}
+
+void KeyedView::apply(const KeyedRecord &record)
+{
+    const auto known = m_offsets.find(record.key);
+    if (known != m_offsets.end() && known->second >= record.offset)
+        return;
+    if (record.value) {
+        m_offsets[record.key] = record.offset;
+        if (valueChanged)
+            valueChanged(record);
+        return;
+    }
+    if (known == m_offsets.end())
+        return;
+    m_offsets.erase(known);
+    if (keyDropped)
+        keyDropped(record.key, record.offset);
+}
+
+void KeyedView::answered()
+{
+    m_backoff.reset();
+    m_answeredAt = m_options.timers->clock().now();
+    const bool isNews = !m_hasHealth || !m_isUp;
+    m_hasHealth = true;
+    m_isUp = true;
+    if (isNews && healthChanged)
+        healthChanged(true);
+}
+
+void KeyedView::failed(void (KeyedView::*again)())
+{
+    const bool isNews = !m_hasHealth || m_isUp;
+    m_hasHealth = true;
+    m_isUp = false;
+    later(m_backoff.next(), again);
+    if (isNews && healthChanged)
+        healthChanged(false);
+}
+
+void KeyedView::later(Base::Duration delay, void (KeyedView::*step)())
+{
+    m_options.timers->cancel(m_timer);
+    m_timer = m_options.timers->start(delay, [this, step] { (this->*step)(); });
+}
+
+} // namespace Lagoonbank::KeyedLog
--- /dev/null
+++ b/src/libs/keyedlog/keyedview.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "keyedlog/keyedsource.h"
+#include "platformclient/backoff.h"
+#include "runtime/timerqueue.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Lagoonbank::KeyedLog {
+
+/// Keeps up with the newest value of each key of a log: fills itself from the newest records, then
+/// follows the tail, and fills itself again when records were lost. A key never goes back to an
+/// older record, however late or stale an answer is.
+class KeyedView
+{
+public:
+    struct Options
+    {
+        KeyedSource source;
+        Runtime::TimerQueue *timers = nullptr;
+        /// Time from one read of the tail to the next; zero to read again at once.
+        Base::Duration interval{};
+        /// How long a read of the tail waits for news.
+        Base::Duration wait{};
+        PlatformClient::Backoff::Options backoff; ///< While the log does not answer.
+    };
+
+    explicit KeyedView(Options options);
+    ~KeyedView();
+    KeyedView(const KeyedView &) = delete;
+    KeyedView &operator=(const KeyedView &) = delete;
+
+    void start();
+    void stop();
+    /// Gives up a read under way, whose connection may have gone silent, and reads again.
+    void restart();
+
+    /// Whether every key has been read once.
+    bool isFilled() const { return m_isFilled; }
+    /// Whether the last read was answered.
+    bool isUp() const { return m_isUp; }
+    /// How old the newest answer is; nothing before the first.
+    std::optional<Base::Duration> age() const;
+    Base::LogOffset position() const { return m_position; }
+
+    /// A key has this value now.
+    std::function<void(const KeyedRecord &record)> valueChanged;
+    std::function<void(const std::string &key, Base::LogOffset offset)> keyDropped;
+    /// All keys have been read, for the first time or again after a loss.
+    std::function<void()> filled;
+    std::function<void(bool isUp)> healthChanged;
+
+private:
+    void fill();
+    void pageRead(const Errors::Result<NewestPage> &page);
+    void fillEnded();
+    void follow();
+    void tailRead(const Errors::Result<TailPage> &page);
+    void apply(const KeyedRecord &record);
+    void answered();
+    void failed(void (KeyedView::*again)());
+    void later(Base::Duration delay, void (KeyedView::*step)());
+
+    Options m_options;
+    PlatformClient::Backoff m_backoff;
+    bool m_isRunning = false;
+    bool m_isFilled = false;
+    bool m_isFilling = true;
+    bool m_isUp = false;
+    bool m_hasHealth = false;
+    std::optional<Base::MonoTime> m_answeredAt;
+    Base::LogOffset m_position; ///< Of the next record to read from the tail.
+    absl::flat_hash_map<std::string, Base::LogOffset> m_offsets; ///< Of the value of each key.
+    // While it fills itself.
+    std::string m_after;
+    std::optional<Base::LogOffset> m_fillEnd; ///< End of the log at the first page.
+    absl::flat_hash_map<std::string, Base::LogOffset> m_seen;
+    std::optional<ReadId> m_read;
+    Runtime::TimerId m_timer;
+};
+
+} // namespace Lagoonbank::KeyedLog
--- a/src/libs/routing/suspicion.cpp
+++ b/src/libs/routing/suspicion.cpp
@@ -100,6 +100,7 @@
     else
         row.level = std::min<std::uint8_t>(row.level + 1, highestLevel);
     const Base::Duration wait = m_options.firstWait * (std::int64_t{1} << (row.level - 1));
+    row.suspectedSince = now;
     row.until = now + std::min(wait, m_options.longestWait);
     row.state = State::Suspected;
     row.failures = 0;
--- a/src/libs/routing/suspicion.h
+++ b/src/libs/routing/suspicion.h
@@ -53,6 +53,11 @@
     void suspect(EndpointIndex endpoint, Base::MonoTime now);
 
     State state(EndpointIndex endpoint) const { return m_rows[endpoint].state; }
+    /// When the endpoint was suspected last.
+    Base::MonoTime suspectedSince(EndpointIndex endpoint) const
+    {
+        return m_rows[endpoint].suspectedSince;
+    }
     /// Whether a trial may be sent now.
     bool admitsTrial(EndpointIndex endpoint, Base::MonoTime now) const;
 
@@ -64,6 +69,7 @@
         std::uint8_t successes = 0; ///< Trials in a row.
         std::uint8_t level = 0; ///< How often the wait has been doubled.
         bool trialOut = false;
+        Base::MonoTime suspectedSince;
         Base::MonoTime until; ///< While suspected: when trials begin.
         Base::MonoTime trialSentAt;
         Base::MonoTime trustedSince;
