Gateway: Move a request on silence only with evidence, and copy its prompt

The first failure of an endpoint made it suspect. Means of latency mixed long and short prompts. Ruled out: lack of memory in the engines (nothing was preempted). Change: an endpoint that answers others meanwhile gets twice the target; a share of failures is needed for suspicion; slow is what takes 2.5 times as long as its peers; the load bound is 1.7 times the mean plus 3; a prompt that moves is copied from the endpoint that read it last.

--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -9,7 +9,7 @@
 
 void FadingMean::add(double value, Base::MonoTime now, double weight)
 {
-    m_mean = m_at ? m_mean + weight * (value - m_mean) : value;
+    m_mean = m_at || m_hasPrior ? m_mean + weight * (value - m_mean) : value;
     m_at = now;
 }
 
@@ -40,6 +40,7 @@
     m_suspicion.resize(m_nextIndex);
     m_suspicion.reset(record->index);
     m_records.emplace(endpoint.id, record);
+    m_byHash.emplace(record->hash, record);
     auto &others = m_services[endpoint.service];
     const auto place = std::lower_bound(
         others.begin(), others.end(), record,
@@ -55,6 +56,7 @@
     const EndpointPtr record = known->second;
     record->isGone = true;
     m_records.erase(known);
+    m_byHash.erase(record->hash);
     std::erase(m_services[record->info.service], record);
     m_freeIndices.push_back(record->index);
 }
@@ -72,6 +74,12 @@
     return found == m_records.end() ? nullptr : found->second;
 }
 
+EndpointPtr EndpointBook::findByHash(std::uint64_t hash) const
+{
+    const auto found = m_byHash.find(hash);
+    return found == m_byHash.end() ? nullptr : found->second;
+}
+
 void EndpointBook::loadReported(EndpointRecord &endpoint, const LoadReport &report,
                                 Base::MonoTime now) const
 {
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -17,6 +17,13 @@
 class FadingMean
 {
 public:
+    FadingMean() = default;
+    /// Begins with \a prior, so that the first observation alone says little.
+    explicit FadingMean(double prior)
+        : m_mean(prior)
+        , m_hasPrior(true)
+    { }
+
     /// \a weight is that of the newest observation.
     void add(double value, Base::MonoTime now, double weight = 0.2);
     /// What is expected now: the mean while it is fresh, then more and more \a usual.
@@ -25,6 +32,7 @@
 
 private:
     double m_mean = 0;
+    bool m_hasPrior = false;
     std::optional<Base::MonoTime> m_at;
 };
 
@@ -41,7 +49,8 @@
     int inFlightAtReport = 0;
     FadingMean latency; ///< Seconds to the answer, or to the first event of a stream.
     FadingMean pause; ///< Seconds between two events of a stream.
-    FadingMean failures; ///< 1 for an answer that failed, 0 for a good one.
+    FadingMean failures{0.0}; ///< 1 for an answer that failed, 0 for a good one.
+    Base::MonoTime heardAt; ///< When anything came from it last.
 };
 
 using EndpointPtr = std::shared_ptr<EndpointRecord>;
@@ -67,6 +76,8 @@
     /// Endpoints of a service, in the order of their ids.
     const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
     EndpointPtr find(const Base::EndpointId &id) const;
+    /// By EndpointRecord::hash; null if it is not known.
+    EndpointPtr findByHash(std::uint64_t hash) const;
     std::size_t size() const { return m_records.size(); }
 
     void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
@@ -81,6 +92,7 @@
     Options m_options;
     Routing::Suspicion m_suspicion;
     absl::flat_hash_map<Base::EndpointId, EndpointPtr> m_records;
+    absl::flat_hash_map<std::uint64_t, EndpointPtr> m_byHash;
     absl::flat_hash_map<Base::ServiceId, std::vector<EndpointPtr>> m_services;
     std::vector<Routing::EndpointIndex> m_freeIndices;
     Routing::EndpointIndex m_nextIndex = 0;
--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -27,6 +27,9 @@
     Base::Duration timeLeft{}; ///< After which the endpoint may stop.
     int priority = 0; ///< 0 is most urgent.
     std::optional<std::uint64_t> resumeAfter; ///< The last event that the caller has.
+    /// Another endpoint that holds parts of the prompt in its cache, to be copied from there; null
+    /// for none.
+    const Fleet::Endpoint *cacheSource = nullptr;
 };
 
 /// What the head of an endpoint's answer says beyond HTTP.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -6,11 +6,22 @@
 
 namespace Lagoonbank::Gateway {
 
+namespace {
+
+/// Prompts whose place is remembered, at 24 bytes each; more than chats return to one router
+/// within the time for which an engine keeps them.
+constexpr std::size_t rememberedPrompts = 16384;
+/// Below it, setting a copy up takes as long as reading.
+constexpr Base::Tokens leastCopied(256);
+
+} // namespace
+
 Gateway::Gateway(Options options)
     : m_options(std::move(options))
     , m_endpoints(m_options.endpoints)
     , m_placement(m_options.placement)
     , m_retryBudget(m_options.retryBudget)
+    , m_promptPlaces(rememberedPrompts)
 { }
 
 Gateway::~Gateway()
@@ -28,6 +39,17 @@
     m_configuration = std::move(configuration);
 }
 
+EndpointPtr Gateway::cacheSource(std::uint64_t affinity, const EndpointRecord &target)
+{
+    const auto known = m_promptPlaces.find(affinity);
+    if (!known || known->endpointHash == target.hash || known->cached < leastCopied)
+        return nullptr;
+    const EndpointPtr source = m_endpoints.findByHash(known->endpointHash);
+    const bool isUsable = source && source->info.service == target.info.service
+        && m_endpoints.suspicion().state(source->index) == Routing::Suspicion::State::Trusted;
+    return isUsable ? source : nullptr;
+}
+
 void Gateway::run(CallerRequest request, std::shared_ptr<Http::Responder> responder)
 {
     const auto run = std::make_shared<RequestRun>(*this, std::move(request), std::move(responder));
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "logging/decisionlog.h"
+#include "routing/placementtable.h"
 #include "runtime/loop.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -27,11 +28,17 @@
     /// For a connection to an endpoint. A live one accepts within a few ms; one that is cut off
     /// does not answer at all, and the request has to be tried elsewhere in time.
     Base::Duration connect = std::chrono::milliseconds(250);
-    /// Part of the target latency after which a request that may be repeated and has no answer
-    /// yet is sent elsewhere, so that the other endpoint still has time.
-    double firstShare = 0.6;
+    /// Part of the target latency after which a request that may be repeated is sent elsewhere
+    /// when nothing has come from its endpoint, on any connection, so that the other one still has
+    /// time.
+    double firstShare = 0.75;
     /// The same for a pause within a stream.
     double pauseShare = 0.6;
+    /// Target latencies, or longest pauses, after which a request is sent elsewhere although its
+    /// endpoint answers others: it is busy then, and moving costs another reading of the prompt.
+    double busyFactor = 2.0;
+    /// For reading a prompt, on top: engines read 80 to 160 tokens in a millisecond.
+    Base::Duration perPromptToken = std::chrono::microseconds(10);
     /// Beyond a route's timeout, for the endpoint's own answer that it gave up.
     Base::Duration afterTimeout = std::chrono::milliseconds(60);
     /// What a caller is told when no endpoint could take its request.
@@ -78,11 +85,16 @@
 private:
     friend class RequestRun;
 
+    /// Where the parts of a prompt were read last, if copying them from there to \a target beats
+    /// reading them again; else null.
+    EndpointPtr cacheSource(std::uint64_t affinity, const EndpointRecord &target);
+
     Options m_options;
     std::shared_ptr<const Fleet::Configuration> m_configuration;
     EndpointBook m_endpoints;
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
+    Routing::PlacementTable m_promptPlaces;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
 };
 
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -82,13 +82,14 @@
         sum += candidate.load;
     const double bound =
         m_options.boundFactor * sum / static_cast<double>(candidates.size()) + m_options.boundSlack;
+    const Usual usual = usualOf(candidates, now);
     PlacementReason reason = PlacementReason::Home;
     for (const Candidate &candidate : candidates) {
         if (candidate.load + 1 > bound) {
             reason = PlacementReason::HomeBusy;
             continue;
         }
-        if (isSlow(request, *candidate.endpoint, now)) {
+        if (isSlow(request, *candidate.endpoint, usual, now)) {
             reason = PlacementReason::HomeSlow;
             continue;
         }
@@ -102,10 +103,7 @@
 
 Place Placement::byCost(const Candidates &candidates, Base::MonoTime now) const
 {
-    double usual = 0;
-    for (const Candidate &candidate : candidates)
-        usual += candidate.endpoint->latency.value(0, now, m_options.speedHalfLife);
-    usual /= static_cast<double>(candidates.size());
+    const double usual = usualOf(candidates, now).latency;
     Place best;
     double least = std::numeric_limits<double>::max();
     for (const Candidate &candidate : candidates) {
@@ -143,15 +141,29 @@
     return place;
 }
 
+Placement::Usual Placement::usualOf(const Candidates &candidates, Base::MonoTime now) const
+{
+    Usual usual;
+    for (const Candidate &candidate : candidates) {
+        usual.latency += candidate.endpoint->latency.value(0, now, m_options.speedHalfLife);
+        usual.pause += candidate.endpoint->pause.value(0, now, m_options.speedHalfLife);
+    }
+    usual.latency /= static_cast<double>(candidates.size());
+    usual.pause /= static_cast<double>(candidates.size());
+    return usual;
+}
+
 bool Placement::isSlow(const PlacementRequest &request, const EndpointRecord &endpoint,
-                       Base::MonoTime now) const
+                       const Usual &usual, Base::MonoTime now) const
 {
+    const auto takesTooLong = [this](double value, double ordinary, Base::Duration limit) {
+        return limit > Base::Duration::zero() && value > m_options.slowFactor * ordinary
+            && value > m_options.slowShare * Base::toSeconds(limit);
+    };
     const double pause = endpoint.pause.value(0, now, m_options.speedHalfLife);
     const double latency = endpoint.latency.value(0, now, m_options.speedHalfLife);
-    const double longestPause = Base::toSeconds(request.longestPause);
-    const double target = Base::toSeconds(request.targetLatency);
-    return (longestPause > 0 && pause > m_options.slowShare * longestPause)
-        || (target > 0 && latency > m_options.slowShare * target);
+    return takesTooLong(pause, usual.pause, request.longestPause)
+        || takesTooLong(latency, usual.latency, request.targetLatency);
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -51,10 +51,12 @@
         Base::DataCentreId dataCentre; ///< Of this router.
         /// A cached prompt is left when its endpoint has this many times the mean load, plus
         /// `boundSlack`. The fleet's rule allows 2 and 3; late reports take up the rest.
-        double boundFactor = 1.5;
-        double boundSlack = 2;
-        /// An endpoint is slow when it takes this part of the time that a request has.
+        double boundFactor = 1.7;
+        double boundSlack = 3;
+        /// An endpoint is slow when it takes this part of the time that a request has...
         double slowShare = 0.6;
+        /// ...and so many times what the others of its service take.
+        double slowFactor = 2.5;
         /// In which half of what was learnt of an endpoint's speed is forgotten, so that one that
         /// has become fast again is found out.
         Base::Duration speedHalfLife = std::chrono::seconds(4);
@@ -84,7 +86,14 @@
                      Base::MonoTime now) const;
     Place byCost(const Candidates &candidates, Base::MonoTime now) const;
     Place lastResort(const PlacementRequest &request, const EndpointBook &book) const;
-    bool isSlow(const PlacementRequest &request, const EndpointRecord &endpoint,
+    /// Means over the candidates.
+    struct Usual
+    {
+        double latency = 0; ///< Seconds.
+        double pause = 0; ///< Seconds.
+    };
+    Usual usualOf(const Candidates &candidates, Base::MonoTime now) const;
+    bool isSlow(const PlacementRequest &request, const EndpointRecord &endpoint, const Usual &usual,
                 Base::MonoTime now) const;
 
     Options m_options;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -116,6 +116,15 @@
     return hash;
 }
 
+Base::Tokens RequestRun::sharedTokens() const
+{
+    const std::vector<PromptPart> &parts = m_request.prompt->parts;
+    Base::Tokens sum;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        sum += parts[i].tokens;
+    return sum;
+}
+
 std::optional<std::uint64_t> RequestRun::resumeAfter() const
 {
     return m_lastEvent ? m_lastEvent : m_request.resumeAfter;
@@ -158,24 +167,25 @@
     m_attempt->startedAt = m_timers.clock().now();
     m_gateway.m_endpoints.requestSent(*place.endpoint);
     m_cutter.clear();
+    const auto prompt = affinity();
+    const EndpointPtr source = prompt ? m_gateway.cacheSource(*prompt, *place.endpoint) : nullptr;
     Http::Call call = m_gateway.m_options.protocol.makeCall(
         {.request = &m_request,
          .endpoint = &place.endpoint->info,
          .workspace = m_workspace ? m_workspace->name : Base::WorkspaceId(),
          .timeLeft = std::max(timeLeft(), Base::Duration::zero()),
          .priority = m_priority,
-         .resumeAfter = resumeAfter()});
+         .resumeAfter = resumeAfter(),
+         .cacheSource = source ? &source->info : nullptr});
     call.freshConnection = !m_route->mayRepeat();
     call.connectTimeout = m_gateway.m_options.patience.connect;
     // The run's own timers watch the answer.
     call.headTimeout = longestRequest;
     call.progressTimeout = longestRequest;
     call.totalTimeout = longestRequest;
-    const Base::Duration target = m_route->targetLatency;
-    if (m_route->mayRepeat() && target > Base::Duration::zero()) {
-        armSilence(std::chrono::duration_cast<Base::Duration>(
-            target * m_gateway.m_options.patience.firstShare));
-    }
+    m_quietSince = m_attempt->startedAt;
+    if (m_route->mayRepeat() && m_route->targetLatency > Base::Duration::zero())
+        armSilence(silenceLimit(false));
     m_attempt->call = m_gateway.m_options.client->start(std::move(call), hooks());
 }
 
@@ -211,6 +221,7 @@
 void RequestRun::headReceived(int status, const Http::Headers &headers)
 {
     Attempt &attempt = *m_attempt;
+    attempt.endpoint->heardAt = m_timers.clock().now();
     attempt.status = status;
     attempt.headers = headers;
     attempt.facts = m_gateway.m_options.protocol.readHead(m_request, status, headers);
@@ -260,17 +271,19 @@
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_cameAt));
         m_responder->begin(attempt.status, attempt.headers);
     }
+    attempt.endpoint->heardAt = now;
+    if (!attempt.lastEventAt && affinity())
+        m_gateway.m_promptPlaces.put(*affinity(), {attempt.endpoint->hash, sharedTokens()});
     if (attempt.lastEventAt)
         attempt.endpoint->pause.add(Base::toSeconds(now - *attempt.lastEventAt), now);
     else
         attempt.endpoint->latency.add(Base::toSeconds(now - attempt.startedAt), now);
     attempt.lastEventAt = now;
+    m_quietSince = now;
     ++m_events;
     m_responder->write(event.bytes);
-    if (m_route->mayRepeat() && m_route->longestPause > Base::Duration::zero()) {
-        armSilence(std::chrono::duration_cast<Base::Duration>(
-            m_route->longestPause * m_gateway.m_options.patience.pauseShare));
-    }
+    if (m_route->mayRepeat() && m_route->longestPause > Base::Duration::zero())
+        armSilence(silenceLimit(false));
     return true;
 }
 
@@ -442,6 +455,20 @@
             .hasRun = m_ranAt > 0});
 }
 
+/// How long the endpoint may say nothing; \a isBusy if others have heard from it.
+Base::Duration RequestRun::silenceLimit(bool isBusy) const
+{
+    const GatewayPatience &patience = m_gateway.m_options.patience;
+    const bool isFirst = !m_attempt->lastEventAt;
+    const Base::Duration whole = isFirst ? m_route->targetLatency : m_route->longestPause;
+    const double share =
+        isBusy ? patience.busyFactor : (isFirst ? patience.firstShare : patience.pauseShare);
+    auto limit = std::chrono::duration_cast<Base::Duration>(whole * share);
+    if (isFirst && m_request.prompt)
+        limit += patience.perPromptToken * m_request.prompt->promptTokens.value();
+    return limit;
+}
+
 void RequestRun::armSilence(Base::Duration limit)
 {
     m_silentAt = m_timers.clock().now() + limit;
@@ -463,6 +490,11 @@
         armSilence(left);
         return;
     }
+    const Base::MonoTime busyUntil = m_quietSince + silenceLimit(true);
+    if (m_attempt->endpoint->heardAt > m_quietSince && m_timers.clock().now() < busyUntil) {
+        armSilence(busyUntil - m_timers.clock().now());
+        return;
+    }
     const bool mayRunOnceMore = !m_attempt->hasLeft || m_ranAt < m_route->maxEndpoints;
     if (mayRunOnceMore && mayGoOn())
         attemptFailed({.kind = ErrorKind::EndpointTimeout});
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -50,6 +50,7 @@
     bool isAdmitted();
     Base::Duration timeLeft() const;
     std::optional<std::uint64_t> affinity() const;
+    Base::Tokens sharedTokens() const;
     std::optional<std::uint64_t> resumeAfter() const;
     /// Sends the request to another endpoint; one that was reached before makes it a repeat.
     void goOn(const Failure &failure);
@@ -71,6 +72,7 @@
                 std::optional<Base::Duration> retryAfter = std::nullopt);
     void callerLeft();
     void deadlinePassed();
+    Base::Duration silenceLimit(bool isBusy) const;
     void armSilence(Base::Duration limit);
     void silent();
     void cancelAttempt();
@@ -100,6 +102,7 @@
     std::optional<Runtime::TimerId> m_deadlineTimer;
     std::optional<Runtime::TimerId> m_silenceTimer;
     Base::MonoTime m_silentAt;
+    Base::MonoTime m_quietSince; ///< Of the send under way: its start or its last event.
     bool m_isEnded = false;
 };
 
