FleetSync: Read the store by one router of each data centre

Change: routers register in a keyed log, tell each other by beacons what they know, and the strongest living one of each data centre reads; changes are pushed, differences pulled. Records carry their offset as version, so that nothing goes back whichever way it comes.

--- a/src/libs/fleet/endpoint.h
+++ b/src/libs/fleet/endpoint.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/ids.h"
-#include "base/units.h"
 #include "runtime/udpsocket.h"
 
 #include <cstdint>
@@ -24,7 +23,6 @@
     std::string softwareVersion;
     int slots = 0; ///< Requests that it runs at once; zero if not known.
     EndpointState state = EndpointState::Ready;
-    Base::Duration warmupLeft{}; ///< How much longer it is slow after its start.
 
     bool operator==(const Endpoint &) const = default;
 };
--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -1,37 +1,99 @@
 #include "fleet/endpointdirectory.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace Lagoonbank::Fleet {
 
+namespace {
+
+/// The same on every router, so no hash that depends on the process.
+std::uint64_t contentHash(const Endpoint &endpoint)
+{
+    std::string text = endpoint.id.value();
+    for (const std::string &part :
+         {endpoint.service.value(), Runtime::toString(endpoint.address),
+          endpoint.dataCentre.value(), endpoint.softwareVersion, std::to_string(endpoint.slots),
+          std::to_string(static_cast<int>(endpoint.state))}) {
+        text += '\n';
+        text += part;
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
 EndpointDirectory::~EndpointDirectory()
 {
     if (m_returnTimer)
         m_options.timers->cancel(*m_returnTimer);
 }
 
-void EndpointDirectory::put(Endpoint endpoint)
+void EndpointDirectory::put(Endpoint endpoint, Base::LogOffset version)
 {
-    std::erase(m_missing, endpoint.id);
-    Endpoint &known = m_endpoints[endpoint.id];
-    if (known == endpoint)
+    const Base::EndpointId id = endpoint.id;
+    const auto known = m_entries.find(id);
+    const bool isOld = known != m_entries.end() && known->second.version >= version;
+    if (isOld || isGone(id, version))
         return;
-    known = std::move(endpoint);
+    std::erase_if(m_missing, [&](const GoneEndpoint &one) { return one.id == id; });
+    if (known != m_entries.end()) {
+        known->second.version = version;
+        if (known->second.endpoint == endpoint)
+            return;
+        m_hash ^= contentHash(known->second.endpoint);
+    }
+    m_hash ^= contentHash(endpoint);
+    Entry &entry = m_entries[id];
+    entry = {std::move(endpoint), version};
     if (changed)
-        changed(known);
+        changed(entry);
 }
 
-void EndpointDirectory::remove(const Base::EndpointId &id)
+void EndpointDirectory::entryDropped(const Base::EndpointId &id, Base::LogOffset version)
 {
-    const Endpoint *endpoint = find(id);
-    if (!endpoint)
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end() || known->second.version > version)
+        return;
+    const bool mayReturn = m_returnTimer && known->second.endpoint.state != EndpointState::Draining;
+    if (!mayReturn) {
+        remove(id, version);
         return;
-    const bool mayReturn = m_returnTimer && endpoint->state != EndpointState::Draining;
-    if (!mayReturn)
-        removeNow(id);
-    else if (std::find(m_missing.begin(), m_missing.end(), id) == m_missing.end())
-        m_missing.push_back(id);
+    }
+    std::erase_if(m_missing, [&](const GoneEndpoint &one) { return one.id == id; });
+    m_missing.push_back({id, version});
+}
+
+void EndpointDirectory::remove(const Base::EndpointId &id, Base::LogOffset version)
+{
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end() || known->second.version > version)
+        return;
+    Entry last = std::move(known->second);
+    last.version = version;
+    m_entries.erase(known);
+    m_hash ^= contentHash(last.endpoint);
+    m_gone.push_back({id, version});
+    if (m_gone.size() > m_options.rememberedGone)
+        m_gone.pop_front();
+    if (removed)
+        removed(last);
+}
+
+void EndpointDirectory::reconcile(const absl::flat_hash_set<Base::EndpointId> &present,
+                                  Base::LogOffset end)
+{
+    std::vector<Base::EndpointId> missing;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.version < end && !present.contains(id))
+            missing.push_back(id);
+    }
+    for (const Base::EndpointId &id : missing)
+        entryDropped(id, end);
 }
 
 void EndpointDirectory::storeReturned()
@@ -46,23 +108,21 @@
 
 const Endpoint *EndpointDirectory::find(const Base::EndpointId &id) const
 {
-    const auto found = m_endpoints.find(id);
-    return found == m_endpoints.end() ? nullptr : &found->second;
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.endpoint;
 }
 
-void EndpointDirectory::removeNow(const Base::EndpointId &id)
+bool EndpointDirectory::isGone(const Base::EndpointId &id, Base::LogOffset version) const
 {
-    const auto found = m_endpoints.find(id);
-    const Endpoint gone = std::move(found->second);
-    m_endpoints.erase(found);
-    if (removed)
-        removed(gone);
+    return std::any_of(m_gone.begin(), m_gone.end(), [&](const GoneEndpoint &one) {
+        return one.id == id && one.version >= version;
+    });
 }
 
 void EndpointDirectory::removeMissing()
 {
-    for (const Base::EndpointId &id : std::exchange(m_missing, {}))
-        removeNow(id);
+    for (const GoneEndpoint &one : std::exchange(m_missing, {}))
+        remove(one.id, one.version);
 }
 
 } // namespace Lagoonbank::Fleet
--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -4,18 +4,30 @@
 #include "runtime/timerqueue.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <vector>
 
 namespace Lagoonbank::Fleet {
 
-/// The endpoints that are there, as their entries in the platform's store tell.
+/// An endpoint that has gone, so that older news of it are not believed.
+struct GoneEndpoint
+{
+    Base::EndpointId id;
+    Base::LogOffset version;
+};
+
+/// The endpoints that are there, as records of the platform's store tell, whether this router read
+/// them or heard of them from another one. A record's offset is its version; older ones change
+/// nothing, whichever way they come.
 ///
-/// Entries lapse while the store is away, although their endpoints live. So an entry that goes
-/// within `returnTime` of the store's return is believed gone only after that time, unless it was
-/// draining.
+/// Entries lapse while the store is away, although their endpoints live. So an entry that is
+/// dropped within `returnTime` of the store's return is believed gone only after that time, unless
+/// it was draining.
 class EndpointDirectory
 {
 public:
@@ -24,7 +36,15 @@
         Runtime::TimerQueue *timers = nullptr;
         /// How long endpoints take to write their entries again after the store's return.
         Base::Duration returnTime = std::chrono::milliseconds(2200);
+        /// Gone endpoints that are remembered; far more than leave while news are on their way.
+        std::size_t rememberedGone = 256;
+    };
+    struct Entry
+    {
+        Endpoint endpoint;
+        Base::LogOffset version;
     };
+    using Entries = absl::flat_hash_map<Base::EndpointId, Entry>;
 
     explicit EndpointDirectory(Options options)
         : m_options(options)
@@ -34,26 +54,36 @@
     EndpointDirectory &operator=(const EndpointDirectory &) = delete;
 
     /// An entry was written.
-    void put(Endpoint endpoint);
-    /// An entry has gone.
-    void remove(const Base::EndpointId &id);
+    void put(Endpoint endpoint, Base::LogOffset version);
+    /// The store has dropped the entry; see the class for when that is believed.
+    void entryDropped(const Base::EndpointId &id, Base::LogOffset version);
+    /// Another router, which has waited where that was needed, knows that the endpoint has gone.
+    void remove(const Base::EndpointId &id, Base::LogOffset version);
+    /// All entries that the store had at \a end were read; others of before have gone.
+    void reconcile(const absl::flat_hash_set<Base::EndpointId> &present, Base::LogOffset end);
     /// The store answers again after it was away.
     void storeReturned();
 
-    const absl::flat_hash_map<Base::EndpointId, Endpoint> &endpoints() const { return m_endpoints; }
+    const Entries &entries() const { return m_entries; }
+    const std::deque<GoneEndpoint> &gone() const { return m_gone; }
     const Endpoint *find(const Base::EndpointId &id) const;
+    /// Of what is known of all endpoints, whatever the versions; the same on routers that know the
+    /// same.
+    std::uint64_t hash() const { return m_hash; }
 
     /// An endpoint is new or something of it has changed.
-    std::function<void(const Endpoint &endpoint)> changed;
-    std::function<void(const Endpoint &endpoint)> removed;
+    std::function<void(const Entry &entry)> changed;
+    std::function<void(const Entry &last)> removed;
 
 private:
-    void removeNow(const Base::EndpointId &id);
+    bool isGone(const Base::EndpointId &id, Base::LogOffset version) const;
     void removeMissing();
 
     Options m_options;
-    absl::flat_hash_map<Base::EndpointId, Endpoint> m_endpoints;
-    std::vector<Base::EndpointId> m_missing; ///< Gone from the store, not yet believed.
+    Entries m_entries;
+    std::deque<GoneEndpoint> m_gone; ///< The last one last.
+    std::uint64_t m_hash = 0;
+    std::vector<GoneEndpoint> m_missing; ///< Dropped by the store, not yet believed.
     std::optional<Runtime::TimerId> m_returnTimer; ///< Runs for returnTime after a return.
 };
 
--- /dev/null
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -0,0 +1,135 @@
+#include "fleetsync/fleetlink.h"
+
+#include "schema/messagecodec.h"
+
+#include <boost/outcome/try.hpp>
+
+#include <utility>
+
+namespace Lagoonbank::FleetSync {
+
+namespace {
+
+constexpr std::string_view statePath = "/fleet/state";
+/// Of a pull: a peer that is there answers within a few ms; a configuration of 1 MB needs 0.8 s
+/// over the slowest link.
+constexpr Base::Duration pullTimeout = std::chrono::seconds(1);
+constexpr std::size_t maxRequestBytes = 1024;
+constexpr int ok = 200;
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+
+} // namespace
+
+FleetLink::FleetLink(Options options)
+    : m_options(std::move(options))
+{ }
+
+FleetLink::~FleetLink()
+{
+    m_options.sync->send = nullptr;
+    m_options.sync->pull = nullptr;
+}
+
+Errors::Result<std::unique_ptr<FleetLink>> FleetLink::open(Options options)
+{
+    std::unique_ptr<FleetLink> link(new FleetLink(std::move(options)));
+    Options &own = link->m_options;
+    BOOST_OUTCOME_TRY(socket, Runtime::UdpSocket::bind({.loop = own.loop, .address = own.address}));
+    link->m_socket = std::move(socket);
+    link->m_socket->setReceived(
+        [raw = link.get()](const Runtime::SocketAddress &from, std::string_view datagram) {
+            raw->receive(from, datagram);
+        });
+    link->m_server = std::make_unique<Http::Server>(Http::Server::Options{
+        .loop = own.loop, .address = own.address, .limits = {.bodyBytes = maxRequestBytes}});
+    link->m_server->setHandler(
+        [raw = link.get()](const Http::Request &request,
+                           const std::shared_ptr<Http::Responder> &responder) {
+            raw->answer(request, *responder);
+        });
+    BOOST_OUTCOME_TRYV(link->m_server->listen());
+    own.sync->send = [raw = link.get()](const auto &to, const auto &beacon) {
+        raw->send(to, beacon);
+    };
+    own.sync->pull = [raw = link.get()](const auto &peer, const auto &request) {
+        raw->pull(peer, request);
+    };
+    return link;
+}
+
+void FleetLink::send(const Runtime::SocketAddress &to, const Schema::FleetBeacon &beacon)
+{
+    const auto body = Schema::encodeMessage(beacon);
+    if (!body) {
+        m_options.failed(body.error());
+        return;
+    }
+    m_socket->send(to, body.value());
+    m_options.sent(body.value().size());
+}
+
+void FleetLink::receive(const Runtime::SocketAddress &from, std::string_view datagram)
+{
+    const auto beacon = Schema::decodeMessage<Schema::FleetBeacon>(datagram);
+    if (beacon)
+        m_options.sync->receive(from.ip, beacon.value());
+    else
+        m_options.failed(beacon.error());
+}
+
+void FleetLink::pull(const Runtime::SocketAddress &peer, const Schema::FleetStateRequest &request)
+{
+    auto body = Schema::encodeMessage(request);
+    if (!body) {
+        m_options.failed(body.error());
+        return;
+    }
+    Http::Call call;
+    call.server = peer;
+    call.method = "POST";
+    call.target = statePath;
+    call.body = std::move(body.value());
+    call.freshConnection = true;
+    call.connectTimeout = pullTimeout;
+    call.headTimeout = pullTimeout;
+    call.progressTimeout = pullTimeout;
+    const auto finished = [this, isAlive = std::weak_ptr<bool>(m_isAlive)](
+                              const Http::CallResult &result) {
+        if (isAlive.expired())
+            return;
+        if (result.end != Http::CallEnd::Whole || result.status != ok) {
+            m_options.failed(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
+            return;
+        }
+        const auto state = Schema::decodeMessage<Schema::FleetStateAnswer>(result.body);
+        if (state)
+            m_options.sync->take(state.value());
+        else
+            m_options.failed(state.error());
+    };
+    m_options.client->start(std::move(call), {.finished = finished});
+}
+
+void FleetLink::answer(const Http::Request &request, Http::Responder &responder)
+{
+    if (request.path != statePath) {
+        responder.send(notFound, {}, {});
+        return;
+    }
+    const auto asked = Schema::decodeMessage<Schema::FleetStateRequest>(request.body);
+    if (!asked) {
+        responder.send(badRequest, {}, {});
+        return;
+    }
+    auto body = Schema::encodeMessage(m_options.sync->answer(asked.value()));
+    if (!body) {
+        m_options.failed(body.error());
+        responder.abort();
+        return;
+    }
+    m_options.sent(body.value().size());
+    responder.send(ok, {{"content-type", "application/octet-stream"}}, std::move(body.value()));
+}
+
+} // namespace Lagoonbank::FleetSync
--- /dev/null
+++ b/src/libs/fleetsync/fleetlink.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "errors/result.h"
+#include "fleetsync/fleetsync.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "runtime/loop.h"
+#include "runtime/udpsocket.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace Lagoonbank::FleetSync {
+
+/// Carries a FleetSync over the network: beacons in datagrams, pulls over TCP on the same port.
+class FleetLink
+{
+public:
+    struct Options
+    {
+        Runtime::Loop *loop = nullptr;
+        Http::Client *client = nullptr;
+        FleetSync *sync = nullptr;
+        Runtime::SocketAddress address;
+        /// Told the bytes that leave and why a message could not be read.
+        std::function<void(std::size_t bytes)> sent;
+        std::function<void(const Errors::Error &error)> failed;
+    };
+
+    /// Binds both sockets and connects the hooks of the sync.
+    static Errors::Result<std::unique_ptr<FleetLink>> open(Options options);
+    ~FleetLink();
+    FleetLink(const FleetLink &) = delete;
+    FleetLink &operator=(const FleetLink &) = delete;
+
+private:
+    explicit FleetLink(Options options);
+    void send(const Runtime::SocketAddress &to, const Schema::FleetBeacon &beacon);
+    void receive(const Runtime::SocketAddress &from, std::string_view datagram);
+    void pull(const Runtime::SocketAddress &peer, const Schema::FleetStateRequest &request);
+    void answer(const Http::Request &request, Http::Responder &responder);
+
+    Options m_options;
+    std::unique_ptr<Runtime::UdpSocket> m_socket;
+    std::unique_ptr<Http::Server> m_server;
+    /// Pulls that end after this object is gone find it out by this.
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace Lagoonbank::FleetSync
--- /dev/null
+++ b/src/libs/fleetsync/routerregistry.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "fleetsync/fleetsync.h"
+#include "keyedlog/keyedsource.h"
+#include "platformclient/backoff.h"
+
+#include <string>
+
+namespace Lagoonbank::FleetSync {
+
+/// How routers find each other: each writes its address into a keyed log when it starts, then reads
+/// the others' and tells them. Whoever starts later is told of by its own beacons, so that the log
+/// is read once.
+class RouterRegistry
+{
+public:
+    struct Options
+    {
+        KeyedLog::KeyedSource source;
+        KeyedLog::KeyedWrite write;
+        Runtime::TimerQueue *timers = nullptr;
+        FleetSync *sync = nullptr;
+        std::string id;
+        std::string dataCentre;
+        Runtime::SocketAddress address;
+        PlatformClient::Backoff::Options backoff; ///< Between tries.
+    };
+
+    explicit RouterRegistry(Options options);
+    ~RouterRegistry();
+    RouterRegistry(const RouterRegistry &) = delete;
+    RouterRegistry &operator=(const RouterRegistry &) = delete;
+
+    void start();
+    /// Whether this router is in the log and has read the others.
+    bool isDone() const { return m_isDone; }
+
+private:
+    void write();
+    void read(const std::string &after);
+    void pageRead(const Errors::Result<KeyedLog::NewestPage> &page);
+    void take(const KeyedLog::KeyedRecord &record);
+    void later(void (RouterRegistry::*step)());
+    void readAll() { read({}); }
+
+    Options m_options;
+    PlatformClient::Backoff m_backoff;
+    bool m_isDone = false;
+    Runtime::TimerId m_timer;
+    /// Answers that come after this object is gone find it out by this.
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+/// What stands in the log of a router, and back; an error if it cannot be read.
+std::string registryEntry(const std::string &dataCentre, const Runtime::SocketAddress &address);
+struct RegisteredRouter
+{
+    std::string dataCentre;
+    Runtime::SocketAddress address;
+};
+Errors::Result<RegisteredRouter> readRegistryEntry(std::string_view text);
+
+} // namespace Lagoonbank::FleetSync
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -72,6 +72,12 @@
            "Calls to the store, by outcome.",
            "Refused or lost calls: the store is down, slow or turns this router away.",
            {}},
+    Metric{"lagoonbank_gateway_peer_bytes_total",
+           Kind::Counter,
+           "bytes",
+           "What this router sent to other routers, without the headers below.",
+           "Configurations or endpoints change often, or routers know different things.",
+           {}},
 };
 
 } // namespace
@@ -89,6 +95,7 @@
     , requestTime(registry.histogram("lagoonbank_gateway_request_seconds"))
     , endpoints(registry.gauge("lagoonbank_gateway_endpoints"))
     , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
+    , peerBytes(registry.counter("lagoonbank_gateway_peer_bytes_total"))
 { }
 
 Metrics::Counter GatewayMetrics::answers(int status)
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -21,6 +21,7 @@
     Metrics::Histogram requestTime;
     Metrics::Gauge endpoints;
     Metrics::Gauge configuration;
+    Metrics::Counter peerBytes;
 
     Metrics::Counter answers(int status);
     Metrics::Counter refusals(Errors::ErrorKind kind);
--- a/src/libs/keyedlog/keyedsource.h
+++ b/src/libs/keyedlog/keyedsource.h
@@ -54,4 +54,9 @@
     std::function<void(ReadId read)> cancel;
 };
 
+/// Writes the newest value of a key; the hook that is handed in is called once, later. After an
+/// error the record may have been written or may be written yet.
+using KeyedWrite = std::function<void(const std::string &key, const std::string &value,
+                                      std::function<void(Errors::Result<void>)> written)>;
+
 } // namespace Lagoonbank::KeyedLog
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -66,11 +66,11 @@
         failed(&KeyedView::fill);
         return;
     }
-    answered();
+    readAnswered();
     if (!m_fillEnd)
         m_fillEnd = page.value().end;
     for (const KeyedRecord &record : page.value().records) {
-        m_seen[record.key] = record.offset;
+        m_seen.insert(record.key);
         apply(record);
     }
     if (!m_isRunning)
@@ -87,23 +87,23 @@
 /// A key that was not among the newest has been dropped, unless its record is newer than the pages.
 void KeyedView::fillEnded()
 {
-    std::vector<std::pair<std::string, Base::LogOffset>> dropped;
+    std::vector<std::string> dropped;
     for (const auto &[key, offset] : m_offsets) {
         if (!m_seen.contains(key) && offset < *m_fillEnd)
-            dropped.emplace_back(key, offset);
+            dropped.push_back(key);
     }
-    for (const auto &[key, offset] : dropped) {
+    for (const std::string &key : dropped) {
         m_offsets.erase(key);
         if (keyDropped)
-            keyDropped(key, offset);
+            keyDropped(key, *m_fillEnd);
     }
-    m_seen.clear();
     m_isFilling = false;
     m_isFilled = true;
     // Records that came while the pages were read are read again, which changes nothing.
     m_position = std::max(m_position, *m_fillEnd);
+    const Keys keys = std::exchange(m_seen, {});
     if (filled)
-        filled();
+        filled(keys, *m_fillEnd);
     if (m_isRunning)
         later(m_options.interval, &KeyedView::follow);
 }
@@ -122,7 +122,7 @@
         failed(&KeyedView::follow);
         return;
     }
-    answered();
+    readAnswered();
     if (page.value().isLost) {
         fill();
         return;
@@ -155,7 +155,7 @@
         keyDropped(record.key, record.offset);
 }
 
-void KeyedView::answered()
+void KeyedView::readAnswered()
 {
     m_backoff.reset();
     m_answeredAt = m_options.timers->clock().now();
@@ -164,6 +164,8 @@
     m_isUp = true;
     if (isNews && healthChanged)
         healthChanged(true);
+    if (answered)
+        answered();
 }
 
 void KeyedView::failed(void (KeyedView::*again)())
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -5,6 +5,7 @@
 #include "runtime/timerqueue.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <functional>
 #include <optional>
@@ -29,6 +30,8 @@
         PlatformClient::Backoff::Options backoff; ///< While the log does not answer.
     };
 
+    using Keys = absl::flat_hash_set<std::string>;
+
     explicit KeyedView(Options options);
     ~KeyedView();
     KeyedView(const KeyedView &) = delete;
@@ -50,8 +53,11 @@
     /// A key has this value now.
     std::function<void(const KeyedRecord &record)> valueChanged;
     std::function<void(const std::string &key, Base::LogOffset offset)> keyDropped;
-    /// All keys have been read, for the first time or again after a loss.
-    std::function<void()> filled;
+    /// All keys have been read, for the first time or again: these are there. Keys of records
+    /// before \a end that are not among them have been dropped.
+    std::function<void(const Keys &keys, Base::LogOffset end)> filled;
+    /// A read has been answered.
+    std::function<void()> answered;
     std::function<void(bool isUp)> healthChanged;
 
 private:
@@ -61,7 +67,7 @@
     void follow();
     void tailRead(const Errors::Result<TailPage> &page);
     void apply(const KeyedRecord &record);
-    void answered();
+    void readAnswered();
     void failed(void (KeyedView::*again)());
     void later(Base::Duration delay, void (KeyedView::*step)());
 
@@ -78,7 +84,7 @@
     // While it fills itself.
     std::string m_after;
     std::optional<Base::LogOffset> m_fillEnd; ///< End of the log at the first page.
-    absl::flat_hash_map<std::string, Base::LogOffset> m_seen;
+    Keys m_seen;
     std::optional<ReadId> m_read;
     Runtime::TimerId m_timer;
 };
--- a/tests/auto/adapter/tst_store.cpp
+++ b/tests/auto/adapter/tst_store.cpp
@@ -35,6 +35,7 @@
         server.setHandler(
             [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
                 targets.push_back(request.path + "?" + request.query);
+                lastBody = request.body;
                 if (isSilent)
                     silent.push_back(std::move(responder));
                 else
@@ -65,6 +66,7 @@
     bool isSilent = false;
     std::vector<std::shared_ptr<Http::Responder>> silent;
     std::vector<std::string> targets;
+    std::string lastBody;
     Http::Client client{{.loop = &loop}};
     Http::Server server{{.loop = &loop, .address = {"127.0.0.1", 0}}};
     std::optional<Platform::Store> store;
@@ -105,6 +107,23 @@
     BOOST_TEST(page->value().records.at(0).value.value_or("") == "hallo");
 }
 
+BOOST_AUTO_TEST_CASE(aRecordIsWritten)
+{
+    Fixture f;
+    f.body = R"({"offset":3,"end":4})";
+    std::optional<Errors::Result<void>> written;
+    f.store->write("keyed.mine")("key", "value", [&](const auto &result) { written = result; });
+    BOOST_REQUIRE(f.runUntil([&] { return written.has_value(); }));
+    BOOST_TEST(written->has_value());
+    BOOST_TEST(f.targets.at(0) == "/v1/log-append?topic=keyed.mine&part=0");
+    BOOST_TEST(f.lastBody == record("key", "value"));
+    f.status = 503;
+    written.reset();
+    f.store->write("keyed.mine")("key", "value", [&](const auto &result) { written = result; });
+    BOOST_REQUIRE(f.runUntil([&] { return written.has_value(); }));
+    BOOST_TEST(written->has_error());
+}
+
 BOOST_AUTO_TEST_CASE(recordsThatAreNotKeptAnyMoreAreToldOf)
 {
     Fixture f;
