--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -77,7 +77,11 @@
         return m_configuration;
     }
     EndpointBook &endpoints() { return m_endpoints; }
-    FleetRetryBudget &retryBudget() { return m_retryBudget; }
+    /// Routers of the fleet, which share its budget of repeats.
+    void setRouterCount(std::size_t routers)
+    {
+        m_retryBudget.setRouters(static_cast<int>(routers));
+    }
 
     void run(CallerRequest request, std::shared_ptr<Http::Responder> responder);
     std::size_t inFlight() const { return m_runs.size(); }
--- /dev/null
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "fleetsync/fleetsync.h"
+#include "runtime/clock.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Routers that share a store, on one paused clock, with a network that the test can cut.
+class SyncFleet
+{
+public:
+    using Endpoint = Lagoonbank::Fleet::Endpoint;
+    using Sync = Lagoonbank::FleetSync::FleetSync;
+
+    struct Router
+    {
+        std::string id;
+        std::string dataCentre;
+        std::string ip;
+        bool isUp = true;
+        bool reachesStore = true;
+        bool isReading = true;
+        int reads = 0; ///< Of the store.
+        std::uint64_t configuration = 0;
+        std::unique_ptr<Lagoonbank::Fleet::EndpointDirectory> directory;
+        std::unique_ptr<Sync> sync;
+    };
+
+    /// \a sizes gives the routers of each data centre.
+    explicit SyncFleet(const std::vector<int> &sizes)
+    {
+        for (std::size_t dc = 0; dc < sizes.size(); ++dc) {
+            for (int i = 0; i < sizes[dc]; ++i)
+                add("dc" + std::to_string(dc), static_cast<int>(routers.size()));
+        }
+    }
+
+    Router &add(const std::string &dataCentre, int number)
+    {
+        auto router = std::make_unique<Router>();
+        router->id = "r" + std::to_string(number);
+        router->dataCentre = dataCentre;
+        router->ip = "10.0.0." + std::to_string(number);
+        byIp[router->ip] = router.get();
+        routers.push_back(std::move(router));
+        start(*routers.back());
+        return *routers.back();
+    }
+    void start(Router &router)
+    {
+        using namespace Lagoonbank;
+        router.isUp = true;
+        router.isReading = true;
+        router.configuration = 0;
+        router.sync.reset();
+        router.directory = std::make_unique<Fleet::EndpointDirectory>(
+            Fleet::EndpointDirectory::Options{.timers = &timers});
+        router.sync = std::make_unique<Sync>(Sync::Options{.id = router.id,
+                                                           .dataCentre = router.dataCentre,
+                                                           .port = 7000,
+                                                           .directory = router.directory.get(),
+                                                           .timers = &timers,
+                                                           .randomSeed = routers.size()});
+        connect(router);
+        for (const auto &other : routers)
+            router.sync->addRouter(other->id, other->dataCentre, {other->ip, 7000});
+        router.sync->start();
+    }
+    void kill(Router &router)
+    {
+        router.isUp = false;
+        router.sync.reset();
+    }
+
+    /// Writes to the store.
+    void put(const Endpoint &endpoint) { store[endpoint.id] = {endpoint, ++offset}; }
+    void drop(const std::string &id) { store.erase(Lagoonbank::Base::EndpointId(id)); }
+
+    void pass(Lagoonbank::Base::Duration duration)
+    {
+        constexpr Lagoonbank::Base::Duration step = std::chrono::milliseconds(10);
+        for (auto left = duration; left > left.zero(); left -= step) {
+            clock.advance(step);
+            timers.runDue();
+            deliver();
+            readStore();
+        }
+    }
+    int readers(const std::string &dataCentre) const
+    {
+        int count = 0;
+        for (const auto &router : routers)
+            count += router->isUp && router->dataCentre == dataCentre && router->isReading ? 1 : 0;
+        return count;
+    }
+    bool allKnow(const std::function<bool(const Router &)> &is) const
+    {
+        for (const auto &router : routers) {
+            if (router->isUp && !is(*router))
+                return false;
+        }
+        return true;
+    }
+
+    Lagoonbank::Runtime::ManualClock clock;
+    Lagoonbank::Runtime::TimerQueue timers{clock};
+    /// Whether a message may pass.
+    std::function<bool(const Router &from, const Router &to)> passes =
+        [](const Router &, const Router &) { return true; };
+    std::vector<std::unique_ptr<Router>> routers;
+    std::uint64_t revision = 0; ///< Of the configuration in the store; 0 for none.
+    std::uint64_t bytes = 0; ///< Sent by all routers.
+
+private:
+    void connect(Router &router)
+    {
+        using namespace Lagoonbank;
+        router.directory->changed = [&router](const auto &entry) {
+            if (router.sync)
+                router.sync->endpointChanged(entry, false);
+        };
+        router.directory->removed = [&router](const auto &entry) {
+            if (router.sync)
+                router.sync->endpointChanged(entry, true);
+        };
+        router.sync->dutyChanged = [&router](bool reads) { router.isReading = reads; };
+        router.sync->configurationLearnt = [&router](const FleetSync::StoredConfiguration &learnt) {
+            takeConfiguration(router, std::stoull(learnt.text));
+        };
+        router.sync->send = [this, &router](const auto &to, const Schema::FleetBeacon &beacon) {
+            constexpr std::uint64_t headers = 28;
+            bytes += headers + 80 + 60 * beacon.news.size();
+            later(router, to.ip,
+                  [&router, beacon](Router &target) { target.sync->receive(router.ip, beacon); });
+        };
+        router.sync->pull = [this, &router](const auto &peer,
+                                            const Schema::FleetStateRequest &ask) {
+            later(router, peer.ip, [this, &router, ask](Router &target) {
+                const Schema::FleetStateAnswer state = target.sync->answer(ask);
+                later(target, router.ip, [state](Router &asker) { asker.sync->take(state); });
+            });
+        };
+    }
+    void later(const Router &from, const std::string &ip, std::function<void(Router &)> arrive)
+    {
+        const auto found = byIp.find(ip);
+        if (found != byIp.end() && found->second->isUp && passes(from, *found->second))
+            messages.emplace_back(found->second, std::move(arrive));
+    }
+    void deliver()
+    {
+        for (const auto &[router, arrive] : std::exchange(messages, {})) {
+            if (router->isUp)
+                arrive(*router);
+        }
+    }
+    /// Each reader looks at the store every 500 ms.
+    void readStore()
+    {
+        using namespace Lagoonbank;
+        if (++turn % 50 != 0)
+            return;
+        for (const auto &router : routers) {
+            if (!router->isUp || !router->isReading)
+                continue;
+            ++router->reads;
+            if (!router->reachesStore)
+                continue;
+            absl::flat_hash_set<Base::EndpointId> present;
+            for (const auto &[id, entry] : store) {
+                present.insert(id);
+                router->directory->put(entry.first, Base::LogOffset(entry.second));
+            }
+            router->directory->reconcile(present, Base::LogOffset(++offset));
+            router->sync->storeAnswered();
+            if (revision > 0)
+                takeConfiguration(*router, revision);
+        }
+    }
+    static void takeConfiguration(Router &router, std::uint64_t revision)
+    {
+        if (revision <= router.configuration)
+            return;
+        router.configuration = revision;
+        router.sync->setConfiguration(
+            {.revision = Lagoonbank::Base::Revision(revision), .text = std::to_string(revision)});
+    }
+
+    std::map<Lagoonbank::Base::EndpointId, std::pair<Endpoint, std::uint64_t>> store;
+    std::map<std::string, Router *> byIp;
+    std::uint64_t offset = 0;
+    std::uint64_t turn = 0;
+    std::vector<std::pair<Router *, std::function<void(Router &)>>> messages;
+};
--- /dev/null
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -0,0 +1,97 @@
+#define BOOST_TEST_MODULE tst_fleetlink
+#include "auto/http/loopback.h"
+#include "fleetsync/fleetlink.h"
+
+#include <memory>
+#include <string>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::FleetSync;
+using Lagoonbank::Test::PausedLoop;
+using Lagoonbank::Test::RawSocket;
+
+namespace {
+
+std::uint16_t freePort()
+{
+    const Test::RawListener listener;
+    return listener.address.port;
+}
+
+/// A router with real sockets.
+struct Unit
+{
+    Unit(PausedLoop &loop, Http::Client &client, const std::string &id)
+        : directory({.timers = &loop.loop.timers()})
+        , sync({.id = id,
+                .dataCentre = "dc0",
+                .port = port,
+                .directory = &directory,
+                .timers = &loop.loop.timers()})
+    {
+        auto opened = FleetLink::open({.loop = &loop.loop,
+                                       .client = &client,
+                                       .sync = &sync,
+                                       .address = {"127.0.0.1", port},
+                                       .sent = [this](std::size_t size) { bytes += size; },
+                                       .failed = [this](const Errors::Error &) { ++failures; }});
+        BOOST_REQUIRE(opened);
+        link = std::move(opened.value());
+        sync.configurationLearnt = [this](const StoredConfiguration &learnt) {
+            text = learnt.text;
+        };
+    }
+
+    std::uint16_t port = freePort();
+    Fleet::EndpointDirectory directory;
+    FleetSync::FleetSync sync;
+    std::unique_ptr<FleetLink> link;
+    std::size_t bytes = 0;
+    int failures = 0;
+    std::string text;
+};
+
+struct Fixture : PausedLoop
+{
+    Http::Client client{{.loop = &loop}};
+    Unit one{*this, client, "one"};
+    Unit other{*this, client, "other"};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(whatOneKnowsIsPulledByTheOther)
+{
+    Fixture f;
+    f.one.directory.put({.id = Base::EndpointId("a"),
+                         .service = Base::ServiceId("service"),
+                         .address = {"10.0.0.1", 80},
+                         .slots = 6},
+                        Base::LogOffset(3));
+    f.one.sync.storeAnswered();
+    f.one.sync.setConfiguration({.revision = Base::Revision(4),
+                                 .offset = Base::LogOffset(2),
+                                 .text = std::string(200000, 'c')});
+    f.one.sync.addRouter("other", "dc0", {"127.0.0.1", f.other.port});
+    BOOST_TEST(f.runUntil([&] { return f.other.text.size() == 200000U; }));
+    const Fleet::Endpoint *learnt = f.other.directory.find(Base::EndpointId("a"));
+    BOOST_REQUIRE(learnt);
+    BOOST_TEST((*learnt == *f.one.directory.find(Base::EndpointId("a"))));
+    BOOST_TEST(f.other.directory.hash() == f.one.directory.hash());
+    BOOST_TEST(f.one.bytes > 200000U);
+    BOOST_TEST(f.one.failures + f.other.failures == 0);
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotBeReadIsToldOfAndHarmless)
+{
+    Fixture f;
+    const auto socket = Runtime::UdpSocket::bind({.loop = &f.loop, .address = {"127.0.0.1", 0}});
+    BOOST_REQUIRE(socket);
+    for (const std::string &datagram : {std::string(), std::string("x"), std::string(1000, '\xff')})
+        socket.value()->send({"127.0.0.1", f.one.port}, datagram);
+    BOOST_TEST(f.runUntil([&] { return f.one.failures >= 2; }));
+    RawSocket caller({"127.0.0.1", f.one.port});
+    caller.send("POST /fleet/state HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nbad");
+    BOOST_TEST(f.runUntil([&] { return caller.has("HTTP/1.1 400"); }));
+    BOOST_TEST(f.one.sync.peers().empty());
+}
--- /dev/null
+++ b/tests/auto/fleetsync/tst_routerregistry.cpp
@@ -0,0 +1,120 @@
+#define BOOST_TEST_MODULE tst_routerregistry
+#include <boost/test/unit_test.hpp>
+
+#include "fleetsync/routerregistry.h"
+#include "runtime/clock.h"
+
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::FleetSync;
+
+namespace {
+
+/// A keyed log in memory that can fail.
+struct FakeLog
+{
+    KeyedLog::KeyedSource source()
+    {
+        return {.readNewest = [this](const std::string &after, auto read) {
+            ++reads;
+            if (isDown) {
+                read(Errors::makeError(Errors::ErrorKind::LogUnavailable));
+            } else {
+                // One record a page.
+                const std::size_t next = after.empty() ? 0 : std::stoul(after.substr(1));
+                KeyedLog::NewestPage page{.hasMore = next + 1 < records.size()};
+                if (next < records.size())
+                    page.records.push_back(records[next]);
+                read(page);
+            }
+            return KeyedLog::ReadId(1);
+        }};
+    }
+    KeyedLog::KeyedWrite write()
+    {
+        return [this](const std::string &key, const std::string &value, auto written) {
+            ++writes;
+            lastWrite = key + "=" + value;
+            if (isDown)
+                written(Errors::makeError(Errors::ErrorKind::LogUnavailable));
+            else
+                written(boost::outcome_v2::success());
+        };
+    }
+
+    bool isDown = false;
+    int reads = 0;
+    int writes = 0;
+    std::string lastWrite;
+    std::vector<KeyedLog::KeyedRecord> records;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        for (const char *value : {"dc0 10.0.0.1:7000", "nonsense", "dc1 10.0.0.2:7000"}) {
+            const std::string key = "r" + std::to_string(log.records.size() + 1);
+            log.records.push_back({.key = key, .value = value});
+        }
+    }
+    void pass(Base::Duration duration)
+    {
+        clock.advance(duration);
+        timers.runDue();
+    }
+
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers{clock};
+    FakeLog log;
+    Fleet::EndpointDirectory directory{{.timers = &timers}};
+    FleetSync::FleetSync sync{
+        {.id = "r9", .dataCentre = "dc0", .directory = &directory, .timers = &timers}};
+    RouterRegistry registry{{.source = log.source(),
+                             .write = log.write(),
+                             .timers = &timers,
+                             .sync = &sync,
+                             .id = "r9",
+                             .dataCentre = "dc0",
+                             .address = {"10.0.0.9", 7000}}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aRouterWritesItselfThenReadsTheOthers)
+{
+    Fixture f;
+    f.registry.start();
+    BOOST_TEST(f.log.lastWrite == "r9=dc0 10.0.0.9:7000");
+    BOOST_TEST(f.registry.isDone());
+    BOOST_TEST(f.sync.routerCount() == 3U);
+    BOOST_TEST(f.sync.peers().at("r3").dataCentre == "dc1");
+    BOOST_TEST(Runtime::toString(f.sync.peers().at("r3").address) == "10.0.0.2:7000");
+}
+
+BOOST_AUTO_TEST_CASE(whileTheLogIsDownItTriesAgain)
+{
+    Fixture f;
+    f.log.isDown = true;
+    f.registry.start();
+    f.pass(std::chrono::seconds(3));
+    f.pass(std::chrono::seconds(3));
+    BOOST_TEST(f.log.writes == 3);
+    BOOST_TEST(!f.registry.isDone());
+    f.log.isDown = false;
+    f.pass(std::chrono::seconds(3));
+    BOOST_TEST(f.registry.isDone());
+    BOOST_TEST(f.sync.routerCount() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(entriesAreReadBackOrRefused)
+{
+    const auto read = readRegistryEntry(registryEntry("dc0", {"10.0.0.9", 7000}));
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read.value().dataCentre == "dc0");
+    BOOST_TEST(Runtime::toString(read.value().address) == "10.0.0.9:7000");
+    for (const char *text : {"", "dc0", "dc0 ", "dc0 10.0.0.9", "dc0 x:1"})
+        BOOST_TEST(!readRegistryEntry(text), text);
+}
