--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -77,6 +77,10 @@
         return m_configuration;
     }
     EndpointBook &endpoints() { return m_endpoints; }
+    void setRetryBudget(const FleetRetryBudget::Options &options)
+    {
+        m_retryBudget.setOptions(options);
+    }
     /// Routers of the fleet, which share its budget of repeats.
     void setRouterCount(std::size_t routers)
     {
--- /dev/null
+++ b/tests/auto/adapter/tst_routerprocess.cpp
@@ -0,0 +1,195 @@
+#define BOOST_TEST_MODULE tst_routerprocess
+#include "auto/http/loopback.h"
+#include "platform/routerprocess.h"
+
+#include <absl/strings/escaping.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using Lagoonbank::Test::PausedLoop;
+using Lagoonbank::Test::RawSocket;
+
+namespace {
+
+/// A store that holds one configuration and one endpoint, and answers with a status of the test's
+/// choice.
+class FakeStore
+{
+public:
+    explicit FakeStore(Runtime::Loop &loop)
+        : server({.loop = &loop, .address = {"127.0.0.1", 0}})
+    {
+        server.setHandler([this](const Http::Request &request, const auto &responder) {
+            ++calls;
+            if (status != 200)
+                responder->send(status, {}, {});
+            else if (request.path == "/v1/log-newest")
+                responder->send(200, {}, newest(request.query));
+            else if (request.path == "/v1/log-append")
+                responder->send(200, {}, R"({"offset":0,"end":1})");
+            else
+                waiting.push_back(responder); // Nothing new.
+        });
+        BOOST_REQUIRE(server.listen());
+    }
+
+    int status = 200;
+    int calls = 0;
+    std::string configuration;
+    std::string endpoint;
+    Http::Server server;
+    std::vector<std::shared_ptr<Http::Responder>> waiting;
+
+private:
+    std::string newest(const std::string &query) const
+    {
+        const bool isOperator = query.find("keyed.op") != std::string::npos;
+        const bool isEndpoint = query.find("keyed.servers") != std::string::npos;
+        const std::string &value = isOperator ? configuration : endpoint;
+        std::string items;
+        if ((isOperator || isEndpoint) && !value.empty()) {
+            items = R"({"key":")" + std::string(isOperator ? "config" : "i-1") + R"(","value":")"
+                + std::string(absl::Base64Escape(value)) + R"(","offset":1})";
+        }
+        return R"({"items":[)" + items + R"(],"has_more":false,"end":2})";
+    }
+};
+
+std::string freeAddress()
+{
+    const Test::RawListener listener;
+    return Runtime::toString(listener.address);
+}
+
+struct Fixture : PausedLoop
+{
+    Fixture()
+    {
+        settings.vm = Base::VmId("edge-1");
+        settings.dataCentre = Base::DataCentreId("dc0");
+        settings.listenAddress = freeAddress();
+        settings.readyAddress = freeAddress();
+        settings.metricsAddress = freeAddress();
+        settings.peerAddress = freeAddress();
+        settings.storeAddress = Runtime::toString(store.server.address());
+        store.configuration = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+            "kind":"idempotent","service":"s","max_attempts":2,"timeout_ms":800}]})";
+        store.endpoint = R"({"service":"s","address":")" + Runtime::toString(engine.address)
+            + R"(","zone":"dc0","slots":4,"state":"ready"})";
+    }
+    void start()
+    {
+        router = std::make_unique<Platform::RouterProcess>(loop, settings);
+        BOOST_REQUIRE(router->start());
+    }
+    RawSocket connect(const std::string &address)
+    {
+        return RawSocket(Runtime::parseSocketAddress(address).value());
+    }
+    /// Asks the balancer's question until the answer has this status.
+    bool isReadyWith(const std::string &status)
+    {
+        for (int i = 0; i < 50; ++i) {
+            RawSocket balancer = connect(settings.readyAddress);
+            balancer.send("GET /v1/readiness HTTP/1.1\r\nhost: a\r\n\r\n");
+            runUntil([&] { return balancer.has("\r\n\r\n"); });
+            if (balancer.has("HTTP/1.1 " + status))
+                return true;
+            advance(std::chrono::milliseconds(100));
+        }
+        return false;
+    }
+    RawSocket call(const std::string &path = "/p/1")
+    {
+        RawSocket caller = connect(settings.listenAddress);
+        caller.send("GET " + path + " HTTP/1.1\r\nhost: h\r\nlagoonbank-attempt-id: 9c\r\n\r\n");
+        return caller;
+    }
+
+    FakeStore store{loop};
+    Test::RawListener engine;
+    Schema::GatewaySettings settings;
+    std::unique_ptr<Platform::RouterProcess> router;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(itIsReadyOnceItKnowsConfigurationAndEndpoints)
+{
+    Fixture f;
+    f.store.status = 503;
+    f.start();
+    RawSocket early = f.call();
+    BOOST_TEST(f.runUntil([&] { return early.has("not_ready"); }));
+    BOOST_TEST(early.has("HTTP/1.1 503"));
+    BOOST_TEST(early.has("retry-after: "));
+    f.store.status = 200;
+    BOOST_TEST(f.isReadyWith("200"));
+}
+
+BOOST_AUTO_TEST_CASE(aCallGoesThroughToTheEndpointAndBack)
+{
+    Fixture f;
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    RawSocket caller = f.call();
+    int accepted = -1;
+    BOOST_REQUIRE(f.runUntil([&] { return (accepted = f.engine.accept()) >= 0; }));
+    RawSocket engine(accepted);
+    BOOST_TEST(f.runUntil([&] { return engine.has("\r\n\r\n"); }));
+    BOOST_TEST(engine.has("GET /p/1 HTTP/1.1\r\n"));
+    BOOST_TEST(engine.has("host: h\r\n"));
+    BOOST_TEST(engine.has("lagoonbank-attempt-id: 9c\r\n"));
+    BOOST_TEST(engine.has("lagoonbank-expect-instance: i-1\r\n"));
+    BOOST_TEST(engine.has("lagoonbank-deadline-remaining: 800\r\n"));
+    engine.send("HTTP/1.1 200 OK\r\nLagoonbank-Attempt-Id: 9c\r\nLagoonbank-Server-Seal: 3e\r\n"
+                "Content-Length: 2\r\n\r\nok");
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n\r\nok"); }));
+    BOOST_TEST(caller.has("lagoonbank-server-seal: 3e\r\n"));
+    RawSocket unknown = f.call("/q/1");
+    BOOST_TEST(f.runUntil([&] { return unknown.has("HTTP/1.1 404"); }));
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedStopLosesNothing)
+{
+    Fixture f;
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    f.router->stopGracefully();
+    BOOST_TEST(f.isReadyWith("503"));
+    RawSocket caller = f.call();
+    int accepted = -1;
+    BOOST_REQUIRE(f.runUntil([&] { return (accepted = f.engine.accept()) >= 0; }));
+    RawSocket engine(accepted);
+    engine.send("HTTP/1.1 200 OK\r\nLagoonbank-Attempt-Id: 9c\r\nLagoonbank-Server-Seal: 3e\r\n"
+                "Content-Length: 2\r\n\r\nok");
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n\r\nok"); }));
+    BOOST_TEST(caller.has("Connection: close\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(newSettingsChangeWhatMayChangeAndBadOnesNothing)
+{
+    Fixture f;
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    f.router->reload(Schema::SettingsErrors{{"router.yaml", 3, "vm is missing"}});
+    Schema::GatewaySettings next = f.settings;
+    next.retryBudget.slack = 1000;
+    f.router->reload(next);
+    BOOST_TEST(f.isReadyWith("200"));
+}
+
+BOOST_AUTO_TEST_CASE(metricsAreServedOnTheirOwnAddress)
+{
+    Fixture f;
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    RawSocket collector = f.connect(*f.settings.metricsAddress);
+    collector.send("GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
+    BOOST_TEST(
+        f.runUntil([&] { return collector.has("lagoonbank_gateway_configuration_revision 7"); }));
+}
