Gateway: Find out by connections of our own what is out of reach

Change: an endpoint without a connection is checked by connecting alone, every 0.3 s; its data centre's others are checked at once; requests wait 120 ms. A share of failures weighs the newest answer less.

--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -68,6 +68,16 @@
     return found == m_services.end() ? none : found->second;
 }
 
+std::vector<EndpointPtr> EndpointBook::inDataCentre(const Base::DataCentreId &dataCentre) const
+{
+    std::vector<EndpointPtr> found;
+    for (const auto &[id, record] : m_records) {
+        if (record->info.dataCentre == dataCentre)
+            found.push_back(record);
+    }
+    return found;
+}
+
 EndpointPtr EndpointBook::find(const Base::EndpointId &id) const
 {
     const auto found = m_records.find(id);
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -42,6 +42,7 @@
     Fleet::Endpoint info;
     std::uint64_t hash = 0; ///< Of its id; the same on every router.
     Routing::EndpointIndex index = Routing::noEndpoint;
+    bool isUnreachable = false; ///< No connection can be opened; see Reachability.
     bool isGone = false; ///< Its entry is gone; requests may still be in flight.
     int inFlight = 0; ///< Requests of this router.
     std::optional<LoadReport> report;
@@ -82,6 +83,7 @@
     void remove(const Base::EndpointId &id);
     /// Endpoints of a service, in the order of their ids.
     const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
+    std::vector<EndpointPtr> inDataCentre(const Base::DataCentreId &dataCentre) const;
     EndpointPtr find(const Base::EndpointId &id) const;
     /// By EndpointRecord::hash; null if it is not known.
     EndpointPtr findByHash(std::uint64_t hash) const;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -19,10 +19,24 @@
 Gateway::Gateway(Options options)
     : m_options(std::move(options))
     , m_endpoints(m_options.endpoints)
+    , m_reachability({.book = &m_endpoints,
+                      .timers = &m_options.loop->timers(),
+                      .check =
+                          [this](const auto &server, Base::Duration timeout, auto checked) {
+                              m_options.client->check(server, timeout, std::move(checked));
+                          }})
     , m_placement(m_options.placement)
     , m_retryBudget(m_options.retryBudget)
     , m_promptPlaces(rememberedPrompts)
-{ }
+{
+    m_reachability.changed = [this](const EndpointRecord &endpoint) {
+        m_options.log->event("gateway",
+                             endpoint.isUnreachable ? "An endpoint cannot be reached."
+                                                    : "An endpoint can be reached again.",
+                             {{"endpoint", endpoint.info.id.value()},
+                              {"data_centre", endpoint.info.dataCentre.value()}});
+    };
+}
 
 Gateway::~Gateway()
 {
@@ -46,6 +60,7 @@
         return nullptr;
     const EndpointPtr source = m_endpoints.findByHash(known->endpointHash);
     const bool isUsable = source && source->info.service == target.info.service
+        && !source->isUnreachable
         && m_endpoints.suspicion().state(source->index) == Routing::Suspicion::State::Trusted;
     return isUsable ? source : nullptr;
 }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/fleetretrybudget.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/placement.h"
+#include "gateway/reachability.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "logging/decisionlog.h"
@@ -25,9 +26,9 @@
 /// How long a gateway waits for what.
 struct GatewayPatience
 {
-    /// For a connection to an endpoint. A live one accepts within a few ms; one that is cut off
-    /// does not answer at all, and the request has to be tried elsewhere in time.
-    Base::Duration connect = std::chrono::milliseconds(250);
+    /// For a connection to an endpoint. A live one accepts within 5 ms; one that is cut off does
+    /// not answer at all, and the request has to be tried elsewhere within its 150 to 600 ms.
+    Base::Duration connect = std::chrono::milliseconds(120);
     /// Part of the target latency after which a request that may be repeated is sent elsewhere
     /// when nothing has come from its endpoint, on any connection, so that the other one still has
     /// time.
@@ -100,6 +101,7 @@
     Options m_options;
     std::shared_ptr<const Fleet::Configuration> m_configuration;
     EndpointBook m_endpoints;
+    Reachability m_reachability;
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
     Routing::PlacementTable m_promptPlaces;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -58,7 +58,9 @@
 {
     Candidates candidates;
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
-        if (endpoint->info.state != Fleet::EndpointState::Ready || isTried(request, endpoint))
+        const bool isUsable = endpoint->info.state == Fleet::EndpointState::Ready
+            && !endpoint->isUnreachable && !isTried(request, endpoint);
+        if (!isUsable)
             continue;
         const bool isTrusted =
             book.suspicion().state(endpoint->index) == Routing::Suspicion::State::Trusted;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -24,6 +24,8 @@
 
 /// Above the share of errors that good endpoints give for requests that are wrong themselves.
 constexpr double failureShareToSuspect = 0.4;
+/// Of the newest answer; some eight bad ones of sixteen make an endpoint suspect.
+constexpr double failureWeight = 0.15;
 constexpr Base::Duration failureHalfLife = std::chrono::seconds(4);
 
 } // namespace
@@ -385,12 +387,8 @@
 {
     if (!m_attempt || m_attempt->endpoint->isGone)
         return;
-    using Routing::ExchangeResult;
-    EndpointRecord &endpoint = *m_attempt->endpoint;
-    const Base::MonoTime now = m_timers.clock().now();
-    Routing::Suspicion &suspicion = m_gateway.m_endpoints.suspicion();
     if (!failure.hasReached)
-        suspicion.noteResult(endpoint.index, ExchangeResult::Unreachable, now);
+        m_gateway.m_reachability.foundUnreachable(m_attempt->endpoint);
     else if (failure.hasRun)
         noteAnswer(false);
 }
@@ -529,7 +527,7 @@
     if (endpoint.isGone)
         return;
     const Base::MonoTime now = m_timers.clock().now();
-    endpoint.failures.add(isGood ? 0 : 1, now);
+    endpoint.failures.add(isGood ? 0 : 1, now, failureWeight);
     const bool isHealthy =
         isGood || endpoint.failures.value(0, now, failureHalfLife) < failureShareToSuspect;
     m_gateway.m_endpoints.suspicion().noteResult(
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/clientcall.h"
+#include "http/connectioncheck.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <openssl/ssl.h>
@@ -39,6 +40,7 @@
     ~Private()
     {
         calls.clear();
+        checks.clear();
         if (context.tls)
             SSL_CTX_free(context.tls);
     }
@@ -47,6 +49,7 @@
     Internal::ClientContext context;
     std::uint64_t lastId = 0;
     absl::flat_hash_map<CallId, std::shared_ptr<Internal::ClientCall>> calls;
+    absl::flat_hash_map<std::uint64_t, std::shared_ptr<Internal::ConnectionCheck>> checks;
 };
 
 Client::Client(Options options)
@@ -67,6 +70,19 @@
     return id;
 }
 
+void Client::check(const Runtime::SocketAddress &server, Base::Duration timeout,
+                   std::function<void(bool isReachable)> checked)
+{
+    const std::uint64_t id = ++d->lastId;
+    const auto check = std::make_shared<Internal::ConnectionCheck>(
+        *d->options.loop, [this, id, checked = std::move(checked)](bool isReachable) {
+            d->checks.erase(id);
+            checked(isReachable);
+        });
+    d->checks.emplace(id, check);
+    check->start(server, timeout);
+}
+
 void Client::cancel(CallId call)
 {
     const auto found = d->calls.find(call);
--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -1,8 +1,9 @@
 #include "http/clientcall.h"
 
+#include "http/socketconnect.h"
+
 #include <h2o.h>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -101,15 +102,7 @@
 
 void ClientCall::connect()
 {
-    sockaddr_in native{};
-    native.sin_family = AF_INET;
-    native.sin_port = htons(m_call.server.port);
-    if (inet_pton(AF_INET, m_call.server.ip.c_str(), &native.sin_addr) != 1) {
-        finishSoon(CallEnd::NotConnected, "\"" + m_call.server.ip + "\" is not an IPv4 address");
-        return;
-    }
-    m_socket = h2o_socket_connect(m_context.loop.native(), reinterpret_cast<sockaddr *>(&native),
-                                  sizeof native, connected);
+    m_socket = connectSocket(m_context.loop, m_call.server, connected);
     if (!m_socket) {
         finishSoon(CallEnd::NotConnected, "cannot connect to " + toString(m_call.server));
         return;
--- /dev/null
+++ b/src/libs/http/connectioncheck.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "runtime/loop.h"
+#include "runtime/udpsocket.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+struct st_h2o_socket_t;
+
+namespace Lagoonbank::Http::Internal {
+
+/// Opens a connection and closes it, to see whether a server is within reach.
+class ConnectionCheck : public std::enable_shared_from_this<ConnectionCheck>
+{
+public:
+    using Checked = std::function<void(bool isReachable)>;
+
+    ConnectionCheck(Runtime::Loop &loop, Checked checked);
+    ~ConnectionCheck();
+    ConnectionCheck(const ConnectionCheck &) = delete;
+    ConnectionCheck &operator=(const ConnectionCheck &) = delete;
+
+    void start(const Runtime::SocketAddress &server, Base::Duration timeout);
+
+private:
+    static void connected(st_h2o_socket_t *socket, const char *error);
+    void finish(bool isReachable);
+
+    Runtime::Loop &m_loop;
+    Checked m_checked;
+    st_h2o_socket_t *m_socket = nullptr;
+    std::optional<Runtime::TimerId> m_timer;
+};
+
+} // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/tests/auto/gateway/tst_reachability.cpp
@@ -0,0 +1,125 @@
+/// Pattern: a data centre is cut off, or an engine crashes. Each request that finds it out by
+/// itself loses 120 ms, which most have not to spare.
+#define BOOST_TEST_MODULE tst_reachability
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/placement.h"
+#include "gateway/reachability.h"
+#include "runtime/clock.h"
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Gateway;
+
+namespace {
+
+const Base::ServiceId service{"service"};
+
+/// Nine endpoints in three data centres and a network that the test cuts.
+struct Fixture
+{
+    Fixture()
+    {
+        for (int i = 0; i < 9; ++i) {
+            book.put({.id = Base::EndpointId("e" + std::to_string(i)),
+                      .service = service,
+                      .address = {"10.0.0." + std::to_string(i), 80},
+                      .dataCentre = Base::DataCentreId("dc" + std::to_string(i % 3))});
+        }
+    }
+    EndpointPtr endpoint(int i) { return book.find(Base::EndpointId("e" + std::to_string(i))); }
+    /// Answers checks after 2 ms, or lets them time out.
+    void pass(Base::Duration duration)
+    {
+        constexpr Base::Duration step = std::chrono::milliseconds(2);
+        for (auto left = duration; left > left.zero(); left -= step) {
+            clock.advance(step);
+            timers.runDue();
+            for (auto &[server, checked] : std::exchange(checks, {})) {
+                ++count;
+                if (!cut.contains(server))
+                    checked(true);
+                else
+                    timers.start(std::chrono::milliseconds(100),
+                                 [done = std::move(checked)] { done(false); });
+            }
+        }
+    }
+    int unreachable()
+    {
+        int sum = 0;
+        for (int i = 0; i < 9; ++i)
+            sum += endpoint(i)->isUnreachable ? 1 : 0;
+        return sum;
+    }
+
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers{clock};
+    EndpointBook book{{}};
+    std::set<std::string> cut;
+    int count = 0;
+    std::vector<std::pair<std::string, std::function<void(bool)>>> checks;
+    Reachability reachability{{.book = &book,
+                               .timers = &timers,
+                               .check = [this](const auto &server, Base::Duration, auto checked) {
+                                   checks.emplace_back(server.ip, std::move(checked));
+                               }}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aCutDataCentreIsFoundOutByOneRequest)
+{
+    Fixture f;
+    f.cut = {"10.0.0.1", "10.0.0.4", "10.0.0.7"};
+    f.reachability.foundUnreachable(f.endpoint(1));
+    f.pass(std::chrono::milliseconds(110));
+    BOOST_TEST(f.unreachable() == 3);
+    Placement placement({});
+    for (std::uint64_t prompt = 1; prompt < 100; ++prompt) {
+        const Place place = placement.choose({.service = service, .affinity = prompt * 7919},
+                                             f.book, f.clock.now());
+        BOOST_TEST(!place.endpoint->isUnreachable);
+    }
+    f.cut.clear();
+    f.pass(std::chrono::milliseconds(600));
+    BOOST_TEST(f.unreachable() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(oneEndpointThatCrashedLeavesTheOthersAlone)
+{
+    Fixture f;
+    f.cut = {"10.0.0.1"};
+    f.reachability.foundUnreachable(f.endpoint(1));
+    f.pass(std::chrono::milliseconds(400));
+    BOOST_TEST(f.unreachable() == 1);
+    const int before = f.count;
+    f.pass(std::chrono::seconds(4));
+    BOOST_TEST(f.count - before <= 13);
+}
+
+BOOST_AUTO_TEST_CASE(aLostPacketCostsAnEndpointMilliseconds)
+{
+    Fixture f;
+    f.reachability.foundUnreachable(f.endpoint(1));
+    BOOST_TEST(f.unreachable() == 1);
+    f.pass(std::chrono::milliseconds(6));
+    BOOST_TEST(f.unreachable() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(anEndpointThatHasGoneIsCheckedNoMore)
+{
+    Fixture f;
+    f.cut = {"10.0.0.1"};
+    f.reachability.foundUnreachable(f.endpoint(1));
+    f.pass(std::chrono::milliseconds(200));
+    f.book.remove(Base::EndpointId("e1"));
+    f.pass(std::chrono::seconds(1));
+    const int before = f.count;
+    f.pass(std::chrono::seconds(2));
+    BOOST_TEST(f.count == before);
+}
