--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -43,6 +43,8 @@
     std::uint64_t hash = 0; ///< Of its id; the same on every router.
     Routing::EndpointIndex index = Routing::noEndpoint;
     bool isUnreachable = false; ///< No connection can be opened; see Reachability.
+    bool isReplaced = false; ///< Another endpoint has answered at its address.
+    Base::MonoTime fullUntil{}; ///< It refused as full.
     bool isGone = false; ///< Its entry is gone; requests may still be in flight.
     int inFlight = 0; ///< Requests of this router.
     std::optional<LoadReport> report;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -53,6 +53,12 @@
     m_configuration = std::move(configuration);
 }
 
+std::int64_t Gateway::knowledgeAgeMs() const
+{
+    const auto age = m_options.knowledgeAge ? m_options.knowledgeAge() : std::nullopt;
+    return age ? Base::toMilliseconds(*age) : -1;
+}
+
 EndpointPtr Gateway::cacheSource(std::uint64_t affinity, const EndpointRecord &target)
 {
     const auto known = m_promptPlaces.find(affinity);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -16,8 +16,10 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Lagoonbank::Gateway {
 
@@ -58,6 +60,8 @@
         EndpointProtocol protocol;
         /// Tells a caller that its request is not answered by an endpoint.
         std::function<void(Http::Responder &responder, const Refusal &refusal)> refuse;
+        /// How old what this router knows of endpoints and configuration is; for the log.
+        std::function<std::optional<Base::Duration>()> knowledgeAge;
         Placement::Options placement;
         EndpointBook::Options endpoints;
         FleetRetryBudget::Options retryBudget;
@@ -94,6 +98,8 @@
 private:
     friend class RequestRun;
 
+    /// In milliseconds; -1 where nothing is known.
+    std::int64_t knowledgeAgeMs() const;
     /// Where the parts of a prompt were read last, if copying them from there to \a target beats
     /// reading them again; else null.
     EndpointPtr cacheSource(std::uint64_t affinity, const EndpointRecord &target);
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -59,7 +59,8 @@
     Candidates candidates;
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
         const bool isUsable = endpoint->info.state == Fleet::EndpointState::Ready
-            && !endpoint->isUnreachable && !isTried(request, endpoint);
+            && !endpoint->isUnreachable && !endpoint->isReplaced && now >= endpoint->fullUntil
+            && !isTried(request, endpoint);
         if (!isUsable)
             continue;
         const bool isTrusted =
@@ -67,7 +68,8 @@
         const bool isTrial =
             !isTrusted && request.mayRepeat && book.suspicion().admitsTrial(endpoint->index, now);
         if (isTrusted || isTrial)
-            candidates.push_back({endpoint, book.load(*endpoint, now), isTrial});
+            candidates.push_back(
+                {.endpoint = endpoint, .load = book.load(*endpoint, now), .isTrial = isTrial});
     }
     return candidates;
 }
@@ -76,12 +78,13 @@
                             Base::MonoTime now) const
 {
     const Routing::RendezvousCost order(*request.affinity);
-    std::sort(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
-        return order.cost(a.endpoint->hash, 1) < order.cost(b.endpoint->hash, 1);
-    });
     double sum = 1; // The request itself.
-    for (const Candidate &candidate : candidates)
+    for (Candidate &candidate : candidates) {
+        candidate.cost = order.cost(candidate.endpoint->hash, 1);
         sum += candidate.load;
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
     const double bound =
         m_options.boundFactor * sum / static_cast<double>(candidates.size()) + m_options.boundSlack;
     const Speeds speeds = speedsOf(candidates, now);
@@ -130,8 +133,8 @@
 {
     Place place{.reason = PlacementReason::LastResort};
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
-        const bool isUsable =
-            endpoint->info.state == Fleet::EndpointState::Ready && !isTried(request, endpoint);
+        const bool isUsable = endpoint->info.state == Fleet::EndpointState::Ready
+            && !endpoint->isReplaced && !isTried(request, endpoint);
         if (!isUsable)
             continue;
         const bool isBetter = !place.endpoint
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -76,6 +76,7 @@
     {
         EndpointPtr endpoint;
         double load = 0;
+        double cost = 0; ///< Its place in the order of the request's affinity; least first.
         bool isTrial = false;
     };
     using Candidates = std::vector<Candidate>;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -22,6 +22,9 @@
 /// Less time than this is not worth a send: no endpoint answers so soon.
 constexpr Base::Duration leastTime = std::chrono::milliseconds(10);
 
+/// For which an endpoint that refused as full gets nothing new: a few of its requests end
+/// meanwhile.
+constexpr Base::Duration fullTime = std::chrono::milliseconds(150);
 /// Above the share of errors that good endpoints give for requests that are wrong themselves.
 constexpr double failureShareToSuspect = 0.4;
 /// Of the newest answer; some eight bad ones of sixteen make an endpoint suspect.
@@ -157,6 +160,7 @@
                                       {"load_age_ms", now - place.endpoint->reportedAt},
                                       {"send", m_tried.size() + 1},
                                       {"revision", m_configuration->revision().value()},
+                                      {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
                                       {"left_ms", timeLeft()}});
     send(place);
 }
@@ -310,6 +314,7 @@
     const HeadFacts &facts = attempt.facts;
     if (facts.isNotRun || facts.isOtherEndpoint) {
         --m_ranAt;
+        noteRefusal();
         attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
         return;
     }
@@ -418,6 +423,7 @@
          {"host", m_request.host},
          {"path", m_request.path},
          {"revision", m_configuration ? m_configuration->revision().value() : 0},
+         {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
          {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
     m_gateway.m_options.refuse(*m_responder, {.kind = kind, .ran = ran, .retryAfter = retryAfter});
     end("refused", 0);
@@ -520,6 +526,23 @@
     m_attempt.reset();
 }
 
+/// An endpoint that is full is left alone for a moment; an id whose address another one has is
+/// never there again.
+void RequestRun::noteRefusal()
+{
+    EndpointRecord &endpoint = *m_attempt->endpoint;
+    if (!m_attempt->facts.isOtherEndpoint) {
+        endpoint.fullUntil = m_timers.clock().now() + fullTime;
+        return;
+    }
+    if (std::exchange(endpoint.isReplaced, true))
+        return;
+    m_gateway.m_options.log->event(part, "An endpoint's address is another one's now.",
+                                   {{"endpoint", endpoint.info.id.value()},
+                                    {"address", Runtime::toString(endpoint.info.address)},
+                                    {"request", m_request.id.value()}});
+}
+
 /// A share of failed answers makes an endpoint suspect; a single one does not.
 void RequestRun::noteAnswer(bool isGood)
 {
@@ -530,9 +553,21 @@
     endpoint.failures.add(isGood ? 0 : 1, now, failureWeight);
     const bool isHealthy =
         isGood || endpoint.failures.value(0, now, failureHalfLife) < failureShareToSuspect;
-    m_gateway.m_endpoints.suspicion().noteResult(
+    Routing::Suspicion &suspicion = m_gateway.m_endpoints.suspicion();
+    const Routing::Suspicion::State before = suspicion.state(endpoint.index);
+    suspicion.noteResult(
         endpoint.index,
         isHealthy ? Routing::ExchangeResult::Answered : Routing::ExchangeResult::Broke, now);
+    const Routing::Suspicion::State after = suspicion.state(endpoint.index);
+    if (after == before || after == Routing::Suspicion::State::OnTrial)
+        return;
+    const bool isTrusted = after == Routing::Suspicion::State::Trusted;
+    m_gateway.m_options.log->event(
+        part, isTrusted ? "An endpoint is trusted again." : "An endpoint is suspected.",
+        {{"endpoint", endpoint.info.id.value()},
+         {"request", m_request.id.value()},
+         {"failure_share", endpoint.failures.value(0, now, failureHalfLife)},
+         {"in_flight", endpoint.inFlight}});
 }
 
 void RequestRun::end(std::string_view outcome, int status)
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -77,6 +77,7 @@
     void silent();
     void cancelAttempt();
     void releaseEndpoint();
+    void noteRefusal();
     void noteAnswer(bool isGood);
     void end(std::string_view outcome, int status);
 
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -155,6 +155,29 @@
     BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
 }
 
+/// Found by the soak: an entry whose address another start of the engine has took a part of the
+/// requests, each of which cost a repeat until none was left.
+BOOST_AUTO_TEST_CASE(anEndpointWhoseAddressIsAnothersIsNotAskedAgain)
+{
+    GatewayFixture f;
+    f.setRoute(plain(RouteKind::NonIdempotent));
+    std::map<FakeEndpoint *, int> asked;
+    for (int i = 1; i <= 6; ++i) {
+        RawSocket caller = f.call();
+        const std::string id = "x-id: r" + std::to_string(i) + "\r\n";
+        const std::string answer = "HTTP/1.1 200 OK\r\n" + id + "content-length: 4\r\n\r\ngood";
+        FakeEndpoint *endpoint = &f.awaitRequest();
+        while (endpoint == f.endpoints.front().get()) {
+            ++asked[endpoint];
+            endpoint->last().send("HTTP/1.1 421 Other\r\n" + id + "content-length: 0\r\n\r\n");
+            endpoint = &f.awaitRequest();
+        }
+        endpoint->last().send(answer);
+        BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+    }
+    BOOST_TEST(asked[f.endpoints.front().get()] <= 1);
+}
+
 BOOST_AUTO_TEST_CASE(whereNobodyCanBeReachedTheCallerIsToldThatItDidNotRun)
 {
     GatewayFixture f(0);
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -135,6 +135,17 @@
     BOOST_TEST(!none.endpoint);
 }
 
+BOOST_AUTO_TEST_CASE(anEndpointThatRefusedAsFullIsLeftAloneForAMoment)
+{
+    Fixture f(2);
+    f.endpoint(0).fullUntil = f.now + std::chrono::milliseconds(150);
+    BOOST_TEST(f.chooseService().endpoint->info.id.value() == "e1");
+    f.endpoint(1).fullUntil = f.now + std::chrono::milliseconds(150);
+    BOOST_TEST(f.chooseService().endpoint != nullptr);
+    f.now += std::chrono::milliseconds(150);
+    BOOST_TEST(f.chooseService().endpoint->info.id.value() == "e0");
+}
+
 BOOST_AUTO_TEST_CASE(aSuspectedEndpointIsTriedByWhatMayBeRepeatedAlone)
 {
     Fixture f(2);
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,231 @@
+"""The soak's world around the routers: a store, engines and proxies that misbehave on order."""
+
+import asyncio
+import base64
+import json
+import random
+
+import wire
+
+
+class Proxy:
+    """Passes connections on, or delays, resets, silences or cuts one direction of them."""
+
+    MODES = ("pass", "delay", "reset", "silent", "cut_in", "cut_out", "refuse")
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.writers = set()
+        self.server = None
+
+    async def start(self, ip, port):
+        """Listens; gives itself."""
+        self.server = await asyncio.start_server(self.connected, ip, port)
+        return self
+
+    def set_mode(self, mode):
+        """Changes how connections are treated, open ones too."""
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def connected(self, reader, writer):
+        """One connection through the proxy."""
+        if self.mode in ("reset", "refuse"):
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        try:
+            await asyncio.gather(self.pump(reader, up_writer, "cut_in"),
+                                 self.pump(up_reader, writer, "cut_out"))
+        except asyncio.CancelledError:
+            pass  # The run is over.
+        self.writers -= {writer, up_writer}
+
+    async def pump(self, reader, writer, cut):
+        """One direction; what comes while it is cut or silent is lost for good."""
+        lost = False
+        try:
+            while piece := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.08)
+                lost = lost or self.mode in ("silent", cut)
+                if not lost:
+                    writer.write(piece)
+                    await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            if not lost:
+                writer.close()
+
+
+class Store:
+    """The newest record of each key and the tail of two topics."""
+
+    def __init__(self):
+        self.records = {}  # topic -> list of (key, value)
+        self.status = 200
+        self.delay = 0.0
+        self.changed = asyncio.Condition()
+
+    async def put(self, topic, key, value):
+        """Appends a record; no value drops the key."""
+        async with self.changed:
+            self.records.setdefault(topic, []).append((key, value))
+            self.changed.notify_all()
+
+    async def handle(self, first, fields, body, writer):
+        """One call."""
+        del fields
+        await asyncio.sleep(self.delay)
+        path, _, query = first.split(" ")[1].partition("?")
+        asked = dict(item.split("=", 1) for item in query.split("&"))
+        if self.status != 200:
+            writer.write(wire.message(f"HTTP/1.1 {self.status} No", {}))
+            return True
+        answer = await getattr(self, path.rsplit("/", 1)[1].replace("-", "_"))(asked, body)
+        writer.write(wire.message("HTTP/1.1 200 OK", {}, answer))
+        await writer.drain()
+        return True
+
+    async def log_newest(self, asked, body):
+        """All keys on one page."""
+        del body
+        records = self.records.get(asked["topic"], [])
+        newest = {key: (value, offset) for offset, (key, value) in enumerate(records)}
+        items = [{"key": key, "value": base64.b64encode(value.encode()).decode(), "offset": offset}
+                 for key, (value, offset) in sorted(newest.items()) if value]
+        return json.dumps({"items": items, "has_more": False, "end": len(records)}).encode()
+
+    async def log_read(self, asked, body):
+        """Waits for records."""
+        del body
+        start = int(asked["from"])
+        def end():
+            return len(self.records.get(asked["topic"], []))
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(lambda: end() > start),
+                                       int(asked.get("wait_ms", 0)) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        out = end().to_bytes(8, "big") + bytes(8)
+        for key, value in self.records.get(asked["topic"], [])[start:]:
+            content = bytes([len(key)]) + key.encode() + value.encode()
+            out += len(content).to_bytes(4, "big") + content
+        return out
+
+    async def log_append(self, asked, body):
+        """One record."""
+        size = body[4]
+        await self.put(asked["topic"], body[5:5 + size].decode(), body[5 + size:].decode())
+        return b'{"offset":0,"end":1}'
+
+
+EVENTS = 8
+
+
+def event(request_id, number):
+    """One event of the stream that answers a request."""
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+
+
+def plain_body(request_id):
+    """The whole answer to a request that is no stream."""
+    return f"answer to {request_id}".encode()
+
+
+class Engine:
+    """An engine or a service; writes down what it ran."""
+
+    def __init__(self, name, service, runs, rng):
+        self.name = name
+        self.service = service
+        self.runs = runs  # request id -> list of names of engines
+        self.rng = rng
+        self.mode = "good"
+        self.boot = 0
+        self.is_leaving = False
+        self.address = None
+
+    @property
+    def id(self):
+        """Of this start of it."""
+        return f"{self.name}-{self.boot}"
+
+    def entry(self, state="ready"):
+        """As it stands in the store."""
+        return json.dumps({"service": self.service, "address": self.address, "zone": "dc0",
+                           "slots": 8, "state": state})
+
+    async def handle(self, first, fields, body, writer):
+        """One request."""
+        del body
+        request = fields.get("lagoonbank-attempt-id", "")
+        head = {"lagoonbank-attempt-id": request, "lagoonbank-server-seal": "s",
+                "lagoonbank-instance-id": self.id}
+        if fields.get("lagoonbank-expect-instance") != self.id:
+            writer.write(wire.message("HTTP/1.1 421 Other", head))
+            return True
+        if self.mode == "shed":
+            writer.write(wire.message("HTTP/1.1 503 Full", {"lagoonbank-not-executed": "1"}))
+            return True
+        self.runs.setdefault(request, []).append(self.id)
+        if self.mode == "mute":
+            await asyncio.sleep(60)
+        await asyncio.sleep(0.3 if self.mode == "slow" else self.rng.uniform(0.002, 0.03))
+        if self.mode == "reset" and self.rng.random() < 0.4:
+            writer.transport.abort()
+            return False
+        if first.startswith("POST /s/"):
+            return await self.stream(request, int(fields.get("last-event-id", "0")), head, writer)
+        writer.write(wire.message("HTTP/1.1 200 OK", head, plain_body(request)))
+        await writer.drain()
+        return True
+
+    async def stream(self, request, after, head, writer):
+        """Events in chunks, cut or torn on order."""
+        lines = [f"{name}: {value}" for name, value in head.items()]
+        writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)
+                      + "\r\ntransfer-encoding: chunked\r\n\r\n").encode())
+        for number in range(after + 1, EVENTS + 1):
+            piece = event(request, number)
+            if self.mode == "reset" and self.rng.random() < 0.1:
+                writer.write(wire.chunk(piece[:7]))
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(wire.chunk(piece))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+def configuration(version, keys):
+    """What the operator writes."""
+    def route(kind, prefix, service, timeout):
+        return {"name": prefix, "host": "h", "prefix": f"/{prefix}/", "kind": kind,
+                "service": service, "max_attempts": 2, "timeout_ms": timeout,
+                "target_latency_ms": 300, "max_gap_ms": 400, "resumable": kind == "streaming"}
+    return json.dumps({
+        "version": version,
+        "routes": [route("idempotent", "i", "app", 2000), route("non_idempotent", "n", "app", 2000),
+                   route("streaming", "s", "llm", 5000)],
+        "services": [{"name": "app"}, {"name": "llm"}],
+        "limits": {"header_bytes": 16384, "body_bytes": 65536, "header_ms": 3000, "idle_ms": 15000},
+        "tenants": [{"name": f"t{i}", "keys": [key]} for i, key in enumerate(keys)]})
+
+
+def generator(seed, name):
+    """Random numbers of one part of the world."""
+    return random.Random(f"{seed}/{name}")
