Gateway: Copy a prompt from where all routers sent it before

Ruled out: sharing the places of prompts among routers, which would cost bytes between data centres. Change: the order of a prompt tells where it went before: to the first endpoint in it, draining ones included, or, while the target is new, to the first one that is not.

--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -21,7 +21,7 @@
     return usual + (m_mean - usual) * kept;
 }
 
-void EndpointBook::put(const Fleet::Endpoint &endpoint)
+void EndpointBook::put(const Fleet::Endpoint &endpoint, Base::MonoTime now)
 {
     const auto known = m_records.find(endpoint.id);
     if (known != m_records.end()) {
@@ -30,6 +30,7 @@
     }
     auto record = std::make_shared<EndpointRecord>();
     record->info = endpoint;
+    record->knownSince = now;
     record->hash = Routing::stableHash(endpoint.id.value());
     if (m_freeIndices.empty()) {
         record->index = m_nextIndex++;
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -46,6 +46,7 @@
     bool isReplaced = false; ///< Another endpoint has answered at its address.
     Base::MonoTime fullUntil{}; ///< It refused as full.
     bool isGone = false; ///< Its entry is gone; requests may still be in flight.
+    Base::MonoTime knownSince;
     int inFlight = 0; ///< Requests of this router.
     std::optional<LoadReport> report;
     Base::MonoTime reportedAt;
@@ -81,7 +82,7 @@
         , m_suspicion(options.suspicion)
     { }
 
-    void put(const Fleet::Endpoint &endpoint);
+    void put(const Fleet::Endpoint &endpoint, Base::MonoTime now);
     void remove(const Base::EndpointId &id);
     /// Endpoints of a service, in the order of their ids.
     const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -11,8 +11,6 @@
 /// Prompts whose place is remembered, at 24 bytes each; more than chats return to one router
 /// within the time for which an engine keeps them.
 constexpr std::size_t rememberedPrompts = 16384;
-/// Below it, setting a copy up takes as long as reading.
-constexpr Base::Tokens leastCopied(256);
 
 } // namespace
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -98,6 +98,9 @@
 private:
     friend class RequestRun;
 
+    /// Fewer tokens are read as fast as a copy of them is set up.
+    static constexpr Base::Tokens leastCopied{256};
+
     /// In milliseconds; -1 where nothing is known.
     std::int64_t knowledgeAgeMs() const;
     /// Where the parts of a prompt were read last, if copying them from there to \a target beats
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -45,6 +45,7 @@
         book.suspicion().noteTrialSent(trial->endpoint->index, now);
     } else if (request.affinity) {
         place = byAffinity(request, std::move(candidates), now);
+        place.cacheSource = cacheSource(request, book, *place.endpoint, now);
     } else {
         place = byCost(candidates, now);
     }
@@ -106,6 +107,29 @@
     return {.endpoint = least->endpoint, .reason = reason, .load = least->load};
 }
 
+/// The endpoint where requests with this prompt went before: the first in their order, unless it is
+/// the target itself and has been there for long.
+EndpointPtr Placement::cacheSource(const PlacementRequest &request, const EndpointBook &book,
+                                   const EndpointRecord &target, Base::MonoTime now) const
+{
+    const Routing::RendezvousCost order(*request.affinity);
+    const bool isTargetNew = now - target.knownSince < m_options.newTime;
+    const double targetCost = order.cost(target.hash, 1);
+    EndpointPtr source;
+    double least = isTargetNew ? std::numeric_limits<double>::max() : targetCost;
+    for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
+        const bool isUsable = endpoint.get() != &target && !endpoint->isUnreachable
+            && !endpoint->isReplaced && now - endpoint->knownSince >= m_options.newTime
+            && book.suspicion().state(endpoint->index) == Routing::Suspicion::State::Trusted;
+        const double cost = isUsable ? order.cost(endpoint->hash, 1) : least;
+        if (cost >= least)
+            continue;
+        least = cost;
+        source = endpoint;
+    }
+    return source;
+}
+
 Place Placement::byCost(const Candidates &candidates, Base::MonoTime now) const
 {
     const double usual = speedsOf(candidates, now).latency / static_cast<double>(candidates.size());
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -37,6 +37,9 @@
 {
     EndpointPtr endpoint; ///< Null if there is none.
     PlacementReason reason = PlacementReason::Home;
+    /// Another endpoint that probably holds the prompt, as all routers send it there; null for
+    /// none.
+    EndpointPtr cacheSource;
     double load = 0; ///< Of the endpoint, in requests.
     double meanLoad = 0; ///< Of the service.
     std::size_t candidates = 0;
@@ -60,6 +63,9 @@
         /// In which half of what was learnt of an endpoint's speed is forgotten, so that one that
         /// has become fast again is found out.
         Base::Duration speedHalfLife = std::chrono::seconds(4);
+        /// For which an endpoint that is new to its service counts as one without the prompts whose
+        /// home it has become: chats return within this time or seldom.
+        Base::Duration newTime = std::chrono::seconds(12);
         /// What an endpoint of another data centre costs beyond its own time: the way there and
         /// the price of the bytes.
         Base::Duration remoteCost = std::chrono::milliseconds(10);
@@ -85,6 +91,8 @@
                              Base::MonoTime now) const;
     Place byAffinity(const PlacementRequest &request, Candidates candidates,
                      Base::MonoTime now) const;
+    EndpointPtr cacheSource(const PlacementRequest &request, const EndpointBook &book,
+                            const EndpointRecord &target, Base::MonoTime now) const;
     Place byCost(const Candidates &candidates, Base::MonoTime now) const;
     Place lastResort(const PlacementRequest &request, const EndpointBook &book) const;
     /// Sums over the candidates, in seconds.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -168,13 +168,16 @@
 void RequestRun::send(const Place &place)
 {
     m_tried.push_back(place.endpoint);
-    m_attempt.emplace();
-    m_attempt->endpoint = place.endpoint;
-    m_attempt->startedAt = m_timers.clock().now();
+    Attempt attempt;
+    attempt.endpoint = place.endpoint;
+    attempt.startedAt = m_timers.clock().now();
+    m_attempt = std::move(attempt);
     m_gateway.m_endpoints.requestSent(*place.endpoint);
     m_cutter.clear();
     const auto prompt = affinity();
-    const EndpointPtr source = prompt ? m_gateway.cacheSource(*prompt, *place.endpoint) : nullptr;
+    EndpointPtr source = prompt ? m_gateway.cacheSource(*prompt, *place.endpoint) : nullptr;
+    if (!source && prompt && sharedTokens() >= m_gateway.leastCopied)
+        source = place.cacheSource;
     Http::Call call = m_gateway.m_options.protocol.makeCall(
         {.request = &m_request,
          .endpoint = &place.endpoint->info,
--- a/tests/auto/adapter/tst_ingress.cpp
+++ b/tests/auto/adapter/tst_ingress.cpp
@@ -100,16 +100,19 @@
 {
     Http::Request noId = exampleRequest();
     noId.headers = {{"host", "h"}};
-    BOOST_TEST(!Platform::readRequest(std::move(noId)));
+    const auto noIdRead = Platform::readRequest(std::move(noId));
+    BOOST_TEST(!noIdRead);
     Http::Request noHost = exampleRequest();
     noHost.headers = {{"lagoonbank-attempt-id", "1"}};
-    BOOST_TEST(!Platform::readRequest(std::move(noHost)));
+    const auto noHostRead = Platform::readRequest(std::move(noHost));
+    BOOST_TEST(!noHostRead);
     for (const char *patience : {"", "x", "-1", "1.5", "99999999999999999999"}) {
         Http::Request request = exampleRequest();
         request.headers = {{"host", "h"},
                            {"lagoonbank-attempt-id", "1"},
                            {"lagoonbank-deadline-remaining", patience}};
-        BOOST_TEST(!Platform::readRequest(std::move(request)), patience);
+        const auto read = Platform::readRequest(std::move(request));
+        BOOST_TEST(!read, patience);
     }
 }
 
--- a/tests/auto/adapter/tst_store.cpp
+++ b/tests/auto/adapter/tst_store.cpp
@@ -33,7 +33,7 @@
     Fixture()
     {
         server.setHandler(
-            [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
+            [this](const Http::Request &request, std::shared_ptr<Http::Responder> responder) {
                 targets.push_back(request.path + "?" + request.query);
                 lastBody = request.body;
                 if (isSilent)
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -47,7 +47,7 @@
         router->id = "r" + std::to_string(number);
         router->dataCentre = dataCentre;
         router->ip = "10.0.0." + std::to_string(number);
-        byIp[router->ip] = router.get();
+        m_byIp[router->ip] = router.get();
         routers.push_back(std::move(router));
         start(*routers.back());
         return *routers.back();
@@ -79,8 +79,8 @@
     }
 
     /// Writes to the store.
-    void put(const Endpoint &endpoint) { store[endpoint.id] = {endpoint, ++offset}; }
-    void drop(const std::string &id) { store.erase(Lagoonbank::Base::EndpointId(id)); }
+    void put(const Endpoint &endpoint) { m_store[endpoint.id] = {endpoint, ++m_offset}; }
+    void drop(const std::string &id) { m_store.erase(Lagoonbank::Base::EndpointId(id)); }
 
     void pass(Lagoonbank::Base::Duration duration)
     {
@@ -149,13 +149,13 @@
     }
     void later(const Router &from, const std::string &ip, std::function<void(Router &)> arrive)
     {
-        const auto found = byIp.find(ip);
-        if (found != byIp.end() && found->second->isUp && passes(from, *found->second))
-            messages.emplace_back(found->second, std::move(arrive));
+        const auto found = m_byIp.find(ip);
+        if (found != m_byIp.end() && found->second->isUp && passes(from, *found->second))
+            m_messages.emplace_back(found->second, std::move(arrive));
     }
     void deliver()
     {
-        for (const auto &[router, arrive] : std::exchange(messages, {})) {
+        for (const auto &[router, arrive] : std::exchange(m_messages, {})) {
             if (router->isUp)
                 arrive(*router);
         }
@@ -164,7 +164,7 @@
     void readStore()
     {
         using namespace Lagoonbank;
-        if (++turn % 50 != 0)
+        if (++m_turn % 50 != 0)
             return;
         for (const auto &router : routers) {
             if (!router->isUp || !router->isReading)
@@ -173,11 +173,11 @@
             if (!router->reachesStore)
                 continue;
             absl::flat_hash_set<Base::EndpointId> present;
-            for (const auto &[id, entry] : store) {
+            for (const auto &[id, entry] : m_store) {
                 present.insert(id);
                 router->directory->put(entry.first, Base::LogOffset(entry.second));
             }
-            router->directory->reconcile(present, Base::LogOffset(++offset));
+            router->directory->reconcile(present, Base::LogOffset(++m_offset));
             router->sync->storeAnswered();
             if (revision > 0)
                 takeConfiguration(*router, revision);
@@ -192,9 +192,9 @@
             {.revision = Lagoonbank::Base::Revision(revision), .text = std::to_string(revision)});
     }
 
-    std::map<Lagoonbank::Base::EndpointId, std::pair<Endpoint, std::uint64_t>> store;
-    std::map<std::string, Router *> byIp;
-    std::uint64_t offset = 0;
-    std::uint64_t turn = 0;
-    std::vector<std::pair<Router *, std::function<void(Router &)>>> messages;
+    std::map<Lagoonbank::Base::EndpointId, std::pair<Endpoint, std::uint64_t>> m_store;
+    std::map<std::string, Router *> m_byIp;
+    std::uint64_t m_offset = 0;
+    std::uint64_t m_turn = 0;
+    std::vector<std::pair<Router *, std::function<void(Router &)>>> m_messages;
 };
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -6,7 +6,6 @@
 #include <string>
 
 using namespace Lagoonbank;
-using namespace Lagoonbank::FleetSync;
 using Lagoonbank::Test::PausedLoop;
 using Lagoonbank::Test::RawSocket;
 
@@ -29,15 +28,16 @@
                 .directory = &directory,
                 .timers = &loop.loop.timers()})
     {
-        auto opened = FleetLink::open({.loop = &loop.loop,
-                                       .client = &client,
-                                       .sync = &sync,
-                                       .address = {"127.0.0.1", port},
-                                       .sent = [this](std::size_t size) { bytes += size; },
-                                       .failed = [this](const Errors::Error &) { ++failures; }});
+        auto opened =
+            FleetSync::FleetLink::open({.loop = &loop.loop,
+                                        .client = &client,
+                                        .sync = &sync,
+                                        .address = {"127.0.0.1", port},
+                                        .sent = [this](std::size_t size) { bytes += size; },
+                                        .failed = [this](const Errors::Error &) { ++failures; }});
         BOOST_REQUIRE(opened);
         link = std::move(opened.value());
-        sync.configurationLearnt = [this](const StoredConfiguration &learnt) {
+        sync.configurationLearnt = [this](const FleetSync::StoredConfiguration &learnt) {
             text = learnt.text;
         };
     }
@@ -45,7 +45,7 @@
     std::uint16_t port = freePort();
     Fleet::EndpointDirectory directory;
     FleetSync::FleetSync sync;
-    std::unique_ptr<FleetLink> link;
+    std::unique_ptr<FleetSync::FleetLink> link;
     std::size_t bytes = 0;
     int failures = 0;
     std::string text;
--- a/tests/auto/fleetsync/tst_routerregistry.cpp
+++ b/tests/auto/fleetsync/tst_routerregistry.cpp
@@ -8,7 +8,6 @@
 #include <vector>
 
 using namespace Lagoonbank;
-using namespace Lagoonbank::FleetSync;
 
 namespace {
 
@@ -72,13 +71,13 @@
     Fleet::EndpointDirectory directory{{.timers = &timers}};
     FleetSync::FleetSync sync{
         {.id = "r9", .dataCentre = "dc0", .directory = &directory, .timers = &timers}};
-    RouterRegistry registry{{.source = log.source(),
-                             .write = log.write(),
-                             .timers = &timers,
-                             .sync = &sync,
-                             .id = "r9",
-                             .dataCentre = "dc0",
-                             .address = {"10.0.0.9", 7000}}};
+    FleetSync::RouterRegistry registry{{.source = log.source(),
+                                        .write = log.write(),
+                                        .timers = &timers,
+                                        .sync = &sync,
+                                        .id = "r9",
+                                        .dataCentre = "dc0",
+                                        .address = {"10.0.0.9", 7000}}};
 };
 
 } // namespace
@@ -111,10 +110,11 @@
 
 BOOST_AUTO_TEST_CASE(entriesAreReadBackOrRefused)
 {
-    const auto read = readRegistryEntry(registryEntry("dc0", {"10.0.0.9", 7000}));
+    const auto read =
+        FleetSync::readRegistryEntry(FleetSync::registryEntry("dc0", {"10.0.0.9", 7000}));
     BOOST_REQUIRE(read);
     BOOST_TEST(read.value().dataCentre == "dc0");
     BOOST_TEST(Runtime::toString(read.value().address) == "10.0.0.9:7000");
     for (const char *text : {"", "dc0", "dc0 ", "dc0 10.0.0.9", "dc0 x:1"})
-        BOOST_TEST(!readRegistryEntry(text), text);
+        BOOST_TEST(!FleetSync::readRegistryEntry(text), text);
 }
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -57,10 +57,11 @@
             gateway.endpoints().put({.id = Base::EndpointId("e" + std::to_string(i)),
                                      .service = Base::ServiceId("service"),
                                      .address = endpoints.back()->listener.address,
-                                     .slots = 4});
+                                     .slots = 4},
+                                    clock.now());
         }
         server.setHandler(
-            [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
+            [this](const Http::Request &request, std::shared_ptr<Http::Responder> responder) {
                 Gateway::CallerRequest decoded;
                 decoded.id = Base::RequestId("r" + std::to_string(++lastRequest));
                 decoded.method = request.method;
--- a/tests/auto/gateway/tst_endpointbook.cpp
+++ b/tests/auto/gateway/tst_endpointbook.cpp
@@ -24,7 +24,7 @@
 {
     EndpointBook book({});
     for (const char *id : {"c", "a", "b"})
-        book.put(endpoint(id));
+        book.put(endpoint(id), start);
     std::string order;
     for (const EndpointPtr &one : book.endpoints(service))
         order += one->info.id.value();
@@ -37,12 +37,12 @@
 BOOST_AUTO_TEST_CASE(aNewStartAtAnAddressIsAnotherEndpoint)
 {
     EndpointBook book({});
-    book.put(endpoint("old"));
+    book.put(endpoint("old"), start);
     const EndpointPtr old = book.find(Base::EndpointId("old"));
     book.suspicion().suspect(old->index, start);
     book.remove(Base::EndpointId("old"));
     BOOST_TEST(old->isGone);
-    book.put(endpoint("new"));
+    book.put(endpoint("new"), start);
     const EndpointPtr fresh = book.find(Base::EndpointId("new"));
     BOOST_TEST((book.suspicion().state(fresh->index) == Routing::Suspicion::State::Trusted));
     BOOST_TEST((book.findByHash(fresh->hash) == fresh));
@@ -52,7 +52,7 @@
 BOOST_AUTO_TEST_CASE(loadIsTheReportAndWhatWasSentSince)
 {
     EndpointBook book({});
-    book.put(endpoint("a"));
+    book.put(endpoint("a"), start);
     EndpointRecord &one = *book.find(Base::EndpointId("a"));
     book.requestSent(one);
     BOOST_TEST(book.load(one, start) == 1);
@@ -70,7 +70,7 @@
 BOOST_AUTO_TEST_CASE(anOldReportSaysNothing)
 {
     EndpointBook book({});
-    book.put(endpoint("a"));
+    book.put(endpoint("a"), start);
     EndpointRecord &one = *book.find(Base::EndpointId("a"));
     book.loadReported(one, {.running = 9}, start);
     book.requestSent(one);
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -149,7 +149,8 @@
     // Nobody listens at the first one any more.
     f.gateway.endpoints().put({.id = Base::EndpointId("e0"),
                                .service = Base::ServiceId("service"),
-                               .address = {"127.0.0.1", 1}});
+                               .address = {"127.0.0.1", 1}},
+                              f.clock.now());
     RawSocket caller = f.call();
     f.awaitRequest().last().send(good);
     BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -26,7 +26,8 @@
                       .service = service,
                       .address = {"127.0.0.1", 80},
                       .dataCentre = Base::DataCentreId(i % 2 == 0 ? "here" : "there"),
-                      .slots = 6});
+                      .slots = 6},
+                     start);
         }
     }
     EndpointRecord &endpoint(int i)
@@ -122,12 +123,43 @@
     BOOST_TEST((f.choose(42).endpoint == home));
 }
 
+/// Pattern: many routers, each of which sees a chat seldom, and engines that come, leave or are
+/// busy. A router that has never seen a chat knows from the order alone where its prompt lies.
+BOOST_AUTO_TEST_CASE(aPromptIsCopiedFromWhereAllRoutersSentItBefore)
+{
+    Fixture f(6);
+    f.now += std::chrono::seconds(60);
+    const EndpointPtr home = f.choose(42).endpoint;
+    BOOST_TEST(!f.choose(42).cacheSource);
+    // Its home leaves, still there to copy from.
+    Fleet::Endpoint draining = home->info;
+    draining.state = Fleet::EndpointState::Draining;
+    f.book.put(draining, f.now);
+    const Place next = f.choose(42);
+    BOOST_TEST((next.endpoint != home));
+    BOOST_TEST((next.cacheSource == home));
+    // Its home is gone; another one comes and takes its place.
+    f.book.remove(home->info.id);
+    const EndpointPtr second = f.choose(42).endpoint;
+    BOOST_TEST(!f.choose(42).cacheSource);
+    for (int i = 6; i < 40; ++i) {
+        f.book.put(
+            {.id = Base::EndpointId("e" + std::to_string(i)), .service = service, .slots = 6},
+            f.now);
+    }
+    const Place moved = f.choose(42);
+    BOOST_REQUIRE((moved.endpoint != second));
+    BOOST_TEST((moved.cacheSource == second));
+    f.now += std::chrono::seconds(13);
+    BOOST_TEST(!f.choose(42).cacheSource);
+}
+
 BOOST_AUTO_TEST_CASE(drainingAndTriedEndpointsAreLeftOut)
 {
     Fixture f(2);
     Fleet::Endpoint draining = f.endpoint(0).info;
     draining.state = Fleet::EndpointState::Draining;
-    f.book.put(draining);
+    f.book.put(draining, f.now);
     BOOST_TEST(f.choose(1).endpoint->info.id.value() == "e1");
     const Place none = f.placement.choose(
         {.service = service, .affinity = 1, .tried = {f.book.find(Base::EndpointId("e1"))}}, f.book,
--- a/tests/auto/gateway/tst_reachability.cpp
+++ b/tests/auto/gateway/tst_reachability.cpp
@@ -28,7 +28,8 @@
             book.put({.id = Base::EndpointId("e" + std::to_string(i)),
                       .service = service,
                       .address = {"10.0.0." + std::to_string(i), 80},
-                      .dataCentre = Base::DataCentreId("dc" + std::to_string(i % 3))});
+                      .dataCentre = Base::DataCentreId("dc" + std::to_string(i % 3))},
+                     clock.now());
         }
     }
     EndpointPtr endpoint(int i) { return book.find(Base::EndpointId("e" + std::to_string(i))); }
