--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -349,6 +350,8 @@
         print(f"  {line}")
     if broken:
         print(f"  logs: {folder}")
+    elif not options.keep:
+        shutil.rmtree(folder)
     sys.exit(1 if broken else 0)
 
 
