--- /dev/null
+++ b/src/libs/errors/errorbody.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "errors/errorkind.h"
+
+#include <string>
+#include <string_view>
+
+namespace Lagoonbank::Errors {
+
+/// `{"error": {...}}` as callers get it; \a requestId may be empty.
+std::string errorBody(ErrorKind kind, Ran ran, std::string_view requestId = {});
+
+} // namespace Lagoonbank::Errors
--- /dev/null
+++ b/src/libs/gateway/endpointhealth.cpp
@@ -0,0 +1,55 @@
+#include "gateway/endpointhealth.h"
+
+#include <utility>
+
+namespace Lagoonbank::Gateway {
+
+namespace {
+
+constexpr std::string_view part = "gateway";
+
+} // namespace
+
+void EndpointHealth::answered(EndpointRecord &endpoint, bool isGood,
+                              const Base::RequestId &request) const
+{
+    if (endpoint.isGone)
+        return;
+    using State = Routing::Suspicion::State;
+    const Base::MonoTime now = m_options.clock->now();
+    endpoint.failures.add(isGood ? 0 : 1, now, m_options.failureWeight);
+    const double share = endpoint.failures.value(0, now, m_options.failureHalfLife);
+    const bool isHealthy = isGood || share < m_options.failureShareToSuspect;
+    Routing::Suspicion &suspicion = m_options.book->suspicion();
+    const State before = suspicion.state(endpoint.index);
+    suspicion.noteResult(
+        endpoint.index,
+        isHealthy ? Routing::ExchangeResult::Answered : Routing::ExchangeResult::Broke, now);
+    const State after = suspicion.state(endpoint.index);
+    if (after == before || after == State::OnTrial)
+        return;
+    m_options.log->event(part,
+                         after == State::Trusted ? "An endpoint is trusted again."
+                                                 : "An endpoint is suspected.",
+                         {{"endpoint", endpoint.info.id.value()},
+                          {"request", request.value()},
+                          {"failure_share", share},
+                          {"in_flight", endpoint.inFlight}});
+}
+
+void EndpointHealth::refused(EndpointRecord &endpoint, bool isOtherEndpoint,
+                             const Base::RequestId &request) const
+{
+    if (!isOtherEndpoint) {
+        endpoint.fullUntil = m_options.clock->now() + m_options.fullTime;
+        return;
+    }
+    if (std::exchange(endpoint.isReplaced, true))
+        return;
+    m_options.log->event(part, "An endpoint's address is another one's now.",
+                         {{"endpoint", endpoint.info.id.value()},
+                          {"address", Runtime::toString(endpoint.info.address)},
+                          {"request", request.value()}});
+}
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/endpointhealth.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gateway/endpointbook.h"
+#include "logging/decisionlog.h"
+#include "runtime/clock.h"
+
+namespace Lagoonbank::Gateway {
+
+/// Doubts endpoints by what they answer: a share of failures makes one suspect, a single one does
+/// not; one that is full gets nothing for a moment.
+class EndpointHealth
+{
+public:
+    struct Options
+    {
+        EndpointBook *book = nullptr;
+        const Runtime::Clock *clock = nullptr;
+        Logging::DecisionLog *log = nullptr;
+        /// Above the share of errors that good endpoints give for requests that are wrong
+        /// themselves.
+        double failureShareToSuspect = 0.4;
+        /// Of the newest answer; some eight bad ones of sixteen make an endpoint suspect.
+        double failureWeight = 0.15;
+        Base::Duration failureHalfLife = std::chrono::seconds(4);
+        /// For which an endpoint that refused as full gets nothing new: a few of its requests end
+        /// meanwhile.
+        Base::Duration fullTime = std::chrono::milliseconds(150);
+    };
+
+    explicit EndpointHealth(Options options)
+        : m_options(options)
+    { }
+
+    /// It has answered, or failed to. \a request is named in the log if that decides.
+    void answered(EndpointRecord &endpoint, bool isGood, const Base::RequestId &request) const;
+    /// It has proven not to have run a request, as it is full or as another endpoint has its
+    /// address now, which it then has for good.
+    void refused(EndpointRecord &endpoint, bool isOtherEndpoint,
+                 const Base::RequestId &request) const;
+
+private:
+    Options m_options;
+};
+
+} // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 Gateway::Gateway(Options options)
     : m_options(std::move(options))
     , m_endpoints(m_options.endpoints)
+    , m_health({.book = &m_endpoints, .clock = &m_options.loop->clock(), .log = m_options.log})
     , m_reachability({.book = &m_endpoints,
                       .timers = &m_options.loop->timers(),
                       .check =
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "fleet/configuration.h"
 #include "gateway/callerrequest.h"
 #include "gateway/endpointbook.h"
+#include "gateway/endpointhealth.h"
 #include "gateway/endpointprotocol.h"
 #include "gateway/fleetretrybudget.h"
 #include "gateway/gatewaymetrics.h"
@@ -110,6 +111,7 @@
     Options m_options;
     std::shared_ptr<const Fleet::Configuration> m_configuration;
     EndpointBook m_endpoints;
+    EndpointHealth m_health;
     Reachability m_reachability;
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -22,15 +22,6 @@
 /// Less time than this is not worth a send: no endpoint answers so soon.
 constexpr Base::Duration leastTime = std::chrono::milliseconds(10);
 
-/// For which an endpoint that refused as full gets nothing new: a few of its requests end
-/// meanwhile.
-constexpr Base::Duration fullTime = std::chrono::milliseconds(150);
-/// Above the share of errors that good endpoints give for requests that are wrong themselves.
-constexpr double failureShareToSuspect = 0.4;
-/// Of the newest answer; some eight bad ones of sixteen make an endpoint suspect.
-constexpr double failureWeight = 0.15;
-constexpr Base::Duration failureHalfLife = std::chrono::seconds(4);
-
 } // namespace
 
 RequestRun::RequestRun(Gateway &gateway, CallerRequest request,
@@ -317,7 +308,7 @@
     const HeadFacts &facts = attempt.facts;
     if (facts.isNotRun || facts.isOtherEndpoint) {
         --m_ranAt;
-        noteRefusal();
+        m_gateway.m_health.refused(*m_attempt->endpoint, facts.isOtherEndpoint, m_request.id);
         attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
         return;
     }
@@ -328,7 +319,7 @@
         attemptFailed({.kind = ErrorKind::EndpointBroke});
         return;
     }
-    noteAnswer(!isFailure);
+    m_gateway.m_health.answered(*m_attempt->endpoint, !isFailure, m_request.id);
     passWhole();
 }
 
@@ -353,7 +344,8 @@
 /// The send under way has failed; goes on elsewhere or gives up.
 void RequestRun::attemptFailed(const Failure &failure)
 {
-    noteFailure(failure);
+    if (m_attempt)
+        noteFailure(failure);
     cancelAttempt();
     const bool goesOn = mayGoOn();
     m_gateway.m_options.log->request(
@@ -393,12 +385,10 @@
 
 void RequestRun::noteFailure(const Failure &failure)
 {
-    if (!m_attempt || m_attempt->endpoint->isGone)
-        return;
     if (!failure.hasReached)
         m_gateway.m_reachability.foundUnreachable(m_attempt->endpoint);
     else if (failure.hasRun)
-        noteAnswer(false);
+        m_gateway.m_health.answered(*m_attempt->endpoint, false, m_request.id);
 }
 
 void RequestRun::giveUp(const Failure &failure)
@@ -456,7 +446,7 @@
         return;
     }
     if (m_attempt)
-        noteAnswer(false);
+        m_gateway.m_health.answered(*m_attempt->endpoint, false, m_request.id);
     cancelAttempt();
     giveUp({.kind = m_ranAt > 0 ? ErrorKind::EndpointTimeout : ErrorKind::EndpointUnreachable,
             .hasRun = m_ranAt > 0});
@@ -529,50 +519,6 @@
     m_attempt.reset();
 }
 
-/// An endpoint that is full is left alone for a moment; an id whose address another one has is
-/// never there again.
-void RequestRun::noteRefusal()
-{
-    EndpointRecord &endpoint = *m_attempt->endpoint;
-    if (!m_attempt->facts.isOtherEndpoint) {
-        endpoint.fullUntil = m_timers.clock().now() + fullTime;
-        return;
-    }
-    if (std::exchange(endpoint.isReplaced, true))
-        return;
-    m_gateway.m_options.log->event(part, "An endpoint's address is another one's now.",
-                                   {{"endpoint", endpoint.info.id.value()},
-                                    {"address", Runtime::toString(endpoint.info.address)},
-                                    {"request", m_request.id.value()}});
-}
-
-/// A share of failed answers makes an endpoint suspect; a single one does not.
-void RequestRun::noteAnswer(bool isGood)
-{
-    EndpointRecord &endpoint = *m_attempt->endpoint;
-    if (endpoint.isGone)
-        return;
-    const Base::MonoTime now = m_timers.clock().now();
-    endpoint.failures.add(isGood ? 0 : 1, now, failureWeight);
-    const bool isHealthy =
-        isGood || endpoint.failures.value(0, now, failureHalfLife) < failureShareToSuspect;
-    Routing::Suspicion &suspicion = m_gateway.m_endpoints.suspicion();
-    const Routing::Suspicion::State before = suspicion.state(endpoint.index);
-    suspicion.noteResult(
-        endpoint.index,
-        isHealthy ? Routing::ExchangeResult::Answered : Routing::ExchangeResult::Broke, now);
-    const Routing::Suspicion::State after = suspicion.state(endpoint.index);
-    if (after == before || after == Routing::Suspicion::State::OnTrial)
-        return;
-    const bool isTrusted = after == Routing::Suspicion::State::Trusted;
-    m_gateway.m_options.log->event(
-        part, isTrusted ? "An endpoint is trusted again." : "An endpoint is suspected.",
-        {{"endpoint", endpoint.info.id.value()},
-         {"request", m_request.id.value()},
-         {"failure_share", endpoint.failures.value(0, now, failureHalfLife)},
-         {"in_flight", endpoint.inFlight}});
-}
-
 void RequestRun::end(std::string_view outcome, int status)
 {
     if (m_isEnded)
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -77,8 +77,6 @@
     void silent();
     void cancelAttempt();
     void releaseEndpoint();
-    void noteRefusal();
-    void noteAnswer(bool isGood);
     void end(std::string_view outcome, int status);
 
     Gateway &m_gateway;
--- a/src/libs/http/errorfilter.cpp
+++ b/src/libs/http/errorfilter.cpp
@@ -1,5 +1,6 @@
 #include "http/errorfilter.h"
 
+#include "errors/errorbody.h"
 #include "http/h2oserver.h"
 #include "http/reasonphrase.h"
 
@@ -46,7 +47,7 @@
     if (!isHandled && request->res.status >= 400) {
         const Errors::ErrorKind kind = kindOf(request->res.status);
         const std::string id = H2oServer::refusedId(request, kind);
-        const std::string body = errorBody(kind, id);
+        const std::string body = Errors::errorBody(kind, Errors::errorRow(kind).ran, id);
         auto *stream =
             reinterpret_cast<ErrorStream *>(h2o_add_ostream(request, sizeof(ErrorStream), slot));
         stream->super.do_send = sendBody;
@@ -77,27 +78,10 @@
     h2o_req_getenv(request, handledMark.data(), handledMark.size(), 1);
 }
 
-std::string errorBody(Errors::ErrorKind kind, const std::string &requestId)
-{
-    const Errors::ErrorRow &row = Errors::errorRow(kind);
-    std::string body = R"({"error":{"kind":")";
-    body += row.name;
-    body += R"(","ran":")";
-    body += Errors::toString(row.ran);
-    body += R"(","message":")";
-    body += row.text;
-    if (!requestId.empty()) {
-        body += R"(","request_id":")";
-        body += requestId;
-    }
-    body += R"("}})";
-    return body;
-}
-
 std::string rawErrorAnswer(Errors::ErrorKind kind, const std::string &requestId)
 {
     const Errors::ErrorRow &row = Errors::errorRow(kind);
-    const std::string body = errorBody(kind, requestId);
+    const std::string body = Errors::errorBody(kind, row.ran, requestId);
     std::string answer = "HTTP/1.1 " + std::to_string(row.httpStatus) + " "
         + reasonPhrase(row.httpStatus) + "\r\nconnection: close\r\ncontent-type: application/json"
         + "\r\ncontent-length: " + std::to_string(body.size());
--- a/src/libs/http/errorfilter.h
+++ b/src/libs/http/errorfilter.h
@@ -13,8 +13,6 @@
 void installErrorFilter(h2o_pathconf_t *path);
 /// Tells the filter that our handler answers this request.
 void markAsHandled(h2o_req_t *request);
-/// `{"error": {...}}` for \a kind; \a requestId may be empty.
-std::string errorBody(Errors::ErrorKind kind, const std::string &requestId);
 /// A whole HTTP/1.1 answer for \a kind that closes the connection.
 std::string rawErrorAnswer(Errors::ErrorKind kind, const std::string &requestId);
 
--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -1,5 +1,6 @@
 #include "http/h2oserver.h"
 
+#include "errors/errorbody.h"
 #include "http/errorfilter.h"
 
 #include <h2o/http2.h>
@@ -350,7 +351,8 @@
         Headers headers{{"content-type", "application/json"}};
         if (!id.empty())
             headers.add("x-request-id", id);
-        responder->send(400, headers, errorBody(Errors::ErrorKind::BadRequest, id));
+        responder->send(400, headers,
+                        Errors::errorBody(Errors::ErrorKind::BadRequest, Errors::Ran::No, id));
         return 0;
     }
     if (handler)
