Http: Read the lines of a head in one place, and drop dead state of FleetSync

Found when the whole change was read once more: the loop over a head's lines stood in the readers of requests and of answers, the statuses without a body in two files, and three members of FleetSync were set and never read.

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -47,8 +47,6 @@
 FleetSync::FleetSync(Options options)
     : m_options(std::move(options))
     , m_random(m_options.randomSeed)
-    , m_startedAt(now())
-    , m_readingSince(m_startedAt)
 { }
 
 FleetSync::~FleetSync()
@@ -173,7 +171,6 @@
 
 void FleetSync::storeAnswered()
 {
-    m_storeAnsweredAt = now();
     m_knownAt = now();
 }
 
@@ -233,7 +230,6 @@
     if (reads == m_isReading)
         return;
     m_isReading = reads;
-    m_readingSince = now();
     if (dutyChanged)
         dutyChanged(reads);
 }
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -129,9 +129,6 @@
     std::map<std::string, Peer> m_peers; ///< By id.
     StoredConfiguration m_configuration;
     std::optional<Base::MonoTime> m_knownAt; ///< Time to which what is known was true.
-    std::optional<Base::MonoTime> m_storeAnsweredAt;
-    Base::MonoTime m_startedAt;
-    Base::MonoTime m_readingSince;
     Base::MonoTime m_pulledAt{};
     bool m_isReading = true;
     bool m_isLeaving = false;
--- a/src/libs/http/answerparser.cpp
+++ b/src/libs/http/answerparser.cpp
@@ -9,11 +9,6 @@
 namespace {
 
 constexpr std::size_t maxHeadBytes = 64 * 1024;
-bool hasNoBody(int status)
-{
-    return status == 204 || status == 304;
-}
-
 } // namespace
 
 std::size_t AnswerParser::take(std::string_view input)
@@ -47,18 +42,12 @@
             return fail("the answer's head is too large");
         return 0;
     }
-    std::string_view head = input.substr(0, end + lineEnd.size());
-    bool isFirst = true;
     m_headers = {};
-    while (!head.empty()) {
-        const std::size_t length = head.find(lineEnd);
-        const std::string_view line = head.substr(0, length);
-        head.remove_prefix(length + lineEnd.size());
-        const bool isRead = isFirst ? readStatusLine(line) : readField(line, m_headers);
-        if (!isRead)
-            return fail("the answer's head is malformed");
-        isFirst = false;
-    }
+    const bool isRead = readHeadLines(
+        input.substr(0, end + lineEnd.size()),
+        [this](std::string_view line) { return readStatusLine(line); }, m_headers);
+    if (!isRead)
+        return fail("the answer's head is malformed");
     const std::size_t taken = end + headEnd.size();
     const bool isInterim = m_status >= 100 && m_status < 200;
     if (isInterim && m_status != 101) {
--- a/src/libs/http/http1responder.cpp
+++ b/src/libs/http/http1responder.cpp
@@ -1,5 +1,6 @@
 #include "http/http1responder.h"
 
+#include "http/messagesyntax.h"
 #include "http/reasonphrase.h"
 
 #include <array>
@@ -17,11 +18,6 @@
         || name == "keep-alive" || name == "trailer" || name == "upgrade";
 }
 
-bool hasNoBody(int status)
-{
-    return status == 204 || status == 304;
-}
-
 void appendChunk(std::string &bytes, std::string_view piece)
 {
     std::array<char, 16> size{};
--- a/src/libs/http/messagesyntax.cpp
+++ b/src/libs/http/messagesyntax.cpp
@@ -26,6 +26,26 @@
     return true;
 }
 
+bool readHeadLines(std::string_view head,
+                   const std::function<bool(std::string_view line)> &readFirst, Headers &headers)
+{
+    bool isFirst = true;
+    while (!head.empty()) {
+        const std::size_t length = head.find(lineEnd);
+        const std::string_view line = head.substr(0, length);
+        head.remove_prefix(length + lineEnd.size());
+        if (!(isFirst ? readFirst(line) : readField(line, headers)))
+            return false;
+        isFirst = false;
+    }
+    return true;
+}
+
+bool hasNoBody(int status)
+{
+    return status == 204 || status == 304;
+}
+
 bool holdsToken(std::string_view value, std::string_view token)
 {
     const std::vector<std::string_view> pieces = Base::split(value, ',');
--- a/src/libs/http/requestparser.cpp
+++ b/src/libs/http/requestparser.cpp
@@ -57,16 +57,11 @@
         m_searched = input.size();
         return 0;
     }
-    std::string_view head = input.substr(0, end + lineEnd.size());
-    bool isFirst = true;
-    while (!head.empty()) {
-        const std::size_t length = head.find(lineEnd);
-        const std::string_view line = head.substr(0, length);
-        head.remove_prefix(length + lineEnd.size());
-        if (!(isFirst ? readRequestLine(line) : readField(line, m_headers)))
-            return fail(ErrorKind::BadRequest);
-        isFirst = false;
-    }
+    const bool isRead = readHeadLines(
+        input.substr(0, end + lineEnd.size()),
+        [this](std::string_view line) { return readRequestLine(line); }, m_headers);
+    if (!isRead)
+        return fail(ErrorKind::BadRequest);
     if (!readFraming())
         return fail(m_error);
     m_state = m_reader.isWhole() ? State::Whole : State::Body;
