Gateway: Check a few endpoints of a data centre, not all of them

Cause: a failed connection had all endpoints of its data centre checked. With 540 of them and 300 routers that is a storm of connections; checks time out in it and mark sound endpoints as out of reach. Ruled out: longer time limits, which only make the storm longer. Change: each endpoint that is found unreachable has eight others checked, so that a cut data centre of 500 is found out in three rounds and one crashed endpoint costs nine connections. KeyedView tells that it has caught up only after the last page; before, a router with more than 500 endpoints called itself ready after the first page.

--- a/src/libs/gateway/reachability.cpp
+++ b/src/libs/gateway/reachability.cpp
@@ -1,6 +1,8 @@
 #include "gateway/reachability.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace Lagoonbank::Gateway {
 
@@ -20,14 +22,26 @@
     if (endpoint->isGone || endpoint->isUnreachable)
         return;
     setUnreachable(*endpoint, true);
-    for (const EndpointPtr &other : m_options.book->inDataCentre(endpoint->info.dataCentre)) {
-        if (!other->isUnreachable || other == endpoint)
-            check(other);
-    }
+    check(endpoint);
+    checkOthers(*endpoint);
+}
+
+/// Checks a few that are not known to be out of reach and not being checked.
+void Reachability::checkOthers(const EndpointRecord &failed)
+{
+    std::vector<EndpointPtr> others = m_options.book->inDataCentre(failed.info.dataCentre);
+    std::erase_if(others, [this](const EndpointPtr &other) {
+        return other->isUnreachable || m_checking.contains(other->info.id);
+    });
+    std::shuffle(others.begin(), others.end(), m_random);
+    others.resize(std::min(others.size(), m_options.checksPerFailure));
+    for (const EndpointPtr &other : others)
+        check(other);
 }
 
 void Reachability::check(const EndpointPtr &endpoint)
 {
+    m_checking.insert(endpoint->info.id);
     m_options.check(endpoint->info.address, m_options.checkTimeout,
                     [this, endpoint, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isReachable) {
                         if (!isAlive.expired())
@@ -37,15 +51,19 @@
 
 void Reachability::checked(const EndpointPtr &endpoint, bool isReachable)
 {
+    m_checking.erase(endpoint->info.id);
     if (const auto timer = m_timers.find(endpoint->info.id); timer != m_timers.end()) {
         m_options.timers->cancel(timer->second);
         m_timers.erase(timer);
     }
     if (endpoint->isGone)
         return;
+    const bool isFound = !isReachable && !endpoint->isUnreachable;
     setUnreachable(*endpoint, !isReachable);
     if (isReachable)
         return;
+    if (isFound)
+        checkOthers(*endpoint);
     // Up to a quarter later, so that routers do not check in step.
     std::uniform_int_distribution<Base::Duration::rep> extra(0, m_options.interval.count() / 4);
     m_timers[endpoint->info.id] = m_options.timers->start(
--- a/src/libs/gateway/reachability.h
+++ b/src/libs/gateway/reachability.h
@@ -4,7 +4,9 @@
 #include "runtime/timerqueue.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
+#include <cstddef>
 #include <functional>
 #include <random>
 
@@ -14,7 +16,9 @@
 /// connections of its own, so that no caller's request has to find it out.
 ///
 /// Endpoints become unreachable together: a data centre that is cut off takes all of its own with
-/// it. So when one is found unreachable, the others of its data centre are checked at once.
+/// it. So when one is found unreachable, some others of its data centre are checked at once, and
+/// more for each of these that cannot be reached: a data centre that is cut off is found out in a
+/// few rounds, and one endpoint that crashed costs a few connections however many there are.
 class Reachability
 {
 public:
@@ -31,6 +35,9 @@
         /// Between two checks of an endpoint that cannot be reached. A cut ends after seconds; a
         /// connection costs next to nothing.
         Base::Duration interval = std::chrono::milliseconds(300);
+        /// Others that are checked for each one that is found unreachable: 500 are found out in
+        /// three rounds of `checkTimeout`.
+        std::size_t checksPerFailure = 8;
         std::uint64_t randomSeed = 1;
     };
 
@@ -46,6 +53,7 @@
     std::function<void(const EndpointRecord &endpoint)> changed;
 
 private:
+    void checkOthers(const EndpointRecord &failed);
     void check(const EndpointPtr &endpoint);
     void checked(const EndpointPtr &endpoint, bool isReachable);
     void setUnreachable(EndpointRecord &endpoint, bool isUnreachable);
@@ -53,6 +61,7 @@
     Options m_options;
     std::minstd_rand m_random;
     absl::flat_hash_map<Base::EndpointId, Runtime::TimerId> m_timers; ///< Of the next checks.
+    absl::flat_hash_set<Base::EndpointId> m_checking; ///< Checks under way.
     /// Checks that end after this object is gone find it out by this.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -104,6 +104,8 @@
     const Keys keys = std::exchange(m_seen, {});
     if (filled)
         filled(keys, *m_fillEnd);
+    if (caughtUp)
+        caughtUp();
     if (m_isRunning)
         later(m_options.interval, &KeyedView::follow);
 }
@@ -131,9 +133,11 @@
         m_position = std::max(m_position, record.offset + Base::LogOffset(1));
         apply(record);
     }
+    const bool isBehind = !page.value().records.empty() && m_position < page.value().end;
+    if (!isBehind && caughtUp)
+        caughtUp();
     if (!m_isRunning)
         return;
-    const bool isBehind = !page.value().records.empty() && m_position < page.value().end;
     later(isBehind ? Base::Duration::zero() : m_options.interval, &KeyedView::follow);
 }
 
@@ -164,8 +168,6 @@
     m_isUp = true;
     if (isNews && healthChanged)
         healthChanged(true);
-    if (answered)
-        answered();
 }
 
 void KeyedView::failed(void (KeyedView::*again)())
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -56,8 +56,9 @@
     /// All keys have been read, for the first time or again: these are there. Keys of records
     /// before \a end that are not among them have been dropped.
     std::function<void(const Keys &keys, Base::LogOffset end)> filled;
-    /// A read has been answered.
-    std::function<void()> answered;
+    /// All that the log held when a read was answered has been told. Of a log of several pages that
+    /// is after the last one.
+    std::function<void()> caughtUp;
     std::function<void(bool isUp)> healthChanged;
 
 private:
--- a/tests/auto/gateway/tst_reachability.cpp
+++ b/tests/auto/gateway/tst_reachability.cpp
@@ -19,16 +19,25 @@
 
 const Base::ServiceId service{"service"};
 
+Fleet::Endpoint endpointAt(const std::string &id, const std::string &ip,
+                           const std::string &dataCentre)
+{
+    Fleet::Endpoint endpoint;
+    endpoint.id = Base::EndpointId(id);
+    endpoint.service = service;
+    endpoint.address = {ip, 80};
+    endpoint.dataCentre = Base::DataCentreId(dataCentre);
+    return endpoint;
+}
+
 /// Nine endpoints in three data centres and a network that the test cuts.
 struct Fixture
 {
     Fixture()
     {
         for (int i = 0; i < 9; ++i) {
-            book.put({.id = Base::EndpointId("e" + std::to_string(i)),
-                      .service = service,
-                      .address = {"10.0.0." + std::to_string(i), 80},
-                      .dataCentre = Base::DataCentreId("dc" + std::to_string(i % 3))},
+            const std::string number = std::to_string(i);
+            book.put(endpointAt("e" + number, "10.0.0." + number, "dc" + std::to_string(i % 3)),
                      clock.now());
         }
     }
@@ -124,3 +133,27 @@
     f.pass(std::chrono::seconds(2));
     BOOST_TEST(f.count == before);
 }
+
+/// Pattern: a fleet with hundreds of engines in a data centre, of which single ones crash all the
+/// time, before hundreds of routers; a check of all for each would be a storm of connections.
+BOOST_AUTO_TEST_CASE(oneOfHundredsThatCrashedCostsFewConnections)
+{
+    Fixture f;
+    for (int i = 0; i < 500; ++i) {
+        const std::string number = std::to_string(i);
+        f.book.put(endpointAt("big" + number, "10.1.0." + number, "big"), f.clock.now());
+    }
+    f.cut = {"10.1.0.7"};
+    f.reachability.foundUnreachable(f.book.find(Base::EndpointId("big7")));
+    f.pass(std::chrono::milliseconds(200));
+    BOOST_TEST(f.count <= 10);
+    // The whole data centre is cut off.
+    for (int i = 0; i < 500; ++i)
+        f.cut.insert("10.1.0." + std::to_string(i));
+    f.reachability.foundUnreachable(f.book.find(Base::EndpointId("big8")));
+    f.pass(std::chrono::milliseconds(420));
+    int unreachable = 0;
+    for (const EndpointPtr &endpoint : f.book.inDataCentre(Base::DataCentreId("big")))
+        unreachable += endpoint->isUnreachable ? 1 : 0;
+    BOOST_TEST(unreachable == 500);
+}
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -224,3 +224,35 @@
     BOOST_TEST((f.log.reads.front().id != silent));
     BOOST_TEST((f.log.reads.front().from == Base::LogOffset(5)));
 }
+
+BOOST_AUTO_TEST_CASE(itHasCaughtUpOnlyAfterTheLastPage)
+{
+    Fixture f;
+    int caughtUp = 0;
+    f.view.caughtUp = [&] { ++caughtUp; };
+    f.log.answerNewest({put("a", "1", 1)}, 4, true);
+    BOOST_TEST(caughtUp == 0);
+    f.log.answerNewest({put("b", "2", 2)}, 4, true);
+    BOOST_TEST(caughtUp == 0);
+    f.log.answerNewest({put("c", "3", 3)}, 4);
+    BOOST_TEST(caughtUp == 1);
+}
+
+BOOST_AUTO_TEST_CASE(itHasNotCaughtUpWhileTheTailIsBehindOrLost)
+{
+    Fixture f;
+    int caughtUp = 0;
+    f.log.answerNewest({}, 0);
+    f.view.caughtUp = [&] { ++caughtUp; };
+    f.pass(std::chrono::seconds(1));
+    f.log.answerTail({put("a", "1", 0)}, 3);
+    BOOST_TEST(caughtUp == 0);
+    f.pass(std::chrono::milliseconds(1));
+    f.log.answerTail({put("b", "1", 1), put("c", "1", 2)}, 3);
+    BOOST_TEST(caughtUp == 1);
+    f.pass(std::chrono::seconds(1));
+    f.log.take().tail(TailPage{.isLost = true});
+    BOOST_TEST(caughtUp == 1);
+    f.log.answerNewest({put("d", "1", 9)}, 10);
+    BOOST_TEST(caughtUp == 2);
+}
