FleetSync: Share what differs, and tell few

Change: a digest of 64 buckets, so that a pull brings what differs; changes of one read go out together; routers introduce themselves to their own data centre; the own store and the own data centre go first; answers to pulls are bounded to a quarter of the link; beacons to all are paced by the size of the data centre, while two deputies hear the reader each 500 ms and follow it.

--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -4,7 +4,10 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace Lagoonbank::Fleet {
@@ -27,6 +30,11 @@
 
 } // namespace
 
+std::size_t digestBucket(const Base::EndpointId &id)
+{
+    return XXH3_64bits(id.value().data(), id.value().size()) % std::tuple_size_v<EndpointDigest>;
+}
+
 EndpointDirectory::~EndpointDirectory()
 {
     if (m_returnTimer)
@@ -45,9 +53,9 @@
         known->second.version = version;
         if (known->second.endpoint == endpoint)
             return;
-        m_hash ^= contentHash(known->second.endpoint);
+        toggleInDigest(known->second.endpoint);
     }
-    m_hash ^= contentHash(endpoint);
+    toggleInDigest(endpoint);
     Entry &entry = m_entries[id];
     entry = {std::move(endpoint), version};
     if (changed)
@@ -76,7 +84,7 @@
     Entry last = std::move(known->second);
     last.version = version;
     m_entries.erase(known);
-    m_hash ^= contentHash(last.endpoint);
+    toggleInDigest(last.endpoint);
     m_gone.push_back({id, version});
     if (m_gone.size() > m_options.rememberedGone)
         m_gone.pop_front();
@@ -119,6 +127,16 @@
     });
 }
 
+std::uint64_t EndpointDirectory::hash() const
+{
+    return std::accumulate(m_digest.begin(), m_digest.end(), std::uint64_t{0}, std::bit_xor());
+}
+
+void EndpointDirectory::toggleInDigest(const Endpoint &endpoint)
+{
+    m_digest.at(digestBucket(endpoint.id)) ^= contentHash(endpoint);
+}
+
 void EndpointDirectory::removeMissing()
 {
     for (const GoneEndpoint &one : std::exchange(m_missing, {}))
--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -6,6 +6,8 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -21,6 +23,13 @@
     Base::LogOffset version;
 };
 
+/// Of what is known of all endpoints, whatever the versions: a hash for each bucket of ids, the
+/// same on routers that know the same. Routers compare digests to pass on only what differs; with
+/// 64 buckets one change of 1,500 endpoints costs 24 entries in place of all.
+using EndpointDigest = std::array<std::uint64_t, 64>;
+/// The bucket of an endpoint; the same on every router.
+std::size_t digestBucket(const Base::EndpointId &id);
+
 /// The endpoints that are there, as records of the platform's store tell, whether this router read
 /// them or heard of them from another one. A record's offset is its version; older ones change
 /// nothing, whichever way they come.
@@ -67,9 +76,9 @@
     const Entries &entries() const { return m_entries; }
     const std::deque<GoneEndpoint> &gone() const { return m_gone; }
     const Endpoint *find(const Base::EndpointId &id) const;
-    /// Of what is known of all endpoints, whatever the versions; the same on routers that know the
-    /// same.
-    std::uint64_t hash() const { return m_hash; }
+    const EndpointDigest &digest() const { return m_digest; }
+    /// Of the whole digest.
+    std::uint64_t hash() const;
 
     /// An endpoint is new or something of it has changed.
     std::function<void(const Entry &entry)> changed;
@@ -77,12 +86,14 @@
 
 private:
     bool isGone(const Base::EndpointId &id, Base::LogOffset version) const;
+    /// Adds the endpoint to the digest, or takes it out again.
+    void toggleInDigest(const Endpoint &endpoint);
     void removeMissing();
 
     Options m_options;
     Entries m_entries;
     std::deque<GoneEndpoint> m_gone; ///< The last one last.
-    std::uint64_t m_hash = 0;
+    EndpointDigest m_digest{};
     std::vector<GoneEndpoint> m_missing; ///< Dropped by the store, not yet believed.
     std::optional<Runtime::TimerId> m_returnTimer; ///< Runs for returnTime after a return.
 };
--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -15,7 +15,10 @@
 /// over the slowest link.
 constexpr Base::Duration pullTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxRequestBytes = 1024;
+/// One answer, of 8,192 endpoints and a configuration of 4 MB.
+constexpr double largestState = 6e6;
 constexpr int ok = 200;
+constexpr int tooBusy = 503;
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 
@@ -23,6 +26,9 @@
 
 FleetLink::FleetLink(Options options)
     : m_options(std::move(options))
+    , m_stateBytes({.rate = m_options.stateBytesPerSecond,
+                    .burst = m_options.stateBytesPerSecond,
+                    .debt = largestState})
 { }
 
 FleetLink::~FleetLink()
@@ -94,19 +100,23 @@
     call.connectTimeout = pullTimeout;
     call.headTimeout = pullTimeout;
     call.progressTimeout = pullTimeout;
-    const auto finished = [this, isAlive = std::weak_ptr<bool>(m_isAlive)](
+    const auto finished = [this, peer, isAlive = std::weak_ptr<bool>(m_isAlive)](
                               const Http::CallResult &result) {
         if (isAlive.expired())
             return;
+        if (result.end == Http::CallEnd::Whole && result.status == tooBusy)
+            return; // Its next beacon, or another router's, leads to the next try.
         if (result.end != Http::CallEnd::Whole || result.status != ok) {
             m_options.failed(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
             return;
         }
         const auto state = Schema::decodeMessage<Schema::FleetStateAnswer>(result.body);
-        if (state)
-            m_options.sync->take(state.value());
-        else
+        if (!state) {
             m_options.failed(state.error());
+            return;
+        }
+        m_options.learnt(peer, state.value());
+        m_options.sync->take(state.value());
     };
     m_options.client->start(std::move(call), {.finished = finished});
 }
@@ -122,12 +132,18 @@
         responder.send(badRequest, {}, {});
         return;
     }
+    const Base::MonoTime now = m_options.loop->clock().now();
+    if (m_stateBytes.waitFor(1, now) != Base::Duration::zero()) {
+        responder.send(tooBusy, {}, {});
+        return;
+    }
     auto body = Schema::encodeMessage(m_options.sync->answer(asked.value()));
     if (!body) {
         m_options.failed(body.error());
         responder.abort();
         return;
     }
+    m_stateBytes.charge(static_cast<double>(body.value().size()), now);
     m_options.sent(body.value().size());
     responder.send(ok, {{"content-type", "application/octet-stream"}}, std::move(body.value()));
 }
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/gcra.h"
 #include "errors/result.h"
 #include "fleetsync/fleetsync.h"
 #include "http/client.h"
@@ -23,6 +24,13 @@
         Http::Client *client = nullptr;
         FleetSync *sync = nullptr;
         Runtime::SocketAddress address;
+        /// Of answers to pulls; an asker beyond that is turned away and asks another router. One
+        /// answer may be larger than that.
+        double stateBytesPerSecond = 1e6;
+        /// Told of each state that a peer has sent.
+        std::function<void(const Runtime::SocketAddress &peer,
+                           const Schema::FleetStateAnswer &state)>
+            learnt;
         /// Told the bytes that leave and why a message could not be read.
         std::function<void(std::size_t bytes)> sent;
         std::function<void(const Errors::Error &error)> failed;
@@ -42,6 +50,7 @@
     void answer(const Http::Request &request, Http::Responder &responder);
 
     Options m_options;
+    Admission::Gcra m_stateBytes;
     std::unique_ptr<Runtime::UdpSocket> m_socket;
     std::unique_ptr<Http::Server> m_server;
     /// Pulls that end after this object is gone find it out by this.
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <set>
 #include <utility>
 
 namespace Lagoonbank::FleetSync {
@@ -46,16 +45,23 @@
 
 FleetSync::FleetSync(Options options)
     : m_options(std::move(options))
-    , m_random(m_options.randomSeed)
+    , m_peers({.id = m_options.id,
+               .dataCentre = m_options.dataCentre,
+               .strength = m_options.strength,
+               .clock = &m_options.timers->clock(),
+               .randomSeed = m_options.randomSeed})
 { }
 
 FleetSync::~FleetSync()
 {
     m_options.timers->cancel(m_timer);
+    if (m_newsTimer)
+        m_options.timers->cancel(*m_newsTimer);
 }
 
 void FleetSync::start()
 {
+    m_startedAt = now();
     tick();
 }
 
@@ -65,44 +71,57 @@
     sendBeacons();
 }
 
+/// Only routers of the own data centre are told at once; the others hear of this one by their
+/// readers. A fleet that starts as a whole would else tell everybody of everybody.
 void FleetSync::addRouter(const std::string &id, const std::string &dataCentre,
                           const Runtime::SocketAddress &address)
 {
-    if (id == m_options.id)
-        return;
-    Peer &peer = m_peers[id];
-    peer.id = id;
-    if (peer.heardAt)
-        return; // What it says itself is newer.
-    peer.dataCentre = dataCentre;
-    peer.address = address;
-    sendTo(peer);
+    const Peer *peer = m_peers.add(id, dataCentre, address);
+    if (peer && m_peers.isLocal(*peer))
+        sendTo(*peer);
 }
 
 void FleetSync::receive(const std::string &fromIp, const Schema::FleetBeacon &beacon)
 {
     if (beacon.router == m_options.id)
         return;
-    Peer &peer = m_peers[beacon.router];
-    const bool isNew = !peer.heardAt;
-    peer.id = beacon.router;
-    peer.dataCentre = beacon.dataCentre;
-    peer.address = {fromIp, static_cast<std::uint16_t>(beacon.port)};
-    peer.heardAt = now();
-    peer.strength = beacon.strength;
-    peer.isReading = beacon.isReading;
-    peer.isLeaving = beacon.isLeaving;
-    peer.isKnowing = beacon.knowledgeAgeMs != unknownAge;
-    peer.knownAt = now() - std::chrono::milliseconds(peer.isKnowing ? beacon.knowledgeAgeMs : 0);
-    peer.configuration = beacon.configuration;
-    peer.endpoints = beacon.endpoints;
+    bool isNew = false;
+    const Peer &peer = m_peers.note(fromIp, beacon, isNew);
     for (const SharedEndpoint &news : beacon.news)
         learn(news);
     compare(peer);
-    if (isNew)
+    if (isNew && !peer.isTold)
         sendTo(peer);
 }
 
+/// Whether a pull of endpoints from this peer would tell anything new.
+bool FleetSync::wantsEndpoints(const Peer &peer) const
+{
+    if (m_knownAt && peer.knownAt <= *m_knownAt)
+        return false;
+    // Bytes between data centres are dear, and the own reader tells the same a moment later.
+    const bool isStale = now() - m_knownAt.value_or(m_startedAt) > m_options.readerAgeLimit;
+    if (!m_peers.isLocal(peer) && !isStale && !m_hasStoreFailed)
+        return false;
+    if (!m_isReading)
+        return true;
+    if (m_storeReadAt)
+        return now() - *m_storeReadAt > m_options.storeFreshness;
+    return m_hasStoreFailed || now() - m_startedAt > m_options.firstReadTime;
+}
+
+/// A newer configuration of another data centre is pulled only if the own one stays behind.
+bool FleetSync::wantsConfiguration(const Peer &peer, bool isBehind)
+{
+    if (!isBehind)
+        return false;
+    if (m_peers.isLocal(peer))
+        return true;
+    if (!m_behindSince)
+        m_behindSince = now();
+    return now() - *m_behindSince > m_options.ownReaderTime;
+}
+
 /// What a peer knows beyond this router is pulled from it; where both know the same, this router
 /// knows it as of the peer's time.
 void FleetSync::compare(const Peer &peer)
@@ -115,20 +134,33 @@
         m_knownAt = std::max(m_knownAt.value_or(peer.knownAt), peer.knownAt);
         return;
     }
-    const bool isFresher = !m_knownAt || peer.knownAt > *m_knownAt;
-    if ((!isBehind && !isFresher) || now() - m_pulledAt < m_options.pullInterval)
+    const bool wantsMore = !isSame && wantsEndpoints(peer);
+    if ((!wantsConfiguration(peer, isBehind) && !wantsMore)
+        || now() - m_pulledAt < m_options.pullInterval)
         return;
     m_pulledAt = now();
-    pull(peer.address, {.configuration = m_configuration.revision.value()});
+    const Fleet::EndpointDigest &digest = m_options.directory->digest();
+    pull(peer.address,
+         {.configuration = m_configuration.revision.value(),
+          .endpoints = std::vector<std::uint64_t>(digest.begin(), digest.end())});
 }
 
 Schema::FleetStateAnswer FleetSync::answer(const Schema::FleetStateRequest &request) const
 {
     Schema::FleetStateAnswer state{.knowledgeAgeMs = ageNumber(knowledgeAge())};
-    for (const auto &[id, entry] : m_options.directory->entries())
-        state.endpoints.push_back(shared(entry));
-    for (const Fleet::GoneEndpoint &gone : m_options.directory->gone())
-        state.endpoints.push_back(sharedGone(gone.id, gone.version));
+    const Fleet::EndpointDigest &digest = m_options.directory->digest();
+    const auto differs = [&](const Base::EndpointId &id) {
+        const std::size_t bucket = Fleet::digestBucket(id);
+        return bucket >= request.endpoints.size() || request.endpoints[bucket] != digest.at(bucket);
+    };
+    for (const auto &[id, entry] : m_options.directory->entries()) {
+        if (differs(id))
+            state.endpoints.push_back(shared(entry));
+    }
+    for (const Fleet::GoneEndpoint &gone : m_options.directory->gone()) {
+        if (differs(gone.id))
+            state.endpoints.push_back(sharedGone(gone.id, gone.version));
+    }
     if (m_configuration.revision.value() > request.configuration) {
         state.configurationOffset = m_configuration.offset.value();
         state.configuration = m_configuration.text;
@@ -169,9 +201,11 @@
         version);
 }
 
-void FleetSync::storeAnswered()
+void FleetSync::storeRead()
 {
     m_knownAt = now();
+    m_storeReadAt = m_knownAt;
+    m_hasStoreFailed = false;
 }
 
 void FleetSync::setConfiguration(StoredConfiguration configuration)
@@ -179,26 +213,40 @@
     if (configuration.revision <= m_configuration.revision)
         return;
     m_configuration = std::move(configuration);
+    m_behindSince.reset();
     if (!m_isReading)
         return;
-    for (const auto &[id, peer] : m_peers) {
-        if (isAlive(peer) && peer.configuration < m_configuration.revision.value())
+    for (const auto &[id, peer] : m_peers.peers()) {
+        const bool isHearer = m_peers.isLocal(peer) || m_peers.isAlive(peer);
+        if (isHearer && peer.configuration < m_configuration.revision.value())
             sendTo(peer);
     }
 }
 
+/// Changes that one read of the store brings go out together.
 void FleetSync::endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone)
 {
-    if (!m_isReading)
+    if (!m_isReading || !m_storeReadAt)
         return;
-    const SharedEndpoint news =
-        isGone ? sharedGone(entry.endpoint.id, entry.version) : shared(entry);
-    for (const auto &[id, peer] : m_peers) {
+    if (m_news.size() <= mostNews) {
+        m_news.push_back(isGone ? sharedGone(entry.endpoint.id, entry.version) : shared(entry));
+    }
+    if (!m_newsTimer)
+        m_newsTimer = m_options.timers->start(Base::Duration::zero(), [this] { sendNews(); });
+}
+
+/// Of more changes than a datagram carries the peers hear by the hash alone, and pull them.
+void FleetSync::sendNews()
+{
+    m_newsTimer.reset();
+    std::vector<SharedEndpoint> news = std::exchange(m_news, {});
+    if (news.size() > mostNews)
+        news.clear();
+    for (const auto &[id, peer] : m_peers.peers()) {
         // A reader of another data centre hears it from the store, unless that turns it away.
-        const bool isLocal = peer.dataCentre == m_options.dataCentre;
-        const bool isStale = now() - peer.knownAt > m_options.readerTimeout;
-        if (isAlive(peer) && (isLocal || isStale))
-            sendTo(peer, {news});
+        const bool isStale = now() - peer.knownAt > m_options.readerAgeLimit;
+        if (m_peers.isLocal(peer) || (isStale && m_peers.isAlive(peer)))
+            sendTo(peer, news);
     }
 }
 
@@ -213,42 +261,33 @@
 {
     checkDuty();
     sendBeacons();
-    m_timer = m_options.timers->start(m_options.beaconInterval, [this] { tick(); });
+    m_timer = m_options.timers->start(PeerTable::Options().beaconInterval, [this] { tick(); });
 }
 
 /// The strongest living router of a data centre reads; where the store does not answer it, the
-/// next one reads too.
+/// next one reads too. Whoever starts reads first, so that stronger ones make themselves known.
 void FleetSync::checkDuty()
 {
-    const bool isOther = std::any_of(m_peers.begin(), m_peers.end(), [this](const auto &item) {
+    const auto &peers = m_peers.peers();
+    const bool isOther = std::any_of(peers.begin(), peers.end(), [this](const auto &item) {
         const Peer &peer = item.second;
-        return peer.dataCentre == m_options.dataCentre && isAlive(peer) && !peer.isLeaving
-            && isStronger(peer) && !isFailing(peer);
+        return m_peers.isLocal(peer) && peer.isReading && m_peers.isAlive(peer) && !peer.isLeaving
+            && m_peers.isStronger(peer) && !isFailing(peer);
     });
     // Until it knows anything a router reads, whoever else does.
     const bool reads = !isOther || !m_knownAt;
     if (reads == m_isReading)
         return;
     m_isReading = reads;
+    m_isAnnouncing = reads;
     if (dutyChanged)
         dutyChanged(reads);
 }
 
-bool FleetSync::isAlive(const Peer &peer) const
-{
-    return peer.heardAt && now() - *peer.heardAt < m_options.peerTimeout;
-}
-
-bool FleetSync::isStronger(const Peer &peer) const
-{
-    if (peer.strength != m_options.strength)
-        return peer.strength > m_options.strength;
-    return peer.id < m_options.id;
-}
-
 bool FleetSync::isFailing(const Peer &peer) const
 {
-    return peer.isReading && now() - peer.knownAt > m_options.readerTimeout;
+    return peer.isReading && peer.heardAt
+        && *peer.heardAt - peer.knownAt > m_options.readerAgeLimit;
 }
 
 void FleetSync::sendBeacons()
@@ -257,55 +296,48 @@
         sendTo(*peer);
 }
 
-/// A reader is heard by its whole data centre and by one router of each other; the others are heard
-/// by the readers of theirs alone.
+/// A reader talks to its deputies and to readers elsewhere each time, to the rest of its data
+/// centre seldom; the others talk to their reader, deputies each time.
 std::vector<const Peer *> FleetSync::beaconPeers()
 {
+    if (std::exchange(m_isAnnouncing, false))
+        return m_peers.local();
+    const bool isLocalDue = m_isLeaving || now() - m_localBeaconsAt >= m_peers.localInterval();
+    const bool isDeputy = m_peers.isDeputy();
+    const std::vector<std::string> deputies =
+        m_isReading ? m_peers.deputies() : std::vector<std::string>();
     std::vector<const Peer *> chosen;
-    std::set<std::string> others;
     std::vector<const Peer *> silent;
-    for (const auto &[id, peer] : m_peers) {
-        if (peer.dataCentre != m_options.dataCentre)
-            others.insert(peer.dataCentre);
-        else if (isAlive(peer) && (m_isReading || m_isLeaving || peer.isReading))
-            chosen.push_back(&peer);
-        else if (!isAlive(peer))
-            silent.push_back(&peer);
+    for (const Peer *peer : m_peers.local()) {
+        const bool isOften = m_isReading
+            ? std::find(deputies.begin(), deputies.end(), peer->id) != deputies.end()
+            : isDeputy && peer->isReading;
+        const bool isHearer = m_isReading || m_isLeaving || peer->isReading;
+        if (isOften || (isLocalDue && isHearer && m_peers.isAlive(*peer)))
+            chosen.push_back(peer);
+        else if (!m_peers.isAlive(*peer))
+            silent.push_back(peer);
     }
-    // One that is silent is asked now and then whether it is back.
-    if (!silent.empty())
-        chosen.push_back(silent[m_random() % silent.size()]);
-    if (!m_isReading)
-        return chosen;
-    for (const std::string &dataCentre : others) {
-        if (const Peer *contact = contactIn(dataCentre))
+    if (isLocalDue) {
+        m_localBeaconsAt = now();
+        // One that is silent is asked now and then whether it is back.
+        if (const Peer *peer = m_peers.anyOf(silent))
+            chosen.push_back(peer);
+    }
+    if (m_isReading) {
+        for (const Peer *contact : m_peers.contacts())
             chosen.push_back(contact);
     }
     return chosen;
 }
 
-/// The reader of another data centre, or any of its routers while none is known.
-const Peer *FleetSync::contactIn(const std::string &dataCentre)
-{
-    std::vector<const Peer *> readers;
-    std::vector<const Peer *> others;
-    for (const auto &[id, peer] : m_peers) {
-        if (peer.dataCentre != dataCentre)
-            continue;
-        const bool isReader = isAlive(peer) && peer.isReading;
-        (isReader ? readers : others).push_back(&peer);
-    }
-    const std::vector<const Peer *> &from = readers.empty() ? others : readers;
-    return from.empty() ? nullptr : from[m_random() % from.size()];
-}
-
-void FleetSync::sendTo(const Peer &peer, std::vector<SharedEndpoint> news)
+void FleetSync::sendTo(const Peer &peer, const std::vector<SharedEndpoint> &news)
 {
     if (!send)
         return;
     Schema::FleetBeacon message = beacon();
-    news.resize(std::min(news.size(), mostNews));
-    message.news = std::move(news);
+    message.news = news;
+    m_peers.setTold(peer);
     send(peer.address, message);
 }
 
@@ -319,7 +351,8 @@
             .knowledgeAgeMs = ageNumber(knowledgeAge()),
             .configuration = m_configuration.revision.value(),
             .endpoints = m_options.directory->hash(),
-            .isLeaving = m_isLeaving};
+            .isLeaving = m_isLeaving,
+            .deputies = m_isReading ? m_peers.deputies() : std::vector<std::string>()};
 }
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "fleet/endpointdirectory.h"
+#include "fleetsync/peertable.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
 #include "schema/generated/fleetsync.h"
@@ -11,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -25,22 +25,6 @@
     std::string text;
 };
 
-/// Another router.
-struct Peer
-{
-    std::string id;
-    std::string dataCentre;
-    Runtime::SocketAddress address; ///< Of its datagrams and of its answers to pulls.
-    std::optional<Base::MonoTime> heardAt;
-    std::uint32_t strength = 0;
-    bool isReading = false;
-    bool isLeaving = false;
-    Base::MonoTime knownAt{}; ///< Time to which what it knew was true, as of its last beacon.
-    bool isKnowing = false; ///< It knew something.
-    std::uint64_t configuration = 0;
-    std::uint64_t endpoints = 0;
-};
-
 /// Shares what the store tells among routers, so that one router of each data centre reads it and
 /// the others hear of changes within milliseconds. Each can also read alone, and a router that the
 /// store turns away learns from its peers.
@@ -58,12 +42,18 @@
         Fleet::EndpointDirectory *directory = nullptr;
         Runtime::TimerQueue *timers = nullptr;
         std::uint64_t randomSeed = 1;
-        /// Time between two beacons. A router of 25 in its data centre then sends 4.5 KB/s.
-        Base::Duration beaconInterval = std::chrono::milliseconds(500);
-        /// A peer that is silent for so long is not counted on: two lost beacons and some delay.
-        Base::Duration peerTimeout = std::chrono::milliseconds(1300);
-        /// A reader whose store has not answered for so long is taken for turned away.
-        Base::Duration readerTimeout = std::chrono::milliseconds(1600);
+        /// Of what a reader knows, as it says itself; older than that it is taken for turned away
+        /// by the store.
+        Base::Duration readerAgeLimit = std::chrono::milliseconds(1600);
+        /// A reader that has read the store within this time asks no peer for endpoints: it does so
+        /// each 700 ms.
+        Base::Duration storeFreshness = std::chrono::milliseconds(1000);
+        /// A router that starts leaves its peers alone for so long unless the store fails it; that
+        /// answers within 25 ms, and within a second when hundreds of routers start at once.
+        Base::Duration firstReadTime = std::chrono::milliseconds(500);
+        /// In which a configuration that another data centre has comes from the store, or from the
+        /// own data centre's reader, too.
+        Base::Duration ownReaderTime = std::chrono::milliseconds(200);
         /// Between two pulls from whomever, while a difference lasts.
         Base::Duration pullInterval = std::chrono::milliseconds(400);
     };
@@ -94,10 +84,12 @@
     void receive(const std::string &fromIp, const Schema::FleetBeacon &beacon);
     Schema::FleetStateAnswer answer(const Schema::FleetStateRequest &request) const;
     void take(const Schema::FleetStateAnswer &state);
-    /// The store has answered a read of the endpoints.
-    void storeAnswered();
+    /// All endpoints that the store had a moment ago have been put into the directory.
+    void storeRead();
+    /// A read of the endpoints has failed.
+    void storeFailed() { m_hasStoreFailed = true; }
     void setConfiguration(StoredConfiguration configuration);
-    /// To be called when the directory has changed by what this router read.
+    /// To be called when the directory has changed.
     void endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone);
 
     bool readsStore() const { return m_isReading; }
@@ -106,32 +98,40 @@
     /// Whether the endpoints are known, from the store or from a peer.
     bool knowsEndpoints() const { return m_knownAt.has_value(); }
     /// Routers that were registered or heard of, this one included.
-    std::size_t routerCount() const { return m_peers.size() + 1; }
-    const std::map<std::string, Peer> &peers() const { return m_peers; }
+    std::size_t routerCount() const { return m_peers.peers().size() + 1; }
+    const std::map<std::string, Peer> &peers() const { return m_peers.peers(); }
 
 private:
     Base::MonoTime now() const { return m_options.timers->clock().now(); }
     void tick();
     void checkDuty();
-    bool isAlive(const Peer &peer) const;
-    bool isStronger(const Peer &peer) const;
     bool isFailing(const Peer &peer) const;
     void sendBeacons();
-    void sendTo(const Peer &peer, std::vector<Schema::SharedEndpoint> news = {});
+    void sendTo(const Peer &peer, const std::vector<Schema::SharedEndpoint> &news = {});
     std::vector<const Peer *> beaconPeers();
-    const Peer *contactIn(const std::string &dataCentre);
+    void sendNews();
+    bool wantsEndpoints(const Peer &peer) const;
+    bool wantsConfiguration(const Peer &peer, bool isBehind);
     void compare(const Peer &peer);
     void learn(const Schema::SharedEndpoint &shared);
     Schema::FleetBeacon beacon() const;
 
     Options m_options;
-    std::mt19937_64 m_random;
-    std::map<std::string, Peer> m_peers; ///< By id.
+    PeerTable m_peers;
     StoredConfiguration m_configuration;
     std::optional<Base::MonoTime> m_knownAt; ///< Time to which what is known was true.
+    std::optional<Base::MonoTime> m_storeReadAt;
+    bool m_hasStoreFailed = false; ///< Since it was read last.
+    Base::MonoTime m_startedAt{};
     Base::MonoTime m_pulledAt{};
+    /// Since when another data centre has a newer configuration than this router.
+    std::optional<Base::MonoTime> m_behindSince;
+    Base::MonoTime m_localBeaconsAt{}; ///< Those to peers that are not told often.
+    std::vector<Schema::SharedEndpoint> m_news; ///< Changes that the peers are not told yet.
+    std::optional<Runtime::TimerId> m_newsTimer;
     bool m_isReading = true;
     bool m_isLeaving = false;
+    bool m_isAnnouncing = false; ///< Has become a reader; the whole data centre has to hear of it.
     Runtime::TimerId m_timer;
 };
 
--- /dev/null
+++ b/src/libs/fleetsync/peertable.cpp
@@ -0,0 +1,173 @@
+#include "fleetsync/peertable.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Lagoonbank::FleetSync {
+
+PeerTable::PeerTable(Options options)
+    : m_options(std::move(options))
+    , m_random(m_options.randomSeed)
+{ }
+
+const Peer *PeerTable::add(const std::string &id, const std::string &dataCentre,
+                           const Runtime::SocketAddress &address)
+{
+    if (id == m_options.id)
+        return nullptr;
+    Peer &peer = m_peers[id];
+    if (peer.heardAt)
+        return nullptr; // What it says itself is newer.
+    const bool isNew = peer.id.empty();
+    peer.id = id;
+    peer.dataCentre = dataCentre;
+    peer.address = address;
+    if (isNew)
+        count(dataCentre);
+    return &peer;
+}
+
+const Peer &PeerTable::note(const std::string &fromIp, const Schema::FleetBeacon &beacon,
+                            bool &isNew)
+{
+    Peer &peer = m_peers[beacon.router];
+    const bool isUnknown = peer.id.empty();
+    const Base::MonoTime now = m_options.clock->now();
+    isNew = !peer.heardAt;
+    peer.id = beacon.router;
+    peer.dataCentre = beacon.dataCentre;
+    peer.address = {fromIp, static_cast<std::uint16_t>(beacon.port)};
+    peer.heardAt = now;
+    peer.strength = beacon.strength;
+    peer.isReading = beacon.isReading;
+    peer.isLeaving = beacon.isLeaving;
+    peer.isKnowing = beacon.knowledgeAgeMs != std::numeric_limits<std::uint32_t>::max();
+    peer.knownAt = now - std::chrono::milliseconds(peer.isKnowing ? beacon.knowledgeAgeMs : 0);
+    peer.configuration = beacon.configuration;
+    peer.endpoints = beacon.endpoints;
+    peer.deputies = beacon.deputies;
+    if (isUnknown)
+        count(peer.dataCentre);
+    return peer;
+}
+
+bool PeerTable::isAlive(const Peer &peer) const
+{
+    return peer.heardAt && m_options.clock->now() - *peer.heardAt < silenceLimit(peer);
+}
+
+Base::Duration PeerTable::silenceLimit(const Peer &peer) const
+{
+    Base::Duration interval = m_options.beaconInterval;
+    if (!isLocal(peer)) {
+        const auto others = static_cast<double>(otherDataCentres());
+        interval = std::chrono::duration_cast<Base::Duration>(
+            interval * std::max(1.0, others / static_cast<double>(m_options.contacts)));
+    } else if (!isDeputyOf(peer)) {
+        interval = localInterval();
+    }
+    return std::chrono::duration_cast<Base::Duration>(interval * m_options.missedIntervals);
+}
+
+bool PeerTable::isStronger(const Peer &peer) const
+{
+    if (peer.strength != m_options.strength)
+        return peer.strength > m_options.strength;
+    return peer.id < m_options.id;
+}
+
+std::vector<std::string> PeerTable::deputies() const
+{
+    std::vector<const Peer *> living;
+    for (const Peer *peer : local()) {
+        if (isAlive(*peer) && !peer->isLeaving)
+            living.push_back(peer);
+    }
+    const std::size_t count = std::min(living.size(), m_options.deputies);
+    std::partial_sort(living.begin(), living.begin() + static_cast<std::ptrdiff_t>(count),
+                      living.end(), [](const Peer *a, const Peer *b) {
+                          return a->strength != b->strength ? a->strength > b->strength
+                                                            : a->id < b->id;
+                      });
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i)
+        ids.push_back(living[i]->id);
+    return ids;
+}
+
+bool PeerTable::isDeputyOf(const Peer &reader) const
+{
+    const auto &deputies = reader.deputies;
+    return std::find(deputies.begin(), deputies.end(), m_options.id) != deputies.end();
+}
+
+bool PeerTable::isDeputy() const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [this](const auto &item) {
+        const Peer &peer = item.second;
+        return peer.isReading && isLocal(peer) && isDeputyOf(peer) && isAlive(peer);
+    });
+}
+
+Base::Duration PeerTable::localInterval() const
+{
+    const double seconds =
+        static_cast<double>(localCount()) * m_options.beaconBytes / m_options.localBytesPerSecond;
+    const auto needed =
+        std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double>(seconds));
+    return std::max(m_options.beaconInterval, needed);
+}
+
+std::vector<const Peer *> PeerTable::local() const
+{
+    std::vector<const Peer *> found;
+    for (const auto &[id, peer] : m_peers) {
+        if (isLocal(peer))
+            found.push_back(&peer);
+    }
+    return found;
+}
+
+std::vector<const Peer *> PeerTable::contacts()
+{
+    std::vector<std::string> dataCentres;
+    dataCentres.reserve(m_sizes.size());
+    for (const auto &[dataCentre, size] : m_sizes) {
+        if (dataCentre != m_options.dataCentre)
+            dataCentres.push_back(dataCentre);
+    }
+    std::shuffle(dataCentres.begin(), dataCentres.end(), m_random);
+    dataCentres.resize(std::min(dataCentres.size(), m_options.contacts));
+    std::vector<const Peer *> found;
+    for (const std::string &dataCentre : dataCentres)
+        found.push_back(contactIn(dataCentre));
+    return found;
+}
+
+const Peer *PeerTable::anyOf(const std::vector<const Peer *> &peers)
+{
+    return peers.empty() ? nullptr : peers[m_random() % peers.size()];
+}
+
+std::size_t PeerTable::localCount() const
+{
+    const auto found = m_sizes.find(m_options.dataCentre);
+    return found == m_sizes.end() ? 0 : found->second;
+}
+
+/// The reader of another data centre, or any of its routers while none is known.
+const Peer *PeerTable::contactIn(const std::string &dataCentre)
+{
+    std::vector<const Peer *> readers;
+    std::vector<const Peer *> others;
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.dataCentre != dataCentre)
+            continue;
+        const bool isReader = peer.isReading && isAlive(peer);
+        (isReader ? readers : others).push_back(&peer);
+    }
+    return anyOf(readers.empty() ? others : readers);
+}
+
+} // namespace Lagoonbank::FleetSync
--- /dev/null
+++ b/src/libs/fleetsync/peertable.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "base/units.h"
+#include "runtime/timerqueue.h"
+#include "runtime/udpsocket.h"
+#include "schema/generated/fleetsync.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Lagoonbank::FleetSync {
+
+/// Another router.
+struct Peer
+{
+    std::string id;
+    std::string dataCentre;
+    Runtime::SocketAddress address; ///< Of its datagrams and of its answers to pulls.
+    std::optional<Base::MonoTime> heardAt;
+    std::uint32_t strength = 0;
+    bool isReading = false;
+    bool isLeaving = false;
+    Base::MonoTime knownAt{}; ///< Time to which what it knew was true, as of its last beacon.
+    bool isKnowing = false; ///< It knew something.
+    std::uint64_t configuration = 0;
+    std::uint64_t endpoints = 0;
+    bool isTold = false; ///< Has been sent a beacon.
+    std::vector<std::string> deputies; ///< Of a reader; see FleetBeacon.
+};
+
+/// The routers that this one has heard of, and which of them can be counted on.
+///
+/// A reader and its deputies talk often, so that one that dies is replaced soon. All others of a
+/// data centre talk to its reader as seldom as their number demands, so that its traffic stays
+/// bounded.
+class PeerTable
+{
+public:
+    struct Options
+    {
+        std::string id; ///< Of this router.
+        std::string dataCentre;
+        std::uint32_t strength = 0; ///< See FleetBeacon.
+        const Runtime::Clock *clock = nullptr;
+        std::uint64_t randomSeed = 1;
+        /// Time between two beacons of a reader and its deputies, and of readers.
+        Base::Duration beaconInterval = std::chrono::milliseconds(500);
+        /// Bytes a second that a reader sends to the rest of its data centre; it gets about as
+        /// many. With deputies and other readers that stays under 5,000, the limit for a router's
+        /// control traffic.
+        double localBytesPerSecond = 1600;
+        /// On the wire, with the headers of UDP and IP; for names of 20 letters.
+        double beaconBytes = 105;
+        /// Two, as a reader and its first deputy may go at the same moment.
+        std::size_t deputies = 2;
+        /// Intervals without a beacon after which a peer is not counted on: two lost ones and some
+        /// delay.
+        double missedIntervals = 2.6;
+        /// Other data centres that a reader talks to in an interval; news spread on from there.
+        std::size_t contacts = 3;
+    };
+
+    explicit PeerTable(Options options);
+
+    /// A router that was registered; null if it is this one or has told of itself before.
+    const Peer *add(const std::string &id, const std::string &dataCentre,
+                    const Runtime::SocketAddress &address);
+    /// A beacon has come; \a isNew says whether it is the peer's first.
+    const Peer &note(const std::string &fromIp, const Schema::FleetBeacon &beacon, bool &isNew);
+
+    /// This router has sent \a peer a beacon.
+    void setTold(const Peer &peer) { m_peers[peer.id].isTold = true; }
+    bool isAlive(const Peer &peer) const;
+    bool isLocal(const Peer &peer) const { return peer.dataCentre == m_options.dataCentre; }
+    /// Goes before this router in reading the store.
+    bool isStronger(const Peer &peer) const;
+    /// The strongest living routers of this data centre beside this one.
+    std::vector<std::string> deputies() const;
+    /// A living reader has made this router one of its deputies.
+    bool isDeputy() const;
+    /// Time between two beacons of a reader and those that are not its deputies.
+    Base::Duration localInterval() const;
+
+    std::vector<const Peer *> local() const;
+    /// Whom a reader tells of itself in other data centres: their readers where they are known.
+    std::vector<const Peer *> contacts();
+    /// One of \a peers; null if there is none.
+    const Peer *anyOf(const std::vector<const Peer *> &peers);
+    const std::map<std::string, Peer> &peers() const { return m_peers; }
+
+private:
+    bool isDeputyOf(const Peer &reader) const;
+    Base::Duration silenceLimit(const Peer &peer) const;
+    void count(const std::string &dataCentre) { ++m_sizes[dataCentre]; }
+    std::size_t localCount() const;
+    std::size_t otherDataCentres() const { return m_sizes.size() - (localCount() > 0 ? 1 : 0); }
+    const Peer *contactIn(const std::string &dataCentre);
+
+    Options m_options;
+    std::mt19937_64 m_random;
+    std::map<std::string, Peer> m_peers; ///< By id.
+    std::map<std::string, std::size_t> m_sizes; ///< Routers of each data centre, without this one.
+};
+
+} // namespace Lagoonbank::FleetSync
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -116,6 +116,8 @@
     std::vector<std::unique_ptr<Router>> routers;
     std::uint64_t revision = 0; ///< Of the configuration in the store; 0 for none.
     std::uint64_t bytes = 0; ///< Sent by all routers.
+    std::uint64_t messages = 0; ///< Beacons sent by all routers.
+    std::uint64_t pulledEndpoints = 0; ///< Entries in answers to pulls.
 
 private:
     void connect(Router &router)
@@ -135,6 +137,7 @@
         };
         router.sync->send = [this, &router](const auto &to, const Schema::FleetBeacon &beacon) {
             constexpr std::uint64_t headers = 28;
+            ++messages;
             bytes += headers + 80 + 60 * beacon.news.size();
             later(router, to.ip,
                   [&router, beacon](Router &target) { target.sync->receive(router.ip, beacon); });
@@ -143,6 +146,7 @@
                                             const Schema::FleetStateRequest &ask) {
             later(router, peer.ip, [this, &router, ask](Router &target) {
                 const Schema::FleetStateAnswer state = target.sync->answer(ask);
+                pulledEndpoints += state.endpoints.size();
                 later(target, router.ip, [state](Router &asker) { asker.sync->take(state); });
             });
         };
@@ -170,15 +174,17 @@
             if (!router->isUp || !router->isReading)
                 continue;
             ++router->reads;
-            if (!router->reachesStore)
+            if (!router->reachesStore) {
+                router->sync->storeFailed();
                 continue;
+            }
             absl::flat_hash_set<Base::EndpointId> present;
             for (const auto &[id, entry] : m_store) {
                 present.insert(id);
                 router->directory->put(entry.first, Base::LogOffset(entry.second));
             }
             router->directory->reconcile(present, Base::LogOffset(++m_offset));
-            router->sync->storeAnswered();
+            router->sync->storeRead();
             if (revision > 0)
                 takeConfiguration(*router, revision);
         }
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE tst_fleetlink
 #include "auto/http/loopback.h"
 #include "fleetsync/fleetlink.h"
+#include "schema/messagecodec.h"
 
 #include <memory>
 #include <string>
@@ -33,6 +34,8 @@
                                         .client = &client,
                                         .sync = &sync,
                                         .address = {"127.0.0.1", port},
+                                        .stateBytesPerSecond = 100000,
+                                        .learnt = [](const auto &, const auto &) {},
                                         .sent = [this](std::size_t size) { bytes += size; },
                                         .failed = [this](const Errors::Error &) { ++failures; }});
         BOOST_REQUIRE(opened);
@@ -68,7 +71,7 @@
                          .address = {"10.0.0.1", 80},
                          .slots = 6},
                         Base::LogOffset(3));
-    f.one.sync.storeAnswered();
+    f.one.sync.storeRead();
     f.one.sync.setConfiguration({.revision = Base::Revision(4),
                                  .offset = Base::LogOffset(2),
                                  .text = std::string(200000, 'c')});
@@ -95,3 +98,24 @@
     BOOST_TEST(f.runUntil([&] { return caller.has("HTTP/1.1 400"); }));
     BOOST_TEST(f.one.sync.peers().empty());
 }
+
+/// Pattern: hundreds of routers start at once and all ask the one that was first to know all.
+BOOST_AUTO_TEST_CASE(askersBeyondItsBytesASecondAreTurnedAway)
+{
+    Fixture f;
+    f.one.sync.setConfiguration({.revision = Base::Revision(4), .text = std::string(150000, 'c')});
+    const auto body = Schema::encodeMessage(Schema::FleetStateRequest{});
+    BOOST_REQUIRE(body);
+    const std::string ask = "POST /fleet/state HTTP/1.1\r\nhost: a\r\ncontent-length: "
+        + std::to_string(body.value().size()) + "\r\n\r\n" + body.value();
+    const auto statusOfNext = [&] {
+        RawSocket asker({"127.0.0.1", f.one.port});
+        asker.send(ask);
+        BOOST_REQUIRE(f.runUntil([&] { return asker.has("HTTP/1.1 "); }));
+        return asker.has("HTTP/1.1 200") ? 200 : 503;
+    };
+    BOOST_TEST(statusOfNext() == 200); // One may be larger than a second's bytes.
+    BOOST_TEST(statusOfNext() == 503);
+    f.advance(std::chrono::milliseconds(600));
+    BOOST_TEST(statusOfNext() == 200);
+}
--- a/tests/auto/fleetsync/tst_fleetsync.cpp
+++ b/tests/auto/fleetsync/tst_fleetsync.cpp
@@ -3,6 +3,10 @@
 
 #include "auto/fleetsync/syncfleet.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace Lagoonbank;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -199,3 +203,87 @@
     BOOST_TEST(perRouter < 1000);
     BOOST_TEST(reads <= 13 * 21);
 }
+
+/// Pattern: every process of a large fleet is killed and starts again. Each reads the store itself;
+/// what they tell each other meanwhile must not grow with the square of the fleet or with each
+/// endpoint, or slow links are full for seconds.
+BOOST_AUTO_TEST_CASE(aLargeFleetThatStartsAtOnceTellsLittle)
+{
+    SyncFleet fleet(std::vector<int>(5, 30));
+    constexpr int endpoints = 300;
+    for (int i = 0; i < endpoints; ++i)
+        fleet.put(endpoint("e" + std::to_string(i)));
+    settle(fleet);
+    for (const auto &router : fleet.routers)
+        fleet.kill(*router);
+    const std::uint64_t messagesBefore = fleet.messages;
+    const std::uint64_t pulledBefore = fleet.pulledEndpoints;
+    for (const auto &router : fleet.routers)
+        fleet.start(*router);
+    fleet.pass(seconds(4));
+    BOOST_TEST(fleet.allKnow([](const Router &router) {
+        return router.directory->entries().size() == endpoints + 1 && router.configuration == 1;
+    }));
+    // Each tells its 29 neighbours of itself and answers each of theirs; then readers say once or
+    // twice that they read, until the strongest is known to all.
+    const double perRouter = static_cast<double>(fleet.messages - messagesBefore) / 150;
+    BOOST_TEST(perRouter < 5 * 29);
+    BOOST_TEST(fleet.pulledEndpoints - pulledBefore < 150 * 30U);
+    for (int dc = 0; dc < 5; ++dc)
+        BOOST_TEST(fleet.readers("dc" + std::to_string(dc)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aPullBringsOnlyWhatDiffers)
+{
+    SyncFleet fleet({2});
+    for (int i = 0; i < 640; ++i)
+        fleet.put(endpoint("e" + std::to_string(i)));
+    settle(fleet);
+    const Router &reader = *fleet.routers[fleet.routers[0]->isReading ? 0 : 1];
+    fleet.passes = [&](const Router &from, const Router &) { return &from != &reader; };
+    const std::uint64_t before = fleet.pulledEndpoints;
+    fleet.put(endpoint("e7", Fleet::EndpointState::Draining));
+    fleet.pass(milliseconds(600));
+    fleet.passes = [](const Router &, const Router &) { return true; };
+    fleet.pass(milliseconds(1000));
+    BOOST_TEST(fleet.allKnow([](const Router &router) { return isDraining(router, "e7"); }));
+    BOOST_TEST(fleet.pulledEndpoints - before < 40U); // A bucket of 64 has some ten of them.
+}
+
+/// Pattern: the reader dies together with the one that would follow it, in a data centre that is
+/// too large for all to be told often; changes have to be in force within 3 s.
+BOOST_AUTO_TEST_CASE(theSecondDeputyReadsWhenTheReaderAndTheFirstDie)
+{
+    SyncFleet fleet({25, 25});
+    settle(fleet);
+    // Of equal strength the least id goes first.
+    std::vector<Router *> inOrder;
+    for (const auto &router : fleet.routers) {
+        if (router->dataCentre == "dc0")
+            inOrder.push_back(router.get());
+    }
+    std::sort(inOrder.begin(), inOrder.end(),
+              [](const Router *a, const Router *b) { return a->id < b->id; });
+    BOOST_TEST(inOrder[0]->isReading);
+    fleet.kill(*inOrder[0]);
+    fleet.kill(*inOrder[1]);
+    fleet.put(endpoint("a", Fleet::EndpointState::Draining));
+    fleet.revision = 2;
+    fleet.pass(milliseconds(2700));
+    BOOST_TEST(fleet.allKnow(
+        [](const Router &router) { return router.configuration == 2 && isDraining(router, "a"); }));
+    BOOST_TEST(fleet.readers("dc0") <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(manyChangesAtOnceGoOutTogether)
+{
+    SyncFleet fleet({10});
+    settle(fleet);
+    const std::uint64_t before = fleet.messages;
+    for (int i = 0; i < 100; ++i)
+        fleet.put(endpoint("e" + std::to_string(i)));
+    fleet.pass(seconds(1));
+    BOOST_TEST(fleet.allKnow(
+        [](const Router &router) { return router.directory->entries().size() == 101; }));
+    BOOST_TEST(fleet.messages - before < 100U);
+}
