Gateway: Keep to a part of an endpoint's connections, and let new ones settle

Ruled out: crashed endpoints (the ledger's had none), connections that an endpoint closed while idle (these requests use new ones). Change: max_connections of a service bounds what a router has in flight at one endpoint and keeps idle (0.8 of it, divided by the routers); a new connection has to stay open for 2 ms before a request leaves, so that one that is reset proves that the request has not run and it goes to another endpoint. The log says which prompt a send had and where it is copied from.

--- a/src/apps/bench/loadgenerator.cpp
+++ b/src/apps/bench/loadgenerator.cpp
@@ -51,6 +51,7 @@
     case Http::CallEnd::Whole:
         return "no_error_body";
     case Http::CallEnd::NotConnected:
+    case Http::CallEnd::TurnedAway:
         return "not_connected";
     case Http::CallEnd::TimedOut:
         return "no_answer_in_time";
--- a/src/libs/exchange/exchange.cpp
+++ b/src/libs/exchange/exchange.cpp
@@ -21,6 +21,7 @@
     const Ran ran = result.mayHaveLeft ? Ran::Unknown : Ran::No;
     switch (result.end) {
     case Http::CallEnd::NotConnected:
+    case Http::CallEnd::TurnedAway:
         return {ErrorKind::EndpointUnreachable, {}, Ran::No};
     case Http::CallEnd::TimedOut:
         return {ErrorKind::EndpointTimeout, {}, ran};
--- a/src/libs/fleetsync/peertable.cpp
+++ b/src/libs/fleetsync/peertable.cpp
@@ -140,6 +140,7 @@
     std::shuffle(dataCentres.begin(), dataCentres.end(), m_random);
     dataCentres.resize(std::min(dataCentres.size(), m_options.contacts));
     std::vector<const Peer *> found;
+    found.reserve(dataCentres.size());
     for (const std::string &dataCentre : dataCentres)
         found.push_back(contactIn(dataCentre));
     return found;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/requestrun.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Lagoonbank::Gateway {
@@ -11,6 +12,9 @@
 /// Prompts whose place is remembered, at 24 bytes each; more than chats return to one router
 /// within the time for which an engine keeps them.
 constexpr std::size_t rememberedPrompts = 16384;
+/// Part of the connections an endpoint takes that all routers use together. Callers come unevenly
+/// to the routers, and checks of reachability need some too.
+constexpr double connectionsUsed = 0.8;
 
 } // namespace
 
@@ -52,6 +56,22 @@
     m_configuration = std::move(configuration);
 }
 
+void Gateway::setRouterCount(std::size_t routers)
+{
+    m_routerCount = std::max<std::size_t>(1, routers);
+    m_retryBudget.setRouters(static_cast<int>(m_routerCount));
+}
+
+std::optional<std::size_t> Gateway::connectionShare(const Base::ServiceId &service) const
+{
+    const Fleet::Service *known = m_configuration ? m_configuration->findService(service) : nullptr;
+    if (!known || known->maxConnections <= 0)
+        return std::nullopt;
+    const double share =
+        connectionsUsed * known->maxConnections / static_cast<double>(m_routerCount);
+    return std::max<std::size_t>(2, static_cast<std::size_t>(share));
+}
+
 std::int64_t Gateway::knowledgeAgeMs() const
 {
     const auto age = m_options.knowledgeAge ? m_options.knowledgeAge() : std::nullopt;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -32,6 +32,9 @@
     /// For a connection to an endpoint. A live one accepts within 5 ms; one that is cut off does
     /// not answer at all, and the request has to be tried elsewhere within its 150 to 600 ms.
     Base::Duration connect = std::chrono::milliseconds(120);
+    /// For which a new connection has to stay open before a request leaves on it: an endpoint that
+    /// has all the connections it takes resets one within a round trip of 1 ms.
+    Base::Duration settle = std::chrono::milliseconds(2);
     /// Part of the target latency after which a request that may be repeated is sent elsewhere
     /// when nothing has come from its endpoint, on any connection, so that the other one still has
     /// time.
@@ -88,10 +91,7 @@
         m_retryBudget.setOptions(options);
     }
     /// Routers of the fleet, which share its budget of repeats.
-    void setRouterCount(std::size_t routers)
-    {
-        m_retryBudget.setRouters(static_cast<int>(routers));
-    }
+    void setRouterCount(std::size_t routers);
 
     void run(CallerRequest request, std::shared_ptr<Http::Responder> responder);
     std::size_t inFlight() const { return m_runs.size(); }
@@ -102,6 +102,9 @@
     /// Fewer tokens are read as fast as a copy of them is set up.
     static constexpr Base::Tokens leastCopied{256};
 
+    /// Connections that this router may have to one endpoint of a service; nothing where there is
+    /// no limit.
+    std::optional<std::size_t> connectionShare(const Base::ServiceId &service) const;
     /// In milliseconds; -1 where nothing is known.
     std::int64_t knowledgeAgeMs() const;
     /// Where the parts of a prompt were read last, if copying them from there to \a target beats
@@ -116,6 +119,7 @@
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
     Routing::PlacementTable m_promptPlaces;
+    std::size_t m_routerCount = 1;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
 };
 
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -18,6 +18,12 @@
     return std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
 }
 
+bool hasConnection(const PlacementRequest &request, const EndpointRecord &endpoint)
+{
+    return !request.connectionShare
+        || static_cast<std::size_t>(std::max(0, endpoint.inFlight)) < *request.connectionShare;
+}
+
 } // namespace
 
 std::string_view toString(PlacementReason reason)
@@ -61,7 +67,7 @@
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
         const bool isUsable = endpoint->info.state == Fleet::EndpointState::Ready
             && !endpoint->isUnreachable && !endpoint->isReplaced && now >= endpoint->fullUntil
-            && !isTried(request, endpoint);
+            && !isTried(request, endpoint) && hasConnection(request, *endpoint);
         if (!isUsable)
             continue;
         const bool isTrusted =
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -20,6 +20,8 @@
     Base::Duration longestPause{};
     bool mayRepeat = false; ///< Only such a request finds out whether a suspected endpoint is back.
     std::vector<EndpointPtr> tried; ///< Not to be taken again.
+    /// Requests that this router may have at one endpoint; nothing for no limit.
+    std::optional<std::size_t> connectionShare;
 };
 
 /// Why an endpoint was taken.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t mostTries = 4;
 /// Less time than this is not worth a send: no endpoint answers so soon.
 constexpr Base::Duration leastTime = std::chrono::milliseconds(10);
+/// Connections to one endpoint that are kept idle; requests seldom come closer together.
+constexpr std::size_t mostIdle = 32;
 
 } // namespace
 
@@ -129,56 +131,73 @@
 void RequestRun::place()
 {
     const Base::MonoTime now = m_timers.clock().now();
-    const Place place = m_gateway.m_placement.choose({.service = m_service,
-                                                      .affinity = affinity(),
-                                                      .targetLatency = m_route->targetLatency,
-                                                      .longestPause = m_route->longestPause,
-                                                      .mayRepeat = m_route->mayRepeat(),
-                                                      .tried = m_tried},
-                                                     m_gateway.m_endpoints, now);
+    const Place place =
+        m_gateway.m_placement.choose({.service = m_service,
+                                      .affinity = affinity(),
+                                      .targetLatency = m_route->targetLatency,
+                                      .longestPause = m_route->longestPause,
+                                      .mayRepeat = m_route->mayRepeat(),
+                                      .tried = m_tried,
+                                      .connectionShare = m_gateway.connectionShare(m_service)},
+                                     m_gateway.m_endpoints, now);
     if (!place.endpoint) {
         giveUp({.kind = ErrorKind::NoEndpoint, .hasReached = false, .hasRun = m_ranAt > 0});
         return;
     }
-    m_gateway.m_options.log->request(part, "Sending.",
-                                     {{"request", m_request.id.value()},
-                                      {"route", m_route->name},
-                                      {"endpoint", place.endpoint->info.id.value()},
-                                      {"reason", toString(place.reason)},
-                                      {"load", place.load},
-                                      {"mean_load", place.meanLoad},
-                                      {"candidates", place.candidates},
-                                      {"load_age_ms", now - place.endpoint->reportedAt},
-                                      {"send", m_tried.size() + 1},
-                                      {"revision", m_configuration->revision().value()},
-                                      {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
-                                      {"left_ms", timeLeft()}});
-    send(place);
-}
-
-void RequestRun::send(const Place &place)
-{
-    m_tried.push_back(place.endpoint);
+    const auto prompt = affinity();
+    const EndpointPtr source = prompt ? cacheSource(*prompt, place) : nullptr;
+    m_gateway.m_options.log->request(
+        part, "Sending.",
+        {{"request", m_request.id.value()},
+         {"route", m_route->name},
+         {"endpoint", place.endpoint->info.id.value()},
+         {"reason", toString(place.reason)},
+         {"load", place.load},
+         {"mean_load", place.meanLoad},
+         {"candidates", place.candidates},
+         {"load_age_ms", now - place.endpoint->reportedAt},
+         {"prompt", static_cast<std::int64_t>(prompt.value_or(0))},
+         {"shared_tokens", prompt ? sharedTokens().value() : 0},
+         {"cache_source", source ? source->info.id.value() : std::string_view()},
+         {"send", m_tried.size() + 1},
+         {"revision", m_configuration->revision().value()},
+         {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
+         {"left_ms", timeLeft()}});
+    send(place.endpoint, source);
+}
+
+/// Where the parts of the prompt are copied from; null if they are read.
+EndpointPtr RequestRun::cacheSource(std::uint64_t prompt, const Place &place)
+{
+    EndpointPtr source = m_gateway.cacheSource(prompt, *place.endpoint);
+    if (!source && sharedTokens() >= m_gateway.leastCopied)
+        source = place.cacheSource;
+    return source;
+}
+
+void RequestRun::send(const EndpointPtr &endpoint, const EndpointPtr &cacheSource)
+{
+    m_tried.push_back(endpoint);
     Attempt attempt;
-    attempt.endpoint = place.endpoint;
+    attempt.endpoint = endpoint;
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
-    m_gateway.m_endpoints.requestSent(*place.endpoint);
+    m_gateway.m_endpoints.requestSent(*endpoint);
     m_cutter.clear();
-    const auto prompt = affinity();
-    EndpointPtr source = prompt ? m_gateway.cacheSource(*prompt, *place.endpoint) : nullptr;
-    if (!source && prompt && sharedTokens() >= m_gateway.leastCopied)
-        source = place.cacheSource;
     Http::Call call = m_gateway.m_options.protocol.makeCall(
         {.request = &m_request,
-         .endpoint = &place.endpoint->info,
+         .endpoint = &endpoint->info,
          .workspace = m_workspace ? m_workspace->name : Base::WorkspaceId(),
          .timeLeft = std::max(timeLeft(), Base::Duration::zero()),
          .priority = m_priority,
          .resumeAfter = resumeAfter(),
-         .cacheSource = source ? &source->info : nullptr});
+         .cacheSource = cacheSource ? &cacheSource->info : nullptr});
     call.freshConnection = !m_route->mayRepeat();
     call.connectTimeout = m_gateway.m_options.patience.connect;
+    call.settleTime = m_gateway.m_options.patience.settle;
+    // Half of the connections may idle; the other half is there for what is in flight.
+    if (const auto share = m_gateway.connectionShare(m_service))
+        call.maxIdle = std::min(mostIdle, std::max<std::size_t>(1, *share / 2));
     // The run's own timers watch the answer.
     call.headTimeout = longestRequest;
     call.progressTimeout = longestRequest;
@@ -295,6 +314,11 @@
         answerWhole();
         return;
     }
+    if (result.end == Http::CallEnd::TurnedAway) {
+        m_gateway.m_health.refused(*m_attempt->endpoint, false, m_request.id);
+        attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
+        return;
+    }
     const bool isNotConnected = result.end == Http::CallEnd::NotConnected;
     attemptFailed(
         {.kind = isNotConnected ? ErrorKind::EndpointUnreachable : ErrorKind::EndpointBroke,
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -55,7 +55,8 @@
     /// Sends the request to another endpoint; one that was reached before makes it a repeat.
     void goOn(const Failure &failure);
     void place();
-    void send(const Place &place);
+    EndpointPtr cacheSource(std::uint64_t prompt, const Place &place);
+    void send(const EndpointPtr &endpoint, const EndpointPtr &cacheSource);
     Http::Hooks hooks();
     void headReceived(int status, const Http::Headers &headers);
     void bodyReceived(std::string_view piece);
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -32,7 +32,8 @@
     explicit Private(Options given)
         : options(std::move(given))
         , context{*options.loop,
-                  {*options.loop, options.maxIdlePerServer, options.idleTimeout},
+                  {*options.loop, options.idleTimeout},
+                  options.maxIdlePerServer,
                   options.userTimeout,
                   nullptr,
                   [this](CallId id) { calls.erase(id); }}
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,7 @@
 enum class CallEnd : std::uint8_t {
     Whole, ///< The whole answer came.
     NotConnected, ///< No connection; no byte of the request left.
+    TurnedAway, ///< The server ended a new connection before a byte of the request left.
     TimedOut, ///< A deadline of the call passed; its connection is never used again.
     Broken, ///< The connection broke before the answer was whole.
     TooLarge ///< The answer exceeded Call::maxBodyBytes.
@@ -51,6 +53,12 @@
     bool tls = false;
     std::string serverName; ///< For TLS: the name that the certificate must hold; the ip if empty.
     Base::Duration connectTimeout = std::chrono::seconds(1); ///< With the TLS handshake.
+    /// How long a new connection has to stay open before the request leaves on it. A server that
+    /// accepts connections beyond its limit only to reset them is found out so while it is sure
+    /// that it has not run the request. Not for TLS, whose handshake shows it.
+    Base::Duration settleTime{};
+    /// Idle connections to the server that may be kept afterwards, if other than the client's.
+    std::optional<std::size_t> maxIdle;
     Base::Duration headTimeout = std::chrono::seconds(10); ///< From sending to the answer's head.
     Base::Duration progressTimeout = std::chrono::seconds(10); ///< Between pieces of the body.
     Base::Duration totalTimeout = std::chrono::minutes(10);
--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -84,6 +84,8 @@
     m_isEnded = true;
     if (m_timer)
         m_context.loop.timers().cancel(*std::exchange(m_timer, std::nullopt));
+    if (m_settleTimer)
+        m_context.loop.timers().cancel(*std::exchange(m_settleTimer, std::nullopt));
     if (m_socket)
         h2o_socket_close(std::exchange(m_socket, nullptr));
 }
@@ -125,7 +127,7 @@
         static_cast<unsigned>(Base::toMilliseconds(self.m_context.userTimeout));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
     if (!self.m_call.tls) {
-        self.sendRequest();
+        self.settle();
         return;
     }
     const std::string name =
@@ -139,6 +141,28 @@
     h2o_socket_ssl_handshake(socket, self.m_context.tls, name.c_str(), secured);
 }
 
+/// Watches a new connection for a moment before anything is sent on it.
+void ClientCall::settle()
+{
+    if (m_call.settleTime <= Base::Duration::zero()) {
+        sendRequest();
+        return;
+    }
+    h2o_socket_read_start(m_socket, settling);
+    m_settleTimer = m_context.loop.timers().start(m_call.settleTime, [this] {
+        m_settleTimer.reset();
+        h2o_socket_read_stop(m_socket);
+        sendRequest();
+    });
+}
+
+/// Whatever comes before the request is sent, be it an end or bytes, speaks against the connection.
+void ClientCall::settling(h2o_socket_t *socket, const char * /*error*/)
+{
+    ClientCall &self = callOf(socket);
+    self.finish(CallEnd::TurnedAway, "the server ended a new connection");
+}
+
 void ClientCall::secured(h2o_socket_t *socket, const char *error)
 {
     ClientCall &self = callOf(socket);
@@ -327,8 +351,10 @@
 {
     const bool isReusable =
         isWhole && m_socket && m_isWritten && m_parser.isReusable() && m_socket->input->size == 0;
-    if (isReusable)
-        m_context.pool.put(poolKey(), std::exchange(m_socket, nullptr));
+    if (!isReusable)
+        return;
+    m_context.pool.put(poolKey(), std::exchange(m_socket, nullptr),
+                       m_call.maxIdle.value_or(m_context.maxIdlePerServer));
 }
 
 PoolKey ClientCall::poolKey() const
--- a/src/libs/http/clientcall.h
+++ b/src/libs/http/clientcall.h
@@ -22,6 +22,7 @@
 {
     Runtime::Loop &loop;
     ConnectionPool pool;
+    std::size_t maxIdlePerServer;
     Base::Duration userTimeout;
     ssl_ctx_st *tls = nullptr;
     /// Forgets a call that has ended.
@@ -43,12 +44,14 @@
 
 private:
     static void connected(st_h2o_socket_t *socket, const char *error);
+    static void settling(st_h2o_socket_t *socket, const char *error);
     static void secured(st_h2o_socket_t *socket, const char *error);
     static void written(st_h2o_socket_t *socket, const char *error);
     static void readable(st_h2o_socket_t *socket, const char *error);
 
     bool isRequestSafe() const;
     void connect();
+    void settle();
     void sendRequest();
     void writeHead();
     void readAnswer(const char *error);
@@ -78,6 +81,7 @@
     Base::MonoTime m_stageDeadline;
     Base::MonoTime m_armedFor;
     std::optional<Runtime::TimerId> m_timer;
+    std::optional<Runtime::TimerId> m_settleTimer;
 };
 
 } // namespace Lagoonbank::Http::Internal
--- a/src/libs/http/connectionpool.cpp
+++ b/src/libs/http/connectionpool.cpp
@@ -24,10 +24,8 @@
 
 } // namespace
 
-ConnectionPool::ConnectionPool(Runtime::Loop &loop, std::size_t maxIdlePerServer,
-                               Base::Duration idleTimeout)
+ConnectionPool::ConnectionPool(Runtime::Loop &loop, Base::Duration idleTimeout)
     : m_loop(loop)
-    , m_maxIdlePerServer(maxIdlePerServer)
     , m_idleTimeout(idleTimeout)
 { }
 
@@ -43,10 +41,11 @@
     }
 }
 
-void ConnectionPool::put(const PoolKey &key, h2o_socket_t *socket)
+void ConnectionPool::put(const PoolKey &key, h2o_socket_t *socket, std::size_t maxIdle)
 {
-    auto &connections = m_idle[key];
-    if (connections.size() >= m_maxIdlePerServer) {
+    const auto known = m_idle.find(key);
+    const std::size_t count = known == m_idle.end() ? 0 : known->second.size();
+    if (count >= maxIdle) {
         h2o_socket_close(socket);
         return;
     }
@@ -54,7 +53,7 @@
     socket->data = idle;
     // Reading on tells of a server that closes or sends out of turn.
     h2o_socket_read_start(socket, becameReadable);
-    connections.push_back(idle);
+    m_idle[key].push_back(idle);
     startExpiry();
 }
 
--- a/src/libs/http/connectionpool.h
+++ b/src/libs/http/connectionpool.h
@@ -34,13 +34,13 @@
 class ConnectionPool
 {
 public:
-    ConnectionPool(Runtime::Loop &loop, std::size_t maxIdlePerServer, Base::Duration idleTimeout);
+    ConnectionPool(Runtime::Loop &loop, Base::Duration idleTimeout);
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool &) = delete;
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
-    /// Takes over an idle connection; closes it if there are enough.
-    void put(const PoolKey &key, st_h2o_socket_t *socket);
+    /// Takes over an idle connection; closes it if there are \a maxIdle already.
+    void put(const PoolKey &key, st_h2o_socket_t *socket, std::size_t maxIdle);
     /// A connection that the server has not closed, or null.
     st_h2o_socket_t *take(const PoolKey &key);
 
@@ -59,7 +59,6 @@
     void expire();
 
     Runtime::Loop &m_loop;
-    std::size_t m_maxIdlePerServer;
     Base::Duration m_idleTimeout;
     std::optional<Runtime::TimerId> m_expiry;
     absl::flat_hash_map<PoolKey, std::deque<Idle *>> m_idle;
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -49,7 +49,8 @@
 {
     using RouteKind = Lagoonbank::Fleet::RouteKind;
 
-    explicit GatewayFixture(int endpointCount = 2)
+    explicit GatewayFixture(int endpointCount = 2, Lagoonbank::Base::Duration settleTime = {})
+        : settle(settleTime)
     {
         using namespace Lagoonbank;
         for (int i = 0; i < endpointCount; ++i) {
@@ -124,6 +125,7 @@
     std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
     std::map<FakeEndpoint *, std::size_t> seen;
     std::optional<Lagoonbank::Base::Duration> patience = std::chrono::seconds(5);
+    Lagoonbank::Base::Duration settle;
     int lastRequest = 0;
     std::uint64_t revision = 0;
     Lagoonbank::Logging::BoundedOutput output{{.descriptor = -1}};
@@ -137,6 +139,7 @@
                                           .protocol = protocol(),
                                           .refuse = refuse,
                                           .retryBudget = {.ratio = 0.2, .slack = 50},
+                                          .patience = {.settle = settle},
                                           .log = &log,
                                           .metrics = &metrics}};
     Lagoonbank::Http::Server server{
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace Lagoonbank;
 using Lagoonbank::Test::RawSocket;
@@ -314,3 +315,57 @@
     BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
     BOOST_TEST(f.requests() == 1U);
 }
+
+/// Pattern: an endpoint has all the connections it takes and resets new ones. A request that must
+/// not run twice was answered as perhaps run, although it had not left.
+BOOST_AUTO_TEST_CASE(aRequestThatFindsAnEndpointsConnectionsTakenRunsElsewhere)
+{
+    GatewayFixture f(2, milliseconds(2));
+    f.setRoute(plain(RouteKind::NonIdempotent, 1));
+    RawSocket caller = f.call();
+    FakeEndpoint *full = nullptr;
+    BOOST_REQUIRE(f.runUntil([&] {
+        for (const auto &endpoint : f.endpoints) {
+            endpoint->accept();
+            if (!endpoint->connections.empty())
+                full = endpoint.get();
+        }
+        return full != nullptr;
+    }));
+    full->last().reset();
+    FakeEndpoint &other = *f.endpoints[full == f.endpoints[0].get() ? 1 : 0];
+    BOOST_REQUIRE(f.runUntil([&] {
+        other.accept();
+        return !other.connections.empty();
+    }));
+    BOOST_REQUIRE(f.runUntil([&] {
+        f.clock.advance(milliseconds(1));
+        return other.requests() == 1;
+    }));
+    other.last().send(good);
+    BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+}
+
+/// Pattern: a service of few connections before many routers; each keeps to its part of them.
+BOOST_AUTO_TEST_CASE(aRouterKeepsToItsPartOfAnEndpointsConnections)
+{
+    GatewayFixture f;
+    Fleet::Route route = plain(RouteKind::Idempotent);
+    route.host = "a";
+    route.prefix = "/";
+    route.services = {{Base::ServiceId("service")}};
+    // Eight tenths of 20 for five routers: three each.
+    f.gateway.setConfiguration(
+        std::make_shared<const Fleet::Configuration>(Fleet::ConfigurationParts{
+            .revision = Base::Revision(1),
+            .routes = {route},
+            .services = {{.name = Base::ServiceId("service"), .maxConnections = 20}}}));
+    f.gateway.setRouterCount(5);
+    std::vector<RawSocket> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.push_back(f.call());
+        f.awaitRequest();
+    }
+    BOOST_TEST(f.endpoints[0]->requests() == 3U);
+    BOOST_TEST(f.endpoints[1]->requests() == 3U);
+}
--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -15,7 +15,8 @@
 
 std::ostream &operator<<(std::ostream &stream, CallEnd end)
 {
-    constexpr std::array names{"Whole", "NotConnected", "TimedOut", "Broken", "TooLarge"};
+    constexpr std::array names{"Whole",    "NotConnected", "TurnedAway",
+                               "TimedOut", "Broken",       "TooLarge"};
     return stream << names.at(static_cast<std::size_t>(end));
 }
 
@@ -317,6 +318,58 @@
     BOOST_TEST(f.results.back().status == 0);
 }
 
+/// Pattern: a server has as many connections as it takes and resets each new one.
+BOOST_AUTO_TEST_CASE(newConnectionThatIsResetBeforeTheRequestLeavesProvesThatItDidNot)
+{
+    Fixture f;
+    Call call = f.call("POST");
+    call.freshConnection = true;
+    call.settleTime = std::chrono::milliseconds(2);
+    f.start(call);
+    RawSocket first = f.accept();
+    int turns = 0;
+    f.runUntil([&] { return ++turns > 10; }); // The client learns that it is connected.
+    first.reset();
+    BOOST_TEST(f.finished(1).end == CallEnd::TurnedAway);
+    BOOST_TEST(!f.results.back().mayHaveLeft);
+    BOOST_TEST(f.leavings == 0);
+    f.start(call);
+    RawSocket second = f.accept();
+    BOOST_TEST(!second.has("POST"));
+    BOOST_REQUIRE(f.runUntil([&] {
+        f.clock.advance(std::chrono::milliseconds(1));
+        return second.has("\r\n\r\n");
+    }));
+    second.send(wholeAnswer);
+    BOOST_TEST(f.finished(2).end == CallEnd::Whole);
+    BOOST_TEST(f.leavings == 1);
+}
+
+BOOST_AUTO_TEST_CASE(noMoreIdleConnectionsAreKeptThanACallAllows)
+{
+    Fixture f;
+    Call call = f.call();
+    call.maxIdle = 1;
+    std::vector<RawSocket> servers;
+    for (int i = 0; i < 3; ++i)
+        f.start(call);
+    for (int i = 0; i < 3; ++i) {
+        servers.push_back(f.accept());
+        BOOST_REQUIRE(f.runUntil([&] { return servers.back().has("\r\n\r\n"); }));
+    }
+    for (RawSocket &server : servers)
+        server.send(wholeAnswer);
+    f.finished(3);
+    int ended = 0;
+    f.runUntil([&] {
+        ended = 0;
+        for (RawSocket &server : servers)
+            ended += server.isEnded() ? 1 : 0;
+        return ended >= 2;
+    });
+    BOOST_TEST(ended == 2);
+}
+
 BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAfterTheIdleTimeout)
 {
     Fixture f;
