Gateway: Copy from a home that is passed over; refuse at once what is out of reach

And a cut data centre without an endpoint of a service tried three that its checks knew to be out of reach, 120 ms each, before it refused. Change: a busy or slow home is a source however new it is; what is out of reach is no last resort. The new tests failed first.

--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -51,7 +51,7 @@
         book.suspicion().noteTrialSent(trial->endpoint->index, now);
     } else if (request.affinity) {
         place = byAffinity(request, std::move(candidates), now);
-        place.cacheSource = cacheSource(request, book, *place.endpoint, now);
+        place.cacheSource = cacheSource(request, book, place, now);
     } else {
         place = byCost(candidates, now);
     }
@@ -113,11 +113,18 @@
     return {.endpoint = least->endpoint, .reason = reason, .load = least->load};
 }
 
-/// The endpoint where requests with this prompt went before: the first in their order, unless it is
-/// the target itself and has been there for long.
+/// The endpoint where requests with this prompt went before: the first in their order that has been
+/// there for long, unless that is the target itself. A home that is passed over need not be there
+/// for long: such requests are what it is busy with.
 EndpointPtr Placement::cacheSource(const PlacementRequest &request, const EndpointBook &book,
-                                   const EndpointRecord &target, Base::MonoTime now) const
+                                   const Place &place, Base::MonoTime now) const
 {
+    const EndpointRecord &target = *place.endpoint;
+    const bool isPassedOver =
+        place.reason == PlacementReason::HomeBusy || place.reason == PlacementReason::HomeSlow;
+    const auto isHolder = [&](const EndpointRecord &endpoint) {
+        return isPassedOver || now - endpoint.knownSince >= m_options.newTime;
+    };
     const Routing::RendezvousCost order(*request.affinity);
     const bool isTargetNew = now - target.knownSince < m_options.newTime;
     const double targetCost = order.cost(target.hash, 1);
@@ -125,7 +132,7 @@
     double least = isTargetNew ? std::numeric_limits<double>::max() : targetCost;
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
         const bool isUsable = endpoint.get() != &target && !endpoint->isUnreachable
-            && !endpoint->isReplaced && now - endpoint->knownSince >= m_options.newTime
+            && !endpoint->isReplaced && isHolder(*endpoint)
             && book.suspicion().state(endpoint->index) == Routing::Suspicion::State::Trusted;
         const double cost = isUsable ? order.cost(endpoint->hash, 1) : least;
         if (cost >= least)
@@ -164,7 +171,7 @@
     Place place{.reason = PlacementReason::LastResort};
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
         const bool isUsable = endpoint->info.state == Fleet::EndpointState::Ready
-            && !endpoint->isReplaced && !isTried(request, endpoint);
+            && !endpoint->isUnreachable && !endpoint->isReplaced && !isTried(request, endpoint);
         if (!isUsable)
             continue;
         const bool isBetter = !place.endpoint
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -31,7 +31,7 @@
     HomeSlow, ///< Endpoints before it in that order were too slow.
     LeastCost, ///< Soonest done, by its load, its speed and its data centre.
     Trial, ///< Suspected before; finds out whether it is back.
-    LastResort ///< All are suspected; the one that was suspected longest ago.
+    LastResort ///< All that can be reached are suspected; the one suspected longest ago.
 };
 std::string_view toString(PlacementReason reason);
 
@@ -94,7 +94,7 @@
     Place byAffinity(const PlacementRequest &request, Candidates candidates,
                      Base::MonoTime now) const;
     EndpointPtr cacheSource(const PlacementRequest &request, const EndpointBook &book,
-                            const EndpointRecord &target, Base::MonoTime now) const;
+                            const Place &place, Base::MonoTime now) const;
     Place byCost(const Candidates &candidates, Base::MonoTime now) const;
     Place lastResort(const PlacementRequest &request, const EndpointBook &book) const;
     /// Sums over the candidates, in seconds.
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -212,3 +212,29 @@
         f.book.requestSent(f.endpoint(0));
     BOOST_TEST(f.chooseService().endpoint->info.id.value() == "e1");
 }
+
+/// Pattern: the start of a day with a hot prompt. No endpoint is known for long, and yet the home
+/// that is passed over holds the prompt: its work is what makes it busy.
+BOOST_AUTO_TEST_CASE(aBusyHomeIsCopiedFromHoweverNewItIs)
+{
+    Fixture f(6);
+    const EndpointPtr home = f.choose(42).endpoint;
+    for (int i = 0; i < 20; ++i)
+        f.book.requestSent(*home);
+    const Place away = f.choose(42);
+    BOOST_TEST((away.reason == PlacementReason::HomeBusy));
+    BOOST_TEST((away.cacheSource == home));
+}
+
+/// Pattern: a data centre is cut off and has no endpoint of a service itself. Reachability finds
+/// out within 300 ms when one can be reached again; until then requests are refused at once.
+BOOST_AUTO_TEST_CASE(whatIsOutOfReachIsNoLastResort)
+{
+    Fixture f(3);
+    for (int i = 0; i < 3; ++i)
+        f.endpoint(i).isUnreachable = true;
+    BOOST_TEST(!f.chooseService().endpoint);
+    f.endpoint(1).isUnreachable = false;
+    f.book.suspicion().suspect(f.endpoint(1).index, f.now);
+    BOOST_TEST((f.chooseService().endpoint->info.id == Base::EndpointId("e1")));
+}
