Gateway: Cut the answer's part out of the request's run; say why there is no room

A stream that has begun waits for room half of the pause its callers accept, as it is lost without; before, its wait was counted from its arrival, so that there was none (the new test failed first). A request that is refused for want of room leaves a line with what was taken and what it could use.

--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -47,7 +47,7 @@
     Choice choice = choiceFor(request, book, now);
     const Candidates &candidates = choice.candidates;
     if (candidates.empty())
-        return choice.full.empty() ? lastResort(request, book) : Place{.isFull = true};
+        return choice.full.empty() ? lastResort(request, book) : noRoom(choice, book, now);
     double sum = 0;
     for (const Candidate &candidate : candidates)
         sum += candidate.load;
@@ -77,6 +77,16 @@
     return !choiceFor(request, book, now).candidates.empty();
 }
 
+Place Placement::noRoom(const Choice &choice, const EndpointBook &book, Base::MonoTime now)
+{
+    double sum = 0;
+    for (const EndpointPtr &endpoint : choice.full)
+        sum += book.crowd(*endpoint, now);
+    return {.meanLoad = sum / static_cast<double>(choice.full.size()),
+            .candidates = choice.full.size(),
+            .isFull = true};
+}
+
 Placement::Choice Placement::choiceFor(const PlacementRequest &request, const EndpointBook &book,
                                        Base::MonoTime now) const
 {
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -49,9 +49,9 @@
     /// none.
     EndpointPtr cacheSource;
     double load = 0; ///< Of the endpoint, in requests.
-    double meanLoad = 0; ///< Of the service.
+    double meanLoad = 0; ///< Of the candidates.
     std::size_t candidates = 0;
-    bool isFull = false; ///< There are endpoints that serve, but none has room for the request.
+    bool isFull = false; ///< None of the candidates has room for the request.
 };
 
 /// Chooses the endpoint of a request. Pure: state and time in, a place out.
@@ -106,6 +106,7 @@
 
     Choice choiceFor(const PlacementRequest &request, const EndpointBook &book,
                      Base::MonoTime now) const;
+    static Place noRoom(const Choice &choice, const EndpointBook &book, Base::MonoTime now);
     Place byAffinity(const PlacementRequest &request, Choice choice, Base::MonoTime now) const;
     EndpointPtr cacheSource(const PlacementRequest &request, const EndpointBook &book,
                             const Place &place, Base::MonoTime now) const;
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -58,7 +58,8 @@
     PlacementRequest placementRequest() const;
     void place();
     /// No endpoint has room; waits a moment for it, then refuses.
-    void awaitRoom();
+    void awaitRoom(const Place &full, double usableShare);
+    Base::Duration longestRoomWait() const;
     EndpointPtr cacheSource(std::uint64_t prompt, const Place &place);
     void send(const EndpointPtr &endpoint, const EndpointPtr &cacheSource);
     Http::Hooks hooks();
@@ -106,6 +107,7 @@
     std::optional<Runtime::TimerId> m_deadlineTimer;
     std::optional<Runtime::TimerId> m_silenceTimer;
     std::optional<Runtime::TimerId> m_roomTimer;
+    std::optional<Base::MonoTime> m_roomWantedAt; ///< Since its last send.
     Base::MonoTime m_silenceTimerDue;
     Base::MonoTime m_silentAt;
     Base::MonoTime m_quietSince; ///< Of the send under way: its start or its last event.
--- /dev/null
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -0,0 +1,228 @@
+#include "gateway/requestrun.h"
+
+#include <utility>
+
+namespace Lagoonbank::Gateway {
+
+namespace {
+
+using Errors::ErrorKind;
+
+/// An answer that is not a stream is passed on when it is whole; larger ones are cut off.
+constexpr std::size_t longestAnswer = 16 * 1024 * 1024;
+
+} // namespace
+
+Http::Hooks RequestRun::hooks()
+{
+    const std::weak_ptr<RequestRun> weak = weak_from_this();
+    return {.leaving =
+                [weak] {
+                    const auto self = weak.lock();
+                    if (!self || !self->m_attempt)
+                        return;
+                    self->m_attempt->hasLeft = true;
+                    ++self->m_ranAt;
+                    ++self->m_sends;
+                },
+            .headReceived =
+                [weak](int status, const Http::Headers &headers) {
+                    if (const auto self = weak.lock())
+                        self->headReceived(status, headers);
+                },
+            .bodyReceived =
+                [weak](std::string_view piece) {
+                    if (const auto self = weak.lock())
+                        self->bodyReceived(piece);
+                },
+            .finished =
+                [weak](const Http::CallResult &result) {
+                    if (const auto self = weak.lock())
+                        self->callFinished(result);
+                }};
+}
+
+void RequestRun::headReceived(int status, const Http::Headers &headers)
+{
+    Attempt &attempt = *m_attempt;
+    attempt.endpoint->heardAt = m_timers.clock().now();
+    attempt.status = status;
+    attempt.headers = headers;
+    attempt.facts = m_gateway.m_options.protocol.readHead(m_request, status, headers);
+    if (attempt.facts.load) {
+        m_gateway.m_endpoints.loadReported(*attempt.endpoint, *attempt.facts.load,
+                                           m_timers.clock().now());
+    }
+    const bool isGood = status >= 200 && status < 300 && attempt.facts.isOwn;
+    attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
+    if (attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
+        return;
+    attemptFailed({.kind = ErrorKind::AnswerMismatch});
+}
+
+void RequestRun::bodyReceived(std::string_view piece)
+{
+    if (!m_attempt)
+        return;
+    if (!m_attempt->isStreaming) {
+        m_attempt->body += piece;
+        if (m_attempt->body.size() > longestAnswer)
+            attemptFailed({.kind = ErrorKind::EndpointBroke});
+        return;
+    }
+    bool isInOrder = true;
+    const bool isRead = m_cutter.read(
+        piece, [&](const EventCutter::Event &event) { isInOrder = isInOrder && passEvent(event); });
+    if (!isRead || !isInOrder)
+        attemptFailed({.kind = ErrorKind::EndpointBroke});
+}
+
+/// Passes a whole event on; false if events before it are missing.
+bool RequestRun::passEvent(const EventCutter::Event &event)
+{
+    Attempt &attempt = *m_attempt;
+    const Base::MonoTime now = m_timers.clock().now();
+    if (event.id && m_lastEvent) {
+        if (*event.id <= *m_lastEvent)
+            return true; // The caller has it already.
+        if (*event.id > *m_lastEvent + 1)
+            return false;
+    }
+    if (event.id)
+        m_lastEvent = event.id;
+    if (!m_hasBegun) {
+        m_hasBegun = true;
+        m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_cameAt));
+        m_responder->begin(attempt.status, attempt.headers);
+    }
+    attempt.endpoint->heardAt = now;
+    if (!attempt.lastEventAt && affinity())
+        m_gateway.m_promptPlaces.put(*affinity(), {attempt.endpoint->hash, sharedTokens()});
+    if (attempt.lastEventAt)
+        attempt.endpoint->pause.add(Base::toSeconds(now - *attempt.lastEventAt), now);
+    else
+        m_gateway.m_endpoints.answerTimed(*attempt.endpoint, now - attempt.startedAt,
+                                          m_route->targetLatency, now);
+    attempt.lastEventAt = now;
+    m_quietSince = now;
+    ++m_events;
+    m_responder->write(event.bytes);
+    if (m_route->mayRepeat() && m_route->longestPause > Base::Duration::zero())
+        armSilence(silenceLimit(false));
+    return true;
+}
+
+void RequestRun::callFinished(const Http::CallResult &result)
+{
+    if (!m_attempt || m_isEnded)
+        return;
+    if (result.end == Http::CallEnd::Whole) {
+        answerWhole();
+        return;
+    }
+    if (result.end == Http::CallEnd::TurnedAway) {
+        m_gateway.m_health.refused(*m_attempt->endpoint, false, m_request.id);
+        attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
+        return;
+    }
+    const bool isNotConnected = result.end == Http::CallEnd::NotConnected;
+    attemptFailed(
+        {.kind = isNotConnected ? ErrorKind::EndpointUnreachable : ErrorKind::EndpointBroke,
+         .hasReached = !isNotConnected,
+         .hasRun = !isNotConnected});
+}
+
+void RequestRun::answerWhole()
+{
+    const Attempt &attempt = *m_attempt;
+    const HeadFacts &facts = attempt.facts;
+    if (facts.isNotRun || facts.isOtherEndpoint) {
+        --m_ranAt;
+        m_gateway.m_health.refused(*m_attempt->endpoint, facts.isOtherEndpoint, m_request.id);
+        attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
+        return;
+    }
+    const bool isFailure = attempt.status >= 500;
+    // A failure after the head of a stream has been passed on cannot be passed on itself.
+    const bool isUnusable = m_hasBegun && !attempt.isStreaming;
+    if (isUnusable || (isFailure && mayGoOn())) {
+        attemptFailed({.kind = ErrorKind::EndpointBroke});
+        return;
+    }
+    m_gateway.m_health.answered(*m_attempt->endpoint, !isFailure, m_request.id);
+    passWhole();
+}
+
+void RequestRun::passWhole()
+{
+    Attempt &attempt = *m_attempt;
+    const Base::MonoTime now = m_timers.clock().now();
+    const int status = attempt.status;
+    if (attempt.isStreaming) {
+        if (!m_hasBegun)
+            m_responder->begin(status, attempt.headers);
+        m_responder->write(m_cutter.rest());
+        m_responder->end();
+    } else {
+        m_gateway.m_endpoints.answerTimed(*attempt.endpoint, now - attempt.startedAt,
+                                          m_route->targetLatency, now);
+        m_responder->send(status, attempt.headers, std::move(attempt.body));
+    }
+    m_gateway.m_options.metrics->answers(status).increment();
+    end("answered", status);
+}
+
+/// How long the endpoint may say nothing; \a isBusy if others have heard from it.
+Base::Duration RequestRun::silenceLimit(bool isBusy) const
+{
+    const GatewayPatience &patience = m_gateway.m_options.patience;
+    const bool isFirst = !m_attempt->lastEventAt;
+    const Base::Duration whole = isFirst ? m_route->targetLatency : m_route->longestPause;
+    const double share =
+        isBusy ? patience.busyFactor : (isFirst ? patience.firstShare : patience.pauseShare);
+    auto limit = std::chrono::duration_cast<Base::Duration>(whole * share);
+    if (isFirst && m_request.prompt)
+        limit += patience.perPromptToken * m_request.prompt->promptTokens.value();
+    return limit;
+}
+
+void RequestRun::armSilence(Base::Duration limit)
+{
+    const Base::MonoTime silentAt = m_timers.clock().now() + limit;
+    // A timer that is due too early arms itself again.
+    const bool isArmed = m_silenceTimer && m_silenceTimerDue <= silentAt;
+    m_silentAt = silentAt;
+    if (isArmed)
+        return;
+    if (m_silenceTimer)
+        m_timers.cancel(*m_silenceTimer);
+    m_silenceTimerDue = silentAt;
+    m_silenceTimer = m_timers.start(limit, [this] {
+        m_silenceTimer.reset();
+        silent();
+    });
+}
+
+/// The endpoint of a request that may be repeated says nothing for too long.
+void RequestRun::silent()
+{
+    if (m_isEnded || !m_attempt)
+        return;
+    const Base::Duration left = m_silentAt - m_timers.clock().now();
+    if (left > Base::Duration::zero()) {
+        armSilence(left);
+        return;
+    }
+    const Base::MonoTime busyUntil = m_quietSince + silenceLimit(true);
+    if (m_attempt->endpoint->heardAt > m_quietSince && m_timers.clock().now() < busyUntil) {
+        armSilence(busyUntil - m_timers.clock().now());
+        return;
+    }
+    const bool mayRunOnceMore = !m_attempt->hasLeft || m_ranAt < m_route->maxEndpoints;
+    const bool hasAlternative = m_gateway.m_placement.canPlace(
+        placementRequest(), m_gateway.m_endpoints, m_timers.clock().now());
+    if (mayRunOnceMore && hasAlternative && mayGoOn())
+        attemptFailed({.kind = ErrorKind::EndpointTimeout});
+}
+
+} // namespace Lagoonbank::Gateway
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -2,6 +2,7 @@
 
 #include "fleetsync/fleetsync.h"
 #include "runtime/clock.h"
+#include "schema/messagecodec.h"
 
 #include <functional>
 #include <map>
@@ -27,6 +28,8 @@
         bool reachesStore = true;
         bool isReading = true;
         int reads = 0; ///< Of the store.
+        std::uint64_t sentBytes = 0; ///< In beacons, with the headers of UDP and IP.
+        std::uint64_t receivedBytes = 0;
         std::uint64_t configuration = 0;
         std::unique_ptr<Lagoonbank::Fleet::EndpointDirectory> directory;
         std::unique_ptr<Sync> sync;
@@ -44,7 +47,8 @@
     Router &add(const std::string &dataCentre, int number)
     {
         auto router = std::make_unique<Router>();
-        router->id = "r" + std::to_string(number);
+        // As long as the users' names.
+        router->id = "edge-data-centre-r" + std::to_string(number);
         router->dataCentre = dataCentre;
         router->ip = "10.0.0." + std::to_string(number);
         m_byIp[router->ip] = router.get();
@@ -138,9 +142,13 @@
         router.sync->send = [this, &router](const auto &to, const Schema::FleetBeacon &beacon) {
             constexpr std::uint64_t headers = 28;
             ++messages;
-            bytes += headers + 80 + 60 * beacon.news.size();
-            later(router, to.ip,
-                  [&router, beacon](Router &target) { target.sync->receive(router.ip, beacon); });
+            const std::uint64_t size = headers + Schema::encodeMessage(beacon).value().size();
+            bytes += size;
+            router.sentBytes += size;
+            later(router, to.ip, [&router, beacon, size](Router &target) {
+                target.receivedBytes += size;
+                target.sync->receive(router.ip, beacon);
+            });
         };
         router.sync->pull = [this, &router](const auto &peer,
                                             const Schema::FleetStateRequest &ask) {
--- a/tests/auto/fleetsync/tst_fleetsync.cpp
+++ b/tests/auto/fleetsync/tst_fleetsync.cpp
@@ -204,6 +204,22 @@
     BOOST_TEST(reads <= 13 * 21);
 }
 
+/// The same for those that have most of it: what a reader sends and gets, at the target's size.
+BOOST_AUTO_TEST_CASE(aReaderKeepsToItsControlTrafficAtTheTargetsSize)
+{
+    SyncFleet fleet(std::vector<int>(13, 25));
+    settle(fleet);
+    fleet.pass(seconds(10));
+    for (const auto &router : fleet.routers)
+        router->sentBytes = router->receivedBytes = 0;
+    fleet.pass(seconds(20));
+    std::uint64_t most = 0;
+    for (const auto &router : fleet.routers)
+        most = std::max(most, router->sentBytes + router->receivedBytes);
+    BOOST_TEST_MESSAGE("most bytes a second, both ways: " << most / 20);
+    BOOST_TEST(most / 20 < 5000U);
+}
+
 /// Pattern: every process of a large fleet is killed and starts again. Each reads the store itself;
 /// what they tell each other meanwhile must not grow with the square of the fleet or with each
 /// endpoint, or slow links are full for seconds.
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -404,3 +404,32 @@
         return f.requests() == 5U;
     }));
 }
+
+/// Pattern: engines crash at the peak. A stream that has begun waits for room elsewhere longer than
+/// one that can still be refused.
+BOOST_AUTO_TEST_CASE(aStreamThatHasBegunWaitsForRoomToGoOn)
+{
+    GatewayFixture f(2);
+    f.setRoute(stream(true));
+    std::vector<RawSocket> callers;
+    for (int i = 0; i < 8; ++i) { // Four places at each of two endpoints.
+        callers.push_back(f.call());
+        f.awaitRequest();
+    }
+    RawSocket &first = f.endpoints[0]->connections[0]->socket;
+    const std::size_t at = first.receive().find("x-id: r") + std::string_view("x-id: ").size();
+    const std::string id = first.receive().substr(at, 2);
+    first.send("HTTP/1.1 200 OK\r\nx-id: " + id + "\r\ntransfer-encoding: chunked\r\n\r\n"
+               + chunk(event(1)));
+    RawSocket &caller = callers[std::stoul(id.substr(1)) - 1];
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("data: e1"); }));
+    const std::size_t before = f.endpoints[1]->requests();
+    first.reset();
+    f.pass(milliseconds(60));
+    f.endpoints[1]->connections[0]->socket.reset();
+    BOOST_TEST(f.runUntil([&] {
+        f.clock.advance(milliseconds(1));
+        return f.endpoints[1]->requests() > before || caller.isEnded();
+    }));
+    BOOST_TEST(!caller.isEnded());
+}
