FleetSync: Count on a reader by its own reads alone

The stronger of two routers was cut off from the store; what the other told it made it look like a reader that is well, so that the other left the store to it, each three seconds anew. When the cut ended it took the store's return for the end of an outage and kept the entry that was dropped then for 2.2 s, as entries lapse in an outage. Ruled out: the way of news between the routers (there was none to pass on), a silent connection. Change: a router says that it reads only while the store answers it; entries may have lapsed only if nobody in touch with the router has read the store for 2 s.

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -62,6 +62,7 @@
 void FleetSync::start()
 {
     m_startedAt = now();
+    m_readingSince = m_startedAt;
     tick();
 }
 
@@ -208,6 +209,13 @@
     m_hasStoreFailed = false;
 }
 
+void FleetSync::storeReturned()
+{
+    const std::optional<Base::Duration> age = knowledgeAge();
+    if (!age || *age > m_options.shortestLapse)
+        m_options.directory->storeReturned();
+}
+
 void FleetSync::setConfiguration(StoredConfiguration configuration)
 {
     if (configuration.revision <= m_configuration.revision)
@@ -279,6 +287,7 @@
     if (reads == m_isReading)
         return;
     m_isReading = reads;
+    m_readingSince = now();
     m_isAnnouncing = reads;
     if (dutyChanged)
         dutyChanged(reads);
@@ -290,6 +299,13 @@
         && *peer.heardAt - peer.knownAt > m_options.readerAgeLimit;
 }
 
+/// Peers count on a reader by this. What it learns from them says nothing of its own reads.
+bool FleetSync::readsWell() const
+{
+    const Base::MonoTime since = std::max(m_storeReadAt.value_or(m_readingSince), m_readingSince);
+    return m_isReading && now() - since <= m_options.readerAgeLimit;
+}
+
 void FleetSync::sendBeacons()
 {
     for (const Peer *peer : beaconPeers())
@@ -347,7 +363,7 @@
             .dataCentre = m_options.dataCentre,
             .port = m_options.port,
             .strength = m_options.strength,
-            .isReading = m_isReading,
+            .isReading = readsWell(),
             .knowledgeAgeMs = ageNumber(knowledgeAge()),
             .configuration = m_configuration.revision.value(),
             .endpoints = m_options.directory->hash(),
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -48,6 +48,8 @@
         /// A reader that has read the store within this time asks no peer for endpoints: it does so
         /// each 700 ms.
         Base::Duration storeFreshness = std::chrono::milliseconds(1000);
+        /// Entries lapse after three heartbeats of 1.2 s; in less than this none has.
+        Base::Duration shortestLapse = std::chrono::seconds(2);
         /// A router that starts leaves its peers alone for so long unless the store fails it; that
         /// answers within 25 ms, and within a second when hundreds of routers start at once.
         Base::Duration firstReadTime = std::chrono::milliseconds(500);
@@ -86,6 +88,8 @@
     void take(const Schema::FleetStateAnswer &state);
     /// All endpoints that the store had a moment ago have been put into the directory.
     void storeRead();
+    /// The store answers this router again; its entries may have lapsed if it answered nobody.
+    void storeReturned();
     /// A read of the endpoints has failed.
     void storeFailed() { m_hasStoreFailed = true; }
     void setConfiguration(StoredConfiguration configuration);
@@ -106,6 +110,7 @@
     void tick();
     void checkDuty();
     bool isFailing(const Peer &peer) const;
+    bool readsWell() const;
     void sendBeacons();
     void sendTo(const Peer &peer, const std::vector<Schema::SharedEndpoint> &news = {});
     std::vector<const Peer *> beaconPeers();
@@ -123,6 +128,7 @@
     std::optional<Base::MonoTime> m_storeReadAt;
     bool m_hasStoreFailed = false; ///< Since it was read last.
     Base::MonoTime m_startedAt{};
+    Base::MonoTime m_readingSince{};
     Base::MonoTime m_pulledAt{};
     /// Since when another data centre has a newer configuration than this router.
     std::optional<Base::MonoTime> m_behindSince;
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -26,6 +26,7 @@
         std::string ip;
         bool isUp = true;
         bool reachesStore = true;
+        bool isStoreUp = true; ///< As of its last read.
         bool isReading = true;
         int reads = 0; ///< Of the store.
         std::uint64_t sentBytes = 0; ///< In beacons, with the headers of UDP and IP.
@@ -184,8 +185,11 @@
             ++router->reads;
             if (!router->reachesStore) {
                 router->sync->storeFailed();
+                router->isStoreUp = false;
                 continue;
             }
+            if (!std::exchange(router->isStoreUp, true))
+                router->sync->storeReturned();
             absl::flat_hash_set<Base::EndpointId> present;
             for (const auto &[id, entry] : m_store) {
                 present.insert(id);
--- a/tests/auto/fleetsync/tst_fleetsync.cpp
+++ b/tests/auto/fleetsync/tst_fleetsync.cpp
@@ -303,3 +303,57 @@
         [](const Router &router) { return router.directory->entries().size() == 101; }));
     BOOST_TEST(fleet.messages - before < 100U);
 }
+
+/// Pattern: the store turns the strongest router of a data centre away for long. What its peers
+/// tell it does not make it a reader that can be counted on; found by a deployment of one data
+/// centre, whose two routers took turns in not reading.
+BOOST_AUTO_TEST_CASE(aReaderThatLearnsFromItsPeersAloneIsNotCountedOn)
+{
+    SyncFleet fleet({2});
+    settle(fleet);
+    const bool isFirst = fleet.routers[0]->isReading;
+    Router &turnedAway = *fleet.routers[isFirst ? 0 : 1];
+    Router &other = *fleet.routers[isFirst ? 1 : 0];
+    turnedAway.reachesStore = false;
+    fleet.pass(seconds(3));
+    Base::Duration oldest{};
+    for (int i = 0; i < 100; ++i) {
+        fleet.pass(milliseconds(100));
+        BOOST_TEST(other.isReading);
+        oldest = std::max(oldest, turnedAway.sync->knowledgeAge().value());
+    }
+    BOOST_TEST((oldest < milliseconds(1200)));
+    turnedAway.reachesStore = true;
+    fleet.pass(seconds(2));
+    BOOST_TEST(fleet.readers("dc0") == 1);
+}
+
+/// Pattern: a router that was cut off alone comes back while an engine leaves. The store was there
+/// for its peers, so that no entry has lapsed: what is missing is gone at once.
+BOOST_AUTO_TEST_CASE(onlyAnOutageThatNobodyReadThroughMakesEntriesLapse)
+{
+    for (const bool isForAll : {false, true}) {
+        BOOST_TEST_CONTEXT("for all " << isForAll)
+        {
+            SyncFleet fleet({2});
+            fleet.put(endpoint("b"));
+            settle(fleet);
+            fleet.routers[0]->reachesStore = false;
+            fleet.routers[1]->reachesStore = !isForAll;
+            fleet.pass(seconds(6));
+            for (const auto &router : fleet.routers)
+                router->reachesStore = true;
+            fleet.passes = [](const Router &, const Router &) { return false; };
+            fleet.drop("b");
+            fleet.pass(milliseconds(1500));
+            for (const auto &router : fleet.routers) {
+                const bool isThere = router->directory->find(Base::EndpointId("b")) != nullptr;
+                BOOST_TEST(isThere == isForAll);
+            }
+            fleet.pass(seconds(2));
+            BOOST_TEST(fleet.allKnow([](const Router &router) {
+                return !router.directory->find(Base::EndpointId("b"));
+            }));
+        }
+    }
+}
