Gateway: Give short prompts two homes while nobody knows the load

Change: prompts of under 1,500 shared tokens go to the first or the second of their order, by a hash of the request, while the first one's load is not known. Small fleets know it and see no change.

--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -102,7 +102,7 @@
 double EndpointBook::load(const EndpointRecord &endpoint, Base::MonoTime now) const
 {
     const double own = endpoint.inFlight;
-    if (!endpoint.report || now - endpoint.reportedAt >= m_options.reportLife)
+    if (!hasFreshReport(endpoint, now))
         return own;
     const double reported = endpoint.report->running + endpoint.report->waiting;
     return std::max(own, reported + own - endpoint.inFlightAtReport);
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -119,6 +119,11 @@
     void loadReported(EndpointRecord &endpoint, const LoadReport &report, Base::MonoTime now) const;
     /// Requests that the endpoint has, from all routers, as far as can be told.
     double load(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Whether its own report tells its load.
+    bool hasFreshReport(const EndpointRecord &endpoint, Base::MonoTime now) const
+    {
+        return endpoint.report && now - endpoint.reportedAt < m_options.reportLife;
+    }
     /// The same for the question of room, where too low an estimate has all routers send at once:
     /// what they have there is taken to have grown or shrunk since the last report as this router's
     /// own has.
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> reasonNames{"home",       "home_busy", "home_slow",
-                                                      "least_cost", "trial",     "last_resort"};
+constexpr std::array<std::string_view, 7> reasonNames{
+    "home", "second_home", "home_busy", "home_slow", "least_cost", "trial", "last_resort"};
 
 bool isTried(const PlacementRequest &request, const EndpointPtr &endpoint)
 {
@@ -61,8 +61,9 @@
             .endpoint = trial->endpoint, .reason = PlacementReason::Trial, .load = trial->load};
         book.suspicion().noteTrialSent(trial->endpoint->index, now);
     } else if (request.affinity) {
-        place = byAffinity(request, std::move(choice), now);
-        place.cacheSource = cacheSource(request, book, place, now);
+        place = byAffinity(request, std::move(choice), book, now);
+        if (place.reason != PlacementReason::SecondHome)
+            place.cacheSource = cacheSource(request, book, place, now);
     } else {
         place = byCost(candidates, now);
     }
@@ -114,7 +115,7 @@
 }
 
 Place Placement::byAffinity(const PlacementRequest &request, Choice choice,
-                            Base::MonoTime now) const
+                            const EndpointBook &book, Base::MonoTime now) const
 {
     const Routing::RendezvousCost order(*request.affinity);
     Candidates &candidates = choice.candidates;
@@ -133,6 +134,10 @@
             return order.cost(endpoint->hash, 1) < candidates.front().cost;
         });
     PlacementReason reason = isHomeFull ? PlacementReason::HomeBusy : PlacementReason::Home;
+    if (hasSecondHome(request, book, candidates, now)) {
+        std::swap(candidates[0], candidates[1]);
+        reason = PlacementReason::SecondHome;
+    }
     for (const Candidate &candidate : candidates) {
         if (candidate.load + 1 > bound) {
             reason = PlacementReason::HomeBusy;
@@ -150,6 +155,15 @@
     return {.endpoint = least->endpoint, .reason = reason, .load = least->load};
 }
 
+/// Half of the requests, the same on every router, so that both homes hold the prompt.
+bool Placement::hasSecondHome(const PlacementRequest &request, const EndpointBook &book,
+                              const Candidates &candidates, Base::MonoTime now) const
+{
+    return candidates.size() > 1 && request.requestHash % 2 == 1
+        && request.sharedTokens < m_options.shortPrompt
+        && !book.hasFreshReport(*candidates.front().endpoint, now);
+}
+
 /// The endpoint where requests with this prompt went before: the first in their order that has been
 /// there for long, unless that is the target itself. A home that is passed over need not be there
 /// for long: such requests are what it is busy with.
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -16,6 +16,8 @@
     /// Requests with the same value share a prompt and belong on the same endpoint; nothing where
     /// endpoints cache nothing.
     std::optional<std::uint64_t> affinity;
+    Base::Tokens sharedTokens; ///< Of the prompt that is shared.
+    std::uint64_t requestHash = 0;
     Base::Duration targetLatency{};
     Base::Duration longestPause{};
     bool mayRepeat = false; ///< Only such a request finds out whether a suspected endpoint is back.
@@ -33,6 +35,7 @@
 /// Why an endpoint was taken.
 enum class PlacementReason : std::uint8_t {
     Home, ///< First in the order of the request's affinity.
+    SecondHome, ///< Its home's load is not known, and its prompt is read again in no time.
     HomeBusy, ///< Endpoints before it in that order had too much work.
     HomeSlow, ///< Endpoints before it in that order were too slow.
     LeastCost, ///< Soonest done, by its load, its speed and its data centre.
@@ -75,6 +78,10 @@
         /// For which an endpoint that is new to its service counts as one without the prompts whose
         /// home it has become: chats return within this time or seldom.
         Base::Duration newTime = std::chrono::seconds(12);
+        /// Prompts of fewer shared tokens have two homes while the load of the first is not known:
+        /// engines read 80 to 160 tokens in a millisecond, and what one router of 80 sends to one
+        /// of 60 engines tells nothing of its load.
+        Base::Tokens shortPrompt{1500};
         /// What an endpoint of another data centre costs beyond its own time: the way there and
         /// the price of the bytes.
         Base::Duration remoteCost = std::chrono::milliseconds(10);
@@ -107,9 +114,12 @@
     Choice choiceFor(const PlacementRequest &request, const EndpointBook &book,
                      Base::MonoTime now) const;
     static Place noRoom(const Choice &choice, const EndpointBook &book, Base::MonoTime now);
-    Place byAffinity(const PlacementRequest &request, Choice choice, Base::MonoTime now) const;
+    Place byAffinity(const PlacementRequest &request, Choice choice, const EndpointBook &book,
+                     Base::MonoTime now) const;
     EndpointPtr cacheSource(const PlacementRequest &request, const EndpointBook &book,
                             const Place &place, Base::MonoTime now) const;
+    bool hasSecondHome(const PlacementRequest &request, const EndpointBook &book,
+                       const Candidates &candidates, Base::MonoTime now) const;
     Place byCost(const Candidates &candidates, Base::MonoTime now) const;
     Place lastResort(const PlacementRequest &request, const EndpointBook &book) const;
     /// Sums over the candidates, in seconds.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -149,6 +149,8 @@
     const bool isFirst = m_tried.empty();
     return {.service = m_service,
             .affinity = affinity(),
+            .sharedTokens = affinity() ? sharedTokens() : Base::Tokens(),
+            .requestHash = Routing::stableHash(m_request.id.value()),
             .targetLatency = m_route->targetLatency,
             .longestPause = m_route->longestPause,
             .mayRepeat = m_route->mayRepeat(),
@@ -176,7 +178,8 @@
     if (m_tried.empty())
         m_gateway.m_loadShedder.admitted(claimant(), now);
     const auto prompt = affinity();
-    const EndpointPtr source = prompt ? cacheSource(*prompt, place) : nullptr;
+    const bool isCopied = prompt && place.reason != PlacementReason::SecondHome;
+    const EndpointPtr source = isCopied ? cacheSource(*prompt, place) : nullptr;
     m_gateway.m_options.log->request(
         part, "Sending.",
         {{"request", m_request.id.value()},
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -240,3 +240,39 @@
     f.book.suspicion().suspect(f.endpoint(1).index, f.now);
     BOOST_TEST((f.chooseService().endpoint->info.id == Base::EndpointId("e1")));
 }
+
+/// Pattern: 80 routers before 60 engines. Each sees so little that it knows no engine's load, and
+/// the engines whose prompts are asked for most, or that are slow, hold over twice the mean.
+BOOST_AUTO_TEST_CASE(shortPromptsHaveTwoHomesWhileTheLoadIsNotKnown)
+{
+    Fixture f(60);
+    const auto placeOf = [&](std::uint64_t prompt, std::uint64_t request, int tokens) {
+        return f.placement.choose({.service = service,
+                                   .affinity = prompt,
+                                   .sharedTokens = Base::Tokens(tokens),
+                                   .requestHash = request},
+                                  f.book, f.now);
+    };
+    std::map<std::string, double> once;
+    std::map<std::string, double> twice;
+    std::mt19937_64 random(3);
+    for (int i = 0; i < 30000; ++i) {
+        const std::uint64_t prompt = 1 + (random() % 200) * 7919;
+        const std::uint64_t request = random();
+        once[placeOf(prompt, request, 10000).endpoint->info.id.value()] += 1;
+        twice[placeOf(prompt, request, 700).endpoint->info.id.value()] += 1;
+    }
+    const auto variance = [](const std::map<std::string, double> &counts) {
+        double sum = 0;
+        for (const auto &[id, count] : counts)
+            sum += (count - 500) * (count - 500);
+        return sum / 60;
+    };
+    BOOST_TEST(variance(twice) < 0.75 * variance(once));
+    // Who knows the load goes by it.
+    const Place second = placeOf(42, 1, 700);
+    BOOST_TEST((second.reason == PlacementReason::SecondHome));
+    const Place home = placeOf(42, 0, 700);
+    f.book.loadReported(*home.endpoint, {.running = 1, .waiting = 0, .slots = 6}, f.now);
+    BOOST_TEST((placeOf(42, 1, 700).endpoint == home.endpoint));
+}
