--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -108,7 +108,7 @@
     return std::max(own, reported + own - endpoint.inFlightAtReport);
 }
 
-double EndpointBook::crowd(const EndpointRecord &endpoint, Base::MonoTime now) const
+double EndpointBook::fleetLoad(const EndpointRecord &endpoint, Base::MonoTime now) const
 {
     constexpr int fewest = 2;
     const double own = endpoint.inFlight;
@@ -136,7 +136,7 @@
         return;
     }
     const bool isLoaded = endpoint.report
-        && crowd(endpoint, now) >= m_options.leastTimelyShare * endpoint.report->slots;
+        && fleetLoad(endpoint, now) >= m_options.leastTimelyShare * endpoint.report->slots;
     if (!isLoaded || now - endpoint.timelyLoweredAt < m_options.timelyInterval)
         return;
     endpoint.timelyLoweredAt = now;
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -117,17 +117,18 @@
     void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
     void requestEnded(EndpointRecord &endpoint) const { --endpoint.inFlight; }
     void loadReported(EndpointRecord &endpoint, const LoadReport &report, Base::MonoTime now) const;
-    /// Requests that the endpoint has, from all routers, as far as can be told.
-    double load(const EndpointRecord &endpoint, Base::MonoTime now) const;
     /// Whether its own report tells its load.
     bool hasFreshReport(const EndpointRecord &endpoint, Base::MonoTime now) const
     {
         return endpoint.report && now - endpoint.reportedAt < m_options.reportLife;
     }
-    /// The same for the question of room, where too low an estimate has all routers send at once:
-    /// what they have there is taken to have grown or shrunk since the last report as this router's
-    /// own has.
-    double crowd(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Requests that the endpoint has, for comparing endpoints: its last report and what this
+    /// router has sent and got back since.
+    double load(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Requests that the endpoint has from all routers, for the question of room, where too low an
+    /// estimate has all of them send at once: since the last report, their part is taken to have
+    /// grown or shrunk as this router's own has.
+    double fleetLoad(const EndpointRecord &endpoint, Base::MonoTime now) const;
     void setRouterCount(std::size_t routers) { m_routerCount = static_cast<double>(routers); }
     /// It has answered a request, or begun to; \a latency from the send.
     void answerTimed(EndpointRecord &endpoint, Base::Duration latency, Base::Duration target,
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -31,7 +31,7 @@
 {
     const double places = book.places(endpoint, now);
     const double usable = places * (1 + request.waitingPerPlace) * request.usableShare;
-    return places <= 0 || book.crowd(endpoint, now) + 1 <= std::max(1.0, usable);
+    return places <= 0 || book.fleetLoad(endpoint, now) + 1 <= std::max(1.0, usable);
 }
 
 } // namespace
@@ -82,7 +82,7 @@
 {
     double sum = 0;
     for (const EndpointPtr &endpoint : choice.full)
-        sum += book.crowd(*endpoint, now);
+        sum += book.fleetLoad(*endpoint, now);
     return {.meanLoad = sum / static_cast<double>(choice.full.size()),
             .candidates = choice.full.size(),
             .isFull = true};
