--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -269,7 +269,7 @@
 {
     checkDuty();
     sendBeacons();
-    m_timer = m_options.timers->start(PeerTable::Options().beaconInterval, [this] { tick(); });
+    m_timer = m_options.timers->start(m_peers.beaconInterval(), [this] { tick(); });
 }
 
 /// The strongest living router of a data centre reads; where the store does not answer it, the
--- a/src/libs/fleetsync/peertable.h
+++ b/src/libs/fleetsync/peertable.h
@@ -83,6 +83,8 @@
     std::vector<std::string> deputies() const;
     /// A living reader has made this router one of its deputies.
     bool isDeputy() const;
+    /// Time between two beacons of a reader and its deputies, and of readers.
+    Base::Duration beaconInterval() const { return m_options.beaconInterval; }
     /// Time between two beacons of a reader and those that are not its deputies.
     Base::Duration localInterval() const;
 
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -145,11 +145,12 @@
 PlacementRequest RequestRun::placementRequest() const
 {
     const bool isStream = m_route->kind == Fleet::RouteKind::Stream;
+    const auto prompt = affinity();
     // What has been sent before goes before what has not: its work is done in part.
     const bool isFirst = m_tried.empty();
     return {.service = m_service,
-            .affinity = affinity(),
-            .sharedTokens = affinity() ? sharedTokens() : Base::Tokens(),
+            .affinity = prompt,
+            .sharedTokens = prompt ? sharedTokens() : Base::Tokens(),
             .requestHash = Routing::stableHash(m_request.id.value()),
             .targetLatency = m_route->targetLatency,
             .longestPause = m_route->longestPause,
@@ -177,7 +178,7 @@
     }
     if (m_tried.empty())
         m_gateway.m_loadShedder.admitted(claimant(), now);
-    const auto prompt = affinity();
+    const auto &prompt = asked.affinity;
     const bool isCopied = prompt && place.reason != PlacementReason::SecondHome;
     const EndpointPtr source = isCopied ? cacheSource(*prompt, place) : nullptr;
     m_gateway.m_options.log->request(
@@ -191,7 +192,7 @@
          {"candidates", place.candidates},
          {"load_age_ms", now - place.endpoint->reportedAt},
          {"prompt", static_cast<std::int64_t>(prompt.value_or(0))},
-         {"shared_tokens", prompt ? sharedTokens().value() : 0},
+         {"shared_tokens", asked.sharedTokens.value()},
          {"cache_source", source ? source->info.id.value() : std::string_view()},
          {"send", m_tried.size() + 1},
          {"revision", m_configuration->revision().value()},
