Fleet: Tell an endpoint's starts apart; use no entry that cannot be read

Ruled out: dropping the record and its home; the order of homes is the same on all routers and stays. Tests that failed first: tst_endpointbook, tst_endpointdirectory, tst_storeobjects, tst_routerprocess (tables).

--- a/src/libs/fleet/endpoint.h
+++ b/src/libs/fleet/endpoint.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/units.h"
 #include "runtime/udpsocket.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Lagoonbank::Fleet {
@@ -13,7 +15,8 @@
     Draining ///< Takes no new work; what it has is finished.
 };
 
-/// One start of an endpoint. An address is used again by others, an id never is.
+/// One start of an endpoint. An address is used again by others; an id only by the same endpoint,
+/// which then holds and knows nothing of before.
 struct Endpoint
 {
     Base::EndpointId id;
@@ -23,8 +26,15 @@
     std::string softwareVersion;
     int slots = 0; ///< Requests that it runs at once; zero if not known.
     EndpointState state = EndpointState::Ready;
+    /// When it started, by its own wall clock; nothing if it does not say. Only compared with other
+    /// starts under the same id.
+    std::optional<Base::WallTime> startedAt;
 
     bool operator==(const Endpoint &) const = default;
 };
 
+/// Whether \a later is another start than \a earlier under the same id: it says so, or it is at
+/// another address.
+bool isOtherStart(const Endpoint &earlier, const Endpoint &later);
+
 } // namespace Lagoonbank::Fleet
--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -14,6 +14,17 @@
 
 namespace {
 
+std::string startText(const Endpoint &endpoint)
+{
+    return endpoint.startedAt ? std::to_string(endpoint.startedAt->time_since_epoch().count())
+                              : std::string();
+}
+
+bool isOfEarlierStart(const Endpoint &endpoint, const Endpoint &known)
+{
+    return endpoint.startedAt && known.startedAt && *endpoint.startedAt < *known.startedAt;
+}
+
 /// The same on every router, so no hash that depends on the process.
 std::uint64_t contentHash(const Endpoint &endpoint)
 {
@@ -21,7 +32,7 @@
     for (const std::string &part :
          {endpoint.service.value(), Runtime::toString(endpoint.address),
           endpoint.dataCentre.value(), endpoint.softwareVersion, std::to_string(endpoint.slots),
-          std::to_string(static_cast<int>(endpoint.state))}) {
+          std::to_string(static_cast<int>(endpoint.state)), startText(endpoint)}) {
         text += '\n';
         text += part;
     }
@@ -48,6 +59,10 @@
     const bool isOld = known != m_entries.end() && known->second.version >= version;
     if (isOld || isGone(id, version))
         return;
+    if (known != m_entries.end() && isOfEarlierStart(endpoint, known->second.endpoint))
+        return;
+    if (known != m_entries.end() && !endpoint.startedAt)
+        endpoint.startedAt = known->second.endpoint.startedAt;
     std::erase_if(m_missing, [&](const GoneEndpoint &one) { return one.id == id; });
     if (known != m_entries.end()) {
         known->second.version = version;
@@ -79,15 +94,18 @@
 void EndpointDirectory::remove(const Base::EndpointId &id, Base::LogOffset version)
 {
     const auto known = m_entries.find(id);
-    if (known == m_entries.end() || known->second.version > version)
+    if (known == m_entries.end()) {
+        if (!isGone(id, version))
+            rememberGone(id, version);
+        return;
+    }
+    if (known->second.version > version)
         return;
     Entry last = std::move(known->second);
     last.version = version;
     m_entries.erase(known);
     toggleInDigest(last.endpoint);
-    m_gone.push_back({id, version});
-    if (m_gone.size() > m_options.rememberedGone)
-        m_gone.pop_front();
+    rememberGone(id, version);
     if (removed)
         removed(last);
 }
@@ -127,6 +145,13 @@
     });
 }
 
+void EndpointDirectory::rememberGone(const Base::EndpointId &id, Base::LogOffset version)
+{
+    m_gone.push_back({id, version});
+    if (m_gone.size() > m_options.rememberedGone)
+        m_gone.pop_front();
+}
+
 std::uint64_t EndpointDirectory::hash() const
 {
     return std::accumulate(m_digest.begin(), m_digest.end(), std::uint64_t{0}, std::bit_xor());
--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -62,11 +62,14 @@
     EndpointDirectory(const EndpointDirectory &) = delete;
     EndpointDirectory &operator=(const EndpointDirectory &) = delete;
 
-    /// An entry was written.
+    /// An entry was written. One of a start before the one that is known came late, and changes
+    /// nothing; one that names no start is of the one that is known.
     void put(Endpoint endpoint, Base::LogOffset version);
     /// The store has dropped the entry; see the class for when that is believed.
     void entryDropped(const Base::EndpointId &id, Base::LogOffset version);
-    /// Another router, which has waited where that was needed, knows that the endpoint has gone.
+    /// The endpoint is not to be used: another router, which has waited where that was needed, knows
+    /// that it has gone, or its newest entry cannot be read. Remembered also where the endpoint is
+    /// not known, as an older entry may still come from a peer.
     void remove(const Base::EndpointId &id, Base::LogOffset version);
     /// All entries that the store had at \a end were read; others of before have gone.
     void reconcile(const absl::flat_hash_set<Base::EndpointId> &present, Base::LogOffset end);
@@ -86,6 +89,7 @@
 
 private:
     bool isGone(const Base::EndpointId &id, Base::LogOffset version) const;
+    void rememberGone(const Base::EndpointId &id, Base::LogOffset version);
     /// Adds the endpoint to the digest, or takes it out again.
     void toggleInDigest(const Endpoint &endpoint);
     void removeMissing();
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -22,6 +22,22 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, unknownAge - 1));
 }
 
+/// In whole milliseconds, as endpoints say it; 0 if one does not.
+std::uint64_t startedAtMs(const Fleet::Endpoint &endpoint)
+{
+    if (!endpoint.startedAt)
+        return 0;
+    return static_cast<std::uint64_t>(
+        Base::toMilliseconds(endpoint.startedAt->time_since_epoch()));
+}
+
+std::optional<Base::WallTime> startedAt(const SharedEndpoint &shared)
+{
+    if (shared.startedAtMs == 0)
+        return std::nullopt;
+    return Base::WallTime(std::chrono::milliseconds(shared.startedAtMs));
+}
+
 SharedEndpoint shared(const Fleet::EndpointDirectory::Entry &entry)
 {
     const Fleet::Endpoint &endpoint = entry.endpoint;
@@ -33,7 +49,8 @@
             .dataCentre = endpoint.dataCentre.value(),
             .software = endpoint.softwareVersion,
             .slots = static_cast<std::uint32_t>(std::max(0, endpoint.slots)),
-            .isDraining = endpoint.state == Fleet::EndpointState::Draining};
+            .isDraining = endpoint.state == Fleet::EndpointState::Draining,
+            .startedAtMs = startedAtMs(endpoint)};
 }
 
 SharedEndpoint sharedGone(const Base::EndpointId &id, Base::LogOffset version)
@@ -198,7 +215,8 @@
          .dataCentre = Base::DataCentreId(shared.dataCentre),
          .softwareVersion = shared.software,
          .slots = static_cast<int>(shared.slots),
-         .state = shared.isDraining ? Fleet::EndpointState::Draining : Fleet::EndpointState::Ready},
+         .state = shared.isDraining ? Fleet::EndpointState::Draining : Fleet::EndpointState::Ready,
+         .startedAt = startedAt(shared)},
         version);
 }
 
--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -7,6 +7,18 @@
 
 namespace Lagoonbank::Gateway {
 
+namespace {
+
+std::uint64_t startHash(const Fleet::Endpoint &endpoint)
+{
+    const auto startedAt =
+        endpoint.startedAt.value_or(Base::WallTime()).time_since_epoch().count();
+    return Routing::mixHashes(Routing::stableHash(endpoint.id.value()),
+                              static_cast<std::uint64_t>(startedAt));
+}
+
+} // namespace
+
 void FadingMean::add(double value, Base::MonoTime now, double weight)
 {
     m_mean = m_at || m_hasPrior ? m_mean + weight * (value - m_mean) : value;
@@ -24,14 +36,16 @@
 void EndpointBook::put(const Fleet::Endpoint &endpoint, Base::MonoTime now)
 {
     const auto known = m_records.find(endpoint.id);
-    if (known != m_records.end()) {
+    if (known != m_records.end() && !Fleet::isOtherStart(known->second->info, endpoint)) {
         known->second->info = endpoint;
         return;
     }
+    remove(endpoint.id);
     auto record = std::make_shared<EndpointRecord>();
     record->info = endpoint;
     record->knownSince = now;
     record->hash = Routing::stableHash(endpoint.id.value());
+    record->startHash = startHash(endpoint);
     if (m_freeIndices.empty()) {
         record->index = m_nextIndex++;
     } else {
@@ -41,7 +55,7 @@
     m_suspicion.resize(m_nextIndex);
     m_suspicion.reset(record->index);
     m_records.emplace(endpoint.id, record);
-    m_byHash.emplace(record->hash, record);
+    m_byStart.emplace(record->startHash, record);
     auto &others = m_services[endpoint.service];
     const auto place = std::lower_bound(
         others.begin(), others.end(), record,
@@ -57,7 +71,7 @@
     const EndpointPtr record = known->second;
     record->isGone = true;
     m_records.erase(known);
-    m_byHash.erase(record->hash);
+    m_byStart.erase(record->startHash);
     std::erase(m_services[record->info.service], record);
     m_freeIndices.push_back(record->index);
 }
@@ -85,10 +99,10 @@
     return found == m_records.end() ? nullptr : found->second;
 }
 
-EndpointPtr EndpointBook::findByHash(std::uint64_t hash) const
+EndpointPtr EndpointBook::findByStart(std::uint64_t startHash) const
 {
-    const auto found = m_byHash.find(hash);
-    return found == m_byHash.end() ? nullptr : found->second;
+    const auto found = m_byStart.find(startHash);
+    return found == m_byStart.end() ? nullptr : found->second;
 }
 
 void EndpointBook::loadReported(EndpointRecord &endpoint, const LoadReport &report,
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -41,6 +41,7 @@
 {
     Fleet::Endpoint info;
     std::uint64_t hash = 0; ///< Of its id; the same on every router.
+    std::uint64_t startHash = 0; ///< Of its id and its start: another start holds no prompts.
     Routing::EndpointIndex index = Routing::noEndpoint;
     bool isUnreachable = false; ///< No connection can be opened; see Reachability.
     bool isReplaced = false; ///< Another endpoint has answered at its address.
@@ -104,14 +105,16 @@
         , m_suspicion(options.suspicion)
     { }
 
+    /// Another start of an endpoint that is known is a new endpoint: what was believed of the one
+    /// before (load, doubt, speed, prompts) says nothing of it.
     void put(const Fleet::Endpoint &endpoint, Base::MonoTime now);
     void remove(const Base::EndpointId &id);
     /// Endpoints of a service, in the order of their ids.
     const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
     std::vector<EndpointPtr> inDataCentre(const Base::DataCentreId &dataCentre) const;
     EndpointPtr find(const Base::EndpointId &id) const;
-    /// By EndpointRecord::hash; null if it is not known.
-    EndpointPtr findByHash(std::uint64_t hash) const;
+    /// By EndpointRecord::startHash; null if it is not known.
+    EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
 
     void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
@@ -142,7 +145,7 @@
     Options m_options;
     Routing::Suspicion m_suspicion;
     absl::flat_hash_map<Base::EndpointId, EndpointPtr> m_records;
-    absl::flat_hash_map<std::uint64_t, EndpointPtr> m_byHash;
+    absl::flat_hash_map<std::uint64_t, EndpointPtr> m_byStart;
     absl::flat_hash_map<Base::ServiceId, std::vector<EndpointPtr>> m_services;
     std::vector<Routing::EndpointIndex> m_freeIndices;
     Routing::EndpointIndex m_nextIndex = 0;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -83,9 +83,9 @@
 EndpointPtr Gateway::cacheSource(std::uint64_t affinity, const EndpointRecord &target)
 {
     const auto known = m_promptPlaces.find(affinity);
-    if (!known || known->endpointHash == target.hash || known->cached < leastCopied)
+    if (!known || known->endpointHash == target.startHash || known->cached < leastCopied)
         return nullptr;
-    const EndpointPtr source = m_endpoints.findByHash(known->endpointHash);
+    const EndpointPtr source = m_endpoints.findByStart(known->endpointHash);
     const bool isUsable = source && source->info.service == target.info.service
         && !source->isUnreachable
         && m_endpoints.suspicion().state(source->index) == Routing::Suspicion::State::Trusted;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -97,7 +97,7 @@
     }
     attempt.endpoint->heardAt = now;
     if (!attempt.lastEventAt && affinity())
-        m_gateway.m_promptPlaces.put(*affinity(), {attempt.endpoint->hash, sharedTokens()});
+        m_gateway.m_promptPlaces.put(*affinity(), {attempt.endpoint->startHash, sharedTokens()});
     if (attempt.lastEventAt)
         attempt.endpoint->pause.add(Base::toSeconds(now - *attempt.lastEventAt), now);
     else
--- a/tests/auto/adapter/tst_routerprocess.cpp
+++ b/tests/auto/adapter/tst_routerprocess.cpp
@@ -4,7 +4,9 @@
 
 #include <absl/strings/escaping.h>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,7 +35,7 @@
             else if (request.path == "/v1/log-append")
                 responder->send(200, {}, R"({"offset":0,"end":1})");
             else
-                waiting.push_back(responder); // Nothing new.
+                waiting[request.query.find("keyed.servers") != std::string::npos] = responder;
         });
         BOOST_REQUIRE(server.listen());
     }
@@ -43,7 +45,23 @@
     std::string configuration;
     std::string endpoint;
     Http::Server server;
-    std::vector<std::shared_ptr<Http::Responder>> waiting;
+    /// Reads that wait for something new: of endpoints (true) and of the configuration.
+    std::map<bool, std::shared_ptr<Http::Responder>> waiting;
+
+    /// Tells the router that reads endpoints of a new value under the id of the one that is there.
+    void writeEndpoint(const std::string &value)
+    {
+        const auto number = [](std::uint64_t value, int bytes) {
+            std::string text;
+            for (int i = bytes - 1; i >= 0; --i)
+                text += static_cast<char>(value >> (8U * static_cast<unsigned>(i)) & 0xffU);
+            return text;
+        };
+        const std::string record = "\x03i-1" + value;
+        waiting.at(true)->send(200, {},
+                               number(3, 8) + number(0, 8) + number(record.size(), 4) + record);
+        waiting.erase(true);
+    }
 
 private:
     std::string newest(const std::string &query) const
@@ -80,7 +98,8 @@
         store.configuration = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
             "kind":"idempotent","service":"s","max_attempts":2,"timeout_ms":800}]})";
         store.endpoint = R"({"service":"s","address":")" + Runtime::toString(engine.address)
-            + R"(","zone":"dc0","slots":4,"state":"ready"})";
+            + R"(","zone":"dc0","version":"v1","slots":4,"state":"ready","seq":1,
+                 "warmup_left_ms":0})";
     }
     void start()
     {
@@ -140,6 +159,23 @@
     BOOST_TEST(f.isReadyWith("200"));
 }
 
+BOOST_AUTO_TEST_CASE(anEntryThatCannotBeReadNamesNoEndpointUntilTheNextOne)
+{
+    Fixture f;
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    const auto isWaiting = [&] {
+        f.clock.advance(std::chrono::milliseconds(10));
+        return f.store.waiting.contains(true);
+    };
+    BOOST_REQUIRE(f.runUntil(isWaiting));
+    f.store.writeEndpoint("\x01\x02");
+    BOOST_REQUIRE(f.runUntil(isWaiting));
+    RawSocket caller = f.call();
+    BOOST_TEST(f.runUntil([&] { return caller.has("no_endpoint"); }));
+    BOOST_TEST(caller.has("HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_CASE(aCallGoesThroughToTheEndpointAndBack)
 {
     Fixture f;
--- a/tests/auto/adapter/tst_storeobjects.cpp
+++ b/tests/auto/adapter/tst_storeobjects.cpp
@@ -3,6 +3,10 @@
 
 #include "platform/storeobjects.h"
 
+#include <map>
+#include <string>
+#include <string_view>
+
 using namespace Lagoonbank;
 
 namespace {
@@ -87,3 +91,51 @@
         BOOST_TEST(!Platform::readEndpoint("i-1", json), json);
     }
 }
+
+BOOST_AUTO_TEST_CASE(anEntryWithAFieldThatIsMissingOrOfAnotherTypeIsAnError)
+{
+    const std::map<std::string, std::string> good{
+        {"service", R"("s1")"},     {"address", R"("10.1.0.9:8080")"},
+        {"zone", R"("gulberg")"},   {"version", R"("v1")"},
+        {"slots", "128"},           {"state", R"("ready")"},
+        {"warmup_left_ms", "12.5"}, {"seq", "4"},
+        {"born", "1764719000123"}};
+    const auto text = [](const std::map<std::string, std::string> &fields) {
+        std::string json;
+        for (const auto &[name, value] : fields)
+            json += (json.empty() ? "{\"" : ",\"") + name + "\":" + value;
+        return json + "}";
+    };
+    const auto read = Platform::readEndpoint("i-1", text(good));
+    BOOST_REQUIRE(read);
+    const Base::WallTime startedAt{std::chrono::milliseconds(1764719000123)};
+    BOOST_TEST((read.value().startedAt == startedAt));
+    for (const auto &[name, value] : good) {
+        auto without = good;
+        without.erase(name);
+        const bool mayMiss = name == "born";
+        BOOST_TEST(Platform::readEndpoint("i-1", text(without)).has_value() == mayMiss, name);
+        for (const char *other : {"null", "true", "[]", "{}", "-1", R"("?")"}) {
+            // A time left that is over and a name of any text are good.
+            const bool isGood = (name == "warmup_left_ms" && std::string_view(other) == "-1")
+                || (std::string_view(other) == R"("?")"
+                    && (name == "service" || name == "zone" || name == "version"));
+            auto wrong = good;
+            wrong[name] = other;
+            BOOST_TEST(Platform::readEndpoint("i-1", text(wrong)).has_value() == isGood,
+                       name + " = " + other);
+        }
+    }
+    for (const char *start : {"1764719000123.5", "1764719000123.0", R"("1764719000123")"}) {
+        auto wrong = good;
+        wrong["born"] = start;
+        BOOST_TEST(!Platform::readEndpoint("i-1", text(wrong)), start);
+    }
+    for (const char *state : {R"("starting")", R"("READY")", R"("")"}) {
+        auto wrong = good;
+        wrong["state"] = state;
+        BOOST_TEST(!Platform::readEndpoint("i-1", text(wrong)), state);
+    }
+    BOOST_TEST(!Platform::readEndpoint("i-1", text(good) + "x"));
+    BOOST_TEST(!Platform::readEndpoint("i-1", "\xff\xfe"));
+}
--- a/tests/auto/fleet/tst_endpointdirectory.cpp
+++ b/tests/auto/fleet/tst_endpointdirectory.cpp
@@ -127,3 +127,56 @@
     one.directory.remove(Base::EndpointId("b"), Base::LogOffset(11));
     BOOST_TEST(one.directory.hash() == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(anEntryOfAnEarlierStartChangesNothing)
+{
+    using std::chrono::milliseconds;
+    const auto startAt = [](int ms) { return std::optional(Base::WallTime(milliseconds(ms))); };
+    const struct
+    {
+        const char *what;
+        std::optional<Base::WallTime> known;
+        std::optional<Base::WallTime> next;
+        const char *told;
+        std::optional<Base::WallTime> kept;
+    } cases[] = {{"later", startAt(5), startAt(6), "+a+a", startAt(6)},
+                 {"equal", startAt(5), startAt(5), "+a", startAt(5)},
+                 {"earlier", startAt(5), startAt(4), "+a", startAt(5)},
+                 {"not said any more", startAt(5), {}, "+a", startAt(5)},
+                 {"said at last", {}, startAt(5), "+a+a", startAt(5)}};
+    for (const auto &[what, known, next, told, kept] : cases) {
+        Fixture f;
+        Endpoint one = endpoint("a");
+        one.startedAt = known;
+        f.put(one);
+        one.startedAt = next;
+        f.put(one);
+        BOOST_TEST(f.told == told, what);
+        BOOST_TEST((f.directory.find(one.id)->startedAt == kept), what);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aLateEntryOfAnEarlierStartDrainsNobody)
+{
+    Fixture f;
+    Endpoint one = endpoint("a");
+    one.startedAt = Base::WallTime(std::chrono::seconds(6));
+    f.put(one);
+    one.startedAt = Base::WallTime(std::chrono::seconds(5));
+    one.state = EndpointState::Draining;
+    f.put(one);
+    BOOST_TEST((f.directory.find(one.id)->state == EndpointState::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(anEndpointThatIsNotKnownIsRememberedAsGone)
+{
+    Fixture f;
+    f.directory.remove(Base::EndpointId("a"), Base::LogOffset(9));
+    f.directory.put(endpoint("a"), Base::LogOffset(8)); // Late, from a peer.
+    BOOST_TEST(!f.directory.find(Base::EndpointId("a")));
+    BOOST_TEST(f.told == "");
+    f.directory.remove(Base::EndpointId("a"), Base::LogOffset(9));
+    BOOST_TEST(f.directory.gone().size() == 1U);
+    f.directory.put(endpoint("a"), Base::LogOffset(10));
+    BOOST_TEST(f.told == "+a");
+}
--- a/tests/auto/gateway/tst_endpointbook.cpp
+++ b/tests/auto/gateway/tst_endpointbook.cpp
@@ -45,8 +45,60 @@
     book.put(endpoint("new"), start);
     const EndpointPtr fresh = book.find(Base::EndpointId("new"));
     BOOST_TEST((book.suspicion().state(fresh->index) == Routing::Suspicion::State::Trusted));
-    BOOST_TEST((book.findByHash(fresh->hash) == fresh));
-    BOOST_TEST(!book.findByHash(old->hash));
+    BOOST_TEST((book.findByStart(fresh->startHash) == fresh));
+    BOOST_TEST(!book.findByStart(old->startHash));
+}
+
+BOOST_AUTO_TEST_CASE(anotherStartUnderTheSameIdIsANewEndpoint)
+{
+    using std::chrono::milliseconds;
+    const auto startAt = [](int ms) { return std::optional(Base::WallTime(milliseconds(ms))); };
+    Fleet::Endpoint before = endpoint("a");
+    before.startedAt = startAt(5000);
+    Fleet::Endpoint sameStart = before;
+    sameStart.slots = 8;
+    Fleet::Endpoint laterStart = before;
+    laterStart.startedAt = startAt(5001);
+    Fleet::Endpoint elsewhere = before;
+    elsewhere.address.port = 81;
+    const struct
+    {
+        const char *what;
+        Fleet::Endpoint next;
+        bool isNew;
+    } cases[] = {{"the same start", sameStart, false},
+                 {"a later start", laterStart, true},
+                 {"another address", elsewhere, true}};
+    for (const auto &[what, next, isNew] : cases) {
+        EndpointBook book({});
+        book.put(before, start);
+        const EndpointPtr old = book.find(before.id);
+        book.suspicion().suspect(old->index, start);
+        book.requestSent(*old);
+        book.loadReported(*old, {.running = 4, .waiting = 2, .slots = 8}, start);
+        book.put(next, start + milliseconds(1));
+        const EndpointPtr now = book.find(before.id);
+        BOOST_TEST(old->isGone == isNew, what);
+        BOOST_TEST((now != old) == isNew, what);
+        BOOST_TEST(book.endpoints(service).size() == 1U, what);
+        const bool isTrusted =
+            book.suspicion().state(now->index) == Routing::Suspicion::State::Trusted;
+        BOOST_TEST(isTrusted == isNew, what);
+        BOOST_TEST((book.load(*now, start) == 0) == isNew, what);
+        BOOST_TEST(now->hash == old->hash, what); // Its prompts keep their home.
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anotherStartHoldsNoPromptsOfBefore)
+{
+    EndpointBook book({});
+    Fleet::Endpoint one = endpoint("a");
+    one.startedAt = Base::WallTime(std::chrono::seconds(5));
+    book.put(one, start);
+    const std::uint64_t before = book.find(one.id)->startHash;
+    one.startedAt = Base::WallTime(std::chrono::seconds(6));
+    book.put(one, start);
+    BOOST_TEST(!book.findByStart(before));
 }
 
 BOOST_AUTO_TEST_CASE(loadIsTheReportAndWhatWasSentSince)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -178,6 +178,7 @@
         await asyncio.sleep(1.5)
         await self.store.put("keyed.servers", engine.id, "")
         engine.boot += 1
+        engine.started_ms = time.time_ns() // 1_000_000
         await self.store.put("keyed.servers", engine.id, engine.entry())
         engine.is_leaving = False
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import random
+import time
 
 import wire
 
@@ -153,6 +154,7 @@
         self.rng = rng
         self.mode = "good"
         self.boot = 0
+        self.started_ms = time.time_ns() // 1_000_000
         self.is_leaving = False
         self.address = None
 
@@ -164,7 +166,8 @@
     def entry(self, state="ready"):
         """As it stands in the store."""
         return json.dumps({"service": self.service, "address": self.address, "zone": "dc0",
-                           "slots": 8, "state": state})
+                           "version": "v1", "slots": 8, "state": state, "seq": self.boot,
+                           "warmup_left_ms": 0, "born": self.started_ms})
 
     async def handle(self, first, fields, body, writer):
         """One request."""
