--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -67,9 +67,9 @@
     void put(Endpoint endpoint, Base::LogOffset version);
     /// The store has dropped the entry; see the class for when that is believed.
     void entryDropped(const Base::EndpointId &id, Base::LogOffset version);
-    /// The endpoint is not to be used: another router, which has waited where that was needed, knows
-    /// that it has gone, or its newest entry cannot be read. Remembered also where the endpoint is
-    /// not known, as an older entry may still come from a peer.
+    /// The endpoint is not to be used: another router, which has waited where that was needed,
+    /// knows that it has gone, or its newest entry cannot be read. Remembered also where the
+    /// endpoint is not known, as an older entry may still come from a peer.
     void remove(const Base::EndpointId &id, Base::LogOffset version);
     /// All entries that the store had at \a end were read; others of before have gone.
     void reconcile(const absl::flat_hash_set<Base::EndpointId> &present, Base::LogOffset end);
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -27,8 +27,7 @@
 {
     if (!endpoint.startedAt)
         return 0;
-    return static_cast<std::uint64_t>(
-        Base::toMilliseconds(endpoint.startedAt->time_since_epoch()));
+    return static_cast<std::uint64_t>(Base::toMilliseconds(endpoint.startedAt->time_since_epoch()));
 }
 
 std::optional<Base::WallTime> startedAt(const SharedEndpoint &shared)
--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -11,8 +11,7 @@
 
 std::uint64_t startHash(const Fleet::Endpoint &endpoint)
 {
-    const auto startedAt =
-        endpoint.startedAt.value_or(Base::WallTime()).time_since_epoch().count();
+    const auto startedAt = endpoint.startedAt.value_or(Base::WallTime()).time_since_epoch().count();
     return Routing::mixHashes(Routing::stableHash(endpoint.id.value()),
                               static_cast<std::uint64_t>(startedAt));
 }
