--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -133,26 +133,29 @@
     return prefix.tokens >= leastTold && sharedPrompts();
 }
 
-void Gateway::notePrompt(const std::vector<PromptPrefix> &prefixes, const EndpointRecord &endpoint,
+bool Gateway::notePrompt(const std::vector<PromptPrefix> &prefixes, const EndpointRecord &endpoint,
                          bool isCopied)
 {
     const Base::MonoTime now = m_options.loop->clock().now();
     const Base::Duration perToken = isCopied ? copyingPerToken : readingPerToken;
     const Base::Duration setup = isCopied ? copyingSetup : readingSetup;
+    bool isBrought = false;
     for (const PromptPrefix &prefix : prefixes) {
         PromptHolding holding{.prompt = prefix,
                               .endpoint = endpoint.startHash,
                               .memory = memoryOf(endpoint.info.service),
                               .reading = setup + perToken * prefix.tokens.value()};
         const PromptDirectory::News news = m_prompts.used(holding, now);
+        isBrought = news == PromptDirectory::News::New;
         const bool isTold = &prefix == &prefixes.back() && isToldOf(prefix);
         if (!isTold || news == PromptDirectory::News::None)
             continue;
-        holding.isNew = news == PromptDirectory::News::New;
+        holding.isNew = isBrought;
         if (!holding.isNew)
             holding.reading = Base::Duration::zero();
         m_options.promptPlaced(holding);
     }
+    return isBrought;
 }
 
 void Gateway::promptLearnt(const PromptHolding &holding)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -143,8 +143,8 @@
     /// Whether routers tell each other where this prompt is, so that one that is not known to be
     /// held is held nowhere.
     bool isToldOf(const PromptPrefix &prefix) const;
-    /// A request with the prompt is sent to the endpoint.
-    void notePrompt(const std::vector<PromptPrefix> &prefixes, const EndpointRecord &endpoint,
+    /// A request with the prompt is sent to the endpoint; true if that was not known to hold it.
+    bool notePrompt(const std::vector<PromptPrefix> &prefixes, const EndpointRecord &endpoint,
                     bool isCopied);
     /// Where prompts are held, if routers know it together; else null. One of many routers sees few
     /// requests of a prompt, and cannot tell all others of them: places by its own knowledge alone
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -310,7 +310,7 @@
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
     m_gateway.m_endpoints.requestSent(*endpoint);
-    m_gateway.notePrompt(m_prefixes, *endpoint, cacheSource.isCertain);
+    m_attempt->bringsPrompt = m_gateway.notePrompt(m_prefixes, *endpoint, cacheSource.isCertain);
     m_cutter.clear();
     Http::Call call = m_gateway.m_options.protocol.makeCall(
         {.request = &m_request,
@@ -426,7 +426,6 @@
 {
     if (m_isEnded)
         return;
-    cancelAttempt();
     end("caller_left", 0);
 }
 
@@ -457,7 +456,7 @@
     if (!m_attempt)
         return;
     // An endpoint stops reading a prompt when its request is gone.
-    if (!m_attempt->lastEventAt && !m_prefixes.empty())
+    if (m_attempt->bringsPrompt && !m_attempt->lastEventAt)
         m_gateway.m_prompts.drop(m_prefixes.back().hash, m_attempt->endpoint->startHash);
     m_gateway.m_options.client->cancel(m_attempt->call);
     releaseEndpoint();
@@ -477,7 +476,10 @@
         return;
     const std::shared_ptr<RequestRun> self = shared_from_this();
     m_isEnded = true;
-    const Base::Duration took = m_timers.clock().now() - m_cameAt;
+    const Base::MonoTime now = m_timers.clock().now();
+    const Base::Duration took = now - m_cameAt;
+    const bool isLost = m_attempt && outcome != "answered";
+    const bool isUnwatched = isLost && m_route && !watchesSilence();
     m_gateway.m_options.metrics->requestTime.observe(Base::toSeconds(took));
     m_gateway.m_options.log->request(
         part, "Ended.",
@@ -489,6 +491,10 @@
          {"endpoint", m_tried.empty() ? std::string_view() : m_tried.back()->info.id.value()},
          {"sends", m_sends},
          {"events", m_events},
+         // Of an answer that was not whole: for how long the endpoint had said nothing, and why the
+         // request was not sent elsewhere.
+         {"quiet_ms", isLost ? now - m_quietSince : Base::Duration::zero()},
+         {"stayed", isUnwatched ? std::string_view("not_repeatable") : m_stayed},
          {"took_ms", took}});
     cancelAttempt();
     m_gateway.m_runs.erase(self);
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -32,6 +32,7 @@
         Http::CallId call;
         Base::MonoTime startedAt;
         bool hasLeft = false; ///< A byte may have left, so that the request may run.
+        bool bringsPrompt = false; ///< Its endpoint did not hold the prompt before.
         int status = 0;
         Http::Headers headers;
         HeadFacts facts;
@@ -93,6 +94,8 @@
     Base::Duration silenceLimit(bool isBusy) const;
     void armSilence(Base::Duration limit);
     void silent();
+    /// Why a request whose endpoint is silent stays there; empty if it may go on elsewhere.
+    std::string_view reasonToStay();
     void cancelAttempt();
     void releaseEndpoint();
     void end(std::string_view outcome, int status);
@@ -124,7 +127,8 @@
     std::optional<Base::MonoTime> m_roomWantedAt; ///< Since its last send.
     Base::MonoTime m_silenceTimerDue;
     Base::MonoTime m_silentAt;
-    Base::MonoTime m_quietSince; ///< Of the send under way: its start or its last event.
+    Base::MonoTime m_quietSince; ///< Of the last send: its start or its last event.
+    std::string_view m_stayed; ///< Why it has stayed at an endpoint that fell silent.
     bool m_isEnded = false;
 };
 
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -226,11 +226,20 @@
         armSilence(busyUntil - m_timers.clock().now());
         return;
     }
-    const bool mayRunOnceMore = !m_attempt->hasLeft || m_ranAt < m_route->maxEndpoints;
+    m_stayed = reasonToStay();
+    if (m_stayed.empty())
+        attemptFailed({.kind = ErrorKind::EndpointTimeout});
+}
+
+std::string_view RequestRun::reasonToStay()
+{
+    if (m_attempt->hasLeft && m_ranAt >= m_route->maxEndpoints)
+        return "endpoints_used";
     const bool hasAlternative = m_gateway.m_placement.canPlace(
         placementRequest(), m_gateway.m_endpoints, m_timers.clock().now());
-    if (mayRunOnceMore && hasAlternative && mayGoOn())
-        attemptFailed({.kind = ErrorKind::EndpointTimeout});
+    if (!hasAlternative)
+        return "no_other_endpoint";
+    return mayGoOn() ? std::string_view() : "no_repeat_left";
 }
 
 } // namespace Lagoonbank::Gateway
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -71,6 +71,7 @@
                 decoded.target = request.path;
                 decoded.body = request.body;
                 decoded.patience = patience;
+                decoded.prompt = prompt;
                 gateway.run(std::move(decoded), std::move(responder));
             });
         BOOST_REQUIRE(server.listen());
@@ -125,6 +126,7 @@
     std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
     std::map<FakeEndpoint *, std::size_t> seen;
     std::optional<Lagoonbank::Base::Duration> patience = std::chrono::seconds(5);
+    std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Of the requests that come.
     Lagoonbank::Base::Duration settle;
     int lastRequest = 0;
     std::uint64_t revision = 0;
