Gateway: Work out speeds and memory once for a place; one timer for looking again

The mean load is now worked out in one way for both bounds (a difference in rounding at most). Behaviour is otherwise as it was; no test changed.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -33,10 +33,10 @@
         options.placement.slowFactor = std::numeric_limits<double>::infinity();
     if (!policy.nearFirst)
         options.placement.remoteCost = Base::Duration::zero();
-    if (!policy.holders)
+    if (!policy.holders) {
         options.placement.holderBoundFactor = 0;
-    if (!policy.holders)
         options.placement.holderBoundSlack = 0;
+    }
     if (!policy.memory)
         options.prompts.memoryShare = std::numeric_limits<double>::infinity();
     if (!policy.toldPrompts)
@@ -139,11 +139,12 @@
     const Base::MonoTime now = m_options.loop->clock().now();
     const Base::Duration perToken = isCopied ? copyingPerToken : readingPerToken;
     const Base::Duration setup = isCopied ? copyingSetup : readingSetup;
+    const Base::Tokens memory = memoryOf(endpoint.info.service);
     bool isBrought = false;
     for (const PromptPrefix &prefix : prefixes) {
         PromptHolding holding{.prompt = prefix,
                               .endpoint = endpoint.startHash,
-                              .memory = memoryOf(endpoint.info.service),
+                              .memory = memory,
                               .reading = setup + perToken * prefix.tokens.value()};
         const PromptDirectory::News news = m_prompts.used(holding, now);
         isBrought = news == PromptDirectory::News::New;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -128,8 +128,8 @@
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
-    const double bound =
-        m_options.boundFactor * sum / static_cast<double>(candidates.size()) + m_options.boundSlack;
+    const double mean = sum / static_cast<double>(candidates.size());
+    const double bound = m_options.boundFactor * mean + m_options.boundSlack;
     const Speeds speeds = speedsOf(candidates, now);
     const bool isHomeFull =
         std::any_of(choice.full.begin(), choice.full.end(), [&](const EndpointPtr &endpoint) {
@@ -141,7 +141,7 @@
         reason = PlacementReason::SecondHome;
     }
     if (reason != PlacementReason::SecondHome) {
-        if (const auto held = heldPlace(request, candidates, sum, now))
+        if (const auto held = heldPlace(request, candidates, mean, speeds, now))
             return *held;
     }
     Place filled; // The first one that has everything but memory.
@@ -170,16 +170,14 @@
 }
 
 std::optional<Place> Placement::heldPlace(const PlacementRequest &request,
-                                          const Candidates &candidates, double sum,
-                                          Base::MonoTime now) const
+                                          const Candidates &candidates, double meanLoad,
+                                          const Speeds &speeds, Base::MonoTime now) const
 {
     if (!request.prompts)
         return std::nullopt;
     const PromptDirectory::Holders &holders = request.prompts->holders(*request.affinity);
     if (holders.empty())
         return std::nullopt;
-    const double mean = sum / static_cast<double>(candidates.size());
-    const Speeds speeds = speedsOf(candidates, now);
     for (const Candidate &candidate : candidates) {
         const bool isHolder =
             std::any_of(holders.begin(), holders.end(), [&](const PromptDirectory::Holder &one) {
@@ -189,8 +187,8 @@
             continue;
         const bool isHome = &candidate == &candidates.front();
         const double bound = isHome
-            ? m_options.boundFactor * mean + m_options.boundSlack
-            : m_options.holderBoundFactor * mean + m_options.holderBoundSlack;
+            ? m_options.boundFactor * meanLoad + m_options.boundSlack
+            : m_options.holderBoundFactor * meanLoad + m_options.holderBoundSlack;
         if (candidate.load + 1 > bound || isSlow(request, *candidate.endpoint, speeds, now))
             continue;
         return Place{.endpoint = candidate.endpoint,
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -133,9 +133,6 @@
     static Place noRoom(const Choice &choice, const EndpointBook &book, Base::MonoTime now);
     Place byAffinity(const PlacementRequest &request, Choice choice, const EndpointBook &book,
                      Base::MonoTime now) const;
-    /// Where the prompt is held; nothing if that is nowhere, or has too much work.
-    std::optional<Place> heldPlace(const PlacementRequest &request, const Candidates &candidates,
-                                   double sum, Base::MonoTime now) const;
     static bool hasMemory(const PlacementRequest &request, const EndpointRecord &endpoint);
     EndpointPtr cacheSource(const PlacementRequest &request, const EndpointBook &book,
                             const Place &place, Base::MonoTime now) const;
@@ -151,6 +148,9 @@
         std::size_t count = 0;
     };
     Speeds speedsOf(const Candidates &candidates, Base::MonoTime now) const;
+    /// Where the prompt is held; nothing if that is nowhere, or has too much work.
+    std::optional<Place> heldPlace(const PlacementRequest &request, const Candidates &candidates,
+                                   double meanLoad, const Speeds &speeds, Base::MonoTime now) const;
     bool isSlow(const PlacementRequest &request, const EndpointRecord &endpoint, const Speeds &sum,
                 Base::MonoTime now) const;
 
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -41,8 +41,8 @@
         m_timers.cancel(*m_deadlineTimer);
     if (m_silenceTimer)
         m_timers.cancel(*m_silenceTimer);
-    if (m_roomTimer)
-        m_timers.cancel(*m_roomTimer);
+    if (m_placeTimer)
+        m_timers.cancel(*m_placeTimer);
 }
 
 void RequestRun::start()
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -66,6 +66,7 @@
     /// No endpoint has room; waits a moment for it, then refuses.
     void awaitRoom(const Place &full, double usableShare);
     Base::Duration longestRoomWait() const;
+    void placeLater(Base::Duration delay);
     /// Where parts of the prompt are copied from.
     struct CacheSource
     {
@@ -123,7 +124,7 @@
     EventCutter m_cutter;
     std::optional<Runtime::TimerId> m_deadlineTimer;
     std::optional<Runtime::TimerId> m_silenceTimer;
-    std::optional<Runtime::TimerId> m_roomTimer;
+    std::optional<Runtime::TimerId> m_placeTimer; ///< Until it looks for a place again.
     std::optional<Base::MonoTime> m_roomWantedAt; ///< Since its last send.
     Base::MonoTime m_silenceTimerDue;
     Base::MonoTime m_silentAt;
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -145,8 +145,13 @@
         giveUp({.kind = ErrorKind::Overloaded, .hasReached = false, .hasRun = m_ranAt > 0});
         return;
     }
-    m_roomTimer = m_timers.start(interval, [this] {
-        m_roomTimer.reset();
+    placeLater(interval);
+}
+
+void RequestRun::placeLater(Base::Duration delay)
+{
+    m_placeTimer = m_timers.start(delay, [this] {
+        m_placeTimer.reset();
         place();
     });
 }
@@ -195,17 +200,15 @@
         return false;
     const auto longest = std::chrono::duration_cast<Base::Duration>(
         m_route->targetLatency * m_gateway.m_options.patience.readingShare);
+    const Base::Duration wait = std::min(left, longest);
     m_hasAwaitedReading = true;
     m_gateway.m_options.log->request(part, "Waiting for the endpoint to read the prompt.",
                                      {{"request", m_request.id.value()},
                                       {"endpoint", place.endpoint->info.id.value()},
                                       {"prompt", static_cast<std::int64_t>(*affinity())},
                                       {"shared_tokens", sharedTokens().value()},
-                                      {"wait_ms", std::min(left, longest)}});
-    m_roomTimer = m_timers.start(std::min(left, longest), [this] {
-        m_roomTimer.reset();
-        this->place();
-    });
+                                      {"wait_ms", wait}});
+    placeLater(wait);
     return true;
 }
 
