--- a/cmake/LagoonbankTargets.cmake
+++ b/cmake/LagoonbankTargets.cmake
@@ -15,6 +15,8 @@
     target_link_options(lagoonbank_options INTERFACE -fsanitize=address,undefined)
 endif()
 
+include(${CMAKE_CURRENT_LIST_DIR}/KnownRed.cmake)
+
 # Libraries from Debian's packages; their headers are system headers.
 find_package(absl REQUIRED)
 find_package(OpenSSL REQUIRED)
@@ -68,7 +70,8 @@
     foreach(dep IN LISTS ARG_DEPENDS)
         target_link_libraries(${name} PRIVATE lagoonbank_${dep})
     endforeach()
-    add_test(NAME ${name} COMMAND ${name} --log_level=error)
+    lagoonbank_known_red_arguments(${name} without_red)
+    add_test(NAME ${name} COMMAND ${name} --log_level=error ${without_red})
     set_tests_properties(${name} PROPERTIES TIMEOUT 120
         ENVIRONMENT "LAGOONBANK_SOURCE_DIR=${CMAKE_SOURCE_DIR};LAGOONBANK_BINARY_DIR=${CMAKE_BINARY_DIR}/bin")
     if(ARG_LABELS)
