Gateway: Say what a pull cost, and how long a failed send had heard nothing

Cause: the lines could not tell a router whose own link is full from endpoints that are silent: neither the time nor the bytes of a pull, nor whether anything else came in when a send was given up, was logged. Change: the line of a pull has bytes, time and the pulls that ran beside it, a failed pull its peer and time; a failed send has quiet_ms (of its endpoint) and all_quiet_ms (of all); pulled bytes are a metric.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/outcome/try.hpp>
 
+#include <string>
 #include <utility>
 
 namespace Lagoonbank::FleetSync {
@@ -113,27 +114,41 @@
     call.connectTimeout = pullTimeout;
     call.headTimeout = pullTimeout;
     call.progressTimeout = pullTimeout;
-    const auto finished = [this, peer, isAlive = std::weak_ptr<bool>(m_isAlive)](
+    const Base::MonoTime startedAt = m_options.loop->clock().now();
+    const auto finished = [this, peer, startedAt, isAlive = std::weak_ptr<bool>(m_isAlive)](
                               const Http::CallResult &result) {
-        if (isAlive.expired())
-            return;
-        if (result.end == Http::CallEnd::Whole && result.status == tooBusy)
-            return; // Its next beacon, or another router's, leads to the next try.
-        if (result.end != Http::CallEnd::Whole || result.status != ok) {
-            m_options.failed(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
-            return;
-        }
-        const auto state = Schema::decodeMessage<Schema::FleetStateAnswer>(result.body);
-        if (!state) {
-            m_options.failed(state.error());
-            return;
-        }
-        m_options.learnt(peer, state.value());
-        m_options.sync->take(state.value());
+        if (!isAlive.expired())
+            pullFinished(peer, startedAt, result);
     };
+    ++m_pulls;
     m_options.client->start(std::move(call), {.finished = finished});
 }
 
+void FleetLink::pullFinished(const Runtime::SocketAddress &peer, Base::MonoTime startedAt,
+                             const Http::CallResult &result)
+{
+    const Base::Duration took = m_options.loop->clock().now() - startedAt;
+    const std::size_t underWay = m_pulls--;
+    if (result.end == Http::CallEnd::Whole && result.status == tooBusy)
+        return; // Its next beacon, or another router's, leads to the next try.
+    if (result.end != Http::CallEnd::Whole || result.status != ok) {
+        m_options.failed(Errors::makeError(Errors::ErrorKind::EndpointBroke,
+                                           "pull from " + Runtime::toString(peer) + " after "
+                                               + std::to_string(Base::toMilliseconds(took))
+                                               + " ms: " + result.detail));
+        return;
+    }
+    const auto state = Schema::decodeMessage<Schema::FleetStateAnswer>(result.body);
+    if (!state) {
+        m_options.failed(state.error());
+        return;
+    }
+    m_options.learnt(
+        {.peer = peer, .bytes = result.body.size(), .took = took, .underWay = underWay},
+        state.value());
+    m_options.sync->take(state.value());
+}
+
 void FleetLink::answer(const Http::Request &request, Http::Responder &responder)
 {
     if (request.path != statePath) {
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -15,6 +15,15 @@
 
 namespace Lagoonbank::FleetSync {
 
+/// One pull that a peer answered.
+struct Pull
+{
+    Runtime::SocketAddress peer;
+    std::size_t bytes = 0; ///< Of the answer.
+    Base::Duration took{};
+    std::size_t underWay = 0; ///< Pulls of this router when it ended, this one among them.
+};
+
 /// Carries a FleetSync over the network: beacons in datagrams, pulls over TCP on the same port.
 class FleetLink
 {
@@ -30,9 +39,7 @@
         /// answer may be larger than that.
         double stateBytesPerSecond = 1e6;
         /// Told of each state that a peer has sent.
-        std::function<void(const Runtime::SocketAddress &peer,
-                           const Schema::FleetStateAnswer &state)>
-            learnt;
+        std::function<void(const Pull &pull, const Schema::FleetStateAnswer &state)> learnt;
         /// Told the bytes that leave and why a message could not be read.
         std::function<void(std::size_t bytes)> sent;
         std::function<void(const Errors::Error &error)> failed;
@@ -50,12 +57,15 @@
     void send(const Runtime::SocketAddress &to, const Message &message);
     void receive(const Runtime::SocketAddress &from, std::string_view datagram);
     void pull(const Runtime::SocketAddress &peer, const Schema::FleetStateRequest &request);
+    void pullFinished(const Runtime::SocketAddress &peer, Base::MonoTime startedAt,
+                      const Http::CallResult &result);
     void answer(const Http::Request &request, Http::Responder &responder);
 
     Options m_options;
     Admission::Gcra m_stateBytes;
     std::unique_ptr<Runtime::UdpSocket> m_socket;
     std::unique_ptr<Http::Server> m_server;
+    std::size_t m_pulls = 0; ///< Under way.
     /// Pulls that end after this object is gone find it out by this.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -117,6 +117,14 @@
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
 
+    /// Something has come from it.
+    void heard(EndpointRecord &endpoint, Base::MonoTime now)
+    {
+        endpoint.heardAt = now;
+        m_heardAt = now;
+    }
+    /// When anything came from any endpoint last.
+    Base::MonoTime heardAt() const { return m_heardAt; }
     void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
     void requestEnded(EndpointRecord &endpoint) const { --endpoint.inFlight; }
     void loadReported(EndpointRecord &endpoint, const LoadReport &report, Base::MonoTime now) const;
@@ -151,6 +159,7 @@
     std::vector<Routing::EndpointIndex> m_freeIndices;
     Routing::EndpointIndex m_nextIndex = 0;
     double m_routerCount = 1;
+    Base::MonoTime m_heardAt;
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -78,6 +78,12 @@
            "What this router sent to other routers, without the headers below.",
            "Configurations or endpoints change often, or routers know different things.",
            {}},
+    Metric{"lagoonbank_gateway_pulled_bytes_total",
+           Kind::Counter,
+           "bytes",
+           "What other routers sent when this one asked for what it did not know.",
+           "Near what the link carries: answers of endpoints wait behind it and look silent.",
+           {}},
 };
 
 } // namespace
@@ -96,6 +102,7 @@
     , endpoints(registry.gauge("lagoonbank_gateway_endpoints"))
     , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
     , peerBytes(registry.counter("lagoonbank_gateway_peer_bytes_total"))
+    , pulledBytes(registry.counter("lagoonbank_gateway_pulled_bytes_total"))
 { }
 
 Metrics::Counter GatewayMetrics::answers(int status)
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -22,6 +22,7 @@
     Metrics::Gauge endpoints;
     Metrics::Gauge configuration;
     Metrics::Counter peerBytes;
+    Metrics::Counter pulledBytes;
 
     Metrics::Counter answers(int status);
     Metrics::Counter refusals(Errors::ErrorKind kind);
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -159,6 +159,8 @@
          {"may_have_run", failure.hasRun},
          {"events", m_events},
          {"goes_on", goesOn},
+         {"quiet_ms", m_timers.clock().now() - m_quietSince},
+         {"all_quiet_ms", m_timers.clock().now() - m_gateway.m_endpoints.heardAt()},
          {"repeats_left", m_gateway.m_retryBudget.left(m_service, m_timers.clock().now())},
          {"left_ms", timeLeft()}});
     if (goesOn)
