FleetSync: Pull one thing at a time

Cause: a pull was due 400 ms after the one before, whether that had ended or not; 880 KB of configuration need 0.7 s of a link of 10 Mbit/s, so that two or three copies shared it and each lasted longer still. Change: while a pull is on its way no other one starts. One whose peer takes no connection, or sends no head, ends after 400 ms each (1 s before), so that another peer is asked in time; one that flows is left alone. Ruled out: a longer interval alone, which would make a lost pull late as well.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -12,9 +12,11 @@
 namespace {
 
 constexpr std::string_view statePath = "/fleet/state";
-/// Of a pull: a peer that is there answers within a few ms; a configuration of 1 MB needs 0.8 s
-/// over the slowest link.
-constexpr Base::Duration pullTimeout = std::chrono::seconds(1);
+/// Of a pull, for the connection and then for the head of the answer: a peer that is there sends
+/// it within a few ms, and another one has to be asked in time where it is not.
+constexpr Base::Duration pullTimeout = std::chrono::milliseconds(400);
+/// Between pieces of an answer; one that flows is never asked for again.
+constexpr Base::Duration pullProgressTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxRequestBytes = 1024;
 /// One answer, of 8,192 endpoints and a configuration of 4 MB.
 constexpr double largestState = 6e6;
@@ -103,6 +105,7 @@
     auto body = Schema::encodeMessage(request);
     if (!body) {
         m_options.failed(body.error());
+        m_options.sync->pullEnded();
         return;
     }
     Http::Call call;
@@ -113,7 +116,7 @@
     call.freshConnection = true;
     call.connectTimeout = pullTimeout;
     call.headTimeout = pullTimeout;
-    call.progressTimeout = pullTimeout;
+    call.progressTimeout = pullProgressTimeout;
     const Base::MonoTime startedAt = m_options.loop->clock().now();
     const auto finished = [this, peer, startedAt, isAlive = std::weak_ptr<bool>(m_isAlive)](
                               const Http::CallResult &result) {
@@ -129,6 +132,7 @@
 {
     const Base::Duration took = m_options.loop->clock().now() - startedAt;
     const std::size_t underWay = m_pulls--;
+    m_options.sync->pullEnded();
     if (result.end == Http::CallEnd::Whole && result.status == tooBusy)
         return; // Its next beacon, or another router's, leads to the next try.
     if (result.end != Http::CallEnd::Whole || result.status != ok) {
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -140,7 +140,8 @@
 }
 
 /// What a peer knows beyond this router is pulled from it; where both know the same, this router
-/// knows it as of the peer's time.
+/// knows it as of the peer's time. One pull at a time: two copies of a configuration of 880 KB
+/// together hold up all answers on a link of 10 Mbit/s for 1.4 s.
 void FleetSync::compare(const Peer &peer)
 {
     if (!peer.isKnowing)
@@ -152,10 +153,11 @@
         return;
     }
     const bool wantsMore = !isSame && wantsEndpoints(peer);
-    if ((!wantsConfiguration(peer, isBehind) && !wantsMore)
+    if ((!wantsConfiguration(peer, isBehind) && !wantsMore) || m_isPulling
         || now() - m_pulledAt < m_options.pullInterval)
         return;
     m_pulledAt = now();
+    m_isPulling = true;
     const Fleet::EndpointDigest &digest = m_options.directory->digest();
     pull(peer.address,
          {.configuration = m_configuration.revision.value(),
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -56,7 +56,7 @@
         /// In which a configuration that another data centre has comes from the store, or from the
         /// own data centre's reader, too.
         Base::Duration ownReaderTime = std::chrono::milliseconds(200);
-        /// Between two pulls from whomever, while a difference lasts.
+        /// Between two pulls from whomever, while a difference lasts and none is on its way.
         Base::Duration pullInterval = std::chrono::milliseconds(400);
     };
 
@@ -67,6 +67,7 @@
 
     // What goes out.
     std::function<void(const Runtime::SocketAddress &to, const Schema::FleetBeacon &beacon)> send;
+    /// Asks a peer; until pullEnded() no other one is asked.
     std::function<void(const Runtime::SocketAddress &peer,
                        const Schema::FleetStateRequest &request)>
         pull;
@@ -85,6 +86,7 @@
                    const Runtime::SocketAddress &address);
     void receive(const std::string &fromIp, const Schema::FleetBeacon &beacon);
     Schema::FleetStateAnswer answer(const Schema::FleetStateRequest &request) const;
+    void pullEnded() { m_isPulling = false; }
     void take(const Schema::FleetStateAnswer &state);
     /// All endpoints that the store had a moment ago have been put into the directory.
     void storeRead();
@@ -132,6 +134,7 @@
     Base::MonoTime m_startedAt{};
     Base::MonoTime m_readingSince{};
     Base::MonoTime m_pulledAt{};
+    bool m_isPulling = false;
     /// Since when another data centre has a newer configuration than this router.
     std::optional<Base::MonoTime> m_behindSince;
     Base::MonoTime m_localBeaconsAt{}; ///< Those to peers that are not told often.
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -33,7 +33,7 @@
         std::uint64_t receivedBytes = 0;
         std::uint64_t configuration = 0;
         std::unique_ptr<Lagoonbank::Fleet::EndpointDirectory> directory;
-        std::unique_ptr<Sync> sync;
+        std::shared_ptr<Sync> sync;
     };
 
     /// \a sizes gives the routers of each data centre.
@@ -66,7 +66,7 @@
         router.sync.reset();
         router.directory = std::make_unique<Fleet::EndpointDirectory>(
             Fleet::EndpointDirectory::Options{.timers = &timers});
-        router.sync = std::make_unique<Sync>(Sync::Options{.id = router.id,
+        router.sync = std::make_shared<Sync>(Sync::Options{.id = router.id,
                                                            .dataCentre = router.dataCentre,
                                                            .port = 7000,
                                                            .directory = router.directory.get(),
@@ -153,10 +153,19 @@
         };
         router.sync->pull = [this, &router](const auto &peer,
                                             const Schema::FleetStateRequest &ask) {
+            // As long as a router waits for a peer that does not answer.
+            constexpr Base::Duration timeout = std::chrono::milliseconds(400);
+            timers.start(timeout, [&router, weak = std::weak_ptr<Sync>(router.sync)] {
+                if (!weak.expired())
+                    router.sync->pullEnded();
+            });
             later(router, peer.ip, [this, &router, ask](Router &target) {
                 const Schema::FleetStateAnswer state = target.sync->answer(ask);
                 pulledEndpoints += state.endpoints.size();
-                later(target, router.ip, [state](Router &asker) { asker.sync->take(state); });
+                later(target, router.ip, [state](Router &asker) {
+                    asker.sync->pullEnded();
+                    asker.sync->take(state);
+                });
             });
         };
     }
