Gateway: Leave a silent endpoint only for one that takes a connection

Cause: where a router's own link is full, all endpoints look silent. It left the endpoint of a stream, found no connection to another one within 120 ms, found none reachable, and cut an answer that had 9 s left. Change: before a silent endpoint is left, another one has to take a connection; what comes meanwhile ends the search. A request that stays is looked at again. A stream that has begun waits up to 2 s (its callers' longest gap) for an endpoint that can be reached, and is not bound to four tries. Ruled out: longer limits of silence, which would make every stream late whose endpoint is really gone.

--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -47,6 +47,11 @@
     /// Target latencies, or longest pauses, after which a request is sent elsewhere although its
     /// endpoint answers others: it is busy then, and moving costs another reading of the prompt.
     double busyFactor = 2.0;
+    /// Callers leave a stream that pauses for longer; until then a stream that has begun waits for
+    /// an endpoint that can be reached.
+    Base::Duration longestGap = std::chrono::seconds(2);
+    /// Between two looks for an endpoint that can be reached: connections are checked each 300 ms.
+    Base::Duration reachInterval = std::chrono::milliseconds(50);
     /// For reading a prompt, on top: engines read 80 to 160 tokens in a millisecond.
     Base::Duration perPromptToken = std::chrono::microseconds(10);
     /// Beyond a route's timeout, for the endpoint's own answer that it gave up.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -15,7 +15,8 @@
 constexpr std::string_view part = "gateway";
 /// For requests whose caller and route set no limit: far above what callers wait.
 constexpr Base::Duration longestRequest = std::chrono::minutes(10);
-/// Sends that endpoints refused or that found no connection, for one request.
+/// Sends that endpoints refused or that found no connection, for one request whose caller can still
+/// be refused.
 constexpr std::size_t mostTries = 4;
 /// Less time than this is not worth a send: no endpoint answers so soon.
 constexpr Base::Duration leastTime = std::chrono::milliseconds(10);
@@ -171,7 +172,8 @@
 
 bool RequestRun::mayGoOn()
 {
-    if (m_tried.size() >= mostTries || timeLeft() < leastTime)
+    const bool isTriedEnough = m_hasBegun ? hasCallerGivenUp() : m_tried.size() >= mostTries;
+    if (isTriedEnough || timeLeft() < leastTime)
         return false;
     if (m_ranAt > 0 && (!m_route->mayRepeat() || m_ranAt >= m_route->maxEndpoints))
         return false;
@@ -179,12 +181,20 @@
     return !isRepeat || m_gateway.m_retryBudget.left(m_service, m_timers.clock().now()) >= 1;
 }
 
+bool RequestRun::hasCallerGivenUp() const
+{
+    return m_timers.clock().now() - m_passedOnAt >= m_gateway.m_options.patience.longestGap;
+}
+
 void RequestRun::goOn(const Failure &failure)
 {
     if (m_sends > 0)
         m_gateway.m_retryBudget.spend(m_service, m_timers.clock().now());
     m_gateway.m_options.metrics->repeats(failure.kind).increment();
-    place();
+    if (const std::optional<Place> next = std::exchange(m_next, std::nullopt))
+        sendTo(*next);
+    else
+        place();
 }
 
 void RequestRun::noteFailure(const Failure &failure)
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -63,6 +63,9 @@
     Claimant claimant() const;
     PlacementRequest placementRequest() const;
     void place();
+    void sendTo(const Place &place);
+    /// A stream that has begun waits for an endpoint that can be reached; false if it may not.
+    bool awaitEndpoint();
     /// No endpoint has room; waits a moment for it, then refuses.
     void awaitRoom(const Place &full, double usableShare);
     Base::Duration longestRoomWait() const;
@@ -83,6 +86,8 @@
     void answerWhole();
     void passWhole();
     void attemptFailed(const Failure &failure);
+    /// Of a stream that has begun: its caller has got nothing for longer than callers wait.
+    bool hasCallerGivenUp() const;
     /// Whether the request may be sent to another endpoint now.
     bool mayGoOn();
     void noteFailure(const Failure &failure);
@@ -97,6 +102,10 @@
     void silent();
     /// Why a request whose endpoint is silent stays there; empty if it may go on elsewhere.
     std::string_view reasonToStay();
+    void stay(std::string_view reason);
+    /// Goes on at another endpoint once that has taken a connection.
+    void seekOther();
+    void otherChecked(const Place &other, Base::MonoTime quietSince, bool isReachable);
     void cancelAttempt();
     void releaseEndpoint();
     void end(std::string_view outcome, int status);
@@ -126,6 +135,8 @@
     std::optional<Runtime::TimerId> m_silenceTimer;
     std::optional<Runtime::TimerId> m_placeTimer; ///< Until it looks for a place again.
     std::optional<Base::MonoTime> m_roomWantedAt; ///< Since its last send.
+    std::optional<Place> m_next; ///< Where it goes on; chosen when it is sent if there is none.
+    Base::MonoTime m_passedOnAt; ///< When its caller got something last.
     Base::MonoTime m_silenceTimerDue;
     Base::MonoTime m_silentAt;
     Base::MonoTime m_quietSince; ///< Of the last send: its start or its last event.
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -10,6 +10,8 @@
 
 /// An answer that is not a stream is passed on when it is whole; larger ones are cut off.
 constexpr std::size_t longestAnswer = 16 * 1024 * 1024;
+/// Why a request stays: it has been at as many endpoints as its route allows, and that is for good.
+constexpr std::string_view endpointsUsed = "endpoints_used";
 
 } // namespace
 
@@ -107,6 +109,7 @@
                                           m_route->targetLatency, now);
     attempt.lastEventAt = now;
     m_quietSince = now;
+    m_passedOnAt = now;
     ++m_events;
     m_responder->write(event.bytes);
     if (watchesSilence() && m_route->longestPause > Base::Duration::zero())
@@ -226,15 +229,65 @@
         armSilence(busyUntil - m_timers.clock().now());
         return;
     }
-    m_stayed = reasonToStay();
-    if (m_stayed.empty())
-        attemptFailed({.kind = ErrorKind::EndpointTimeout});
+    const std::string_view reason = reasonToStay();
+    if (reason.empty())
+        seekOther();
+    else
+        stay(reason);
+}
+
+void RequestRun::stay(std::string_view reason)
+{
+    m_stayed = reason;
+    if (m_stayed != endpointsUsed)
+        armSilence(silenceLimit(false));
+}
+
+/// Where the router's own link is full or cut, all endpoints look silent and none can be reached;
+/// what comes from the one that has the request is then the best there is. With a connection to
+/// another one first, such a router keeps the answers that it has: two were cut at one router on a
+/// recorded day with large changes of the configuration. It costs a round trip, 1 ms.
+void RequestRun::seekOther()
+{
+    const Base::MonoTime now = m_timers.clock().now();
+    const Place other =
+        m_gateway.m_placement.choose(placementRequest(), m_gateway.m_endpoints, now);
+    if (!other.endpoint) {
+        stay("no_other_endpoint");
+        return;
+    }
+    m_gateway.m_options.client->check(
+        other.endpoint->info.address, m_gateway.m_options.patience.connect,
+        [weak = weak_from_this(), other, quietSince = m_quietSince](bool isReachable) {
+            if (const auto self = weak.lock())
+                self->otherChecked(other, quietSince, isReachable);
+        });
+}
+
+void RequestRun::otherChecked(const Place &other, Base::MonoTime quietSince, bool isReachable)
+{
+    const bool hasSpoken = m_quietSince != quietSince;
+    if (m_isEnded || !m_attempt || hasSpoken)
+        return;
+    if (!isReachable) {
+        if (m_gateway.m_options.policy.reachability)
+            m_gateway.m_reachability.foundUnreachable(other.endpoint);
+        stay("other_unreachable");
+        return;
+    }
+    const std::string_view reason = reasonToStay();
+    if (!reason.empty()) {
+        stay(reason);
+        return;
+    }
+    m_next = other;
+    attemptFailed({.kind = ErrorKind::EndpointTimeout});
 }
 
 std::string_view RequestRun::reasonToStay()
 {
     if (m_attempt->hasLeft && m_ranAt >= m_route->maxEndpoints)
-        return "endpoints_used";
+        return endpointsUsed;
     const bool hasAlternative = m_gateway.m_placement.canPlace(
         placementRequest(), m_gateway.m_endpoints, m_timers.clock().now());
     if (!hasAlternative)
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -96,6 +96,8 @@
         awaitRoom(place, asked.usableShare);
         return;
     }
+    if (!place.endpoint && awaitEndpoint())
+        return;
     if (!place.endpoint) {
         giveUp({.kind = ErrorKind::NoEndpoint, .hasReached = false, .hasRun = m_ranAt > 0});
         return;
@@ -104,7 +106,12 @@
         return;
     if (m_tried.empty())
         m_gateway.m_loadShedder.admitted(claimant(), now);
-    const auto &prompt = asked.affinity;
+    sendTo(place);
+}
+
+void RequestRun::sendTo(const Place &place)
+{
+    const Base::MonoTime now = m_timers.clock().now();
     const CacheSource source = cacheSource(place);
     m_gateway.m_options.log->request(
         part, "Sending.",
@@ -116,8 +123,8 @@
          {"mean_load", place.meanLoad},
          {"candidates", place.candidates},
          {"load_age_ms", now - place.endpoint->reportedAt},
-         {"prompt", static_cast<std::int64_t>(prompt.value_or(0))},
-         {"shared_tokens", asked.sharedTokens.value()},
+         {"prompt", static_cast<std::int64_t>(affinity().value_or(0))},
+         {"shared_tokens", sharedTokens().value()},
          {"cache_source", source.endpoint ? source.endpoint->info.id.value() : std::string_view()},
          {"send", m_tried.size() + 1},
          {"revision", m_configuration->revision().value()},
@@ -126,6 +133,14 @@
     send(place.endpoint, source);
 }
 
+bool RequestRun::awaitEndpoint()
+{
+    if (!m_hasBegun || hasCallerGivenUp())
+        return false;
+    placeLater(m_gateway.m_options.patience.reachInterval);
+    return true;
+}
+
 void RequestRun::awaitRoom(const Place &full, double usableShare)
 {
     const Base::MonoTime now = m_timers.clock().now();
--- a/tests/auto/gateway/tst_brokenstream.cpp
+++ b/tests/auto/gateway/tst_brokenstream.cpp
@@ -27,7 +27,8 @@
 /// A stream of which the caller has two events, from the first of two endpoints.
 struct BegunStream : GatewayFixture
 {
-    BegunStream()
+    explicit BegunStream(int endpointCount = 2)
+        : GatewayFixture(endpointCount)
     {
         setRoute(streamRoute(true));
         caller.emplace(call());
@@ -97,3 +98,19 @@
     BOOST_TEST(f.runUntil([&] { return f.isWhole(); }));
     BOOST_TEST(f.requests() == 1U);
 }
+
+/// Pattern: engines crash at the peak, and those that are left are full. New requests are refused
+/// after four endpoints that turned them away; what its caller has begun to get goes on looking.
+BOOST_AUTO_TEST_CASE(aBegunStreamLooksAtMoreEndpointsThanANewRequest)
+{
+    BegunStream f(8);
+    f.first->last().close();
+    for (int i = 0; i < 5; ++i) {
+        FakeEndpoint &full = f.awaitRequest();
+        full.last().send(
+            "HTTP/1.1 503 Full\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+    }
+    FakeEndpoint &next = f.awaitRequest();
+    BOOST_TEST(next.last().has("x-resume: 2"));
+    BOOST_TEST(!f.caller->isEnded());
+}
