KeyedLog: Tell only the newest of several records of a key

Cause: a router that reads the store's tail after a while finds several configurations in one page and read each of them, 0.1 s of a small VM's processor a piece, in which it looked at nothing else. Before and after: of seven records of three keys all were told, now the newest of each that is left (tst_keyedview, failing on the code before). Found while looking for the same cause elsewhere: a router that is busy with its own state takes its delay for that of others.

--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -129,10 +129,7 @@
         fill();
         return;
     }
-    for (const KeyedRecord &record : page.value().records) {
-        m_position = std::max(m_position, record.offset + Base::LogOffset(1));
-        apply(record);
-    }
+    applyTail(page.value().records);
     const bool isBehind = !page.value().records.empty() && m_position < page.value().end;
     if (!isBehind && caughtUp)
         caughtUp();
@@ -141,6 +138,21 @@
     later(isBehind ? Base::Duration::zero() : m_options.interval, &KeyedView::follow);
 }
 
+/// Of several records of one key only the newest is told. A small VM takes 0.1 s to read a
+/// configuration of 1,400 routes, and one that was away finds several of them in a page.
+void KeyedView::applyTail(const std::vector<KeyedRecord> &records)
+{
+    absl::flat_hash_map<std::string_view, Base::LogOffset> newest;
+    for (const KeyedRecord &record : records) {
+        m_position = std::max(m_position, record.offset + Base::LogOffset(1));
+        newest[record.key] = record.offset;
+    }
+    for (const KeyedRecord &record : records) {
+        if (newest[record.key] == record.offset)
+            apply(record);
+    }
+}
+
 void KeyedView::apply(const KeyedRecord &record)
 {
     const auto known = m_offsets.find(record.key);
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Lagoonbank::KeyedLog {
 
@@ -67,6 +68,7 @@
     void fillEnded();
     void follow();
     void tailRead(const Errors::Result<TailPage> &page);
+    void applyTail(const std::vector<KeyedRecord> &records);
     void apply(const KeyedRecord &record);
     void readAnswered();
     void failed(void (KeyedView::*again)());
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -256,3 +256,16 @@
     f.log.answerNewest({put("d", "1", 9)}, 10);
     BOOST_TEST(caughtUp == 2);
 }
+
+/// Pattern: configurations come in quick succession, each a large text that takes its reader long.
+BOOST_AUTO_TEST_CASE(ofSeveralRecordsOfOneKeyOnlyTheNewestIsTold)
+{
+    Fixture f;
+    f.log.answerNewest({put("a", "1", 1)}, 2);
+    f.takeTold();
+    f.pass(std::chrono::milliseconds(500));
+    f.log.answerTail({put("a", "2", 2), put("b", "1", 3), put("a", "3", 4), drop("b", 5),
+                      put("c", "1", 6), drop("a", 7), put("a", "4", 8)},
+                     9);
+    BOOST_TEST(f.takeTold() == "c=1 a=4 ");
+}
