--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -139,3 +139,42 @@
     }));
     BOOST_TEST(f.other.failures == 0);
 }
+
+/// Pattern: the link of a router that others pull from is squeezed, so that its answer flows, but
+/// does not end. A configuration has to be in force within 2 s; a peer that has it is there.
+BOOST_AUTO_TEST_CASE(aPullThatTricklesDoesNotKeepOthersFromBeingAsked)
+{
+    PausedLoop f;
+    Http::Client client{{.loop = &f.loop}};
+    Unit asker(f, client, "asker");
+    Unit other(f, client, "other");
+    other.sync.storeRead();
+    other.sync.setConfiguration({.revision = Base::Revision(4),
+                                 .offset = Base::LogOffset(2),
+                                 .packed = std::string(1000, 'c')});
+    Test::RawListener slow;
+    const auto beacon = [&](const std::string &router, std::uint16_t port) {
+        asker.sync.receive("127.0.0.1",
+                           {.router = router,
+                            .dataCentre = "dc0",
+                            .port = port,
+                            .isReading = true,
+                            .configuration = 4,
+                            .endpoints = asker.directory.hash()});
+    };
+    f.clock.advance(std::chrono::seconds(10));
+    beacon("slow", slow.address.port);
+    int fd = -1;
+    BOOST_REQUIRE(f.runUntil([&] { return (fd = slow.accept()) >= 0; }));
+    RawSocket answer(fd);
+    BOOST_REQUIRE(f.runUntil([&] { return answer.has("\r\n\r\n"); }));
+    answer.send("HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n");
+    for (int i = 0; i < 20 && asker.packed.empty(); ++i) {
+        f.advance(std::chrono::milliseconds(100));
+        if (i % 5 == 4)
+            answer.send("x");
+        beacon("other", other.port);
+        f.runTurns(20);
+    }
+    BOOST_TEST(asker.packed.size() == 1000U);
+}
--- a/tests/auto/runtime/tst_loop.cpp
+++ b/tests/auto/runtime/tst_loop.cpp
@@ -194,3 +194,60 @@
         BOOST_TEST(!parseSocketAddress(wrong));
     }
 }
+
+namespace {
+
+/// Reading a large message takes 0.2 s; meanwhile an answer comes, and its time limit passes.
+struct StalledLoop : Fixture
+{
+    StalledLoop()
+    {
+        loop.watchReadable(answer.ends[0], [this] {
+            answer.take();
+            order.emplace_back("answer");
+        });
+        loop.watchReadable(message.ends[0], [this] {
+            message.take();
+            answer.put();
+            clock.advance(std::chrono::milliseconds(200));
+        });
+        loop.timers().start(std::chrono::milliseconds(120),
+                            [this] { order.emplace_back("limit"); });
+    }
+    ~StalledLoop()
+    {
+        loop.unwatch(answer.ends[0]);
+        loop.unwatch(message.ends[0]);
+    }
+    bool isAnswerFirst()
+    {
+        runUntil([this] { return order.size() == 2; });
+        return order.front() == "answer";
+    }
+
+    Pipe answer;
+    Pipe message;
+    std::vector<std::string> order;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(whatCameDuringALongCallbackIsReadBeforeTimersFire, StalledLoop)
+{
+    message.put();
+    BOOST_TEST(isAnswerFirst());
+}
+
+/// The same where the message comes just after the wait of a turn, before its timers.
+BOOST_FIXTURE_TEST_CASE(whatCameDuringALateLongCallbackIsReadBeforeTimersFire, StalledLoop)
+{
+    Pipe other;
+    loop.watchReadable(other.ends[0], [&] {
+        other.take();
+        message.put();
+        loop.post([] {});
+    });
+    other.put();
+    BOOST_TEST(isAnswerFirst());
+    loop.unwatch(other.ends[0]);
+}
