Runtime: Run timers only up to the time at which the loop looked

Cause: a turn polls the sockets, and when a timer is due it polls once more and then runs all timers that are due by the clock. If a callback of that second poll takes long (a large configuration takes 0.1 to 0.4 s to read on a small VM), timers that became due meanwhile fired before bytes that had come were read, and a sound endpoint was blamed for the router's own stall.

Ruled out: a third poll after the callbacks costs a system call each time and has callbacks of its own; marking the stall for each reader of the clock would have to be done at each deadline.

Change: timers that were due when the last poll of the turn began run; the others in the next turn, after its poll. TimerQueue::runDue takes that time. A poll hands out 256 sockets; with more that are ready, the rest is read after the timers, as before.

--- a/src/libs/runtime/loop.cpp
+++ b/src/libs/runtime/loop.cpp
@@ -82,6 +82,7 @@
     h2o_timeout_t ownTimeout{};
     OwnEntry ownEntry;
     Base::Duration lastWallOffset;
+    Base::MonoTime lookedAt; ///< When the last poll of a turn began.
     bool stopped = false;
     std::vector<std::function<void()>> posted;
     absl::flat_hash_map<int, std::shared_ptr<Watch>> watches;
@@ -135,7 +136,10 @@
 void Loop::Private::runOwn()
 {
     runPosted();
-    timers.runDue();
+    // What came before a timer was due has been read by then: a callback of the poll that takes
+    // long, such as reading a large configuration (0.1 to 0.4 s on a small VM), does not make the
+    // answers that wait behind it look silent. Up to the 256 sockets of one poll, that is.
+    timers.runDue(lookedAt);
 }
 
 /// Runs posted callbacks and due timers from a callback of the event loop, which ends with what
@@ -144,7 +148,8 @@
 void Loop::Private::runOwnWithin()
 {
     const std::optional<Base::MonoTime> due = timers.nextDue();
-    if (posted.empty() && (!due || *due > clock.now()))
+    lookedAt = clock.now();
+    if (posted.empty() && (!due || *due > lookedAt))
         return;
     h2o_timeout_link(native, &ownTimeout, &ownEntry.entry);
     h2o_evloop_run(native, 0);
--- a/src/libs/runtime/loop.h
+++ b/src/libs/runtime/loop.h
@@ -34,8 +34,8 @@
     /// Runs until stop().
     void run();
     void stop();
-    /// One turn: waits for sockets at most \a maxWait, less if a timer is due, then runs due
-    /// timers.
+    /// One turn: waits for sockets at most \a maxWait, less if a timer is due, then runs the timers
+    /// that were due when it looked at the sockets last.
     void runOnce(Base::Duration maxWait);
     /// Calls \a callback in a later turn of the loop.
     void post(std::function<void()> callback);
--- a/src/libs/runtime/timerqueue.cpp
+++ b/src/libs/runtime/timerqueue.cpp
@@ -35,14 +35,13 @@
     return m_entries.top().due;
 }
 
-std::size_t TimerQueue::runDue()
+std::size_t TimerQueue::runDue(Base::MonoTime until)
 {
     // Timers started from a callback wait for the next call, so that a zero delay cannot spin here.
-    const Base::MonoTime now = m_clock.now();
     const TimerId last{m_lastId};
     std::size_t count = 0;
     std::vector<Entry> later;
-    while (!m_entries.empty() && m_entries.top().due <= now) {
+    while (!m_entries.empty() && m_entries.top().due <= until) {
         const Entry entry = m_entries.top();
         m_entries.pop();
         if (entry.id > last) {
--- a/src/libs/runtime/timerqueue.h
+++ b/src/libs/runtime/timerqueue.h
@@ -37,7 +37,9 @@
     void cancel(TimerId timer);
     std::optional<Base::MonoTime> nextDue();
     /// Runs every timer due now, in order of due time, then of start; returns how many ran.
-    std::size_t runDue();
+    std::size_t runDue() { return runDue(m_clock.now()); }
+    /// The same for what was due at \a until, which is not after now.
+    std::size_t runDue(Base::MonoTime until);
     /// Timers that will still fire.
     std::size_t pending() const { return m_callbacks.size(); }
 
--- a/tests/auto/runtime/tst_loop.cpp
+++ b/tests/auto/runtime/tst_loop.cpp
@@ -105,6 +105,67 @@
     BOOST_TEST(calls.size() == 3U);
 }
 
+/// Each row is a stall of the loop, in a callback of the poll that goes before the timers.
+BOOST_FIXTURE_TEST_CASE(whatCameBeforeATimerWasDueIsReadFirst, Fixture)
+{
+    for (const int stallMs : {50, 200, 600, 2000}) {
+        BOOST_TEST_CONTEXT("stall of " << stallMs << " ms")
+        {
+            const Pipe configuration;
+            const Pipe endpoint;
+            int silences = 0;
+            const Base::Duration silence = std::chrono::milliseconds(stallMs - 10);
+            const TimerId silent = loop.timers().start(silence, [&] { ++silences; });
+            loop.watchReadable(endpoint.ends[0], [&] {
+                endpoint.take();
+                loop.timers().cancel(silent);
+            });
+            int polls = 0;
+            loop.watchReadable(configuration.ends[0], [&] {
+                if (++polls < 2)
+                    return; // Stays readable for the second poll of this turn.
+                configuration.take();
+                endpoint.put();
+                clock.advance(std::chrono::milliseconds(stallMs));
+            });
+            configuration.put();
+            loop.post([] {});
+            loop.runOnce(longWait);
+            BOOST_TEST(polls == 2);
+            BOOST_TEST(silences == 0);
+            loop.runOnce(longWait);
+            loop.runOnce(Base::Duration::zero());
+            BOOST_TEST(silences == 0);
+            loop.unwatch(endpoint.ends[0]);
+            loop.unwatch(configuration.ends[0]);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(timersThatBecomeDueInAStallFireInTheNextTurn, Fixture)
+{
+    const Pipe pipe;
+    std::vector<std::string> calls;
+    loop.timers().start(std::chrono::milliseconds(100), [&] { calls.emplace_back("timer"); });
+    int polls = 0;
+    loop.watchReadable(pipe.ends[0], [&] {
+        if (++polls < 2)
+            return;
+        pipe.take();
+        clock.advance(std::chrono::milliseconds(300));
+        calls.emplace_back("stall");
+    });
+    pipe.put();
+    loop.post([&] { calls.emplace_back("posted"); });
+    loop.runOnce(longWait);
+    BOOST_TEST(calls == (std::vector<std::string>{"stall", "posted"}),
+               boost::test_tools::per_element());
+    loop.runOnce(longWait);
+    BOOST_TEST(calls == (std::vector<std::string>{"stall", "posted", "timer"}),
+               boost::test_tools::per_element());
+    loop.unwatch(pipe.ends[0]);
+}
+
 BOOST_AUTO_TEST_CASE(runEndsAtStop)
 {
     Loop loop;
