KeyedLog: Do not read again what peers have told already

Cause: a router that takes up the duty to read the store filled its views anew; a configuration of 880 KB that it had from a peer came once more, a third longer as the store lists it, over a link that answers share. Found by review of the incident's class. Change: it follows the tail after what it knows; lost history still leads to a fill. Before and after: whatIsKnownByOtherMeansIsNotReadAgain (the function is new; the fill it replaces is what start() does). Ruled out: the same for endpoints, whose tail has a record for each heartbeat: a list is shorter.

--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -22,6 +22,15 @@
     fill();
 }
 
+void KeyedView::startAfter(Base::LogOffset known)
+{
+    m_isRunning = true;
+    m_isFilling = false;
+    m_isFilled = true;
+    m_position = std::max(m_position, known + Base::LogOffset(1));
+    follow();
+}
+
 void KeyedView::stop()
 {
     m_isRunning = false;
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -269,3 +269,22 @@
                      9);
     BOOST_TEST(f.takeTold() == "c=1 a=4 ");
 }
+
+/// Pattern: the reader of a data centre dies, and another router takes up its duty. What that has
+/// learnt from its peers, a configuration of 880 KB, is not read again over its small link.
+BOOST_AUTO_TEST_CASE(whatIsKnownByOtherMeansIsNotReadAgain)
+{
+    Fixture f;
+    f.log.answerNewest({put("a", "1", 1)}, 2);
+    f.view.stop();
+    f.takeTold();
+    f.view.startAfter(Base::LogOffset(7));
+    BOOST_TEST((f.log.reads.back().from == Base::LogOffset(8)));
+    f.log.answerTail({put("a", "2", 8)}, 9);
+    BOOST_TEST(f.takeTold() == "a=2 ");
+    f.pass(std::chrono::milliseconds(500));
+    const FakeLog::Read read = f.log.take();
+    read.tail(TailPage{.isLost = true});
+    f.log.answerNewest({put("a", "3", 30)}, 31);
+    BOOST_TEST(f.takeTold() == "a=3 filled ");
+}
