Runtime: Know how far behind its work a loop is

A router that was late could not be told from one whose endpoints were: nothing said how long a turn of the loop takes, how old the work is that it comes to, or what processor time it gets.

LoopLag is told of each poll by the loop. behind() is the age that work at hand can have: what is read now came after the look before, or after the wait of this poll, and work that was put off says for how long.

Ruled out: a probe timer, as it costs a wake-up each time; a poll without wait before each one with a wait, which costs a system call a turn. How long a poll waited comes from the event loop's own measure of its callbacks and the time that it reads after the poll.

--- a/src/libs/runtime/loop.cpp
+++ b/src/libs/runtime/loop.cpp
@@ -52,6 +52,7 @@
     explicit Private(const Clock *givenClock)
         : clock(givenClock ? *givenClock : systemClock)
         , timers(clock)
+        , lag({.clock = &clock, .waited = [this] { return waited(); }})
         , native(h2o_evloop_create())
         , lastWallOffset(wallOffset())
     {
@@ -70,6 +71,8 @@
     };
 
     void followWallClock();
+    void poll(std::int32_t maxWaitMs);
+    Base::Duration waited() const;
     void readSignals();
     void runPosted();
     void runOwn();
@@ -78,11 +81,13 @@
     SystemClock systemClock;
     const Clock &clock;
     TimerQueue timers;
+    LoopLag lag;
     h2o_evloop_t *native;
     h2o_timeout_t ownTimeout{};
     OwnEntry ownEntry;
     Base::Duration lastWallOffset;
     Base::MonoTime lookedAt; ///< When the last poll of a turn began.
+    std::chrono::steady_clock::time_point pollBeganAt; ///< Real time, also with a ManualClock.
     bool stopped = false;
     std::vector<std::function<void()>> posted;
     absl::flat_hash_map<int, std::shared_ptr<Watch>> watches;
@@ -113,6 +118,39 @@
     }
 }
 
+/// One poll of the sockets with their callbacks. How long it waited is known from the event loop's
+/// own measure of the callbacks: the last of its slots, if it has used one.
+void Loop::Private::poll(std::int32_t maxWaitMs)
+{
+    lag.pollBegins(maxWaitMs > 0);
+    pollBeganAt = std::chrono::steady_clock::now();
+    const h2o_sliding_counter_t &counter = native->exec_time_counter;
+    const std::size_t slot = counter.prev.index;
+    h2o_evloop_run(native, maxWaitMs);
+    if (maxWaitMs <= 0) {
+        lag.pollEnded({});
+        return;
+    }
+    const Base::Duration took = std::chrono::steady_clock::now() - pollBeganAt;
+    const bool hadEvents = counter.prev.index != slot;
+    const Base::Duration callbacks =
+        std::chrono::milliseconds(hadEvents ? counter.prev.slots[slot] : 0);
+    lag.pollEnded(std::max(took - callbacks, Base::Duration::zero()));
+}
+
+/// From the begin of the poll under way to its return, after which the event loop reads the time.
+Base::Duration Loop::Private::waited() const
+{
+    timeval wall{};
+    gettimeofday(&wall, nullptr);
+    const Base::Duration sinceEpoch =
+        std::chrono::seconds(wall.tv_sec) + std::chrono::microseconds(wall.tv_usec);
+    const Base::Duration sinceReturn =
+        sinceEpoch - std::chrono::milliseconds(static_cast<std::int64_t>(native->_now));
+    const Base::Duration took = std::chrono::steady_clock::now() - pollBeganAt;
+    return std::clamp(took - sinceReturn, Base::Duration::zero(), took);
+}
+
 void Loop::Private::readSignals()
 {
     signalfd_siginfo info{};
@@ -152,7 +190,7 @@
     if (posted.empty() && (!due || *due > lookedAt))
         return;
     h2o_timeout_link(native, &ownTimeout, &ownEntry.entry);
-    h2o_evloop_run(native, 0);
+    poll(0);
     if (!h2o_timeout_is_linked(&ownEntry.entry))
         return;
     // The wall clock, by which the event loop counts, went back just now.
@@ -199,6 +237,11 @@
     return d->timers;
 }
 
+LoopLag &Loop::lag()
+{
+    return d->lag;
+}
+
 void Loop::run()
 {
     d->stopped = false;
@@ -219,8 +262,9 @@
     if (const auto due = d->timers.nextDue())
         wait = std::min(wait, *due - d->clock.now());
     d->followWallClock();
-    h2o_evloop_run(d->native, waitMilliseconds(wait));
+    d->poll(waitMilliseconds(wait));
     d->runOwnWithin();
+    d->lag.turnEnded();
 }
 
 void Loop::post(std::function<void()> callback)
--- a/src/libs/runtime/loop.h
+++ b/src/libs/runtime/loop.h
@@ -2,6 +2,7 @@
 
 #include "base/units.h"
 #include "runtime/clock.h"
+#include "runtime/looplag.h"
 #include "runtime/timerqueue.h"
 
 #include <functional>
@@ -30,6 +31,8 @@
 
     const Clock &clock() const;
     TimerQueue &timers();
+    /// How far behind its work this loop is.
+    LoopLag &lag();
 
     /// Runs until stop().
     void run();
