Gateway, Logging: Wake who waits for room in order; take fewer while behind

Cause: a router with a quarter of a core and several times its usual callers falls behind with its own work. Requests without room looked for it again each 10 ms, each look walked all kinds of request for its share; values of log lines were worked out for lines that are left out; a metric was looked up by its labels for each refusal; and nothing was refused for the router's own sake.

Change: - RoomQueue: one line for each service and kind of answer, in the order of the load shedder; room that comes free wakes the first, one look in vain speaks for the others.

--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -147,6 +147,11 @@
                      Base::MonoTime now) const;
     /// Requests that the endpoint can run at once, as far as can be told; 0 for no limit.
     double places(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Of these, as many as are not taken; below zero where more are taken than there are.
+    double freePlaces(const EndpointRecord &endpoint, Base::MonoTime now) const
+    {
+        return places(endpoint, now) - fleetLoad(endpoint, now);
+    }
     Routing::Suspicion &suspicion() { return m_suspicion; }
     const Routing::Suspicion &suspicion() const { return m_suspicion; }
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -63,6 +63,8 @@
     , m_placement(m_options.placement)
     , m_retryBudget(m_options.retryBudget)
     , m_loadShedder(m_options.loadShedding)
+    , m_roomQueue({.timers = &m_options.loop->timers()})
+    , m_backlog(m_options.backlog)
     , m_prompts(m_options.prompts)
 {
     m_reachability.changed = [this](const EndpointRecord &endpoint) {
@@ -106,6 +108,22 @@
     return std::max<std::size_t>(2, static_cast<std::size_t>(share));
 }
 
+void Gateway::countRefusal(Errors::ErrorKind kind)
+{
+    auto counter = m_refusals.find(kind);
+    if (counter == m_refusals.end())
+        counter = m_refusals.emplace(kind, m_options.metrics->refusals(kind)).first;
+    counter->second.increment();
+}
+
+void Gateway::countAnswer(int status)
+{
+    auto counter = m_answers.find(status);
+    if (counter == m_answers.end())
+        counter = m_answers.emplace(status, m_options.metrics->answers(status)).first;
+    counter->second.increment();
+}
+
 std::int64_t Gateway::knowledgeAgeMs() const
 {
     const auto age = m_options.knowledgeAge ? m_options.knowledgeAge() : std::nullopt;
@@ -175,6 +193,15 @@
     return isShared ? &m_prompts : nullptr;
 }
 
+void Gateway::loadReported(EndpointRecord &endpoint, const LoadReport &report)
+{
+    const Base::MonoTime now = m_options.loop->clock().now();
+    const double before = m_endpoints.freePlaces(endpoint, now);
+    m_endpoints.loadReported(endpoint, report, now);
+    if (m_endpoints.freePlaces(endpoint, now) > before)
+        m_roomQueue.roomMayBeFree(endpoint.info.service);
+}
+
 Base::Tokens Gateway::memoryOf(const Base::ServiceId &service) const
 {
     const Fleet::Service *known = m_configuration ? m_configuration->findService(service) : nullptr;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/configuration.h"
+#include "gateway/backlogcontrol.h"
 #include "gateway/callerrequest.h"
 #include "gateway/endpointbook.h"
 #include "gateway/endpointhealth.h"
@@ -11,12 +12,14 @@
 #include "gateway/placement.h"
 #include "gateway/promptdirectory.h"
 #include "gateway/reachability.h"
+#include "gateway/roomqueue.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "logging/decisionlog.h"
 #include "runtime/loop.h"
 #include "schema/generated/settings.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
@@ -70,8 +73,6 @@
     /// For so much of the target latency at most; a third of it reads 20,000 tokens. Waiting
     /// is worth 0.012 of a day where engines have an eighth of the users' memory, 0.001 elsewhere.
     double readingShare = 0.33;
-    /// Between two looks for room; an engine ends a request each 20 to 50 ms.
-    Base::Duration roomInterval = std::chrono::milliseconds(10);
 };
 
 /// Runs callers' requests: checks them, chooses an endpoint, sends them, passes the answer on, and
@@ -88,6 +89,8 @@
         std::function<void(Http::Responder &responder, const Refusal &refusal)> refuse;
         /// How old what this router knows of endpoints and configuration is; for the log.
         std::function<std::optional<Base::Duration>()> knowledgeAge;
+        /// How long this router's oldest work has waited unlooked at; none: never behind.
+        std::function<Base::Duration()> ownDelay;
         /// A prompt has come to an endpoint, or is still in use there: peers ought to know. Null
         /// where there are none.
         std::function<void(const PromptHolding &holding)> promptPlaced;
@@ -97,6 +100,7 @@
         EndpointBook::Options endpoints;
         FleetRetryBudget::Options retryBudget;
         LoadShedder::Options loadShedding;
+        BacklogControl::Options backlog;
         GatewayPatience patience;
         Logging::DecisionLog *log = nullptr;
         GatewayMetrics *metrics = nullptr;
@@ -141,6 +145,12 @@
     /// Connections that this router may have to one endpoint of a service; nothing where there is
     /// no limit.
     std::optional<std::size_t> connectionShare(const Base::ServiceId &service) const;
+    Base::Duration ownDelay() const
+    {
+        return m_options.ownDelay ? m_options.ownDelay() : Base::Duration::zero();
+    }
+    void countRefusal(Errors::ErrorKind kind);
+    void countAnswer(int status);
     /// In milliseconds; -1 where nothing is known.
     std::int64_t knowledgeAgeMs() const;
     /// An endpoint other than \a target that holds the first parts of a prompt, as far as this
@@ -156,6 +166,8 @@
     /// requests of a prompt, and cannot tell all others of them: places by its own knowledge alone
     /// cost 0.009 of a day's worth, and 0.07 where memory is scarce.
     const PromptDirectory *sharedPrompts() const;
+    /// An endpoint has told its load; wakes who waits for room if there is more now.
+    void loadReported(EndpointRecord &endpoint, const LoadReport &report);
     /// Memory of one endpoint of a service; 0 if it is not known.
     Base::Tokens memoryOf(const Base::ServiceId &service) const;
 
@@ -167,9 +179,14 @@
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
     LoadShedder m_loadShedder;
+    RoomQueue m_roomQueue;
+    BacklogControl m_backlog;
     PromptDirectory m_prompts;
     std::size_t m_routerCount = 1;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
+    /// Looked up once: finding a metric by its labels costs as much as a refusal.
+    absl::flat_hash_map<Errors::ErrorKind, Metrics::Counter> m_refusals;
+    absl::flat_hash_map<int, Metrics::Counter> m_answers; ///< By status.
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/loadshedder.cpp
+++ b/src/libs/gateway/loadshedder.cpp
@@ -36,6 +36,7 @@
 {
     Service &service = m_services[claimant.service];
     forgetOldKinds(service, now);
+    ++service.changes;
     service.all.asked.add(1, now, m_options.halfLife);
     service.kinds[{claimant.route, claimant.urgency}].asked.add(1, now, m_options.halfLife);
     service.workspaces[claimant.workspace].asked.add(1, now, m_options.workspaceHalfLife);
@@ -49,6 +50,7 @@
 void LoadShedder::admitted(const Claimant &claimant, Base::MonoTime now)
 {
     Service &service = m_services[claimant.service];
+    ++service.changes;
     service.all.admitted.add(1, now, m_options.halfLife);
     service.kinds[{claimant.route, claimant.urgency}].admitted.add(1, now, m_options.halfLife);
     service.workspaces[claimant.workspace].admitted.add(1, now, m_options.workspaceHalfLife);
@@ -61,12 +63,12 @@
     route.cost = route.cost ? *route.cost + costStep * (seconds - *route.cost) : seconds;
 }
 
-double LoadShedder::usableShare(const Claimant &claimant, Base::MonoTime now) const
+double LoadShedder::usableShare(const Claimant &claimant, Base::MonoTime now)
 {
     const auto found = m_services.find(claimant.service);
     if (found == m_services.end())
         return 1;
-    const Service &service = found->second;
+    Service &service = found->second;
     if (servedShare(service.all, now, m_options.halfLife) >= allServed)
         return 1;
     double share = isWithinShare(service, claimant, now) ? 1 : 1 - m_options.reserved;
@@ -80,21 +82,35 @@
     return isGreedy(service, workspace->second, now) ? share - m_options.reservedForOthers : share;
 }
 
-bool LoadShedder::isWithinShare(const Service &service, const Claimant &claimant,
+bool LoadShedder::isWithinShare(Service &service, const Claimant &claimant,
                                 Base::MonoTime now) const
 {
     const auto own = service.kinds.find({claimant.route, claimant.urgency});
     if (own == service.kinds.end() || own->second.asked.value(now, m_options.halfLife) < 1)
         return true;
+    if (isDivisionOld(service, now))
+        divide(service, now);
+    return servedShare(own->second, now, m_options.halfLife) < own->second.share;
+}
+
+bool LoadShedder::isDivisionOld(const Service &service, Base::MonoTime now) const
+{
+    return !service.dividedAt || now - *service.dividedAt >= m_options.shareLife
+        || service.changes
+        > m_options.shareChange * service.all.asked.value(now, m_options.halfLife);
+}
+
+void LoadShedder::divide(Service &service, Base::MonoTime now) const
+{
+    service.dividedAt = now;
+    service.changes = 0;
     std::vector<Demand> demands;
-    std::size_t ownIndex = 0;
+    demands.reserve(service.kinds.size());
     double supply = 0;
     for (const auto &[kind, tally] : service.kinds) {
         const auto route = service.routes.find(kind.first);
         const bool isKnown = route != service.routes.end() && route->second.cost;
         const double cost = isKnown ? *route->second.cost : unknownCost;
-        if (&tally == &own->second)
-            ownIndex = demands.size();
         demands.push_back({.urgency = kind.second,
                            .requests = tally.asked.value(now, m_options.halfLife),
                            .cost = cost});
@@ -103,7 +119,9 @@
     const double served = servedShare(service.all, now, m_options.halfLife);
     const std::vector<double> shares = servedShares(demands, supply * m_options.headroom,
                                                     m_options.leastShare * std::min(1.0, served));
-    return servedShare(own->second, now, m_options.halfLife) < shares[ownIndex];
+    auto share = shares.begin();
+    for (auto &[kind, tally] : service.kinds)
+        tally.share = *share++;
 }
 
 Base::Duration LoadShedder::retryAfter(Base::Duration targetLatency)
--- a/src/libs/gateway/loadshedder.h
+++ b/src/libs/gateway/loadshedder.h
@@ -79,6 +79,12 @@
         /// time. Places become free each few ms, to whoever asks then; a later return finds as many
         /// others.
         double returnShare = 0.3;
+        /// Shares of kinds are worked out again after this time, in which sums with a half-life of
+        /// 3 s change by 0.5%...
+        Base::Duration shareLife = std::chrono::milliseconds(20);
+        /// ...or when so large a part of the requests is new: per look it was a walk over all
+        /// kinds.
+        double shareChange = 0.02;
         std::uint64_t randomSeed = 1;
     };
 
@@ -94,7 +100,7 @@
     /// A request that was sent has given its place back after \a held.
     void ended(const Claimant &claimant, Base::Duration held);
     /// Part of an endpoint's places that may be taken when this request is sent there.
-    double usableShare(const Claimant &claimant, Base::MonoTime now) const;
+    double usableShare(const Claimant &claimant, Base::MonoTime now);
     /// For a request that is refused as there is no room; spread, so that callers do not return
     /// together.
     Base::Duration retryAfter(Base::Duration targetLatency);
@@ -105,6 +111,10 @@
         DecayingSum asked;
         DecayingSum admitted;
     };
+    struct KindTally : Tally
+    {
+        double share = 1; ///< Of its requests, that it may have served.
+    };
     struct Route
     {
         Base::Duration patience{}; ///< The longest that its callers have lately.
@@ -115,13 +125,18 @@
     {
         Tally all;
         absl::flat_hash_map<std::string, Route> routes;
-        std::map<Kind, Tally> kinds;
+        std::map<Kind, KindTally> kinds;
+        std::optional<Base::MonoTime> dividedAt; ///< When their shares were worked out.
+        int changes = 0; ///< Requests counted since.
         absl::flat_hash_map<Base::WorkspaceId, Tally> workspaces;
         DecayingSum askedOfWorkspaces; ///< Of all of them, with their half-life.
     };
 
     /// Whether its kind has been served less than the share that it may have.
-    bool isWithinShare(const Service &service, const Claimant &claimant, Base::MonoTime now) const;
+    bool isWithinShare(Service &service, const Claimant &claimant, Base::MonoTime now) const;
+    bool isDivisionOld(const Service &service, Base::MonoTime now) const;
+    /// Works out the shares of all kinds.
+    void divide(Service &service, Base::MonoTime now) const;
     /// Whether the caller has waited past the target latency already, in a try before: it has less
     /// patience left than others have at first.
     static bool isLate(const Service &service, const Claimant &claimant);
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -44,6 +44,7 @@
         m_timers.cancel(*m_silenceTimer);
     if (m_placeTimer)
         m_timers.cancel(*m_placeTimer);
+    leaveLine();
 }
 
 void RequestRun::start()
@@ -52,13 +53,13 @@
         if (const auto self = weak.lock())
             self->callerLeft();
     });
-    if (m_isEnded || !isAdmitted())
+    if (m_isEnded || !isAdmitted() || !hasTimeOfRouter())
         return;
     m_deadlineTimer = m_timers.start(m_deadline - m_timers.clock().now(), [this] {
         m_deadlineTimer.reset();
         deadlinePassed();
     });
-    m_gateway.m_retryBudget.requestCame(m_service, m_cameAt);
+    m_prefixes = sharedPrefixes();
     m_gateway.m_loadShedder.asked(claimant(), m_cameAt);
     place();
 }
@@ -91,7 +92,6 @@
     }
     m_priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
     m_service = Fleet::serviceFor(*m_route, Routing::stableHash(m_request.id.value()));
-    m_prefixes = sharedPrefixes();
     if (m_request.patience)
         m_deadline = std::min(m_deadline, m_cameAt + *m_request.patience);
     if (m_route->timeout > Base::Duration::zero())
@@ -99,6 +99,18 @@
     return true;
 }
 
+/// As early as its urgency is known: before its prompt is hashed, a place is chosen or a timer is
+/// started.
+bool RequestRun::hasTimeOfRouter()
+{
+    m_gateway.m_retryBudget.requestCame(m_service, m_cameAt);
+    const Base::Duration delay = m_gateway.ownDelay();
+    if (m_gateway.m_backlog.takes(claimant(), delay, m_cameAt))
+        return true;
+    refuse(ErrorKind::Overloaded, Ran::No, m_gateway.m_backlog.retryAfter(delay));
+    return false;
+}
+
 Base::Duration RequestRun::timeLeft() const
 {
     return m_deadline - m_timers.clock().now();
@@ -226,17 +238,21 @@
 
 void RequestRun::refuse(ErrorKind kind, Ran ran, std::optional<Base::Duration> retryAfter)
 {
-    m_gateway.m_options.metrics->refusals(kind).increment();
-    m_gateway.m_options.log->request(
-        part, "Refused.",
-        {{"request", m_request.id.value()},
-         {"kind", Errors::toString(kind)},
-         {"ran", Errors::toString(ran)},
-         {"host", m_request.host},
-         {"path", m_request.path},
-         {"revision", m_configuration ? m_configuration->revision().value() : 0},
-         {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
-         {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
+    m_gateway.countRefusal(kind);
+    if (m_gateway.m_options.log->wants()) {
+        m_gateway.m_options.log->request(
+            part, "Refused.",
+            {{"request", m_request.id.value()},
+             {"kind", Errors::toString(kind)},
+             {"ran", Errors::toString(ran)},
+             {"host", m_request.host},
+             {"path", m_request.path},
+             {"revision", m_configuration ? m_configuration->revision().value() : 0},
+             {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
+             // Above the target of BacklogControl: the router itself was behind.
+             {"own_delay_ms", m_gateway.ownDelay()},
+             {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
+    }
     m_gateway.m_options.refuse(*m_responder, {.kind = kind, .ran = ran, .retryAfter = retryAfter});
     end("refused", 0);
 }
@@ -286,6 +302,7 @@
     if (!m_attempt)
         return;
     m_gateway.m_endpoints.requestEnded(*m_attempt->endpoint);
+    m_gateway.m_roomQueue.roomMayBeFree(m_attempt->endpoint->info.service);
     m_attempt.reset();
 }
 
@@ -296,10 +313,19 @@
     const std::shared_ptr<RequestRun> self = shared_from_this();
     m_isEnded = true;
     const Base::MonoTime now = m_timers.clock().now();
-    const Base::Duration took = now - m_cameAt;
+    m_gateway.m_options.metrics->requestTime.observe(Base::toSeconds(now - m_cameAt));
+    if (m_gateway.m_options.log->wants())
+        logEnd(outcome, status, now);
+    cancelAttempt();
+    leaveLine();
+    m_gateway.m_runs.erase(self);
+    m_gateway.m_options.metrics->inFlight.set(static_cast<double>(m_gateway.m_runs.size()));
+}
+
+void RequestRun::logEnd(std::string_view outcome, int status, Base::MonoTime now) const
+{
     const bool isLost = m_attempt && outcome != "answered";
     const bool isUnwatched = isLost && m_route && !watchesSilence();
-    m_gateway.m_options.metrics->requestTime.observe(Base::toSeconds(took));
     m_gateway.m_options.log->request(
         part, "Ended.",
         {{"request", m_request.id.value()},
@@ -314,10 +340,7 @@
          // request was not sent elsewhere.
          {"quiet_ms", isLost ? now - m_quietSince : Base::Duration::zero()},
          {"stayed", isUnwatched ? std::string_view("not_repeatable") : m_stayed},
-         {"took_ms", took}});
-    cancelAttempt();
-    m_gateway.m_runs.erase(self);
-    m_gateway.m_options.metrics->inFlight.set(static_cast<double>(m_gateway.m_runs.size()));
+         {"took_ms", now - m_cameAt}});
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -49,6 +49,8 @@
     };
 
     bool isAdmitted();
+    /// Whether the router can take it beside its own work; refused if not.
+    bool hasTimeOfRouter();
     Base::Duration timeLeft() const;
     /// The parts that the request shares with others, from the first one to all of them; empty
     /// where endpoints cache nothing.
@@ -61,13 +63,21 @@
     /// Sends the request to another endpoint; one that was reached before makes it a repeat.
     void goOn(const Failure &failure);
     Claimant claimant() const;
+    double usableShare() const;
     PlacementRequest placementRequest() const;
     void place();
     void sendTo(const Place &place);
     /// A stream that has begun waits for an endpoint that can be reached; false if it may not.
     bool awaitEndpoint();
-    /// No endpoint has room; waits a moment for it, then refuses.
-    void awaitRoom(const Place &full, double usableShare);
+    RoomQueue::Line roomLine() const;
+    RoomRank roomRank() const;
+    /// Chooses an endpoint and sends the request there, or waits or gives up for another reason
+    /// than room; false if none has room.
+    bool findPlace();
+    /// No endpoint has room; waits in line a moment for it, then refuses.
+    void awaitRoom(const RoomRank &rank);
+    void leaveLine();
+    void roomNotFound();
     Base::Duration longestRoomWait() const;
     void placeLater(Base::Duration delay);
     /// Where parts of the prompt are copied from.
@@ -77,6 +87,7 @@
         bool isCertain = false; ///< It holds the prompt, as far as is known.
     };
     CacheSource cacheSource(const Place &place) const;
+    void logSend(const Place &place, const CacheSource &source) const;
     void send(const EndpointPtr &endpoint, const CacheSource &cacheSource);
     Http::Hooks hooks();
     void headReceived(int status, const Http::Headers &headers);
@@ -109,6 +120,7 @@
     void cancelAttempt();
     void releaseEndpoint();
     void end(std::string_view outcome, int status);
+    void logEnd(std::string_view outcome, int status, Base::MonoTime now) const;
 
     Gateway &m_gateway;
     Runtime::TimerQueue &m_timers;
@@ -135,6 +147,7 @@
     std::optional<Runtime::TimerId> m_silenceTimer;
     std::optional<Runtime::TimerId> m_placeTimer; ///< Until it looks for a place again.
     std::optional<Base::MonoTime> m_roomWantedAt; ///< Since its last send.
+    std::optional<RoomQueue::Ticket> m_roomTicket; ///< While it waits in line for room.
     std::optional<Place> m_next; ///< Where it goes on; chosen when it is sent if there is none.
     Base::MonoTime m_passedOnAt; ///< When its caller got something last.
     Base::MonoTime m_silenceTimerDue;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -51,10 +51,8 @@
     attempt.status = status;
     attempt.headers = headers;
     attempt.facts = m_gateway.m_options.protocol.readHead(m_request, status, headers);
-    if (attempt.facts.load) {
-        m_gateway.m_endpoints.loadReported(*attempt.endpoint, *attempt.facts.load,
-                                           m_timers.clock().now());
-    }
+    if (attempt.facts.load)
+        m_gateway.loadReported(*attempt.endpoint, *attempt.facts.load);
     const bool isGood = status >= 200 && status < 300 && attempt.facts.isOwn;
     attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
     if (attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
@@ -174,7 +172,7 @@
                                           m_route->targetLatency, now);
         m_responder->send(status, attempt.headers, std::move(attempt.body));
     }
-    m_gateway.m_options.metrics->answers(status).increment();
+    m_gateway.countAnswer(status);
     end("answered", status);
 }
 
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -65,9 +65,7 @@
 {
     const bool isStream = m_route->kind == Fleet::RouteKind::Stream;
     const auto prompt = affinity();
-    // What has been sent before goes before what has not: its work is done in part.
     const Schema::PolicySettings &policy = m_gateway.m_options.policy;
-    const bool isDivided = m_tried.empty() && policy.shares;
     return {.service = m_service,
             .affinity = policy.homes ? prompt : std::nullopt,
             .sharedTokens = sharedTokens(),
@@ -81,38 +79,68 @@
             .isDoubtHeeded = policy.doubt,
             .tried = m_tried,
             .connectionShare = m_gateway.connectionShare(m_service),
-            .usableShare = isDivided
-                ? m_gateway.m_loadShedder.usableShare(claimant(), m_timers.clock().now())
-                : 1,
+            .usableShare = usableShare(),
             .waitingPerPlace = isStream ? 0 : waitingPerPlace};
 }
 
 void RequestRun::place()
+{
+    const RoomRank rank = roomRank();
+    const bool isBehind = m_gateway.m_roomQueue.isBehind(roomLine(), rank, m_route->mayRepeat());
+    if (isBehind || !findPlace())
+        awaitRoom(rank);
+}
+
+bool RequestRun::findPlace()
 {
     const Base::MonoTime now = m_timers.clock().now();
-    const PlacementRequest asked = placementRequest();
-    const Place place = m_gateway.m_placement.choose(asked, m_gateway.m_endpoints, now);
-    if (place.isFull) {
-        awaitRoom(place, asked.usableShare);
-        return;
-    }
+    const Place place =
+        m_gateway.m_placement.choose(placementRequest(), m_gateway.m_endpoints, now);
+    if (place.isFull)
+        return false;
     if (!place.endpoint && awaitEndpoint())
-        return;
+        return true;
     if (!place.endpoint) {
         giveUp({.kind = ErrorKind::NoEndpoint, .hasReached = false, .hasRun = m_ranAt > 0});
-        return;
+        return true;
     }
     if (awaitReading(place))
-        return;
+        return true;
     if (m_tried.empty())
         m_gateway.m_loadShedder.admitted(claimant(), now);
     sendTo(place);
+    return true;
+}
+
+RoomQueue::Line RequestRun::roomLine() const
+{
+    return {.service = m_service, .isStream = m_route->kind == Fleet::RouteKind::Stream};
+}
+
+RoomRank RequestRun::roomRank() const
+{
+    return {.isRepeat = !m_tried.empty(),
+            .usableShare = usableShare(),
+            .urgency = {.priority = m_priority, .routePriority = m_route->priority}};
+}
+
+/// What has been sent before goes before what has not: its work is done in part.
+double RequestRun::usableShare() const
+{
+    const bool isDivided = m_tried.empty() && m_gateway.m_options.policy.shares;
+    return isDivided ? m_gateway.m_loadShedder.usableShare(claimant(), m_timers.clock().now()) : 1;
 }
 
 void RequestRun::sendTo(const Place &place)
 {
-    const Base::MonoTime now = m_timers.clock().now();
     const CacheSource source = cacheSource(place);
+    if (m_gateway.m_options.log->wants())
+        logSend(place, source);
+    send(place.endpoint, source);
+}
+
+void RequestRun::logSend(const Place &place, const CacheSource &source) const
+{
     m_gateway.m_options.log->request(
         part, "Sending.",
         {{"request", m_request.id.value()},
@@ -122,7 +150,7 @@
          {"load", place.load},
          {"mean_load", place.meanLoad},
          {"candidates", place.candidates},
-         {"load_age_ms", now - place.endpoint->reportedAt},
+         {"load_age_ms", m_timers.clock().now() - place.endpoint->reportedAt},
          {"prompt", static_cast<std::int64_t>(affinity().value_or(0))},
          {"shared_tokens", sharedTokens().value()},
          {"cache_source", source.endpoint ? source.endpoint->info.id.value() : std::string_view()},
@@ -130,7 +158,6 @@
          {"revision", m_configuration->revision().value()},
          {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
          {"left_ms", timeLeft()}});
-    send(place.endpoint, source);
 }
 
 bool RequestRun::awaitEndpoint()
@@ -141,26 +168,50 @@
     return true;
 }
 
-void RequestRun::awaitRoom(const Place &full, double usableShare)
+void RequestRun::awaitRoom(const RoomRank &rank)
 {
     const Base::MonoTime now = m_timers.clock().now();
     if (!m_roomWantedAt)
         m_roomWantedAt = now;
-    const Base::Duration interval = m_gateway.m_options.patience.roomInterval;
-    if (now - *m_roomWantedAt + interval > longestRoomWait()) {
+    const std::weak_ptr<RequestRun> weak = weak_from_this();
+    m_roomTicket = m_gateway.m_roomQueue.add(roomLine(),
+                                             {.rank = rank,
+                                              .mayRepeat = m_route->mayRepeat(),
+                                              .until = *m_roomWantedAt + longestRoomWait(),
+                                              .look =
+                                                  [weak] {
+                                                      const auto self = weak.lock();
+                                                      return !self || self->findPlace();
+                                                  },
+                                              .giveUp =
+                                                  [weak] {
+                                                      if (const auto self = weak.lock())
+                                                          self->roomNotFound();
+                                                  }});
+    if (!m_roomTicket)
+        roomNotFound();
+}
+
+void RequestRun::leaveLine()
+{
+    if (const auto ticket = std::exchange(m_roomTicket, std::nullopt))
+        m_gateway.m_roomQueue.remove(*ticket);
+}
+
+void RequestRun::roomNotFound()
+{
+    m_roomTicket.reset();
+    if (m_gateway.m_options.log->wants()) {
         m_gateway.m_options.log->request(part, "No endpoint has room.",
                                          {{"request", m_request.id.value()},
                                           {"route", m_route->name},
                                           {"priority", m_priority},
-                                          {"usable_share", usableShare},
-                                          {"mean_load", full.meanLoad},
-                                          {"candidates", full.candidates},
-                                          {"waited_ms", now - *m_roomWantedAt},
+                                          {"usable_share", usableShare()},
+                                          {"in_line", m_gateway.m_roomQueue.size()},
+                                          {"waited_ms", m_timers.clock().now() - *m_roomWantedAt},
                                           {"left_ms", timeLeft()}});
-        giveUp({.kind = ErrorKind::Overloaded, .hasReached = false, .hasRun = m_ranAt > 0});
-        return;
     }
-    placeLater(interval);
+    giveUp({.kind = ErrorKind::Overloaded, .hasReached = false, .hasRun = m_ranAt > 0});
 }
 
 void RequestRun::placeLater(Base::Duration delay)
--- /dev/null
+++ b/src/libs/gateway/roomqueue.cpp
@@ -0,0 +1,174 @@
+#include "gateway/roomqueue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace Lagoonbank::Gateway {
+
+int RoomRank::compare(const RoomRank &other) const
+{
+    if (isRepeat != other.isRepeat)
+        return isRepeat ? -1 : 1;
+    if (usableShare != other.usableShare)
+        return usableShare > other.usableShare ? -1 : 1;
+    if (urgency != other.urgency)
+        return urgency < other.urgency ? -1 : 1;
+    return 0;
+}
+
+bool RoomQueue::Key::operator<(const Key &other) const
+{
+    const int order = rank.compare(other.rank);
+    return order != 0 ? order < 0 : number < other.number;
+}
+
+RoomQueue::~RoomQueue()
+{
+    if (m_lookTimer)
+        m_options.timers->cancel(*m_lookTimer);
+    if (m_tickTimer)
+        m_options.timers->cancel(*m_tickTimer);
+}
+
+std::optional<RoomQueue::Ticket> RoomQueue::add(const Line &line, Waiter waiter)
+{
+    Waiters &waiters = m_lines[line];
+    if (waiters.size() >= m_options.most) {
+        const Key last = std::prev(waiters.end())->first;
+        if (waiter.rank.compare(last.rank) >= 0)
+            return std::nullopt;
+        giveUp(line, last);
+    }
+    const Key key{.rank = waiter.rank, .number = ++m_lastNumber};
+    m_lines[line].emplace(key, std::move(waiter));
+    startTicking();
+    return Ticket{.line = line, .rank = key.rank, .number = key.number};
+}
+
+void RoomQueue::remove(const Ticket &ticket)
+{
+    const auto waiters = m_lines.find(ticket.line);
+    if (waiters == m_lines.end())
+        return;
+    waiters->second.erase({.rank = ticket.rank, .number = ticket.number});
+    if (waiters->second.empty())
+        m_lines.erase(waiters);
+}
+
+bool RoomQueue::isBehind(const Line &line, const RoomRank &rank, bool mayRepeat) const
+{
+    const auto waiters = m_lines.find(line);
+    if (waiters == m_lines.end())
+        return false;
+    // What was sent before may not go where it was, and tells nothing of others.
+    const auto first =
+        std::find_if(waiters->second.begin(), waiters->second.end(), [&](const auto &one) {
+            return !one.first.rank.isRepeat && (one.second.mayRepeat || !mayRepeat);
+        });
+    return first != waiters->second.end() && first->first.rank.compare(rank) <= 0;
+}
+
+void RoomQueue::roomMayBeFree(const Base::ServiceId &service)
+{
+    const auto first = m_lines.lower_bound({.service = service});
+    if (first == m_lines.end() || first->first.service != service)
+        return;
+    m_freed.insert(service);
+    if (!m_lookTimer) {
+        m_lookTimer = m_options.timers->start(Base::Duration::zero(), [this] {
+            m_lookTimer.reset();
+            lookAgain();
+        });
+    }
+}
+
+std::size_t RoomQueue::size() const
+{
+    std::size_t sum = 0;
+    for (const auto &[line, waiters] : m_lines)
+        sum += waiters.size();
+    return sum;
+}
+
+void RoomQueue::lookAgain()
+{
+    for (const Base::ServiceId &service : std::exchange(m_freed, {})) {
+        for (const bool isStream : {false, true})
+            look({.service = service, .isStream = isStream}, m_options.mostInVain);
+    }
+}
+
+/// Calls may add and remove waiters: nothing of the line is kept across one.
+void RoomQueue::look(const Line &line, int mostInVain)
+{
+    Key after;
+    int inVain = 0;
+    for (bool isFirst = true; inVain < mostInVain; isFirst = false) {
+        const auto waiters = m_lines.find(line);
+        if (waiters == m_lines.end())
+            return;
+        const auto next = isFirst ? waiters->second.begin() : waiters->second.upper_bound(after);
+        if (next == waiters->second.end())
+            return;
+        after = next->first;
+        const auto look = next->second.look;
+        if (look())
+            remove({.line = line, .rank = after.rank, .number = after.number});
+        else
+            ++inVain;
+    }
+}
+
+void RoomQueue::giveUp(const Line &line, const Key &key)
+{
+    const auto waiters = m_lines.find(line);
+    if (waiters == m_lines.end())
+        return;
+    auto node = waiters->second.extract(key);
+    if (waiters->second.empty())
+        m_lines.erase(waiters);
+    if (!node.empty())
+        node.mapped().giveUp();
+}
+
+void RoomQueue::giveUpLate()
+{
+    // Another interval would be too long.
+    const Base::MonoTime soon = m_options.timers->clock().now() + m_options.interval;
+    std::vector<std::pair<Line, Key>> late;
+    for (const auto &[line, waiters] : m_lines) {
+        for (const auto &[key, waiter] : waiters) {
+            if (waiter.until < soon)
+                late.emplace_back(line, key);
+        }
+    }
+    for (const auto &[line, key] : late)
+        giveUp(line, key);
+}
+
+void RoomQueue::startTicking()
+{
+    if (m_tickTimer)
+        return;
+    m_tickTimer = m_options.timers->start(m_options.interval, [this] {
+        m_tickTimer.reset();
+        tick();
+    });
+}
+
+void RoomQueue::tick()
+{
+    std::vector<Line> lines;
+    lines.reserve(m_lines.size());
+    for (const auto &[line, waiters] : m_lines)
+        lines.push_back(line);
+    for (const Line &line : lines)
+        look(line, 1);
+    giveUpLate();
+    if (!m_lines.empty())
+        startTicking();
+}
+
+} // namespace Lagoonbank::Gateway
--- /dev/null
+++ b/src/libs/gateway/roomqueue.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "gateway/urgencyshares.h"
+#include "runtime/timerqueue.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace Lagoonbank::Gateway {
+
+/// Where a request stands among those that wait for room; the least goes first.
+struct RoomRank
+{
+    /// Sent before: its work is done in part, and it may not go everywhere.
+    bool isRepeat = false;
+    double usableShare = 1; ///< Of the places; see LoadShedder.
+    Urgency urgency;
+
+    /// Negative if this one goes before the other, 0 for equals.
+    int compare(const RoomRank &other) const;
+};
+
+/// Requests that found no endpoint with room, in the order in which they get what comes free. Room
+/// that comes free wakes the first of them, and the next ones while there is more; nobody looks on
+/// their own. With a look of each request each 10 ms, a router with a quarter of a core that had
+/// several times its usual callers looked for most of its time.
+class RoomQueue
+{
+public:
+    /// Requests of one service that find room alike: plain ones may also wait at an endpoint.
+    struct Line
+    {
+        Base::ServiceId service;
+        bool isStream = false;
+
+        auto operator<=>(const Line &) const = default;
+    };
+    struct Options
+    {
+        Runtime::TimerQueue *timers = nullptr;
+        /// Between two looks of the first in line where nothing has ended: what others have at an
+        /// endpoint is guessed to shrink with time. An engine ends a request each 20 to 50 ms.
+        Base::Duration interval = std::chrono::milliseconds(10);
+        /// In one line; they wait for tens of ms, in which no router gets so many places.
+        std::size_t most = 256;
+        /// Looks in vain before the others in line are taken to find nothing either: the first ones
+        /// may be barred from the endpoint that has room.
+        int mostInVain = 3;
+    };
+    struct Waiter
+    {
+        RoomRank rank;
+        bool mayRepeat = false; ///< So that it may find out whether a suspected endpoint is back.
+        Base::MonoTime until; ///< It is given up then.
+        /// Looks for a place; true if it waits no longer.
+        std::function<bool()> look;
+        /// There is no room for it.
+        std::function<void()> giveUp;
+    };
+    struct Ticket
+    {
+        Line line;
+        RoomRank rank;
+        std::uint64_t number = 0; ///< Equals go in the order in which they came.
+    };
+
+    explicit RoomQueue(const Options &options)
+        : m_options(options)
+    { }
+    ~RoomQueue();
+    RoomQueue(const RoomQueue &) = delete;
+    RoomQueue &operator=(const RoomQueue &) = delete;
+
+    /// Nothing if the line is full of others that go before it.
+    std::optional<Ticket> add(const Line &line, Waiter waiter);
+    void remove(const Ticket &ticket);
+    /// Whether one that has not looked yet would find nothing, as one in line goes before it that
+    /// may go wherever it may, and found nothing.
+    bool isBehind(const Line &line, const RoomRank &rank, bool mayRepeat) const;
+    /// A place of the service may have come free; those in line look soon, but not from this call.
+    void roomMayBeFree(const Base::ServiceId &service);
+    std::size_t size() const;
+
+private:
+    struct Key
+    {
+        RoomRank rank;
+        std::uint64_t number = 0; ///< See Ticket.
+
+        bool operator<(const Key &other) const;
+    };
+    using Waiters = std::map<Key, Waiter>;
+
+    void tick();
+    void startTicking();
+    void lookAgain();
+    void look(const Line &line, int mostInVain);
+    /// Takes one out and calls its giveUp.
+    void giveUp(const Line &line, const Key &key);
+    void giveUpLate();
+
+    Options m_options;
+    std::map<Line, Waiters> m_lines; ///< None is empty.
+    std::uint64_t m_lastNumber = 0;
+    absl::flat_hash_set<Base::ServiceId> m_freed; ///< Services that have had room since.
+    std::optional<Runtime::TimerId> m_lookTimer;
+    std::optional<Runtime::TimerId> m_tickTimer;
+};
+
+} // namespace Lagoonbank::Gateway
--- a/src/libs/logging/decisionlog.cpp
+++ b/src/libs/logging/decisionlog.cpp
@@ -74,13 +74,22 @@
     , m_toldAt(m_filledAt)
 { }
 
+bool DecisionLog::wants()
+{
+    fill();
+    if (m_tokens >= 1)
+        return true;
+    ++m_leftOut;
+    ++m_leftOutBefore;
+    return false;
+}
+
 void DecisionLog::request(std::string_view part, std::string_view sentence, Fields fields)
 {
-    if (!takeOne()) {
-        ++m_leftOut;
+    if (!wants())
         return;
-    }
-    m_options.output->write(line(part, sentence, fields));
+    m_tokens -= 1;
+    m_options.output->write(line(part, sentence, fields, std::exchange(m_leftOutBefore, 0)));
 }
 
 void DecisionLog::event(std::string_view part, std::string_view sentence, Fields fields)
@@ -94,7 +103,8 @@
     m_options.output->flush();
 }
 
-std::string DecisionLog::line(std::string_view part, std::string_view sentence, Fields fields) const
+std::string DecisionLog::line(std::string_view part, std::string_view sentence, Fields fields,
+                              std::uint64_t leftOutBefore) const
 {
     std::string text;
     text.reserve(256);
@@ -110,20 +120,20 @@
         text += ':';
         appendValue(text, field.value);
     }
+    if (leftOutBefore > 0) {
+        text += R"(,"left_out_before":)";
+        text += std::to_string(leftOutBefore);
+    }
     text += '}';
     return text;
 }
 
-bool DecisionLog::takeOne()
+void DecisionLog::fill()
 {
     const Base::MonoTime now = m_options.now();
     m_tokens += Base::toSeconds(now - m_filledAt) * m_options.linesPerSecond;
     m_tokens = std::min(m_tokens, m_options.burst);
     m_filledAt = now;
-    if (m_tokens < 1)
-        return false;
-    m_tokens -= 1;
-    return true;
 }
 
 void DecisionLog::tellLeftOut()
--- a/src/libs/logging/decisionlog.h
+++ b/src/libs/logging/decisionlog.h
@@ -69,7 +69,11 @@
 
     explicit DecisionLog(Options options);
 
-    /// A line about one request. Left out where there are too many.
+    /// Whether a line about a request would be written now; if not, it counts as left out. For
+    /// those that come for each request, before their values are worked out.
+    bool wants();
+    /// A line about one request. Left out where there are too many; the next one then says how many
+    /// were left out before it.
     void request(std::string_view part, std::string_view sentence, Fields fields);
     /// A line about the process or about what it believes. Left out only if nobody reads.
     void event(std::string_view part, std::string_view sentence, Fields fields);
@@ -77,14 +81,16 @@
     void flush();
 
 private:
-    std::string line(std::string_view part, std::string_view sentence, Fields fields) const;
-    bool takeOne();
+    std::string line(std::string_view part, std::string_view sentence, Fields fields,
+                     std::uint64_t leftOutBefore = 0) const;
+    void fill();
     void tellLeftOut();
 
     Options m_options;
     double m_tokens;
     Base::MonoTime m_filledAt;
-    std::uint64_t m_leftOut = 0;
+    std::uint64_t m_leftOut = 0; ///< Not told of yet.
+    std::uint64_t m_leftOutBefore = 0; ///< Since the last line about a request.
     std::uint64_t m_toldDropped = 0;
     Base::MonoTime m_toldAt;
 };
--- /dev/null
+++ b/tests/auto/gateway/tst_roomqueue.cpp
@@ -0,0 +1,169 @@
+/// Pattern: a service has no room for all that come. Who waits gets it in order, and a look is made
+/// for each place that comes free, not by each who waits.
+#define BOOST_TEST_MODULE tst_roomqueue
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/roomqueue.h"
+#include "runtime/clock.h"
+
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Base::ServiceId service("service");
+
+struct Fixture
+{
+    /// Waits with a name; it takes a place of those that are free.
+    std::optional<RoomQueue::Ticket> wait(const std::string &name, const RoomRank &rank,
+                                          bool isStream = true, bool mayRepeat = true)
+    {
+        return queue.add({.service = service, .isStream = isStream},
+                         {.rank = rank,
+                          .mayRepeat = mayRepeat,
+                          .until = clock.now() + milliseconds(40),
+                          .look =
+                              [this, name] {
+                                  ++looks;
+                                  if (free == 0 || name == barred)
+                                      return false;
+                                  --free;
+                                  got.push_back(name);
+                                  return true;
+                              },
+                          .giveUp = [this, name] { refused.push_back(name); }});
+    }
+    void release(int places)
+    {
+        free += places;
+        for (int i = 0; i < places; ++i)
+            queue.roomMayBeFree(service);
+        timers.runDue();
+    }
+    void pass(Base::Duration duration)
+    {
+        for (auto left = duration; left > left.zero(); left -= milliseconds(1)) {
+            clock.advance(milliseconds(1));
+            timers.runDue();
+        }
+    }
+
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers{clock};
+    RoomQueue queue{{.timers = &timers, .most = 3}};
+    int free = 0;
+    int looks = 0;
+    std::string barred; ///< May not go where there is room.
+    std::vector<std::string> got;
+    std::vector<std::string> refused;
+};
+
+constexpr RoomRank urgent{.urgency = {.priority = 0}};
+constexpr RoomRank usual{.urgency = {.priority = 1}};
+constexpr RoomRank beyondItsShare{.usableShare = 0.85, .urgency = {.priority = 0}};
+constexpr RoomRank repeat{.isRepeat = true, .urgency = {.priority = 2}};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(roomGoesToTheFirstInOrder)
+{
+    Fixture f;
+    f.queue.remove(*f.wait("left", urgent));
+    f.wait("beyond its share", beyondItsShare);
+    f.wait("usual", usual);
+    f.wait("urgent", urgent);
+    f.release(1);
+    BOOST_TEST((f.got == Names{"urgent"}));
+    f.wait("repeat", repeat);
+    f.release(3);
+    BOOST_TEST((f.got == Names{"urgent", "repeat", "usual", "beyond its share"}));
+    BOOST_TEST(f.queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(equalsGoInTheOrderInWhichTheyCame)
+{
+    Fixture f;
+    f.wait("first", usual);
+    f.wait("second", usual);
+    f.release(1);
+    BOOST_TEST((f.got == Names{"first"}));
+}
+
+BOOST_AUTO_TEST_CASE(whoFindsNothingTellsTheOthersThatThereIsNothing)
+{
+    Fixture f;
+    for (const char *name : {"a", "b", "c"})
+        f.wait(name, usual);
+    f.release(0);
+    f.queue.roomMayBeFree(service);
+    f.queue.roomMayBeFree(service);
+    f.timers.runDue();
+    BOOST_TEST(f.looks == 3); // One wake for both, and no more than three in vain.
+    f.pass(milliseconds(10));
+    BOOST_TEST(f.looks == 4);
+}
+
+BOOST_AUTO_TEST_CASE(oneThatMayNotGoThereDoesNotHoldUpTheOthers)
+{
+    Fixture f;
+    f.wait("barred", repeat);
+    f.wait("next", usual);
+    f.barred = "barred";
+    f.release(1);
+    BOOST_TEST((f.got == Names{"next"}));
+}
+
+BOOST_AUTO_TEST_CASE(whoWaitsForTooLongIsRefused)
+{
+    Fixture f;
+    f.wait("a", usual);
+    f.pass(milliseconds(25));
+    BOOST_TEST(f.refused.empty());
+    f.pass(milliseconds(15));
+    BOOST_TEST((f.refused == Names{"a"}));
+    BOOST_TEST(f.queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(roomThatNothingTellsOfIsFoundSoon)
+{
+    Fixture f;
+    f.wait("a", usual);
+    f.free = 1;
+    f.pass(milliseconds(10));
+    BOOST_TEST((f.got == Names{"a"}));
+}
+
+BOOST_AUTO_TEST_CASE(aFullLineTakesOnlyWhoGoesBeforeTheLast)
+{
+    Fixture f;
+    for (const char *name : {"a", "b", "c"})
+        f.wait(name, usual);
+    BOOST_TEST(!f.wait("d", usual).has_value());
+    BOOST_TEST(f.refused.empty());
+    BOOST_TEST(f.wait("urgent", urgent).has_value());
+    BOOST_TEST((f.refused == Names{"c"}));
+}
+
+BOOST_AUTO_TEST_CASE(newcomersLookOnlyIfTheyGoBeforeAllWhoWait)
+{
+    Fixture f;
+    const RoomQueue::Line line{.service = service, .isStream = true};
+    BOOST_TEST(!f.queue.isBehind(line, usual, true));
+    f.wait("sent before", repeat);
+    BOOST_TEST(!f.queue.isBehind(line, usual, true));
+    f.wait("once at most", usual, true, false);
+    BOOST_TEST(f.queue.isBehind(line, usual, false));
+    BOOST_TEST(!f.queue.isBehind(line, usual, true)); // It may find out whether one is back.
+    f.wait("a", usual);
+    BOOST_TEST(f.queue.isBehind(line, usual, true));
+    BOOST_TEST(f.queue.isBehind(line, beyondItsShare, true));
+    BOOST_TEST(!f.queue.isBehind(line, urgent, true));
+    BOOST_TEST(!f.queue.isBehind({.service = service, .isStream = false}, usual, true));
+}
