--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -60,7 +60,7 @@
         deadlinePassed();
     });
     m_prefixes = sharedPrefixes();
-    m_gateway.m_loadShedder.asked(claimant(), m_cameAt);
+    m_gateway.m_loadShedder.asked(claimant(), m_timers.clock().now());
     place();
 }
 
@@ -103,9 +103,10 @@
 /// started.
 bool RequestRun::hasTimeOfRouter()
 {
-    m_gateway.m_retryBudget.requestCame(m_service, m_cameAt);
+    const Base::MonoTime now = m_timers.clock().now();
+    m_gateway.m_retryBudget.requestCame(m_service, now);
     const Base::Duration delay = m_gateway.ownDelay();
-    if (m_gateway.m_backlog.takes(claimant(), delay, m_cameAt))
+    if (m_gateway.m_backlog.takes(claimant(), delay, now))
         return true;
     refuse(ErrorKind::Overloaded, Ran::No, m_gateway.m_backlog.retryAfter(delay));
     return false;
