Gateway: Count failures of an endpoint at once as one

Change: failures of a trusted endpoint within 5 ms count as one. What fails while an endpoint is suspected or on trial counts as before. tst_endpointhealth is new; answersThatBreakAtOnceRaiseNoDoubt fails without the change.

--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -58,6 +58,7 @@
     FadingMean latency; ///< Seconds to the answer, or to the first event of a stream.
     FadingMean pause; ///< Seconds between two events of a stream.
     FadingMean failures{0.0}; ///< 1 for an answer that failed, 0 for a good one.
+    std::optional<Base::MonoTime> failedAt; ///< When a failure was counted last.
     Base::MonoTime heardAt; ///< When anything came from it last.
 };
 
--- a/src/libs/gateway/endpointhealth.cpp
+++ b/src/libs/gateway/endpointhealth.cpp
@@ -17,11 +17,15 @@
         return;
     using State = Routing::Suspicion::State;
     const Base::MonoTime now = m_options.clock->now();
+    Routing::Suspicion &suspicion = m_options.book->suspicion();
+    const State before = suspicion.state(endpoint.index);
+    if (!isGood && before == State::Trusted && isAtOnce(endpoint, now))
+        return;
+    if (!isGood)
+        endpoint.failedAt = now;
     endpoint.failures.add(isGood ? 0 : 1, now, m_options.failureWeight);
     const double share = endpoint.failures.value(0, now, m_options.failureHalfLife);
     const bool isHealthy = isGood || share < m_options.failureShareToSuspect;
-    Routing::Suspicion &suspicion = m_options.book->suspicion();
-    const State before = suspicion.state(endpoint.index);
     suspicion.noteResult(
         endpoint.index,
         isHealthy ? Routing::ExchangeResult::Answered : Routing::ExchangeResult::Broke, now);
@@ -37,6 +41,11 @@
                           {"in_flight", endpoint.inFlight}});
 }
 
+bool EndpointHealth::isAtOnce(const EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    return endpoint.failedAt && now - *endpoint.failedAt < m_options.atOnce;
+}
+
 void EndpointHealth::refused(EndpointRecord &endpoint, bool isOtherEndpoint,
                              const Base::RequestId &request) const
 {
--- a/src/libs/gateway/endpointhealth.h
+++ b/src/libs/gateway/endpointhealth.h
@@ -7,7 +7,7 @@
 namespace Lagoonbank::Gateway {
 
 /// Doubts endpoints by what they answer: a share of failures makes one suspect, a single one does
-/// not; one that is full gets nothing for a moment.
+/// not, and neither do many at once; one that is full gets nothing for a moment.
 class EndpointHealth
 {
 public:
@@ -22,6 +22,10 @@
         /// Of the newest answer; some eight bad ones of sixteen make an endpoint suspect.
         double failureWeight = 0.15;
         Base::Duration failureHalfLife = std::chrono::seconds(4);
+        /// Failures of a trusted endpoint within this time count as one: what resets connections in
+        /// bulk breaks all answers at once, and tells no more of the endpoint than one of them.
+        /// They come within a round trip; an engine that fails by itself does so each tens of ms.
+        Base::Duration atOnce = std::chrono::milliseconds(5);
         /// For which an endpoint that refused as full gets nothing new: a few of its requests end
         /// meanwhile.
         Base::Duration fullTime = std::chrono::milliseconds(150);
@@ -39,6 +43,9 @@
                  const Base::RequestId &request) const;
 
 private:
+    /// Whether another failure has been counted a moment ago.
+    bool isAtOnce(const EndpointRecord &endpoint, Base::MonoTime now) const;
+
     Options m_options;
 };
 
--- /dev/null
+++ b/tests/auto/gateway/tst_endpointhealth.cpp
@@ -0,0 +1,96 @@
+/// Pattern: connections are reset in bulk, by a link or by an endpoint that takes no more of them.
+/// Each endpoint breaks all that it was at work on for a router in the same moment, and is as well
+/// as before.
+#define BOOST_TEST_MODULE tst_endpointhealth
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/endpointhealth.h"
+
+#include "logging/boundedoutput.h"
+
+#include <chrono>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Fixture
+{
+    Fixture() { book.put({.id = id, .service = Base::ServiceId("service")}, clock.now()); }
+    void fail(int times, Base::Duration apart)
+    {
+        for (int i = 0; i < times; ++i) {
+            health.answered(*book.find(id), false, Base::RequestId("r"));
+            clock.advance(apart);
+        }
+    }
+    void answer() { health.answered(*book.find(id), true, Base::RequestId("r")); }
+    Routing::Suspicion::State state() { return book.suspicion().state(book.find(id)->index); }
+    bool isTrusted() { return state() == Routing::Suspicion::State::Trusted; }
+
+    const Base::EndpointId id{"e"};
+    Runtime::ManualClock clock;
+    Logging::BoundedOutput output{{.descriptor = -1}};
+    Logging::DecisionLog log{{.output = &output,
+                              .wallNow = [this] { return clock.wallNow(); },
+                              .now = [this] { return clock.now(); }}};
+    EndpointBook book{{.suspicion = {.firstWait = milliseconds(500)}}};
+    EndpointHealth health{{.book = &book, .clock = &clock, .log = &log}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(answersThatBreakAtOnceRaiseNoDoubt)
+{
+    Fixture f;
+    f.fail(30, {});
+    BOOST_TEST(f.isTrusted());
+}
+
+BOOST_AUTO_TEST_CASE(answersThatFailOneAfterTheOtherRaiseDoubt)
+{
+    Fixture f;
+    f.fail(12, milliseconds(10));
+    BOOST_TEST(!f.isTrusted());
+}
+
+/// As of an endpoint that is reset again and again and answers nothing between.
+BOOST_AUTO_TEST_CASE(bulksOfBrokenAnswersThatGoOnRaiseDoubt)
+{
+    Fixture f;
+    for (int i = 0; i < 12; ++i) {
+        f.fail(5, {});
+        f.clock.advance(milliseconds(100));
+    }
+    BOOST_TEST(!f.isTrusted());
+}
+
+/// A trial that fails beside others has told what it was sent for.
+BOOST_AUTO_TEST_CASE(aTrialThatFailsInABulkKeepsTheEndpointSuspected)
+{
+    Fixture f;
+    f.fail(12, milliseconds(10));
+    f.clock.advance(milliseconds(500));
+    const auto index = f.book.find(f.id)->index;
+    BOOST_REQUIRE(f.book.suspicion().admitsTrial(index, f.clock.now()));
+    f.fail(1, {});
+    f.book.suspicion().noteTrialSent(index, f.clock.now());
+    f.fail(1, {});
+    BOOST_TEST((f.state() == Routing::Suspicion::State::Suspected));
+    f.clock.advance(milliseconds(5000));
+    BOOST_TEST(f.book.suspicion().admitsTrial(index, f.clock.now()));
+}
+
+BOOST_AUTO_TEST_CASE(goodAnswersBetweenFailuresKeepTrust)
+{
+    Fixture f;
+    for (int i = 0; i < 12; ++i) {
+        f.fail(1, milliseconds(10));
+        f.answer();
+        f.answer();
+        f.answer();
+    }
+    BOOST_TEST(f.isTrusted());
+}
