--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -56,11 +56,14 @@
 {
     const Base::EndpointId id = endpoint.id;
     const auto known = m_entries.find(id);
-    const bool isOld = known != m_entries.end() && known->second.version >= version;
+    const Base::LogOffset newest =
+        known != m_entries.end() ? known->second.version + Base::LogOffset(1) : m_completeTo;
+    const bool isOld = version < newest;
     if (isOld || isGone(id, version))
         return;
-    if (known != m_entries.end() && isOfEarlierStart(endpoint, known->second.endpoint))
+    if (known != m_entries.end() && isLate(endpoint, known->second, version))
         return;
+    m_doubted.erase(id);
     if (known != m_entries.end() && !endpoint.startedAt)
         endpoint.startedAt = known->second.endpoint.startedAt;
     std::erase_if(m_missing, [&](const GoneEndpoint &one) { return one.id == id; });
@@ -82,7 +85,8 @@
     const auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.version > version)
         return;
-    const bool mayReturn = m_returnTimer && known->second.endpoint.state != EndpointState::Draining;
+    const bool mayReturn =
+        (m_returnTimer || m_isHeld) && known->second.endpoint.state != EndpointState::Draining;
     if (!mayReturn) {
         remove(id, version);
         return;
@@ -101,9 +105,11 @@
     }
     if (known->second.version > version)
         return;
+    std::erase_if(m_missing, [&](const GoneEndpoint &one) { return one.id == id; });
     Entry last = std::move(known->second);
     last.version = version;
     m_entries.erase(known);
+    m_doubted.erase(id);
     toggleInDigest(last.endpoint);
     rememberGone(id, version);
     if (removed)
@@ -118,12 +124,15 @@
         if (entry.version < end && !present.contains(id))
             missing.push_back(id);
     }
+    m_completeTo = std::max(m_completeTo, end);
+    // The record at the end is not among those that were read; it may be the endpoint's next entry.
     for (const Base::EndpointId &id : missing)
-        entryDropped(id, end);
+        entryDropped(id, end - Base::LogOffset(1));
 }
 
 void EndpointDirectory::storeReturned()
 {
+    m_isHeld = false;
     if (m_returnTimer)
         m_options.timers->cancel(*m_returnTimer);
     m_returnTimer = m_options.timers->start(m_options.returnTime, [this] {
@@ -132,6 +141,14 @@
     });
 }
 
+void EndpointDirectory::storeLeft()
+{
+    if (!m_returnTimer)
+        return;
+    m_options.timers->cancel(*std::exchange(m_returnTimer, std::nullopt));
+    m_isHeld = true;
+}
+
 const Endpoint *EndpointDirectory::find(const Base::EndpointId &id) const
 {
     const auto found = m_entries.find(id);
@@ -145,6 +162,27 @@
     });
 }
 
+bool EndpointDirectory::isMissing(const Base::EndpointId &id, Base::LogOffset version) const
+{
+    return std::any_of(m_missing.begin(), m_missing.end(), [&](const GoneEndpoint &one) {
+        return one.id == id && one.version < version;
+    });
+}
+
+/// What comes after the known start's entry was dropped is not late, whatever its clock says.
+bool EndpointDirectory::isLate(const Endpoint &endpoint, const Entry &known,
+                               Base::LogOffset version)
+{
+    if (!isOfEarlierStart(endpoint, known.endpoint) || isMissing(endpoint.id, version))
+        return false;
+    const auto doubted = m_doubted.find(endpoint.id);
+    if (doubted != m_doubted.end() && doubted->second.endpoint.startedAt == endpoint.startedAt
+        && doubted->second.version < version)
+        return false;
+    m_doubted.insert_or_assign(endpoint.id, Entry{endpoint, version});
+    return true;
+}
+
 void EndpointDirectory::rememberGone(const Base::EndpointId &id, Base::LogOffset version)
 {
     m_gone.push_back({id, version});
--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -63,7 +63,8 @@
     EndpointDirectory &operator=(const EndpointDirectory &) = delete;
 
     /// An entry was written. One of a start before the one that is known came late, and changes
-    /// nothing; one that names no start is of the one that is known.
+    /// nothing unless it comes again: late writes come once, and a start whose clock was set back
+    /// writes again and again. One that names no start is of the one that is known.
     void put(Endpoint endpoint, Base::LogOffset version);
     /// The store has dropped the entry; see the class for when that is believed.
     void entryDropped(const Base::EndpointId &id, Base::LogOffset version);
@@ -75,6 +76,12 @@
     void reconcile(const absl::flat_hash_set<Base::EndpointId> &present, Base::LogOffset end);
     /// The store answers again after it was away.
     void storeReturned();
+    /// The store is away again. Entries that it dropped lately are kept until it has returned.
+    void storeLeft();
+    /// Whether it does so.
+    bool isHeld() const { return m_isHeld; }
+    /// Whether entries have been dropped that may still come back; only the store can tell.
+    bool hasMissing() const { return !m_missing.empty(); }
 
     const Entries &entries() const { return m_entries; }
     const std::deque<GoneEndpoint> &gone() const { return m_gone; }
@@ -89,6 +96,8 @@
 
 private:
     bool isGone(const Base::EndpointId &id, Base::LogOffset version) const;
+    bool isMissing(const Base::EndpointId &id, Base::LogOffset version) const;
+    bool isLate(const Endpoint &endpoint, const Entry &known, Base::LogOffset version);
     void rememberGone(const Base::EndpointId &id, Base::LogOffset version);
     /// Adds the endpoint to the digest, or takes it out again.
     void toggleInDigest(const Endpoint &endpoint);
@@ -97,9 +106,15 @@
     Options m_options;
     Entries m_entries;
     std::deque<GoneEndpoint> m_gone; ///< The last one last.
+    /// All entries of before that were there were read, so others have gone. A peer that has not
+    /// heard of that may still tell of one, and the store would never tell again that it has gone.
+    Base::LogOffset m_completeTo;
     EndpointDigest m_digest{};
+    /// Entries of earlier starts that came last, and changed nothing.
+    absl::flat_hash_map<Base::EndpointId, Entry> m_doubted;
     std::vector<GoneEndpoint> m_missing; ///< Dropped by the store, not yet believed.
     std::optional<Runtime::TimerId> m_returnTimer; ///< Runs for returnTime after a return.
+    bool m_isHeld = false; ///< The store went away while the timer ran.
 };
 
 } // namespace Lagoonbank::Fleet
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -13,6 +13,15 @@
 constexpr std::uint32_t unknownAge = std::numeric_limits<std::uint32_t>::max();
 /// Changes that one datagram carries; more are found out by the hash and pulled.
 constexpr std::size_t mostNews = 8;
+/// Pulls in a row without an answer after which a router reads the store itself: it hears its
+/// reader over a link that is cut in the other direction.
+constexpr int mostFailedPulls = 2;
+/// Past the moment at which a reader counts as failing.
+constexpr Base::Duration readMargin = std::chrono::milliseconds(1);
+/// Ticks are half a second apart, so a process that did nothing for so long stood still.
+constexpr Base::Duration standstill = std::chrono::seconds(1);
+/// In which a process that goes on reads what has come meanwhile.
+constexpr Base::Duration backlogTime = std::chrono::milliseconds(100);
 
 std::uint32_t ageNumber(std::optional<Base::Duration> age)
 {
@@ -71,6 +80,7 @@
 FleetSync::~FleetSync()
 {
     m_options.timers->cancel(m_timer);
+    m_options.timers->cancel(m_silenceTimer);
     if (m_newsTimer)
         m_options.timers->cancel(*m_newsTimer);
 }
@@ -78,6 +88,7 @@
 void FleetSync::start()
 {
     m_startedAt = now();
+    m_activeAt = m_startedAt;
     m_readingSince = m_startedAt;
     tick();
 }
@@ -103,10 +114,11 @@
     if (beacon.router == m_options.id)
         return;
     bool isNew = false;
-    const Peer &peer = m_peers.note(fromIp, beacon, isNew);
+    const Peer &peer = m_peers.note(fromIp, beacon, arrivedAt(), isNew);
     for (const SharedEndpoint &news : beacon.news)
         learn(news);
     compare(peer);
+    watch(peer);
     if (isNew && !peer.isTold)
         sendTo(peer);
 }
@@ -149,15 +161,21 @@
     const bool isBehind = peer.configuration > m_configuration.revision.value();
     const bool isSame = peer.endpoints == m_options.directory->hash();
     if (isSame && !isBehind) {
-        m_knownAt = std::max(m_knownAt.value_or(peer.knownAt), peer.knownAt);
+        noteKnown(peer.knownAt);
         return;
     }
-    const bool wantsMore = !isSame && wantsEndpoints(peer);
+    const bool wantsMore = !isSame && !isFruitless(peer) && wantsEndpoints(peer);
     if ((!wantsConfiguration(peer, isBehind) && !wantsMore) || m_isPulling
         || now() - m_pulledAt < m_options.pullInterval)
         return;
+    if (m_failedPulls >= mostFailedPulls && !m_isReading) {
+        doubt();
+        return;
+    }
     m_pulledAt = now();
     m_isPulling = true;
+    ++m_failedPulls;
+    m_pulledFrom = peer.id;
     const Fleet::EndpointDigest &digest = m_options.directory->digest();
     pull(peer.address,
          {.configuration = m_configuration.revision.value(),
@@ -189,18 +207,54 @@
 
 void FleetSync::take(const Schema::FleetStateAnswer &state)
 {
+    m_failedPulls = 0;
+    const std::uint64_t before = m_options.directory->hash();
     for (const SharedEndpoint &endpoint : state.endpoints)
         learn(endpoint);
-    if (state.knowledgeAgeMs != unknownAge) {
-        const Base::MonoTime at = now() - std::chrono::milliseconds(state.knowledgeAgeMs);
-        m_knownAt = std::max(m_knownAt.value_or(at), at);
-    }
+    const bool isFruitless = m_options.directory->hash() == before;
+    if (isFruitless)
+        noteFruitless();
+    // The store may have dropped some of them while it was away.
+    if (!m_knownAt)
+        m_options.directory->storeReturned();
+    if (state.knowledgeAgeMs != unknownAge && !m_isDoubting)
+        noteKnown(m_pulledAt - std::chrono::milliseconds(state.knowledgeAgeMs));
     if (!state.configuration.empty() && configurationLearnt) {
         configurationLearnt(
             {.offset = Base::LogOffset(state.configurationOffset), .packed = state.configuration});
     }
 }
 
+bool FleetSync::isFruitless(const Peer &peer) const
+{
+    return peer.fruitless && peer.fruitless->own == m_options.directory->hash()
+        && peer.fruitless->peer == peer.endpoints
+        && now() - peer.fruitless->at < m_options.fruitlessInterval;
+}
+
+/// The answer has told nothing new though the two differ: the peer lacks what this router has, and
+/// does not know that it has gone, as a reader that has just started. Only the store can tell.
+void FleetSync::noteFruitless()
+{
+    const auto found = m_peers.peers().find(m_pulledFrom);
+    if (found == m_peers.peers().end())
+        return;
+    const Peer &peer = found->second;
+    if (peer.endpoints == m_options.directory->hash())
+        return;
+    m_peers.setFruitless(peer, m_options.directory->hash());
+    if (m_isReading || !peer.isReading || !m_peers.isLocal(peer))
+        return;
+    doubt();
+}
+
+void FleetSync::doubt()
+{
+    m_failedPulls = 0;
+    m_isDoubting = true;
+    checkDuty();
+}
+
 void FleetSync::learn(const SharedEndpoint &shared)
 {
     const Base::EndpointId id(shared.id);
@@ -223,15 +277,59 @@
 
 void FleetSync::storeRead()
 {
-    m_knownAt = now();
+    noteKnown(arrivedAt());
     m_storeReadAt = m_knownAt;
     m_hasStoreFailed = false;
+    m_isDoubting = false;
+}
+
+void FleetSync::storeFailed()
+{
+    m_hasStoreFailed = true;
+    m_options.directory->storeLeft();
+}
+
+/// When a message that is read now may have come. Those that came while the process stood still
+/// have waited in its sockets, and what they call new is as old as that.
+Base::MonoTime FleetSync::arrivedAt()
+{
+    if (now() - m_activeAt > standstill) {
+        m_stoodStillAt = m_activeAt;
+        m_backlogUntil = now() + backlogTime;
+    }
+    m_activeAt = now();
+    return now() < m_backlogUntil ? m_stoodStillAt : now();
+}
+
+/// Whether the store, of which nothing was known until \a at, may have been away for so long that
+/// entries have lapsed. Outages count as one if endpoints had no time to write in between.
+bool FleetSync::mayHaveLapsed(Base::MonoTime at)
+{
+    // Without a failed read of its own a router may just have lost its reader.
+    if (!m_hasStoreFailed)
+        return at - *m_knownAt > m_options.shortestLapse;
+    if (at - *m_knownAt <= m_options.longestReadGap)
+        return false;
+    if (*m_knownAt - m_thereSince >= m_options.writeTime)
+        m_awaySince = *m_knownAt;
+    m_thereSince = at;
+    return at - m_awaySince > m_options.shortestLapse;
+}
+
+/// What is known was true at \a at. If nobody knew for long, entries may have lapsed meanwhile; a
+/// peer that the store has answered first tells of its return before the own read does.
+void FleetSync::noteKnown(Base::MonoTime at)
+{
+    if (m_knownAt && mayHaveLapsed(at))
+        m_options.directory->storeReturned();
+    m_knownAt = std::max(m_knownAt.value_or(at), at);
 }
 
 void FleetSync::storeReturned()
 {
-    const std::optional<Base::Duration> age = knowledgeAge();
-    if (!age || *age > m_options.shortestLapse)
+    if (!m_knownAt && m_options.directory->entries().empty())
+        return; // Nothing can have lapsed.
+    if (!m_knownAt || m_options.directory->isHeld() || mayHaveLapsed(now()))
         m_options.directory->storeReturned();
 }
 
@@ -296,6 +394,7 @@
 
 void FleetSync::tick()
 {
+    arrivedAt();
     checkDuty();
     sendBeacons();
     m_timer = m_options.timers->start(m_peers.beaconInterval(), [this] { tick(); });
@@ -311,8 +410,9 @@
         return m_peers.isLocal(peer) && peer.isReading && m_peers.isAlive(peer) && !peer.isLeaving
             && m_peers.isStronger(peer) && !isFailing(peer);
     });
-    // Until it knows anything a router reads, whoever else does.
-    const bool reads = !isOther || !m_knownAt;
+    // Until it knows anything a router reads, whoever else does; so it does while it waits for
+    // entries to come back, as peers that have not missed them would not tell.
+    const bool reads = !isOther || !m_knownAt || m_isDoubting || m_options.directory->hasMissing();
     if (reads == m_isReading)
         return;
     m_isReading = reads;
@@ -324,15 +424,32 @@
 
 bool FleetSync::isFailing(const Peer &peer) const
 {
-    return peer.isReading && peer.heardAt
-        && *peer.heardAt - peer.knownAt > m_options.readerAgeLimit;
+    if (!peer.isReading || !peer.heardAt)
+        return false;
+    // Its deputies hear it often; others could not tell its silence from failed reads.
+    const Base::MonoTime at = m_peers.isDeputyOf(peer) ? now() : *peer.heardAt;
+    return at - peer.knownAt > m_options.readerAgeLimit;
 }
 
-/// Peers count on a reader by this. What it learns from them says nothing of its own reads.
+/// Peers count on a reader by this, so it has to have read since it became one. What it learns from
+/// them says nothing of its own reads.
 bool FleetSync::readsWell() const
 {
-    const Base::MonoTime since = std::max(m_storeReadAt.value_or(m_readingSince), m_readingSince);
-    return m_isReading && now() - since <= m_options.readerAgeLimit;
+    return m_isReading && m_storeReadAt && *m_storeReadAt >= m_readingSince
+        && now() - *m_storeReadAt <= m_options.readerAgeLimit;
+}
+
+/// A leaving endpoint has to be known in 2 s, of which 1.6 s go by until a reader counts as
+/// failing. That leaves no time to wait for the next tick.
+void FleetSync::watch(const Peer &peer)
+{
+    if (!peer.isReading || !m_peers.isLocal(peer))
+        return;
+    m_options.timers->cancel(m_silenceTimer);
+    Base::Duration limit = m_peers.silenceLimit(peer);
+    if (m_peers.isDeputyOf(peer))
+        limit = std::min(limit, m_options.readerAgeLimit - (now() - peer.knownAt) + readMargin);
+    m_silenceTimer = m_options.timers->start(limit, [this] { checkDuty(); });
 }
 
 void FleetSync::sendBeacons()
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -50,8 +50,13 @@
         /// A reader that has read the store within this time asks no peer for endpoints: it does so
         /// each 700 ms.
         Base::Duration storeFreshness = std::chrono::milliseconds(1000);
-        /// Entries lapse after three heartbeats of 1.2 s; in less than this none has.
-        Base::Duration shortestLapse = std::chrono::seconds(2);
+        /// Entries lapse after three heartbeats of 1.2 s, of which one may have passed when the
+        /// store went away; in less than this none has. A reader that dies leaves a gap of 2 s.
+        Base::Duration shortestLapse = std::chrono::milliseconds(2300);
+        /// From one read to the next; where reads failed, longer ones are gaps.
+        Base::Duration longestReadGap = std::chrono::milliseconds(800);
+        /// In which endpoints write their entries again after the store's return: 2 s, and a read.
+        Base::Duration writeTime = std::chrono::milliseconds(2200);
         /// A router that starts leaves its peers alone for so long unless the store fails it; that
         /// answers within 25 ms, and within a second when hundreds of routers start at once.
         Base::Duration firstReadTime = std::chrono::milliseconds(500);
@@ -60,6 +65,10 @@
         Base::Duration ownReaderTime = std::chrono::milliseconds(200);
         /// Between two pulls from whomever, while a difference lasts and none is on its way.
         Base::Duration pullInterval = std::chrono::milliseconds(400);
+        /// From a pull that told nothing new to the next one of the same peer while neither it nor
+        /// this router changes; others are asked meanwhile. Endpoints write their entries again in
+        /// it.
+        Base::Duration fruitlessInterval = std::chrono::milliseconds(1500);
     };
 
     explicit FleetSync(Options options);
@@ -89,13 +98,14 @@
     void receive(const std::string &fromIp, const Schema::FleetBeacon &beacon);
     Schema::FleetStateAnswer answer(const Schema::FleetStateRequest &request) const;
     void pullEnded() { m_isPulling = false; }
+    /// The answer to the last pull.
     void take(const Schema::FleetStateAnswer &state);
     /// All endpoints that the store had a moment ago have been put into the directory.
     void storeRead();
     /// The store answers this router again; its entries may have lapsed if it answered nobody.
     void storeReturned();
     /// A read of the endpoints has failed.
-    void storeFailed() { m_hasStoreFailed = true; }
+    void storeFailed();
     void setConfiguration(StoredConfiguration configuration);
     /// To be called when the directory has changed.
     void endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone);
@@ -115,6 +125,7 @@
     Base::MonoTime now() const { return m_options.timers->clock().now(); }
     void tick();
     void checkDuty();
+    void watch(const Peer &peer);
     bool isFailing(const Peer &peer) const;
     bool readsWell() const;
     void sendBeacons();
@@ -125,6 +136,12 @@
     bool wantsConfiguration(const Peer &peer, bool isBehind);
     void compare(const Peer &peer);
     void learn(const Schema::SharedEndpoint &shared);
+    bool isFruitless(const Peer &peer) const;
+    void noteFruitless();
+    void doubt();
+    Base::MonoTime arrivedAt();
+    bool mayHaveLapsed(Base::MonoTime at);
+    void noteKnown(Base::MonoTime at);
     Schema::FleetBeacon beacon() const;
 
     Options m_options;
@@ -132,11 +149,20 @@
     StoredConfiguration m_configuration;
     std::optional<Base::MonoTime> m_knownAt; ///< Time to which what is known was true.
     std::optional<Base::MonoTime> m_storeReadAt;
+    Base::MonoTime m_thereSince{}; ///< Since the last gap.
+    Base::MonoTime m_awaySince{}; ///< Start of the gaps that count as one.
     bool m_hasStoreFailed = false; ///< Since it was read last.
     Base::MonoTime m_startedAt{};
+    Base::MonoTime m_activeAt{}; ///< When it last did anything.
+    Base::MonoTime m_stoodStillAt{}; ///< Since when, the last time.
+    Base::MonoTime m_backlogUntil{}; ///< What is read until then may have come meanwhile.
     Base::MonoTime m_readingSince{};
     Base::MonoTime m_pulledAt{};
     bool m_isPulling = false;
+    std::string m_pulledFrom; ///< Id of the peer.
+    int m_failedPulls = 0; ///< In a row, the one that is under way included.
+    /// Pulls have not settled a difference, so this router reads the store itself.
+    bool m_isDoubting = false;
     /// Since when another data centre has a newer configuration than this router.
     std::optional<Base::MonoTime> m_behindSince;
     Base::MonoTime m_localBeaconsAt{}; ///< Those to peers that are not told often.
@@ -146,6 +172,7 @@
     bool m_isLeaving = false;
     bool m_isAnnouncing = false; ///< Has become a reader; the whole data centre has to hear of it.
     Runtime::TimerId m_timer;
+    Runtime::TimerId m_silenceTimer; ///< Runs while a reader of this data centre is alive.
 };
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/peertable.cpp
+++ b/src/libs/fleetsync/peertable.cpp
@@ -29,21 +29,21 @@
 }
 
 const Peer &PeerTable::note(const std::string &fromIp, const Schema::FleetBeacon &beacon,
-                            bool &isNew)
+                            Base::MonoTime at, bool &isNew)
 {
     Peer &peer = m_peers[beacon.router];
     const bool isUnknown = peer.id.empty();
-    const Base::MonoTime now = m_options.clock->now();
     isNew = !peer.heardAt;
     peer.id = beacon.router;
     peer.dataCentre = beacon.dataCentre;
     peer.address = {fromIp, static_cast<std::uint16_t>(beacon.port)};
-    peer.heardAt = now;
+    peer.heardAt = at;
     peer.strength = beacon.strength;
     peer.isReading = beacon.isReading;
     peer.isLeaving = beacon.isLeaving;
     peer.isKnowing = beacon.knowledgeAgeMs != std::numeric_limits<std::uint32_t>::max();
-    peer.knownAt = now - std::chrono::milliseconds(peer.isKnowing ? beacon.knowledgeAgeMs : 0);
+    peer.knownAt = at - (isLocal(peer) ? m_options.localTransit : m_options.farTransit)
+        - std::chrono::milliseconds(peer.isKnowing ? beacon.knowledgeAgeMs : 0);
     peer.configuration = beacon.configuration;
     peer.endpoints = beacon.endpoints;
     peer.deputies = beacon.deputies;
--- a/src/libs/fleetsync/peertable.h
+++ b/src/libs/fleetsync/peertable.h
@@ -31,6 +31,14 @@
     std::uint64_t endpoints = 0;
     bool isTold = false; ///< Has been sent a beacon.
     std::vector<std::string> deputies; ///< Of a reader; see FleetBeacon.
+    /// A pull that told nothing new: when it ended, and the hashes of both sides then.
+    struct Fruitless
+    {
+        Base::MonoTime at;
+        std::uint64_t own = 0;
+        std::uint64_t peer = 0;
+    };
+    std::optional<Fruitless> fruitless;
 };
 
 /// The routers that this one has heard of, and which of them can be counted on.
@@ -61,6 +69,11 @@
         /// Intervals without a beacon after which a peer is not counted on: two lost ones and some
         /// delay.
         double missedIntervals = 2.6;
+        /// That a beacon may have been on its way, inside of a data centre and between two. Ages
+        /// that are passed back and forth would else shrink by that each time, so that nobody saw
+        /// how long the store has been away.
+        Base::Duration localTransit = std::chrono::milliseconds(5);
+        Base::Duration farTransit = std::chrono::milliseconds(50);
         /// Other data centres that a reader talks to in an interval; news spread on from there.
         std::size_t contacts = 3;
     };
@@ -70,17 +83,26 @@
     /// A router that was registered; null if it is this one or has told of itself before.
     const Peer *add(const std::string &id, const std::string &dataCentre,
                     const Runtime::SocketAddress &address);
-    /// A beacon has come; \a isNew says whether it is the peer's first.
-    const Peer &note(const std::string &fromIp, const Schema::FleetBeacon &beacon, bool &isNew);
+    /// A beacon has come, \a at this time or later; \a isNew says whether it is the peer's first.
+    const Peer &note(const std::string &fromIp, const Schema::FleetBeacon &beacon,
+                     Base::MonoTime at, bool &isNew);
 
     /// This router has sent \a peer a beacon.
     void setTold(const Peer &peer) { m_peers[peer.id].isTold = true; }
+    void setFruitless(const Peer &peer, std::uint64_t own)
+    {
+        m_peers[peer.id].fruitless = {m_options.clock->now(), own, peer.endpoints};
+    }
     bool isAlive(const Peer &peer) const;
+    /// Without a beacon for so long a peer is not counted on.
+    Base::Duration silenceLimit(const Peer &peer) const;
     bool isLocal(const Peer &peer) const { return peer.dataCentre == m_options.dataCentre; }
     /// Goes before this router in reading the store.
     bool isStronger(const Peer &peer) const;
     /// The strongest living routers of this data centre beside this one.
     std::vector<std::string> deputies() const;
+    /// This reader has made this router one of its deputies.
+    bool isDeputyOf(const Peer &reader) const;
     /// A living reader has made this router one of its deputies.
     bool isDeputy() const;
     /// Time between two beacons of a reader and its deputies, and of readers.
@@ -96,8 +118,6 @@
     const std::map<std::string, Peer> &peers() const { return m_peers; }
 
 private:
-    bool isDeputyOf(const Peer &reader) const;
-    Base::Duration silenceLimit(const Peer &peer) const;
     void count(const std::string &dataCentre) { ++m_sizes[dataCentre]; }
     std::size_t localCount() const;
     std::size_t otherDataCentres() const { return m_sizes.size() - (localCount() > 0 ? 1 : 0); }
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -19,6 +19,8 @@
 void KeyedView::start()
 {
     m_isRunning = true;
+    // The log may have been away since this view was stopped.
+    m_hasHealth = false;
     fill();
 }
 
@@ -162,8 +164,9 @@
 void KeyedView::readAnswered()
 {
     m_backoff.reset();
+    const bool isLate = age().value_or(Base::Duration::zero()) > m_options.longestGap;
     m_answeredAt = m_options.timers->clock().now();
-    const bool isNews = !m_hasHealth || !m_isUp;
+    const bool isNews = !m_hasHealth || !m_isUp || isLate;
     m_hasHealth = true;
     m_isUp = true;
     if (isNews && healthChanged)
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -28,6 +28,9 @@
         /// How long a read of the tail waits for news.
         Base::Duration wait{};
         PlatformClient::Backoff::Options backoff; ///< While the log does not answer.
+        /// An answer that comes so long after the one before is told as the log's return, as nobody
+        /// knows whether it was there meanwhile: a process that stood still has seen no read fail.
+        Base::Duration longestGap = std::chrono::seconds(2);
     };
 
     using Keys = absl::flat_hash_set<std::string>;
@@ -59,6 +62,7 @@
     /// All that the log held when a read was answered has been told. Of a log of several pages that
     /// is after the last one.
     std::function<void()> caughtUp;
+    /// Also told when it was up before, if that is long ago.
     std::function<void(bool isUp)> healthChanged;
 
 private:
--- a/tests/auto/fleetsync/tst_fleetsync.cpp
+++ b/tests/auto/fleetsync/tst_fleetsync.cpp
@@ -384,3 +384,46 @@
     }
     BOOST_TEST(pulls == 1);
 }
+
+/// Found by the simulation: routers that passed an age back and forth while the store was away took
+/// off the time on the way each time, so that after 2.5 s of outage all of them thought of 2 s, in
+/// which no entry lapses, and gave up endpoints that lived.
+BOOST_AUTO_TEST_CASE(anAgeThatIsPassedOnDoesNotShrink)
+{
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers(clock);
+    Fleet::EndpointDirectory directory({.timers = &timers});
+    FleetSync::FleetSync sync(
+        {.id = "hearer", .dataCentre = "dc0", .directory = &directory, .timers = &timers});
+    constexpr std::uint32_t toldMs = 1000;
+    constexpr Base::Duration longestWay = milliseconds(45);
+    sync.start();
+    sync.receive("10.0.0.1",
+                 {.router = "far",
+                  .dataCentre = "dc1",
+                  .port = 7000,
+                  .knowledgeAgeMs = toldMs,
+                  .endpoints = directory.hash()});
+    BOOST_TEST((sync.knowledgeAge().value() >= milliseconds(toldMs) + longestWay));
+}
+
+/// Found by the simulation: a deputy that the store turned away said for 1.6 s that it read, and
+/// the next deputy left the store to it.
+BOOST_AUTO_TEST_CASE(aReaderIsCountedOnOnlyOnceItHasRead)
+{
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers(clock);
+    Fleet::EndpointDirectory directory({.timers = &timers});
+    FleetSync::FleetSync sync(
+        {.id = "reader", .dataCentre = "dc0", .directory = &directory, .timers = &timers});
+    bool saysItReads = false;
+    sync.send = [&](const auto &, const Schema::FleetBeacon &beacon) {
+        saysItReads = beacon.isReading;
+    };
+    sync.start();
+    sync.addRouter("peer", "dc0", {"10.0.0.1", 7000});
+    BOOST_TEST(!saysItReads);
+    sync.storeRead();
+    sync.leave();
+    BOOST_TEST(saysItReads);
+}
--- /dev/null
+++ b/tests/auto/simulation/checks.cpp
@@ -0,0 +1,259 @@
+#include "auto/simulation/checks.h"
+
+#include "auto/simulation/simulatedconfiguration.h"
+
+#include <algorithm>
+
+namespace Simulation {
+
+using namespace Lagoonbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// In which a machine in touch has to have what the store acknowledged.
+constexpr Base::Duration bound = milliseconds(2000);
+/// Without trouble for so long, a machine or the store counts as calm.
+constexpr Base::Duration stableTime = milliseconds(3000);
+/// A router that the store did not answer notices its return after 0.7 s of a silent call and 0.8 s
+/// of backing off, and waits from then on for entries to come back; 0.8 s more than it should.
+constexpr Base::Duration noticeTime = milliseconds(800);
+/// After the store's return: noticed after 0.7 s of a silent call and 0.8 s of backing off, waited
+/// for 2.2 s, told by the next beacons.
+constexpr Base::Duration returnBound = milliseconds(5000);
+/// A start whose clock was set back is believed when it writes again, after 1.2 s; another router
+/// may have to hear of that, or to read it itself.
+constexpr Base::Duration repeatTime = milliseconds(3000);
+/// After the last step endpoints still lapse (3.6 s), end a drain or come back (1.9 s).
+constexpr Base::Duration lapseTime = milliseconds(4000);
+/// From then on all routers agree within this: the bound after a return, and a takeover.
+constexpr Base::Duration agreeBound = milliseconds(6000);
+/// A lost beacon may bring a second reader, which ends when it has heard of the first again.
+constexpr Base::Duration takeoverTime = milliseconds(1200);
+/// For which the calm fleet is watched.
+constexpr Base::Duration quietTime = milliseconds(3000);
+/// Of a router's control traffic.
+constexpr std::uint64_t bytesPerSecond = 5000;
+/// A reader reads each 0.7 s, its beacons follow within 0.5 s.
+constexpr Base::Duration oldestKnowledge = milliseconds(2000);
+
+std::string describe(const Fleet::Endpoint *endpoint)
+{
+    return endpoint ? toText(*endpoint) : std::string("nothing");
+}
+
+} // namespace
+
+Checks::Checks(World &world, const History &history)
+    : m_world(world)
+    , m_quietFrom(milliseconds(endOfStepsMs(history)) + lapseTime)
+{
+    watchEvents();
+}
+
+Base::Duration Checks::end() const
+{
+    return m_quietFrom + agreeBound + quietTime;
+}
+
+void Checks::watchEvents()
+{
+    m_world.events.started = [this](Place at) {
+        note(at, 0);
+        tell(at, "starts");
+        std::erase_if(m_starts, [at](const auto &one) { return one.first.first == at; });
+    };
+    m_world.events.configured = [this](Place at, std::uint64_t before, std::uint64_t after) {
+        note(at, after);
+        tell(at, "configuration " + std::to_string(after));
+        if (after <= before)
+            fail("a configuration goes back", std::to_string(after));
+    };
+    m_world.events.changed = [this](Place at, const Fleet::Endpoint &endpoint) {
+        changed(at, endpoint);
+    };
+    m_world.events.removed = [this](Place at, const Fleet::Endpoint &endpoint) {
+        removed(at, endpoint);
+    };
+    m_world.events.dutyChanged = [this](Place at, bool reads) {
+        tell(at, reads ? "reads" : "leaves reading to a peer");
+    };
+    m_world.events.pulled = [this](Place at, Place from, std::size_t underWay) {
+        note(at, underWay);
+        tell(at, "pulls from router " + std::to_string(from));
+        if (underWay > 1)
+            fail("two pulls at a time", "router " + std::to_string(at));
+    };
+}
+
+void Checks::note(Place at, std::uint64_t what)
+{
+    const auto time = static_cast<std::uint64_t>(m_world.elapsed().count());
+    m_fingerprint += RandomSource(time * 31 + at * 7 + what).next();
+}
+
+void Checks::tell(Place at, const std::string &what) const
+{
+    if (trace)
+        trace(std::to_string(Base::toMilliseconds(m_world.elapsed())) + " ms, router "
+              + std::to_string(at) + ": " + what);
+}
+
+void Checks::fail(const std::string &rule, const std::string &detail)
+{
+    if (!m_violation)
+        m_violation = {rule, detail, Base::toMilliseconds(m_world.elapsed())};
+}
+
+void Checks::changed(Place at, const Fleet::Endpoint &endpoint)
+{
+    note(at, SimulatedEndpoints::numberOf(endpoint.id));
+    tell(at, endpoint.id.value() + " is " + toText(endpoint));
+    if (!endpoint.startedAt)
+        return;
+    auto &newest =
+        m_starts.try_emplace({at, endpoint.id.value()}, *endpoint.startedAt).first->second;
+    const std::size_t number = SimulatedEndpoints::numberOf(endpoint.id);
+    // Where a clock was set back, a late write of the start before looks like a new start.
+    if (!m_world.endpoints().isClockSetBack(number)
+        && m_world.endpoints().isBefore(number, *endpoint.startedAt, newest)) {
+        fail("an older start replaces a newer one",
+             endpoint.id.value() + " at router " + std::to_string(at));
+    }
+    newest = *endpoint.startedAt;
+}
+
+void Checks::removed(Place at, const Fleet::Endpoint &endpoint)
+{
+    const std::size_t number = SimulatedEndpoints::numberOf(endpoint.id);
+    note(at, number);
+    tell(at, endpoint.id.value() + " has gone");
+    m_starts.erase({at, endpoint.id.value()});
+    if (m_world.endpoints().isLapsedByOutage(number)) {
+        fail("an endpoint is given up whose entry lapsed while the store was away",
+             endpoint.id.value() + " by router " + std::to_string(at));
+    }
+}
+
+bool Checks::look()
+{
+    for (const auto &router : m_world.routers()) {
+        if (isInTouch(*router))
+            checkRouter(*router, bound, returnBound);
+    }
+    const Base::Duration settledAt = m_quietFrom + agreeBound;
+    if (m_world.elapsed() >= settledAt)
+        checkSettled();
+    return !m_violation;
+}
+
+bool Checks::isInTouch(const SimulatedRouter &router) const
+{
+    const auto calm = m_world.calmSince(router.place());
+    const auto store = m_world.storeCalmSince();
+    return router.isUp() && calm && store && m_world.now() - *calm >= stableTime + noticeTime
+        && m_world.now() - *store >= stableTime;
+}
+
+bool Checks::isDue(Base::MonoTime writtenAt, Duration bound, Duration unstableBound) const
+{
+    const Base::MonoTime stableFrom = *m_world.storeCalmSince() + stableTime;
+    if (writtenAt >= stableFrom)
+        return m_world.now() - writtenAt > bound;
+    return m_world.now() - std::max(writtenAt, *m_world.storeCalmSince()) > unstableBound;
+}
+
+void Checks::checkRouter(const SimulatedRouter &router, Duration bound, Duration unstableBound)
+{
+    for (const auto &[id, newest] : m_world.store().keys(Topic::Endpoints)) {
+        const std::size_t number = SimulatedEndpoints::numberOf(Base::EndpointId(id));
+        const Duration more =
+            m_world.endpoints().isClockSetBack(number) ? repeatTime : Duration::zero();
+        if (isDue(newest.writtenAt, bound + more, unstableBound + more))
+            checkEndpoint(router, id, newest);
+    }
+    for (const auto &[key, newest] : m_world.store().keys(Topic::Configuration)) {
+        const std::uint64_t revision = readConfiguration(*newest.value).revision;
+        if (isDue(newest.writtenAt, bound, unstableBound) && router.configuration() < revision) {
+            fail("a configuration is not in force in time",
+                 "router " + std::to_string(router.place()) + " has "
+                     + std::to_string(router.configuration()) + " of " + std::to_string(revision));
+        }
+    }
+}
+
+void Checks::checkEndpoint(const SimulatedRouter &router, const std::string &id,
+                           const SimulatedStore::Newest &newest)
+{
+    const auto expected = newest.value ? readEndpoint(id, *newest.value) : std::nullopt;
+    const Fleet::Endpoint *known = router.directory().find(Base::EndpointId(id));
+    const bool isReady = known && known->state == Fleet::EndpointState::Ready;
+    const bool mayBeReady = expected && expected->state == Fleet::EndpointState::Ready;
+    const std::string detail = id + " at router " + std::to_string(router.place()) + ": knows "
+        + describe(known) + ", the store has " + describe(expected ? &*expected : nullptr);
+    if (isReady && !mayBeReady)
+        fail("an endpoint that left is thought ready", detail);
+    else if (expected.has_value() != (known != nullptr))
+        fail("an endpoint is not known in time", detail);
+    else if (known && !(*known == *expected))
+        fail("an endpoint is known as it was before", detail);
+}
+
+/// All routers know the same, that is what the store holds, and know it as of now.
+void Checks::checkSettled()
+{
+    std::optional<std::uint64_t> hash;
+    for (const auto &router : m_world.routers()) {
+        checkRouter(*router, bound, returnBound);
+        const std::string name = "router " + std::to_string(router->place());
+        if (router->directory().hash() != hash.value_or(router->directory().hash()))
+            fail("routers disagree for good", name);
+        hash = router->directory().hash();
+        const auto age = router->sync().knowledgeAge();
+        if (!age || *age > oldestKnowledge) {
+            fail("a router's knowledge stays old",
+                 name + ": " + std::to_string(Base::toMilliseconds(age.value_or(Duration::max())))
+                     + " ms");
+        }
+    }
+    checkReaders();
+    checkQuiet();
+}
+
+void Checks::checkReaders()
+{
+    std::map<std::string, int> readers;
+    for (const auto &router : m_world.routers())
+        readers[router->dataCentre()] += router->isReading() ? 1 : 0;
+    for (const auto &[dataCentre, count] : readers) {
+        const Duration since =
+            m_oneReaderAt.try_emplace(dataCentre, m_world.elapsed()).first->second;
+        if (count == 1)
+            m_oneReaderAt[dataCentre] = m_world.elapsed();
+        else if (m_world.elapsed() - since > takeoverTime)
+            fail("a calm data centre has not one reader",
+                 dataCentre + " has " + std::to_string(count));
+    }
+}
+
+void Checks::checkQuiet()
+{
+    const auto &routers = m_world.routers();
+    if (m_bytes.empty()) {
+        for (const auto &router : routers) {
+            m_bytes.push_back(router->sentBytes());
+            m_pulls.push_back(router->pulls());
+        }
+    }
+    const Base::Duration watched = m_world.elapsed() - m_quietFrom - agreeBound;
+    const auto seconds = static_cast<std::uint64_t>(1 + Base::toSeconds(watched));
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+        if (routers[i]->pulls() != m_pulls[i])
+            fail("a calm router pulls", "router " + std::to_string(i));
+        const std::uint64_t bytes = routers[i]->sentBytes() - m_bytes[i];
+        if (bytes > bytesPerSecond * seconds)
+            fail("a calm router sends too much", std::to_string(bytes) + " bytes");
+    }
+}
+
+} // namespace Simulation
--- /dev/null
+++ b/tests/auto/simulation/checks.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "auto/simulation/world.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Simulation {
+
+/// A rule that a history broke.
+struct Violation
+{
+    std::string rule; ///< The same for all violations of one kind.
+    std::string detail;
+    std::int64_t atMs = 0;
+};
+
+/// Watches a world: what may never happen, and what has to have happened in time.
+class Checks
+{
+public:
+    Checks(World &world, const History &history);
+
+    /// To be called now and then; false when a rule is broken.
+    bool look();
+    const std::optional<Violation> &violation() const { return m_violation; }
+    /// When a history has been watched for long enough.
+    Lagoonbank::Base::Duration end() const;
+    /// Of all that routers have done; the same each time that a history is played.
+    std::uint64_t fingerprint() const { return m_fingerprint; }
+
+    /// Told what routers do, a line each.
+    std::function<void(const std::string &line)> trace;
+
+private:
+    using Duration = Lagoonbank::Base::Duration;
+
+    void watchEvents();
+    void note(Place at, std::uint64_t what);
+    void tell(Place at, const std::string &what) const;
+    void fail(const std::string &rule, const std::string &detail);
+    void removed(Place at, const Lagoonbank::Fleet::Endpoint &endpoint);
+    void changed(Place at, const Lagoonbank::Fleet::Endpoint &endpoint);
+    /// A router in touch knows what was written so long ago.
+    void checkRouter(const SimulatedRouter &router, Duration bound, Duration unstableBound);
+    bool isDue(Lagoonbank::Base::MonoTime writtenAt, Duration bound, Duration unstableBound) const;
+    bool isInTouch(const SimulatedRouter &router) const;
+    void checkEndpoint(const SimulatedRouter &router, const std::string &id,
+                       const SimulatedStore::Newest &newest);
+    void checkSettled();
+    void checkReaders();
+    void checkQuiet();
+
+    World &m_world;
+    Duration m_quietFrom; ///< From here on nothing happens to anybody.
+    std::optional<Violation> m_violation;
+    std::uint64_t m_fingerprint = 0;
+    /// Newest start that a router knew of an endpoint, until that was removed.
+    std::map<std::pair<Place, std::string>, Lagoonbank::Base::WallTime> m_starts;
+    std::map<std::string, Duration> m_oneReaderAt; ///< Of each data centre.
+    std::vector<std::uint64_t> m_bytes; ///< Of each place, when the quiet was settled.
+    std::vector<std::uint64_t> m_pulls;
+};
+
+} // namespace Simulation
--- /dev/null
+++ b/tests/auto/simulation/simulatedendpoints.cpp
@@ -0,0 +1,222 @@
+#include "auto/simulation/simulatedendpoints.h"
+
+#include "auto/simulation/simulatedconfiguration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Simulation {
+
+using namespace Lagoonbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Base::Duration beatInterval = milliseconds(1200);
+constexpr int missedBeats = 3;
+constexpr Base::Duration lapseStep = milliseconds(100);
+/// In which those that live write again after the store's return.
+constexpr Base::Duration returnTime = milliseconds(1900);
+/// No reader has to see a shorter one; each reads every 0.7 s and waits as long for the answer.
+constexpr Base::Duration noticedOutage = milliseconds(1500);
+/// From a drain to the end.
+constexpr Base::Duration drainTime = milliseconds(2500);
+constexpr std::uint16_t firstPort = 8000;
+
+} // namespace
+
+SimulatedEndpoints::SimulatedEndpoints(Options options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_endpoints(options.count)
+{
+    m_lapsesWhileAway = m_random.chance(50);
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        Fleet::Endpoint &endpoint = m_endpoints[i].endpoint;
+        endpoint.id = Base::EndpointId(id(i));
+        endpoint.service = Base::ServiceId("service");
+        endpoint.address = {"10.1.0." + std::to_string(i + 1), firstPort};
+        endpoint.startedAt = options.world->clock().wallNow();
+        m_endpoints[i].starts.push_back(*endpoint.startedAt);
+    }
+}
+
+void SimulatedEndpoints::start()
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i)
+        beat(i, m_random.between(Base::Duration::zero(), beatInterval));
+    checkLapses();
+}
+
+void SimulatedEndpoints::drain(std::size_t number)
+{
+    One &one = m_endpoints.at(number);
+    if (!one.isAlive || one.endpoint.state == Fleet::EndpointState::Draining)
+        return;
+    one.endpoint.state = Fleet::EndpointState::Draining;
+    write(one);
+    one.end = m_options.world->start(drainTime, [this, number] { leave(number); });
+}
+
+void SimulatedEndpoints::leave(std::size_t number)
+{
+    One &one = m_endpoints.at(number);
+    if (!one.isAlive)
+        return;
+    crash(number);
+    if (isStoreThere())
+        m_options.store->append(Topic::Endpoints, id(number), std::nullopt);
+}
+
+void SimulatedEndpoints::crash(std::size_t number)
+{
+    One &one = m_endpoints.at(number);
+    one.isAlive = false;
+    one.isLapsed = false;
+    m_options.world->cancel(one.beat);
+    m_options.world->cancel(one.end);
+}
+
+void SimulatedEndpoints::startAgain(std::size_t number, NewStart how, bool isAtSameAddress)
+{
+    One &one = m_endpoints.at(number);
+    crash(number);
+    one.before = one.endpoint;
+    one.isAlive = true;
+    one.endpoint.state = Fleet::EndpointState::Ready;
+    if (!isAtSameAddress)
+        ++one.endpoint.address.port;
+    switch (how) {
+    case NewStart::Later:
+        one.endpoint.startedAt = m_options.world->clock().wallNow();
+        break;
+    case NewStart::Equal:
+        break;
+    case NewStart::Earlier:
+        *one.endpoint.startedAt -= std::chrono::seconds(3);
+        break;
+    }
+    one.starts.push_back(*one.endpoint.startedAt);
+    beat(number, Base::Duration::zero());
+}
+
+void SimulatedEndpoints::writeUnreadable(std::size_t number)
+{
+    One &one = m_endpoints.at(number);
+    if (!one.isAlive || !isStoreThere())
+        return;
+    one.wasUnreadable = true;
+    m_options.store->append(Topic::Endpoints, id(number), unreadableEntry);
+}
+
+void SimulatedEndpoints::writeLate(std::size_t number)
+{
+    const One &one = m_endpoints.at(number);
+    // The start that runs writes again soon.
+    if (one.before && one.isAlive && isStoreThere())
+        m_options.store->append(Topic::Endpoints, id(number), toText(*one.before));
+}
+
+void SimulatedEndpoints::storeLeft()
+{
+    m_storeLeftAt = m_options.world->clock().now();
+}
+
+void SimulatedEndpoints::storeReturned()
+{
+    const Base::MonoTime now = m_options.world->clock().now();
+    if (now - m_storeLeftAt >= noticedOutage)
+        m_noticedReturnAt = now;
+    const bool wereAway = !std::exchange(m_lapsesWhileAway, false);
+    for (One &one : m_endpoints) {
+        const Base::Duration age = now - one.writtenAt;
+        if (wereAway && age > missedBeats * beatInterval)
+            lapse(one, true);
+    }
+    m_lapsesWhileAway = m_random.chance(50);
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        // Others write as they always do.
+        if (m_endpoints[i].isLapsed)
+            beat(i, m_random.between(Base::Duration::zero(), returnTime));
+    }
+}
+
+std::size_t SimulatedEndpoints::numberOf(const Base::EndpointId &id)
+{
+    const std::string &text = id.value();
+    return std::stoul(text.substr(text.rfind('-') + 1));
+}
+
+bool SimulatedEndpoints::isLapsedByOutage(std::size_t number) const
+{
+    const One &one = m_endpoints.at(number);
+    if (!one.isAlive || !one.isLapsed || one.wasUnreadable
+        || one.endpoint.state == Fleet::EndpointState::Draining)
+        return false;
+    const Base::MonoTime now = m_options.world->clock().now();
+    const bool isAwayLong = !isStoreThere() && now - m_storeLeftAt >= noticedOutage;
+    return isAwayLong || (m_noticedReturnAt && now - *m_noticedReturnAt <= returnTime);
+}
+
+bool SimulatedEndpoints::isBefore(std::size_t number, Base::WallTime earlier,
+                                  Base::WallTime later) const
+{
+    const std::vector<Base::WallTime> &starts = m_endpoints.at(number).starts;
+    return std::find(starts.rbegin(), starts.rend(), earlier)
+        > std::find(starts.rbegin(), starts.rend(), later);
+}
+
+bool SimulatedEndpoints::isClockSetBack(std::size_t number) const
+{
+    const One &one = m_endpoints.at(number);
+    return *one.endpoint.startedAt < *std::max_element(one.starts.begin(), one.starts.end());
+}
+
+bool SimulatedEndpoints::isStoreThere() const
+{
+    return m_options.storeTrouble->refuses + m_options.storeTrouble->silent == 0;
+}
+
+void SimulatedEndpoints::beat(std::size_t number, Base::Duration delay)
+{
+    One &one = m_endpoints.at(number);
+    m_options.world->cancel(one.beat);
+    one.beat = m_options.world->start(delay, [this, number] {
+        write(m_endpoints.at(number));
+        beat(number, beatInterval);
+    });
+}
+
+void SimulatedEndpoints::write(One &one)
+{
+    if (!one.isAlive || !isStoreThere())
+        return;
+    one.writtenAt = m_options.world->clock().now();
+    m_options.store->append(Topic::Endpoints, one.endpoint.id.value(), toText(one.endpoint));
+    // One that was back at once was never missing.
+    one.isLapsed = false;
+}
+
+void SimulatedEndpoints::checkLapses()
+{
+    const Base::MonoTime now = m_options.world->clock().now();
+    for (One &one : m_endpoints) {
+        const bool isDue = now - one.writtenAt > missedBeats * beatInterval;
+        if (isDue && (isStoreThere() || m_lapsesWhileAway))
+            lapse(one, !isStoreThere());
+    }
+    m_options.world->start(lapseStep, [this] { checkLapses(); });
+}
+
+void SimulatedEndpoints::lapse(One &one, bool isByOutage)
+{
+    const auto &keys = m_options.store->keys(Topic::Endpoints);
+    const auto known = keys.find(one.endpoint.id.value());
+    if (known == keys.end() || !known->second.value)
+        return;
+    // What a start before wrote, or nobody can read, may be given up at once.
+    one.isLapsed = one.isAlive && isByOutage && *known->second.value == toText(one.endpoint);
+    m_options.store->append(Topic::Endpoints, one.endpoint.id.value(), std::nullopt);
+}
+
+} // namespace Simulation
--- /dev/null
+++ b/tests/auto/simulation/simulatedrouter.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "auto/simulation/simulatednetwork.h"
+#include "auto/simulation/storelink.h"
+
+#include "fleet/endpointdirectory.h"
+#include "fleetsync/fleetsync.h"
+#include "fleetsync/routerregistry.h"
+#include "keyedlog/keyedview.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Simulation {
+
+/// What is watched of routers, at the moment when it happens.
+struct RouterEvents
+{
+    std::function<void(Place at)> started;
+    std::function<void(Place at, std::uint64_t before, std::uint64_t after)> configured;
+    std::function<void(Place at, const Lagoonbank::Fleet::Endpoint &endpoint)> changed;
+    std::function<void(Place at, const Lagoonbank::Fleet::Endpoint &endpoint)> removed;
+    std::function<void(Place at, Place from, std::size_t underWay)> pulled;
+    std::function<void(Place at, bool reads)> dutyChanged;
+};
+
+/// A VM with a router: the product's FleetSync, views, directory and registry, wired as
+/// Platform::RouterProcess does it, on a timer queue of its own that stands still while it is
+/// frozen.
+class SimulatedRouter
+{
+public:
+    struct Options
+    {
+        Place place = 0;
+        std::string dataCentre;
+        std::uint32_t strength = 0;
+        std::uint64_t seed = 1;
+        SimulatedStore *store = nullptr;
+        const StoreTrouble *storeTrouble = nullptr;
+        SimulatedNetwork *network = nullptr;
+        Lagoonbank::Runtime::TimerQueue *world = nullptr;
+        const RouterEvents *events = nullptr;
+        /// The router at an address; null if none ever was there.
+        std::function<SimulatedRouter *(const Lagoonbank::Runtime::SocketAddress &address)> find;
+    };
+
+    explicit SimulatedRouter(Options options);
+    ~SimulatedRouter();
+
+    void start();
+    void kill();
+    /// Starts under another name at the same address.
+    void replace();
+    /// Stops or goes on; counts.
+    void freeze(int change);
+    /// Runs \a step now, or when it is thawed; gives back whether there is a router.
+    bool post(std::function<void()> step);
+    /// The store has a new record.
+    void wake(Topic topic);
+    void runDue();
+    std::optional<Lagoonbank::Base::MonoTime> nextDue();
+
+    bool isUp() const { return m_run != nullptr; }
+    bool isFrozen() const { return m_frozen > 0; }
+    bool isReading() const { return m_run && m_run->sync->readsStore(); }
+    Place place() const { return m_options.place; }
+    const std::string &dataCentre() const { return m_options.dataCentre; }
+    Lagoonbank::Runtime::SocketAddress address() const;
+    /// While it is up.
+    const Lagoonbank::Fleet::EndpointDirectory &directory() const { return *m_run->directory; }
+    const Lagoonbank::FleetSync::FleetSync &sync() const { return *m_run->sync; }
+    std::uint64_t configuration() const { return m_run->configuration; }
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+    std::uint64_t pulls() const { return m_pulls; }
+
+    StoreTrouble storeTrouble; ///< For this router alone.
+
+private:
+    /// What ends with the process. Members are destroyed from the last to the first.
+    struct Run
+    {
+        std::unique_ptr<Lagoonbank::Fleet::EndpointDirectory> directory;
+        std::unique_ptr<StoreLink> link;
+        std::unique_ptr<Lagoonbank::FleetSync::FleetSync> sync;
+        std::unique_ptr<Lagoonbank::KeyedLog::KeyedView> configurationView;
+        std::unique_ptr<Lagoonbank::KeyedLog::KeyedView> endpointView;
+        std::unique_ptr<Lagoonbank::FleetSync::RouterRegistry> registry;
+        std::uint64_t configuration = 0;
+        std::optional<Lagoonbank::Base::LogOffset> configurationOffset;
+        std::size_t pullsUnderWay = 0;
+    };
+
+    Lagoonbank::KeyedLog::KeyedView::Options viewOptions(Topic topic);
+    void makeLink();
+    void wireDirectory();
+    void wireViews();
+    void wireHealth();
+    void wireSync();
+    void makeRegistry();
+    void pull(const Lagoonbank::Runtime::SocketAddress &peer,
+              const Lagoonbank::Schema::FleetStateRequest &request);
+    void pullEnded(const Lagoonbank::Schema::FleetStateAnswer *answer);
+    void setReading(bool reads);
+    void putInForce(const std::string &text, Lagoonbank::Base::LogOffset offset);
+    void endpointWritten(const Lagoonbank::KeyedLog::KeyedRecord &record);
+    std::string id() const;
+
+    Options m_options;
+    Lagoonbank::Runtime::TimerQueue m_timers;
+    std::unique_ptr<Run> m_run;
+    std::uint64_t m_runNumber = 0;
+    int m_replaced = 0;
+    int m_frozen = 0;
+    std::vector<std::function<void()>> m_held; ///< What came while it was frozen.
+    std::uint64_t m_sentBytes = 0; ///< In beacons, with the headers of UDP and IP.
+    std::uint64_t m_pulls = 0;
+};
+
+} // namespace Simulation
--- /dev/null
+++ b/tests/auto/simulation/storelink.cpp
@@ -0,0 +1,166 @@
+#include "auto/simulation/storelink.h"
+
+#include <utility>
+
+namespace Simulation {
+
+using namespace Lagoonbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// As Platform::Store has them.
+constexpr Base::Duration connectTimeout = milliseconds(400);
+constexpr Base::Duration answerTimeout = milliseconds(700);
+/// One way to the store, between data centres at most.
+constexpr Base::Duration nearest = milliseconds(1);
+constexpr Base::Duration farthest = milliseconds(12);
+/// Of a slow store; some answers come after the caller has given up.
+constexpr Base::Duration slowest = milliseconds(900);
+constexpr int lostPercent = 50;
+
+Errors::Error unavailable()
+{
+    return Errors::makeError(Errors::ErrorKind::LogUnavailable, "simulated");
+}
+
+} // namespace
+
+StoreLink::~StoreLink()
+{
+    for (const auto &[id, call] : m_calls)
+        m_options.timers->cancel(call.timeout);
+}
+
+KeyedLog::KeyedSource StoreLink::source(Topic topic)
+{
+    SimulatedStore *store = m_options.store;
+    return {.readNewest =
+                [this, topic, store](const std::string &after, auto read) {
+                    return start({.topic = topic,
+                                  .perform = [store, topic, after, read](bool) -> Answer {
+                                      return [read, page = store->newest(topic, after)] {
+                                          read(page);
+                                      };
+                                  },
+                                  .fail = [read] { read(unavailable()); }});
+                },
+            .readTail =
+                [this, topic, store](Base::LogOffset from, Base::Duration wait, auto read) {
+                    return start({.topic = topic,
+                                  .wait = wait,
+                                  .perform = [store, topic, from, read](bool isLast) -> Answer {
+                                      auto page = store->tail(topic, from);
+                                      if (!page && isLast)
+                                          page = store->emptyTail(topic);
+                                      if (!page)
+                                          return nullptr;
+                                      return [read, page = *page] { read(page); };
+                                  },
+                                  .fail = [read] { read(unavailable()); }});
+                },
+            .cancel = [this](KeyedLog::ReadId read) { cancel(read.value()); }};
+}
+
+KeyedLog::KeyedWrite StoreLink::write(Topic topic)
+{
+    SimulatedStore *store = m_options.store;
+    return [this, topic, store](const std::string &key, const std::string &value, auto written) {
+        start({.topic = topic,
+               .perform = [store, topic, key, value, written](bool) -> Answer {
+                   store->append(topic, key, value);
+                   return [written] { written(boost::outcome_v2::success()); };
+               },
+               .fail = [written] { written(unavailable()); }});
+    };
+}
+
+void StoreLink::wake(Topic topic)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[id, call] : m_calls) {
+        if (call.isWaiting && call.topic == topic)
+            waiting.push_back(id);
+    }
+    for (const std::uint64_t id : waiting)
+        arrive(id, false);
+}
+
+KeyedLog::ReadId StoreLink::start(Call call)
+{
+    const std::uint64_t id = ++m_lastId;
+    const Base::Duration limit =
+        m_distrustsConnections && isSilent() ? connectTimeout : call.wait + answerTimeout;
+    call.timeout = m_options.timers->start(limit, [this, id] { finish(id, false, nullptr); });
+    m_calls.emplace(id, std::move(call));
+    after(m_random.between(nearest, farthest), [this, id] { arrive(id, false); });
+    return KeyedLog::ReadId(id);
+}
+
+void StoreLink::cancel(std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    m_options.timers->cancel(found->second.timeout);
+    m_calls.erase(found);
+}
+
+void StoreLink::arrive(std::uint64_t id, bool isLast)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || isSilent())
+        return;
+    Call &call = found->second;
+    if (isLast && !call.isWaiting)
+        return;
+    if (isRefused()) {
+        call.isWaiting = false;
+        reply(id, nullptr);
+        return;
+    }
+    Answer answer = call.perform(isLast || call.wait == Base::Duration::zero());
+    const bool isFirst = !std::exchange(call.isWaiting, !answer);
+    if (answer)
+        reply(id, std::move(answer));
+    else if (isFirst)
+        after(call.wait, [this, id] { arrive(id, true); });
+}
+
+void StoreLink::reply(std::uint64_t id, Answer answer)
+{
+    const bool isLossy = m_options.everybody->losesAnswers + m_options.own->losesAnswers > 0;
+    if (isLossy && m_random.chance(lostPercent))
+        return;
+    const bool isSlow = m_options.everybody->slow + m_options.own->slow > 0;
+    const Base::Duration delay = m_random.between(nearest, isSlow ? slowest : farthest);
+    after(delay, [this, id, answer = std::move(answer)] {
+        if (!isSilent())
+            m_options.post([this, id, answer] { finish(id, true, answer); });
+    });
+}
+
+void StoreLink::finish(std::uint64_t id, bool isAnswered, const Answer &answer)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const Answer fail = found->second.fail;
+    cancel(id);
+    m_distrustsConnections = !isAnswered;
+    if (answer)
+        answer();
+    else
+        fail();
+}
+
+void StoreLink::after(Base::Duration delay, std::function<void()> step)
+{
+    m_options.world->start(delay,
+                           [step = std::move(step), isAlive = std::weak_ptr<bool>(m_isAlive)] {
+                               if (!isAlive.expired())
+                                   step();
+                           });
+}
+
+} // namespace Simulation
--- /dev/null
+++ b/tests/auto/simulation/tst_simulatedhistories.cpp
@@ -0,0 +1,223 @@
+/// Histories that were red, as tst_simulation found and shortened them.
+#define BOOST_TEST_MODULE tst_simulatedhistories
+#include <boost/test/unit_test.hpp>
+
+#include "auto/simulation/play.h"
+
+#include <string>
+
+using namespace Simulation;
+
+namespace {
+
+void checkGreen(const History &history)
+{
+    const auto violation = play(history).violation;
+    BOOST_TEST(!violation,
+               (violation ? violation->rule + ": " + violation->detail : std::string()));
+}
+
+} // namespace
+
+/// A peer that the store answers first tells of its return, so that this router did not see how
+/// long it had been away.
+BOOST_AUTO_TEST_CASE(whoeverReadsFirstAfterAnOutageKeepsWhatLapsed)
+{
+    checkGreen({.seed = 33,
+                .dataCentres = {3},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::StoreRefuses, .atMs = 6413, .lastsMs = 554},
+                    {.kind = StepKind::StoreRefuses, .atMs = 10873, .lastsMs = 4862},
+                }});
+}
+
+/// Beacons that had waited in the sockets of a router that stood still were taken for new, and
+/// their age told on.
+BOOST_AUTO_TEST_CASE(whatWaitedForAFrozenRouterIsOld)
+{
+    checkGreen({.seed = 722,
+                .dataCentres = {3, 3, 3},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::Freeze, .atMs = 894, .lastsMs = 5865, .who = 5},
+                    {.kind = StepKind::StoreRefuses, .atMs = 4335, .lastsMs = 4582},
+                }});
+}
+
+/// A router that stood still through an outage has seen no read of its own fail.
+BOOST_AUTO_TEST_CASE(aReaderThatIsFrozenThroughAnOutageKeepsWhatLapsed)
+{
+    checkGreen({.seed = 7065,
+                .dataCentres = {2},
+                .endpoints = 2,
+                .steps = {
+                    {.kind = StepKind::Freeze, .atMs = 5929, .lastsMs = 6949},
+                    {.kind = StepKind::StoreRefuses, .atMs = 6349, .lastsMs = 4410},
+                    {.kind = StepKind::StoreRefuses, .atMs = 10709, .lastsMs = 400},
+                }});
+}
+
+/// Ages that were passed back and forth shrank by the time on the way, a fifth of the time in all.
+BOOST_AUTO_TEST_CASE(anAgeThatIsPassedOnDoesNotShrink)
+{
+    checkGreen({.seed = 2908,
+                .dataCentres = {2, 1, 1},
+                .endpoints = 3,
+                .steps = {
+                    {.kind = StepKind::StoreRefuses, .atMs = 8629, .lastsMs = 2486},
+                }});
+}
+
+/// The time in which entries come back ran on while the store was away again.
+BOOST_AUTO_TEST_CASE(entriesAreKeptThroughTwoOutages)
+{
+    checkGreen({.seed = 35,
+                .dataCentres = {2},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::StoreRefuses, .atMs = 6523, .lastsMs = 5081},
+                    {.kind = StepKind::StoreSilent, .atMs = 12074, .lastsMs = 1800},
+                }});
+}
+
+/// Neither outage was long enough for entries to lapse, but endpoints could not write in between.
+BOOST_AUTO_TEST_CASE(outagesInARowCountAsOne)
+{
+    checkGreen({.seed = 68,
+                .dataCentres = {2, 2},
+                .endpoints = 4,
+                .steps = {
+                    {.kind = StepKind::StoreRefuses, .atMs = 196, .lastsMs = 100},
+                    {.kind = StepKind::StoreRefuses, .atMs = 1734, .lastsMs = 100},
+                    {.kind = StepKind::StoreLosesAnswers, .atMs = 5044, .lastsMs = 1500},
+                    {.kind = StepKind::StoreRefuses, .atMs = 6891, .lastsMs = 4489},
+                    {.kind = StepKind::StoreRefuses, .atMs = 12574, .lastsMs = 1882},
+                }});
+}
+
+/// The same where the reader has no read between the two, and a deputy takes its place whose own
+/// reads have not failed since the first.
+BOOST_AUTO_TEST_CASE(outagesInARowWithATakeoverCountAsOne)
+{
+    checkGreen({.seed = 13367,
+                .dataCentres = {3, 2},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::StoreSilent, .atMs = 7039, .lastsMs = 645},
+                    {.kind = StepKind::StoreSilent, .atMs = 11445, .lastsMs = 1553},
+                    {.kind = StepKind::StoreRefuses, .atMs = 13176, .lastsMs = 900},
+                }});
+}
+
+/// A deputy waited for an entry to come back, left the store to its reader, and was not told that
+/// the entry was back, as the reader had never missed it.
+BOOST_AUTO_TEST_CASE(whoeverWaitsForAnEntryReadsUntilItKnows)
+{
+    checkGreen({.seed = 50,
+                .dataCentres = {3},
+                .endpoints = 4,
+                .steps = {
+                    {.kind = StepKind::StoreForgets, .atMs = 693},
+                    {.kind = StepKind::Configure, .atMs = 3346, .value = 10300},
+                    {.kind = StepKind::StoreSlow, .atMs = 10437, .lastsMs = 1900},
+                    {.kind = StepKind::StoreSilent, .atMs = 12411, .lastsMs = 6922},
+                }});
+}
+
+/// The reader that took over had never known the endpoint, so it could not tell that it had gone.
+BOOST_AUTO_TEST_CASE(aReaderThatStartsAnewIsNotTheOnlyOneToAsk)
+{
+    checkGreen({.seed = 32,
+                .dataCentres = {3, 2},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::Leave, .atMs = 3922},
+                    {.kind = StepKind::Replace, .atMs = 4129, .lastsMs = 100, .who = 3},
+                }});
+}
+
+/// A router that starts knows nothing that can have lapsed, and its peers wait for what it reads.
+BOOST_AUTO_TEST_CASE(aReaderThatStartsWaitsForNothing)
+{
+    checkGreen({.seed = 1810,
+                .dataCentres = {2},
+                .endpoints = 4,
+                .steps = {
+                    {.kind = StepKind::Replace, .atMs = 11108, .lastsMs = 100, .who = 1},
+                    {.kind = StepKind::Leave, .atMs = 11364, .who = 3},
+                }});
+}
+
+/// A peer told a reader of an endpoint that the reader's own listing had shown to have gone.
+BOOST_AUTO_TEST_CASE(whatAListingLacksDoesNotComeBackFromAPeer)
+{
+    checkGreen({.seed = 4638,
+                .dataCentres = {3, 1, 1},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::Kill, .atMs = 5498, .lastsMs = 5991, .who = 1},
+                    {.kind = StepKind::StoreLosesAnswers, .atMs = 9495, .lastsMs = 3419},
+                    {.kind = StepKind::Leave, .atMs = 11352},
+                }});
+}
+
+/// A reader had 0.5 s more than it should before its deputies took its place.
+BOOST_AUTO_TEST_CASE(aReaderThatTheStoreTurnsAwayIsReplacedInTime)
+{
+    checkGreen({.seed = 726,
+                .dataCentres = {2},
+                .endpoints = 3,
+                .steps = {
+                    {.kind = StepKind::Drain, .atMs = 4171, .who = 2},
+                    {.kind = StepKind::StoreSilentForOne, .atMs = 7164, .lastsMs = 1642},
+                }});
+}
+
+/// A deputy that the store turned away said that it read until 1.6 s had passed without an answer.
+BOOST_AUTO_TEST_CASE(aReaderIsCountedOnOnlyOnceItHasRead)
+{
+    checkGreen({.seed = 3642,
+                .dataCentres = {3},
+                .endpoints = 2,
+                .steps = {
+                    {.kind = StepKind::StoreSilentForOne, .atMs = 524, .lastsMs = 5141, .who = 1},
+                    {.kind = StepKind::StoreSilentForOne, .atMs = 3016, .lastsMs = 2800},
+                    {.kind = StepKind::Leave, .atMs = 4843, .who = 1},
+                }});
+}
+
+/// A router hears that its reader has news and cannot ask for them.
+BOOST_AUTO_TEST_CASE(aLinkThatIsCutOneWayKeepsNobodyBehind)
+{
+    checkGreen(
+        {.seed = 3527,
+         .dataCentres = {1, 3},
+         .endpoints = 1,
+         .steps = {
+             {.kind = StepKind::CutOneWay, .atMs = 4797, .lastsMs = 6414, .who = 2, .other = 1},
+             {.kind = StepKind::Configure, .atMs = 6360, .value = 39963},
+         }});
+}
+
+/// The start whose clock was set back was never believed.
+BOOST_AUTO_TEST_CASE(aStartWhoseClockWasSetBackIsBelieved)
+{
+    checkGreen({.seed = 25,
+                .dataCentres = {1},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::StartAgain, .atMs = 9965, .other = 1, .value = 2},
+                }});
+}
+
+/// Its hearers did not believe what their reader did.
+BOOST_AUTO_TEST_CASE(aStartWhoseClockWasSetBackIsBelievedByAll)
+{
+    checkGreen({.seed = 258,
+                .dataCentres = {2},
+                .endpoints = 2,
+                .steps = {
+                    {.kind = StepKind::StartAgain, .atMs = 12652, .who = 1, .value = 2},
+                }});
+}
--- /dev/null
+++ b/tests/auto/simulation/tst_simulation.cpp
@@ -0,0 +1,70 @@
+/// Plays histories made from seeds. By hand, with more of them:
+/// LAGOONBANK_SIMULATION_FIRST=1 LAGOONBANK_SIMULATION_COUNT=50000 tst_simulation
+/// With LAGOONBANK_SIMULATION_TRACE=1 it tells what routers do in the shortest red history.
+#define BOOST_TEST_MODULE tst_simulation
+#include <boost/test/unit_test.hpp>
+
+#include "auto/simulation/play.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+using namespace Simulation;
+
+namespace {
+
+/// Some seconds' worth.
+constexpr std::uint64_t countInCi = 300;
+/// Red histories that are shrunk and printed of each rule.
+constexpr int mostShown = 1;
+
+std::uint64_t numberFrom(const char *variable, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(variable);
+    return text ? std::stoull(text) : otherwise;
+}
+
+void show(const History &red, const Violation &violation)
+{
+    const History shortest = shrink(red, violation);
+    const Outcome outcome = play(shortest);
+    std::cout << "seed " << red.seed << ": " << violation.rule << ": " << violation.detail
+              << " after " << violation.atMs << " ms\nshortest: " << outcome.violation->detail
+              << " after " << outcome.violation->atMs << " ms\n"
+              << toText(shortest) << std::endl;
+    if (std::getenv("LAGOONBANK_SIMULATION_TRACE"))
+        play(shortest, [](const std::string &line) { std::cout << line << '\n'; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aSeedIsOneHistory)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+        const Outcome first = play(historyOf(seed));
+        const Outcome second = play(historyOf(seed));
+        BOOST_TEST(first.fingerprint == second.fingerprint, "seed " << seed);
+        BOOST_TEST(first.fingerprint != 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(historiesKeepTheRules)
+{
+    const std::uint64_t first = numberFrom("LAGOONBANK_SIMULATION_FIRST", 1);
+    const std::uint64_t count = numberFrom("LAGOONBANK_SIMULATION_COUNT", countInCi);
+    const auto startedAt = std::chrono::steady_clock::now();
+    std::map<std::string, int> red;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const History history = historyOf(seed);
+        const auto violation = play(history).violation;
+        if (violation && ++red[violation->rule] <= mostShown)
+            show(history, *violation);
+    }
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - startedAt;
+    std::cout << count << " histories in " << took.count() << " s" << std::endl;
+    for (const auto &[rule, times] : red)
+        BOOST_TEST(times == 0, rule << ": " << times << " histories");
+}
--- /dev/null
+++ b/tests/auto/simulation/world.cpp
@@ -0,0 +1,307 @@
+#include "auto/simulation/world.h"
+
+#include "auto/simulation/simulatedconfiguration.h"
+
+#include <algorithm>
+
+namespace Simulation {
+
+using namespace Lagoonbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Within which all VMs of a fleet start.
+constexpr Base::Duration startSpread = milliseconds(300);
+constexpr std::size_t firstConfigurationBytes = 4000;
+/// Versions grow in uneven steps.
+constexpr std::uint64_t revisionStep = 3;
+
+} // namespace
+
+World::World(const History &history)
+    : m_history(history)
+{
+    m_network = std::make_unique<SimulatedNetwork>(SimulatedNetwork::Options{
+        .world = &m_timers,
+        .seed = history.seed,
+        .isNear = [this](Place a,
+                         Place b) { return router(a).dataCentre() == router(b).dataCentre(); },
+        .post = [this](Place at,
+                       std::function<void()> step) { return router(at).post(std::move(step)); }});
+    m_endpoints = std::make_unique<SimulatedEndpoints>(
+        SimulatedEndpoints::Options{.store = &m_store,
+                                    .storeTrouble = &m_storeTrouble,
+                                    .world = &m_timers,
+                                    .seed = history.seed,
+                                    .count = history.endpoints});
+    addRouters();
+    m_calm.resize(m_routers.size(), {.since = m_clock.now()});
+    m_storeCalm.since = m_clock.now();
+    m_store.appended = [this](Topic topic) {
+        for (const auto &one : m_routers)
+            one->wake(topic);
+    };
+    configure(firstConfigurationBytes);
+    m_endpoints->start();
+    for (const Step &step : m_history.steps)
+        m_timers.start(milliseconds(step.atMs), [this, step] { begin(step); });
+}
+
+void World::addRouters()
+{
+    RandomSource random(m_history.seed);
+    for (std::size_t dc = 0; dc < m_history.dataCentres.size(); ++dc) {
+        for (std::size_t i = 0; i < m_history.dataCentres[dc]; ++i) {
+            const Place place = m_routers.size();
+            m_routers.push_back(std::make_unique<SimulatedRouter>(SimulatedRouter::Options{
+                .place = place,
+                .dataCentre = "dc" + std::to_string(dc),
+                .strength = static_cast<std::uint32_t>(100 * random.below(2)),
+                .seed = m_history.seed * 31 + place,
+                .store = &m_store,
+                .storeTrouble = &m_storeTrouble,
+                .network = m_network.get(),
+                .world = &m_timers,
+                .events = &events,
+                .find = [this](const Runtime::SocketAddress &address) -> SimulatedRouter * {
+                    const auto found =
+                        std::find_if(m_routers.begin(), m_routers.end(),
+                                     [&](const auto &one) { return one->address() == address; });
+                    return found == m_routers.end() ? nullptr : found->get();
+                }}));
+            m_timers.start(random.between(Base::Duration::zero(), startSpread),
+                           [this, place] { router(place).start(); });
+        }
+    }
+}
+
+void World::play(Base::Duration until, Base::Duration interval, const std::function<bool()> &look)
+{
+    Base::MonoTime nextLook = m_clock.now();
+    const Base::MonoTime end = m_startedAt + until;
+    while (m_clock.now() < end) {
+        const Base::MonoTime due = std::max(std::min(nextDue(), nextLook), m_clock.now());
+        m_clock.advance(due - m_clock.now());
+        m_timers.runDue();
+        for (const auto &one : m_routers)
+            one->runDue();
+        if (m_clock.now() < nextLook)
+            continue;
+        nextLook = m_clock.now() + interval;
+        if (!look())
+            return;
+    }
+}
+
+Base::MonoTime World::nextDue()
+{
+    Base::MonoTime next = m_timers.nextDue().value_or(Base::MonoTime::max());
+    for (const auto &one : m_routers)
+        next = std::min(next, one->nextDue().value_or(Base::MonoTime::max()));
+    return next;
+}
+
+std::optional<Base::MonoTime> World::calmSince(Place place) const
+{
+    const Calm &calm = m_calm.at(place);
+    return calm.troubles > 0 ? std::nullopt : std::optional(calm.since);
+}
+
+std::optional<Base::MonoTime> World::storeCalmSince() const
+{
+    return m_storeCalm.troubles > 0 ? std::nullopt : std::optional(m_storeCalm.since);
+}
+
+void World::begin(const Step &step)
+{
+    if (!beginStoreTrouble(step) && !beginLinkTrouble(step) && !beginProcessTrouble(step))
+        happen(step);
+}
+
+bool World::beginStoreTrouble(const Step &step)
+{
+    const auto everybody = [&](int StoreTrouble::*field) {
+        duringTroubleOf(m_storeCalm, step, [this, field](int change) {
+            const bool wasAway = isStoreAway();
+            m_storeTrouble.*field += change;
+            if (wasAway && !isStoreAway())
+                m_endpoints->storeReturned();
+            else if (!wasAway && isStoreAway())
+                m_endpoints->storeLeft();
+        });
+    };
+    const auto one = [&](int StoreTrouble::*field) {
+        duringTroubleOf(m_calm.at(step.who), step, [this, step, field](int change) {
+            router(step.who).storeTrouble.*field += change;
+        });
+    };
+    switch (step.kind) {
+    case StepKind::StoreRefuses:
+        everybody(&StoreTrouble::refuses);
+        return true;
+    case StepKind::StoreSilent:
+        everybody(&StoreTrouble::silent);
+        return true;
+    case StepKind::StoreLosesAnswers:
+        everybody(&StoreTrouble::losesAnswers);
+        return true;
+    case StepKind::StoreSlow:
+        everybody(&StoreTrouble::slow);
+        return true;
+    case StepKind::StoreRefusesOne:
+        one(&StoreTrouble::refuses);
+        return true;
+    case StepKind::StoreSilentForOne:
+        one(&StoreTrouble::silent);
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool World::beginLinkTrouble(const Step &step)
+{
+    switch (step.kind) {
+    case StepKind::CutOneWay:
+        during(step, [this, step](int change) { m_network->cut(step.who, step.other, change); });
+        return true;
+    case StepKind::CutBothWays:
+        during(step, [this, step](int change) {
+            m_network->cut(step.who, step.other, change);
+            m_network->cut(step.other, step.who, change);
+        });
+        return true;
+    case StepKind::CutDataCentre:
+        cutDataCentre(step);
+        return true;
+    case StepKind::Lossy:
+        duringTroubleOf(m_calm.at(step.who), step, [this, step](int change) {
+            m_network->lose(step.who, change * static_cast<int>(step.value));
+        });
+        return true;
+    case StepKind::SlowLink:
+        duringTroubleOf(m_calm.at(step.who), step,
+                        [this, step](int change) { m_network->slowDown(step.who, change); });
+        return true;
+    default:
+        return false;
+    }
+}
+
+void World::cutDataCentre(const Step &step)
+{
+    const std::string dataCentre = router(step.who).dataCentre();
+    for (const auto &inside : m_routers) {
+        if (inside->dataCentre() != dataCentre)
+            continue;
+        const Place in = inside->place();
+        if (step.value == 1) {
+            duringTroubleOf(m_calm.at(in), step,
+                            [this, in](int change) { router(in).storeTrouble.silent += change; });
+        }
+        for (const auto &outside : m_routers) {
+            const Place out = outside->place();
+            if (outside->dataCentre() == dataCentre)
+                continue;
+            during(step, [this, in, out](int change) {
+                m_network->cut(in, out, change);
+                m_network->cut(out, in, change);
+            });
+        }
+    }
+}
+
+bool World::beginProcessTrouble(const Step &step)
+{
+    switch (step.kind) {
+    case StepKind::Freeze:
+        duringTroubleOf(m_calm.at(step.who), step,
+                        [this, step](int change) { router(step.who).freeze(change); });
+        return true;
+    case StepKind::Kill:
+    case StepKind::Replace:
+        duringTroubleOf(m_calm.at(step.who), step, [this, step](int change) {
+            SimulatedRouter &one = router(step.who);
+            if (change > 0)
+                one.kill();
+            else if (step.kind == StepKind::Kill)
+                one.start();
+            else
+                one.replace();
+        });
+        return true;
+    case StepKind::KillAll:
+        for (const auto &one : m_routers) {
+            duringTroubleOf(m_calm.at(one->place()), step, [raw = one.get()](int change) {
+                if (change > 0)
+                    raw->kill();
+                else
+                    raw->start();
+            });
+        }
+        return true;
+    default:
+        return false;
+    }
+}
+
+void World::happen(const Step &step)
+{
+    switch (step.kind) {
+    case StepKind::StoreForgets:
+        for (const Topic topic : {Topic::Configuration, Topic::Endpoints, Topic::Routers})
+            m_store.trim(topic);
+        break;
+    case StepKind::Drain:
+        m_endpoints->drain(step.who);
+        break;
+    case StepKind::Leave:
+        m_endpoints->leave(step.who);
+        break;
+    case StepKind::Crash:
+        m_endpoints->crash(step.who);
+        break;
+    case StepKind::StartAgain:
+        m_endpoints->startAgain(step.who, static_cast<NewStart>(step.value), step.other == 1);
+        break;
+    case StepKind::Unreadable:
+        m_endpoints->writeUnreadable(step.who);
+        break;
+    case StepKind::LateWrite:
+        m_endpoints->writeLate(step.who);
+        break;
+    default:
+        configure(step.value);
+        break;
+    }
+}
+
+void World::during(const Step &step, const std::function<void(int change)> &change)
+{
+    change(1);
+    m_timers.start(milliseconds(step.lastsMs), [change] { change(-1); });
+}
+
+void World::duringTroubleOf(Calm &calm, const Step &step, const std::function<void(int)> &change)
+{
+    during(step, [this, &calm, change](int by) {
+        calm.troubles += by;
+        calm.since = m_clock.now();
+        change(by);
+    });
+}
+
+/// The operator's writes wait until the store takes them.
+void World::configure(std::size_t bytes)
+{
+    if (isStoreAway()) {
+        m_timers.start(milliseconds(100), [this, bytes] { configure(bytes); });
+        return;
+    }
+    m_revision += revisionStep;
+    m_store.append(Topic::Configuration, configurationKey,
+                   toText(SimulatedConfiguration{.revision = m_revision, .bytes = bytes}));
+}
+
+} // namespace Simulation
