--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 #include "fleet/endpointdirectory.h"
 #include "fleetsync/peertable.h"
+#include "fleetsync/storeknowledge.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
 #include "schema/generated/fleetsync.h"
@@ -50,13 +51,6 @@
         /// A reader that has read the store within this time asks no peer for endpoints: it does so
         /// each 700 ms.
         Base::Duration storeFreshness = std::chrono::milliseconds(1000);
-        /// Entries lapse after three heartbeats of 1.2 s, of which one may have passed when the
-        /// store went away; in less than this none has. A reader that dies leaves a gap of 2 s.
-        Base::Duration shortestLapse = std::chrono::milliseconds(2300);
-        /// From one read to the next; where reads failed, longer ones are gaps.
-        Base::Duration longestReadGap = std::chrono::milliseconds(800);
-        /// In which endpoints write their entries again after the store's return: 2 s, and a read.
-        Base::Duration writeTime = std::chrono::milliseconds(2200);
         /// A router that starts leaves its peers alone for so long unless the store fails it; that
         /// answers within 25 ms, and within a second when hundreds of routers start at once.
         Base::Duration firstReadTime = std::chrono::milliseconds(500);
@@ -114,7 +108,7 @@
     /// Age of what this router knows; nothing if it knows nothing.
     std::optional<Base::Duration> knowledgeAge() const;
     /// Whether the endpoints are known, from the store or from a peer.
-    bool knowsEndpoints() const { return m_knownAt.has_value(); }
+    bool knowsEndpoints() const { return m_knowledge.at().has_value(); }
     /// Routers that were registered or heard of, this one included.
     std::size_t routerCount() const { return m_peers.peers().size() + 1; }
     const std::map<std::string, Peer> &peers() const { return m_peers.peers(); }
@@ -139,23 +133,14 @@
     bool isFruitless(const Peer &peer) const;
     void noteFruitless();
     void doubt();
-    Base::MonoTime arrivedAt();
-    bool mayHaveLapsed(Base::MonoTime at);
     void noteKnown(Base::MonoTime at);
     Schema::FleetBeacon beacon() const;
 
     Options m_options;
     PeerTable m_peers;
     StoredConfiguration m_configuration;
-    std::optional<Base::MonoTime> m_knownAt; ///< Time to which what is known was true.
-    std::optional<Base::MonoTime> m_storeReadAt;
-    Base::MonoTime m_thereSince{}; ///< Since the last gap.
-    Base::MonoTime m_awaySince{}; ///< Start of the gaps that count as one.
-    bool m_hasStoreFailed = false; ///< Since it was read last.
+    StoreKnowledge m_knowledge;
     Base::MonoTime m_startedAt{};
-    Base::MonoTime m_activeAt{}; ///< When it last did anything.
-    Base::MonoTime m_stoodStillAt{}; ///< Since when, the last time.
-    Base::MonoTime m_backlogUntil{}; ///< What is read until then may have come meanwhile.
     Base::MonoTime m_readingSince{};
     Base::MonoTime m_pulledAt{};
     bool m_isPulling = false;
--- /dev/null
+++ b/src/libs/fleetsync/fleetsyncpulls.cpp
@@ -0,0 +1,164 @@
+#include "fleetsync/fleetsync.h"
+
+#include "fleetsync/sharedendpoint.h"
+
+#include <algorithm>
+
+/// What a FleetSync asks its peers for and tells them when they ask.
+
+namespace Lagoonbank::FleetSync {
+
+using Schema::SharedEndpoint;
+
+namespace {
+
+/// Pulls in a row without an answer after which a router reads the store itself: it hears its
+/// reader over a link that is cut in the other direction.
+constexpr int mostFailedPulls = 2;
+
+} // namespace
+
+/// Whether a pull of endpoints from this peer would tell anything new.
+bool FleetSync::wantsEndpoints(const Peer &peer) const
+{
+    if (m_knowledge.at() && peer.knownAt <= *m_knowledge.at())
+        return false;
+    // Bytes between data centres are dear, and the own reader tells the same a moment later.
+    const bool isStale = now() - m_knowledge.at().value_or(m_startedAt) > m_options.readerAgeLimit;
+    if (!m_peers.isLocal(peer) && !isStale && !m_knowledge.hasFailed())
+        return false;
+    if (!m_isReading)
+        return true;
+    if (m_knowledge.readAt())
+        return now() - *m_knowledge.readAt() > m_options.storeFreshness;
+    return m_knowledge.hasFailed() || now() - m_startedAt > m_options.firstReadTime;
+}
+
+/// A newer configuration of another data centre is pulled only if the own one stays behind.
+bool FleetSync::wantsConfiguration(const Peer &peer, bool isBehind)
+{
+    if (!isBehind)
+        return false;
+    if (m_peers.isLocal(peer))
+        return true;
+    if (!m_behindSince)
+        m_behindSince = now();
+    return now() - *m_behindSince > m_options.ownReaderTime;
+}
+
+/// What a peer knows beyond this router is pulled from it; where both know the same, this router
+/// knows it as of the peer's time. One pull at a time: two copies of a configuration of 880 KB
+/// together hold up all answers on a link of 10 Mbit/s for 1.4 s.
+void FleetSync::compare(const Peer &peer)
+{
+    if (!peer.isKnowing)
+        return;
+    const bool isBehind = peer.configuration > m_configuration.revision.value();
+    const bool isSame = peer.endpoints == m_options.directory->hash();
+    if (isSame && !isBehind) {
+        noteKnown(peer.knownAt);
+        return;
+    }
+    const bool wantsMore = !isSame && !isFruitless(peer) && wantsEndpoints(peer);
+    if ((!wantsConfiguration(peer, isBehind) && !wantsMore) || m_isPulling
+        || now() - m_pulledAt < m_options.pullInterval)
+        return;
+    if (m_failedPulls >= mostFailedPulls && !m_isReading) {
+        doubt();
+        return;
+    }
+    m_pulledAt = now();
+    m_isPulling = true;
+    ++m_failedPulls;
+    m_pulledFrom = peer.id;
+    const Fleet::EndpointDigest &digest = m_options.directory->digest();
+    pull(peer.address,
+         {.configuration = m_configuration.revision.value(),
+          .endpoints = std::vector<std::uint64_t>(digest.begin(), digest.end())});
+}
+
+Schema::FleetStateAnswer FleetSync::answer(const Schema::FleetStateRequest &request) const
+{
+    Schema::FleetStateAnswer state{.knowledgeAgeMs = ageNumber(knowledgeAge())};
+    const Fleet::EndpointDigest &digest = m_options.directory->digest();
+    const auto differs = [&](const Base::EndpointId &id) {
+        const std::size_t bucket = Fleet::digestBucket(id);
+        return bucket >= request.endpoints.size() || request.endpoints[bucket] != digest.at(bucket);
+    };
+    for (const auto &[id, entry] : m_options.directory->entries()) {
+        if (differs(id))
+            state.endpoints.push_back(toShared(entry));
+    }
+    for (const Fleet::GoneEndpoint &gone : m_options.directory->gone()) {
+        if (differs(gone.id))
+            state.endpoints.push_back(sharedGone(gone.id, gone.version));
+    }
+    if (m_configuration.revision.value() > request.configuration) {
+        state.configurationOffset = m_configuration.offset.value();
+        state.configuration = m_configuration.packed;
+    }
+    return state;
+}
+
+void FleetSync::take(const Schema::FleetStateAnswer &state)
+{
+    m_failedPulls = 0;
+    const std::uint64_t before = m_options.directory->hash();
+    for (const SharedEndpoint &endpoint : state.endpoints)
+        learn(endpoint);
+    const bool isFruitless = m_options.directory->hash() == before;
+    if (isFruitless)
+        noteFruitless();
+    // The store may have dropped some of them while it was away.
+    if (!m_knowledge.at())
+        m_options.directory->storeReturned();
+    if (state.knowledgeAgeMs != unknownAge && !m_isDoubting)
+        noteKnown(m_pulledAt - std::chrono::milliseconds(state.knowledgeAgeMs));
+    if (!state.configuration.empty() && configurationLearnt) {
+        configurationLearnt(
+            {.offset = Base::LogOffset(state.configurationOffset), .packed = state.configuration});
+    }
+}
+
+bool FleetSync::isFruitless(const Peer &peer) const
+{
+    return peer.fruitless && peer.fruitless->own == m_options.directory->hash()
+        && peer.fruitless->peer == peer.endpoints
+        && now() - peer.fruitless->at < m_options.fruitlessInterval;
+}
+
+/// The answer has told nothing new though the two differ: the peer lacks what this router has, and
+/// does not know that it has gone, as a reader that has just started. Only the store can tell.
+void FleetSync::noteFruitless()
+{
+    const auto found = m_peers.peers().find(m_pulledFrom);
+    if (found == m_peers.peers().end())
+        return;
+    const Peer &peer = found->second;
+    if (peer.endpoints == m_options.directory->hash())
+        return;
+    m_peers.setFruitless(peer, m_options.directory->hash());
+    if (m_isReading || !peer.isReading || !m_peers.isLocal(peer))
+        return;
+    doubt();
+}
+
+void FleetSync::doubt()
+{
+    m_failedPulls = 0;
+    m_isDoubting = true;
+    checkDuty();
+}
+
+void FleetSync::learn(const SharedEndpoint &shared)
+{
+    const Base::EndpointId id(shared.id);
+    const Base::LogOffset version(shared.version);
+    if (shared.isGone) {
+        m_options.directory->remove(id, version);
+        return;
+    }
+    m_options.directory->put(fromShared(shared), version);
+}
+
+} // namespace Lagoonbank::FleetSync
--- /dev/null
+++ b/src/libs/fleetsync/sharedendpoint.cpp
@@ -0,0 +1,69 @@
+#include "fleetsync/sharedendpoint.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::FleetSync {
+
+using Schema::SharedEndpoint;
+
+namespace {
+
+/// In whole milliseconds, as endpoints say it; 0 if one does not.
+std::uint64_t startedAtMs(const Fleet::Endpoint &endpoint)
+{
+    if (!endpoint.startedAt)
+        return 0;
+    return static_cast<std::uint64_t>(Base::toMilliseconds(endpoint.startedAt->time_since_epoch()));
+}
+
+std::optional<Base::WallTime> startedAt(const SharedEndpoint &shared)
+{
+    if (shared.startedAtMs == 0)
+        return std::nullopt;
+    return Base::WallTime(std::chrono::milliseconds(shared.startedAtMs));
+}
+
+} // namespace
+
+SharedEndpoint toShared(const Fleet::EndpointDirectory::Entry &entry)
+{
+    const Fleet::Endpoint &endpoint = entry.endpoint;
+    return {.id = endpoint.id.value(),
+            .version = entry.version.value(),
+            .service = endpoint.service.value(),
+            .ip = endpoint.address.ip,
+            .port = endpoint.address.port,
+            .dataCentre = endpoint.dataCentre.value(),
+            .software = endpoint.softwareVersion,
+            .slots = static_cast<std::uint32_t>(std::max(0, endpoint.slots)),
+            .isDraining = endpoint.state == Fleet::EndpointState::Draining,
+            .startedAtMs = startedAtMs(endpoint)};
+}
+
+SharedEndpoint sharedGone(const Base::EndpointId &id, Base::LogOffset version)
+{
+    return {.id = id.value(), .version = version.value(), .isGone = true};
+}
+
+Fleet::Endpoint fromShared(const SharedEndpoint &shared)
+{
+    return {.id = Base::EndpointId(shared.id),
+            .service = Base::ServiceId(shared.service),
+            .address = {shared.ip, static_cast<std::uint16_t>(shared.port)},
+            .dataCentre = Base::DataCentreId(shared.dataCentre),
+            .softwareVersion = shared.software,
+            .slots = static_cast<int>(shared.slots),
+            .state =
+                shared.isDraining ? Fleet::EndpointState::Draining : Fleet::EndpointState::Ready,
+            .startedAt = startedAt(shared)};
+}
+
+std::uint32_t ageNumber(std::optional<Base::Duration> age)
+{
+    if (!age)
+        return unknownAge;
+    const std::int64_t ms = Base::toMilliseconds(*age);
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, unknownAge - 1));
+}
+
+} // namespace Lagoonbank::FleetSync
--- a/tests/auto/simulation/checks.cpp
+++ b/tests/auto/simulation/checks.cpp
@@ -3,6 +3,7 @@
 #include "auto/simulation/simulatedconfiguration.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace Simulation {
 
@@ -135,8 +136,29 @@
     }
 }
 
+std::uint64_t Checks::state() const
+{
+    std::string text;
+    for (const auto &router : m_world.routers()) {
+        text += '\n';
+        if (!router->isUp())
+            continue;
+        text += std::string(router->isReading() ? "reads " : "hears ")
+            + std::to_string(router->configuration());
+        for (std::size_t i = 0; i < m_world.endpoints().count(); ++i) {
+            const Fleet::Endpoint *known =
+                router->directory().find(Base::EndpointId(SimulatedEndpoints::id(i)));
+            text += known ? (known->state == Fleet::EndpointState::Ready ? " ready " : " draining ")
+                    + std::to_string(known->address.port)
+                          : std::string(" none");
+        }
+    }
+    return std::hash<std::string>()(text);
+}
+
 bool Checks::look()
 {
+    m_states.insert(state());
     for (const auto &router : m_world.routers()) {
         if (isInTouch(*router))
             checkRouter(*router, bound, returnBound);
--- a/tests/auto/simulation/checks.h
+++ b/tests/auto/simulation/checks.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,8 @@
     Lagoonbank::Base::Duration end() const;
     /// Of all that routers have done; the same each time that a history is played.
     std::uint64_t fingerprint() const { return m_fingerprint; }
+    /// Hashes of the states of the fleet that were seen: who is up and reads, and what each knows.
+    const std::set<std::uint64_t> &states() const { return m_states; }
 
     /// Told what routers do, a line each.
     std::function<void(const std::string &line)> trace;
@@ -40,6 +43,7 @@
     using Duration = Lagoonbank::Base::Duration;
 
     void watchEvents();
+    std::uint64_t state() const;
     void note(Place at, std::uint64_t what);
     void tell(Place at, const std::string &what) const;
     void fail(const std::string &rule, const std::string &detail);
@@ -59,6 +63,7 @@
     Duration m_quietFrom; ///< From here on nothing happens to anybody.
     std::optional<Violation> m_violation;
     std::uint64_t m_fingerprint = 0;
+    std::set<std::uint64_t> m_states;
     /// Newest start that a router knew of an endpoint, until that was removed.
     std::map<std::pair<Place, std::string>, Lagoonbank::Base::WallTime> m_starts;
     std::map<std::string, Duration> m_oneReaderAt; ///< Of each data centre.
--- a/tests/auto/simulation/play.cpp
+++ b/tests/auto/simulation/play.cpp
@@ -120,7 +120,7 @@
     Checks checks(world, history);
     checks.trace = trace;
     world.play(checks.end(), lookInterval, [&checks] { return checks.look(); });
-    return {checks.violation(), checks.fingerprint()};
+    return {checks.violation(), checks.fingerprint(), checks.states()};
 }
 
 History shrink(const History &red, const Violation &violation)
--- a/tests/auto/simulation/play.h
+++ b/tests/auto/simulation/play.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Simulation {
@@ -14,6 +15,7 @@
 {
     std::optional<Violation> violation;
     std::uint64_t fingerprint = 0; ///< See Checks.
+    std::set<std::uint64_t> states; ///< See Checks.
 };
 
 /// \a trace is told what routers do, a line each.
