--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -187,6 +187,8 @@
     if (reads == m_isReading)
         return;
     m_isReading = reads;
+    if (!reads)
+        m_knowledge.forgetFailure();
     m_readingSince = now();
     m_isAnnouncing = reads;
     if (dutyChanged)
--- a/src/libs/fleetsync/fleetsyncpulls.cpp
+++ b/src/libs/fleetsync/fleetsyncpulls.cpp
@@ -138,7 +138,7 @@
     if (peer.endpoints == m_options.directory->hash())
         return;
     m_peers.setFruitless(peer, m_options.directory->hash());
-    if (m_isReading || !peer.isReading || !m_peers.isLocal(peer))
+    if (!peer.isReading || !m_peers.isLocal(peer))
         return;
     doubt();
 }
--- a/src/libs/fleetsync/storeknowledge.h
+++ b/src/libs/fleetsync/storeknowledge.h
@@ -47,6 +47,8 @@
     /// The same of a read of this router's own.
     bool read();
     void readFailed() { m_hasFailed = true; }
+    /// This router reads no more, so its reads say nothing of what comes.
+    void forgetFailure() { m_hasFailed = false; }
 
 private:
     Options m_options;
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -97,7 +97,7 @@
     for (const std::string &key : dropped) {
         m_offsets.erase(key);
         if (keyDropped)
-            keyDropped(key, *m_fillEnd);
+            keyDropped(key, *m_fillEnd - Base::LogOffset(1)); // The next one may be the key's.
     }
     m_isFilling = false;
     m_isFilled = true;
--- a/tests/auto/simulation/checks.cpp
+++ b/tests/auto/simulation/checks.cpp
@@ -209,6 +209,12 @@
 {
     const auto expected = newest.value ? readEndpoint(id, *newest.value) : std::nullopt;
     const Fleet::Endpoint *known = router.directory().find(Base::EndpointId(id));
+    // Nobody who knows a newer start believes a late write, even if that start does not write
+    // again.
+    const std::size_t number = SimulatedEndpoints::numberOf(Base::EndpointId(id));
+    if (expected && known
+        && m_world.endpoints().isBefore(number, *expected->startedAt, *known->startedAt))
+        return;
     const bool isReady = known && known->state == Fleet::EndpointState::Ready;
     const bool mayBeReady = expected && expected->state == Fleet::EndpointState::Ready;
     const std::string detail = id + " at router " + std::to_string(router.place()) + ": knows "
--- a/tests/auto/simulation/tst_simulatedhistories.cpp
+++ b/tests/auto/simulation/tst_simulatedhistories.cpp
@@ -221,3 +221,37 @@
                     {.kind = StepKind::StartAgain, .atMs = 12652, .who = 1, .value = 2},
                 }});
 }
+
+/// A key that a listing lacked counted as dropped by the record behind it, which was the key's
+/// next.
+BOOST_AUTO_TEST_CASE(anEntryThatIsWrittenRightAfterAListingIsKnown)
+{
+    checkGreen({.seed = 46172,
+                .dataCentres = {3, 2},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::Lossy, .atMs = 3450, .lastsMs = 3100, .who = 3, .value = 50},
+                    {.kind = StepKind::Lossy, .atMs = 3503, .lastsMs = 3200, .who = 3, .value = 18},
+                    {.kind = StepKind::Drain, .atMs = 3742},
+                    {.kind = StepKind::Leave, .atMs = 5327},
+                    {.kind = StepKind::StartAgain, .atMs = 6621, .other = 1},
+                }});
+}
+
+/// A router that had not reached the store itself yet left it to one that had just started.
+BOOST_AUTO_TEST_CASE(whoeverDiffersFromANewReaderReadsOnce)
+{
+    checkGreen({.seed = 55714,
+                .dataCentres = {1, 1, 2},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::Crash, .atMs = 4821},
+                    {.kind = StepKind::CutDataCentre,
+                     .atMs = 5165,
+                     .lastsMs = 6903,
+                     .who = 3,
+                     .other = 1,
+                     .value = 1},
+                    {.kind = StepKind::Replace, .atMs = 9231, .lastsMs = 2973, .who = 2},
+                }});
+}
