--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -1,7 +1,8 @@
 #include "fleetsync/fleetsync.h"
 
+#include "fleetsync/sharedendpoint.h"
+
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace Lagoonbank::FleetSync {
@@ -10,52 +11,10 @@
 
 using Schema::SharedEndpoint;
 
-constexpr std::uint32_t unknownAge = std::numeric_limits<std::uint32_t>::max();
 /// Changes that one datagram carries; more are found out by the hash and pulled.
 constexpr std::size_t mostNews = 8;
-
-std::uint32_t ageNumber(std::optional<Base::Duration> age)
-{
-    if (!age)
-        return unknownAge;
-    const std::int64_t ms = Base::toMilliseconds(*age);
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, unknownAge - 1));
-}
-
-/// In whole milliseconds, as endpoints say it; 0 if one does not.
-std::uint64_t startedAtMs(const Fleet::Endpoint &endpoint)
-{
-    if (!endpoint.startedAt)
-        return 0;
-    return static_cast<std::uint64_t>(Base::toMilliseconds(endpoint.startedAt->time_since_epoch()));
-}
-
-std::optional<Base::WallTime> startedAt(const SharedEndpoint &shared)
-{
-    if (shared.startedAtMs == 0)
-        return std::nullopt;
-    return Base::WallTime(std::chrono::milliseconds(shared.startedAtMs));
-}
-
-SharedEndpoint shared(const Fleet::EndpointDirectory::Entry &entry)
-{
-    const Fleet::Endpoint &endpoint = entry.endpoint;
-    return {.id = endpoint.id.value(),
-            .version = entry.version.value(),
-            .service = endpoint.service.value(),
-            .ip = endpoint.address.ip,
-            .port = endpoint.address.port,
-            .dataCentre = endpoint.dataCentre.value(),
-            .software = endpoint.softwareVersion,
-            .slots = static_cast<std::uint32_t>(std::max(0, endpoint.slots)),
-            .isDraining = endpoint.state == Fleet::EndpointState::Draining,
-            .startedAtMs = startedAtMs(endpoint)};
-}
-
-SharedEndpoint sharedGone(const Base::EndpointId &id, Base::LogOffset version)
-{
-    return {.id = id.value(), .version = version.value(), .isGone = true};
-}
+/// Past the moment at which a reader counts as failing.
+constexpr Base::Duration readMargin = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -66,11 +25,13 @@
                .strength = m_options.strength,
                .clock = &m_options.timers->clock(),
                .randomSeed = m_options.randomSeed})
+    , m_knowledge({.clock = &m_options.timers->clock()})
 { }
 
 FleetSync::~FleetSync()
 {
     m_options.timers->cancel(m_timer);
+    m_options.timers->cancel(m_silenceTimer);
     if (m_newsTimer)
         m_options.timers->cancel(*m_newsTimer);
 }
@@ -78,6 +39,7 @@
 void FleetSync::start()
 {
     m_startedAt = now();
+    m_knowledge.arrivedAt();
     m_readingSince = m_startedAt;
     tick();
 }
@@ -103,135 +65,41 @@
     if (beacon.router == m_options.id)
         return;
     bool isNew = false;
-    const Peer &peer = m_peers.note(fromIp, beacon, isNew);
+    const Peer &peer = m_peers.note(fromIp, beacon, m_knowledge.arrivedAt(), isNew);
     for (const SharedEndpoint &news : beacon.news)
         learn(news);
     compare(peer);
+    watch(peer);
     if (isNew && !peer.isTold)
         sendTo(peer);
 }
 
-/// Whether a pull of endpoints from this peer would tell anything new.
-bool FleetSync::wantsEndpoints(const Peer &peer) const
-{
-    if (m_knownAt && peer.knownAt <= *m_knownAt)
-        return false;
-    // Bytes between data centres are dear, and the own reader tells the same a moment later.
-    const bool isStale = now() - m_knownAt.value_or(m_startedAt) > m_options.readerAgeLimit;
-    if (!m_peers.isLocal(peer) && !isStale && !m_hasStoreFailed)
-        return false;
-    if (!m_isReading)
-        return true;
-    if (m_storeReadAt)
-        return now() - *m_storeReadAt > m_options.storeFreshness;
-    return m_hasStoreFailed || now() - m_startedAt > m_options.firstReadTime;
-}
-
-/// A newer configuration of another data centre is pulled only if the own one stays behind.
-bool FleetSync::wantsConfiguration(const Peer &peer, bool isBehind)
-{
-    if (!isBehind)
-        return false;
-    if (m_peers.isLocal(peer))
-        return true;
-    if (!m_behindSince)
-        m_behindSince = now();
-    return now() - *m_behindSince > m_options.ownReaderTime;
-}
-
-/// What a peer knows beyond this router is pulled from it; where both know the same, this router
-/// knows it as of the peer's time. One pull at a time: two copies of a configuration of 880 KB
-/// together hold up all answers on a link of 10 Mbit/s for 1.4 s.
-void FleetSync::compare(const Peer &peer)
-{
-    if (!peer.isKnowing)
-        return;
-    const bool isBehind = peer.configuration > m_configuration.revision.value();
-    const bool isSame = peer.endpoints == m_options.directory->hash();
-    if (isSame && !isBehind) {
-        m_knownAt = std::max(m_knownAt.value_or(peer.knownAt), peer.knownAt);
-        return;
-    }
-    const bool wantsMore = !isSame && wantsEndpoints(peer);
-    if ((!wantsConfiguration(peer, isBehind) && !wantsMore) || m_isPulling
-        || now() - m_pulledAt < m_options.pullInterval)
-        return;
-    m_pulledAt = now();
-    m_isPulling = true;
-    const Fleet::EndpointDigest &digest = m_options.directory->digest();
-    pull(peer.address,
-         {.configuration = m_configuration.revision.value(),
-          .endpoints = std::vector<std::uint64_t>(digest.begin(), digest.end())});
-}
-
-Schema::FleetStateAnswer FleetSync::answer(const Schema::FleetStateRequest &request) const
-{
-    Schema::FleetStateAnswer state{.knowledgeAgeMs = ageNumber(knowledgeAge())};
-    const Fleet::EndpointDigest &digest = m_options.directory->digest();
-    const auto differs = [&](const Base::EndpointId &id) {
-        const std::size_t bucket = Fleet::digestBucket(id);
-        return bucket >= request.endpoints.size() || request.endpoints[bucket] != digest.at(bucket);
-    };
-    for (const auto &[id, entry] : m_options.directory->entries()) {
-        if (differs(id))
-            state.endpoints.push_back(shared(entry));
-    }
-    for (const Fleet::GoneEndpoint &gone : m_options.directory->gone()) {
-        if (differs(gone.id))
-            state.endpoints.push_back(sharedGone(gone.id, gone.version));
-    }
-    if (m_configuration.revision.value() > request.configuration) {
-        state.configurationOffset = m_configuration.offset.value();
-        state.configuration = m_configuration.packed;
-    }
-    return state;
-}
-
-void FleetSync::take(const Schema::FleetStateAnswer &state)
+void FleetSync::storeRead()
 {
-    for (const SharedEndpoint &endpoint : state.endpoints)
-        learn(endpoint);
-    if (state.knowledgeAgeMs != unknownAge) {
-        const Base::MonoTime at = now() - std::chrono::milliseconds(state.knowledgeAgeMs);
-        m_knownAt = std::max(m_knownAt.value_or(at), at);
-    }
-    if (!state.configuration.empty() && configurationLearnt) {
-        configurationLearnt(
-            {.offset = Base::LogOffset(state.configurationOffset), .packed = state.configuration});
-    }
+    if (m_knowledge.read())
+        m_options.directory->storeReturned();
+    m_isDoubting = false;
 }
 
-void FleetSync::learn(const SharedEndpoint &shared)
+void FleetSync::storeFailed()
 {
-    const Base::EndpointId id(shared.id);
-    const Base::LogOffset version(shared.version);
-    if (shared.isGone) {
-        m_options.directory->remove(id, version);
-        return;
-    }
-    m_options.directory->put(
-        {.id = id,
-         .service = Base::ServiceId(shared.service),
-         .address = {shared.ip, static_cast<std::uint16_t>(shared.port)},
-         .dataCentre = Base::DataCentreId(shared.dataCentre),
-         .softwareVersion = shared.software,
-         .slots = static_cast<int>(shared.slots),
-         .state = shared.isDraining ? Fleet::EndpointState::Draining : Fleet::EndpointState::Ready,
-         .startedAt = startedAt(shared)},
-        version);
+    m_knowledge.readFailed();
+    m_options.directory->storeLeft();
 }
 
-void FleetSync::storeRead()
+/// What is known was true at \a at. A peer that the store has answered first tells of its return
+/// before the own read does.
+void FleetSync::noteKnown(Base::MonoTime at)
 {
-    m_knownAt = now();
-    m_storeReadAt = m_knownAt;
-    m_hasStoreFailed = false;
+    if (m_knowledge.learn(at))
+        m_options.directory->storeReturned();
 }
 
 void FleetSync::storeReturned()
 {
-    const std::optional<Base::Duration> age = knowledgeAge();
-    if (!age || *age > m_options.shortestLapse)
+    if (!m_knowledge.at() && m_options.directory->entries().empty())
+        return; // Nothing can have lapsed.
+    if (!m_knowledge.at() || m_options.directory->isHeld() || m_knowledge.mayHaveLapsed(now()))
         m_options.directory->storeReturned();
 }
 
@@ -253,10 +121,10 @@
 /// Changes that one read of the store brings go out together.
 void FleetSync::endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone)
 {
-    if (!m_isReading || !m_storeReadAt)
+    if (!m_isReading || !m_knowledge.readAt())
         return;
     if (m_news.size() <= mostNews) {
-        m_news.push_back(isGone ? sharedGone(entry.endpoint.id, entry.version) : shared(entry));
+        m_news.push_back(isGone ? sharedGone(entry.endpoint.id, entry.version) : toShared(entry));
     }
     if (!m_newsTimer)
         m_newsTimer = m_options.timers->start(Base::Duration::zero(), [this] { sendNews(); });
@@ -279,9 +147,9 @@
 
 std::optional<Base::Duration> FleetSync::knowledgeAge() const
 {
-    if (!m_knownAt)
+    if (!m_knowledge.at())
         return std::nullopt;
-    return now() - *m_knownAt;
+    return now() - *m_knowledge.at();
 }
 
 std::vector<Runtime::SocketAddress> FleetSync::peerAddresses() const
@@ -296,6 +164,7 @@
 
 void FleetSync::tick()
 {
+    m_knowledge.arrivedAt();
     checkDuty();
     sendBeacons();
     m_timer = m_options.timers->start(m_peers.beaconInterval(), [this] { tick(); });
@@ -311,11 +180,15 @@
         return m_peers.isLocal(peer) && peer.isReading && m_peers.isAlive(peer) && !peer.isLeaving
             && m_peers.isStronger(peer) && !isFailing(peer);
     });
-    // Until it knows anything a router reads, whoever else does.
-    const bool reads = !isOther || !m_knownAt;
+    // Until it knows anything a router reads, whoever else does; so it does while it waits for
+    // entries to come back, as peers that have not missed them would not tell.
+    const bool reads =
+        !isOther || !m_knowledge.at() || m_isDoubting || m_options.directory->hasMissing();
     if (reads == m_isReading)
         return;
     m_isReading = reads;
+    if (!reads)
+        m_knowledge.forgetFailure();
     m_readingSince = now();
     m_isAnnouncing = reads;
     if (dutyChanged)
@@ -324,15 +197,32 @@
 
 bool FleetSync::isFailing(const Peer &peer) const
 {
-    return peer.isReading && peer.heardAt
-        && *peer.heardAt - peer.knownAt > m_options.readerAgeLimit;
+    if (!peer.isReading || !peer.heardAt)
+        return false;
+    // Its deputies hear it often; others could not tell its silence from failed reads.
+    const Base::MonoTime at = m_peers.isDeputyOf(peer) ? now() : *peer.heardAt;
+    return at - peer.knownAt > m_options.readerAgeLimit;
 }
 
-/// Peers count on a reader by this. What it learns from them says nothing of its own reads.
+/// Peers count on a reader by this, so it has to have read since it became one. What it learns from
+/// them says nothing of its own reads.
 bool FleetSync::readsWell() const
 {
-    const Base::MonoTime since = std::max(m_storeReadAt.value_or(m_readingSince), m_readingSince);
-    return m_isReading && now() - since <= m_options.readerAgeLimit;
+    return m_isReading && m_knowledge.readAt() && *m_knowledge.readAt() >= m_readingSince
+        && now() - *m_knowledge.readAt() <= m_options.readerAgeLimit;
+}
+
+/// A leaving endpoint has to be known in 2 s, of which 1.6 s go by until a reader counts as
+/// failing. That leaves no time to wait for the next tick.
+void FleetSync::watch(const Peer &peer)
+{
+    if (!peer.isReading || !m_peers.isLocal(peer))
+        return;
+    m_options.timers->cancel(m_silenceTimer);
+    Base::Duration limit = m_peers.silenceLimit(peer);
+    if (m_peers.isDeputyOf(peer))
+        limit = std::min(limit, m_options.readerAgeLimit - (now() - peer.knownAt) + readMargin);
+    m_silenceTimer = m_options.timers->start(limit, [this] { checkDuty(); });
 }
 
 void FleetSync::sendBeacons()
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 #include "fleet/endpointdirectory.h"
 #include "fleetsync/peertable.h"
+#include "fleetsync/storeknowledge.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
 #include "schema/generated/fleetsync.h"
@@ -51,8 +52,6 @@
         /// A reader that has read the store within this time asks no peer for endpoints: it does so
         /// each 700 ms.
         Base::Duration storeFreshness = std::chrono::milliseconds(1000);
-        /// Entries lapse after three heartbeats of 1.2 s; in less than this none has.
-        Base::Duration shortestLapse = std::chrono::seconds(2);
         /// A router that starts leaves its peers alone for so long unless the store fails it; that
         /// answers within 25 ms, and within a second when hundreds of routers start at once.
         Base::Duration firstReadTime = std::chrono::milliseconds(500);
@@ -61,6 +60,10 @@
         Base::Duration ownReaderTime = std::chrono::milliseconds(200);
         /// Between two pulls from whomever, while a difference lasts and none is on its way.
         Base::Duration pullInterval = std::chrono::milliseconds(400);
+        /// From a pull that told nothing new to the next one of the same peer while neither it nor
+        /// this router changes; others are asked meanwhile. Endpoints write their entries again in
+        /// it.
+        Base::Duration fruitlessInterval = std::chrono::milliseconds(1500);
     };
 
     explicit FleetSync(Options options);
@@ -90,13 +93,14 @@
     void receive(const std::string &fromIp, const Schema::FleetBeacon &beacon);
     Schema::FleetStateAnswer answer(const Schema::FleetStateRequest &request) const;
     void pullEnded() { m_isPulling = false; }
+    /// The answer to the last pull.
     void take(const Schema::FleetStateAnswer &state);
     /// All endpoints that the store had a moment ago have been put into the directory.
     void storeRead();
     /// The store answers this router again; its entries may have lapsed if it answered nobody.
     void storeReturned();
     /// A read of the endpoints has failed.
-    void storeFailed() { m_hasStoreFailed = true; }
+    void storeFailed();
     void setConfiguration(StoredConfiguration configuration);
     /// To be called when the directory has changed.
     void endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone);
@@ -105,7 +109,7 @@
     /// Age of what this router knows; nothing if it knows nothing.
     std::optional<Base::Duration> knowledgeAge() const;
     /// Whether the endpoints are known, from the store or from a peer.
-    bool knowsEndpoints() const { return m_knownAt.has_value(); }
+    bool knowsEndpoints() const { return m_knowledge.at().has_value(); }
     /// Routers that were registered or heard of, this one included.
     std::size_t routerCount() const { return m_peers.peers().size() + 1; }
     const std::map<std::string, Peer> &peers() const { return m_peers.peers(); }
@@ -116,6 +120,7 @@
     Base::MonoTime now() const { return m_options.timers->clock().now(); }
     void tick();
     void checkDuty();
+    void watch(const Peer &peer);
     bool isFailing(const Peer &peer) const;
     bool readsWell() const;
     void sendBeacons();
@@ -126,18 +131,24 @@
     bool wantsConfiguration(const Peer &peer, bool isBehind);
     void compare(const Peer &peer);
     void learn(const Schema::SharedEndpoint &shared);
+    bool isFruitless(const Peer &peer) const;
+    void noteFruitless();
+    void doubt();
+    void noteKnown(Base::MonoTime at);
     Schema::FleetBeacon beacon() const;
 
     Options m_options;
     PeerTable m_peers;
     StoredConfiguration m_configuration;
-    std::optional<Base::MonoTime> m_knownAt; ///< Time to which what is known was true.
-    std::optional<Base::MonoTime> m_storeReadAt;
-    bool m_hasStoreFailed = false; ///< Since it was read last.
+    StoreKnowledge m_knowledge;
     Base::MonoTime m_startedAt{};
     Base::MonoTime m_readingSince{};
     Base::MonoTime m_pulledAt{};
     bool m_isPulling = false;
+    std::string m_pulledFrom; ///< Id of the peer.
+    int m_failedPulls = 0; ///< In a row, the one that is under way included.
+    /// Pulls have not settled a difference, so this router reads the store itself.
+    bool m_isDoubting = false;
     /// Since when another data centre has a newer configuration than this router.
     std::optional<Base::MonoTime> m_behindSince;
     Base::MonoTime m_localBeaconsAt{}; ///< Those to peers that are not told often.
@@ -147,6 +158,7 @@
     bool m_isLeaving = false;
     bool m_isAnnouncing = false; ///< Has become a reader; the whole data centre has to hear of it.
     Runtime::TimerId m_timer;
+    Runtime::TimerId m_silenceTimer; ///< Runs while a reader of this data centre is alive.
 };
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -19,6 +19,8 @@
 void KeyedView::start()
 {
     m_isRunning = true;
+    // The log may have been away since this view was stopped.
+    m_hasHealth = false;
     fill();
 }
 
@@ -104,7 +106,7 @@
     for (const std::string &key : dropped) {
         m_offsets.erase(key);
         if (keyDropped)
-            keyDropped(key, *m_fillEnd);
+            keyDropped(key, *m_fillEnd - Base::LogOffset(1)); // The next one may be the key's.
     }
     m_isFilling = false;
     m_isFilled = true;
@@ -183,8 +185,9 @@
 void KeyedView::readAnswered()
 {
     m_backoff.reset();
+    const bool isLate = age().value_or(Base::Duration::zero()) > m_options.longestGap;
     m_answeredAt = m_options.timers->clock().now();
-    const bool isNews = !m_hasHealth || !m_isUp;
+    const bool isNews = !m_hasHealth || !m_isUp || isLate;
     m_hasHealth = true;
     m_isUp = true;
     if (isNews && healthChanged)
