--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -27,6 +27,7 @@
 void KeyedView::startAfter(Base::LogOffset known)
 {
     m_isRunning = true;
+    m_hasHealth = false;
     m_isFilling = false;
     m_isFilled = true;
     m_position = std::max(m_position, known + Base::LogOffset(1));
