--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -281,7 +281,7 @@
     f.view.startAfter(Base::LogOffset(7));
     BOOST_TEST((f.log.reads.back().from == Base::LogOffset(8)));
     f.log.answerTail({put("a", "2", 8)}, 9);
-    BOOST_TEST(f.takeTold() == "a=2 ");
+    BOOST_TEST(f.takeTold() == "up a=2 ");
     f.pass(std::chrono::milliseconds(500));
     const FakeLog::Read read = f.log.take();
     read.tail(TailPage{.isLost = true});
