Runtime: Tell no more processor time than was wanted

Where CLOCK_THREAD_CPUTIME_ID counts waits too (seen in a trial: 1,000 ms in a second of which 3 ms were wanted) the share that a router is given looked like more than all. It is bounded by what was wanted; test in tst_looplag.

--- a/src/libs/runtime/looplag.cpp
+++ b/src/libs/runtime/looplag.cpp
@@ -114,7 +114,9 @@
 {
     const Base::Duration processor = m_options.processorTime();
     m_second.wall = now - std::exchange(m_sampledAt, now);
-    m_second.processor = processor - std::exchange(m_processorAtSample, processor);
+    // Systems that count waits as processor time too tell more than was wanted.
+    m_second.processor = std::min(processor - m_processorAtSample, m_second.wanted);
+    m_processorAtSample = processor;
     const Figures second = std::exchange(m_second, {});
     if (m_isBehind)
         add(m_spell, second);
--- a/tests/auto/runtime/tst_looplag.cpp
+++ b/tests/auto/runtime/tst_looplag.cpp
@@ -127,6 +127,17 @@
     BOOST_TEST(second.turns == 50U);
 }
 
+BOOST_FIXTURE_TEST_CASE(noMoreIsGivenThanWasWanted, Fixture)
+{
+    for (int i = 0; i < 300; ++i) {
+        turn(milliseconds(5), milliseconds(5));
+        processor += milliseconds(10); // A system that counts the wait too.
+    }
+    BOOST_REQUIRE(!samples.empty());
+    BOOST_TEST((samples.back().processor == samples.back().wanted));
+    BOOST_TEST(samples.back().givenShare() == 1.0);
+}
+
 /// On the machine's clock, through the event loop: its wait is not counted, its callback is.
 BOOST_AUTO_TEST_CASE(waitsOfARealLoopAreToldFromItsWork)
 {
