Http: Count a request's age from its own bytes only

Found by reading the change again: the first request on a connection that its caller had opened earlier counted as old as the connection, half a request that came early made the whole one old, the second of several pipelined requests lost its age, and a count of open connections that was made before waiting callers left could have closed all idle ones. New connections that are closed unread are counted (Server::Options::leftUnread).

A request is refused for its age only if it lay unread for 10 ms or more, so that a caller with less time than that is served as before.

Tests: tst_server, ageOfPipelinedRequestsCountsUntilTheLastOfThem, ageOfARequestIsNotThatOfWhatCameBefore, idleConnectionsStayWhenTheCrowdHasLeft.

--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -66,7 +66,7 @@
     const Base::MonoTime now = m_timers.clock().now();
     m_gateway.m_retryBudget.requestCame(m_service, now);
     m_gateway.m_loadShedder.asked(claimant(), now);
-    if (now > m_cameAt && timeLeft() < leastTime) {
+    if (now - m_cameAt >= leastTime && timeLeft() < leastTime) {
         // It lay unread for as long as its caller waits.
         giveUp({.kind = ErrorKind::Overloaded, .hasReached = false, .hasRun = false});
         return;
--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -285,6 +285,8 @@
         m_loop.lag().noteWaited(now - next.arrival.latest);
         if (hasLeft(next)) {
             h2o_socket_close(next.socket);
+            if (m_options.leftUnread)
+                m_options.leftUnread();
             continue;
         }
         start(next);
@@ -462,6 +464,7 @@
         else if (connection->open.empty())
             cutIfSlow(*connection, now);
     }
+    noteCrowd();
     if (m_http1.isCrowded)
         closeLongestIdle();
     if (!m_isStopping || !m_options.sharesContext)
--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -59,7 +59,8 @@
     , m_socket(socket)
     , m_peer(std::move(peer))
     , m_arrival(arrival)
-    , m_since(context.loop->clock().now())
+    , m_startedAt(context.loop->clock().now())
+    , m_since(m_startedAt)
 { }
 
 Http1Connection::~Http1Connection()
@@ -86,7 +87,9 @@
 void Http1Connection::readable(h2o_socket_t *socket, const char *error)
 {
     const std::shared_ptr<Http1Connection> self = connectionOf(socket).shared_from_this();
-    if (self->m_state == State::Answering && socket->input->size > 0 && !self->m_aheadSince)
+    if (self->m_state != State::Answering)
+        self->m_aheadSince.reset(); // What lay ahead was not whole.
+    else if (socket->input->size > 0 && !self->m_aheadSince)
         self->m_aheadSince = self->m_context.loop->clock().now();
     if (self->m_state == State::Lingering)
         h2o_buffer_consume(&socket->input, socket->input->size);
@@ -186,6 +189,8 @@
     request.peer = m_peer;
     request.cameAt = requestCameAt(isFirst);
     m_aheadSince.reset();
+    if (m_socket->input->size > 0)
+        m_aheadSince = request.cameAt;
     const auto responder = std::make_shared<Http1Responder>(
         Http1Responder::Options{.connection = weak_from_this(),
                                 .isHead = request.method == "HEAD",
@@ -199,17 +204,18 @@
         responder->abort();
 }
 
-/// A first request is about as old as its connection, which may have waited for long; others came
-/// after the loop's look before. Where that leaves much open the kernel is asked, and where it does
-/// not tell, a request counts as old as it can be.
+/// What the first look at a new connection finds is about as old as the connection, which may have
+/// waited for long; the rest came after the loop's look before. Where that leaves much open the
+/// kernel is asked, and where it does not tell, a request counts as old as it can be.
 Base::MonoTime Http1Connection::requestCameAt(bool isFirst) const
 {
     const Base::MonoTime now = m_context.loop->clock().now();
     if (m_aheadSince)
         return *m_aheadSince;
-    const Base::Duration least = isFirst ? now - m_arrival.latest : Base::Duration::zero();
-    const Base::Duration most =
-        isFirst ? now - m_arrival.earliest : m_context.loop->lag().sinceLookBefore();
+    const Base::Duration sinceLook = m_context.loop->lag().sinceLookBefore();
+    const bool isFirstLook = isFirst && now - m_startedAt <= sinceLook + leastUnread;
+    const Base::Duration least = isFirstLook ? now - m_arrival.latest : Base::Duration::zero();
+    const Base::Duration most = isFirstLook ? now - m_arrival.earliest : sinceLook;
     if (most - least < leastUnread)
         return now - least;
     const auto told = sinceLastBytes(h2o_socket_get_fd(m_socket));
--- a/src/libs/http/http1connection.h
+++ b/src/libs/http/http1connection.h
@@ -103,6 +103,7 @@
     st_h2o_socket_t *m_socket;
     Runtime::SocketAddress m_peer;
     Arrival m_arrival; ///< Of the connection.
+    Base::MonoTime m_startedAt; ///< When it began to be read.
     State m_state = State::Reading;
     std::optional<RequestParser> m_parser;
     std::weak_ptr<Http1Responder> m_responder;
--- a/tests/auto/http/tst_server.cpp
+++ b/tests/auto/http/tst_server.cpp
@@ -28,7 +28,8 @@
                                                           .address = {"127.0.0.1", 0},
                                                           .limits = limits,
                                                           .closeMeansLeft = closeMeansLeft,
-                                                          .maxConnections = maxConnections});
+                                                          .maxConnections = maxConnections,
+                                                          .leftUnread = [this] { ++leftUnread; }});
         server->setHandler([this](Request request, const std::shared_ptr<Responder> &responder) {
             requests.push_back(std::move(request));
             responders.push_back(responder);
@@ -60,6 +61,7 @@
     std::vector<Request> requests;
     std::vector<std::shared_ptr<Responder>> responders;
     int gone = 0;
+    int leftUnread = 0;
     std::function<void(Responder &responder)> looked; ///< As each request is handed over.
     bool answersAtOnce = true;
 };
@@ -600,6 +602,47 @@
     BOOST_TEST((f.clock.now() - f.requests.back().cameAt == std::chrono::milliseconds(600)));
 }
 
+BOOST_AUTO_TEST_CASE(ageOfPipelinedRequestsCountsUntilTheLastOfThem)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    caller.send(get);
+    f.awaitRequest().send(200, {}, "answer");
+    f.runTurns(5);
+    caller.send(std::string(get) + std::string(get) + std::string(get));
+    for (std::size_t count = 2; count <= 4; ++count) {
+        Responder &responder = f.awaitRequest(count);
+        const Base::Duration age = f.clock.now() - f.requests.back().cameAt;
+        BOOST_TEST(Base::toMilliseconds(age) == 200 * static_cast<std::int64_t>(count - 2));
+        f.advance(std::chrono::milliseconds(200));
+        responder.send(200, {}, "answer");
+    }
+}
+
+/// A connection may be opened long before its first request, and half a request long before the
+/// rest.
+BOOST_AUTO_TEST_CASE(ageOfARequestIsNotThatOfWhatCameBefore)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    RawSocket caller = f.connect();
+    f.runTurns(5);
+    f.advance(std::chrono::seconds(2));
+    caller.send(get);
+    f.awaitRequest();
+    BOOST_TEST((f.clock.now() == f.requests.back().cameAt));
+    caller.send(get.substr(0, 10));
+    f.runTurns(5);
+    f.advance(std::chrono::seconds(2));
+    f.responders.back()->send(200, {}, "answer");
+    f.runTurns(5);
+    f.advance(std::chrono::seconds(1));
+    caller.send(get.substr(10));
+    f.awaitRequest(2);
+    BOOST_TEST((f.clock.now() == f.requests.back().cameAt));
+}
+
 /// More callers than are looked at in a turn: all are accepted and wait here, where their age is
 /// known and the loop knows that it is behind.
 BOOST_AUTO_TEST_CASE(newConnectionsWaitWithTheirAgeKnown)
@@ -625,6 +668,29 @@
     f.expectStillServes();
 }
 
+/// Those that have left while they waited no longer count as open.
+BOOST_AUTO_TEST_CASE(idleConnectionsStayWhenTheCrowdHasLeft)
+{
+    Fixture f(true, 20);
+    RawSocket idle = f.connect();
+    idle.send(get);
+    BOOST_REQUIRE(f.runUntil([&] { return idle.has("answer /p"); }));
+    std::vector<RawSocket> crowd;
+    f.loop.post([&] {
+        for (int i = 0; i < 60; ++i) {
+            crowd.push_back(f.connect());
+            crowd.back().send(get);
+            crowd.back().close();
+        }
+        f.clock.advance(std::chrono::milliseconds(200));
+    });
+    f.runTurns(10);
+    f.advance(std::chrono::seconds(1));
+    BOOST_TEST(f.server->openConnections() == 1U);
+    BOOST_TEST(!idle.isEnded());
+    BOOST_TEST(f.leftUnread == 60);
+}
+
 /// Callers that come on new connections each time leave the old ones idle.
 BOOST_AUTO_TEST_CASE(idleConnectionsBeyondTheMostAreClosedOldestFirst)
 {
