Http: Fall back where the system does not count since when bytes lie

A system that answers TCP_INFO with all of its times 0 was believed, so that a request that had lain through a stall counted as fresh (7,000 of 7,000 requests in a trial). It counts now as one that does not tell: a request is as old as the loop's look before allows.

--- a/src/libs/http/socketlook.cpp
+++ b/src/libs/http/socketlook.cpp
@@ -32,6 +32,10 @@
         offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv;
     if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < needed)
         return std::nullopt;
+    // A system that does not count these times says 0 for all of them; that everything happened
+    // within this millisecond is rare.
+    if (info.tcpi_last_data_recv + info.tcpi_last_ack_recv + info.tcpi_last_data_sent == 0)
+        return std::nullopt;
     return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
