Gateway: Tell again what load a request without room saw

The line "No endpoint has room." had lost mean_load and candidates, which the operators' page explains; they are those of its last look, none if one before it in line found nothing and it did not look.

--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -148,6 +148,7 @@
     std::optional<Runtime::TimerId> m_placeTimer; ///< Until it looks for a place again.
     std::optional<Base::MonoTime> m_roomWantedAt; ///< Since its last send.
     std::optional<RoomQueue::Ticket> m_roomTicket; ///< While it waits in line for room.
+    Place m_full; ///< When it looked for room last and found none.
     std::optional<Place> m_next; ///< Where it goes on; chosen when it is sent if there is none.
     Base::MonoTime m_passedOnAt; ///< When its caller got something last.
     Base::MonoTime m_silenceTimerDue;
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -96,8 +96,10 @@
     const Base::MonoTime now = m_timers.clock().now();
     const Place place =
         m_gateway.m_placement.choose(placementRequest(), m_gateway.m_endpoints, now);
-    if (place.isFull)
+    if (place.isFull) {
+        m_full = place;
         return false;
+    }
     if (!place.endpoint && awaitEndpoint())
         return true;
     if (!place.endpoint) {
@@ -202,14 +204,18 @@
 {
     m_roomTicket.reset();
     if (m_gateway.m_options.log->wants()) {
-        m_gateway.m_options.log->request(part, "No endpoint has room.",
-                                         {{"request", m_request.id.value()},
-                                          {"route", m_route->name},
-                                          {"priority", m_priority},
-                                          {"usable_share", usableShare()},
-                                          {"in_line", m_gateway.m_roomQueue.size()},
-                                          {"waited_ms", m_timers.clock().now() - *m_roomWantedAt},
-                                          {"left_ms", timeLeft()}});
+        m_gateway.m_options.log->request(
+            part, "No endpoint has room.",
+            {{"request", m_request.id.value()},
+             {"route", m_route->name},
+             {"priority", m_priority},
+             {"usable_share", usableShare()},
+             // As it looked last; none if another one in line spoke for it.
+             {"mean_load", m_full.meanLoad},
+             {"candidates", m_full.candidates},
+             {"in_line", m_gateway.m_roomQueue.size()},
+             {"waited_ms", m_timers.clock().now() - *m_roomWantedAt},
+             {"left_ms", timeLeft()}});
     }
     giveUp({.kind = ErrorKind::Overloaded, .hasReached = false, .hasRun = m_ranAt > 0});
 }
