--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -130,6 +130,7 @@
     Lagoonbank::Base::Duration unread{}; ///< For which requests lay unread beyond what is known.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Of the requests that come.
     Lagoonbank::Base::Duration settle;
+    Lagoonbank::Base::Duration ownDelay{}; ///< How far behind the router says it is.
     int lastRequest = 0;
     std::uint64_t revision = 0;
     Lagoonbank::Logging::BoundedOutput output{{.descriptor = -1}};
@@ -142,6 +143,7 @@
                                           .client = &client,
                                           .protocol = protocol(),
                                           .refuse = refuse,
+                                          .ownDelay = [this] { return ownDelay; },
                                           .retryBudget = {.ratio = 0.2, .slack = 50},
                                           .patience = {.settle = settle},
                                           .log = &log,
