Gateway: Choose endpoints of plain services by what they take alone

Cause: near_first added 10 ms to what an endpoint of another data centre is expected to take. The time that was learnt of an endpoint contains the way there already, so that the way was counted twice.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -31,8 +31,6 @@
         options.placement.shortPrompt = Base::Tokens();
     if (!policy.slowness)
         options.placement.slowFactor = std::numeric_limits<double>::infinity();
-    if (!policy.nearFirst)
-        options.placement.remoteCost = Base::Duration::zero();
     if (!policy.holders) {
         options.placement.holderBoundFactor = 0;
         options.placement.holderBoundSlack = 0;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -254,10 +254,8 @@
         const EndpointRecord &endpoint = *candidate.endpoint;
         const double slots = std::max(1, endpoint.info.slots);
         const double queues = std::max(1.0, (candidate.load + 1) / slots);
-        const bool isRemote = endpoint.info.dataCentre != m_options.dataCentre;
         const double cost = endpoint.latency.value(usual, now, m_options.speedHalfLife) * queues
-            + 0.001 * candidate.load / slots
-            + (isRemote ? Base::toSeconds(m_options.remoteCost) : 0.0);
+            + 0.001 * candidate.load / slots;
         if (cost >= least)
             continue;
         least = cost;
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -45,7 +45,7 @@
     HomeFilled, ///< Endpoints before it in that order have no memory for the prompt.
     HomeBusy, ///< Endpoints before it in that order had too much work.
     HomeSlow, ///< Endpoints before it in that order were too slow.
-    LeastCost, ///< Soonest done, by its load, its speed and its data centre.
+    LeastCost, ///< Soonest done, by its load and its speed, in which the way there shows.
     Trial, ///< Suspected before; finds out whether it is back.
     LastResort ///< All that can be reached are suspected; the one suspected longest ago.
 };
@@ -70,7 +70,6 @@
 public:
     struct Options
     {
-        Base::DataCentreId dataCentre; ///< Of this router.
         /// A cached prompt is left when its endpoint has this many times the mean load, plus
         /// `boundSlack`. The fleet's rule allows 2 and 3; late reports take up the rest.
         double boundFactor = 1.7;
@@ -101,13 +100,10 @@
         /// s. A second home there only has prompts read twice: 0.006 of a day's worth, paired over
         /// five days.
         double leastRoutersForSecondHome = 24;
-        /// What an endpoint of another data centre costs beyond its own time: the way there and
-        /// the price of the bytes.
-        Base::Duration remoteCost = std::chrono::milliseconds(10);
     };
 
     explicit Placement(Options options)
-        : m_options(std::move(options))
+        : m_options(options)
     { }
 
     Place choose(const PlacementRequest &request, EndpointBook &book, Base::MonoTime now) const;
