--- a/tests/auto/fleet/tst_endpointdirectory.cpp
+++ b/tests/auto/fleet/tst_endpointdirectory.cpp
@@ -180,3 +180,44 @@
     f.directory.put(endpoint("a"), Base::LogOffset(10));
     BOOST_TEST(f.told == "+a");
 }
+
+/// The record at the end is not among those that were read, so it may be the next one of an
+/// endpoint that was not there; what is older and was not there has gone, whoever tells of it.
+BOOST_AUTO_TEST_CASE(afterAllWereReadOnlyWhatWasWrittenLaterIsNews)
+{
+    Fixture f;
+    f.directory.put(endpoint("back"), Base::LogOffset(3));
+    f.directory.reconcile({}, Base::LogOffset(10));
+    f.directory.put(endpoint("back"), Base::LogOffset(10));
+    f.directory.put(endpoint("gone"), Base::LogOffset(9));
+    BOOST_TEST(f.told == "+back-back+back");
+}
+
+BOOST_AUTO_TEST_CASE(entriesThatMayComeBackAreKeptWhileTheStoreIsAwayAgain)
+{
+    Fixture f;
+    f.put(endpoint("a"));
+    f.directory.storeReturned();
+    f.drop("a");
+    f.directory.storeLeft();
+    f.pass(std::chrono::seconds(10));
+    BOOST_TEST(f.directory.find(Base::EndpointId("a")));
+    f.directory.storeReturned();
+    f.pass(std::chrono::seconds(3));
+    BOOST_TEST(f.told == "+a-a");
+}
+
+/// A late write comes once; a start whose clock was set back writes again and again.
+BOOST_AUTO_TEST_CASE(anEarlierStartThatIsWrittenAgainIsBelieved)
+{
+    Fixture f;
+    Endpoint one = endpoint("a");
+    one.startedAt = Base::WallTime(std::chrono::seconds(6));
+    f.put(one);
+    one.startedAt = Base::WallTime(std::chrono::seconds(5));
+    f.put(one);
+    BOOST_TEST(f.told == "+a");
+    f.put(one);
+    BOOST_TEST(f.told == "+a+a");
+    BOOST_TEST((f.directory.find(one.id)->startedAt == one.startedAt));
+}
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -179,6 +179,19 @@
     BOOST_TEST(f.takeTold() == "b=3 -a filled ");
 }
 
+/// The record at the end is not among those that were listed; it may be the key's next one.
+BOOST_AUTO_TEST_CASE(aKeyThatAListingLacksIsDroppedByARecordBeforeItsEnd)
+{
+    Fixture f;
+    std::optional<Base::LogOffset> droppedBy;
+    f.view.keyDropped = [&](const std::string &, Base::LogOffset offset) { droppedBy = offset; };
+    f.log.answerNewest({put("a", "1", 3)}, 5);
+    f.pass(std::chrono::milliseconds(500));
+    f.log.take().tail(TailPage{.isLost = true});
+    f.log.answerNewest({}, 21);
+    BOOST_TEST((droppedBy == Base::LogOffset(20)));
+}
+
 BOOST_AUTO_TEST_CASE(whileTheLogIsAwayItAsksAgainMoreAndMoreSeldom)
 {
     Fixture f;
