--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -126,8 +126,10 @@
         failed(&KeyedView::follow);
         return;
     }
+    // After a gap the records tell of what has come and gone meanwhile; only the newest are wanted.
+    const bool isLate = isAfterGap();
     readAnswered();
-    if (page.value().isLost) {
+    if (page.value().isLost || isLate) {
         fill();
         return;
     }
@@ -161,10 +163,15 @@
         keyDropped(record.key, record.offset);
 }
 
+bool KeyedView::isAfterGap() const
+{
+    return age().value_or(Base::Duration::zero()) > m_options.longestGap;
+}
+
 void KeyedView::readAnswered()
 {
     m_backoff.reset();
-    const bool isLate = age().value_or(Base::Duration::zero()) > m_options.longestGap;
+    const bool isLate = isAfterGap();
     m_answeredAt = m_options.timers->clock().now();
     const bool isNews = !m_hasHealth || !m_isUp || isLate;
     m_hasHealth = true;
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -30,6 +30,7 @@
         PlatformClient::Backoff::Options backoff; ///< While the log does not answer.
         /// An answer that comes so long after the one before is told as the log's return, as nobody
         /// knows whether it was there meanwhile: a process that stood still has seen no read fail.
+        /// The keys are then listed anew.
         Base::Duration longestGap = std::chrono::seconds(2);
     };
 
@@ -72,6 +73,7 @@
     void follow();
     void tailRead(const Errors::Result<TailPage> &page);
     void apply(const KeyedRecord &record);
+    bool isAfterGap() const;
     void readAnswered();
     void failed(void (KeyedView::*again)());
     void later(Base::Duration delay, void (KeyedView::*step)());
--- a/tests/auto/simulation/tst_simulatedhistories.cpp
+++ b/tests/auto/simulation/tst_simulatedhistories.cpp
@@ -255,3 +255,17 @@
                     {.kind = StepKind::Replace, .atMs = 9231, .lastsMs = 2973, .who = 2},
                 }});
 }
+
+/// A router that the store answers again read all that had come and gone meanwhile, and told its
+/// peers that endpoints had gone which had long been back.
+BOOST_AUTO_TEST_CASE(whatHasComeAndGoneInAGapIsNotTold)
+{
+    checkGreen({.seed = 21043,
+                .dataCentres = {3, 3, 1},
+                .endpoints = 4,
+                .steps = {
+                    {.kind = StepKind::Replace, .atMs = 440, .lastsMs = 2500, .who = 1},
+                    {.kind = StepKind::StoreSilent, .atMs = 8117, .lastsMs = 4200},
+                    {.kind = StepKind::StoreRefusesOne, .atMs = 10522, .lastsMs = 7007, .who = 3},
+                }});
+}
