--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -66,7 +66,8 @@
     m_doubted.erase(id);
     if (known != m_entries.end() && !endpoint.startedAt)
         endpoint.startedAt = known->second.endpoint.startedAt;
-    std::erase_if(m_missing, [&](const GoneEndpoint &one) { return one.id == id; });
+    std::erase_if(m_missing,
+                  [&](const GoneEndpoint &one) { return one.id == id && one.version < version; });
     if (known != m_entries.end()) {
         known->second.version = version;
         if (known->second.endpoint == endpoint)
--- a/tests/auto/fleet/tst_endpointdirectory.cpp
+++ b/tests/auto/fleet/tst_endpointdirectory.cpp
@@ -221,3 +221,15 @@
     BOOST_TEST(f.told == "+a+a");
     BOOST_TEST((f.directory.find(one.id)->startedAt == one.startedAt));
 }
+
+/// News of before the drop that come late do not bring the entry back.
+BOOST_AUTO_TEST_CASE(olderNewsDoNotBringAMissingEntryBack)
+{
+    Fixture f;
+    f.directory.put(endpoint("a"), Base::LogOffset(1));
+    f.directory.storeReturned();
+    f.directory.entryDropped(Base::EndpointId("a"), Base::LogOffset(3));
+    f.directory.put(endpoint("a", EndpointState::Draining), Base::LogOffset(2));
+    f.pass(std::chrono::seconds(3));
+    BOOST_TEST(f.told == "+a+a-a");
+}
