--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -31,6 +31,7 @@
         PlatformClient::Backoff::Options backoff; ///< While the log does not answer.
         /// An answer that comes so long after the one before is told as the log's return, as nobody
         /// knows whether it was there meanwhile: a process that stood still has seen no read fail.
+        /// The keys are then listed anew.
         Base::Duration longestGap = std::chrono::seconds(2);
     };
 
@@ -77,6 +78,7 @@
     void tailRead(const Errors::Result<TailPage> &page);
     void applyTail(const std::vector<KeyedRecord> &records);
     void apply(const KeyedRecord &record);
+    bool isAfterGap() const;
     void readAnswered();
     void failed(void (KeyedView::*again)());
     void later(Base::Duration delay, void (KeyedView::*step)());
