--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -184,7 +184,7 @@
     PromptDirectory m_prompts;
     std::size_t m_routerCount = 1;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
-    /// Looked up once: finding a metric by its labels costs as much as a refusal.
+    /// Looked up once: finding a metric by its labels builds several strings.
     absl::flat_hash_map<Errors::ErrorKind, Metrics::Counter> m_refusals;
     absl::flat_hash_map<int, Metrics::Counter> m_answers; ///< By status.
 };
--- a/src/libs/gateway/roomqueue.h
+++ b/src/libs/gateway/roomqueue.h
@@ -29,8 +29,8 @@
 
 /// Requests that found no endpoint with room, in the order in which they get what comes free. Room
 /// that comes free wakes the first of them, and the next ones while there is more; nobody looks on
-/// their own. With a look of each request each 10 ms, a router with a quarter of a core that had
-/// several times its usual callers looked for most of its time.
+/// their own. Against a look of each of them each 10 ms a refusal takes 15 us of a core instead of
+/// 16.5 (bm_refusal, within its noise); worth and processor time of whole days are the same.
 class RoomQueue
 {
 public:
