--- a/tests/auto/simulation/tst_simulatedhistories.cpp
+++ b/tests/auto/simulation/tst_simulatedhistories.cpp
@@ -269,3 +269,30 @@
                     {.kind = StepKind::StoreRefusesOne, .atMs = 10522, .lastsMs = 7007, .who = 3},
                 }});
 }
+
+/// A reader on a link of 0.5 Mbit/s sends a configuration for 1.4 s, and the next one after it,
+/// while those that wait for it could read the store.
+BOOST_AUTO_TEST_CASE(aSlowReaderHoldsNoConfigurationUp)
+{
+    checkGreen({.seed = 55181,
+                .dataCentres = {3, 2},
+                .endpoints = 1,
+                .steps = {
+                    {.kind = StepKind::SlowLink, .atMs = 1763, .lastsMs = 6413},
+                    {.kind = StepKind::Configure, .atMs = 3425, .value = 90557},
+                    {.kind = StepKind::Configure, .atMs = 3878, .value = 57788},
+                }});
+}
+
+/// Two pulls of 0.4 s fail before a router reads for itself; behind a restart that is too late.
+BOOST_AUTO_TEST_CASE(aRestartBehindALinkThatIsCutOneWayKeepsNobodyBehind)
+{
+    checkGreen({.seed = 1,
+                .dataCentres = {2, 1},
+                .endpoints = 2,
+                .steps = {
+                    {.kind = StepKind::Leave, .atMs = 4000, .who = 1},
+                    {.kind = StepKind::CutOneWay, .atMs = 4050, .lastsMs = 4500, .who = 1},
+                    {.kind = StepKind::Kill, .atMs = 4100, .lastsMs = 300},
+                }});
+}
