--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -25,8 +25,6 @@
 
 namespace {
 
-/// How often connections are looked at for slow senders.
-constexpr Base::Duration sweepInterval = std::chrono::milliseconds(250);
 /// New connections that are looked at in a turn, so that answers under way go before them.
 constexpr std::size_t maxStartsPerTurn = 32;
 /// That wait here for it. They are accepted at once: what waits in the kernel has no age and hides
@@ -441,64 +439,4 @@
     responder->detach();
 }
 
-void H2oServer::startSweep()
-{
-    if (m_sweepTimer)
-        return;
-    m_sweepTimer = m_loop.timers().start(sweepInterval, [this] {
-        m_sweepTimer.reset();
-        const std::shared_ptr<H2oServer> alive = shared_from_this();
-        sweep();
-        if (!m_connections.empty())
-            startSweep();
-    });
-}
-
-void H2oServer::sweep()
-{
-    const Base::MonoTime now = m_loop.clock().now();
-    const std::vector<ServerConnection *> connections(m_connections.begin(), m_connections.end());
-    for (ServerConnection *connection : connections) {
-        if (const auto http1 = connection->http1)
-            http1->sweep(now);
-        else if (connection->open.empty())
-            cutIfSlow(*connection, now);
-    }
-    noteCrowd();
-    if (m_http1.isCrowded)
-        closeLongestIdle();
-    if (!m_isStopping || !m_options.sharesContext)
-        return;
-    const std::vector<ServerConnection *> left(m_connections.begin(), m_connections.end());
-    for (ServerConnection *connection : left)
-        closeIfIdle(*connection);
-}
-
-/// Callers that come back on new connections each time leave the old ones idle, hundreds in a
-/// second. When all descriptors are taken nobody gets in, and no endpoint can be called.
-void H2oServer::closeLongestIdle()
-{
-    std::vector<std::pair<Base::MonoTime, Http1Connection *>> idle;
-    for (const ServerConnection *connection : m_connections) {
-        const auto since = connection->http1 ? connection->http1->idleSince() : std::nullopt;
-        if (since)
-            idle.emplace_back(*since, connection->http1.get());
-    }
-    const std::size_t tooMany = openConnections() - m_options.maxConnections;
-    const std::size_t closed = std::min(tooMany, idle.size());
-    std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(closed), idle.end());
-    for (std::size_t i = 0; i < closed; ++i)
-        idle[i].second->closeIfIdle();
-}
-
-/// Cuts a TLS handshake or an HTTP/2 connection whose first request does not come, or that is idle.
-void H2oServer::cutIfSlow(ServerConnection &connection, Base::MonoTime now)
-{
-    const bool isPartial = !connection.hadRequest || connection.socket->input->size > 0;
-    const Base::Duration limit =
-        isPartial ? m_options.limits.requestTimeout : m_options.limits.idleTimeout;
-    if (now - connection.quietSince >= limit)
-        shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
-}
-
 } // namespace Lagoonbank::Http::Internal
--- /dev/null
+++ b/tests/auto/http/serverfixture.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "loopback.h"
+
+#include "http/server.h"
+
+#include <cstddef>
+#include <functional>
+#include <limits>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Lagoonbank::Test {
+
+/// A server on a clock that stands still, which keeps what comes.
+struct ServerFixture : PausedLoop
+{
+    explicit ServerFixture(bool closeMeansLeft = false,
+                           std::size_t maxConnections = std::numeric_limits<std::size_t>::max())
+    {
+        const Http::Server::Limits limits{
+            .headBytes = 2000, .bodyBytes = 1000, .requestTimeout = std::chrono::seconds(10)};
+        server = std::make_unique<Http::Server>(
+            Http::Server::Options{.loop = &loop,
+                                  .address = {"127.0.0.1", 0},
+                                  .limits = limits,
+                                  .closeMeansLeft = closeMeansLeft,
+                                  .maxConnections = maxConnections,
+                                  .leftUnread = [this] { ++leftUnread; }});
+        server->setHandler(
+            [this](Http::Request request, const std::shared_ptr<Http::Responder> &responder) {
+                requests.push_back(std::move(request));
+                responders.push_back(responder);
+                responder->setGone([this] { ++gone; });
+                if (looked)
+                    looked(*responder);
+                if (answersAtOnce)
+                    responder->send(200, {{"x-a", "b"}}, "answer " + requests.back().path);
+            });
+        BOOST_REQUIRE(server->listen());
+    }
+
+    RawSocket connect() { return RawSocket(server->address()); }
+    Http::Responder &awaitRequest(std::size_t count = 1)
+    {
+        BOOST_REQUIRE(runUntil([&] { return responders.size() >= count; }));
+        return *responders.back();
+    }
+    /// The server still works after what the test did to it.
+    void expectStillServes()
+    {
+        answersAtOnce = true;
+        RawSocket next = connect();
+        next.send("GET /next HTTP/1.1\r\nhost: a\r\n\r\n");
+        BOOST_TEST(runUntil([&] { return next.has("answer /next"); }));
+    }
+
+    std::unique_ptr<Http::Server> server;
+    std::vector<Http::Request> requests;
+    std::vector<std::shared_ptr<Http::Responder>> responders;
+    int gone = 0;
+    int leftUnread = 0;
+    std::function<void(Http::Responder &responder)> looked; ///< As each request is handed over.
+    bool answersAtOnce = true;
+};
+
+constexpr std::string_view get = "GET /p?q=1 HTTP/1.1\r\nhost: a\r\nX-Thing: 7\r\n\r\n";
+
+} // namespace Lagoonbank::Test
