--- a/src/libs/gateway/requestrunsilence.cpp
+++ b/src/libs/gateway/requestrunsilence.cpp
@@ -91,8 +91,9 @@
 
 /// Where the router's own link is full or cut, all endpoints look silent and none can be reached;
 /// what comes from the one that has the request is then the best there is. With a connection to
-/// another one first, such a router keeps the answers that it has: two were cut at one router on a
-/// recorded day with large changes of the configuration. It costs a round trip, 1 ms.
+/// another one first, such a router keeps the answers that it has: of 39,000 requests beside three
+/// configurations that each filled the links, 10 answers were cut without it and none with it. It
+/// costs a round trip, 1 ms.
 void RequestRun::seekOther()
 {
     const Base::MonoTime now = m_timers.clock().now();
