FleetSync: Tell a new configuration twice

Change: a leader tells its data centre once more at its next tick, within 0.5 s; 50 datagrams a configuration.

Measured: the test is red before and green now; histories and orders of two events green.

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -146,6 +146,9 @@
         if (isHearer && peer.configuration < m_configuration.revision.value())
             sendTo(peer);
     }
+    // And once more at the next tick: of 50 hearers one may miss it, or its pull may fail, and it
+    // would not hear its leader for 3 s.
+    m_isAnnouncing = true;
 }
 
 /// Changes that one read of the store brings go out together. What a router thinks that has just
--- a/tests/auto/fleetsync/tst_fleetreader.cpp
+++ b/tests/auto/fleetsync/tst_fleetreader.cpp
@@ -138,3 +138,19 @@
     BOOST_TEST(fleet.allKnow(
         [](const Router &router) { return isDraining(router, "a") && router.configuration == 2; }));
 }
+
+/// Pattern: the store turns the reader away as keys are revoked, so that a leader learns of it 1.25
+/// s late, and one of its 50 hearers misses what it tells.
+BOOST_AUTO_TEST_CASE(aHearerThatMissesAConfigurationHearsOfItAgain)
+{
+    SyncFleet fleet({50});
+    settle(fleet);
+    const Router &missing = *fleet.routers[20];
+    fleet.passes = [&missing](const Router &, const Router &to) { return to.id != missing.id; };
+    fleet.revision = 2;
+    fleet.pass(milliseconds(520));
+    BOOST_TEST(missing.configuration == 1U);
+    fleet.passes = [](const Router &, const Router &) { return true; };
+    fleet.pass(milliseconds(600));
+    BOOST_TEST(missing.configuration == 2U);
+}
