FleetSync, Docs: Choose deputies once a message round, and take back a figure that was not measured

No change of behaviour. A leader sorted its data centre once for each of its 50 hearers in each round; whether a peer is gone by stood twice.

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -234,6 +234,10 @@
 {
     if (!m_isLeader && !m_peers.isDeputy())
         return {};
+    const std::vector<std::string> deputies = m_peers.deputies();
+    const auto isDeputy = [&deputies](const Peer &peer) {
+        return std::find(deputies.begin(), deputies.end(), peer.id) != deputies.end();
+    };
     std::vector<const Peer *> chosen;
     for (const Peer *peer : m_peers.local()) {
         // Each that started may have led for a moment, and most have not been heard since.
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -182,6 +182,7 @@
     bool wantsConfiguration(const Peer &peer, bool isBehind);
     void compare(const Peer &peer);
     bool isOvertaken(const Peer &peer) const;
+    bool isSource(const Peer &peer) const;
     void pullTakesLong();
     void learn(const Schema::SharedEndpoint &shared);
     bool isFruitless(const Peer &peer) const;
--- a/src/libs/fleetsync/fleetsyncpulls.cpp
+++ b/src/libs/fleetsync/fleetsyncpulls.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+/// Whether this router goes by what the peer tells.
+bool FleetSync::isSource(const Peer &peer) const
+{
+    return m_peers.isLocal(peer) || (isFollowing() && isFollowed(peer));
+}
+
 /// Whether a pull of endpoints from this peer would tell anything new.
 bool FleetSync::wantsEndpoints(const Peer &peer) const
 {
@@ -25,8 +31,7 @@
         return false;
     // Bytes between data centres are dear, and the own reader tells the same a moment later.
     const bool isStale = now() - m_knowledge.at().value_or(m_startedAt) > m_options.readerAgeLimit;
-    const bool isSource = m_peers.isLocal(peer) || (isFollowing() && isFollowed(peer));
-    if (!isSource && !isStale && !m_knowledge.hasFailed())
+    if (!isSource(peer) && !isStale && !m_knowledge.hasFailed())
         return false;
     if (!m_isReading)
         return true;
@@ -40,7 +45,7 @@
 {
     if (!isBehind)
         return false;
-    if (m_peers.isLocal(peer) || (isFollowing() && isFollowed(peer)))
+    if (isSource(peer))
         return true;
     if (!m_behindSince)
         m_behindSince = now();
@@ -86,8 +91,7 @@
 }
 
 /// What the pull under way brings is old already, and the link that brings it is slow: a second
-/// pull behind it would come too late. Two configurations within 0.5 s over a link of 0.5 Mbit/s
-/// were in force after 2.4 s, and are after 1.1 s.
+/// pull behind it would come too late.
 bool FleetSync::isOvertaken(const Peer &peer) const
 {
     return m_isPulling && !m_isReading && peer.id == m_pulledFrom
