Gateway: Tell what load an endpoint really had

Whether requests over the bound of load came from homes that were not known to be full, from routers that had just started or from routers with few candidates could not be told from logs: a router's lines held what it went by, not what the endpoint had. `found_load` in `Ended.` is the endpoint's own word when its answer began, `most_load` in `Sending.` the load from which on a home is left, and lagoonbank_gateway_overloaded_answers_total counts the answers beyond twice the usual load and 3.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -21,6 +21,8 @@
 /// Part of the connections an endpoint takes that all routers use together. Callers come unevenly
 /// to the routers, and checks of reachability need some too.
 constexpr double connectionsUsed = 0.8;
+/// What no endpoint of a service may have, by the usual load; metrics count answers beyond it.
+constexpr Placement::LoadLine fleetBound{.factor = 2, .slack = 3};
 
 /// With the parts of the policy that are options of others switched off as asked for.
 Gateway::Options withPolicy(Gateway::Options options)
@@ -269,6 +271,9 @@
 void Gateway::loadReported(EndpointRecord &endpoint, const LoadReport &report)
 {
     const Base::MonoTime now = m_options.loop->clock().now();
+    const auto usual = m_endpoints.usualLoad(endpoint.info.service, now);
+    if (usual && report.running + report.waiting > fleetBound.at(*usual))
+        m_options.metrics->overloadedAnswers.increment();
     const double before = m_endpoints.freePlaces(endpoint, now);
     m_endpoints.loadReported(endpoint, report, now);
     if (m_endpoints.freePlaces(endpoint, now) > before)
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -122,6 +122,12 @@
            "Requests under which so many endpoints ended that they are sent to none.",
            "Above 0: one kind of request crashes endpoints; the log lines name it.",
            {}},
+    Metric{"lagoonbank_gateway_overloaded_answers_total",
+           Kind::Counter,
+           "requests",
+           "Answers whose endpoint had over twice the usual load and three requests when they began.",
+           "Over 3 in 100 answers: routers learn too late where a prompt is asked for.",
+           {}},
     Metric{
         "lagoonbank_gateway_left_unread_total",
         Kind::Counter,
@@ -156,6 +162,7 @@
     , leftUnread(registry.counter("lagoonbank_gateway_left_unread_total"))
     , callerConnections(registry.gauge("lagoonbank_gateway_caller_connections"))
     , quarantined(registry.gauge("lagoonbank_gateway_quarantined_requests"))
+    , overloadedAnswers(registry.counter("lagoonbank_gateway_overloaded_answers_total"))
 { }
 
 Metrics::Counter GatewayMetrics::answers(int status)
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -31,6 +31,7 @@
     Metrics::Counter leftUnread;
     Metrics::Gauge callerConnections;
     Metrics::Gauge quarantined;
+    Metrics::Counter overloadedAnswers;
 
     Metrics::Counter answers(int status);
     Metrics::Counter refusals(Errors::ErrorKind kind);
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -149,7 +149,10 @@
             reason = PlacementReason::HomeSlow;
             continue;
         }
-        Place place{.endpoint = candidate.endpoint, .reason = reason, .load = candidate.load};
+        Place place{.endpoint = candidate.endpoint,
+                    .reason = reason,
+                    .load = candidate.load,
+                    .mostLoad = most};
         if (hasMemory(request, *candidate.endpoint))
             return place;
         if (!filled.endpoint)
@@ -161,7 +164,7 @@
     const auto least =
         std::min_element(candidates.begin(), candidates.end(),
                          [](const Candidate &a, const Candidate &b) { return a.load < b.load; });
-    return {.endpoint = least->endpoint, .reason = reason, .load = least->load};
+    return {.endpoint = least->endpoint, .reason = reason, .load = least->load, .mostLoad = most};
 }
 
 std::optional<Place> Placement::heldPlace(const PlacementRequest &request,
@@ -188,7 +191,8 @@
             continue;
         return Place{.endpoint = candidate.endpoint,
                      .reason = isHome ? PlacementReason::Home : PlacementReason::Holder,
-                     .load = candidate.load};
+                     .load = candidate.load,
+                     .mostLoad = bound};
     }
     return std::nullopt;
 }
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -59,6 +59,8 @@
     EndpointPtr cacheSource;
     double load = 0; ///< Of the endpoint, in requests.
     double meanLoad = 0; ///< Of the candidates.
+    /// With which it still takes requests of this prompt; nothing for a request without one.
+    std::optional<double> mostLoad;
     std::size_t candidates = 0;
     bool isFull = false; ///< None of the candidates has room for the request.
     /// When the first one that rests takes requests again, if there is no endpoint but such.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -427,6 +427,7 @@
          {"endpoint", m_tried.empty() ? std::string_view() : m_tried.back()->info.id.value()},
          {"sends", m_sends},
          {"events", m_events},
+         {"found_load", m_foundLoad},
          // Of an answer that was not whole: for how long the endpoint had said nothing, and why the
          // request was not sent elsewhere.
          {"quiet_ms", isLost ? now - m_quietSince : Base::Duration::zero()},
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -166,6 +166,8 @@
     bool m_isPaidRepeat = false; ///< The send under way has taken a repeat out of the budget.
     std::vector<EndpointPtr> m_ranAt; ///< Where it may have run.
     int m_sends = 0; ///< That reached an endpoint.
+    /// Requests that the last endpoint had when its answer began; -1 if it did not say so.
+    int m_foundLoad = -1;
     bool m_hasBegun = false; ///< The head of a stream has been passed on.
     std::optional<std::uint64_t> m_lastEvent;
     std::int64_t m_events = 0;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -55,8 +55,10 @@
     attempt.headers = headers;
     attempt.facts = m_gateway.m_options.protocol.readHead(m_request, status, headers);
     m_gateway.m_health.noticed(*attempt.endpoint, attempt.facts, m_request.id);
-    if (attempt.facts.load)
+    if (attempt.facts.load) {
+        m_foundLoad = attempt.facts.load->running + attempt.facts.load->waiting;
         m_gateway.loadReported(*attempt.endpoint, *attempt.facts.load);
+    }
     const bool isGood = status >= 200 && status < 300 && attempt.facts.isOwn;
     attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
     if (attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -16,6 +16,8 @@
 /// Requests that may wait at an endpoint of a plain service for each that runs: with four in all,
 /// one that takes 60 ms is done within the 300 ms that its callers expect.
 constexpr double waitingPerPlace = 3;
+/// In place of a load in the log.
+constexpr double notKnown = -1;
 
 } // namespace
 
@@ -172,10 +174,11 @@
          {"reason", toString(place.reason)},
          {"load", place.load},
          {"mean_load", place.meanLoad},
+         {"most_load", place.mostLoad.value_or(notKnown)},
          {"candidates", place.candidates},
          {"load_age_ms", m_timers.clock().now() - place.endpoint->reportedAt},
          {"load_told", place.endpoint->isReportTold},
-         {"usual_load", usualLoad().value_or(-1)},
+         {"usual_load", usualLoad().value_or(notKnown)},
          {"prompt", static_cast<std::int64_t>(affinity().value_or(0))},
          {"shared_tokens", sharedTokens().value()},
          {"cache_source", source.endpoint ? source.endpoint->info.id.value() : std::string_view()},
