Gateway, FleetSync: Tell the newest loads first, and twice as often

Seen: over 3 in 100 requests of five calm seconds reached endpoints with over twice the mean load and 3, in a fleet of 80 routers.

Cause: routers know too late what an endpoint has. Ruled out in the model: more of them in a message (20: 1.87), other thresholds (1.8 to 1.9), reports believed for longer (1.88), news five or twenty times a second without a choice of the newest (1.95, 1.59).

Now: five in a message, the newest, ten times a second, none older than 0.8 s. Why it holds: what is told is chosen by what it is worth, and half the interval halves the time of each hop.

--- a/src/libs/fleetsync/loadgossip.h
+++ b/src/libs/fleetsync/loadgossip.h
@@ -12,9 +12,9 @@
 namespace Lagoonbank::FleetSync {
 
 /// Passes news of endpoints' loads from router to router: each tells one other, any of the fleet,
-/// five times a second, what it has seen and heard. A router sends and receives the same few bytes
-/// however large the fleet is: 1,100 a second at most. News reach 300 routers in some 2 s, and half
-/// of them in 1 s.
+/// ten times a second, what it has seen and heard last. A router sends and receives the same few
+/// bytes however large the fleet is: 1,300 a second at most. Short messages that are often sent
+/// carry as much as long ones that are not, and sooner: half of 300 routers know within 0.5 s.
 ///
 /// Pure: time comes from the timers, messages go out through the hooks.
 class LoadGossip
@@ -25,9 +25,9 @@
         Runtime::TimerQueue *timers = nullptr;
         std::function<std::vector<Runtime::SocketAddress>()> peers;
         std::uint64_t randomSeed = 1;
-        Base::Duration interval = std::chrono::milliseconds(200);
+        Base::Duration interval = std::chrono::milliseconds(100);
         /// While no endpoint has far more to do than others: only what is usual has to be told.
-        int calmIntervals = 5;
+        int calmIntervals = 10;
     };
 
     explicit LoadGossip(Options options);
--- a/src/libs/gateway/loadsharing.cpp
+++ b/src/libs/gateway/loadsharing.cpp
@@ -47,13 +47,24 @@
                 news.loads.push_back(toShared(*endpoint, now));
         }
     }
-    if (news.loads.size() > m_options.mostLoads) {
-        std::shuffle(news.loads.begin(), news.loads.end(), m_random);
-        news.loads.resize(m_options.mostLoads);
-    }
+    keepNewest(news.loads);
     return news;
 }
 
+/// Old news would crowd out what has just been heard: an engine goes from the usual load to the
+/// fleet's bound within a second. Of equals any are told.
+void LoadSharing::keepNewest(std::vector<Schema::SharedLoad> &loads)
+{
+    if (loads.size() <= m_options.mostLoads)
+        return;
+    std::shuffle(loads.begin(), loads.end(), m_random);
+    const auto end = loads.begin() + static_cast<std::ptrdiff_t>(m_options.mostLoads);
+    std::partial_sort(
+        loads.begin(), end, loads.end(),
+        [](const Schema::SharedLoad &a, const Schema::SharedLoad &b) { return a.ageMs < b.ageMs; });
+    loads.erase(end, loads.end());
+}
+
 void LoadSharing::learn(const Schema::LoadNews &news, Base::Duration delay, Base::MonoTime now)
 {
     for (const auto &[service, endpoints] : m_options.book->services()) {
--- a/src/libs/gateway/loadsharing.h
+++ b/src/libs/gateway/loadsharing.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <random>
+#include <vector>
 
 namespace Lagoonbank::Gateway {
 
@@ -29,10 +30,11 @@
         double hotSlack = 1;
         /// For so long after it was last seen with so much: until all have heard that it has less.
         Base::Duration hotLife = std::chrono::milliseconds(2500);
-        /// Reports that are older are told no more; half of those requests have ended in a second.
-        Base::Duration tellLife = std::chrono::milliseconds(1500);
-        /// In one datagram, 16 bytes each; of more any of them are told.
-        std::size_t mostLoads = 10;
+        /// Reports that are older are told no more: an engine that is asked for much goes from the
+        /// usual load to the fleet's bound in half of this time.
+        Base::Duration tellLife = std::chrono::milliseconds(800);
+        /// In one datagram, 16 bytes each; of more the newest are told.
+        std::size_t mostLoads = 5;
     };
 
     explicit LoadSharing(Options options)
@@ -46,6 +48,7 @@
     void learn(const Schema::LoadNews &news, Base::Duration delay, Base::MonoTime now);
 
 private:
+    void keepNewest(std::vector<Schema::SharedLoad> &loads);
     void noteHot(EndpointRecord &endpoint, double usual, Base::MonoTime now) const;
 
     Options m_options;
--- a/tests/auto/fleetsync/tst_loadgossip.cpp
+++ b/tests/auto/fleetsync/tst_loadgossip.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fleetsync/loadgossip.h"
+#include "gateway/loadsharing.h"
 #include "runtime/clock.h"
 #include "schema/messagecodec.h"
 
@@ -54,7 +55,7 @@
 {
     Fixture f;
     f.known.usual.resize(2);
-    f.known.loads.resize(10);
+    f.known.loads.resize(Gateway::LoadSharing::Options().mostLoads);
     f.gossip.start();
     f.pass(seconds(10));
     BOOST_TEST(f.bytes / 10 < 1500U);
--- a/tests/auto/gateway/manyroutersmodel.h
+++ b/tests/auto/gateway/manyroutersmodel.h
@@ -49,7 +49,7 @@
         /// Engines that join empty, one after the other, from second 10 to 15.
         int joining = 0;
         /// Between two messages of a router to another one; 0 for none.
-        double gossipSeconds = 0.2;
+        double gossipSeconds = 0.1;
         Lagoonbank::Gateway::Placement::Options placement;
         Lagoonbank::Gateway::LoadSharing::Options sharing; ///< Without its book and its seed.
         double warmUp = 5;
--- a/tests/auto/gateway/tst_unknownload.cpp
+++ b/tests/auto/gateway/tst_unknownload.cpp
@@ -75,7 +75,7 @@
             .routers = 80,
             .engines = 60,
             .kinds = {{250, 1.2, 200, 700}},
-            .gossipSeconds = isTold ? 0.2 : 0,
+            .gossipSeconds = isTold ? 0.1 : 0,
             .placement = isTold ? Placement::Options() : alone(),
         };
     };
@@ -93,6 +93,11 @@
 /// engines join, which lowers the mean while streams go on where they are. What an engine has grows
 /// from the usual to the bound within a second. Routers knew it no sooner: half of the requests
 /// over the bound went by news of one to three seconds ago, a third by none.
+///
+/// Cause: no news in the version where it was seen, and then news that reached them as late as if
+/// each report took a second. A message held any ten of up to thirty busy engines, whatever the
+/// age, so that old reports crowded out new ones. Proven by reports that reach all routers after a
+/// set time: after 1 s they give the figures that were seen, after 0.3 s a third of them.
 BOOST_AUTO_TEST_CASE(homesAreLeftInTimeWhileEnginesJoin)
 {
     constexpr unsigned seeds = 6;
