--- a/tests/auto/gateway/tst_unknownload.cpp
+++ b/tests/auto/gateway/tst_unknownload.cpp
@@ -16,6 +16,7 @@
 /// In any five seconds the rule allows 3 in 100 requests to engines with over twice the mean and 3.
 /// Real engines are less even than the model's, so that a third of it is kept back.
 constexpr double mostOverBound = 0.02;
+constexpr double mostAllowed = 0.03;
 /// Of 5,000 for all of a router's control traffic.
 constexpr double mostBytesPerSecond = 1500;
 
@@ -24,6 +25,21 @@
     return {.isUsualLoadHeeded = false, .leavesGradually = false};
 }
 
+constexpr unsigned incidentSeeds = 6;
+
+/// Of the deployment where the bound of load broke, on a quiet day on which engines join.
+ManyRoutersModel::Options incidentFleet(unsigned seed)
+{
+    return {
+        .routers = 80,
+        .engines = 90,
+        .kinds = {{122, 1.7, 212, 10512}, {138, 1.2, 348, 699}, {221, 0.07, 566, 2041}},
+        .group = 3,
+        .joining = 36,
+        .seed = seed,
+    };
+}
+
 std::string text(const ManyRoutersModel::Figures &figures)
 {
     return "over the bound " + std::to_string(figures.overShare()) + ", in the worst five seconds "
@@ -100,25 +116,28 @@
 /// set time: after 1 s they give the figures that were seen, after 0.3 s a third of them.
 BOOST_AUTO_TEST_CASE(homesAreLeftInTimeWhileEnginesJoin)
 {
-    constexpr unsigned seeds = 6;
-    for (unsigned seed = 1; seed <= seeds; ++seed) {
-        const auto figures =
-            ManyRoutersModel(
-                {
-                    .routers = 80,
-                    .engines = 90,
-                    .kinds = {{122, 1.7, 212, 10512}, {138, 1.2, 348, 699}, {221, 0.07, 566, 2041}},
-                    .group = 3,
-                    .joining = 36,
-                    .seed = seed,
-                })
-                .run();
+    for (unsigned seed = 1; seed <= incidentSeeds; ++seed) {
+        const auto figures = ManyRoutersModel(incidentFleet(seed)).run();
         BOOST_TEST_MESSAGE("seed " << seed << ": " << text(figures));
         BOOST_TEST(figures.worstFiveSeconds < mostOverBound);
         BOOST_TEST(figures.bytesPerSecond < mostBytesPerSecond);
     }
 }
 
+/// Seen: the same, where for some seconds over a quarter of one kind's requests ask for one prompt:
+/// 34 a second for a home that may have ten. Of real processes 4 to 10 in 100 requests were over
+/// the bound.
+BOOST_AUTO_TEST_CASE(aPromptThatAQuarterAskForFillsNoEndpoint)
+{
+    for (unsigned seed = 1; seed <= incidentSeeds; ++seed) {
+        ManyRoutersModel::Options options = incidentFleet(seed);
+        options.hotPart = 0.28;
+        const auto figures = ManyRoutersModel(options).run();
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << text(figures));
+        BOOST_TEST(figures.worstFiveSeconds < mostAllowed);
+    }
+}
+
 namespace {
 
 struct Fixture
