FleetSync: Let a new place of a prompt go before prompts that are only in use

Found by looking for the cause of loads over the bound elsewhere: what is old crowds out what is new. A datagram of 32 prompts that are only in use again, gathered for 1.5 s, had no room for a new place; it was dropped and the peers read the prompt again where they thought it to be. Now the newest of those that are only in use yields. tst_promptgossip failed before (nothing was told); the budget of bytes is as it was. Looked at and sound: the own fleet's load digests (fewest sends first, then the newest), ends of endpoints (none is left out), beacons.

--- a/src/libs/fleetsync/promptgossip.cpp
+++ b/src/libs/fleetsync/promptgossip.cpp
@@ -26,13 +26,15 @@
 
 void PromptGossip::tell(const Schema::SharedPrompt &prompt, bool isNew)
 {
-    if (m_news.prompts.size() >= mostPrompts) {
-        ++m_untold;
+    const bool isFull = m_news.prompts.size() >= mostPrompts;
+    if (isFull)
+        ++m_untold; // This one, or one that is only in use.
+    if (isFull && (!isNew || m_newCount >= mostPrompts))
         return;
-    }
-    m_news.prompts.push_back(prompt);
-    const bool isFirstNew = isNew && !m_hasNew;
-    m_hasNew = m_hasNew || isNew;
+    if (isFull)
+        m_news.prompts.pop_back();
+    const bool isFirstNew = isNew && m_newCount == 0;
+    add(prompt, isNew);
     if (m_timer && !isFirstNew)
         return;
     if (m_timer)
@@ -41,6 +43,18 @@
                                       [this] { flush(); });
 }
 
+/// New places stand before prompts that are only in use, which yield to them.
+void PromptGossip::add(const Schema::SharedPrompt &prompt, bool isNew)
+{
+    if (!isNew) {
+        m_news.prompts.push_back(prompt);
+        return;
+    }
+    const auto behindNew = m_news.prompts.begin() + static_cast<std::ptrdiff_t>(m_newCount);
+    m_news.prompts.insert(behindNew, prompt);
+    ++m_newCount;
+}
+
 void PromptGossip::receive(const Schema::PromptNews &news) const
 {
     if (!learnt)
@@ -53,7 +67,7 @@
 {
     m_timer.reset();
     const Schema::PromptNews news = std::exchange(m_news, {});
-    const bool isUrgent = std::exchange(m_hasNew, false);
+    const bool isUrgent = std::exchange(m_newCount, 0) > 0;
     const std::vector<Runtime::SocketAddress> peers = m_options.peers();
     const auto count = static_cast<double>(news.prompts.size());
     const double cost = (emptyBytes + promptBytes * count) * static_cast<double>(peers.size());
--- a/src/libs/fleetsync/promptgossip.h
+++ b/src/libs/fleetsync/promptgossip.h
@@ -54,12 +54,13 @@
     std::uint64_t untold() const { return m_untold; }
 
 private:
+    void add(const Schema::SharedPrompt &prompt, bool isNew);
     void flush();
 
     Options m_options;
     Admission::Gcra m_bytes;
     Schema::PromptNews m_news; ///< That the peers are not told yet.
-    bool m_hasNew = false; ///< Not all of them are only in use again.
+    std::size_t m_newCount = 0; ///< Of these, the first ones; the rest are only in use again.
     std::optional<Runtime::TimerId> m_timer;
     std::uint64_t m_untold = 0;
 };
--- a/tests/auto/fleetsync/tst_promptgossip.cpp
+++ b/tests/auto/fleetsync/tst_promptgossip.cpp
@@ -5,6 +5,7 @@
 #include "runtime/clock.h"
 #include "schema/messagecodec.h"
 
+#include <set>
 #include <string>
 
 using namespace Lagoonbank;
@@ -25,6 +26,9 @@
             prompts += news.prompts.size();
             bytes += headers + Schema::encodeMessage(news).value().size();
             lastTo = to.ip;
+            lastPrompts.clear();
+            for (const Schema::SharedPrompt &prompt : news.prompts)
+                lastPrompts.insert(prompt.prompt);
         };
     }
     void tell(std::uint64_t prompt, bool isNew = true)
@@ -50,6 +54,7 @@
     std::size_t prompts = 0;
     std::size_t bytes = 0;
     std::string lastTo;
+    std::set<std::uint64_t> lastPrompts; ///< Of the last datagram.
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
     PromptGossip gossip{{.timers = &timers, .peers = [this] { return peers(); }}};
@@ -120,6 +125,20 @@
     BOOST_TEST(f.prompts - before == 140U);
 }
 
+/// A router whose callers come back to many prompts has a whole datagram of them waiting.
+BOOST_AUTO_TEST_CASE(aNewPlaceIsToldAlthoughManyPromptsAreInUse)
+{
+    Fixture f;
+    for (std::uint64_t i = 0; i < 40; ++i)
+        f.tell(i, false);
+    f.tell(100);
+    f.pass(milliseconds(1));
+    BOOST_TEST(f.datagrams == 7U);
+    BOOST_TEST(f.prompts == 7U * 32U);
+    BOOST_TEST(f.lastPrompts.count(100) == 1U);
+    BOOST_TEST(f.gossip.untold() == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(aPeersNewsAreHandedOnOneByOne)
 {
     Fixture f;
