--- a/tests/soak/atsize.py
+++ b/tests/soak/atsize.py
@@ -2,7 +2,7 @@
 """Runs a whole fleet of real routers before engines that batch, and checks the bound of load.
 
 Usage: atsize.py --router BINARY [--seed N] [--seconds S] [--routers N] [--engines N] [--scale X]
-                 [--herd S] [--join N] [--hot X] [--busy N]
+                 [--herd S] [--join N] [--release N] [--hot X] [--busy N]
 Prints, for each service, the worst calm five seconds; exits 1 if the rule on load is broken there.
 Ends only the processes that it started, by their ids.
 """
@@ -52,6 +52,8 @@
 LEAD_S = 8.0
 # When empty engines join, after the first callers, and for how long one after the other.
 JOIN_AT_S, JOIN_FOR_S = 10.0, 5.0
+# The same for engines that are replaced; a replaced one is in the store for so long.
+RELEASE_AT_S, RELEASE_FOR_S, DRAIN_S = 14.0, 10.0, 3.0
 
 
 def configuration(version):
@@ -83,6 +85,7 @@
         self.starts = []  # When all routers were started.
         self.entries = {}  # Id of an endpoint -> its entry in the store.
         self.joined = {}  # Id of an endpoint -> when the entry was written.
+        self.left = {}  # Id of an endpoint -> when the entry was removed.
 
     def start_helper(self, program, name, settings):
         """A process of the world around the routers."""
@@ -97,7 +100,7 @@
     async def start_endpoints(self):
         """Engines and processes of the plain service, and their entries in the store."""
         hosts = [[] for _ in range(HOSTS)]
-        engines = self.options.engines + self.options.join
+        engines = self.options.engines + self.options.join + self.options.release
         for number in range(engines + DESKS):
             is_engine = number < engines
             ip = f"{self.net}.2.{number + 1}"
@@ -128,10 +131,33 @@
     async def join_all(self):
         """Engines that join empty, one after the other."""
         await asyncio.sleep(JOIN_AT_S)
-        for name in [name for name in self.entries if name not in self.joined]:
+        for name in self.later()[:self.options.join]:
             await self.join(name)
             await asyncio.sleep(JOIN_FOR_S / self.options.join)
 
+    def later(self):
+        """Engines that join while callers are there, in the order of their numbers."""
+        first = self.options.engines
+        return [name for name in self.entries if name.startswith("e-") and int(name[2:]) >= first]
+
+    async def replace_all(self):
+        """Engines are replaced one after the other; the new one comes first."""
+        await asyncio.sleep(RELEASE_AT_S)
+        drains = []
+        for number, name in enumerate(self.later()[self.options.join:]):
+            await self.join(name)
+            drains.append(asyncio.create_task(self.drain(f"e-{number}")))
+            await asyncio.sleep(RELEASE_FOR_S / self.options.release)
+        await asyncio.gather(*drains)
+
+    async def drain(self, name):
+        """Says that an engine leaves, and that it has left; what runs there ends by itself."""
+        entry = self.entries[name] | {"state": "draining", "seq": 1}
+        await self.store.put("keyed.servers", name, json.dumps(entry))
+        await asyncio.sleep(DRAIN_S)
+        self.left[name] = time.monotonic()
+        await self.store.put("keyed.servers", name, "")
+
     def start_routers(self):
         """All at once."""
         self.starts.append(time.monotonic())
@@ -165,11 +191,11 @@
         self.start_crowds()
         busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"])
                 for _ in range(self.options.busy)]
-        joining = asyncio.create_task(self.join_all())
+        changing = asyncio.gather(self.join_all(), self.replace_all())
         calm = await self.calm_spans(begin)
         for crowd in self.crowds:
             await asyncio.get_running_loop().run_in_executor(None, crowd.wait)
-        await joining
+        await changing
         for process in busy:
             process.kill()
         await self.stop()
@@ -200,6 +226,10 @@
             helper.stdin.close()
             await asyncio.get_running_loop().run_in_executor(None, helper.wait)
 
+    def times(self, moments, service):
+        """Of the endpoints of a service."""
+        return [at for name, at in moments.items() if self.entries[name]["service"] == service]
+
     def changes(self):
         """What the endpoints wrote down, by service."""
         found = collections.defaultdict(list)
@@ -223,9 +253,8 @@
     """Prints the worst windows; whether one is broken."""
     broken = False
     for service, changes in fleet.changes().items():
-        joined = [at for name, at in fleet.joined.items()
-                  if fleet.entries[name]["service"] == service]
-        found = list(loadbound.arrivals(changes, joined))
+        found = list(loadbound.arrivals(changes, fleet.times(fleet.joined, service),
+                                        fleet.times(fleet.left, service)))
         worst = loadbound.worst_window(found, calm)
         over = sum(one.is_over for one in found)
         mean = sum((one.bound - loadbound.SLACK) / loadbound.MEAN_FACTOR for one in found)
@@ -251,6 +280,7 @@
     parser.add_argument("--scale", type=float, default=1.0, help="of the requests a second")
     parser.add_argument("--herd", type=float, default=0, help="second in which all routers are killed")
     parser.add_argument("--join", type=int, default=0, help="engines that join empty in the midst")
+    parser.add_argument("--release", type=int, default=0, help="engines that are replaced")
     parser.add_argument("--hot", type=float, default=0,
                         help="part of the first kind's requests that ask for one prompt for a while")
     parser.add_argument("--busy", type=int, default=0, help="processes that only take processor time")
--- a/tests/soak/loadbound.py
+++ b/tests/soak/loadbound.py
@@ -14,15 +14,16 @@
 Worst = collections.namedtuple("Worst", "since requests over share")
 
 
-def arrivals(changes, joined):
+def arrivals(changes, joined, left=()):
     """Each request with what its endpoint held when it came, and the bound at that moment; the changes
-    are those of one service, whose endpoints joined at the given times."""
+    are those of one service, whose endpoints joined and left at the given times."""
     held = collections.Counter()
     total = 0
-    joined = sorted(joined)
+    joined, left = sorted(joined), sorted(left)
     for change in sorted(changes):
         if change.change > 0:
-            endpoints = max(1, bisect.bisect_right(joined, change.at))
+            there = bisect.bisect_right(joined, change.at) - bisect.bisect_right(left, change.at)
+            endpoints = max(1, there)
             bound = MEAN_FACTOR * total / endpoints + SLACK
             now = held[change.endpoint]
             yield Arrival(change.at, change.endpoint, change.router, change.request, now, bound,
