--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -277,6 +277,63 @@
     BOOST_TEST(leaving(8, shortPrompt) == 0);
 }
 
+/// Pattern: one prompt is asked for far more than others, and many routers hear late of where it
+/// is.
+BOOST_AUTO_TEST_CASE(whatFindsItsHomeFullIsSpreadByHowMuchThatHasTooMuch)
+{
+    Fixture f(60);
+    f.book.setRouterCount(80);
+    const auto choose = [&](std::uint64_t request) {
+        f.book.usualLoadTold(service, 4, f.now);
+        return f.placement.choose({.service = service,
+                                   .affinity = 42,
+                                   .sharedTokens = Base::Tokens(10000),
+                                   .requestHash = request},
+                                  f.book, f.now);
+    };
+    const EndpointPtr home = choose(1).endpoint;
+    constexpr std::uint64_t requests = 1U << 20U;
+    constexpr std::uint64_t step = 1021; // All parts of a hash take part.
+    const auto places = [&](int load) {
+        f.book.loadReported(*home, {.running = load, .slots = 60}, f.now);
+        std::map<std::string, int> found;
+        for (std::uint64_t request = 0; request < requests; request += step)
+            ++found[choose(request).endpoint->info.id.value()];
+        return found;
+    };
+    const auto few = places(10);
+    const auto many = places(30);
+    BOOST_TEST(few.count(home->info.id.value()) == 0U);
+    BOOST_TEST(few.size() > 1U);
+    BOOST_TEST(few.size() < many.size());
+    BOOST_TEST(many.size() == 16U);
+    int most = 0;
+    for (const auto &[endpoint, count] : many)
+        most = std::max(most, count);
+    BOOST_TEST(most < static_cast<int>(requests / step) / 8);
+    // A small fleet hears of it at once, and reads the prompt at one more place only.
+    f.book.setRouterCount(8);
+    BOOST_TEST(places(30).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(whereFewEndpointsAreLeftNoneIsPassedOverInVain)
+{
+    Fixture f(3);
+    f.book.setRouterCount(80);
+    const auto choose = [&](std::uint64_t request) {
+        f.book.usualLoadTold(service, 4, f.now);
+        return f.placement.choose({.service = service, .affinity = 42, .requestHash = request},
+                                  f.book, f.now);
+    };
+    const EndpointPtr home = choose(1).endpoint;
+    f.book.loadReported(*home, {.running = 50, .slots = 60}, f.now);
+    for (std::uint64_t request = 0; request < 100'000; request += 997) {
+        const Place place = choose(request);
+        BOOST_TEST(place.endpoint != home);
+        BOOST_TEST((place.reason == PlacementReason::HomeBusy));
+    }
+}
+
 namespace {
 
 struct HolderFixture : Fixture
--- a/tests/auto/gateway/tst_unknownload.cpp
+++ b/tests/auto/gateway/tst_unknownload.cpp
@@ -198,6 +198,27 @@
     BOOST_TEST(f.sharing.news(f.now + seconds(3)).loads.empty());
 }
 
+/// Old news would crowd out what has just been heard.
+BOOST_AUTO_TEST_CASE(ofMoreThanAMessageHoldsTheNewestIsTold)
+{
+    Base::MonoTime now{std::chrono::hours(1)};
+    EndpointBook book{{}};
+    const Base::ServiceId service("service");
+    LoadSharing sharing{{.book = &book}};
+    constexpr int busy = 40;
+    for (int i = 0; i < busy; ++i) {
+        const Base::EndpointId id("e" + std::to_string(i));
+        book.put({.id = id, .service = service, .address = {"127.0.0.1", 80}, .slots = 12}, now);
+        book.usualLoadTold(service, 2, now);
+        book.loadReported(*book.find(id), {.running = 9, .slots = 12}, now);
+        now += milliseconds(10);
+    }
+    const Schema::LoadNews news = sharing.news(now);
+    BOOST_TEST(news.loads.size() == LoadSharing::Options().mostLoads);
+    for (const Schema::SharedLoad &load : news.loads)
+        BOOST_TEST(load.ageMs <= 10 * LoadSharing::Options().mostLoads);
+}
+
 BOOST_AUTO_TEST_CASE(whatAPeerTellsCountsAsItsAgeSays)
 {
     Fixture f;
