--- a/tests/auto/gateway/tst_crashingrequest.cpp
+++ b/tests/auto/gateway/tst_crashingrequest.cpp
@@ -134,6 +134,20 @@
     BOOST_TEST(f.isServed("/y"));
 }
 
+/// Pattern: several such requests come by turns, and each takes endpoints that the others need.
+BOOST_AUTO_TEST_CASE(requestsThatEndEndpointsByTurnsAreKnownApart)
+{
+    EndingEndpoints f;
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        f.attemptThatEnds("/x");
+        f.attemptThatEnds("/y");
+    }
+    BOOST_TEST(f.ended <= 2 * mostEnds);
+    BOOST_TEST(has(f.attemptThatEnds("/x"), "ran=no"));
+    BOOST_TEST(has(f.attemptThatEnds("/y"), "ran=no"));
+    BOOST_TEST(f.isServed("/z"));
+}
+
 /// Pattern: what many callers ask for in the same words is in flight at many ends, and is answered
 /// in between.
 BOOST_AUTO_TEST_CASE(aRequestThatIsAnsweredInBetweenGoesOn)
