Gateway, FleetSync, Tests: Spread also what finds a home without room; smaller steps

A home with no place left is no candidate, so that the next endpoint was taken for the home and got all that was to be spread: the same cause once more, found in reading the change (tst_gatewayplacement, failing before).

PromptGossip makes room in a step of its own; tests and the soak's engines share what stood twice.

--- a/src/libs/fleetsync/promptgossip.cpp
+++ b/src/libs/fleetsync/promptgossip.cpp
@@ -26,13 +26,8 @@
 
 void PromptGossip::tell(const Schema::SharedPrompt &prompt, bool isNew)
 {
-    const bool isFull = m_news.prompts.size() >= mostPrompts;
-    if (isFull)
-        ++m_untold; // This one, or one that is only in use.
-    if (isFull && (!isNew || m_newCount >= mostPrompts))
+    if (m_news.prompts.size() >= mostPrompts && !makeRoom(isNew))
         return;
-    if (isFull)
-        m_news.prompts.pop_back();
     const bool isFirstNew = isNew && m_newCount == 0;
     add(prompt, isNew);
     if (m_timer && !isFirstNew)
@@ -43,6 +38,16 @@
                                       [this] { flush(); });
 }
 
+/// In a full datagram; false if there is nothing that yields.
+bool PromptGossip::makeRoom(bool isNew)
+{
+    ++m_untold; // The one that comes, or the one that yields to it.
+    if (!isNew || m_newCount >= mostPrompts)
+        return false;
+    m_news.prompts.pop_back();
+    return true;
+}
+
 /// New places stand before prompts that are only in use, which yield to them.
 void PromptGossip::add(const Schema::SharedPrompt &prompt, bool isNew)
 {
--- a/src/libs/fleetsync/promptgossip.h
+++ b/src/libs/fleetsync/promptgossip.h
@@ -54,6 +54,7 @@
     std::uint64_t untold() const { return m_untold; }
 
 private:
+    bool makeRoom(bool isNew);
     void add(const Schema::SharedPrompt &prompt, bool isNew);
     void flush();
 
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -43,6 +43,21 @@
     return places <= 0 || book.fleetLoad(endpoint, now) + 1 <= std::max(1.0, usable);
 }
 
+/// The first of the full endpoints, if it comes before \a cost in the order; else null.
+EndpointPtr fullBefore(double cost, const Routing::RendezvousCost &order,
+                       const std::vector<EndpointPtr> &full)
+{
+    EndpointPtr first;
+    for (const EndpointPtr &endpoint : full) {
+        const double own = order.cost(endpoint->hash, 1);
+        if (own >= cost)
+            continue;
+        cost = own;
+        first = endpoint;
+    }
+    return first;
+}
+
 } // namespace
 
 std::string_view toString(PlacementReason reason)
@@ -140,16 +155,14 @@
     const double mean = sum / static_cast<double>(candidates.size());
     const double most = mostLoad(request, mean, book);
     const Speeds speeds = speedsOf(candidates, now);
-    const bool isHomeFull =
-        std::any_of(choice.full.begin(), choice.full.end(), [&](const EndpointPtr &endpoint) {
-            return order.cost(endpoint->hash, 1) < candidates.front().cost;
-        });
-    PlacementReason reason = isHomeFull ? PlacementReason::HomeBusy : PlacementReason::Home;
-    std::size_t toPass = passedOver(request, candidates.front(), mean, book);
-    // Holders are one or two; what is spread goes beyond them.
-    if (const auto held = heldPlace(request, candidates, mean, most, speeds, now);
-        held && toPass == 0)
-        return *held;
+    const EndpointPtr fullHome = fullBefore(candidates.front().cost, order, choice.full);
+    PlacementReason reason = fullHome ? PlacementReason::HomeBusy : PlacementReason::Home;
+    const double homeLoad = fullHome ? book.load(*fullHome, now) : candidates.front().load;
+    std::size_t toPass = passedOver(request, homeLoad, mean, book);
+    if (toPass == 0) { // Holders are one or two; what is spread goes beyond them.
+        if (const auto held = heldPlace(request, candidates, mean, most, speeds, now))
+            return *held;
+    }
     Place second; // The first one that is passed over, or has everything but memory.
     for (const Candidate &candidate : candidates) {
         if (candidate.load + 1 > most) {
@@ -232,10 +245,10 @@
     return first < most ? first + partOf(request.requestHash) * (most - first) : most;
 }
 
-std::size_t Placement::passedOver(const PlacementRequest &request, const Candidate &home,
-                                  double mean, const EndpointBook &book) const
+std::size_t Placement::passedOver(const PlacementRequest &request, double homeLoad, double mean,
+                                  const EndpointBook &book) const
 {
-    const double excess = home.load + 1 - bound().at(mean);
+    const double excess = homeLoad + 1 - bound().at(mean);
     if (excess <= 0 || !isLoadKnownLate(book))
         return 0;
     const double endpoints =
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -166,7 +166,7 @@
     /// Requests that an endpoint may have, this one included, for it to be sent there by affinity.
     double mostLoad(const PlacementRequest &request, double mean, const EndpointBook &book) const;
     /// Endpoints behind its home that a request passes over although they would take it.
-    std::size_t passedOver(const PlacementRequest &request, const Candidate &home, double mean,
+    std::size_t passedOver(const PlacementRequest &request, double homeLoad, double mean,
                            const EndpointBook &book) const;
     /// Whether routers hear of a load later than it changes.
     bool isLoadKnownLate(const EndpointBook &book) const
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -410,40 +410,60 @@
     BOOST_TEST((f.choose().endpoint == home));
 }
 
-/// Pattern: some tens of routers know where a prompt is held, but not how much its holders have.
-BOOST_AUTO_TEST_CASE(whatFindsAFullHomeDoesNotAllGoToTheNextHolder)
+namespace {
+
+/// Some tens of routers, which know where a prompt is held, but late how much its holders have.
+struct HeldHomeFixture : HolderFixture
 {
-    HolderFixture f(60);
-    f.book.setRouterCount(22);
-    f.book.usualLoadTold(service, 4, f.now);
-    const EndpointPtr home = f.choose().endpoint;
-    f.hold(*home);
-    f.hold(f.notHome());
-    f.book.loadReported(*home, {.running = 30, .slots = 60}, f.now);
-    std::set<std::string> places;
-    for (std::uint64_t request = 0; request < (1U << 20U); request += 1021) {
-        f.book.usualLoadTold(service, 4, f.now);
-        places.insert(f.choose(42, 10000, request).endpoint->info.id.value());
+    explicit HeldHomeFixture(int load)
+        : HolderFixture(60)
+    {
+        book.setRouterCount(22);
+        book.usualLoadTold(service, 4, now);
+        home = HolderFixture::choose().endpoint;
+        hold(*home);
+        book.loadReported(*home, {.running = load, .slots = 60}, now);
     }
-    BOOST_TEST(places.count(home->info.id.value()) == 0U);
+    EndpointPtr choose(std::uint64_t request)
+    {
+        book.usualLoadTold(service, 4, now);
+        return HolderFixture::choose(42, 10000, request).endpoint;
+    }
+
+    EndpointPtr home;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(whatFindsAFullHomeDoesNotAllGoToTheNextHolder)
+{
+    HeldHomeFixture f(30);
+    f.hold(f.endpoint(f.home->info.id.value() == "e0" ? 1 : 0));
+    std::set<EndpointPtr> places;
+    for (std::uint64_t request = 0; request < (1U << 20U); request += 1021)
+        places.insert(f.choose(request));
+    BOOST_TEST(places.count(f.home) == 0U);
+    BOOST_TEST(places.size() > 8U);
+}
+
+/// Pattern: the home has no room at all, so that it is not even looked at.
+BOOST_AUTO_TEST_CASE(whatFindsAHomeWithoutRoomIsSpreadToo)
+{
+    HeldHomeFixture f(60);
+    std::set<EndpointPtr> places;
+    for (std::uint64_t request = 0; request < (1U << 20U); request += 1021)
+        places.insert(f.choose(request));
+    BOOST_TEST(places.count(f.home) == 0U);
     BOOST_TEST(places.size() > 8U);
 }
 
-/// Pattern: the same before the home is full.
 BOOST_AUTO_TEST_CASE(aHeldPromptLeavesItsHomeOneRequestAfterTheOther)
 {
-    HolderFixture f(60);
-    f.book.setRouterCount(22);
-    f.book.usualLoadTold(service, 4, f.now);
-    const EndpointPtr home = f.choose().endpoint;
-    f.hold(*home);
-    f.book.loadReported(*home, {.running = 8, .slots = 60}, f.now);
+    HeldHomeFixture f(8);
     int left = 0;
     constexpr int requests = 1024;
-    for (std::uint64_t request = 0; request < requests; ++request) {
-        f.book.usualLoadTold(service, 4, f.now);
-        left += f.choose(42, 10000, request).endpoint != home ? 1 : 0;
-    }
+    for (std::uint64_t request = 0; request < requests; ++request)
+        left += f.choose(request) != f.home ? 1 : 0;
     BOOST_TEST(left > requests / 5);
     BOOST_TEST(left < requests);
 }
--- a/tests/soak/batchengine.py
+++ b/tests/soak/batchengine.py
@@ -48,8 +48,7 @@
     async def handle(self, first, fields, body, writer):
         """One request."""
         request = fields.get("lagoonbank-attempt-id", "")
-        head = {"lagoonbank-attempt-id": request, "lagoonbank-server-seal": "s",
-                "lagoonbank-instance-id": self.id}
+        head = world.answer_head(request, self.id)
         if fields.get("lagoonbank-expect-instance") != self.id:
             writer.write(wire.message("HTTP/1.1 421 Other", head))
             return True
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -139,6 +139,12 @@
     return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
 
 
+def answer_head(request_id, endpoint_id):
+    """Headers of an endpoint's own answer."""
+    return {"lagoonbank-attempt-id": request_id, "lagoonbank-server-seal": "s",
+            "lagoonbank-instance-id": endpoint_id}
+
+
 def plain_body(request_id):
     """The whole answer to a request that is no stream."""
     return f"answer to {request_id}".encode()
@@ -173,8 +179,7 @@
         """One request."""
         del body
         request = fields.get("lagoonbank-attempt-id", "")
-        head = {"lagoonbank-attempt-id": request, "lagoonbank-server-seal": "s",
-                "lagoonbank-instance-id": self.id}
+        head = answer_head(request, self.id)
         if fields.get("lagoonbank-expect-instance") != self.id:
             writer.write(wire.message("HTTP/1.1 421 Other", head))
             return True
