Gateway, Soak: Drop what nobody uses and what stood twice in the tests of loads over the bound

The model's options for shared loads were set by trials alone; two placement cases shared a loop, and the other endpoint than a home was chosen in two places; the callers' port stood in two files. Two comments of the run at size said something else than the code. No check, bound or seed changes; no product code.

--- a/tests/auto/gateway/manyroutersmodel.h
+++ b/tests/auto/gateway/manyroutersmodel.h
@@ -51,7 +51,6 @@
         /// Between two messages of a router to another one; 0 for none.
         double gossipSeconds = 0.1;
         Lagoonbank::Gateway::Placement::Options placement;
-        Lagoonbank::Gateway::LoadSharing::Options sharing; ///< Without its book and its seed.
         double warmUp = 5;
         double seconds = 15; ///< Without the warm-up.
         unsigned seed = 7;
@@ -117,20 +116,12 @@
     {
         Router(const ManyRoutersModel &model, unsigned seed)
             : placement(model.m_options.placement)
-            , sharing(sharingOptions(model, seed))
+            , sharing({.book = &book, .randomSeed = seed})
         {
             book.setRouterCount(static_cast<std::size_t>(model.m_options.routers));
             for (int i = 0; i < model.m_options.engines; ++i)
                 addEngine(i, model.mono());
         }
-        Lagoonbank::Gateway::LoadSharing::Options sharingOptions(const ManyRoutersModel &model,
-                                                                 unsigned seed)
-        {
-            auto options = model.m_options.sharing;
-            options.book = &book;
-            options.randomSeed = seed;
-            return options;
-        }
         void addEngine(int number, Lagoonbank::Base::MonoTime now)
         {
             constexpr int firstName = 1000; // Names in the order of the numbers.
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -359,10 +359,10 @@
                         .memory = Base::Tokens(40000)},
                        now);
     }
-    EndpointRecord &notHome()
+    EndpointRecord &notHome() { return other(*choose().endpoint); }
+    EndpointRecord &other(const EndpointRecord &one)
     {
-        const EndpointPtr home = choose().endpoint;
-        return endpoint(home->info.id.value() == "e0" ? 1 : 0);
+        return endpoint(one.info.id.value() == "e0" ? 1 : 0);
     }
 
     PromptDirectory prompts{{}};
@@ -430,6 +430,15 @@
         return HolderFixture::choose(42, 10000, request).endpoint;
     }
 
+    /// Where requests of all parts go.
+    std::set<EndpointPtr> places()
+    {
+        std::set<EndpointPtr> found;
+        for (std::uint64_t request = 0; request < (1U << 20U); request += 1021)
+            found.insert(choose(request));
+        return found;
+    }
+
     EndpointPtr home;
 };
 
@@ -438,10 +447,8 @@
 BOOST_AUTO_TEST_CASE(whatFindsAFullHomeDoesNotAllGoToTheNextHolder)
 {
     HeldHomeFixture f(30);
-    f.hold(f.endpoint(f.home->info.id.value() == "e0" ? 1 : 0));
-    std::set<EndpointPtr> places;
-    for (std::uint64_t request = 0; request < (1U << 20U); request += 1021)
-        places.insert(f.choose(request));
+    f.hold(f.other(*f.home));
+    const std::set<EndpointPtr> places = f.places();
     BOOST_TEST(places.count(f.home) == 0U);
     BOOST_TEST(places.size() > 8U);
 }
@@ -450,9 +457,7 @@
 BOOST_AUTO_TEST_CASE(whatFindsAHomeWithoutRoomIsSpreadToo)
 {
     HeldHomeFixture f(60);
-    std::set<EndpointPtr> places;
-    for (std::uint64_t request = 0; request < (1U << 20U); request += 1021)
-        places.insert(f.choose(request));
+    const std::set<EndpointPtr> places = f.places();
     BOOST_TEST(places.count(f.home) == 0U);
     BOOST_TEST(places.size() > 8U);
 }
--- a/tests/soak/atsize.py
+++ b/tests/soak/atsize.py
@@ -47,7 +47,7 @@
      "target_ms": 120, "attempts": 2, "kind": "idempotent", "priority": 2},
 ]
 LONGEST_PAUSE_MS = 400
-# After the start of routers they count, as after any disruption.
+# Requests count from so long after the first ones, and after a start of all routers.
 STABLE_S = 4.0
 LEAD_S = 8.0
 # When empty engines join, after the first callers, and for how long one after the other.
@@ -176,7 +176,7 @@
                 "hot_part": self.options.hot}))
 
     async def run(self):
-        """The whole run; what the endpoints held, by service."""
+        """The whole run; the spans in which nothing was disrupted."""
         server = await wire.serve(f"{self.net}.9.1", soak.STORE_PORT, self.store.handle)
         await self.store.put("keyed.op", "config", configuration(1))
         await self.start_endpoints()
--- a/tests/soak/crowd.py
+++ b/tests/soak/crowd.py
@@ -13,10 +13,10 @@
 import sys
 import time
 
+import soak
 import wire
 import world
 
-FRONT = 8001
 CONNECT_S = 1.0
 # When part of the first kind's requests ask for one prompt.
 HOT_S = (12.0, 18.0)
@@ -141,7 +141,7 @@
                 return kept
             kept[1].close()
         return await asyncio.wait_for(
-            asyncio.open_connection(self.options["routers"][router], FRONT), CONNECT_S)
+            asyncio.open_connection(self.options["routers"][router], soak.FRONT), CONNECT_S)
 
     async def run(self):
         """Until the last request has ended."""
