FleetSync, Platform: Know which data centres the operators have drained

Callers saw nothing yet: op/evacuate/ZONE was read by nobody, so that requests went on to the engines of an emptied data centre.

The operators' records now tell of drains besides the configuration. What is known is true as of a place in that log, and of two states the later one holds, whoever tells it; each beacon carries it, and leaders tell a change at once. A reader that goes on where another one was is given the keys that are known, so that it hears of their end.

Ruled out: records of their own among the endpoints (the two topics' offsets have nothing to do with each other), and a pull (a beacon has room for it).

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -27,7 +27,13 @@
                .clock = &m_options.timers->clock(),
                .randomSeed = m_options.randomSeed})
     , m_knowledge({.clock = &m_options.timers->clock()})
-{ }
+{
+    m_drains.changed = [this](const auto &before, const auto &current) {
+        if (drainsChanged)
+            drainsChanged(before, current);
+        tellHearers([](const Peer &) { return true; });
+    };
+}
 
 FleetSync::~FleetSync()
 {
@@ -76,6 +82,7 @@
     bool isNew = false;
     const Peer &peer = m_peers.note(fromIp, beacon, m_knowledge.arrivedAt(), isNew);
     const auto knownBefore = m_knowledge.at();
+    learnDrains(beacon);
     for (const SharedEndpoint &news : beacon.news)
         learn(news);
     compare(peer);
@@ -139,11 +146,20 @@
     m_configuration = std::move(configuration);
     m_behindSince.reset();
     checkDuty();
+    tellHearers([this](const Peer &peer) {
+        return peer.configuration < m_configuration.revision.value();
+    });
+}
+
+/// What the operators have changed has to be in force within seconds, so that a leader does not
+/// wait for its next beacon.
+void FleetSync::tellHearers(const std::function<bool(const Peer &)> &isBehind)
+{
     if (!m_isLeader)
         return;
     for (const auto &[id, peer] : m_peers.peers()) {
         const bool isHearer = m_peers.isLocal(peer) || m_peers.isAlive(peer);
-        if (isHearer && peer.configuration < m_configuration.revision.value())
+        if (isHearer && isBehind(peer))
             sendTo(peer);
     }
     // And once more at the next tick: of 50 hearers one may miss it, or its pull may fail, and it
@@ -151,6 +167,14 @@
     m_isAnnouncing = true;
 }
 
+void FleetSync::learnDrains(const Schema::FleetBeacon &beacon)
+{
+    Fleet::DataCentreDrains::Set drained;
+    for (const std::string &dataCentre : beacon.drained)
+        drained.insert(Base::DataCentreId(dataCentre));
+    m_drains.replace(std::move(drained), Base::LogOffset(beacon.drainsAsOf));
+}
+
 /// Changes that one read of the store brings go out together. What a router thinks that has just
 /// gone on after a standstill is no news: entries that it has waited for may have come back.
 void FleetSync::endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone)
@@ -295,6 +319,9 @@
 
 Schema::FleetBeacon FleetSync::beacon() const
 {
+    std::vector<std::string> drained;
+    for (const Base::DataCentreId &dataCentre : m_drains.current())
+        drained.push_back(dataCentre.value());
     return {.router = m_options.id,
             .dataCentre = m_options.dataCentre,
             .port = m_options.port,
@@ -305,7 +332,9 @@
             .knowledgeAgeMs = ageNumber(knowledgeAge()),
             .configuration = m_configuration.revision.value(),
             .endpoints = m_options.directory->hash(),
-            .isLeaving = m_isLeaving};
+            .isLeaving = m_isLeaving,
+            .drainsAsOf = m_drains.asOf().value(),
+            .drained = std::move(drained)};
 }
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/units.h"
+#include "fleet/datacentredrains.h"
 #include "fleet/endpointdirectory.h"
 #include "fleetsync/peertable.h"
 #include "fleetsync/storeknowledge.h"
@@ -109,6 +110,10 @@
     std::function<void(bool reads)> dutyChanged;
     /// A peer has a newer configuration.
     std::function<void(const StoredConfiguration &configuration)> configurationLearnt;
+    /// Other data centres than before are drained, as the store or a peer tells.
+    std::function<void(const Fleet::DataCentreDrains::Set &before,
+                       const Fleet::DataCentreDrains::Set &current)>
+        drainsChanged;
 
     void start();
     /// Tells the peers that this router leaves.
@@ -135,6 +140,9 @@
     /// A read of the endpoints has failed.
     void storeFailed();
     void setConfiguration(StoredConfiguration configuration);
+    /// What the store tells of drained data centres belongs here.
+    Fleet::DataCentreDrains &drains() { return m_drains; }
+    const Fleet::DataCentreDrains &drains() const { return m_drains; }
     /// To be called when the directory has changed.
     void endpointChanged(const Fleet::EndpointDirectory::Entry &entry, bool isGone);
 
@@ -173,6 +181,8 @@
     bool isBehind() const;
     void sendBeacons();
     void pushKnowledge();
+    void learnDrains(const Schema::FleetBeacon &beacon);
+    void tellHearers(const std::function<bool(const Peer &)> &isBehind);
     bool isDeputy(const Peer &peer) const;
     std::vector<const Peer *> often();
     void sendTo(const Peer &peer, const std::vector<Schema::SharedEndpoint> &news = {});
@@ -194,6 +204,7 @@
     Options m_options;
     PeerTable m_peers;
     StoredConfiguration m_configuration;
+    Fleet::DataCentreDrains m_drains;
     StoreKnowledge m_knowledge;
     Base::MonoTime m_startedAt{};
     Base::MonoTime m_readingSince{};
--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Lagoonbank::Gateway {
 
@@ -56,6 +57,7 @@
     record->hash = Routing::stableHash(endpoint.id.value());
     record->startHash = startHash(endpoint);
     record->notice = keptNotice(*record);
+    record->isDrained = m_drained.contains(endpoint.dataCentre);
     if (m_freeIndices.empty()) {
         record->index = m_nextIndex++;
     } else {
@@ -87,6 +89,13 @@
     m_freeIndices.push_back(record->index);
 }
 
+void EndpointBook::setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres)
+{
+    m_drained = std::move(dataCentres);
+    for (const auto &[id, record] : m_records)
+        record->isDrained = m_drained.contains(record->info.dataCentre);
+}
+
 void EndpointBook::keepNotice(const EndpointRecord &endpoint)
 {
     if (endpoint.notice == EndpointNotice())
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -56,6 +57,7 @@
     std::uint64_t hash = 0; ///< Of its id; the same on every router.
     std::uint64_t startHash = 0; ///< Of its id and its start: another start holds no prompts.
     Routing::EndpointIndex index = Routing::noEndpoint;
+    bool isDrained = false; ///< The operators have drained its data centre.
     bool isUnreachable = false; ///< No connection can be opened; see Reachability.
     EndpointNotice notice;
     Base::MonoTime fullUntil{}; ///< It refused as full.
@@ -166,6 +168,8 @@
     /// By EndpointRecord::startHash; null if it is not known.
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
+    /// Endpoints of these get no new requests.
+    void setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres);
 
     /// Something has come from it.
     void heard(EndpointRecord &endpoint, Base::MonoTime now)
@@ -230,6 +234,7 @@
     absl::flat_hash_map<Base::EndpointId, EndpointPtr> m_records;
     absl::flat_hash_map<std::uint64_t, EndpointPtr> m_byStart;
     absl::flat_hash_map<std::uint64_t, KeptNotice> m_notices; ///< By EndpointRecord::startHash.
+    std::set<Base::DataCentreId> m_drained;
     Services m_services;
     absl::flat_hash_map<Base::ServiceId, UsualLoad> m_usualLoads;
     std::vector<Routing::EndpointIndex> m_freeIndices;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -107,6 +107,13 @@
     m_configuration = std::move(configuration);
 }
 
+void Gateway::setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres)
+{
+    m_endpoints.setDrainedDataCentres(std::move(dataCentres));
+    for (const auto &[service, endpoints] : m_endpoints.services())
+        m_roomQueue.roomMayBeFree(service);
+}
+
 void Gateway::setRouterCount(std::size_t routers)
 {
     m_routerCount = std::max<std::size_t>(1, routers);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Lagoonbank::Gateway {
@@ -133,6 +134,8 @@
         return m_configuration;
     }
     EndpointBook &endpoints() { return m_endpoints; }
+    /// Endpoints of these data centres get no new requests; what runs there ends in its own time.
+    void setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres);
     void setRetryBudget(const FleetRetryBudget::Options &options)
     {
         m_retryBudget.setOptions(options);
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -24,9 +24,11 @@
     fill();
 }
 
-void KeyedView::startAfter(Base::LogOffset known)
+void KeyedView::startAfter(Base::LogOffset known, const Keys &keys)
 {
     m_isRunning = true;
+    for (const std::string &key : keys)
+        m_offsets.try_emplace(key, known);
     m_hasHealth = false;
     m_isFilling = false;
     m_isFilled = true;
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -50,9 +50,9 @@
     void stop();
     /// Gives up a read under way, whose connection may have gone silent, and reads again.
     void restart();
-    /// Like start(), where all up to the record \a known has been learnt by other means: follows
-    /// the tail, and fills itself only if that has lost records.
-    void startAfter(Base::LogOffset known);
+    /// Like start(), where all up to the record \a known has been learnt by other means, with
+    /// \a keys among it: follows the tail, and fills itself only if that has lost records.
+    void startAfter(Base::LogOffset known, const Keys &keys = {});
 
     /// Whether every key has been read once.
     bool isFilled() const { return m_isFilled; }
--- /dev/null
+++ b/tests/auto/fleet/tst_datacentredrains.cpp
@@ -0,0 +1,72 @@
+#define BOOST_TEST_MODULE tst_datacentredrains
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/datacentredrains.h"
+
+#include <string>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Fleet;
+
+namespace {
+
+const Base::DataCentreId east{"east"};
+const Base::DataCentreId west{"west"};
+
+Base::LogOffset at(std::uint64_t offset)
+{
+    return Base::LogOffset(offset);
+}
+
+struct Fixture
+{
+    Fixture()
+    {
+        drains.changed = [this](const auto &, const auto &current) {
+            told += '[';
+            for (const Base::DataCentreId &one : current)
+                told += one.value() + ' ';
+            told += ']';
+        };
+    }
+
+    DataCentreDrains drains;
+    std::string told;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(theLaterStateHoldsWhoeverTellsIt)
+{
+    Fixture f;
+    f.drains.drained(east, at(5));
+    f.drains.takenBack(east, at(9));
+    f.drains.replace({east}, at(7)); // A peer that has read less.
+    f.drains.drained(west, at(8)); // A record that comes late.
+    BOOST_TEST(f.drains.current().empty());
+    f.drains.replace({west}, at(10));
+    BOOST_TEST(f.drains.current().contains(west));
+    BOOST_TEST(f.told == "[east ][][west ]");
+}
+
+BOOST_AUTO_TEST_CASE(theSameSetIsNoChange)
+{
+    Fixture f;
+    f.drains.drained(east, at(5));
+    f.drains.drained(east, at(6));
+    f.drains.replace({east}, at(7));
+    BOOST_TEST(f.told == "[east ]");
+    BOOST_TEST((f.drains.asOf() == at(7)));
+}
+
+/// Whoever has read a later configuration knows that nothing was drained in between.
+BOOST_AUTO_TEST_CASE(whatHasBeenReadCountsAlsoWhereItTellsOfNoDrain)
+{
+    Fixture f;
+    f.drains.drained(east, at(5));
+    f.drains.readTo(at(9));
+    f.drains.replace({}, at(8));
+    BOOST_TEST(f.drains.current().contains(east));
+    f.drains.readTo(at(3));
+    BOOST_TEST((f.drains.asOf() == at(9)));
+}
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -89,6 +89,12 @@
     /// Writes to the store.
     void put(const Endpoint &endpoint) { m_store[endpoint.id] = {endpoint, ++m_offset}; }
     void drop(const std::string &id) { m_store.erase(Lagoonbank::Base::EndpointId(id)); }
+    /// The operators have drained these data centres, and no others.
+    void drain(std::set<Lagoonbank::Base::DataCentreId> dataCentres)
+    {
+        m_drained = std::move(dataCentres);
+        ++m_operatorOffset;
+    }
 
     void pass(Lagoonbank::Base::Duration duration)
     {
@@ -223,6 +229,8 @@
             }
             router->directory->reconcile(present, Base::LogOffset(++m_offset));
             router->sync->storeRead();
+            if (m_operatorOffset > 0)
+                router->sync->drains().replace(m_drained, Base::LogOffset(m_operatorOffset));
             if (revision > 0)
                 takeConfiguration(*router, revision);
         }
@@ -237,6 +245,8 @@
     }
 
     std::map<Lagoonbank::Base::EndpointId, std::pair<Endpoint, std::uint64_t>> m_store;
+    std::set<Lagoonbank::Base::DataCentreId> m_drained;
+    std::uint64_t m_operatorOffset = 0; ///< Of the operators' records.
     std::map<std::string, Router *> m_byIp;
     std::uint64_t m_offset = 0;
     std::uint64_t m_turn = 0;
--- /dev/null
+++ b/tests/auto/gateway/tst_draineddatacentre.cpp
@@ -0,0 +1,130 @@
+/// A data centre that the operators empty: its endpoints get nothing new, whatever for.
+#define BOOST_TEST_MODULE tst_draineddatacentre
+#include <boost/test/unit_test.hpp>
+
+#include "auto/gateway/gatewayfixture.h"
+#include "gateway/placement.h"
+
+#include <string>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Gateway;
+
+namespace {
+
+const Base::ServiceId service{"service"};
+const Base::DataCentreId here{"here"};
+const Base::DataCentreId there{"there"};
+const Base::MonoTime start{std::chrono::hours(1)};
+
+struct PlacementFixture
+{
+    /// Every other endpoint is in the one and in the other data centre.
+    explicit PlacementFixture(int endpoints = 8)
+    {
+        for (int i = 0; i < endpoints; ++i)
+            add("e" + std::to_string(i), i % 2 == 0 ? here : there);
+    }
+    void add(const std::string &id, const Base::DataCentreId &dataCentre)
+    {
+        Fleet::Endpoint endpoint{.id = Base::EndpointId(id), .service = service};
+        endpoint.address = {"127.0.0.1", 80};
+        endpoint.dataCentre = dataCentre;
+        endpoint.slots = 6;
+        book.put(endpoint, now);
+    }
+    Place choose(std::uint64_t affinity, bool mayRepeat = false)
+    {
+        return placement.choose({.service = service,
+                                 .affinity = affinity,
+                                 .targetLatency = std::chrono::milliseconds(300),
+                                 .longestPause = std::chrono::milliseconds(250),
+                                 .mayRepeat = mayRepeat},
+                                book, now);
+    }
+    /// Requests of so many prompts that go to the data centre.
+    int chosenIn(const Base::DataCentreId &dataCentre, bool mayRepeat = false)
+    {
+        constexpr int prompts = 200;
+        int count = 0;
+        for (std::uint64_t prompt = 1; prompt <= prompts; ++prompt) {
+            const Place place = choose(prompt * 7919, mayRepeat);
+            count += place.endpoint && place.endpoint->info.dataCentre == dataCentre ? 1 : 0;
+        }
+        return count;
+    }
+
+    Base::MonoTime now = start;
+    EndpointBook book{{}};
+    Placement placement{{}};
+};
+
+/// Two endpoints, each in a data centre of its own.
+struct Fixture : GatewayFixture
+{
+    Fixture()
+    {
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+            gateway.endpoints().put({.id = Base::EndpointId("e" + std::to_string(i)),
+                                     .service = service,
+                                     .address = endpoints[i]->listener.address,
+                                     .dataCentre = i == 0 ? here : there,
+                                     .slots = 4},
+                                    clock.now());
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(itsPromptsFindOtherHomes)
+{
+    PlacementFixture f;
+    BOOST_TEST(f.chosenIn(there) > 0);
+    f.book.setDrainedDataCentres({there});
+    BOOST_TEST(f.chosenIn(there) == 0);
+    BOOST_TEST(f.chosenIn(here) == 200);
+    f.book.setDrainedDataCentres({});
+    BOOST_TEST(f.chosenIn(there) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(whereNothingElseIsLeftItIsNoLastResort)
+{
+    PlacementFixture f;
+    for (int i = 0; i < 8; ++i) {
+        f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
+                                   f.now);
+    }
+    f.book.setDrainedDataCentres({here, there});
+    BOOST_TEST((f.choose(7919).endpoint == nullptr));
+    f.book.setDrainedDataCentres({there});
+    const Place place = f.choose(7919);
+    BOOST_REQUIRE(place.endpoint);
+    BOOST_TEST((place.endpoint->info.dataCentre == here));
+}
+
+BOOST_AUTO_TEST_CASE(whatNobodyCouldServeIsRefusedAtOnceAsNotRun)
+{
+    Fixture f;
+    f.setRoute({.kind = Fleet::RouteKind::NonIdempotent,
+                .timeout = std::chrono::seconds(2),
+                .targetLatency = std::chrono::milliseconds(300)});
+    f.gateway.setDrainedDataCentres({here, there});
+    Test::RawSocket caller = f.call();
+    BOOST_TEST(f.runUntil([&] { return caller.has("ran=no"); }));
+    BOOST_TEST(caller.has("no_endpoint"));
+    BOOST_TEST(f.requests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(whatRunsThereEndsInItsOwnTime)
+{
+    Fixture f;
+    f.setRoute({.kind = Fleet::RouteKind::NonIdempotent, .timeout = std::chrono::seconds(2)});
+    f.gateway.setDrainedDataCentres({there});
+    Test::RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    f.gateway.setDrainedDataCentres({here, there});
+    endpoint.last().send("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok");
+    BOOST_TEST(f.runUntil([&] { return caller.has("200 OK"); }));
+}
+
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -305,3 +305,16 @@
     f.log.answerNewest({put("a", "3", 30)}, 31);
     BOOST_TEST(f.takeTold() == "a=3 filled ");
 }
+
+/// Pattern: one router reads the log, and another goes on where that one was. It has not read the
+/// key that is dropped next.
+BOOST_AUTO_TEST_CASE(aKeyThatWasKnownByOtherMeansIsDroppedToo)
+{
+    Fixture f;
+    std::string dropped;
+    f.view.keyDropped = [&](const std::string &key, Base::LogOffset) { dropped += key; };
+    f.view.stop();
+    f.view.startAfter(Base::LogOffset(7), {"a"});
+    f.log.answerTail({drop("a", 8)}, 9);
+    BOOST_TEST(dropped == "a");
+}
