Gateway: Send nothing new to endpoints of drained data centres

An endpoint of a drained data centre is out of service for every choice: first sends, repeats, resumed streams, trials of suspected endpoints, the last resort, and what waited for a place. What runs there goes on, and its cache may still be copied from. Requests that nobody else could serve are refused at once as not run.

--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -81,7 +81,7 @@
     /// It is there for new requests, as far as this router knows, or will be when it has rested.
     bool isInService() const
     {
-        return info.state == Fleet::EndpointState::Ready && !isGone && !isUnreachable
+        return info.state == Fleet::EndpointState::Ready && !isGone && !isDrained && !isUnreachable
             && !notice.isReplaced && !notice.isLeaving;
     }
     bool takesRequests(Base::MonoTime now) const
--- a/tests/auto/adapter/tst_routerprocess.cpp
+++ b/tests/auto/adapter/tst_routerprocess.cpp
@@ -276,3 +276,22 @@
     BOOST_TEST(
         f.runUntil([&] { return collector.has("lagoonbank_gateway_configuration_revision 7"); }));
 }
+
+BOOST_AUTO_TEST_CASE(endpointsOfADrainedDataCentreGetNothingUntilItIsTakenBack)
+{
+    Fixture f;
+    f.store.drained = "dc0";
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    RawSocket refused = f.call();
+    BOOST_TEST(f.passUntil([&] { return refused.has("no_endpoint"); }));
+    BOOST_TEST(refused.has("HTTP/1.1 503"));
+    BOOST_REQUIRE(f.passUntil([&] { return f.store.waiting.contains(false); }));
+    f.store.dropOperatorRecord("evacuate/dc0");
+    f.advance(std::chrono::milliseconds(100));
+    RawSocket caller = f.call();
+    int accepted = -1;
+    BOOST_REQUIRE(f.passUntil([&] { return (accepted = f.engine.accept()) >= 0; }));
+    RawSocket engine(accepted);
+    BOOST_TEST(f.passUntil([&] { return engine.has("GET /p/1 HTTP/1.1"); }));
+}
--- a/tests/auto/gateway/tst_draineddatacentre.cpp
+++ b/tests/auto/gateway/tst_draineddatacentre.cpp
@@ -88,6 +88,26 @@
     BOOST_TEST(f.chosenIn(there) > 0);
 }
 
+BOOST_AUTO_TEST_CASE(anEndpointThatComesMeanwhileGetsNothing)
+{
+    PlacementFixture f;
+    f.book.setDrainedDataCentres({there});
+    f.add("late", there);
+    BOOST_TEST(f.chosenIn(there) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(noTrialFindsOutWhetherASuspectedOneIsBack)
+{
+    PlacementFixture f;
+    for (int i = 1; i < 8; i += 2) {
+        f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
+                                   f.now);
+    }
+    f.now += std::chrono::seconds(10);
+    f.book.setDrainedDataCentres({there});
+    BOOST_TEST(f.chosenIn(there, true) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(whereNothingElseIsLeftItIsNoLastResort)
 {
     PlacementFixture f;
@@ -128,3 +148,19 @@
     BOOST_TEST(f.runUntil([&] { return caller.has("200 OK"); }));
 }
 
+BOOST_AUTO_TEST_CASE(aRepeatGoesToAnotherDataCentre)
+{
+    Fixture f;
+    f.setRoute({.kind = Fleet::RouteKind::Idempotent,
+                .maxEndpoints = 2,
+                .timeout = std::chrono::seconds(2),
+                .targetLatency = std::chrono::milliseconds(300)});
+    Test::RawSocket caller = f.call();
+    FakeEndpoint &first = f.awaitRequest();
+    const bool isHere = &first == f.endpoints[0].get();
+    f.gateway.setDrainedDataCentres({isHere ? there : here});
+    first.last().close();
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n\r\n"); }));
+    const std::size_t elsewhere = f.endpoints[isHere ? 1 : 0]->requests();
+    BOOST_TEST(elsewhere == 0U);
+}
