Gateway, FleetSync: Divide what a cold endpoint bears among the routers

By its lines the engine had come back under a new id; all 85 routers heard of it within 30 ms and sent what has its home there, as it had no load. No bound on load sees requests that end in 50 ms.

An entry, an answer, the end of a drain, and the return of an endpoint that had ended now say that an endpoint is cold. What it bears is divided without a message: each endpoint has its own order of the routers, the first 18 of which send it one request a second each. In the model any fleet of 1 to 300 routers keeps to it, also where routers know a part of the fleet or nobody.

Ruled out: a part of the rate for each router, rounded up (85 a second), and a digest of what was sent (it comes after the herd).

Placement does not ask it yet; three cases that show it are listed.

--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -23,11 +23,19 @@
     int tokensPerEvent = 1; ///< In one event of a stream.
 };
 
+/// How an endpoint begins, after its start or whenever it has become cold again.
+struct Warmup
+{
+    Base::Duration time{}; ///< For which it is cold; zero if it never is.
+    double requestsPerSecond = 0; ///< That it bears meanwhile, from all callers.
+};
+
 struct Service
 {
     Base::ServiceId name;
     std::string healthPath;
     int maxConnections = 0; ///< One endpoint takes so many from all callers; zero if not known.
+    Warmup warmup;
     std::optional<EngineCapacity> engine; ///< Nothing for a plain service.
 };
 
@@ -67,6 +75,7 @@
 
     Base::Revision revision() const { return m_parts.revision; }
     const std::vector<Route> &routes() const { return m_parts.routes; }
+    const std::vector<Service> &services() const { return m_parts.services; }
     const CallerLimits &limits() const { return m_parts.limits; }
     bool hasWorkspaces() const { return !m_parts.workspaces.empty(); }
     std::size_t workspaceCount() const { return m_parts.workspaces.size(); }
--- a/src/libs/fleet/endpoint.h
+++ b/src/libs/fleet/endpoint.h
@@ -26,6 +26,7 @@
     std::string softwareVersion;
     int slots = 0; ///< Requests that it runs at once; zero if not known.
     EndpointState state = EndpointState::Ready;
+    bool isWarmingUp = false; ///< Bears few requests yet, or again.
     /// When it started, by its own wall clock; nothing if it does not say. Only compared with other
     /// starts under the same id.
     std::optional<Base::WallTime> startedAt;
--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -32,7 +32,8 @@
     for (const std::string &part :
          {endpoint.service.value(), Runtime::toString(endpoint.address),
           endpoint.dataCentre.value(), endpoint.softwareVersion, std::to_string(endpoint.slots),
-          std::to_string(static_cast<int>(endpoint.state)), startText(endpoint)}) {
+          std::to_string(static_cast<int>(endpoint.state)), startText(endpoint),
+          std::string(endpoint.isWarmingUp ? "warming up" : "")}) {
         text += '\n';
         text += part;
     }
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -146,9 +146,8 @@
     m_configuration = std::move(configuration);
     m_behindSince.reset();
     checkDuty();
-    tellHearers([this](const Peer &peer) {
-        return peer.configuration < m_configuration.revision.value();
-    });
+    tellHearers(
+        [this](const Peer &peer) { return peer.configuration < m_configuration.revision.value(); });
 }
 
 /// What the operators have changed has to be in force within seconds, so that a leader does not
@@ -223,6 +222,16 @@
     return addresses;
 }
 
+std::vector<std::string> FleetSync::peerIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, peer] : m_peers.peers()) {
+        if (!peer.isLeaving)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 void FleetSync::tick()
 {
     m_knowledge.arrivedAt();
--- a/src/libs/fleetsync/sharedendpoint.cpp
+++ b/src/libs/fleetsync/sharedendpoint.cpp
@@ -38,7 +38,8 @@
             .slots = static_cast<std::uint32_t>(std::max(0, endpoint.slots)),
             .isDraining = endpoint.state == Fleet::EndpointState::Draining,
             .isConfirmed = entry.isConfirmed,
-            .startedAtMs = startedAtMs(endpoint)};
+            .startedAtMs = startedAtMs(endpoint),
+            .isWarmingUp = endpoint.isWarmingUp};
 }
 
 SharedEndpoint sharedGone(const Base::EndpointId &id, Base::LogOffset version)
@@ -56,6 +57,7 @@
             .slots = static_cast<int>(shared.slots),
             .state =
                 shared.isDraining ? Fleet::EndpointState::Draining : Fleet::EndpointState::Ready,
+            .isWarmingUp = shared.isWarmingUp,
             .startedAt = startedAt(shared)};
 }
 
--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -47,6 +47,8 @@
 {
     const auto known = m_records.find(endpoint.id);
     if (known != m_records.end() && !Fleet::isOtherStart(known->second->info, endpoint)) {
+        if (endpoint.isWarmingUp && !known->second->info.isWarmingUp)
+            becameCold(*known->second, now);
         known->second->info = endpoint;
         return;
     }
@@ -58,6 +60,8 @@
     record->startHash = startHash(endpoint);
     record->notice = keptNotice(*record);
     record->isDrained = m_drained.contains(endpoint.dataCentre);
+    if (endpoint.isWarmingUp)
+        becameCold(*record, now);
     if (m_freeIndices.empty()) {
         record->index = m_nextIndex++;
     } else {
@@ -89,11 +93,48 @@
     m_freeIndices.push_back(record->index);
 }
 
-void EndpointBook::setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres)
+/// Endpoints that are taken back may have become cold meanwhile, and say so later.
+void EndpointBook::setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres,
+                                         Base::MonoTime now)
 {
     m_drained = std::move(dataCentres);
-    for (const auto &[id, record] : m_records)
-        record->isDrained = m_drained.contains(record->info.dataCentre);
+    for (const auto &[id, record] : m_records) {
+        const bool isDrained = m_drained.contains(record->info.dataCentre);
+        if (std::exchange(record->isDrained, isDrained) && !isDrained)
+            becameCold(*record, now);
+    }
+}
+
+void EndpointBook::setServices(const std::vector<Fleet::Service> &services)
+{
+    m_warmups.clear();
+    for (const Fleet::Service &service : services) {
+        if (service.warmup.time > Base::Duration::zero() && service.warmup.requestsPerSecond > 0)
+            m_warmups[service.name] = service.warmup;
+    }
+}
+
+bool EndpointBook::isWarmingUp(const EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    if (!endpoint.warmup.since)
+        return false;
+    const auto warmup = m_warmups.find(endpoint.info.service);
+    return warmup != m_warmups.end() && now - *endpoint.warmup.since < warmup->second.time;
+}
+
+bool EndpointBook::bearsRequest(EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    if (!isWarmingUp(endpoint, now))
+        return true;
+    const double bearable = m_warmups.at(endpoint.info.service).requestsPerSecond;
+    return m_warmupQuota.admits(endpoint.warmup, endpoint.startHash, bearable, now);
+}
+
+void EndpointBook::requestSent(EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    requestSent(endpoint);
+    if (isWarmingUp(endpoint, now))
+        m_warmupQuota.sent(endpoint.warmup, now);
 }
 
 void EndpointBook::keepNotice(const EndpointRecord &endpoint)
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "fleet/configuration.h"
 #include "fleet/endpoint.h"
 #include "gateway/endpointprotocol.h"
 #include "gateway/usualload.h"
+#include "gateway/warmupquota.h"
 #include "routing/suspicion.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -60,6 +62,8 @@
     bool isDrained = false; ///< The operators have drained its data centre.
     bool isUnreachable = false; ///< No connection can be opened; see Reachability.
     EndpointNotice notice;
+    WarmupRecord warmup;
+    bool hasEnded = false; ///< It took no connection after requests broke; cold when it is back.
     Base::MonoTime fullUntil{}; ///< It refused as full.
     bool isGone = false; ///< Its entry is gone; requests may still be in flight.
     Base::MonoTime knownSince;
@@ -148,11 +152,13 @@
         /// Never less than this part of its places; with fewer taken other things than load make it
         /// late, such as prompts that it has not read yet.
         double leastTimelyShare = 0.6;
+        WarmupQuota::Options warmupQuota;
     };
 
     explicit EndpointBook(Options options)
         : m_options(options)
         , m_suspicion(options.suspicion)
+        , m_warmupQuota(options.warmupQuota)
     { }
 
     /// Another start of an endpoint that is known is a new endpoint: what was believed of the one
@@ -169,7 +175,18 @@
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
     /// Endpoints of these get no new requests.
-    void setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres);
+    void setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres, Base::MonoTime now);
+
+    void setServices(const std::vector<Fleet::Service> &services);
+    void setFleet(WarmupQuota::Fleet fleet) { m_warmupQuota.setFleet(std::move(fleet)); }
+    /// Found to be cold, now or again.
+    static void becameCold(EndpointRecord &endpoint, Base::MonoTime now)
+    {
+        endpoint.warmup.since = now;
+    }
+    bool isWarmingUp(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Whether this router may send the endpoint a request now, as far as that is cold.
+    bool bearsRequest(EndpointRecord &endpoint, Base::MonoTime now) const;
 
     /// Something has come from it.
     void heard(EndpointRecord &endpoint, Base::MonoTime now)
@@ -180,6 +197,7 @@
     /// When anything came from any endpoint last.
     Base::MonoTime heardAt() const { return m_heardAt; }
     void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
+    void requestSent(EndpointRecord &endpoint, Base::MonoTime now) const;
     void requestEnded(EndpointRecord &endpoint) const { --endpoint.inFlight; }
     /// It has told this router its load.
     void loadReported(EndpointRecord &endpoint, const LoadReport &report, Base::MonoTime now);
@@ -237,6 +255,8 @@
     std::set<Base::DataCentreId> m_drained;
     Services m_services;
     absl::flat_hash_map<Base::ServiceId, UsualLoad> m_usualLoads;
+    absl::flat_hash_map<Base::ServiceId, Fleet::Warmup> m_warmups; ///< None of services without.
+    WarmupQuota m_warmupQuota;
     std::vector<Routing::EndpointIndex> m_freeIndices;
     Routing::EndpointIndex m_nextIndex = 0;
     double m_routerCount = 1;
--- a/src/libs/gateway/endpointhealth.cpp
+++ b/src/libs/gateway/endpointhealth.cpp
@@ -71,9 +71,12 @@
             part, "An endpoint says that it leaves.",
             {{"endpoint", endpoint.info.id.value()}, {"request", request.value()}});
     }
+    const Base::MonoTime now = m_options.clock->now();
+    if (facts.isWarmingUp && !m_options.book->isWarmingUp(endpoint, now))
+        EndpointBook::becameCold(endpoint, now);
     if (!facts.restTime)
         return;
-    notice.restsUntil = std::max(notice.restsUntil, m_options.clock->now() + *facts.restTime);
+    notice.restsUntil = std::max(notice.restsUntil, now + *facts.restTime);
     m_options.log->request(part, "An endpoint wants rest.",
                            {{"endpoint", endpoint.info.id.value()},
                             {"request", request.value()},
--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -40,6 +40,7 @@
     bool isOtherEndpoint = false; ///< Another endpoint has the address now.
     std::optional<LoadReport> load;
     bool isLeaving = false; ///< The endpoint says that it takes no new requests any more.
+    bool isWarmingUp = false; ///< The endpoint says that it bears few requests yet.
     std::optional<Base::Duration> restTime; ///< For which it wants nothing from this router.
 };
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -83,7 +83,9 @@
     m_crashWatch.ended = [this](const auto &endpoint, const auto &requests) {
         endpointEnded(endpoint, requests);
     };
-    m_reachability.changed = [this](const EndpointRecord &endpoint) {
+    m_reachability.changed = [this](EndpointRecord &endpoint) {
+        if (!endpoint.isUnreachable && std::exchange(endpoint.hasEnded, false))
+            EndpointBook::becameCold(endpoint, m_options.loop->clock().now());
         m_options.log->event(part,
                              endpoint.isUnreachable ? "An endpoint cannot be reached."
                                                     : "An endpoint can be reached again.",
@@ -105,11 +107,12 @@
         return;
     m_options.metrics->configuration.set(static_cast<double>(configuration->revision().value()));
     m_configuration = std::move(configuration);
+    m_endpoints.setServices(m_configuration->services());
 }
 
 void Gateway::setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres)
 {
-    m_endpoints.setDrainedDataCentres(std::move(dataCentres));
+    m_endpoints.setDrainedDataCentres(std::move(dataCentres), m_options.loop->clock().now());
     for (const auto &[service, endpoints] : m_endpoints.services())
         m_roomQueue.roomMayBeFree(service);
 }
@@ -213,6 +216,11 @@
 void Gateway::endpointEnded(const EndpointRecord &endpoint,
                             const std::vector<RequestFingerprint> &requests)
 {
+    // It may start again under its id, and its entry may tell of that only later.
+    if (const EndpointPtr record = m_endpoints.findByStart(endpoint.startHash)) {
+        record->hasEnded = true;
+        m_reachability.foundUnreachable(record);
+    }
     std::vector<RequestEnd> ends;
     for (const RequestFingerprint request : requests) {
         ends.push_back({.request = request, .endpoint = endpoint.startHash});
--- a/src/libs/gateway/reachability.h
+++ b/src/libs/gateway/reachability.h
@@ -50,7 +50,7 @@
     void foundUnreachable(const EndpointPtr &endpoint);
 
     /// An endpoint cannot be reached, or can be again.
-    std::function<void(const EndpointRecord &endpoint)> changed;
+    std::function<void(EndpointRecord &endpoint)> changed;
 
 private:
     void checkOthers(const EndpointRecord &failed);
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -194,7 +194,7 @@
     attempt.endpoint = endpoint;
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
-    m_gateway.m_endpoints.requestSent(*endpoint);
+    m_gateway.m_endpoints.requestSent(*endpoint, m_attempt->startedAt);
     m_attempt->bringsPrompt = m_gateway.notePrompt(m_prefixes, *endpoint, cacheSource.isCertain);
     m_cutter.clear();
     Http::Call call = m_gateway.m_options.protocol.makeCall(
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -108,6 +108,7 @@
     CacheSource cacheSource(const Place &place) const;
     /// At an endpoint of the service; nothing if it is not known.
     std::optional<double> usualLoad() const;
+    double coldFor(const EndpointRecord &endpoint) const;
     void logSend(const Place &place, const CacheSource &source) const;
     void send(const EndpointPtr &endpoint, const CacheSource &cacheSource);
     Http::Hooks hooks();
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -178,6 +178,7 @@
          {"candidates", place.candidates},
          {"load_age_ms", m_timers.clock().now() - place.endpoint->reportedAt},
          {"load_told", place.endpoint->isReportTold},
+         {"cold_ms", coldFor(*place.endpoint)},
          {"usual_load", usualLoad().value_or(notKnown)},
          {"prompt", static_cast<std::int64_t>(affinity().value_or(0))},
          {"shared_tokens", sharedTokens().value()},
@@ -188,6 +189,15 @@
          {"left_ms", timeLeft()}});
 }
 
+/// For how long the endpoint is known to be cold, in milliseconds.
+double RequestRun::coldFor(const EndpointRecord &endpoint) const
+{
+    const Base::MonoTime now = m_timers.clock().now();
+    if (!m_gateway.m_endpoints.isWarmingUp(endpoint, now))
+        return notKnown;
+    return Base::toSeconds(now - *endpoint.warmup.since) * 1000;
+}
+
 std::optional<double> RequestRun::usualLoad() const
 {
     return m_gateway.m_endpoints.usualLoad(m_service, m_timers.clock().now());
--- a/src/libs/gateway/requestrunsilence.cpp
+++ b/src/libs/gateway/requestrunsilence.cpp
@@ -129,7 +129,10 @@
         stay(otherUnreachable);
         return;
     }
-    if (!other.endpoint->takesRequests(m_timers.clock().now())) {
+    const Base::MonoTime now = m_timers.clock().now();
+    const bool isTaken = other.endpoint->takesRequests(now)
+        && m_gateway.m_endpoints.bearsRequest(*other.endpoint, now);
+    if (!isTaken) {
         leaveIfPossible();
         return;
     }
--- /dev/null
+++ b/src/libs/gateway/warmupquota.cpp
@@ -0,0 +1,59 @@
+#include "gateway/warmupquota.h"
+
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Lagoonbank::Gateway {
+
+void WarmupQuota::setFleet(Fleet fleet)
+{
+    if (fleet == m_fleet)
+        return;
+    m_fleet = std::move(fleet);
+    ++m_generation;
+}
+
+bool WarmupQuota::admits(WarmupRecord &record, std::uint64_t endpointHash, double bearable,
+                         Base::MonoTime now) const
+{
+    std::erase_if(record.sends, [&](Base::MonoTime at) { return now - at >= m_options.window; });
+    return record.sends.size() < share(record, endpointHash, bearable);
+}
+
+void WarmupQuota::sent(WarmupRecord &record, Base::MonoTime now) const
+{
+    record.sends.push_back(now);
+}
+
+/// All shares together are what the endpoint bears, and at least one request.
+std::size_t WarmupQuota::share(WarmupRecord &record, std::uint64_t endpointHash,
+                               double bearable) const
+{
+    if (record.generation != m_generation) {
+        record.routersBefore = routersBefore(endpointHash);
+        record.generation = m_generation;
+    }
+    const std::size_t all = std::max<std::size_t>(1, static_cast<std::size_t>(bearable));
+    const std::size_t routers = isFleetKnown() ? m_fleet.others.size() + 1 : m_options.unknownFleet;
+    return all / routers + (record.routersBefore < all % routers ? 1 : 0);
+}
+
+/// Of a fleet that is not known, as many as would be expected.
+std::size_t WarmupQuota::routersBefore(std::uint64_t endpointHash) const
+{
+    const std::uint64_t own = Routing::mixHashes(endpointHash, m_fleet.self);
+    if (!isFleetKnown()) {
+        const double part = static_cast<double>(own)
+            / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+        return static_cast<std::size_t>(part * static_cast<double>(m_options.unknownFleet));
+    }
+    return static_cast<std::size_t>(
+        std::count_if(m_fleet.others.begin(), m_fleet.others.end(), [&](std::uint64_t other) {
+            return Routing::mixHashes(endpointHash, other) < own;
+        }));
+}
+
+} // namespace Lagoonbank::Gateway
--- a/tests/auto/adapter/tst_routerprocess.cpp
+++ b/tests/auto/adapter/tst_routerprocess.cpp
@@ -50,10 +50,7 @@
     std::map<bool, std::shared_ptr<Http::Responder>> waiting;
 
     /// Tells the router that reads endpoints of a new value under the id of the one that is there.
-    void writeEndpoint(const std::string &value)
-    {
-        writeRecord(true, "i-1", value);
-    }
+    void writeEndpoint(const std::string &value) { writeRecord(true, "i-1", value); }
     /// Tells the router that reads the operators' records that this one has gone.
     void dropOperatorRecord(const std::string &key) { writeRecord(false, key, {}); }
 
--- a/tests/auto/gateway/tst_draineddatacentre.cpp
+++ b/tests/auto/gateway/tst_draineddatacentre.cpp
@@ -81,17 +81,17 @@
 {
     PlacementFixture f;
     BOOST_TEST(f.chosenIn(there) > 0);
-    f.book.setDrainedDataCentres({there});
+    f.book.setDrainedDataCentres({there}, f.now);
     BOOST_TEST(f.chosenIn(there) == 0);
     BOOST_TEST(f.chosenIn(here) == 200);
-    f.book.setDrainedDataCentres({});
+    f.book.setDrainedDataCentres({}, f.now);
     BOOST_TEST(f.chosenIn(there) > 0);
 }
 
 BOOST_AUTO_TEST_CASE(anEndpointThatComesMeanwhileGetsNothing)
 {
     PlacementFixture f;
-    f.book.setDrainedDataCentres({there});
+    f.book.setDrainedDataCentres({there}, f.now);
     f.add("late", there);
     BOOST_TEST(f.chosenIn(there) == 0);
 }
@@ -104,7 +104,7 @@
                                    f.now);
     }
     f.now += std::chrono::seconds(10);
-    f.book.setDrainedDataCentres({there});
+    f.book.setDrainedDataCentres({there}, f.now);
     BOOST_TEST(f.chosenIn(there, true) == 0);
 }
 
@@ -115,9 +115,9 @@
         f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
                                    f.now);
     }
-    f.book.setDrainedDataCentres({here, there});
+    f.book.setDrainedDataCentres({here, there}, f.now);
     BOOST_TEST((f.choose(7919).endpoint == nullptr));
-    f.book.setDrainedDataCentres({there});
+    f.book.setDrainedDataCentres({there}, f.now);
     const Place place = f.choose(7919);
     BOOST_REQUIRE(place.endpoint);
     BOOST_TEST((place.endpoint->info.dataCentre == here));
--- /dev/null
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -0,0 +1,244 @@
+/// Engines that are cold bear few requests, and hundreds of routers have to keep to that together
+/// without a word between them.
+#define BOOST_TEST_MODULE tst_warmupquota
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/placement.h"
+#include "routing/rendezvous.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Base::ServiceId service{"service"};
+const Base::MonoTime start{std::chrono::hours(1)};
+
+/// As the users' engines: cold for 3 s, 18 requests a second.
+constexpr double bearable = 18;
+/// What the users allow in any second: so many times that, and so many more.
+constexpr double excess = 1.5;
+constexpr double slack = 5;
+constexpr double most = excess * bearable + slack;
+
+std::vector<std::uint64_t> routerHashes(int routers)
+{
+    std::vector<std::uint64_t> hashes;
+    for (int i = 0; i < routers; ++i)
+        hashes.push_back(Routing::stableHash("router-" + std::to_string(i)));
+    return hashes;
+}
+
+/// Routers before one cold endpoint that all send as often as they may.
+struct RouterFleet
+{
+    explicit RouterFleet(int routers)
+        : quotas(static_cast<std::size_t>(routers), WarmupQuota({}))
+        , records(static_cast<std::size_t>(routers))
+    {
+        for (int i = 0; i < routers; ++i)
+            know(i, routers, true);
+    }
+    /// The router knows the first \a known ones and itself.
+    void know(int router, int known, bool isWhole)
+    {
+        const auto all = routerHashes(static_cast<int>(quotas.size()));
+        WarmupQuota::Fleet fleet{.self = all[static_cast<std::size_t>(router)], .isWhole = isWhole};
+        for (int i = 0; i < known; ++i) {
+            if (i != router)
+                fleet.others.push_back(all[static_cast<std::size_t>(i)]);
+        }
+        quotas[static_cast<std::size_t>(router)].setFleet(std::move(fleet));
+    }
+    /// Requests in the worst second.
+    std::size_t worstSecond(std::uint64_t endpoint, Base::Duration duration = seconds(3))
+    {
+        std::size_t worst = 0;
+        std::deque<Base::MonoTime> sends;
+        std::mt19937_64 random(endpoint);
+        for (Base::MonoTime now = start; now < start + duration; now += milliseconds(1)) {
+            // Each looks when one of its callers asks, some hundred times a second.
+            for (std::size_t i = 0; i < quotas.size(); ++i) {
+                if (random() % 4 != 0 || !quotas[i].admits(records[i], endpoint, bearable, now))
+                    continue;
+                quotas[i].sent(records[i], now);
+                sends.push_back(now);
+            }
+            while (!sends.empty() && now - sends.front() >= seconds(1))
+                sends.pop_front();
+            worst = std::max(worst, sends.size());
+        }
+        return worst;
+    }
+
+    std::vector<WarmupQuota> quotas;
+    std::vector<WarmupRecord> records;
+};
+
+struct PlacementFixture
+{
+    PlacementFixture()
+    {
+        for (int i = 0; i < endpoints; ++i)
+            book.put(endpoint(i, false), now);
+        book.setServices(
+            {{.name = service, .warmup = {.time = seconds(3), .requestsPerSecond = bearable}}});
+        book.setFleet({.self = 1, .isWhole = true});
+    }
+    static Lagoonbank::Fleet::Endpoint endpoint(int i, bool isWarmingUp)
+    {
+        Lagoonbank::Fleet::Endpoint one{.id = Base::EndpointId("e" + std::to_string(i)),
+                                        .service = service};
+        one.address = {"127.0.0.1", 80};
+        one.dataCentre = Base::DataCentreId("here");
+        one.slots = 100;
+        one.isWarmingUp = isWarmingUp;
+        return one;
+    }
+    /// Requests of so many prompts that go to the endpoint at this moment.
+    int chosen(int endpoint, int prompts)
+    {
+        int count = 0;
+        for (int prompt = 1; prompt <= prompts; ++prompt) {
+            const Place place =
+                placement.choose({.service = service,
+                                  .affinity = static_cast<std::uint64_t>(prompt) * 7919,
+                                  .mayRepeat = true},
+                                 book, now);
+            if (!place.endpoint
+                || place.endpoint->info.id.value() != "e" + std::to_string(endpoint))
+                continue;
+            book.requestSent(*place.endpoint, now);
+            book.requestEnded(*place.endpoint);
+            ++count;
+        }
+        return count;
+    }
+
+    static constexpr int endpoints = 4;
+    Base::MonoTime now = start;
+    EndpointBook book{{}};
+    Placement placement{{}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(fleetsOfAnySizeKeepToWhatAnEndpointBears)
+{
+    for (const int routers : {1, 6, 17, 18, 19, 24, 85, 300}) {
+        RouterFleet fleet(routers);
+        for (std::uint64_t endpoint = 1; endpoint <= 20; ++endpoint) {
+            const std::size_t worst = fleet.worstSecond(endpoint * 7919);
+            BOOST_TEST_CONTEXT(routers << " routers")
+            {
+                BOOST_TEST(worst <= bearable);
+                BOOST_TEST(worst >= bearable * 0.9);
+            }
+            fleet.records.assign(fleet.records.size(), {});
+        }
+    }
+}
+
+/// Pattern: routers that started together know a part of the fleet only, and some know nobody.
+BOOST_AUTO_TEST_CASE(whatRoutersDoNotKnowOfTheFleetStaysWithinTheBound)
+{
+    RouterFleet fleet(85);
+    for (int i = 0; i < 20; ++i)
+        fleet.know(i, 26 + 3 * i, true);
+    for (int i = 20; i < 30; ++i)
+        fleet.know(i, i % 5, false);
+    for (std::uint64_t endpoint = 1; endpoint <= 50; ++endpoint) {
+        BOOST_TEST(fleet.worstSecond(endpoint * 7919) <= most);
+        fleet.records.assign(fleet.records.size(), {});
+    }
+}
+
+/// Pattern: a quarter of the routers have come lately; those that were there do not know of them.
+BOOST_AUTO_TEST_CASE(routersThatJoinStayWithinTheBound)
+{
+    for (const int routers : {8, 32, 100, 300}) {
+        RouterFleet fleet(routers);
+        for (int i = 0; i < routers * 4 / 5; ++i)
+            fleet.know(i, routers * 4 / 5, true);
+        for (std::uint64_t endpoint = 1; endpoint <= 50; ++endpoint) {
+            BOOST_TEST(fleet.worstSecond(endpoint * 7919) <= most);
+            fleet.records.assign(fleet.records.size(), {});
+        }
+    }
+}
+
+/// Pattern: all routers have been killed and the store is away, so that none knows any other.
+BOOST_AUTO_TEST_CASE(aFleetThatNobodyKnowsStaysWithinTheBound)
+{
+    for (const int routers : {24, 85, 300}) {
+        RouterFleet fleet(routers);
+        for (int i = 0; i < routers; ++i)
+            fleet.know(i, 0, false);
+        for (std::uint64_t endpoint = 1; endpoint <= 50; ++endpoint) {
+            BOOST_TEST(fleet.worstSecond(endpoint * 7919) <= most);
+            fleet.records.assign(fleet.records.size(), {});
+        }
+    }
+}
+
+/// Pattern: all engines have started again. Each router finds some that it may send to.
+BOOST_AUTO_TEST_CASE(whereAllEndpointsAreColdEachRouterHasItsPart)
+{
+    constexpr int endpoints = 60;
+    RouterFleet fleet(85);
+    for (std::size_t router = 0; router < fleet.quotas.size(); ++router) {
+        int admitted = 0;
+        for (std::uint64_t endpoint = 1; endpoint <= endpoints; ++endpoint) {
+            WarmupRecord record;
+            admitted +=
+                fleet.quotas[router].admits(record, endpoint * 7919, bearable, start) ? 1 : 0;
+        }
+        BOOST_TEST(admitted >= 4);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aColdEndpointGetsWhatItBearsAndTheOthersTheRest)
+{
+    PlacementFixture f;
+    BOOST_TEST(f.chosen(2, 200) > 25);
+    f.book.remove(Base::EndpointId("e2"));
+    f.book.put(PlacementFixture::endpoint(2, true), f.now);
+    BOOST_TEST(f.chosen(2, 200) == 18);
+    BOOST_TEST(f.chosen(2, 200) == 0);
+    f.now += milliseconds(1100);
+    BOOST_TEST(f.chosen(2, 200) == 18);
+    f.now += seconds(2);
+    BOOST_TEST(f.chosen(2, 200) > 25);
+}
+
+/// Its engines may have become cold while nothing was sent there.
+BOOST_AUTO_TEST_CASE(endpointsOfADataCentreThatIsTakenBackAreSpared)
+{
+    PlacementFixture f;
+    f.book.setDrainedDataCentres({Base::DataCentreId("here")}, f.now);
+    f.now += seconds(10);
+    f.book.setDrainedDataCentres({}, f.now);
+    for (int i = 0; i < PlacementFixture::endpoints; ++i)
+        BOOST_TEST(f.chosen(i, 400) == 18);
+}
+
+/// Pattern: an engine crashed and is back, and every router wants to know.
+BOOST_AUTO_TEST_CASE(trialsOfAColdEndpointCountToo)
+{
+    PlacementFixture f;
+    const EndpointPtr cold = f.book.find(Base::EndpointId("e1"));
+    f.book.put(PlacementFixture::endpoint(1, true), f.now);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+    f.book.suspicion().suspect(cold->index, f.now);
+    f.now += milliseconds(1000);
+    BOOST_TEST(f.chosen(1, 200) == 0);
+}
