Gateway: Ask the quota of a cold endpoint before anything is sent there

Callers' requests crashed engines that had just started, 36 in a second where 32 are allowed. Placement now has one list of filters (who is there, who is trusted or may prove itself, who has room), and a cold endpoint that has had this router's part is full: its prompts stay where they were. Trials, repeats and the last resort ask it too. An endpoint that had ended is cold when it takes connections again, as its entry may tell of the new start late. A cold home is no source of copies.

--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -111,28 +111,43 @@
             .isFull = true};
 }
 
+/// The filters, one after the other: who is there, who is trusted or may prove itself, and who has
+/// room.
+Placement::Standing Placement::standingOf(const PlacementRequest &request,
+                                          const EndpointPtr &endpoint, const EndpointBook &book,
+                                          Base::MonoTime now)
+{
+    const bool isThere =
+        endpoint->takesRequests(now) && now >= endpoint->fullUntil && !isTried(request, endpoint);
+    if (!isThere)
+        return Standing::Out;
+    const bool isTrusted = !request.isDoubtHeeded
+        || book.suspicion().state(endpoint->index) == Routing::Suspicion::State::Trusted;
+    const bool mayProveItself =
+        request.mayRepeat && book.suspicion().admitsTrial(endpoint->index, now);
+    if (!isTrusted && !mayProveItself)
+        return Standing::Out;
+    const bool hasPlace = !request.isRoomChecked || hasRoom(request, book, *endpoint, now);
+    if (!hasConnection(request, *endpoint) || !hasPlace || !book.bearsRequest(*endpoint, now))
+        return Standing::Full;
+    return isTrusted ? Standing::Candidate : Standing::Trial;
+}
+
 Placement::Choice Placement::choiceFor(const PlacementRequest &request, const EndpointBook &book,
                                        Base::MonoTime now) const
 {
     Choice choice;
     for (const EndpointPtr &endpoint : book.endpoints(request.service)) {
-        const bool isUsable = endpoint->takesRequests(now) && now >= endpoint->fullUntil
-            && !isTried(request, endpoint);
-        if (!isUsable)
+        const Standing standing = standingOf(request, endpoint, book, now);
+        if (standing == Standing::Out)
             continue;
-        const bool isTrusted = !request.isDoubtHeeded
-            || book.suspicion().state(endpoint->index) == Routing::Suspicion::State::Trusted;
-        const bool isTrial =
-            !isTrusted && request.mayRepeat && book.suspicion().admitsTrial(endpoint->index, now);
-        if (!isTrusted && !isTrial)
-            continue;
-        const double load = book.load(*endpoint, now);
-        const bool hasPlace = !request.isRoomChecked || hasRoom(request, book, *endpoint, now);
-        if (!hasConnection(request, *endpoint) || !hasPlace) {
+        if (standing == Standing::Full) {
             choice.full.push_back(endpoint);
             continue;
         }
-        choice.candidates.push_back({.endpoint = endpoint, .load = load, .isTrial = isTrial});
+        choice.candidates.push_back({.endpoint = endpoint,
+                                     .load = book.load(*endpoint, now),
+                                     .isTrial = standing == Standing::Trial});
     }
     return choice;
 }
@@ -259,7 +274,7 @@
 
 /// The endpoint where requests with this prompt went before: the first in their order that has been
 /// there for long, unless that is the target itself. A home that is passed over need not be there
-/// for long: such requests are what it is busy with.
+/// for long, as such requests are what it is busy with, unless it is cold.
 EndpointPtr Placement::cacheSource(const PlacementRequest &request, const EndpointBook &book,
                                    const Place &place, Base::MonoTime now) const
 {
@@ -267,7 +282,8 @@
     const bool isPassedOver =
         place.reason == PlacementReason::HomeBusy || place.reason == PlacementReason::HomeSlow;
     const auto isHolder = [&](const EndpointRecord &endpoint) {
-        return isPassedOver || now - endpoint.knownSince >= m_options.newTime;
+        const bool isLeftForLoad = isPassedOver && !book.isWarmingUp(endpoint, now);
+        return isLeftForLoad || now - endpoint.knownSince >= m_options.newTime;
     };
     const Routing::RendezvousCost order(*request.affinity);
     const bool isTargetNew = now - target.knownSince < m_options.newTime;
@@ -320,6 +336,8 @@
             place.restsUntil = std::min(place.restsUntil.value_or(until), until);
             continue;
         }
+        if (!book.bearsRequest(*endpoint, now))
+            continue;
         const bool isBetter = !place.endpoint
             || book.suspicion().suspectedSince(endpoint->index)
                 < book.suspicion().suspectedSince(place.endpoint->index);
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -149,12 +149,20 @@
         bool isTrial = false;
     };
     using Candidates = std::vector<Candidate>;
+    enum class Standing : std::uint8_t {
+        Out, ///< Gets no such request.
+        Full, ///< Would be a candidate if it could take more.
+        Trial, ///< A candidate that has to prove itself.
+        Candidate
+    };
     struct Choice
     {
         Candidates candidates;
         std::vector<EndpointPtr> full; ///< Would be candidates if they had room.
     };
 
+    static Standing standingOf(const PlacementRequest &request, const EndpointPtr &endpoint,
+                               const EndpointBook &book, Base::MonoTime now);
     Choice choiceFor(const PlacementRequest &request, const EndpointBook &book,
                      Base::MonoTime now) const;
     static Place noRoom(const Choice &choice, const EndpointBook &book, Base::MonoTime now);
--- a/src/libs/gateway/warmupquota.cpp
+++ b/src/libs/gateway/warmupquota.cpp
@@ -13,6 +13,10 @@
     if (fleet == m_fleet)
         return;
     m_fleet = std::move(fleet);
+    m_self = Routing::stableHash(m_fleet.self);
+    m_others.clear();
+    for (const std::string &other : m_fleet.others)
+        m_others.push_back(Routing::stableHash(other));
     ++m_generation;
 }
 
@@ -44,14 +48,14 @@
 /// Of a fleet that is not known, as many as would be expected.
 std::size_t WarmupQuota::routersBefore(std::uint64_t endpointHash) const
 {
-    const std::uint64_t own = Routing::mixHashes(endpointHash, m_fleet.self);
+    const std::uint64_t own = Routing::mixHashes(endpointHash, m_self);
     if (!isFleetKnown()) {
         const double part = static_cast<double>(own)
             / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
         return static_cast<std::size_t>(part * static_cast<double>(m_options.unknownFleet));
     }
     return static_cast<std::size_t>(
-        std::count_if(m_fleet.others.begin(), m_fleet.others.end(), [&](std::uint64_t other) {
+        std::count_if(m_others.begin(), m_others.end(), [&](std::uint64_t other) {
             return Routing::mixHashes(endpointHash, other) < own;
         }));
 }
--- a/src/libs/gateway/warmupquota.h
+++ b/src/libs/gateway/warmupquota.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Lagoonbank::Gateway {
@@ -38,8 +39,8 @@
     };
     struct Fleet
     {
-        std::uint64_t self = 0; ///< Hash of this router's name, the same at every router.
-        std::vector<std::uint64_t> others;
+        std::string self; ///< This router's name.
+        std::vector<std::string> others;
         bool isWhole = false; ///< All that were registered are among them.
 
         bool operator==(const Fleet &) const = default;
@@ -66,6 +67,8 @@
 
     Options m_options;
     Fleet m_fleet;
+    std::uint64_t m_self = 0; ///< Hash of its name, the same at every router.
+    std::vector<std::uint64_t> m_others;
     std::uint64_t m_generation = 1;
 };
 
--- a/tests/auto/adapter/tst_enginecodec.cpp
+++ b/tests/auto/adapter/tst_enginecodec.cpp
@@ -146,3 +146,14 @@
     for (const char *text : {"", "3", "3,1", "3,1,8,9", "a,b,c", "3,1,"})
         BOOST_TEST(!f.read(200, {{"lagoonbank-engine-load", text}}).load, text);
 }
+
+BOOST_AUTO_TEST_CASE(anEndpointSaysThatItIsCold)
+{
+    Fixture f;
+    const Http::Header cold{"lagoonbank-warmup-remaining", "1200"};
+    BOOST_TEST(f.read(200, {cold}).isWarmingUp);
+    BOOST_TEST(!f.read(200, {{"lagoonbank-warmup-remaining", "0"}}).isWarmingUp);
+    BOOST_TEST(!f.read(200, {{"lagoonbank-warmup-remaining", "soon"}}).isWarmingUp);
+    BOOST_TEST(!f.read(200, {}).isWarmingUp);
+    BOOST_TEST(!f.read(421, {cold}).isWarmingUp);
+}
--- a/tests/auto/adapter/tst_storeobjects.cpp
+++ b/tests/auto/adapter/tst_storeobjects.cpp
@@ -19,6 +19,7 @@
      "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
      "max_attempts":2,"anonymous":true}],
     "services":[{"name":"s1","health_path":"/health","max_conns":610,
+                 "warmup_s":3.0,"warmup_per_s":18.0,
                  "engine":{"slots":128,"kv_tokens":1001015,"stride":6}},
                 {"name":"s2","health_path":"/health","max_conns":96}],
     "limits":{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000},
@@ -48,6 +49,10 @@
     BOOST_REQUIRE(config.findService(Base::ServiceId("s1")));
     BOOST_TEST(config.findService(Base::ServiceId("s1"))->engine->slots == 128);
     BOOST_TEST(!config.findService(Base::ServiceId("s2"))->engine);
+    const Fleet::Warmup &warmup = config.findService(Base::ServiceId("s1"))->warmup;
+    BOOST_TEST((warmup.time == std::chrono::seconds(3)));
+    BOOST_TEST(warmup.requestsPerSecond == 18);
+    BOOST_TEST(config.findService(Base::ServiceId("s2"))->warmup.requestsPerSecond == 0);
     BOOST_TEST((config.limits().idleTimeout == std::chrono::seconds(15)));
     BOOST_REQUIRE(config.findWorkspace("k2"));
     BOOST_TEST((config.findWorkspace("k2")->priority == 1));
@@ -81,6 +86,7 @@
     BOOST_TEST(endpoint.dataCentre.value() == "gulberg");
     BOOST_TEST(endpoint.slots == 128);
     BOOST_TEST((endpoint.state == Fleet::EndpointState::Draining));
+    BOOST_TEST(endpoint.isWarmingUp);
 }
 
 BOOST_AUTO_TEST_CASE(anEntryThatCannotBeReadIsAnError)
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -87,7 +87,9 @@
         route.services = {{Base::ServiceId("service")}};
         gateway.setConfiguration(
             std::make_shared<const Fleet::Configuration>(Fleet::ConfigurationParts{
-                .revision = Base::Revision(++revision), .routes = {std::move(route)}}));
+                .revision = Base::Revision(++revision),
+                .routes = {std::move(route)},
+                .services = {{.name = Base::ServiceId("service"), .warmup = warmup}}}));
     }
     Lagoonbank::Test::RawSocket call()
     {
@@ -122,6 +124,7 @@
     std::optional<Lagoonbank::Base::Duration> patience = std::chrono::seconds(5);
     Lagoonbank::Base::Duration unread{}; ///< For which requests lay unread beyond what is known.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Of the requests that come.
+    Lagoonbank::Fleet::Warmup warmup; ///< Of the endpoints, from the next route on.
     Lagoonbank::Base::Duration settle;
     Lagoonbank::Base::Duration ownDelay{}; ///< How far behind the router says it is.
     int lastRequest = 0;
--- a/tests/auto/gateway/tst_crashingrequest.cpp
+++ b/tests/auto/gateway/tst_crashingrequest.cpp
@@ -167,3 +167,25 @@
         BOOST_TEST(has(f.attemptThatBreaks("/x"), "HTTP/1.1 502"));
     BOOST_TEST(f.isServed("/x"));
 }
+
+/// Its entry tells of the new start only later, while the store is away perhaps not at all.
+BOOST_AUTO_TEST_CASE(anEndpointThatHasEndedIsColdWhenItIsBack)
+{
+    EndingEndpoints f;
+    f.warmup = {.time = seconds(3), .requestsPerSecond = 18};
+    f.setRoute({.kind = Fleet::RouteKind::Idempotent, .timeout = seconds(5)});
+    f.attemptThatEnds("/x");
+    Gateway::EndpointPtr ended;
+    for (const auto &record : f.gateway.endpoints().endpoints(Base::ServiceId("service"))) {
+        if (record->hasEnded)
+            ended = record;
+    }
+    BOOST_REQUIRE(ended);
+    BOOST_TEST(ended->isUnreachable);
+    const Test::RawListener back(ended->info.address.port);
+    f.pass(milliseconds(500));
+    BOOST_TEST(!ended->isUnreachable);
+    BOOST_TEST(f.gateway.endpoints().isWarmingUp(*ended, f.clock.now()));
+    f.pass(seconds(3));
+    BOOST_TEST(!f.gateway.endpoints().isWarmingUp(*ended, f.clock.now()));
+}
--- a/tests/auto/gateway/tst_warmupquota.cpp
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -4,7 +4,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/placement.h"
-#include "routing/rendezvous.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -30,12 +29,9 @@
 constexpr double slack = 5;
 constexpr double most = excess * bearable + slack;
 
-std::vector<std::uint64_t> routerHashes(int routers)
+std::string routerName(int number)
 {
-    std::vector<std::uint64_t> hashes;
-    for (int i = 0; i < routers; ++i)
-        hashes.push_back(Routing::stableHash("router-" + std::to_string(i)));
-    return hashes;
+    return "router-" + std::to_string(number);
 }
 
 /// Routers before one cold endpoint that all send as often as they may.
@@ -51,11 +47,10 @@
     /// The router knows the first \a known ones and itself.
     void know(int router, int known, bool isWhole)
     {
-        const auto all = routerHashes(static_cast<int>(quotas.size()));
-        WarmupQuota::Fleet fleet{.self = all[static_cast<std::size_t>(router)], .isWhole = isWhole};
+        WarmupQuota::Fleet fleet{.self = routerName(router), .isWhole = isWhole};
         for (int i = 0; i < known; ++i) {
             if (i != router)
-                fleet.others.push_back(all[static_cast<std::size_t>(i)]);
+                fleet.others.push_back(routerName(i));
         }
         quotas[static_cast<std::size_t>(router)].setFleet(std::move(fleet));
     }
@@ -92,7 +87,7 @@
             book.put(endpoint(i, false), now);
         book.setServices(
             {{.name = service, .warmup = {.time = seconds(3), .requestsPerSecond = bearable}}});
-        book.setFleet({.self = 1, .isWhole = true});
+        book.setFleet({.self = routerName(0), .isWhole = true});
     }
     static Lagoonbank::Fleet::Endpoint endpoint(int i, bool isWarmingUp)
     {
@@ -220,6 +215,18 @@
     BOOST_TEST(f.chosen(2, 200) > 25);
 }
 
+BOOST_AUTO_TEST_CASE(anEndpointThatBecomesColdAgainIsSparedAgain)
+{
+    PlacementFixture f;
+    f.book.put(PlacementFixture::endpoint(1, true), f.now);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+    f.now += seconds(4);
+    f.book.put(PlacementFixture::endpoint(1, false), f.now);
+    BOOST_TEST(f.chosen(1, 200) > 25);
+    f.book.put(PlacementFixture::endpoint(1, true), f.now);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+}
+
 /// Its engines may have become cold while nothing was sent there.
 BOOST_AUTO_TEST_CASE(endpointsOfADataCentreThatIsTakenBackAreSpared)
 {
@@ -242,3 +249,19 @@
     f.now += milliseconds(1000);
     BOOST_TEST(f.chosen(1, 200) == 0);
 }
+
+/// Where all are suspected, the last resort is none that is cold and has had its part.
+BOOST_AUTO_TEST_CASE(aColdEndpointThatHasHadItsPartIsNoLastResort)
+{
+    PlacementFixture f;
+    f.book.put(PlacementFixture::endpoint(1, true), f.now);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+    for (int i = 0; i < PlacementFixture::endpoints; ++i)
+        f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
+                                   f.now);
+    for (int i = 0; i < PlacementFixture::endpoints; ++i) {
+        if (i != 1)
+            f.book.find(Base::EndpointId("e" + std::to_string(i)))->isUnreachable = true;
+    }
+    BOOST_TEST(f.chosen(1, 20) == 0);
+}
--- a/tests/auto/http/loopback.h
+++ b/tests/auto/http/loopback.h
@@ -134,10 +134,14 @@
 class RawListener
 {
 public:
-    RawListener()
+    /// On a free port unless one is named.
+    explicit RawListener(std::uint16_t port = 0)
         : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     {
+        const int isReused = 1;
+        setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &isReused, sizeof isReused);
         sockaddr_in native{};
+        native.sin_port = htons(port);
         native.sin_family = AF_INET;
         native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof native;
