Soak: Watch what cold engines and drained data centres get

The soak's engines stand in two data centres, are cold at their start and now and then later, and write down what reaches them; operators drain a data centre and take it back cold. Broken is a request for an engine of a data centre that was drained over 5 s ago, sent by a router in touch, and more in a second for a cold engine than it bears (what was sent and arrived in that second).

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import pathlib
 import shutil
 import signal
@@ -17,6 +18,7 @@
 import tempfile
 import time
 
+import rules
 import wire
 import world
 
@@ -88,6 +90,8 @@
         self.kinds = {}  # Request id -> kind.
         self.outcomes = collections.Counter()
         self.broken = []
+        self.arrivals = rules.Arrivals(self.broken)
+        self.disturbances = self.arrivals.disturbances
         self.last_served = collections.deque(maxlen=400)  # (time, whether it was served)
         self.store = world.Store()
         self.version = 1
@@ -101,8 +105,9 @@
         servers = [await wire.serve(f"{net}.9.1", STORE_PORT, self.store.handle)]
         await self.store.put("keyed.op", "config", world.configuration(self.version, KEYS))
         for i in range(self.options.engines):
-            engine = world.Engine(f"e{i}", "app" if i % 2 else "llm", self.runs,
+            engine = world.Engine(f"e{i}", "app" if i % 2 else "llm", f"dc{i // 2 % 2}", self.runs,
                                   world.generator(self.options.seed, f"engine {i}"))
+            engine.arrived = self.arrivals.arrived
             ip = f"{net}.2.{i + 1}"
             servers.append(await wire.serve(ip, ENGINE_PORT, engine.handle))
             proxy_ip = f"{net}.3.{i + 1}"
@@ -117,20 +122,34 @@
             router = Router(net, i + 1, self.options.router, self.folder)
             router.store = f"{proxy_ip}:{STORE_PORT}"
             router.start()
+            self.disturbances.ended[f"router {router.number}"] = time.monotonic()
             self.routers.append(router)
         return servers
 
+    @contextlib.contextmanager
+    def disturbing(self, *names):
+        """While it lasts, and some time after it, these are not in touch."""
+        for name in names:
+            self.disturbances.begin(name)
+        try:
+            yield
+        finally:
+            for name in names:
+                self.disturbances.end(name)
+
     # Faults, each with its own end.
 
     async def restart(self, router, number):
         """A signal that ends the process, and a new process unless another fault began one."""
         process = router.process
-        router.send(number)
-        if not await router.ended(process, STOP_S):
-            self.broken.append(f"router {router.number} did not end in time after {number.name}")
-            await router.stop()
-        if router.process is process:
-            router.start()
+        with self.disturbing(f"router {router.number}"):
+            router.send(number)
+            if not await router.ended(process, STOP_S):
+                self.broken.append(f"router {router.number} did not end in time after "
+                                   f"{number.name}")
+                await router.stop()
+            if router.process is process:
+                router.start()
 
     async def fault_kill(self, rng):
         """Kills a router."""
@@ -143,9 +162,10 @@
     async def fault_pause(self, rng):
         """Pauses a router; a signal to end may come meanwhile."""
         router = rng.choice(self.routers)
-        router.send(signal.SIGSTOP)
-        await asyncio.sleep(rng.uniform(0.2, 3))
-        router.send(signal.SIGCONT)
+        with self.disturbing(f"router {router.number}"):
+            router.send(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(0.2, 3))
+            router.send(signal.SIGCONT)
 
     async def fault_hup(self, rng):
         """Asks a router to read its settings again."""
@@ -158,10 +178,12 @@
 
     async def fault_engine_link(self, rng):
         """Harms the connections to an engine."""
-        proxy = rng.choice(self.proxies)
-        proxy.set_mode(rng.choice(world.Proxy.MODES[1:]))
-        await asyncio.sleep(rng.uniform(0.3, 3))
-        proxy.set_mode("pass")
+        number = rng.randrange(len(self.proxies))
+        proxy = self.proxies[number]
+        with self.disturbing(f"engine {self.engines[number].name}"):
+            proxy.set_mode(rng.choice(world.Proxy.MODES[1:]))
+            await asyncio.sleep(rng.uniform(0.3, 3))
+            proxy.set_mode("pass")
 
     async def fault_engine(self, rng):
         """An engine misbehaves."""
@@ -181,23 +203,56 @@
         await self.store.put("keyed.servers", engine.id, "")
         engine.boot += 1
         engine.started_ms = time.time_ns() // 1_000_000
+        engine.become_cold()
         await self.store.put("keyed.servers", engine.id, engine.entry())
+        await self.warm_up(engine)
         engine.is_leaving = False
 
+    async def warm_up(self, engine):
+        """Until it is warm, and its entry says so."""
+        await asyncio.sleep(world.WARMUP_S)
+        await self.store.put("keyed.servers", engine.id, engine.entry())
+
+    async def fault_cold(self, rng):
+        """An engine becomes cold without a new start."""
+        engine = rng.choice(self.engines)
+        if engine.is_leaving:
+            return
+        engine.is_leaving = True
+        engine.become_cold()
+        await self.store.put("keyed.servers", engine.id, engine.entry())
+        await self.warm_up(engine)
+        engine.is_leaving = False
+
+    async def fault_drain(self, rng):
+        """The operators drain a data centre and take it back; its engines are cold then."""
+        data_centre = f"dc{rng.randrange(2)}"
+        if self.arrivals.drained:
+            return
+        await self.store.put("keyed.op", f"evacuate/{data_centre}", "{}")
+        self.arrivals.drained[data_centre] = time.monotonic()
+        await asyncio.sleep(rng.uniform(4, 9))
+        del self.arrivals.drained[data_centre]
+        for engine in self.engines:
+            if engine.data_centre == data_centre:
+                engine.become_cold()
+        await self.store.put("keyed.op", f"evacuate/{data_centre}", "")
+
     async def fault_store(self, rng):
         """The store is slow, refuses, or goes silent for all or for some."""
         kind = rng.choice(["slow", "refuse", "some"])
-        if kind == "slow":
-            self.store.delay = rng.uniform(0.1, 0.5)
-        elif kind == "refuse":
-            self.store.status = rng.choice([503, 429])
-        else:
-            proxy = rng.choice(self.store_proxies)
-            proxy.set_mode(rng.choice(world.Proxy.MODES[1:]))
-        await asyncio.sleep(rng.uniform(0.5, 4))
-        self.store.delay, self.store.status = 0.0, 200
-        for proxy in self.store_proxies:
-            proxy.set_mode("pass")
+        with self.disturbing("store"):
+            if kind == "slow":
+                self.store.delay = rng.uniform(0.1, 0.5)
+            elif kind == "refuse":
+                self.store.status = rng.choice([503, 429])
+            else:
+                proxy = rng.choice(self.store_proxies)
+                proxy.set_mode(rng.choice(world.Proxy.MODES[1:]))
+            await asyncio.sleep(rng.uniform(0.5, 4))
+            self.store.delay, self.store.status = 0.0, 200
+            for proxy in self.store_proxies:
+                proxy.set_mode("pass")
 
     async def fault_configure(self, rng):
         """The operator writes a newer configuration."""
@@ -238,18 +293,20 @@
     async def connect(router):
         """A connection to a router, or None."""
         try:
-            return await asyncio.wait_for(asyncio.open_connection(router.ip, FRONT), 1)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, FRONT), 1)
+            return reader, writer, router.number
         except (OSError, asyncio.TimeoutError):
             await asyncio.sleep(0.05)
             return None
 
     async def call(self, connection, rng):
         """One request; gives the connection if it can be used again."""
-        reader, writer = connection
+        reader, writer, router = connection
         self.next_id += 1
         request = f"{self.options.seed:x}-{self.next_id:x}"
         kind = rng.choice("inss")
         self.kinds[request] = kind
+        self.arrivals.sent[request] = (time.monotonic(), router)
         fields = {"host": "h", "lagoonbank-attempt-id": request, "api-key": rng.choice(KEYS),
                   "lagoonbank-deadline-remaining": "4000"}
         try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -132,6 +132,9 @@
 
 
 EVENTS = 8
+# A cold engine bears this; in any second a fleet may send it so many times that, and so many more.
+WARMUP_S, WARMUP_PER_S = 2.0, 16
+COLD_EXCESS, COLD_SLACK = 1.5, 5
 
 
 def event(request_id, number):
@@ -153,9 +156,12 @@
 class Engine:
     """An engine or a service; writes down what it ran."""
 
-    def __init__(self, name, service, runs, rng):
+    def __init__(self, name, service, data_centre, runs, rng):
         self.name = name
         self.service = service
+        self.data_centre = data_centre
+        self.cold_until = 0.0
+        self.arrived = None  # Told of each request for this engine.
         self.runs = runs  # request id -> list of names of engines
         self.rng = rng
         self.mode = "good"
@@ -169,11 +175,16 @@
         """Of this start of it."""
         return f"{self.name}-{self.boot}"
 
+    def become_cold(self):
+        """It bears few requests for a while."""
+        self.cold_until = time.monotonic() + WARMUP_S
+
     def entry(self, state="ready"):
         """As it stands in the store."""
-        return json.dumps({"service": self.service, "address": self.address, "zone": "dc0",
-                           "version": "v1", "slots": 8, "state": state, "seq": self.boot,
-                           "warmup_left_ms": 0, "born": self.started_ms})
+        cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
+        return json.dumps({"service": self.service, "address": self.address,
+                           "zone": self.data_centre, "version": "v1", "slots": 8, "state": state,
+                           "seq": self.boot, "warmup_left_ms": cold_ms, "born": self.started_ms})
 
     async def handle(self, first, fields, body, writer):
         """One request."""
@@ -183,6 +194,7 @@
         if fields.get("lagoonbank-expect-instance") != self.id:
             writer.write(wire.message("HTTP/1.1 421 Other", head))
             return True
+        self.arrived(self, request)
         if self.mode == "shed":
             writer.write(wire.message("HTTP/1.1 503 Full", {"lagoonbank-not-executed": "1"}))
             return True
@@ -229,7 +241,8 @@
         "version": version,
         "routes": [route("idempotent", "i", "app", 2000), route("non_idempotent", "n", "app", 2000),
                    route("streaming", "s", "llm", 5000)],
-        "services": [{"name": "app"}, {"name": "llm"}],
+        "services": [{"name": name, "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}
+                     for name in ("app", "llm")],
         "limits": {"header_bytes": 16384, "body_bytes": 65536, "header_ms": 3000, "idle_ms": 15000},
         "tenants": [{"name": f"t{i}", "keys": [key]} for i, key in enumerate(keys)]})
 
