Gateway: Let each of many routers limit its own requests by what engines answer

The engines that are left have places for just about all requests.

Cause: among 85 routers each hears of an engine every few seconds.

Half of its even part of the places is always left. Fleets under ten routers go by the loads, as before.

Switched off: concurrency_limit.

--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -255,6 +255,22 @@
     endpoint.timelyShare = std::max(m_options.leastTimelyShare, endpoint.timelyShare - step);
 }
 
+int EndpointBook::inFlight(const Base::ServiceId &service) const
+{
+    int sum = 0;
+    for (const EndpointPtr &endpoint : endpoints(service))
+        sum += endpoint->inFlight;
+    return sum;
+}
+
+double EndpointBook::allPlaces(const Base::ServiceId &service, Base::MonoTime now) const
+{
+    double sum = 0;
+    for (const EndpointPtr &endpoint : endpoints(service))
+        sum += endpoint->isInService() ? places(*endpoint, now) : 0;
+    return sum;
+}
+
 double EndpointBook::places(const EndpointRecord &endpoint, Base::MonoTime now) const
 {
     const double all = endpoint.report ? endpoint.report->slots : endpoint.info.slots;
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -226,6 +226,10 @@
     /// It has answered a request, or begun to; \a latency from the send.
     void answerTimed(EndpointRecord &endpoint, Base::Duration latency, Base::Duration target,
                      Base::MonoTime now) const;
+    /// Requests that this router has at the endpoints of a service.
+    int inFlight(const Base::ServiceId &service) const;
+    /// That all endpoints of a service that are there for new requests can run at once.
+    double allPlaces(const Base::ServiceId &service, Base::MonoTime now) const;
     /// Requests that the endpoint can run at once, as far as can be told; 0 for no limit.
     double places(const EndpointRecord &endpoint, Base::MonoTime now) const;
     /// Of these, as many as are not taken; below zero where more are taken than there are.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -122,6 +122,16 @@
     m_routerCount = std::max<std::size_t>(1, routers);
     m_retryBudget.setRouters(static_cast<int>(m_routerCount));
     m_endpoints.setRouterCount(m_routerCount);
+    const Base::MonoTime now = m_options.loop->clock().now();
+    for (const auto &[service, endpoints] : m_endpoints.services()) {
+        const double places = m_endpoints.allPlaces(service, now);
+        concurrencyLimit(service).setPlaces(places, static_cast<double>(m_routerCount));
+    }
+}
+
+ConcurrencyLimit &Gateway::concurrencyLimit(const Base::ServiceId &service)
+{
+    return m_concurrencyLimits.try_emplace(service, m_options.concurrencyLimit).first->second;
 }
 
 std::optional<std::size_t> Gateway::connectionShare(const Base::ServiceId &service) const
@@ -291,8 +301,10 @@
         m_options.metrics->overloadedAnswers.increment();
     const double before = m_endpoints.freePlaces(endpoint, now);
     m_endpoints.loadReported(endpoint, report, now);
+    const Base::ServiceId &service = endpoint.info.service;
+    concurrencyLimit(service).reported(report, m_endpoints.inFlight(service), now);
     if (m_endpoints.freePlaces(endpoint, now) > before)
-        m_roomQueue.roomMayBeFree(endpoint.info.service);
+        m_roomQueue.roomMayBeFree(service);
 }
 
 Schema::LoadNews Gateway::loadNews()
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "fleet/configuration.h"
 #include "gateway/backlogcontrol.h"
 #include "gateway/callerrequest.h"
+#include "gateway/concurrencylimit.h"
 #include "gateway/crashwatch.h"
 #include "gateway/endpointbook.h"
 #include "gateway/endpointhealth.h"
@@ -116,6 +117,7 @@
         FleetRetryBudget::Options retryBudget;
         LoadShedder::Options loadShedding;
         BacklogControl::Options backlog;
+        ConcurrencyLimit::Options concurrencyLimit;
         RequestQuarantine::Options quarantine;
         GatewayPatience patience;
         Logging::DecisionLog *log = nullptr;
@@ -193,6 +195,8 @@
     /// requests of a prompt, and cannot tell all others of them: places by its own knowledge alone
     /// cost 0.009 of a day's worth, and 0.07 where memory is scarce.
     const PromptDirectory *sharedPrompts() const;
+    /// Of this router's requests at the model engines of a service.
+    ConcurrencyLimit &concurrencyLimit(const Base::ServiceId &service);
     /// An endpoint has told its load; wakes who waits for room if there is more now.
     void loadReported(EndpointRecord &endpoint, const LoadReport &report);
     void endpointEnded(const EndpointRecord &endpoint,
@@ -211,6 +215,7 @@
     FleetRetryBudget m_retryBudget;
     LoadShedder m_loadShedder;
     RoomQueue m_roomQueue;
+    absl::flat_hash_map<Base::ServiceId, ConcurrencyLimit> m_concurrencyLimits;
     BacklogControl m_backlog;
     PromptDirectory m_prompts;
     RequestQuarantine m_quarantine;
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -107,6 +107,7 @@
     };
     CacheSource cacheSource(const Place &place) const;
     /// At an endpoint of the service; nothing if it is not known.
+    bool isOverLimit() const;
     std::optional<double> usualLoad() const;
     double coldFor(const EndpointRecord &endpoint) const;
     void logSend(const Place &place, const CacheSource &source) const;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -150,6 +150,8 @@
     if (facts.isNotRun || facts.isOtherEndpoint) {
         m_ranAt.pop_back();
         m_gateway.m_health.refused(*m_attempt->endpoint, facts.isOtherEndpoint, m_request.id);
+        if (!facts.isOtherEndpoint)
+            m_gateway.concurrencyLimit(m_service).rejected(m_timers.clock().now());
         attemptFailed({.kind = ErrorKind::EndpointRefused, .hasRun = false});
         return;
     }
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -109,6 +109,10 @@
     if (findsCallerGone())
         return true;
     const Base::MonoTime now = m_timers.clock().now();
+    if (isOverLimit()) {
+        m_full = {};
+        return false;
+    }
     const Place place =
         m_gateway.m_placement.choose(placementRequest(), m_gateway.m_endpoints, now);
     if (place.isFull) {
@@ -135,6 +139,16 @@
     return true;
 }
 
+/// Of plain services some requests always wait; what has been sent before does not count again.
+bool RequestRun::isOverLimit() const
+{
+    const bool isLimited = m_gateway.m_options.policy.concurrencyLimit && m_tried.empty()
+        && m_route->kind == Fleet::RouteKind::Stream;
+    return isLimited
+        && !m_gateway.concurrencyLimit(m_service).admits(m_gateway.m_endpoints.inFlight(m_service),
+                                                         usableShare());
+}
+
 RoomQueue::Line RequestRun::roomLine() const
 {
     return {.service = m_service, .isStream = m_route->kind == Fleet::RouteKind::Stream};
@@ -255,6 +269,8 @@
              // As it looked last; none if another one in line spoke for it.
              {"mean_load", m_full.meanLoad},
              {"candidates", m_full.candidates},
+             {"own_requests", m_gateway.m_endpoints.inFlight(m_service)},
+             {"own_limit", m_gateway.concurrencyLimit(m_service).value()},
              {"in_line", m_gateway.m_roomQueue.size()},
              {"waited_ms", m_timers.clock().now() - *m_roomWantedAt},
              {"left_ms", timeLeft()}});
--- a/tests/auto/gateway/overloadmodel.h
+++ b/tests/auto/gateway/overloadmodel.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include "gateway/concurrencylimit.h"
+#include "gateway/loadsharing.h"
 #include "gateway/loadshedder.h"
 #include "gateway/placement.h"
+#include "routing/rendezvous.h"
 
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -15,8 +20,9 @@
 
 /// Routers before engines that cannot serve all that callers send, on a virtual clock and without a
 /// network. Engines run so many requests at once, each the more slowly the more run, and queue the
-/// rest; routers learn of their load with the answers to their own requests alone; callers leave a
-/// stream that does not begin within two seconds, and come back once when they are refused.
+/// rest up to a limit; routers learn of their load with the answers to their own requests, and from
+/// each other if they share it; callers leave a stream that does not begin within two seconds, and
+/// come back once when they are refused.
 class OverloadModel
 {
 public:
@@ -28,6 +34,7 @@
         double seconds = 0; ///< That one runs on an idle engine.
         double target = 0; ///< Seconds to the first event.
         double patience = 0; ///< Seconds.
+        int prompts = 0; ///< That its requests share, each with a home; 0 for requests without.
     };
     struct Options
     {
@@ -39,7 +46,15 @@
         int urgentWorkspaces = 0; ///< The first ones, with a more urgent priority of their own.
         double greedy = 1; ///< Times its equal part that the first workspace sends.
         bool isShedding = true;
+        bool isSharing = false; ///< Routers tell each other of loads.
+        bool isLimiting = false; ///< Each router limits its own requests.
+        int queue = std::numeric_limits<int>::max(); ///< Requests that may wait at an engine.
         double seconds = 30;
+        double countedFrom = 0; ///< Of callers that came before nothing is counted.
+        /// From here to there so many engines are gone, with all that they had.
+        double lostFrom = 0;
+        double lostTo = 0;
+        int lostEngines = 0;
     };
     struct Tally
     {
@@ -68,22 +83,25 @@
         for (int r = 0; r < m_options.routers; ++r) {
             auto router = std::make_unique<Router>();
             router->book.setRouterCount(static_cast<std::size_t>(m_options.routers));
-            for (int e = 0; e < m_options.engines; ++e) {
-                Fleet::Endpoint endpoint;
-                endpoint.id = Base::EndpointId("e" + std::to_string(e));
-                endpoint.service = m_service;
-                endpoint.slots = m_options.slots;
-                router->book.put(endpoint, at(0));
-            }
             m_routers.push_back(std::move(router));
         }
         m_engines.resize(static_cast<std::size_t>(m_options.engines));
+        for (int e = 0; e < m_options.engines; ++e)
+            put(e);
     }
 
     void run()
     {
         for (std::size_t kind = 0; kind < m_options.kinds.size(); ++kind)
             scheduleNext(kind);
+        if (m_options.isSharing) {
+            for (std::size_t router = 0; router < m_routers.size(); ++router)
+                after(0.001 * static_cast<double>(router), [this, router] { tellLoads(router); });
+        }
+        if (m_options.lostEngines > 0) {
+            after(m_options.lostFrom, [this] { loseEngines(); });
+            after(m_options.lostTo, [this] { returnEngines(); });
+        }
         while (!m_events.empty() && m_events.top().at < m_options.seconds + 5) {
             const Event event = m_events.top();
             m_events.pop();
@@ -93,6 +111,8 @@
     }
 
     const Tally &kind(const std::string &name) { return m_byKind[name]; }
+    /// Requests that engines rejected as their queue was full.
+    int rejected() const { return m_rejected; }
     const Tally &workspace(int number) { return m_byWorkspace[number]; }
     /// Of all workspaces but the first one.
     Tally otherWorkspaces() const
@@ -122,6 +142,8 @@
         bool hasBegun = false;
         bool hasLeft = false;
         double sentAt = 0;
+        int sends = 0;
+        std::optional<std::uint64_t> prompt;
     };
     using JobPtr = std::shared_ptr<Job>;
     struct Router
@@ -129,9 +151,12 @@
         Lagoonbank::Gateway::EndpointBook book{{}};
         Lagoonbank::Gateway::Placement placement{{}};
         Lagoonbank::Gateway::LoadShedder shedder{{}};
+        Lagoonbank::Gateway::LoadSharing sharing{{.book = &book}};
+        Lagoonbank::Gateway::ConcurrencyLimit limit{{}};
     };
     struct Engine
     {
+        int boot = 0;
         int running = 0;
         std::deque<JobPtr> waiting;
     };
@@ -164,10 +189,58 @@
     Tally &kindOf(const Job &job) { return m_byKind[m_options.kinds[job.kind].name]; }
     void count(const Job &job, int Tally::*field)
     {
+        if (job.cameAt < m_options.countedFrom)
+            return;
         ++(kindOf(job).*field);
         ++(m_byWorkspace[job.workspace].*field);
     }
 
+    void put(int number)
+    {
+        using namespace Lagoonbank;
+        Fleet::Endpoint endpoint;
+        endpoint.id = idOf(static_cast<std::size_t>(number));
+        endpoint.service = m_service;
+        endpoint.slots = m_options.slots;
+        endpoint.startedAt = Base::WallTime(std::chrono::seconds(static_cast<int>(m_now) + 1));
+        for (const auto &router : m_routers)
+            router->book.put(endpoint, at(m_now));
+        setPlaces();
+    }
+    void setPlaces()
+    {
+        for (const auto &router : m_routers) {
+            const double places = router->book.allPlaces(m_service, at(m_now));
+            router->limit.setPlaces(places, m_options.routers);
+        }
+    }
+    void loseEngines()
+    {
+        for (int e = 0; e < m_options.lostEngines; ++e) {
+            Engine &engine = m_engines[static_cast<std::size_t>(e)];
+            engine = {.boot = engine.boot + 1};
+            for (const auto &router : m_routers)
+                router->book.remove(idOf(static_cast<std::size_t>(e)));
+        }
+        setPlaces();
+    }
+    void returnEngines()
+    {
+        for (int e = 0; e < m_options.lostEngines; ++e)
+            put(e);
+    }
+    /// To one other, ten times a second.
+    void tellLoads(std::size_t router)
+    {
+        if (m_now > m_options.seconds)
+            return;
+        const auto news = m_routers[router]->sharing.news(at(m_now));
+        std::uniform_int_distribution<std::size_t> any(0, m_routers.size() - 1);
+        Router &peer = *m_routers[any(m_random)];
+        after(0.002, [this, &peer, news] { peer.sharing.learn(news, {}, at(m_now)); });
+        after(0.1, [this, router] { tellLoads(router); });
+    }
+
     void scheduleNext(std::size_t kind)
     {
         std::exponential_distribution<double> gap(m_options.kinds[kind].perSecond);
@@ -180,6 +253,10 @@
             std::uniform_real_distribution<double> part(
                 0, m_options.workspaces - 1 + m_options.greedy);
             job->workspace = static_cast<int>(std::max(0.0, part(m_random) - m_options.greedy + 1));
+            if (const int prompts = m_options.kinds[kind].prompts; prompts > 0) {
+                job->prompt = Lagoonbank::Routing::mixHashes(
+                    kind + 1, std::uniform_int_distribution<std::uint64_t>(1, prompts)(m_random));
+            }
             count(*job, &Tally::asked);
             come(job);
             scheduleNext(kind);
@@ -208,8 +285,16 @@
         Router &router = *m_routers[job->router];
         const double share =
             m_options.isShedding ? router.shedder.usableShare(claimant(*job), at(m_now)) : 1e9;
-        const auto chosen = router.placement.choose({.service = m_service, .usableShare = share},
-                                                    router.book, at(m_now));
+        const bool isOverLimit =
+            m_options.isLimiting && !router.limit.admits(router.book.inFlight(m_service), share);
+        Lagoonbank::Gateway::Place chosen;
+        if (!isOverLimit) {
+            chosen = router.placement.choose({.service = m_service,
+                                              .affinity = job->prompt,
+                                              .requestHash = m_random(),
+                                              .usableShare = share},
+                                             router.book, at(m_now));
+        }
         if (chosen.endpoint) {
             router.shedder.admitted(claimant(*job), at(m_now));
             send(job, chosen.endpoint);
@@ -236,10 +321,27 @@
         job->engine = static_cast<std::size_t>(std::stoi(endpoint->info.id.value().substr(1)));
         job->sentAt = m_now;
         Engine &engine = m_engines[job->engine];
+        if (static_cast<int>(engine.waiting.size()) >= m_options.queue) {
+            reject(job, *endpoint);
+            return;
+        }
         engine.waiting.push_back(job);
         after(2, [this, job] { leave(job); });
         serve(job->engine);
     }
+    void reject(const JobPtr &job, Lagoonbank::Gateway::EndpointRecord &endpoint)
+    {
+        constexpr int mostSends = 3;
+        ++m_rejected;
+        Router &router = *m_routers[job->router];
+        router.book.requestEnded(endpoint);
+        router.limit.rejected(at(m_now));
+        endpoint.fullUntil = at(m_now + 0.15);
+        if (++job->sends < mostSends)
+            place(job, m_now);
+        else
+            refuse(job);
+    }
     void leave(const JobPtr &job)
     {
         if (job->hasBegun)
@@ -260,8 +362,13 @@
             const double fullness = static_cast<double>(engine.running) / m_options.slots;
             // A step takes 3.7 ms for one request and 8.9 ms for 64.
             const double runTime = m_options.kinds[job->kind].seconds * (1 + 1.4 * fullness);
-            after(0.04 + 0.06 * fullness, [this, job] { begin(job); });
-            after(0.04 + runTime, [this, job] { finish(job); });
+            const int boot = engine.boot;
+            const auto ifThere = [this, job, boot](void (OverloadModel::*step)(const JobPtr &)) {
+                if (m_engines[job->engine].boot == boot)
+                    (this->*step)(job);
+            };
+            after(0.04 + 0.06 * fullness, [ifThere] { ifThere(&OverloadModel::begin); });
+            after(0.04 + runTime, [ifThere] { ifThere(&OverloadModel::finish); });
         }
     }
     void begin(const JobPtr &job)
@@ -274,11 +381,12 @@
         Router &router = *m_routers[job->router];
         const auto endpoint = router.book.find(idOf(job->engine));
         const Engine &engine = m_engines[job->engine];
-        router.book.loadReported(*endpoint,
-                                 {.running = engine.running,
-                                  .waiting = static_cast<int>(engine.waiting.size()),
-                                  .slots = m_options.slots},
-                                 at(m_now));
+        const Lagoonbank::Gateway::LoadReport report{.running = engine.running,
+                                                     .waiting =
+                                                         static_cast<int>(engine.waiting.size()),
+                                                     .slots = m_options.slots};
+        router.book.loadReported(*endpoint, report, at(m_now));
+        router.limit.reported(report, router.book.inFlight(m_service), at(m_now));
         router.book.answerTimed(*endpoint, duration(m_now - job->sentAt), duration(kind.target),
                                 at(m_now));
     }
@@ -294,7 +402,9 @@
     void endAtRouter(const Job &job)
     {
         Router &router = *m_routers[job.router];
-        router.book.requestEnded(*router.book.find(idOf(job.engine)));
+        const auto endpoint = router.book.find(idOf(job.engine));
+        if (endpoint && endpoint->inFlight > 0)
+            router.book.requestEnded(*endpoint);
     }
     static Lagoonbank::Base::EndpointId idOf(std::size_t engine)
     {
@@ -306,6 +416,7 @@
     std::mt19937_64 m_random{7};
     double m_now = 0;
     long m_order = 0;
+    int m_rejected = 0;
     std::priority_queue<Event> m_events;
     std::vector<std::unique_ptr<Router>> m_routers;
     std::vector<Engine> m_engines;
--- /dev/null
+++ b/tests/auto/gateway/tst_concurrencylimit.cpp
@@ -0,0 +1,187 @@
+/// Pattern: a fleet of many routers has more requests than its engines can serve. Each router hears
+/// of an engine so seldom that all see places where there are none.
+///
+/// The kinds are those of the users' bookings, at rates that engines of 32 places serve when all
+/// places are taken: at 18 engines for 85 routers, and as many for each router in other fleets.
+#define BOOST_TEST_MODULE tst_concurrencylimit
+#include <boost/test/unit_test.hpp>
+
+#include "auto/gateway/overloadmodel.h"
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// \a load is 1 where all places are just taken.
+OverloadModel::Options bookings(int routers, double load)
+{
+    constexpr int usersRouters = 85;
+    constexpr int usersEngines = 18;
+    const int engines = std::max(5, usersEngines * routers / usersRouters);
+    load *= static_cast<double>(engines) / usersEngines;
+    return {.kinds = {{.name = "hint",
+                       .priority = 1,
+                       .perSecond = 120 * load,
+                       .seconds = 0.8,
+                       .target = 0.5,
+                       .patience = 12,
+                       .prompts = 209},
+                      {.name = "question",
+                       .priority = 0,
+                       .perSecond = 211 * load,
+                       .seconds = 0.6,
+                       .target = 0.25,
+                       .patience = 10,
+                       .prompts = 319},
+                      {.name = "check",
+                       .priority = 2,
+                       .perSecond = 233 * load,
+                       .seconds = 0.05,
+                       .target = 0.25,
+                       .patience = 2.5,
+                       .prompts = 406}},
+            .routers = routers,
+            .engines = engines,
+            .slots = 32,
+            .workspaces = 24,
+            .isSharing = true,
+            .isLimiting = true,
+            .queue = 96,
+            .seconds = 15,
+            .countedFrom = 5};
+}
+
+void print(const char *what, int routers, double load, const OverloadModel &model)
+{
+    const OverloadModel::Tally all = model.all();
+    BOOST_TEST_MESSAGE(what << ", " << routers << " routers, load " << load << ": in time "
+                            << all.timely() << ", served " << all.served() << ", rejected "
+                            << static_cast<double>(model.rejected()) / all.asked);
+}
+
+LoadReport report(int waiting)
+{
+    return {.running = 32, .waiting = waiting, .slots = 32};
+}
+
+/// A router whose even part of the places is ten.
+struct Fixture
+{
+    Fixture() { limit.setPlaces(850, 85); }
+    void cut(int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            now += milliseconds(400);
+            limit.reported(report(20), limit.value(), now);
+        }
+    }
+
+    ConcurrencyLimit limit{{}};
+    Base::MonoTime now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+/// What fits into the engines is the inverse of the load; half of that has to be in time.
+BOOST_AUTO_TEST_CASE(overTheEnginesLoadHalfOfWhatFitsIsInTime)
+{
+    for (const int routers : {24, 85, 300}) {
+        for (const double load : {1.3, 2.0}) {
+            OverloadModel model(bookings(routers, load));
+            model.run();
+            print("limited", routers, load, model);
+            BOOST_TEST(model.all().timely() > 0.5 / load);
+            BOOST_TEST(model.rejected() < 0.05 * model.all().asked);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(underTheEnginesLoadNobodyIsRefused)
+{
+    for (const int routers : {24, 85, 300}) {
+        OverloadModel model(bookings(routers, 0.6));
+        model.run();
+        print("limited", routers, 0.6, model);
+        BOOST_TEST(model.all().refused < 0.005 * model.all().asked);
+    }
+}
+
+/// Pattern: seven in ten engines are lost at once, and come back. The rest has places for three
+/// quarters of the requests.
+BOOST_AUTO_TEST_CASE(goodputFollowsWhatIsLeftWithinFiveSeconds)
+{
+    OverloadModel::Options options = bookings(85, 1.3);
+    options.engines = 60;
+    options.lostEngines = 42;
+    options.lostFrom = 5;
+    options.lostTo = 15;
+    options.countedFrom = 10;
+    OverloadModel lost(options);
+    lost.run();
+    print("seven in ten lost", 85, 1.3, lost);
+    BOOST_TEST(lost.all().timely() > 0.5 / 1.3);
+    options.seconds = 30;
+    options.countedFrom = 20;
+    OverloadModel back(options);
+    back.run();
+    print("back again", 85, 1.3, back);
+    BOOST_TEST(back.all().timely() > 0.95);
+}
+
+/// Whatever was sent before the limit is heeded fills the engines' queues.
+BOOST_AUTO_TEST_CASE(itComesBackFromACollapse)
+{
+    OverloadModel::Options options = bookings(85, 4);
+    options.isLimiting = false;
+    OverloadModel collapsed(options);
+    collapsed.run();
+    print("not limited", 85, 4, collapsed);
+    BOOST_TEST(collapsed.all().timely() < 0.1);
+    options = bookings(85, 4);
+    OverloadModel model(options);
+    model.run();
+    print("limited", 85, 4, model);
+    BOOST_TEST(model.all().timely() > 0.5 / 4);
+}
+
+BOOST_AUTO_TEST_CASE(waitingRequestsLowerItAndFreePlacesRaiseIt)
+{
+    Fixture f;
+    const double most = f.limit.value();
+    f.cut(1);
+    BOOST_TEST(f.limit.value() < most);
+    const double lowered = f.limit.value();
+    f.limit.reported(report(20), lowered, f.now); // Of what was sent before.
+    BOOST_TEST(f.limit.value() == lowered);
+    for (int i = 0; i < 100; ++i)
+        f.limit.reported(report(0), f.limit.value(), f.now);
+    BOOST_TEST(f.limit.value() > lowered + 2);
+}
+
+BOOST_AUTO_TEST_CASE(aLimitThatNobodyReachesIsNotRaised)
+{
+    Fixture f;
+    f.cut(3);
+    const double lowered = f.limit.value();
+    f.limit.reported(report(0), 1, f.now);
+    BOOST_TEST(f.limit.value() == lowered);
+}
+
+BOOST_AUTO_TEST_CASE(halfOfTheEvenPartIsAlwaysLeft)
+{
+    Fixture f;
+    f.cut(50);
+    BOOST_TEST(f.limit.value() == 5);
+    BOOST_TEST(f.limit.admits(4, 1));
+    BOOST_TEST(!f.limit.admits(5, 1));
+    BOOST_TEST(!f.limit.admits(4, 0.85)); // For what is less urgent.
+}
+
+BOOST_AUTO_TEST_CASE(fewRoutersKnowTheLoadsThemselves)
+{
+    ConcurrencyLimit limit{{}};
+    limit.setPlaces(60, 6);
+    BOOST_TEST(limit.admits(1000, 1));
+}
