--- a/src/libs/gateway/backlogcontrol.h
+++ b/src/libs/gateway/backlogcontrol.h
@@ -18,9 +18,7 @@
 /// more than the others before them. While the delay is under the target only such a workspace is
 /// refused, and nobody while the router has not been behind.
 ///
-/// In tst_backlogcontrol's model, at 2.8 times what the router can do for 8 s, 0.41 of the callers
-/// are served in time with it and 0.13 without, and 13,000 requests fewer are sent for callers who
-/// have left. Of all services together, as one loop serves them. Pure: time is an argument.
+/// Of all services together, as one loop serves them. Pure: time is an argument.
 class BacklogControl
 {
 public:
@@ -32,20 +30,16 @@
         /// A single long turn, as for reading a configuration (0.1 s), refuses nobody. CoDel's.
         Base::Duration interval = std::chrono::milliseconds(100);
         /// What is taken after an interval that was above the target throughout, as a part of what
-        /// was taken before. In the model, of five loads and stalls, 3.10 are in time with
-        /// 0.5, 3.06 with 0.65, 3.00 with 0.8 and 2.92 with 0.9.
+        /// was taken before.
         double cut = 0.5;
-        /// Added to the part that is taken after an interval in which the delay was under it. By
-        /// the same measure 3.04 with 0.02, 3.10 with 0.05 and 0.1.
+        /// Added to the part that is taken after an interval in which the delay was under it.
         double raise = 0.1;
         /// Taken at least, to learn whether there is time again.
         double leastTaken = 0.05;
         /// Part of what all get that each urgency gets at least; see LoadShedder.
         double leastShare = 0.35;
         /// A workspace that asks for more than so many times what the others do on average gets no
-        /// more than that: who repeats at once displaces nobody else. In the model, with one that
-        /// sends six times as much and repeats at once, the others are served 0.50 so, and 0.43 if
-        /// it holds above the target alone.
+        /// more than that, behind or not: who repeats at once displaces nobody else.
         double greedyFactor = 2.5;
         /// For what is counted: bursts last some seconds.
         Base::Duration halfLife = std::chrono::seconds(3);
--- a/src/libs/gateway/endpointhealth.h
+++ b/src/libs/gateway/endpointhealth.h
@@ -17,8 +17,7 @@
         const Runtime::Clock *clock = nullptr;
         Logging::DecisionLog *log = nullptr;
         /// Above the share of errors that good endpoints give for requests that are wrong
-        /// themselves. Doubt is worth 0.038 +- 0.004 of a day, paired, on which three in ten
-        /// engines fail most of their requests and say that they are well.
+        /// themselves.
         double failureShareToSuspect = 0.4;
         /// Of the newest answer; some eight bad ones of sixteen make an endpoint suspect.
         double failureWeight = 0.15;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -44,13 +44,12 @@
     /// not answer at all, and the request has to be tried elsewhere within its 150 to 600 ms.
     Base::Duration connect = std::chrono::milliseconds(120);
     /// For which a new connection has to stay open before a request leaves on it: an endpoint that
-    /// has all the connections it takes resets one within a round trip of 1 ms. In an overload
-    /// where endpoints take few connections it is worth 0.011 +- 0.005 of a day, paired, and keeps
-    /// one request in fifty from failing although it has not run; elsewhere nothing, or -0.005.
+    /// has all the connections it takes resets one within a round trip of 1 ms, and a request on it
+    /// would count as one that may have run.
     Base::Duration settle = std::chrono::milliseconds(2);
     /// Part of the target latency after which a request that may be repeated is sent elsewhere
     /// when nothing has come from its endpoint, on any connection, so that the other one still has
-    /// time. Worth 0.005 +- 0.002 of a day, paired, on which engines fall mute or hang.
+    /// time.
     double firstShare = 0.75;
     /// The same for a pause within a stream.
     double pauseShare = 0.6;
@@ -80,8 +79,7 @@
     /// Prompts of so many shared tokens are awaited while their endpoint reads them for another
     /// request: that takes 20 ms and more.
     Base::Tokens leastAwaited{1500};
-    /// For so much of the target latency at most; a third of it reads 20,000 tokens. Waiting
-    /// is worth 0.012 of a day where engines have an eighth of the users' memory, 0.001 elsewhere.
+    /// For so much of the target latency at most; a third of it reads 20,000 tokens.
     double readingShare = 0.33;
 };
 
@@ -192,8 +190,8 @@
     bool notePrompt(const std::vector<PromptPrefix> &prefixes, const EndpointRecord &endpoint,
                     bool isCopied);
     /// Where prompts are held, if routers know it together; else null. One of many routers sees few
-    /// requests of a prompt, and cannot tell all others of them: places by its own knowledge alone
-    /// cost 0.009 of a day's worth, and 0.07 where memory is scarce.
+    /// requests of a prompt, and cannot tell all others of them; going by its own knowledge alone
+    /// has prompts read in more places.
     const PromptDirectory *sharedPrompts() const;
     /// Of this router's requests at the model engines of a service.
     ConcurrencyLimit &concurrencyLimit(const Base::ServiceId &service);
--- a/src/libs/gateway/loadshedder.h
+++ b/src/libs/gateway/loadshedder.h
@@ -50,18 +50,14 @@
     struct Options
     {
         /// Part of the places that is kept for requests within the share of their kind (selective
-        /// circuit reservation, E.412): what routers know of places is some requests off. In
-        /// tst_loadshedder's model, at twice the load, the most urgent kind is served in time 0.60
-        /// with 0.05, 0.79 with 0.1 and 0.81 with 0.15, and all together 0.46, 0.40 and 0.40. On
-        /// days of five times the callers 0.15 is worth 0.007 more than 0.1.
+        /// circuit reservation, E.412): what routers know of places is some requests off.
         double reserved = 0.15;
         /// Part of the places that a workspace that asks for so many times its equal part leaves
         /// free, and a caller that is past its target latency from an earlier try.
         double reservedForOthers = 0.05;
         double greedyFactor = 2.5;
         /// Part of what all are served that each kind of request gets at least. The users count
-        /// less than a quarter as starved; 0.45 serves them no better (a worth of 0.002 less,
-        /// within the noise, on days of several times the callers).
+        /// less than a quarter as starved.
         double leastShare = 0.35;
         /// A workspace that is served under this part of what all are goes before its equals.
         double starvedShare = 0.3;
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -86,33 +86,26 @@
         double boundSlack = 3;
         /// Endpoints whose load is not known count as having the usual one in the mean. Else a
         /// router that knows ten of 200 takes the mean for next to nothing, and prompts leave homes
-        /// with three requests: 8 in a hundred did (tst_unknownload).
+        /// with three requests.
         bool isUsualLoadHeeded = true;
         bool leavesGradually = true;
         /// In a fleet of many routers a part of the requests leave their home from these loads on,
         /// the more the nearer it is to the bound: all routers hear a second late what it has, and
         /// would else leave and come back together. Short prompts leave first, as reading them
-        /// again costs little. With all that peers tell, 300 routers before 200 engines send 1.1 in
-        /// place of 2.2 in a hundred requests to engines over twice the mean and 3, and have 2.6 in
-        /// place of 4.5 million tokens of prompts read again in 15 s (tst_unknownload).
+        /// again costs little.
         LoadLine shortLeaves{.factor = 1.0, .slack = 0.5};
         LoadLine longLeaves{.factor = 1.4, .slack = 1};
         /// In such a fleet, requests that find their home full go to any of the endpoints behind
         /// it: of so many for each request that it has too much. If all took the next one, it would
-        /// be as full before the first of them hear of it: 3.9 in place of 2.2 in a hundred
-        /// requests go to engines over the fleet's bound while a quarter of a kind ask for one
-        /// prompt (tst_unknownload).
+        /// be as full before the first of them hear of it.
         double endpointsPerExcess = 4;
         /// Each of them has to read the prompt or get a copy.
         double mostBehindHome = 16;
         /// A prompt stays where it is held, though its home is another endpoint, up to these: new
-        /// endpoints get their part of the work as soon as others have more than theirs. Worth
-        /// 0.006 +- 0.002 of a day, paired, on which engines come and go while prompts return.
+        /// endpoints get their part of the work as soon as others have more than theirs.
         double holderBoundFactor = 1.3;
         double holderBoundSlack = 2;
-        /// An endpoint is slow when it takes this part of the time that a request has. Leaving
-        /// slow ones is worth 0.024 +- 0.003 of a day on which a quarter of the engines takes eight
-        /// times as long, paired...
+        /// An endpoint is slow when it takes this part of the time that a request has...
         double slowShare = 0.6;
         /// ...and so many times what the others of its service take.
         double slowFactor = 2.5;
--- a/src/libs/gateway/promptdirectory.h
+++ b/src/libs/gateway/promptdirectory.h
@@ -45,9 +45,7 @@
         /// within some seconds or seldom.
         Base::Duration life = std::chrono::seconds(25);
         /// Part of an endpoint's memory that prompts may take; the rest is for what runs. With 24
-        /// to 128 places, requests of 1,700 tokens of their own take 0.13 to 0.22 of it. Where
-        /// engines have an eighth of the users' memory, heeding it is worth 0.039 +- 0.011 of a
-        /// day.
+        /// to 128 places, requests of 1,700 tokens of their own take 0.13 to 0.22 of it.
         double memoryShare = 0.75;
         /// Prompts that are remembered, at some 80 bytes each.
         std::size_t mostPrompts = 8192;
