--- a/src/libs/gateway/concurrencylimit.h
+++ b/src/libs/gateway/concurrencylimit.h
@@ -21,10 +21,10 @@
         double manyRouters = 10;
         /// Requests that wait at an endpoint for it to be short of places, as a part of those.
         double waitingShare = 0.1;
-        double cut = 0.7;
+        double cut = 0.7; ///< What is left of the limit then.
         /// Between two cuts: what was sent before the last one still shows its load.
         Base::Duration cutInterval = std::chrono::milliseconds(300);
-        double raise = 1;
+        double raise = 1; ///< For each limit's worth of answers.
         /// Never less than this part of the router's even part of all places.
         double leastShare = 0.5;
         /// Nor more than so many times that, so that it is cut soon when load comes.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -229,7 +229,8 @@
     // It may start again under its id, and its entry may tell of that only later.
     if (const EndpointPtr record = m_endpoints.findByStart(endpoint.startHash)) {
         record->hasEnded = true;
-        m_reachability.foundUnreachable(record);
+        if (m_options.policy.reachability)
+            m_reachability.foundUnreachable(record);
     }
     std::vector<RequestEnd> ends;
     for (const RequestFingerprint request : requests) {
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -56,6 +56,8 @@
 
     /// Whether every key has been read once.
     bool isFilled() const { return m_isFilled; }
+    /// Whether keys are being listed; what is told meanwhile is a part of them.
+    bool isFilling() const { return m_isFilling; }
     /// Whether the last read was answered.
     bool isUp() const { return m_isUp; }
     /// How old the newest answer is; nothing before the first.
--- a/tests/auto/adapter/tst_routerprocess.cpp
+++ b/tests/auto/adapter/tst_routerprocess.cpp
@@ -44,13 +44,20 @@
     int calls = 0;
     std::string configuration;
     std::string endpoint;
-    std::string drained; ///< A data centre that the operators have drained; empty for none.
+    std::uint64_t end = 2; ///< Of the records.
+    std::vector<std::string> drained; ///< Data centres that the operators have drained.
     Http::Server server;
     /// Reads that wait for something new: of endpoints (true) and of the configuration.
     std::map<bool, std::shared_ptr<Http::Responder>> waiting;
 
     /// Tells the router that reads endpoints of a new value under the id of the one that is there.
     void writeEndpoint(const std::string &value) { writeRecord(true, "i-1", value); }
+    /// Has the router that reads the operators' records list them anew.
+    void loseHistory()
+    {
+        waiting.at(false)->send(410, {}, R"({"first":2})");
+        waiting.erase(false);
+    }
     /// Tells the router that reads the operators' records that this one has gone.
     void dropOperatorRecord(const std::string &key) { writeRecord(false, key, {}); }
 
@@ -83,9 +90,9 @@
         std::string items;
         if ((isOperator || isEndpoint) && !value.empty())
             items = item(isOperator ? "config" : "i-1", value);
-        if (isOperator && !drained.empty())
-            items += "," + item("evacuate/" + drained, "{}");
-        return R"({"items":[)" + items + R"(],"has_more":false,"end":2})";
+        for (const std::string &dataCentre : drained)
+            items += isOperator ? "," + item("evacuate/" + dataCentre, "{}") : std::string();
+        return R"({"items":[)" + items + R"(],"has_more":false,"end":)" + std::to_string(end) + "}";
     }
 };
 
@@ -277,7 +284,7 @@
 BOOST_AUTO_TEST_CASE(endpointsOfADrainedDataCentreGetNothingUntilItIsTakenBack)
 {
     Fixture f;
-    f.store.drained = "dc0";
+    f.store.drained = {"another", "dc0"};
     f.start();
     BOOST_REQUIRE(f.isReadyWith("200"));
     RawSocket refused = f.call();
@@ -292,3 +299,20 @@
     RawSocket engine(accepted);
     BOOST_TEST(f.passUntil([&] { return engine.has("GET /p/1 HTTP/1.1"); }));
 }
+
+/// The records that took them back are lost; all that can be seen is that both have gone.
+BOOST_AUTO_TEST_CASE(drainsThatWentWithLostHistoryAreTakenBackTogether)
+{
+    Fixture f;
+    f.store.drained = {"another", "dc0"};
+    f.start();
+    BOOST_REQUIRE(f.isReadyWith("200"));
+    BOOST_REQUIRE(f.passUntil([&] { return f.store.waiting.contains(false); }));
+    f.store.drained.clear();
+    f.store.end = 4;
+    f.store.loseHistory();
+    BOOST_REQUIRE(f.passUntil([&] { return f.store.waiting.contains(false); }));
+    RawSocket caller = f.call();
+    int accepted = -1;
+    BOOST_REQUIRE(f.passUntil([&] { return (accepted = f.engine.accept()) >= 0; }));
+}
