--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -212,23 +212,29 @@
     return now() - *m_knowledge.at();
 }
 
-std::vector<Runtime::SocketAddress> FleetSync::peerAddresses() const
+std::vector<const Peer *> FleetSync::stayingPeers() const
 {
-    std::vector<Runtime::SocketAddress> addresses;
+    std::vector<const Peer *> staying;
     for (const auto &[id, peer] : m_peers.peers()) {
         if (!peer.isLeaving)
-            addresses.push_back(peer.address);
+            staying.push_back(&peer);
     }
+    return staying;
+}
+
+std::vector<Runtime::SocketAddress> FleetSync::peerAddresses() const
+{
+    std::vector<Runtime::SocketAddress> addresses;
+    for (const Peer *peer : stayingPeers())
+        addresses.push_back(peer->address);
     return addresses;
 }
 
 std::vector<std::string> FleetSync::peerIds() const
 {
     std::vector<std::string> ids;
-    for (const auto &[id, peer] : m_peers.peers()) {
-        if (!peer.isLeaving)
-            ids.push_back(id);
-    }
+    for (const Peer *peer : stayingPeers())
+        ids.push_back(peer->id);
     return ids;
 }
 
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -160,10 +160,12 @@
     const std::map<std::string, Peer> &peers() const { return m_peers.peers(); }
     /// Of all routers that were registered or heard of and have not said that they leave.
     std::vector<Runtime::SocketAddress> peerAddresses() const;
+    /// Of the same routers.
     std::vector<std::string> peerIds() const;
 
 private:
     Base::MonoTime now() const { return m_options.timers->clock().now(); }
+    std::vector<const Peer *> stayingPeers() const;
     void tick();
     void checkDuty();
     bool goesBefore(const Peer &peer) const;
--- a/src/libs/gateway/endpointbook.cpp
+++ b/src/libs/gateway/endpointbook.cpp
@@ -132,7 +132,7 @@
 
 void EndpointBook::requestSent(EndpointRecord &endpoint, Base::MonoTime now) const
 {
-    requestSent(endpoint);
+    ++endpoint.inFlight;
     if (isWarmingUp(endpoint, now))
         m_warmupQuota.sent(endpoint.warmup, now);
 }
--- a/src/libs/gateway/endpointbook.h
+++ b/src/libs/gateway/endpointbook.h
@@ -196,7 +196,6 @@
     }
     /// When anything came from any endpoint last.
     Base::MonoTime heardAt() const { return m_heardAt; }
-    void requestSent(EndpointRecord &endpoint) const { ++endpoint.inFlight; }
     void requestSent(EndpointRecord &endpoint, Base::MonoTime now) const;
     void requestEnded(EndpointRecord &endpoint) const { --endpoint.inFlight; }
     /// It has told this router its load.
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -106,8 +106,8 @@
         bool isCertain = false; ///< It holds the prompt, as far as is known.
     };
     CacheSource cacheSource(const Place &place) const;
-    /// At an endpoint of the service; nothing if it is not known.
     bool isOverLimit() const;
+    /// At an endpoint of the service; nothing if it is not known.
     std::optional<double> usualLoad() const;
     double coldFor(const EndpointRecord &endpoint) const;
     void logSend(const Place &place, const CacheSource &source) const;
--- a/tests/auto/gateway/overloadmodel.h
+++ b/tests/auto/gateway/overloadmodel.h
@@ -317,7 +317,7 @@
     }
     void send(const JobPtr &job, const Lagoonbank::Gateway::EndpointPtr &endpoint)
     {
-        m_routers[job->router]->book.requestSent(*endpoint);
+        m_routers[job->router]->book.requestSent(*endpoint, at(m_now));
         job->engine = static_cast<std::size_t>(std::stoi(endpoint->info.id.value().substr(1)));
         job->sentAt = m_now;
         Engine &engine = m_engines[job->engine];
--- a/tests/auto/gateway/tst_draineddatacentre.cpp
+++ b/tests/auto/gateway/tst_draineddatacentre.cpp
@@ -33,6 +33,11 @@
         endpoint.slots = 6;
         book.put(endpoint, now);
     }
+    void suspect(int number)
+    {
+        const auto record = book.find(Base::EndpointId("e" + std::to_string(number)));
+        book.suspicion().suspect(record->index, now);
+    }
     Place choose(std::uint64_t affinity, bool mayRepeat = false)
     {
         return placement.choose({.service = service,
@@ -99,10 +104,8 @@
 BOOST_AUTO_TEST_CASE(noTrialFindsOutWhetherASuspectedOneIsBack)
 {
     PlacementFixture f;
-    for (int i = 1; i < 8; i += 2) {
-        f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
-                                   f.now);
-    }
+    for (int i = 1; i < 8; i += 2)
+        f.suspect(i);
     f.now += std::chrono::seconds(10);
     f.book.setDrainedDataCentres({there}, f.now);
     BOOST_TEST(f.chosenIn(there, true) == 0);
@@ -111,10 +114,8 @@
 BOOST_AUTO_TEST_CASE(whereNothingElseIsLeftItIsNoLastResort)
 {
     PlacementFixture f;
-    for (int i = 0; i < 8; ++i) {
-        f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
-                                   f.now);
-    }
+    for (int i = 0; i < 8; ++i)
+        f.suspect(i);
     f.book.setDrainedDataCentres({here, there}, f.now);
     BOOST_TEST((f.choose(7919).endpoint == nullptr));
     f.book.setDrainedDataCentres({there}, f.now);
--- a/tests/auto/gateway/tst_endpointbook.cpp
+++ b/tests/auto/gateway/tst_endpointbook.cpp
@@ -74,7 +74,7 @@
         book.put(before, start);
         const EndpointPtr old = book.find(before.id);
         book.suspicion().suspect(old->index, start);
-        book.requestSent(*old);
+        book.requestSent(*old, start);
         book.loadReported(*old, {.running = 4, .waiting = 2, .slots = 8}, start);
         book.put(next, start + milliseconds(1));
         const EndpointPtr now = book.find(before.id);
@@ -129,12 +129,12 @@
     EndpointBook book({});
     book.put(endpoint("a"), start);
     EndpointRecord &one = *book.find(Base::EndpointId("a"));
-    book.requestSent(one);
+    book.requestSent(one, start);
     BOOST_TEST(book.load(one, start) == 1);
     book.loadReported(one, {.running = 4, .waiting = 2, .slots = 8}, start);
     BOOST_TEST(book.load(one, start) == 6);
-    book.requestSent(one);
-    book.requestSent(one);
+    book.requestSent(one, start);
+    book.requestSent(one, start);
     BOOST_TEST(book.load(one, start) == 8);
     book.requestEnded(one);
     book.requestEnded(one);
@@ -148,7 +148,7 @@
     book.put(endpoint("a"), start);
     EndpointRecord &one = *book.find(Base::EndpointId("a"));
     book.loadReported(one, {.running = 9}, start);
-    book.requestSent(one);
+    book.requestSent(one, start);
     BOOST_TEST(book.load(one, start + std::chrono::seconds(2)) == 10);
     BOOST_TEST(book.load(one, start + std::chrono::seconds(4)) == 1);
 }
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -94,7 +94,7 @@
     for (int i = 0; i < 400; ++i) {
         const bool isHot = random() % 4 == 0;
         const Place place = f.choose(isHot ? 42 : random());
-        f.book.requestSent(*place.endpoint);
+        f.book.requestSent(*place.endpoint, f.now);
         double sum = 0;
         double most = 0;
         for (int e = 0; e < 9; ++e) {
@@ -212,7 +212,7 @@
     f.endpoint(1).latency.add(0.042, f.now);
     BOOST_TEST(f.chooseService().endpoint->info.id.value() == "e0");
     for (int i = 0; i < 12; ++i)
-        f.book.requestSent(f.endpoint(0));
+        f.book.requestSent(f.endpoint(0), f.now);
     BOOST_TEST(f.chooseService().endpoint->info.id.value() == "e1");
 }
 
@@ -223,7 +223,7 @@
     Fixture f(6);
     const EndpointPtr home = f.choose(42).endpoint;
     for (int i = 0; i < 20; ++i)
-        f.book.requestSent(*home);
+        f.book.requestSent(*home, f.now);
     const Place away = f.choose(42);
     BOOST_TEST((away.reason == PlacementReason::HomeBusy));
     BOOST_TEST((away.cacheSource == home));
@@ -380,7 +380,7 @@
     BOOST_TEST((held.endpoint.get() == &holder));
     BOOST_TEST((held.reason == PlacementReason::Holder));
     for (int i = 0; i < 8; ++i)
-        f.book.requestSent(holder);
+        f.book.requestSent(holder, f.now);
     BOOST_TEST((f.choose().endpoint.get() != &holder));
 }
 
--- a/tests/auto/gateway/tst_warmupquota.cpp
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -99,6 +99,7 @@
         one.isWarmingUp = isWarmingUp;
         return one;
     }
+    EndpointRecord &record(int i) { return *book.find(Base::EndpointId("e" + std::to_string(i))); }
     /// Requests of so many prompts that go to the endpoint at this moment.
     int chosen(int endpoint, int prompts)
     {
@@ -109,8 +110,7 @@
                                   .affinity = static_cast<std::uint64_t>(prompt) * 7919,
                                   .mayRepeat = true},
                                  book, now);
-            if (!place.endpoint
-                || place.endpoint->info.id.value() != "e" + std::to_string(endpoint))
+            if (place.endpoint.get() != &record(endpoint))
                 continue;
             book.requestSent(*place.endpoint, now);
             book.requestEnded(*place.endpoint);
@@ -242,10 +242,9 @@
 BOOST_AUTO_TEST_CASE(trialsOfAColdEndpointCountToo)
 {
     PlacementFixture f;
-    const EndpointPtr cold = f.book.find(Base::EndpointId("e1"));
     f.book.put(PlacementFixture::endpoint(1, true), f.now);
     BOOST_TEST(f.chosen(1, 200) == 18);
-    f.book.suspicion().suspect(cold->index, f.now);
+    f.book.suspicion().suspect(f.record(1).index, f.now);
     f.now += milliseconds(1000);
     BOOST_TEST(f.chosen(1, 200) == 0);
 }
@@ -256,12 +255,9 @@
     PlacementFixture f;
     f.book.put(PlacementFixture::endpoint(1, true), f.now);
     BOOST_TEST(f.chosen(1, 200) == 18);
-    for (int i = 0; i < PlacementFixture::endpoints; ++i)
-        f.book.suspicion().suspect(f.book.find(Base::EndpointId("e" + std::to_string(i)))->index,
-                                   f.now);
     for (int i = 0; i < PlacementFixture::endpoints; ++i) {
-        if (i != 1)
-            f.book.find(Base::EndpointId("e" + std::to_string(i)))->isUnreachable = true;
+        f.book.suspicion().suspect(f.record(i).index, f.now);
+        f.record(i).isUnreachable = i != 1;
     }
     BOOST_TEST(f.chosen(1, 20) == 0);
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -121,8 +121,8 @@
                 await world.Proxy((f"{net}.9.1", STORE_PORT)).start(proxy_ip, STORE_PORT))
             router = Router(net, i + 1, self.options.router, self.folder)
             router.store = f"{proxy_ip}:{STORE_PORT}"
-            router.start()
-            self.disturbances.ended[f"router {router.number}"] = time.monotonic()
+            with self.disturbing(f"router {router.number}"):
+                router.start()
             self.routers.append(router)
         return servers
 
@@ -203,13 +203,13 @@
         await self.store.put("keyed.servers", engine.id, "")
         engine.boot += 1
         engine.started_ms = time.time_ns() // 1_000_000
-        engine.become_cold()
-        await self.store.put("keyed.servers", engine.id, engine.entry())
-        await self.warm_up(engine)
+        await self.be_cold(engine)
         engine.is_leaving = False
 
-    async def warm_up(self, engine):
+    async def be_cold(self, engine):
         """Until it is warm, and its entry says so."""
+        engine.become_cold()
+        await self.store.put("keyed.servers", engine.id, engine.entry())
         await asyncio.sleep(world.WARMUP_S)
         await self.store.put("keyed.servers", engine.id, engine.entry())
 
@@ -219,9 +219,7 @@
         if engine.is_leaving:
             return
         engine.is_leaving = True
-        engine.become_cold()
-        await self.store.put("keyed.servers", engine.id, engine.entry())
-        await self.warm_up(engine)
+        await self.be_cold(engine)
         engine.is_leaving = False
 
     async def fault_drain(self, rng):
