KeyedLog, Platform: Log the store's era and why its keys are listed

A router now logs the era of the store's answers when it changes, each listing of a topic with its cause, and each record that is ignored because it is older than the known one; two metrics go with it. What routers decide is unchanged. The fake store of the adapter's tests can come back from an older copy, and shares its endpoints with other tests.

--- a/src/libs/base/ids.h
+++ b/src/libs/base/ids.h
@@ -31,6 +31,8 @@
 using Revision = StrongNumber<struct RevisionTag, std::uint64_t>;
 /// Position of a record in a stream of the platform's log.
 using LogOffset = StrongNumber<struct LogOffsetTag, std::uint64_t>;
+/// Number of times that the platform's log has been restored from an older copy of itself.
+using LogEra = StrongNumber<struct LogEraTag, std::uint64_t>;
 /// Fencing token of an order; lets endpoints refuse orders of a previous lease holder.
 using FencingNumber = StrongNumber<struct FencingNumberTag, std::uint64_t>;
 /// Distinguishes successive processes at one address: the wall-clock time of the start in
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -66,6 +66,18 @@
            "Whether the last read of a topic of the store was answered, by topic.",
            "0: the router goes on with what it knows; look at the age.",
            {}},
+    Metric{"lagoonbank_gateway_store_era",
+           Kind::Gauge,
+           "restorations",
+           "How often the store has been restored from an older copy, as its last answer says.",
+           "Records were lost; see \"The store answers in another era.\" in OPERATIONS.md.",
+           {}},
+    Metric{"lagoonbank_gateway_store_listings_total",
+           Kind::Counter,
+           "listings",
+           "Listings of all keys of a topic of the store, by topic and cause.",
+           "Records missing: the store has dropped or lost records that were not read yet.",
+           {}},
     Metric{"lagoonbank_gateway_store_calls_total",
            Kind::Counter,
            "calls",
@@ -153,6 +165,7 @@
     , requestTime(registry.histogram("lagoonbank_gateway_request_seconds"))
     , endpoints(registry.gauge("lagoonbank_gateway_endpoints"))
     , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
+    , storeEra(registry.gauge("lagoonbank_gateway_store_era"))
     , peerBytes(registry.counter("lagoonbank_gateway_peer_bytes_total"))
     , pulledBytes(registry.counter("lagoonbank_gateway_pulled_bytes_total"))
     , loopTurn(registry.histogram("lagoonbank_gateway_loop_turn_seconds"))
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -21,6 +21,7 @@
     Metrics::Histogram requestTime;
     Metrics::Gauge endpoints;
     Metrics::Gauge configuration;
+    Metrics::Gauge storeEra;
     Metrics::Counter peerBytes;
     Metrics::Counter pulledBytes;
     Metrics::Histogram loopTurn;
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -6,6 +6,19 @@
 
 namespace Lagoonbank::KeyedLog {
 
+std::string_view toString(ListingCause cause)
+{
+    switch (cause) {
+    case ListingCause::Started:
+        return "started";
+    case ListingCause::RecordsMissing:
+        return "records_missing";
+    case ListingCause::AnswerOverdue:
+        break;
+    }
+    return "answer_overdue";
+}
+
 KeyedView::KeyedView(Options options)
     : m_options(std::move(options))
     , m_backoff(m_options.backoff)
@@ -21,7 +34,7 @@
     m_isRunning = true;
     // The log may have been unavailable while this view was stopped.
     m_hasReportedHealth = false;
-    readListing();
+    startListing(ListingCause::Started);
 }
 
 void KeyedView::startAfter(Base::LogOffset known, const Keys &keys)
@@ -63,6 +76,13 @@
     return m_options.timers->clock().now() - *m_answeredAt;
 }
 
+void KeyedView::startListing(ListingCause cause)
+{
+    if (listingStarted)
+        listingStarted(cause);
+    readListing();
+}
+
 void KeyedView::readListing()
 {
     m_isListing = true;
@@ -145,7 +165,8 @@
     const bool isOverdue = isAnswerOverdue();
     readSucceeded();
     if (page.value().isOutOfRange || isOverdue) {
-        readListing();
+        startListing(page.value().isOutOfRange ? ListingCause::RecordsMissing
+                                               : ListingCause::AnswerOverdue);
         return;
     }
     applyTail(page.value().records);
@@ -173,8 +194,11 @@
 void KeyedView::apply(const KeyedRecord &record)
 {
     const auto known = m_offsets.find(record.key);
-    if (known != m_offsets.end() && known->second >= record.offset)
+    if (known != m_offsets.end() && known->second >= record.offset) {
+        if (known->second > record.offset && outdatedRecordIgnored)
+            outdatedRecordIgnored(record, known->second);
         return;
+    }
     if (record.value) {
         m_offsets[record.key] = record.offset;
         if (valueChanged)
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -7,13 +7,23 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::KeyedLog {
 
+/// Why the keys of a log are listed.
+enum class ListingCause : std::uint8_t {
+    Started,
+    RecordsMissing, ///< The next record is not retained, or the log ends before it.
+    AnswerOverdue ///< The log may have been unavailable unnoticed.
+};
+std::string_view toString(ListingCause cause);
+
 /// Tracks the newest value of each key of a log. A view is first filled from a listing of the
 /// newest records, then follows the tail, and is filled again if it has missed records. A key is
 /// never reverted to an older record, however late or stale an answer is.
@@ -66,6 +76,10 @@
     std::optional<Base::Duration> age() const;
     Base::LogOffset position() const { return m_position; }
 
+    /// Called when the keys are listed from the beginning, unless that repeats a failed read.
+    std::function<void(ListingCause cause)> listingStarted;
+    /// Called for a record that is older than the known one of its key.
+    std::function<void(const KeyedRecord &record, Base::LogOffset known)> outdatedRecordIgnored;
     /// Called when a key has a new value.
     std::function<void(const KeyedRecord &record)> valueChanged;
     std::function<void(const std::string &key, Base::LogOffset offset)> keyDropped;
@@ -80,6 +94,7 @@
     std::function<void(bool isUp)> healthChanged;
 
 private:
+    void startListing(ListingCause cause);
     void readListing();
     void pageRead(const Errors::Result<NewestPage> &page);
     void listingEnded();
--- a/tests/auto/adapter/keyedstore.h
+++ b/tests/auto/adapter/keyedstore.h
@@ -21,10 +21,11 @@
     {
         server.setHandler([this](const auto &request, const auto &responder) {
             const std::string topic = queryValue(request.query, "topic");
+            ++calls;
             if (!isUp)
-                responder->send(503, {}, {});
+                answer(*responder, 503, {});
             else if (request.path == "/v1/log-newest")
-                responder->send(200, {}, newest(topic));
+                answer(*responder, 200, newest(topic));
             else if (request.path == "/v1/log-append")
                 appended(topic, request.body, *responder);
             else
@@ -37,31 +38,66 @@
     {
         m_topics[topic].push_back({key, value});
         for (const auto &[from, responder] : std::exchange(m_waiting[topic], {}))
-            responder->send(200, {}, tail(topic, from));
+            answer(*responder, 200, tail(topic, from));
+    }
+    /// Takes the store out of service, which refuses the waiting reads.
+    void goDown()
+    {
+        isUp = false;
+        for (const auto &[topic, reads] : std::exchange(m_waiting, {})) {
+            for (const auto &[from, responder] : reads)
+                answer(*responder, 503, {});
+        }
+    }
+    void saveCopy() { m_copy = m_topics; }
+    /// Brings the store back as it was at the last saveCopy(), in the next era.
+    void restoreCopy()
+    {
+        goDown();
+        m_topics = m_copy;
+        ++m_era;
+        isUp = true;
     }
     /// Writes a configuration with one route, from /p/ of host h to service s.
-    void writeRoute()
+    void writeRoute(int revision = 7, const std::string &prefix = "/p/")
     {
-        write("keyed.op", "config", R"({"version":7,"routes":[{"name":"r","host":"h",
-            "prefix":"/p/","kind":"idempotent","service":"s","max_attempts":2,
-            "timeout_ms":8000,"target_latency_ms":4000}]})");
+        write("keyed.op", "config",
+              R"({"version":)" + std::to_string(revision)
+                  + R"(,"routes":[{"name":"r","host":"h","prefix":")" + prefix
+                  + R"(","kind":"idempotent","service":"s","max_attempts":2,
+                       "timeout_ms":8000,"target_latency_ms":4000}]})");
     }
-    /// Writes the entry of an endpoint of service s that started at this Unix millisecond.
+    struct EndpointEntry
+    {
+        int startedAt = 1; ///< Unix time in milliseconds.
+        int slots = 4;
+        bool isDraining = false;
+        int sequence = 1;
+    };
+    /// Writes the entry of an endpoint of service s.
     void writeEndpoint(const std::string &id, const Lagoonbank::Runtime::SocketAddress &address,
-                       int startedAt)
+                       const EndpointEntry &entry)
     {
         write("keyed.servers", id,
               R"({"service":"s","address":")" + Lagoonbank::Runtime::toString(address)
-                  + R"(","zone":"dc0","version":"v1","slots":4,"state":"ready","seq":1,
-                       "warmup_left_ms":0,"born":)"
-                  + std::to_string(startedAt) + "}");
+                  + R"(","zone":"dc0","version":"v1","slots":)" + std::to_string(entry.slots)
+                  + R"(,"state":")" + (entry.isDraining ? "draining" : "ready") + R"(","seq":)"
+                  + std::to_string(entry.sequence) + R"(,"warmup_left_ms":0,"born":)"
+                  + std::to_string(entry.startedAt) + "}");
     }
 
     bool isUp = true;
+    int calls = 0;
     Lagoonbank::Http::Server server;
 
 private:
     using Responder = std::shared_ptr<Lagoonbank::Http::Responder>;
+    using Topics = std::map<std::string, std::vector<std::pair<std::string, std::string>>>;
+
+    void answer(Lagoonbank::Http::Responder &responder, int status, std::string body) const
+    {
+        responder.send(status, {{"store-era", std::to_string(m_era)}}, std::move(body));
+    }
 
     static std::string queryValue(const std::string &query, const std::string &name)
     {
@@ -87,9 +123,9 @@
         const auto keySize = static_cast<unsigned char>(body.front());
         const std::size_t offset = m_topics[topic].size();
         write(topic, std::string(body.substr(1, keySize)), std::string(body.substr(1U + keySize)));
-        responder.send(200, {},
-                       R"({"offset":)" + std::to_string(offset) + R"(,"end":)"
-                           + std::to_string(offset + 1) + "}");
+        answer(responder, 200,
+               R"({"offset":)" + std::to_string(offset) + R"(,"end":)" + std::to_string(offset + 1)
+                   + "}");
     }
     std::string newest(const std::string &topic)
     {
@@ -99,6 +135,8 @@
             offsets[records[i].first] = i;
         std::string itemsJson;
         for (const auto &[key, offset] : offsets) {
+            if (records[offset].second.empty())
+                continue;
             itemsJson += (itemsJson.empty() ? R"({"key":")" : R"(,{"key":")") + key
                 + R"(","value":")" + std::string(absl::Base64Escape(records[offset].second))
                 + R"(","offset":)" + std::to_string(offset) + "}";
@@ -121,12 +159,16 @@
     }
     void read(const std::string &topic, std::uint64_t from, const Responder &responder)
     {
-        if (from < m_topics[topic].size())
-            responder->send(200, {}, tail(topic, from));
+        if (from > m_topics[topic].size())
+            answer(*responder, 410, R"({"first":0})");
+        else if (from < m_topics[topic].size())
+            answer(*responder, 200, tail(topic, from));
         else
             m_waiting[topic].push_back({from, responder});
     }
 
-    std::map<std::string, std::vector<std::pair<std::string, std::string>>> m_topics;
+    Topics m_topics;
+    Topics m_copy; ///< Content at the last saveCopy().
+    int m_era = 1;
     std::map<std::string, std::vector<std::pair<std::uint64_t, Responder>>> m_waiting;
 };
--- /dev/null
+++ b/tests/auto/adapter/onerouter.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "auto/adapter/keyedstore.h"
+#include "platform/routerprocess.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+/// An endpoint that answers all requests at once, with a status and headers set by the test.
+struct Engine
+{
+    Lagoonbank::Test::RawListener listener;
+    std::vector<std::unique_ptr<Lagoonbank::Test::RawSocket>> connections;
+    std::string status = "200 OK";
+    std::string extraHeaders;
+    int requests = 0;
+
+    void work(const std::string &id)
+    {
+        for (int fd = listener.accept(); fd >= 0; fd = listener.accept())
+            connections.push_back(std::make_unique<Lagoonbank::Test::RawSocket>(fd));
+        std::erase_if(connections, [](const auto &one) { return one->isEnded(); });
+        for (const auto &connection : connections) {
+            if (!connection->has("attempt-id: " + id + "\r\n") || !connection->has("\r\n\r\n"))
+                continue;
+            ++requests;
+            connection->send("HTTP/1.1 " + status + "\r\nLagoonbank-Attempt-Id: " + id + "\r\n"
+                             + extraHeaders
+                             + "Lagoonbank-Server-Seal: 3e\r\nConnection: close\r\n"
+                               "Content-Length: 2\r\n\r\nok");
+            connection->finishSending();
+        }
+        std::erase_if(connections,
+                      [&](const auto &one) { return one->has("attempt-id: " + id + "\r\n"); });
+    }
+};
+
+/// A router with a store and with endpoints of service s.
+struct OneRouter : Lagoonbank::Test::PausedLoop
+{
+    explicit OneRouter(std::size_t engineCount)
+    {
+        store.writeRoute();
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            engines.push_back(std::make_unique<Engine>());
+            write(i);
+        }
+        settings.vm = Lagoonbank::Base::VmId("edge-0");
+        settings.dataCentre = Lagoonbank::Base::DataCentreId("dc0");
+        settings.listenAddress = Lagoonbank::Test::freeAddress();
+        settings.readyAddress = Lagoonbank::Test::freeAddress();
+        settings.peerAddress = Lagoonbank::Test::freeAddress();
+        settings.storeAddress = Lagoonbank::Runtime::toString(store.server.address());
+        router = std::make_unique<Lagoonbank::Platform::RouterProcess>(loop, settings);
+        BOOST_REQUIRE(router->start());
+        pass(std::chrono::seconds(1));
+    }
+    /// Writes the entry of an engine.
+    void write(std::size_t index, const KeyedStore::EndpointEntry &entry = {})
+    {
+        store.writeEndpoint("i-" + std::to_string(index), engines[index]->listener.address, entry);
+    }
+    std::string call(const std::string &path = "/p/1")
+    {
+        const std::string id = "a" + std::to_string(++calls);
+        Lagoonbank::Test::RawSocket caller(
+            Lagoonbank::Runtime::parseSocketAddress(settings.listenAddress).value());
+        caller.send("GET " + path + " HTTP/1.1\r\nhost: h\r\nlagoonbank-attempt-id: " + id
+                    + "\r\n\r\n");
+        BOOST_REQUIRE(runUntil([&] {
+            clock.advance(std::chrono::milliseconds(1));
+            for (const auto &engine : engines)
+                engine->work(id);
+            return caller.has("\r\n\r\n");
+        }));
+        return caller.receive();
+    }
+    /// Sends calls until this endpoint has answered one.
+    void reach(const Engine &engine)
+    {
+        const int before = engine.requests;
+        for (int i = 0; i < 20 && engine.requests == before; ++i)
+            call();
+        BOOST_REQUIRE(engine.requests > before);
+    }
+    /// Sends \a count calls and returns how many of them reach the endpoint.
+    int reaching(const Engine &engine, int count)
+    {
+        const int before = engine.requests;
+        for (int i = 0; i < count; ++i)
+            call();
+        return engine.requests - before;
+    }
+
+    KeyedStore store{loop};
+    std::vector<std::unique_ptr<Engine>> engines;
+    Lagoonbank::Schema::GatewaySettings settings;
+    std::unique_ptr<Lagoonbank::Platform::RouterProcess> router;
+    int calls = 0;
+};
--- a/tests/auto/adapter/tst_crashingrequestfleet.cpp
+++ b/tests/auto/adapter/tst_crashingrequestfleet.cpp
@@ -54,7 +54,7 @@
     {
         engines.push_back(std::make_unique<Engine>());
         store.writeEndpoint("i-" + std::to_string(engines.size()), engines.back()->listener.address,
-                            1);
+                            {});
     }
     void start(int index)
     {
--- a/tests/auto/adapter/tst_store.cpp
+++ b/tests/auto/adapter/tst_store.cpp
@@ -39,10 +39,13 @@
                 if (isSilent)
                     silent.push_back(std::move(responder));
                 else
-                    responder->send(status, {}, body);
+                    responder->send(status, headers, body);
             });
         BOOST_REQUIRE(server.listen());
-        store.emplace(Platform::Store::Options{.client = &client, .address = server.address()});
+        store.emplace(Platform::Store::Options{
+            .client = &client,
+            .address = server.address(),
+            .answeredInEra = [this](Base::LogEra era) { eras.push_back(era.value()); }});
         source = store->source("keyed.op");
     }
     std::optional<Errors::Result<KeyedLog::TailPage>> readTail(std::uint64_t from)
@@ -62,7 +65,9 @@
     }
 
     int status = 200;
+    Http::Headers headers;
     std::string body;
+    std::vector<std::uint64_t> eras;
     bool isSilent = false;
     std::vector<std::shared_ptr<Http::Responder>> silent;
     std::vector<std::string> targets;
@@ -135,6 +140,21 @@
     BOOST_TEST(page->value().isOutOfRange);
 }
 
+BOOST_AUTO_TEST_CASE(reportsTheEraOfEachAnswer)
+{
+    Fixture f;
+    f.body = number(1, 8) + number(0, 8);
+    f.readTail(1);
+    f.headers = {{"store-era", "3"}};
+    f.readTail(1);
+    f.status = 503;
+    f.readTail(1);
+    f.headers = {{"store-era", "three"}};
+    f.readTail(1);
+    const std::vector<std::uint64_t> expected{0, 3, 3, 0};
+    BOOST_TEST(f.eras == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(malformedAnswerIsAnError)
 {
     struct Row
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -135,6 +135,30 @@
     BOOST_TEST((f.log.reads.front().from == Base::LogOffset(12)));
 }
 
+BOOST_AUTO_TEST_CASE(reportsWhyKeysAreListedAndWhichRecordsAreOutdated)
+{
+    Fixture f;
+    std::string causes;
+    std::string ignored;
+    f.view.listingStarted = [&](ListingCause cause) {
+        causes += toString(cause);
+        causes += ' ';
+    };
+    f.view.outdatedRecordIgnored = [&](const KeyedRecord &record, Base::LogOffset known) {
+        ignored += record.key + std::to_string(known.value() - record.offset.value()) + " ";
+    };
+    f.log.answerNewest({put("a", "1", 3), put("b", "1", 4)}, 10);
+    f.pass(std::chrono::milliseconds(500));
+    f.log.take().tail(TailPage{.isOutOfRange = true});
+    f.log.answerNewest({put("a", "0", 1), put("b", "1", 4)}, 10);
+    BOOST_TEST(ignored == "a2 ");
+    f.pass(std::chrono::seconds(3));
+    f.log.answerTail({}, 10);
+    f.view.stop();
+    f.view.start();
+    BOOST_TEST(causes == "records_missing answer_overdue started ");
+}
+
 BOOST_AUTO_TEST_CASE(readsOnAtOnceWhileBehind)
 {
     Fixture f;
