FleetSync, Platform: Write quarantines again that the store has lost

Callers: after a store was restored from an older copy and all routers were restarted, a request that crashes endpoints would crash three more, as the store no longer had its quarantine.

A write that the store has acknowledged was taken to last. The router that reads the topic now compares each complete listing with the quarantines that it knows and writes those that are missing. One with less than a minute left is not written, as another router may have deleted it.

Evidence: quarantinesThatARestoredLogLacksAreWrittenAgain; nothing was written again before. Left: a key whose deletion was lost is read as a new quarantine and kept for another hour at most.

--- a/src/libs/fleetsync/quarantinelog.cpp
+++ b/src/libs/fleetsync/quarantinelog.cpp
@@ -12,6 +12,11 @@
 /// Value of each key that is present; the key carries all information.
 constexpr const char *presentValue = "1";
 
+std::string keyOf(std::uint64_t request)
+{
+    return absl::StrCat(absl::Hex(request, absl::kZeroPad16));
+}
+
 } // namespace
 
 QuarantineLog::QuarantineLog(Options options)
@@ -28,11 +33,21 @@
 
 void QuarantineLog::save(std::uint64_t request)
 {
-    const std::string key = absl::StrCat(absl::Hex(request, absl::kZeroPad16));
+    const std::string key = keyOf(request);
     scheduleDrop(key);
     write(key, presentValue);
 }
 
+void QuarantineLog::saveMissing(const std::vector<Schema::SharedQuarantine> &quarantines,
+                                const KeyedLog::KeyedView::Keys &present)
+{
+    for (const Schema::SharedQuarantine &one : quarantines) {
+        const bool lastsLong = std::chrono::milliseconds(one.leftMs) >= m_options.minLeftToSave;
+        if (lastsLong && !present.contains(keyOf(one.request)))
+            save(one.request);
+    }
+}
+
 void QuarantineLog::recordRead(const KeyedLog::KeyedRecord &record)
 {
     std::uint64_t request = 0;
--- a/src/libs/fleetsync/quarantinelog.h
+++ b/src/libs/fleetsync/quarantinelog.h
@@ -1,14 +1,16 @@
 #pragma once
 
-#include "keyedlog/keyedsource.h"
+#include "keyedlog/keyedview.h"
 #include "platformclient/backoff.h"
 #include "runtime/timerqueue.h"
+#include "schema/generated/fleetsync.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Lagoonbank::FleetSync {
 
@@ -26,6 +28,9 @@
         KeyedLog::KeyedWrite write;
         Runtime::TimerQueue *timers = nullptr;
         Base::Duration retention = std::chrono::hours(1); ///< Time after which a key is deleted.
+        /// Minimum remaining time of a quarantine that is missing in the log to be written again.
+        /// If less is left, another router may have deleted the key.
+        Base::Duration minLeftToSave = std::chrono::minutes(1);
         PlatformClient::Backoff::Options backoff; ///< Delay between two attempts to write.
     };
 
@@ -40,6 +45,10 @@
     /// Writes the request to the log; retries until it succeeds. Requests are written one at a
     /// time.
     void save(std::uint64_t request);
+    /// Writes those quarantines to the log again that are missing among its keys \a present, as it
+    /// has been restored from an older copy.
+    void saveMissing(const std::vector<Schema::SharedQuarantine> &quarantines,
+                     const KeyedLog::KeyedView::Keys &present);
     /// Handles a record that was read from the log.
     void recordRead(const KeyedLog::KeyedRecord &record);
 
--- a/tests/auto/fleetsync/tst_quarantinelog.cpp
+++ b/tests/auto/fleetsync/tst_quarantinelog.cpp
@@ -131,3 +131,19 @@
     BOOST_TEST(f.received.empty());
     BOOST_TEST(f.writes == 0);
 }
+
+/// Quarantines that were written after the copy from which the log was restored are lost, so that
+/// they would not survive a restart of all routers.
+BOOST_AUTO_TEST_CASE(quarantinesThatARestoredLogLacksAreWrittenAgain)
+{
+    Fixture f;
+    const std::vector<Schema::SharedQuarantine> quarantines{
+        {.request = 0xab, .leftMs = 1800000},
+        {.request = 0xcd, .leftMs = 1800000},
+        {.request = 0xef, .leftMs = 30000}}; // Another router may just have deleted this one.
+    f.log.saveMissing(quarantines, {"00000000000000cd"});
+    BOOST_TEST(f.writes == 1);
+    BOOST_TEST(f.values[key] == "1");
+    f.answer(true);
+    BOOST_TEST(f.writes == 1);
+}
