FleetSync: Let routers register again after the store was restored

Callers: routers that started after the copy from which a store was restored are not in its registry, so that routers that start later may not find them. Quotas and the retry budget are then divided by too few routers.

writeAgain() writes the entry and reads those of the others after a short random delay, in the order of a start: of two routers that both write before they read, at least one sees the other. Evidence: restoredLogIsWrittenAndReadAgain.

--- a/src/libs/fleetsync/routerregistry.cpp
+++ b/src/libs/fleetsync/routerregistry.cpp
@@ -30,6 +30,12 @@
     write();
 }
 
+void RouterRegistry::writeAgain()
+{
+    m_options.timers->cancel(m_timer);
+    retry(&RouterRegistry::write);
+}
+
 void RouterRegistry::write()
 {
     m_options.write(
--- a/src/libs/fleetsync/routerregistry.h
+++ b/src/libs/fleetsync/routerregistry.h
@@ -33,6 +33,9 @@
     RouterRegistry &operator=(const RouterRegistry &) = delete;
 
     void start();
+    /// Writes and reads the entries again after a short random delay. To be called when the log has
+    /// been restored from an older copy, which lacks the entries of routers that started later.
+    void writeAgain();
     /// Whether this router has been written to the log and has read the entries of the others.
     bool isDone() const { return m_isDone; }
 
--- a/tests/auto/fleetsync/tst_routerregistry.cpp
+++ b/tests/auto/fleetsync/tst_routerregistry.cpp
@@ -122,3 +122,22 @@
          {"", "dc0", "dc0 ", "dc0 10.0.0.9", "dc0 x:1", "dc0 10.0.0.9:7000 x", "a b c d"})
         BOOST_TEST(!FleetSync::parseRegistryEntry(text), text);
 }
+
+/// A log that was restored from an older copy lacks the entries of routers that started since, so
+/// that routers that start later would not find them.
+BOOST_AUTO_TEST_CASE(restoredLogIsWrittenAndReadAgain)
+{
+    Fixture f;
+    f.registry.start();
+    BOOST_REQUIRE(f.registry.isDone());
+    const int writes = f.log.writes;
+    const int reads = f.log.reads;
+    f.registry.writeAgain();
+    f.registry.writeAgain();
+    BOOST_TEST(f.log.writes == writes); // Not all routers at once.
+    f.clock.advance(std::chrono::seconds(1));
+    f.timers.runDue();
+    BOOST_TEST(f.log.writes == writes + 1);
+    BOOST_TEST(f.log.reads > reads);
+    BOOST_TEST(f.registry.isDone());
+}
