Fleet: Keep the drained data centres while a restored store is written again

Callers: a drain that was added after the copy from which a store was restored would end until the operators have written it again, and requests would reach endpoints whose data centre is being emptied; one that had ended would begin again.

States are ordered by offsets, which a restored log gives out again. A LogOffset now has room for the era of the log in its upper bits, so that offsets of a later era are higher. After a restoration the set in force stays for 2.2 s, in which operators and endpoints write again, and the newest state read in that time takes effect at its end. Peers keep getting the state in force with its own offset until then, so that routers that start meanwhile do not override it. Evidence: restoredLogChangesNothingUntilOperatorsHaveWrittenAgain.

--- a/src/libs/base/ids.h
+++ b/src/libs/base/ids.h
@@ -29,7 +29,8 @@
 
 /// Revision of a configuration object; only increases.
 using Revision = StrongNumber<struct RevisionTag, std::uint64_t>;
-/// Position of a record in a stream of the platform's log.
+/// Position of a record in a stream of the platform's log; see base/logoffset.h for logs that may
+/// be restored from an older copy.
 using LogOffset = StrongNumber<struct LogOffsetTag, std::uint64_t>;
 /// Number of times that the platform's log has been restored from an older copy of itself.
 using LogEra = StrongNumber<struct LogEraTag, std::uint64_t>;
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -27,6 +27,7 @@
                .strength = m_options.strength,
                .clock = &m_options.timers->clock(),
                .randomSeed = m_options.randomSeed})
+    , m_drains({.timers = m_options.timers})
     , m_freshness({.clock = &m_options.timers->clock()})
 {
     m_drains.changed = [this](const auto &before, const auto &current) {
--- a/tests/auto/fleet/tst_datacentredrains.cpp
+++ b/tests/auto/fleet/tst_datacentredrains.cpp
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE tst_datacentredrains
 #include <boost/test/unit_test.hpp>
 
+#include "base/logoffset.h"
 #include "fleet/datacentredrains.h"
+#include "runtime/clock.h"
 
 #include <string>
 
@@ -30,7 +32,9 @@
         };
     }
 
-    DataCentreDrains drains;
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers{clock};
+    DataCentreDrains drains{{.timers = &timers}};
     std::string reported;
 };
 
@@ -70,3 +74,33 @@
     f.drains.advanceTo(at(3));
     BOOST_TEST((f.drains.asOf() == at(9)));
 }
+
+/// A store that was restored from an older copy lacks the drains that were added since, and has
+/// those that were removed since, until the operators have written both changes again.
+BOOST_AUTO_TEST_CASE(restoredLogChangesNothingUntilOperatorsHaveWrittenAgain)
+{
+    const auto restored = [](std::uint64_t position) {
+        return Base::makeLogOffset(Base::LogEra(2), position);
+    };
+    Fixture f;
+    f.drains.addDrain(west, at(5));
+    f.drains.addDrain(east, at(7));
+    f.drains.removeDrain(west, at(8));
+    f.reported.clear();
+    f.drains.storeRestored();
+    f.drains.replace({west}, restored(6));
+    f.drains.advanceTo(restored(6));
+    BOOST_TEST((f.drains.asOf() == at(8)));
+    f.clock.advance(std::chrono::milliseconds(1500));
+    f.timers.runDue();
+    f.drains.addDrain(east, restored(7));
+    f.drains.removeDrain(west, restored(8));
+    BOOST_TEST(f.reported.empty());
+    f.clock.advance(std::chrono::milliseconds(1000));
+    f.timers.runDue();
+    BOOST_TEST(f.reported.empty());
+    BOOST_TEST(f.drains.current().contains(east));
+    BOOST_TEST((f.drains.asOf() == restored(8)));
+    f.drains.removeDrain(east, restored(9));
+    BOOST_TEST(f.drains.current().empty());
+}
