Fleet: Tell outdated entries of a restored store from current ones

Callers: entries that came back with an older copy of a store would make endpoints ready that drain, and bring endpoints back that are gone; ones that registered after the copy would be removed until they write again.

Versions order entries by the offset in the store, which says nothing about their age once the store was restored. For 5 s after that, an entry of a later era is compared with the known one, or with the tombstone, by the start and the count of writes that the endpoint itself puts into it, which routers now pass on. An older one is ignored unless the endpoint writes it twice or the store still has it after that time; three missed heartbeats have expired it by then if nobody writes it. Entries that are missing have the same 2.2 s to come back as after an outage. Entries that are dropped while they are ignored leave a tombstone, so that peers that used them learn of it. Pending removals wait for a read if the last one is old when that time ends, as the entry may be back by then.

--- a/src/libs/fleet/endpoint.h
+++ b/src/libs/fleet/endpoint.h
@@ -15,6 +15,10 @@
     Draining ///< Accepts no new requests but finishes those that it has.
 };
 
+/// Number of a write of an endpoint's entry, counted by the endpoint since its start; zero if not
+/// known.
+using EntrySequence = Base::StrongNumber<struct EntrySequenceTag, std::uint64_t>;
+
 /// One start of an endpoint. An address may be reused by other endpoints. An id is reused only by a
 /// restart of the same endpoint, which has lost its caches and all other state.
 struct Endpoint
--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -21,6 +21,9 @@
 {
     Base::EndpointId id;
     Base::LogOffset version;
+    // Of the last known entry.
+    std::optional<Base::WallTime> startedAt;
+    EntrySequence sequence;
 };
 
 /// Digest of all known endpoints: one content hash for each bucket of ids. Versions are left out,
@@ -38,6 +41,11 @@
 /// Entries expire during an outage of the store although their endpoints are alive. An entry that
 /// the store drops within `rewriteTime` after an outage is therefore removed only at the end of
 /// that time, unless its endpoint was draining.
+///
+/// A store that was restored from an older copy has outdated entries under new versions until the
+/// endpoints have written theirs again. For `restoredEntryExpiry`, an entry of a later era is
+/// therefore compared with the known one by the endpoint's own count of its writes. If it is older,
+/// or if the endpoint has gone since, it is ignored unless the store still has it after that time.
 class EndpointDirectory
 {
 public:
@@ -46,6 +54,13 @@
         Runtime::TimerQueue *timers = nullptr;
         /// Time in which endpoints write their entries again after an outage of the store.
         Base::Duration rewriteTime = std::chrono::milliseconds(2200);
+        /// Maximum age of the last read when pending removals take effect; the store is read more
+        /// often. After a longer time they wait for the next read, which may bring the entries
+        /// back.
+        Base::Duration maxReadAge = std::chrono::milliseconds(800);
+        /// Time after which the store has dropped a restored entry if its endpoint does not write
+        /// any more: three missed heartbeats of 1.2 s, and the next read.
+        Base::Duration restoredEntryExpiry = std::chrono::seconds(5);
         /// Maximum number of gone endpoints to remember. It is far above the number of endpoints
         /// that can go while an older entry is still being propagated.
         std::size_t maxGoneEndpoints = 256;
@@ -54,8 +69,9 @@
     {
         Endpoint endpoint;
         Base::LogOffset version;
-        /// Whether the start time of the entry is earlier than that of a previous entry, but the
-        /// endpoint has written it repeatedly, which shows that it is not a delayed write.
+        EntrySequence sequence;
+        /// Whether the entry seems to be older than a previous one, but the endpoint has written it
+        /// repeatedly or keeps it alive, which shows that it is current.
         bool isConfirmed = false;
     };
     using Entries = absl::flat_hash_map<Base::EndpointId, Entry>;
@@ -70,21 +86,25 @@
     /// Adds or updates an entry. An entry whose start time is earlier than the known one is taken
     /// for a delayed write and ignored until it is written a second time: a delayed write arrives
     /// once, whereas an endpoint that restarted with its clock set back keeps writing. An entry
-    /// without a start time is attributed to the known start. \a isConfirmed states that a peer has
-    /// already seen the entry written repeatedly.
-    void put(Endpoint endpoint, Base::LogOffset version, bool isConfirmed = false);
+    /// without a start time is attributed to the known start. An entry that a peer has confirmed is
+    /// not ignored.
+    void put(Entry entry);
     /// Handles an entry that the store has dropped. See the class documentation for when the
     /// endpoint is removed.
     void entryDropped(const Base::EndpointId &id, Base::LogOffset version);
     /// Removes an endpoint at once, because its newest entry cannot be read or because a peer
     /// reports that it has gone (the peer has waited for `rewriteTime` if that was needed). An
     /// unknown endpoint is remembered as gone too, as an older entry may still arrive from a peer.
-    void remove(const Base::EndpointId &id, Base::LogOffset version);
+    void remove(const GoneEndpoint &gone);
     /// Handles a complete listing of the store: entries older than \a end that are not in
     /// \a present have been dropped.
     void reconcile(const absl::flat_hash_set<Base::EndpointId> &present, Base::LogOffset end);
     /// Called when the store answers again after an outage.
     void storeReturned();
+    /// Called when the store has been restored from an older copy, before it is read.
+    void storeRestored();
+    /// Called after each successful read of the store.
+    void storeRead();
     /// Called when the store fails. If that happens within `rewriteTime` after an outage, pending
     /// removals are held until the store has returned.
     void storeFailed();
@@ -93,8 +113,8 @@
     /// Whether the directory waits for endpoints to write their entries again after an outage of
     /// the store. Until then it defers the removal of entries that the store drops.
     bool isWaiting() const { return m_rewriteTimer || m_holdsRemovals; }
-    /// Whether there are pending removals, or entries that may be delayed writes. Only further
-    /// reads of the store can resolve them.
+    /// Whether there are pending removals, or entries that may be delayed writes or outdated
+    /// copies. Only further reads of the store can resolve them.
     bool hasUnconfirmedEntries() const
     {
         return !m_pendingRemovals.empty() || !m_unconfirmed.empty();
@@ -114,13 +134,22 @@
 
 private:
     bool isGone(const Base::EndpointId &id, Base::LogOffset version) const;
+    /// Whether the store has dropped the endpoint's entry before the record with this version.
     bool isRemovalPending(const Base::EndpointId &id, Base::LogOffset version) const;
-    /// Whether this entry, whose start time is earlier than the known one, has to be taken for a
-    /// delayed write.
-    bool isDelayedWrite(const Endpoint &endpoint, Base::LogOffset version);
-    void rememberGone(const Base::EndpointId &id, Base::LogOffset version);
+    /// Whether the entry comes from the copy that the store was restored from and is older than
+    /// what is known.
+    bool isOutdatedCopy(const Entry &entry) const;
+    /// Whether this entry, which seems to be older than the known one, has to be ignored for now.
+    bool isUnconfirmed(const Entry &entry);
+    /// Whether the store may still have entries that are as old as the copy.
+    bool mayHaveOutdatedCopies() const;
+    void adoptRestoredEntries();
+    void forgetRestoredEntry(const Base::EndpointId &id, Base::LogOffset version);
+    void rememberGone(const GoneEndpoint &gone);
     /// Adds the endpoint to the digest, or removes it if it is included already.
     void toggleInDigest(const Endpoint &endpoint);
+    /// Handles the end of rewriteTime.
+    void rewriteTimeEnded();
     void removePending();
 
     Options m_options;
@@ -131,10 +160,16 @@
     /// the store would never report its removal again.
     Base::LogOffset m_completeTo;
     EndpointDigest m_digest{};
-    /// For each endpoint the last entry that was ignored as a possibly delayed write.
+    /// For each endpoint the last entry that was ignored as a possibly delayed write or outdated
+    /// copy.
     absl::flat_hash_map<Base::EndpointId, Entry> m_unconfirmed;
+    /// Start of restoredEntryExpiry; set until the first read after that time.
+    std::optional<Base::MonoTime> m_restoredAt;
+    bool m_hasFailedSinceRestored = false; ///< Entries may not expire while the store is down.
     std::vector<GoneEndpoint> m_pendingRemovals; ///< Dropped by the store, not removed yet.
     std::optional<Runtime::TimerId> m_rewriteTimer; ///< Runs for rewriteTime after an outage.
+    std::optional<Base::MonoTime> m_readAt; ///< Time of the last read of the store.
+    bool m_removesAtNextRead = false; ///< The last read was too old when rewriteTime ended.
     bool m_holdsRemovals = false; ///< The store failed again while the timer ran.
 };
 
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -101,6 +101,7 @@
 {
     if (m_freshness.readSucceeded(isReadOverdue()))
         m_options.directory->storeReturned();
+    m_options.directory->storeRead();
     m_requiresStoreRead = m_requiresStoreRead && isBehind();
     m_hasFollowed = false;
     updateRole();
@@ -188,7 +189,10 @@
     if (!m_isLeader || !age || *age > m_options.maxLeaderAge)
         return;
     if (m_changes.size() <= maxChangesPerDatagram) {
-        m_changes.push_back(isGone ? toSharedRemoval(entry.endpoint.id, entry.version)
+        m_changes.push_back(isGone ? toSharedRemoval({.id = entry.endpoint.id,
+                                                      .version = entry.version,
+                                                      .startedAt = entry.endpoint.startedAt,
+                                                      .sequence = entry.sequence})
                                    : toShared(entry));
     }
     if (!m_changesTimer)
--- a/src/libs/fleetsync/fleetsyncpulls.cpp
+++ b/src/libs/fleetsync/fleetsyncpulls.cpp
@@ -137,7 +137,7 @@
     }
     for (const Fleet::GoneEndpoint &gone : m_options.directory->gone()) {
         if (differs(gone.id))
-            state.endpoints.push_back(toSharedRemoval(gone.id, gone.version));
+            state.endpoints.push_back(toSharedRemoval(gone));
     }
     if (m_configuration.revision.value() > request.configuration) {
         state.configurationOffset = m_configuration.offset.value();
@@ -200,13 +200,10 @@
 
 void FleetSync::apply(const SharedEndpoint &shared)
 {
-    const Base::EndpointId id(shared.id);
-    const Base::LogOffset version(shared.version);
-    if (shared.isGone) {
-        m_options.directory->remove(id, version);
-        return;
-    }
-    m_options.directory->put(fromShared(shared), version, shared.isConfirmed);
+    if (shared.isGone)
+        m_options.directory->remove(fromSharedRemoval(shared));
+    else
+        m_options.directory->put(fromShared(shared));
 }
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/sharedendpoint.cpp
+++ b/src/libs/fleetsync/sharedendpoint.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 /// Start time as the endpoint reports it, in whole milliseconds since 1970; 0 if it reports none.
-std::uint64_t startedAtMs(const Fleet::Endpoint &endpoint)
+std::uint64_t toStartedAtMs(const std::optional<Base::WallTime> &startedAt)
 {
-    if (!endpoint.startedAt)
+    if (!startedAt)
         return 0;
-    return static_cast<std::uint64_t>(Base::toMilliseconds(endpoint.startedAt->time_since_epoch()));
+    return static_cast<std::uint64_t>(Base::toMilliseconds(startedAt->time_since_epoch()));
 }
 
 std::optional<Base::WallTime> startedAt(const SharedEndpoint &shared)
@@ -30,6 +30,7 @@
     const Fleet::Endpoint &endpoint = entry.endpoint;
     return {.id = endpoint.id.value(),
             .version = entry.version.value(),
+            .sequence = entry.sequence.value(),
             .service = endpoint.service.value(),
             .ip = endpoint.address.ip,
             .port = endpoint.address.port,
@@ -38,27 +39,42 @@
             .slots = static_cast<std::uint32_t>(std::max(0, endpoint.slots)),
             .isDraining = endpoint.state == Fleet::EndpointState::Draining,
             .isConfirmed = entry.isConfirmed,
-            .startedAtMs = startedAtMs(endpoint),
+            .startedAtMs = toStartedAtMs(endpoint.startedAt),
             .isWarmingUp = endpoint.isWarmingUp};
 }
 
-SharedEndpoint toSharedRemoval(const Base::EndpointId &id, Base::LogOffset version)
+SharedEndpoint toSharedRemoval(const Fleet::GoneEndpoint &gone)
 {
-    return {.id = id.value(), .version = version.value(), .isGone = true};
+    return {.id = gone.id.value(),
+            .version = gone.version.value(),
+            .sequence = gone.sequence.value(),
+            .isGone = true,
+            .startedAtMs = toStartedAtMs(gone.startedAt)};
 }
 
-Fleet::Endpoint fromShared(const SharedEndpoint &shared)
+Fleet::EndpointDirectory::Entry fromShared(const SharedEndpoint &shared)
+{
+    return {.endpoint = {.id = Base::EndpointId(shared.id),
+                         .service = Base::ServiceId(shared.service),
+                         .address = {shared.ip, static_cast<std::uint16_t>(shared.port)},
+                         .dataCentre = Base::DataCentreId(shared.dataCentre),
+                         .softwareVersion = shared.software,
+                         .slots = static_cast<int>(shared.slots),
+                         .state = shared.isDraining ? Fleet::EndpointState::Draining
+                                                    : Fleet::EndpointState::Ready,
+                         .isWarmingUp = shared.isWarmingUp,
+                         .startedAt = startedAt(shared)},
+            .version = Base::LogOffset(shared.version),
+            .sequence = Fleet::EntrySequence(shared.sequence),
+            .isConfirmed = shared.isConfirmed};
+}
+
+Fleet::GoneEndpoint fromSharedRemoval(const SharedEndpoint &shared)
 {
     return {.id = Base::EndpointId(shared.id),
-            .service = Base::ServiceId(shared.service),
-            .address = {shared.ip, static_cast<std::uint16_t>(shared.port)},
-            .dataCentre = Base::DataCentreId(shared.dataCentre),
-            .softwareVersion = shared.software,
-            .slots = static_cast<int>(shared.slots),
-            .state =
-                shared.isDraining ? Fleet::EndpointState::Draining : Fleet::EndpointState::Ready,
-            .isWarmingUp = shared.isWarmingUp,
-            .startedAt = startedAt(shared)};
+            .version = Base::LogOffset(shared.version),
+            .startedAt = startedAt(shared),
+            .sequence = Fleet::EntrySequence(shared.sequence)};
 }
 
 std::uint32_t encodeAge(std::optional<Base::Duration> age)
--- a/src/libs/fleetsync/storefreshness.cpp
+++ b/src/libs/fleetsync/storefreshness.cpp
@@ -49,6 +49,12 @@
     return mayBeExpired;
 }
 
+void StoreFreshness::storeRestored()
+{
+    m_availableSince = m_options.clock->now();
+    m_outageStartedAt = m_availableSince - m_options.minExpiryOutage;
+}
+
 bool StoreFreshness::readSucceeded(bool isReadOverdue)
 {
     const bool mayBeExpired = advanceTo(arrivalTime(), isReadOverdue);
--- a/src/libs/fleetsync/storefreshness.h
+++ b/src/libs/fleetsync/storefreshness.h
@@ -58,6 +58,9 @@
     /// Records a successful read by this router, with the effects of advanceTo().
     bool readSucceeded(bool isReadOverdue);
     void readFailed() { m_hasFailed = true; }
+    /// Records that the store has been restored from an older copy, which lacks entries as it does
+    /// after a long outage.
+    void storeRestored();
     /// To be called when this router stops reading: a failed read says nothing about later outages.
     void clearFailure() { m_hasFailed = false; }
 
--- a/tests/auto/adapter/tst_storeobjects.cpp
+++ b/tests/auto/adapter/tst_storeobjects.cpp
@@ -79,7 +79,8 @@
         R"({"service":"s1","address":"10.1.0.9:8080","zone":"gulberg","version":"v1","slots":128,
             "state":"draining","warmup_left_ms":1500,"seq":4,"phase":"both"})");
     BOOST_REQUIRE(read);
-    const Fleet::Endpoint &endpoint = read.value();
+    const Fleet::Endpoint &endpoint = read.value().endpoint;
+    BOOST_TEST(read.value().sequence.value() == 4U);
     BOOST_TEST(endpoint.id.value() == "i-1");
     BOOST_TEST(endpoint.service.value() == "s1");
     BOOST_TEST(Runtime::toString(endpoint.address) == "10.1.0.9:8080");
@@ -120,7 +121,7 @@
     const auto read = Platform::readEndpoint("i-1", text(good));
     BOOST_REQUIRE(read);
     const Base::WallTime startedAt{std::chrono::milliseconds(1764719000123)};
-    BOOST_TEST((read.value().startedAt == startedAt));
+    BOOST_TEST((read.value().endpoint.startedAt == startedAt));
     for (const auto &[name, value] : good) {
         auto without = good;
         without.erase(name);
--- a/tests/auto/fleet/tst_endpointdirectory.cpp
+++ b/tests/auto/fleet/tst_endpointdirectory.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE tst_endpointdirectory
 #include <boost/test/unit_test.hpp>
 
+#include "base/logoffset.h"
 #include "fleet/endpointdirectory.h"
 #include "runtime/clock.h"
 
@@ -30,7 +31,7 @@
             reported += "-" + entry.endpoint.id.value();
         };
     }
-    void put(const Endpoint &one) { directory.put(one, Base::LogOffset(++version)); }
+    void put(const Endpoint &one) { directory.put({one, Base::LogOffset(++version)}); }
     void drop(const char *id)
     {
         directory.entryDropped(Base::EndpointId(id), Base::LogOffset(++version));
@@ -95,12 +96,12 @@
 BOOST_AUTO_TEST_CASE(olderVersionsAreIgnored)
 {
     Fixture f;
-    f.directory.put(endpoint("a", EndpointState::Draining), Base::LogOffset(5));
-    f.directory.put(endpoint("a"), Base::LogOffset(4));
-    f.directory.remove(Base::EndpointId("a"), Base::LogOffset(3));
+    f.directory.put({endpoint("a", EndpointState::Draining), Base::LogOffset(5)});
+    f.directory.put({endpoint("a"), Base::LogOffset(4)});
+    f.directory.remove({Base::EndpointId("a"), Base::LogOffset(3)});
     BOOST_TEST((f.directory.find(Base::EndpointId("a"))->state == EndpointState::Draining));
-    f.directory.remove(Base::EndpointId("a"), Base::LogOffset(9));
-    f.directory.put(endpoint("a"), Base::LogOffset(8));
+    f.directory.remove({Base::EndpointId("a"), Base::LogOffset(9)});
+    f.directory.put({endpoint("a"), Base::LogOffset(8)});
     BOOST_TEST(!f.directory.find(Base::EndpointId("a")));
     BOOST_TEST(f.reported == "+a-a");
 }
@@ -108,9 +109,9 @@
 BOOST_AUTO_TEST_CASE(reconcileRemovesAbsentEntries)
 {
     Fixture f;
-    f.directory.put(endpoint("old"), Base::LogOffset(3));
-    f.directory.put(endpoint("kept"), Base::LogOffset(4));
-    f.directory.put(endpoint("newer"), Base::LogOffset(12));
+    f.directory.put({endpoint("old"), Base::LogOffset(3)});
+    f.directory.put({endpoint("kept"), Base::LogOffset(4)});
+    f.directory.put({endpoint("newer"), Base::LogOffset(12)});
     f.directory.reconcile({Base::EndpointId("kept")}, Base::LogOffset(10));
     BOOST_TEST(f.reported == "+old+kept+newer-old");
 }
@@ -119,16 +120,16 @@
 {
     Fixture one;
     Fixture other;
-    one.directory.put(endpoint("a"), Base::LogOffset(1));
-    one.directory.put(endpoint("b"), Base::LogOffset(2));
-    other.directory.put(endpoint("b"), Base::LogOffset(7));
+    one.directory.put({endpoint("a"), Base::LogOffset(1)});
+    one.directory.put({endpoint("b"), Base::LogOffset(2)});
+    other.directory.put({endpoint("b"), Base::LogOffset(7)});
     BOOST_TEST(one.directory.hash() != other.directory.hash());
-    other.directory.put(endpoint("a"), Base::LogOffset(8));
+    other.directory.put({endpoint("a"), Base::LogOffset(8)});
     BOOST_TEST(one.directory.hash() == other.directory.hash());
-    one.directory.put(endpoint("a", EndpointState::Draining), Base::LogOffset(9));
+    one.directory.put({endpoint("a", EndpointState::Draining), Base::LogOffset(9)});
     BOOST_TEST(one.directory.hash() != other.directory.hash());
-    one.directory.remove(Base::EndpointId("a"), Base::LogOffset(10));
-    one.directory.remove(Base::EndpointId("b"), Base::LogOffset(11));
+    one.directory.remove({Base::EndpointId("a"), Base::LogOffset(10)});
+    one.directory.remove({Base::EndpointId("b"), Base::LogOffset(11)});
     BOOST_TEST(one.directory.hash() == 0U);
 }
 
@@ -175,13 +176,13 @@
 BOOST_AUTO_TEST_CASE(unknownEndpointIsRememberedAsGone)
 {
     Fixture f;
-    f.directory.remove(Base::EndpointId("a"), Base::LogOffset(9));
-    f.directory.put(endpoint("a"), Base::LogOffset(8)); // Delayed, from a peer.
+    f.directory.remove({Base::EndpointId("a"), Base::LogOffset(9)});
+    f.directory.put({endpoint("a"), Base::LogOffset(8)}); // Delayed, from a peer.
     BOOST_TEST(!f.directory.find(Base::EndpointId("a")));
     BOOST_TEST(f.reported == "");
-    f.directory.remove(Base::EndpointId("a"), Base::LogOffset(9));
+    f.directory.remove({Base::EndpointId("a"), Base::LogOffset(9)});
     BOOST_TEST(f.directory.gone().size() == 1U);
-    f.directory.put(endpoint("a"), Base::LogOffset(10));
+    f.directory.put({endpoint("a"), Base::LogOffset(10)});
     BOOST_TEST(f.reported == "+a");
 }
 
@@ -190,10 +191,10 @@
 BOOST_AUTO_TEST_CASE(reconcileRejectsOlderVersions)
 {
     Fixture f;
-    f.directory.put(endpoint("back"), Base::LogOffset(3));
+    f.directory.put({endpoint("back"), Base::LogOffset(3)});
     f.directory.reconcile({}, Base::LogOffset(10));
-    f.directory.put(endpoint("back"), Base::LogOffset(10));
-    f.directory.put(endpoint("gone"), Base::LogOffset(9));
+    f.directory.put({endpoint("back"), Base::LogOffset(10)});
+    f.directory.put({endpoint("gone"), Base::LogOffset(9)});
     BOOST_TEST(f.reported == "+back-back+back");
 }
 
@@ -230,10 +231,114 @@
 BOOST_AUTO_TEST_CASE(olderVersionDoesNotCancelAPendingRemoval)
 {
     Fixture f;
-    f.directory.put(endpoint("a"), Base::LogOffset(1));
+    f.directory.put({endpoint("a"), Base::LogOffset(1)});
     f.directory.storeReturned();
     f.directory.entryDropped(Base::EndpointId("a"), Base::LogOffset(3));
-    f.directory.put(endpoint("a", EndpointState::Draining), Base::LogOffset(2));
+    f.directory.put({endpoint("a", EndpointState::Draining), Base::LogOffset(2)});
     f.pass(std::chrono::seconds(3));
     BOOST_TEST(f.reported == "+a+a-a");
 }
+
+namespace {
+
+/// The entry of an endpoint after its \a sequence th write, as read at a position in an era.
+EndpointDirectory::Entry entryOf(const Endpoint &one, std::uint64_t sequence, std::uint64_t era,
+                                 std::uint64_t position)
+{
+    return {.endpoint = one,
+            .version = Base::makeLogOffset(Base::LogEra(era), position),
+            .sequence = EntrySequence(sequence)};
+}
+
+bool isDraining(const Fixture &f, const std::string &id)
+{
+    const Endpoint *known = f.directory.find(Base::EndpointId(id));
+    return known && known->state == EndpointState::Draining;
+}
+
+} // namespace
+
+// The store was restored from an older copy, so that outdated entries have higher versions than
+// those that are known, until the endpoints have written theirs again.
+
+BOOST_AUTO_TEST_CASE(restoredEntryDoesNotMakeADrainingEndpointReady)
+{
+    Fixture f;
+    f.directory.put(entryOf(endpoint("a"), 3, 1, 7));
+    f.directory.put(entryOf(endpoint("a", EndpointState::Draining), 4, 1, 9));
+    f.directory.storeRestored();
+    f.directory.put(entryOf(endpoint("a"), 3, 2, 7));
+    f.directory.reconcile({Base::EndpointId("a")}, Base::makeLogOffset(Base::LogEra(2), 8));
+    BOOST_TEST(isDraining(f, "a"));
+    BOOST_TEST(f.directory.hasUnconfirmedEntries());
+    f.directory.put(entryOf(endpoint("a", EndpointState::Draining), 4, 2, 8));
+    BOOST_TEST(isDraining(f, "a"));
+    BOOST_TEST(!f.directory.hasUnconfirmedEntries());
+}
+
+BOOST_AUTO_TEST_CASE(restoredEntryDoesNotBringAGoneEndpointBack)
+{
+    Fixture f;
+    f.directory.put(entryOf(endpoint("gone"), 3, 1, 7));
+    f.directory.put(entryOf(endpoint("alive"), 3, 1, 8));
+    f.directory.entryDropped(Base::EndpointId("gone"), Base::makeLogOffset(Base::LogEra(1), 9));
+    f.directory.entryDropped(Base::EndpointId("alive"), Base::makeLogOffset(Base::LogEra(1), 10));
+    f.directory.storeRestored();
+    f.directory.put(entryOf(endpoint("gone"), 3, 2, 7));
+    f.directory.put(entryOf(endpoint("alive"), 4, 2, 8));
+    BOOST_TEST(!f.directory.find(Base::EndpointId("gone")));
+    BOOST_TEST(f.directory.find(Base::EndpointId("alive")));
+    f.directory.entryDropped(Base::EndpointId("gone"), Base::makeLogOffset(Base::LogEra(2), 9));
+    f.pass(std::chrono::seconds(10));
+    f.directory.storeRead();
+    BOOST_TEST(!f.directory.find(Base::EndpointId("gone")));
+    BOOST_TEST(!f.directory.hasUnconfirmedEntries());
+}
+
+BOOST_AUTO_TEST_CASE(restoredEntryThatTheStoreKeepsIsUsed)
+{
+    Fixture f;
+    f.directory.put(entryOf(endpoint("a"), 3, 1, 7));
+    f.directory.entryDropped(Base::EndpointId("a"), Base::makeLogOffset(Base::LogEra(1), 9));
+    f.directory.storeRestored();
+    f.directory.put(entryOf(endpoint("a"), 3, 2, 7));
+    f.pass(std::chrono::milliseconds(4900));
+    f.directory.storeRead();
+    BOOST_TEST(!f.directory.find(Base::EndpointId("a")));
+    f.directory.storeFailed(); // Entries may not expire while the store is down.
+    f.pass(std::chrono::seconds(4));
+    f.directory.storeRead();
+    f.pass(std::chrono::milliseconds(4900));
+    f.directory.storeRead();
+    BOOST_TEST(!f.directory.find(Base::EndpointId("a")));
+    f.pass(std::chrono::milliseconds(200));
+    f.directory.storeRead();
+    BOOST_TEST(f.directory.find(Base::EndpointId("a")));
+}
+
+BOOST_AUTO_TEST_CASE(endpointThatTheRestoredStoreLacksIsKeptUntilItHasWrittenAgain)
+{
+    Fixture f;
+    const Base::LogOffset end = Base::makeLogOffset(Base::LogEra(2), 5);
+    f.directory.put(entryOf(endpoint("alive"), 1, 1, 7));
+    f.directory.put(entryOf(endpoint("gone"), 1, 1, 8));
+    f.directory.storeRestored();
+    f.directory.reconcile({}, end);
+    BOOST_TEST(f.directory.find(Base::EndpointId("alive")));
+    f.directory.put(entryOf(endpoint("alive"), 1, 2, 5));
+    f.pass(std::chrono::milliseconds(2300));
+    BOOST_TEST(f.directory.find(Base::EndpointId("alive")));
+    BOOST_TEST(!f.directory.find(Base::EndpointId("gone")));
+}
+
+BOOST_AUTO_TEST_CASE(restartedEndpointIsKnownAtOnceInARestoredStore)
+{
+    Fixture f;
+    Endpoint first = endpoint("a", EndpointState::Draining);
+    first.startedAt = Base::WallTime(std::chrono::seconds(100));
+    f.directory.put(entryOf(first, 9, 1, 7));
+    Endpoint second = endpoint("a");
+    second.startedAt = Base::WallTime(std::chrono::seconds(200));
+    f.directory.put(entryOf(second, 1, 2, 3));
+    BOOST_TEST(!isDraining(f, "a"));
+}
--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -226,7 +226,7 @@
             absl::flat_hash_set<Base::EndpointId> present;
             for (const auto &[id, entry] : m_store) {
                 present.insert(id);
-                router->directory->put(entry.first, Base::LogOffset(entry.second));
+                router->directory->put({entry.first, Base::LogOffset(entry.second)});
             }
             router->directory->reconcile(present, Base::LogOffset(++m_offset));
             router->sync->storeRead();
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -78,11 +78,11 @@
 BOOST_AUTO_TEST_CASE(stateOfOneRouterIsPulledByAnother)
 {
     Fixture f;
-    f.one.directory.put({.id = Base::EndpointId("a"),
-                         .service = Base::ServiceId("service"),
-                         .address = {"10.0.0.1", 80},
-                         .slots = 6},
-                        Base::LogOffset(3));
+    f.one.directory.put({.endpoint = {.id = Base::EndpointId("a"),
+                                      .service = Base::ServiceId("service"),
+                                      .address = {"10.0.0.1", 80},
+                                      .slots = 6},
+                         .version = Base::LogOffset(3)});
     f.one.sync.storeRead();
     f.one.sync.setConfiguration({.revision = Base::Revision(4),
                                  .offset = Base::LogOffset(2),
--- a/tests/auto/simulation/simulatedconfiguration.cpp
+++ b/tests/auto/simulation/simulatedconfiguration.cpp
@@ -26,13 +26,14 @@
     return text.empty() ? 0 : readConfiguration(text).bytes;
 }
 
-std::string toText(const Fleet::Endpoint &endpoint)
+std::string toText(const Fleet::Endpoint &endpoint, Fleet::EntrySequence sequence)
 {
     const bool isDraining = endpoint.state == Fleet::EndpointState::Draining;
     const std::int64_t started =
         endpoint.startedAt ? Base::toMilliseconds(endpoint.startedAt->time_since_epoch()) : 0;
     return std::string(isDraining ? "draining " : "ready ") + endpoint.address.ip + ' '
-        + std::to_string(endpoint.address.port) + ' ' + std::to_string(started);
+        + std::to_string(endpoint.address.port) + ' ' + std::to_string(started) + ' '
+        + std::to_string(sequence.value());
 }
 
 std::optional<Fleet::Endpoint> readEndpoint(const std::string &id, const std::string &text)
@@ -50,4 +51,11 @@
     return endpoint;
 }
 
+Fleet::EntrySequence readSequence(const std::string &text)
+{
+    const std::size_t separator = text.rfind(' ');
+    return Fleet::EntrySequence(
+        separator == std::string::npos ? 0 : std::stoull(text.substr(separator + 1)));
+}
+
 } // namespace Simulation
--- a/tests/auto/simulation/simulatedrouter.cpp
+++ b/tests/auto/simulation/simulatedrouter.cpp
@@ -293,9 +293,11 @@
 {
     auto endpoint = readEndpoint(record.key, *record.value);
     if (endpoint)
-        m_run->directory->put(std::move(*endpoint), record.offset);
+        m_run->directory->put({.endpoint = std::move(*endpoint),
+                               .version = record.offset,
+                               .sequence = readSequence(*record.value)});
     else
-        m_run->directory->remove(Base::EndpointId(record.key), record.offset);
+        m_run->directory->remove({.id = Base::EndpointId(record.key), .version = record.offset});
 }
 
 void SimulatedRouter::wake(Topic topic)
