KeyedLog, Platform: Order records by the era of the store first

Cause: the store had been restored from a copy and gave offsets out again. KeyedView, the router's check for new configurations and the fleet's state took a record at an offset that they had seen for an old one. The view also read from a position beyond the end of the log, listed the keys, and read from the same position again, 30 times a second, until the log had grown to it. Ruled out: a hanging read (62 calls a second were answered), unreadable configurations (no line says so).

The era of each answer (Store-Era) is now part of the offsets, wherever they are compared: in views, configurations, endpoints, drains, and between routers. A view whose position is of an earlier era lists the keys and follows from the end of that listing, whatever the log has grown to. The fleet hears of a new era from the first router that sees it: pending reads of earlier eras are repeated, missing entries may come back, routers register again. Configurations are in force by their revision alone, so an older copy changes nothing.

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -85,6 +85,8 @@
     bool isNew = false;
     const Peer &peer = m_peers.receive(fromIp, beacon, m_freshness.arrivalTime(), isNew);
     const auto asOfBefore = m_freshness.asOf();
+    if (beacon.storeEra)
+        setStoreEra(Base::LogEra(*beacon.storeEra));
     applyDrains(beacon);
     for (const SharedEndpoint &change : beacon.changes)
         apply(change);
@@ -144,6 +146,20 @@
         m_options.directory->storeReturned();
 }
 
+void FleetSync::setStoreEra(Base::LogEra era)
+{
+    if (m_storeEra && era <= *m_storeEra)
+        return;
+    const std::optional<Base::LogEra> before = std::exchange(m_storeEra, era);
+    if (before) {
+        m_freshness.storeRestored();
+        m_options.directory->storeRestored();
+        m_drains.storeRestored();
+    }
+    if (storeEraChanged)
+        storeEraChanged(before, era);
+}
+
 void FleetSync::setConfiguration(StoredConfiguration configuration)
 {
     if (configuration.revision <= m_configuration.revision)
@@ -352,6 +368,9 @@
     std::vector<std::string> drained;
     for (const Base::DataCentreId &dataCentre : m_drains.current())
         drained.push_back(dataCentre.value());
+    std::optional<std::uint32_t> storeEra;
+    if (m_storeEra)
+        storeEra = static_cast<std::uint32_t>(m_storeEra->value());
     return {.router = m_options.id,
             .dataCentre = m_options.dataCentre,
             .port = m_options.port,
@@ -363,6 +382,7 @@
             .configuration = m_configuration.revision.value(),
             .endpoints = m_options.directory->hash(),
             .isLeaving = m_isLeaving,
+            .storeEra = storeEra,
             .drainsAsOf = m_drains.asOf().value(),
             .drained = std::move(drained)};
 }
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -129,6 +129,10 @@
                        const Fleet::DataCentreDrains::Set &current)>
         drainsChanged;
 
+    /// Called when this router learns of an era of the store, from the store or from a peer;
+    /// \a before is empty the first time. In a later era, records of the store have been lost.
+    std::function<void(std::optional<Base::LogEra> before, Base::LogEra era)> storeEraChanged;
+
     void start();
     /// Announces to the peers that this router is shutting down.
     void leave();
@@ -154,6 +158,9 @@
     void storeReturned();
     /// A read of the endpoints has failed.
     void storeFailed();
+    /// The store, or a peer, reports this era. If it is later than the known one, the store has
+    /// been restored from an older copy: what is missing in it may still be written again.
+    void setStoreEra(Base::LogEra era);
     void setConfiguration(StoredConfiguration configuration);
     /// The drained data centres; to be updated when they are read from the store.
     Fleet::DataCentreDrains &drains() { return m_drains; }
@@ -225,6 +232,7 @@
     StoredConfiguration m_configuration;
     Fleet::DataCentreDrains m_drains;
     StoreFreshness m_freshness;
+    std::optional<Base::LogEra> m_storeEra;
     Base::MonoTime m_startedAt{};
     Base::MonoTime m_readingSince{}; ///< When this router last began to read the store.
     Base::MonoTime m_pulledAt{}; ///< Start of the last pull.
--- a/src/libs/keyedlog/keyedsource.h
+++ b/src/libs/keyedlog/keyedsource.h
@@ -29,13 +29,18 @@
     Base::LogOffset end; ///< Offset that the next appended record will have.
 };
 
-/// Consecutive records, beginning at the requested offset.
+/// Consecutive records, beginning at the requested position. If the log has been restored from an
+/// older copy since that position was read, the offsets are of a later era, and the records do not
+/// follow those before the position.
 struct TailPage
 {
-    /// The record at the requested offset is no longer retained. The page has no records.
+    /// The log has no record at the requested position: it is no longer retained, or the log ends
+    /// before it. The page has no records.
     bool isOutOfRange = false;
     std::vector<KeyedRecord> records;
-    Base::LogOffset end; ///< Offset that the next appended record will have.
+    /// Offset that the next appended record will have; if the position is out of range, only its
+    /// era is valid.
+    Base::LogOffset end;
 };
 
 using ReadId = Base::StrongNumber<struct KeyedReadIdTag, std::uint64_t>;
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -1,5 +1,7 @@
 #include "keyedlog/keyedview.h"
 
+#include "base/logoffset.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -14,9 +16,11 @@
     case ListingCause::RecordsMissing:
         return "records_missing";
     case ListingCause::AnswerOverdue:
+        return "answer_overdue";
+    case ListingCause::LogRestored:
         break;
     }
-    return "answer_overdue";
+    return "log_restored";
 }
 
 KeyedView::KeyedView(Options options)
@@ -69,6 +73,12 @@
         follow();
 }
 
+void KeyedView::setEra(Base::LogEra era)
+{
+    if (!m_isListing && Base::eraOf(m_position) < era)
+        restart();
+}
+
 std::optional<Base::Duration> KeyedView::age() const
 {
     if (!m_answeredAt)
@@ -100,7 +110,16 @@
         readFailed(&KeyedView::readListing);
         return;
     }
+    const Base::LogEra era = Base::eraOf(page.value().end);
+    if (era < Base::eraOf(m_listingEnd.value_or(m_position))) {
+        schedule(m_backoff.next(), &KeyedView::readListing); // A late answer of an earlier era.
+        return;
+    }
     readSucceeded();
+    if (m_listingEnd && era > Base::eraOf(*m_listingEnd)) {
+        startListing(ListingCause::LogRestored);
+        return;
+    }
     if (!m_listingEnd)
         m_listingEnd = page.value().end;
     for (const KeyedRecord &record : page.value().records) {
@@ -161,12 +180,14 @@
         readFailed(&KeyedView::follow);
         return;
     }
-    // The records of a gap include values that are outdated by now; a listing has only the newest.
-    const bool isOverdue = isAnswerOverdue();
+    if (Base::eraOf(page.value().end) < Base::eraOf(m_position)) {
+        schedule(m_backoff.next(), &KeyedView::follow); // A late answer of an earlier era.
+        return;
+    }
+    const std::optional<ListingCause> cause = causeToList(page.value());
     readSucceeded();
-    if (page.value().isOutOfRange || isOverdue) {
-        startListing(page.value().isOutOfRange ? ListingCause::RecordsMissing
-                                               : ListingCause::AnswerOverdue);
+    if (cause) {
+        startListing(*cause);
         return;
     }
     applyTail(page.value().records);
@@ -178,6 +199,19 @@
     schedule(isBehind ? Base::Duration::zero() : m_options.interval, &KeyedView::follow);
 }
 
+/// Returns why the page does not continue what is known, if that is so.
+std::optional<ListingCause> KeyedView::causeToList(const TailPage &page) const
+{
+    if (Base::eraOf(page.end) > Base::eraOf(m_position))
+        return ListingCause::LogRestored;
+    if (page.isOutOfRange)
+        return ListingCause::RecordsMissing;
+    // The records of a gap include values that are outdated by now; a listing has only the newest.
+    if (isAnswerOverdue())
+        return ListingCause::AnswerOverdue;
+    return std::nullopt;
+}
+
 void KeyedView::applyTail(const std::vector<KeyedRecord> &records)
 {
     absl::flat_hash_map<std::string_view, Base::LogOffset> newest;
--- a/src/libs/keyedlog/keyedview.h
+++ b/src/libs/keyedlog/keyedview.h
@@ -19,14 +19,17 @@
 /// Why the keys of a log are listed.
 enum class ListingCause : std::uint8_t {
     Started,
-    RecordsMissing, ///< The next record is not retained, or the log ends before it.
-    AnswerOverdue ///< The log may have been unavailable unnoticed.
+    RecordsMissing, ///< The next record is no longer retained.
+    AnswerOverdue, ///< The log may have been unavailable unnoticed.
+    LogRestored ///< The log has been restored from an older copy.
 };
 std::string_view toString(ListingCause cause);
 
 /// Tracks the newest value of each key of a log. A view is first filled from a listing of the
-/// newest records, then follows the tail, and is filled again if it has missed records. A key is
-/// never reverted to an older record, however late or stale an answer is.
+/// newest records, then follows the tail, and is filled again if it has missed records or the log
+/// has been restored from an older copy. A key is never reverted to a record with a lower offset,
+/// however late or stale an answer is. The records of a restored log have higher offsets although
+/// their values may be older, which the owner of the view has to detect from the values.
 class KeyedView
 {
 public:
@@ -61,6 +64,9 @@
     void stop();
     /// Cancels the current read, whose connection may no longer respond, and reads again.
     void restart();
+    /// Notifies the view that the log is in this era. A pending read of the tail in an earlier era
+    /// is repeated, as it may wait for a record at a position that the log reaches much later.
+    void setEra(Base::LogEra era);
     /// Like start(), for a caller that has obtained all records up to \a known by other means;
     /// \a keys are the keys present in them. Follows the tail at once, and lists the keys only if
     /// records after \a known are no longer retained.
@@ -100,6 +106,7 @@
     void listingEnded();
     void follow();
     void tailRead(const Errors::Result<TailPage> &page);
+    std::optional<ListingCause> causeToList(const TailPage &page) const;
     void applyTail(const std::vector<KeyedRecord> &records);
     void apply(const KeyedRecord &record);
     bool isAnswerOverdue() const;
--- a/tests/auto/adapter/tst_restoredstore.cpp
+++ b/tests/auto/adapter/tst_restoredstore.cpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 using namespace Lagoonbank;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // Guards against this failure: after an outage the store came back as a copy that was some seconds
@@ -78,6 +79,38 @@
     BOOST_TEST(f.reaching(*f.engines[0], 20) == 0);
 }
 
+/// The endpoint began to drain after the copy, which has its entry from before.
+BOOST_AUTO_TEST_CASE(drainingEndpointGetsNoRequestsWhileItsOlderEntryIsRestored)
+{
+    OneRouter f(2);
+    f.store.saveCopy();
+    f.write(0, {.isDraining = true, .sequence = 2});
+    f.pass(maxDelay);
+    f.store.restoreCopy();
+    for (int i = 0; i < 8; ++i) {
+        f.pass(milliseconds(250));
+        BOOST_TEST(f.reaching(*f.engines[0], 5) == 0);
+    }
+    f.write(0, {.isDraining = true, .sequence = 3});
+    f.pass(maxDelay);
+    BOOST_TEST(f.reaching(*f.engines[0], 20) == 0);
+}
+
+/// The configuration has been replaced since the copy, and is written again only later.
+BOOST_AUTO_TEST_CASE(olderConfigurationOfARestoredStoreIsNotUsed)
+{
+    OneRouter f(1);
+    f.store.saveCopy();
+    f.store.writeRoute(8, "/added/");
+    f.pass(maxDelay);
+    f.store.restoreCopy();
+    for (int i = 0; i < 8; ++i) {
+        f.pass(milliseconds(250));
+        BOOST_TEST(has(f.call("/added/1"), "HTTP/1.1 200"));
+        BOOST_TEST(has(f.call("/p/1"), "HTTP/1.1 404"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpointThatStartsAfterRestorationGetsRequestsInTime)
 {
     RestoredStore f(1);
--- a/tests/auto/adapter/tst_store.cpp
+++ b/tests/auto/adapter/tst_store.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE tst_store
 #include "auto/http/loopback.h"
+#include "base/logoffset.h"
 #include "platform/store.h"
 
 #include <memory>
@@ -149,12 +150,38 @@
     f.readTail(1);
     f.status = 503;
     f.readTail(1);
-    f.headers = {{"store-era", "three"}};
+    f.headers = {{"store-era", "three"}}; // As if the answer did not report it.
     f.readTail(1);
-    const std::vector<std::uint64_t> expected{0, 3, 3, 0};
+    const std::vector<std::uint64_t> expected{0, 3, 3, 3};
     BOOST_TEST(f.eras == expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(offsetsOfALaterEraAreHigher)
+{
+    Fixture f;
+    f.headers = {{"store-era", "2"}};
+    f.body = number(3, 8) + number(0, 8) + record("a", "value");
+    const auto tail = f.readTail(2);
+    BOOST_REQUIRE(tail);
+    BOOST_REQUIRE(tail->has_value());
+    const Base::LogEra era(2);
+    BOOST_TEST(tail->value().end == Base::makeLogOffset(era, 3));
+    BOOST_TEST(tail->value().records.at(0).offset == Base::makeLogOffset(era, 2));
+    BOOST_TEST(Base::makeLogOffset(era, 2) > Base::makeLogOffset(Base::LogEra(1), 1000));
+    f.body = R"({"items":[{"key":"a","value":"aGFsbG8=","offset":4}],"has_more":false,"end":6})";
+    const auto newest = f.readNewest("");
+    BOOST_REQUIRE(newest);
+    BOOST_REQUIRE(newest->has_value());
+    BOOST_TEST(newest->value().end == Base::makeLogOffset(era, 6));
+    BOOST_TEST(newest->value().records.at(0).offset == Base::makeLogOffset(era, 4));
+    f.readTail(Base::makeLogOffset(era, 7).value());
+    BOOST_TEST(f.targets.back().find("&from=7&") != std::string::npos);
+    f.status = 410;
+    const auto outOfRange = f.readTail(9);
+    BOOST_REQUIRE(outOfRange);
+    BOOST_TEST(Base::eraOf(outOfRange->value().end) == era);
+}
+
 BOOST_AUTO_TEST_CASE(malformedAnswerIsAnError)
 {
     struct Row
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE tst_keyedview
 #include <boost/test/unit_test.hpp>
 
+#include "base/logoffset.h"
 #include "keyedlog/keyedview.h"
 #include "runtime/clock.h"
 
@@ -345,3 +346,91 @@
     f.log.answerTail({drop("a", 8)}, 9);
     BOOST_TEST(dropped == "a");
 }
+
+namespace {
+
+/// An offset of the log after it was restored from an older copy.
+Base::LogOffset restored(std::uint64_t position)
+{
+    return Base::makeLogOffset(Base::LogEra(1), position);
+}
+
+KeyedRecord putRestored(const std::string &key, const std::string &value, std::uint64_t position)
+{
+    return {.key = key, .value = value, .offset = restored(position)};
+}
+
+} // namespace
+
+// A log that was restored from an older copy gives out offsets again, so that records at offsets
+// that the view has read may be new.
+
+BOOST_AUTO_TEST_CASE(restoredLogIsListedAndFollowedFromItsNewEnd)
+{
+    Fixture f;
+    f.log.answerNewest({put("a", "1", 3), put("lost", "1", 8)}, 9);
+    f.pass(std::chrono::milliseconds(500));
+    f.takeReported();
+    f.log.take().tail(TailPage{.isOutOfRange = true, .end = restored(0)});
+    BOOST_TEST((f.log.reads.front().newest != nullptr));
+    f.log.take().newest(NewestPage{{putRestored("a", "2", 4)}, false, restored(5)});
+    BOOST_TEST(f.takeReported() == "a=2 -lost filled ");
+    f.pass(std::chrono::milliseconds(500));
+    BOOST_TEST((f.log.reads.front().from == restored(5)));
+    f.log.take().tail(TailPage{.records = {putRestored("lost", "3", 5)}, .end = restored(6)});
+    BOOST_TEST(f.takeReported() == "lost=3 ");
+}
+
+/// The restored log has grown beyond the view's position before the next read, so that nothing but
+/// the era shows that records are missing.
+BOOST_AUTO_TEST_CASE(tailOfARestoredLogDoesNotContinueWhatIsKnown)
+{
+    Fixture f;
+    f.log.answerNewest({put("a", "1", 3)}, 4);
+    f.pass(std::chrono::milliseconds(500));
+    f.takeReported();
+    f.log.take().tail(TailPage{.records = {putRestored("b", "1", 4)}, .end = restored(5)});
+    BOOST_TEST(f.takeReported().empty());
+    f.log.take().newest(
+        NewestPage{{putRestored("a", "2", 3), putRestored("b", "1", 4)}, false, restored(5)});
+    BOOST_TEST(f.takeReported() == "a=2 b=1 filled ");
+}
+
+BOOST_AUTO_TEST_CASE(listingThatSpansARestorationStartsAgain)
+{
+    Fixture f;
+    f.log.answerNewest({put("a", "1", 3)}, 10, true);
+    f.log.take().newest(NewestPage{{putRestored("b", "1", 2)}, false, restored(3)});
+    BOOST_TEST(!f.view.isFilled());
+    BOOST_TEST(f.log.reads.front().after.empty());
+    f.log.take().newest(
+        NewestPage{{putRestored("a", "0", 1), putRestored("b", "1", 2)}, false, restored(3)});
+    BOOST_TEST(f.takeReported() == "up a=1 a=0 b=1 filled ");
+}
+
+BOOST_AUTO_TEST_CASE(lateAnswerFromBeforeARestorationIsIgnored)
+{
+    Fixture f;
+    f.log.take().newest(NewestPage{{putRestored("a", "2", 3)}, false, restored(4)});
+    f.takeReported();
+    f.pass(std::chrono::milliseconds(500));
+    f.log.answerTail({put("a", "1", 4)}, 5);
+    BOOST_TEST(f.takeReported().empty());
+    f.pass(std::chrono::milliseconds(100));
+    BOOST_TEST((f.log.reads.front().from == restored(4)));
+}
+
+/// A read that waits at the old end of the log would notice the restoration only when its wait
+/// ends.
+BOOST_AUTO_TEST_CASE(readOfAnEarlierEraIsRepeated)
+{
+    Fixture f;
+    f.log.answerNewest({put("a", "1", 3)}, 4);
+    f.pass(std::chrono::milliseconds(500));
+    const ReadId waiting = f.log.reads.front().id;
+    f.view.setEra(Base::LogEra(0));
+    BOOST_TEST((f.log.reads.front().id == waiting));
+    f.view.setEra(Base::LogEra(1));
+    BOOST_REQUIRE(f.log.reads.size() == 1U);
+    BOOST_TEST((f.log.reads.front().id != waiting));
+}
--- a/tests/auto/simulation/checks.cpp
+++ b/tests/auto/simulation/checks.cpp
@@ -69,6 +69,7 @@
         addToFingerprint(vm, 0);
         writeTrace(vm, "starts");
         std::erase_if(m_latestStarts, [vm](const auto &start) { return start.first.first == vm; });
+        std::erase_if(m_leftStarts, [vm](const auto &start) { return std::get<0>(start) == vm; });
     };
     m_world.events.configured = [this](VmIndex vm, std::uint64_t oldRevision,
                                        std::uint64_t newRevision) {
@@ -129,6 +130,15 @@
                         endpoint.id.value() + " at router " + std::to_string(vm));
     }
     newest = *endpoint.startedAt;
+    const auto start = std::make_tuple(vm, endpoint.id.value(), *endpoint.startedAt);
+    // Records from just before an endpoint left may be read after it is known to have left.
+    const bool hasLeft = m_world.endpoints().hasLeftBefore(number, *endpoint.startedAt,
+                                                           m_world.now() - propagationBound);
+    if (endpoint.state == Fleet::EndpointState::Draining)
+        m_leftStarts.insert(start);
+    else if (hasLeft && m_leftStarts.contains(start))
+        reportViolation("an endpoint that is known to have left became ready again",
+                        endpoint.id.value() + " at router " + std::to_string(vm));
 }
 
 void Checks::checkRemoval(VmIndex vm, const Fleet::Endpoint &endpoint)
@@ -137,6 +147,8 @@
     addToFingerprint(vm, number);
     writeTrace(vm, endpoint.id.value() + " removed");
     m_latestStarts.erase({vm, endpoint.id.value()});
+    if (endpoint.startedAt)
+        m_leftStarts.insert({vm, endpoint.id.value(), *endpoint.startedAt});
     if (m_world.endpoints().isExpiredByOutage(number)) {
         reportViolation("a router removed an endpoint whose entry expired during a store outage",
                         endpoint.id.value() + " at router " + std::to_string(vm));
--- a/tests/auto/simulation/checks.h
+++ b/tests/auto/simulation/checks.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -75,6 +76,8 @@
     /// The newest start time that each router has known of an endpoint; erased when the router
     /// removes the endpoint.
     std::map<std::pair<VmIndex, std::string>, Lagoonbank::Base::WallTime> m_latestStarts;
+    /// Starts that a router has known to be draining or gone.
+    std::set<std::tuple<VmIndex, std::string, Lagoonbank::Base::WallTime>> m_leftStarts;
     /// When each data centre last had exactly one leader, and the fleet exactly one store reader.
     std::map<std::string, Duration> m_lastUniqueAt;
     // Sent bytes and pulls of each VM at the time when the fleet had settled.
--- a/tests/auto/simulation/history.cpp
+++ b/tests/auto/simulation/history.cpp
@@ -32,7 +32,8 @@
                                                             "StartAgain",
                                                             "Unreadable",
                                                             "LateWrite",
-                                                            "Configure"};
+                                                            "Configure",
+                                                            "StoreRestored"};
 
 constexpr std::uint64_t maxDataCentres = 3;
 constexpr std::uint64_t maxRouters = 3; ///< Per data centre.
@@ -46,6 +47,10 @@
 /// Size of a compressed configuration with 1,400 routes.
 constexpr std::uint64_t maxExtraConfigurationBytes = 90000;
 constexpr std::uint64_t restartTimeCount = 3;
+constexpr std::uint64_t maxRestorations = 2;
+/// A store is restored within a moment, from a copy that is some seconds old.
+constexpr std::uint64_t maxRestorationMs = 4000;
+constexpr std::uint64_t maxCopyAgeMs = 6000;
 
 std::size_t randomValue(StepKind kind, RandomSource &random)
 {
@@ -65,9 +70,10 @@
 
 Step randomStep(const History &history, std::size_t routers, RandomSource &random)
 {
-    Step step{.kind = static_cast<StepKind>(random.below(stepKindCount)),
-              .atMs = static_cast<std::int64_t>(random.below(maxStepStartMs)),
-              .durationMs = 100 + static_cast<std::int64_t>(random.below(maxFaultDurationMs))};
+    Step step{
+        .kind = static_cast<StepKind>(random.below(static_cast<std::uint64_t>(firstKindNotDrawn))),
+        .atMs = static_cast<std::int64_t>(random.below(maxStepStartMs)),
+        .durationMs = 100 + static_cast<std::int64_t>(random.below(maxFaultDurationMs))};
     const bool isEndpointStep = step.kind >= StepKind::Drain && step.kind <= StepKind::LateWrite;
     step.target = random.below(isEndpointStep ? history.endpoints : routers);
     step.other = isEndpointStep ? random.below(2) : random.below(routers);
@@ -77,6 +83,12 @@
     return step;
 }
 
+void sortSteps(History &history)
+{
+    std::stable_sort(history.steps.begin(), history.steps.end(),
+                     [](const Step &a, const Step &b) { return a.atMs < b.atMs; });
+}
+
 } // namespace
 
 History historyFromSeed(std::uint64_t seed)
@@ -93,8 +105,23 @@
     const std::size_t steps = 1 + random.below(maxSteps);
     for (std::size_t i = 0; i < steps; ++i)
         history.steps.push_back(randomStep(history, routers, random));
-    std::sort(history.steps.begin(), history.steps.end(),
-              [](const Step &a, const Step &b) { return a.atMs < b.atMs; });
+    sortSteps(history);
+    return history;
+}
+
+History historyWithRestorations(std::uint64_t seed)
+{
+    History history = historyFromSeed(seed);
+    RandomSource random(~seed);
+    const std::size_t restorations = 1 + random.below(maxRestorations);
+    for (std::size_t i = 0; i < restorations; ++i) {
+        history.steps.push_back(
+            {.kind = StepKind::StoreRestored,
+             .atMs = static_cast<std::int64_t>(random.below(maxStepStartMs)),
+             .durationMs = 100 + static_cast<std::int64_t>(random.below(maxRestorationMs)),
+             .value = random.below(maxCopyAgeMs)});
+    }
+    sortSteps(history);
     return history;
 }
 
--- a/tests/auto/simulation/history.h
+++ b/tests/auto/simulation/history.h
@@ -35,9 +35,13 @@
                 ///< a RestartTime.
     Unreadable, ///< target: an endpoint, whose entry is overwritten by an unreadable one.
     LateWrite, ///< target: an endpoint; see SimulatedEndpoints::writeLate().
-    Configure ///< value: size of the new configuration in bytes.
+    Configure, ///< value: size of the new configuration in bytes.
+    StoreRestored ///< For all routers: calls fail; at the end the store comes back as it was value
+                  ///< ms before the step.
 };
-constexpr std::size_t stepKindCount = 23;
+constexpr std::size_t stepKindCount = 24;
+/// historyFromSeed() draws from the kinds before this one, so that a seed keeps its history.
+constexpr auto firstKindNotDrawn = StepKind::StoreRestored;
 
 /// A fault, which ends after its duration, or an event without a duration.
 struct Step
@@ -62,6 +66,8 @@
 };
 
 History historyFromSeed(std::uint64_t seed);
+/// The same history with one or two restorations of the store from an older copy.
+History historyWithRestorations(std::uint64_t seed);
 std::int64_t endOfStepsMs(const History &history);
 /// The history as a C++ initialiser, which can be pasted into a test.
 std::string toText(const History &history);
--- a/tests/auto/simulation/simulatedendpoints.cpp
+++ b/tests/auto/simulation/simulatedendpoints.cpp
@@ -54,6 +54,8 @@
     if (!process.isAlive || process.endpoint.state == Fleet::EndpointState::Draining)
         return;
     process.endpoint.state = Fleet::EndpointState::Draining;
+    process.sequence += Fleet::EntrySequence(1);
+    recordLeft(process);
     write(process);
     process.end = m_options.worldTimers->start(drainTime, [this, number] { leave(number); });
 }
@@ -71,17 +73,24 @@
 void SimulatedEndpoints::crash(std::size_t number)
 {
     Process &process = m_endpoints.at(number);
+    recordLeft(process);
     process.isAlive = false;
     process.isExpired = false;
     m_options.worldTimers->cancel(process.heartbeat);
     m_options.worldTimers->cancel(process.end);
 }
 
+void SimulatedEndpoints::recordLeft(Process &process) const
+{
+    process.leftAt.try_emplace(*process.endpoint.startedAt, m_options.worldTimers->clock().now());
+}
+
 void SimulatedEndpoints::restart(std::size_t number, RestartTime startTime, bool isAtSameAddress)
 {
     Process &process = m_endpoints.at(number);
     crash(number);
-    process.previous = process.endpoint;
+    process.previous = entryOf(process);
+    process.sequence = Fleet::EntrySequence(1);
     process.isAlive = true;
     process.endpoint.state = Fleet::EndpointState::Ready;
     if (!isAtSameAddress)
@@ -114,7 +123,7 @@
     const Process &process = m_endpoints.at(number);
     // Only if the current start is running, as it soon overwrites the entry.
     if (process.previous && process.isAlive && isStoreAvailable())
-        m_options.store->append(Topic::Endpoints, id(number), toText(*process.previous));
+        m_options.store->append(Topic::Endpoints, id(number), *process.previous);
 }
 
 void SimulatedEndpoints::storeFailed()
@@ -125,12 +134,13 @@
 void SimulatedEndpoints::storeRecovered()
 {
     const Base::MonoTime now = m_options.worldTimers->clock().now();
-    if (now - m_storeFailedAt >= minNoticedOutage)
+    // Every reader notices a restoration by the era of the answers.
+    const bool wasRestored = m_restoredAt && *m_restoredAt >= m_storeFailedAt;
+    if (wasRestored || now - m_storeFailedAt >= minNoticedOutage)
         m_noticedRecoveryAt = now;
     const bool expiresAtRecovery = !std::exchange(m_expiresDuringOutage, false);
     for (Process &process : m_endpoints) {
-        const Base::Duration age = now - process.writtenAt;
-        if (expiresAtRecovery && age > maxMissedHeartbeats * heartbeatInterval)
+        if (expiresAtRecovery && isExpiryDue(process))
             expire(process, true);
     }
     m_expiresDuringOutage = m_random.chance(50);
@@ -141,6 +151,17 @@
     }
 }
 
+void SimulatedEndpoints::storeRestored()
+{
+    m_restoredAt = m_options.worldTimers->clock().now();
+    const auto &keys = m_options.store->keys(Topic::Endpoints);
+    for (Process &process : m_endpoints) {
+        const auto entry = keys.find(process.endpoint.id.value());
+        const bool isMissing = entry == keys.end() || !entry->second.value;
+        process.isExpired = process.isAlive && (process.isExpired || isMissing);
+    }
+}
+
 std::size_t SimulatedEndpoints::numberOf(const Base::EndpointId &id)
 {
     const std::string &text = id.value();
@@ -173,6 +194,22 @@
         < *std::max_element(process.starts.begin(), process.starts.end());
 }
 
+bool SimulatedEndpoints::hasLeftBefore(std::size_t number, Base::WallTime startedAt,
+                                       Base::MonoTime time) const
+{
+    const Process &process = m_endpoints.at(number);
+    const bool isUnique = std::count(process.starts.begin(), process.starts.end(), startedAt) == 1;
+    if (!isUnique || isClockSetBack(number) || process.wasUnreadable)
+        return false;
+    const auto left = process.leftAt.find(startedAt);
+    return left != process.leftAt.end() && left->second < time;
+}
+
+std::string SimulatedEndpoints::entryOf(const Process &process)
+{
+    return toText(process.endpoint, process.sequence);
+}
+
 bool SimulatedEndpoints::isStoreAvailable() const
 {
     return m_options.storeFaults->activeRefusals + m_options.storeFaults->activeSilences == 0;
@@ -193,23 +230,27 @@
     if (!process.isAlive || !isStoreAvailable())
         return;
     process.writtenAt = m_options.worldTimers->clock().now();
-    m_options.store->append(Topic::Endpoints, process.endpoint.id.value(),
-                            toText(process.endpoint));
+    m_options.store->append(Topic::Endpoints, process.endpoint.id.value(), entryOf(process));
     // An entry that is written again at once was never missing for routers.
     process.isExpired = false;
 }
 
 void SimulatedEndpoints::checkExpiry()
 {
-    const Base::MonoTime now = m_options.worldTimers->clock().now();
     for (Process &process : m_endpoints) {
-        const bool isDue = now - process.writtenAt > maxMissedHeartbeats * heartbeatInterval;
-        if (isDue && (isStoreAvailable() || m_expiresDuringOutage))
+        if (isExpiryDue(process) && (isStoreAvailable() || m_expiresDuringOutage))
             expire(process, !isStoreAvailable());
     }
     m_options.worldTimers->start(expiryCheckInterval, [this] { checkExpiry(); });
 }
 
+bool SimulatedEndpoints::isExpiryDue(const Process &process) const
+{
+    const Base::MonoTime since =
+        std::max(process.writtenAt, m_restoredAt.value_or(process.writtenAt));
+    return m_options.worldTimers->clock().now() - since > maxMissedHeartbeats * heartbeatInterval;
+}
+
 void SimulatedEndpoints::expire(Process &process, bool isByOutage)
 {
     const auto &keys = m_options.store->keys(Topic::Endpoints);
@@ -217,8 +258,7 @@
     if (known == keys.end() || !known->second.value)
         return;
     // Routers may remove an entry at once that a previous start wrote or that cannot be parsed.
-    process.isExpired =
-        process.isAlive && isByOutage && *known->second.value == toText(process.endpoint);
+    process.isExpired = process.isAlive && isByOutage && *known->second.value == entryOf(process);
     m_options.store->append(Topic::Endpoints, process.endpoint.id.value(), std::nullopt);
 }
 
--- a/tests/auto/simulation/simulatedrouter.cpp
+++ b/tests/auto/simulation/simulatedrouter.cpp
@@ -1,8 +1,10 @@
 #include "auto/simulation/simulatedrouter.h"
 
 #include "auto/simulation/simulatedconfiguration.h"
+#include "base/logoffset.h"
 #include "schema/messagecodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Simulation {
@@ -133,14 +135,15 @@
 
 void SimulatedRouter::makeLink()
 {
-    m_run->link = std::make_unique<StoreLink>(
-        StoreLink::Options{.store = m_options.store,
-                           .sharedFaults = m_options.storeFaults,
-                           .routerFaults = &storeFaults,
-                           .worldTimers = m_options.worldTimers,
-                           .timers = &m_timers,
-                           .post = [this](std::function<void()> step) { post(std::move(step)); },
-                           .seed = m_options.seed + m_runNumber});
+    m_run->link = std::make_unique<StoreLink>(StoreLink::Options{
+        .store = m_options.store,
+        .sharedFaults = m_options.storeFaults,
+        .routerFaults = &storeFaults,
+        .worldTimers = m_options.worldTimers,
+        .timers = &m_timers,
+        .post = [this](std::function<void()> step) { post(std::move(step)); },
+        .answeredInEra = [run = m_run.get()](Base::LogEra era) { run->sync->setStoreEra(era); },
+        .seed = m_options.seed + m_runNumber});
 }
 
 KeyedLog::KeyedView::Options SimulatedRouter::viewOptions(Topic topic)
@@ -207,6 +210,17 @@
 {
     FleetSync::FleetSync &sync = *m_run->sync;
     sync.roleChanged = [this](bool reads) { setReading(reads); };
+    sync.storeEraChanged = [this](std::optional<Base::LogEra> before, Base::LogEra era) {
+        if (before)
+            m_run->registry->writeAgain();
+        // Not at once: this may be called for the answer to a read of one of the views.
+        m_timers.start(Base::Duration::zero(), [this, era, run = m_runNumber] {
+            if (!m_run || run != m_runNumber)
+                return;
+            m_run->configurationView->setEra(era);
+            m_run->endpointView->setEra(era);
+        });
+    };
     sync.configurationPulled = [this](const FleetSync::StoredConfiguration &configuration) {
         applyConfiguration(configuration.packed, configuration.offset);
     };
@@ -277,14 +291,15 @@
 
 void SimulatedRouter::applyConfiguration(const std::string &text, Base::LogOffset offset)
 {
-    if (m_run->configurationOffset && offset <= *m_run->configurationOffset)
+    const std::optional<Base::LogOffset> known = m_run->configurationOffset;
+    if (known && offset <= *known && Base::eraOf(offset) == Base::eraOf(*known))
         return;
+    m_run->configurationOffset = std::max(known.value_or(offset), offset);
     const std::uint64_t revision = readConfiguration(text).revision;
     if (revision <= m_run->configuration)
         return;
     m_options.events->configured(m_options.vm, m_run->configuration, revision);
     m_run->configuration = revision;
-    m_run->configurationOffset = offset;
     m_run->sync->setConfiguration(
         {.revision = Base::Revision(revision), .offset = offset, .packed = text});
 }
--- a/tests/auto/simulation/storelink.cpp
+++ b/tests/auto/simulation/storelink.cpp
@@ -120,6 +120,12 @@
         return;
     }
     Answer answer = call.perform(isWaitOver || call.wait == Base::Duration::zero());
+    if (answer) {
+        answer = [this, era = m_options.store->era(), answer = std::move(answer)] {
+            m_options.answeredInEra(era);
+            answer();
+        };
+    }
     const bool isFirst = !std::exchange(call.isWaiting, !answer);
     if (answer)
         reply(id, std::move(answer));
--- a/tests/auto/simulation/storelink.h
+++ b/tests/auto/simulation/storelink.h
@@ -38,6 +38,8 @@
         Lagoonbank::Runtime::TimerQueue *timers = nullptr;
         /// Runs a function in the router, now or when it resumes after a freeze.
         std::function<void(std::function<void()>)> post;
+        /// Called in the router with the era of each answer, before the answer is passed on.
+        std::function<void(Lagoonbank::Base::LogEra era)> answeredInEra;
         std::uint64_t seed = 1;
     };
 
--- a/tests/auto/simulation/tst_simulation.cpp
+++ b/tests/auto/simulation/tst_simulation.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <string>
@@ -39,26 +40,15 @@
         play(minimised, [](const std::string &line) { std::cout << line << '\n'; });
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_CASE(sameSeedGivesSameHistory)
-{
-    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
-        const Outcome first = play(historyFromSeed(seed));
-        const Outcome second = play(historyFromSeed(seed));
-        BOOST_TEST(first.fingerprint == second.fingerprint, "seed " << seed);
-        BOOST_TEST(first.fingerprint != 0U);
-    }
-}
-
-BOOST_AUTO_TEST_CASE(historiesSatisfyTheRules)
+/// Plays the histories that \a historyOf returns for the seeds.
+void playAll(const std::function<History(std::uint64_t seed)> &historyOf)
 {
     const std::uint64_t first = numberFrom("LAGOONBANK_SIMULATION_FIRST", 1);
     const std::uint64_t count = numberFrom("LAGOONBANK_SIMULATION_COUNT", countInCi);
     const auto startedAt = std::chrono::steady_clock::now();
     std::map<std::string, int> failing;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        const History history = historyFromSeed(seed);
+        const History history = historyOf(seed);
         const auto violation = play(history).violation;
         if (violation && ++failing[violation->rule] <= maxShown)
             show(history, *violation);
@@ -68,3 +58,25 @@
     for (const auto &[rule, times] : failing)
         BOOST_TEST(times == 0, rule << ": " << times << " histories");
 }
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sameSeedGivesSameHistory)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+        const Outcome first = play(historyFromSeed(seed));
+        const Outcome second = play(historyFromSeed(seed));
+        BOOST_TEST(first.fingerprint == second.fingerprint, "seed " << seed);
+        BOOST_TEST(first.fingerprint != 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(historiesSatisfyTheRules)
+{
+    playAll(historyFromSeed);
+}
+
+BOOST_AUTO_TEST_CASE(historiesWithRestorationsOfTheStoreSatisfyTheRules)
+{
+    playAll(historyWithRestorations);
+}
--- a/tests/auto/simulation/world.cpp
+++ b/tests/auto/simulation/world.cpp
@@ -14,6 +14,8 @@
 /// All VMs of a fleet start within this time.
 constexpr Base::Duration startSpread = milliseconds(300);
 constexpr std::size_t firstConfigurationBytes = 4000;
+/// The operator writes again within this time what a restored store has lost.
+constexpr Base::Duration rewriteTime = milliseconds(1900);
 /// Revisions need not be consecutive.
 constexpr std::uint64_t revisionStep = 3;
 
@@ -21,6 +23,7 @@
 
 World::World(const History &history)
     : m_history(history)
+    , m_random(history.seed)
 {
     m_network = std::make_unique<SimulatedNetwork>(SimulatedNetwork::Options{
         .worldTimers = &m_timers,
@@ -152,6 +155,14 @@
     case StepKind::StoreSlow:
         forAllRouters(&StoreFaults::activeSlowdowns);
         return true;
+    case StepKind::StoreRestored:
+        // Takes effect before the refusals end.
+        m_timers.start(milliseconds(step.durationMs),
+                       [this, copyTime = m_clock.now() - milliseconds(step.value)] {
+                           restoreStore(copyTime);
+                       });
+        forAllRouters(&StoreFaults::activeRefusals);
+        return true;
     case StepKind::StoreRefusesOne:
         forOneRouter(&StoreFaults::activeRefusals);
         return true;
@@ -304,8 +315,28 @@
         return;
     }
     m_revision += revisionStep;
-    m_store.append(Topic::Configuration, configurationKey,
-                   toText(SimulatedConfiguration{.revision = m_revision, .bytes = bytes}));
+    m_configuration = toText(SimulatedConfiguration{.revision = m_revision, .bytes = bytes});
+    m_store.append(Topic::Configuration, configurationKey, m_configuration);
+}
+
+void World::restoreStore(Base::MonoTime copyTime)
+{
+    m_store.restore(copyTime);
+    m_endpoints->storeRestored();
+    m_timers.start(m_random.between(Base::Duration::zero(), rewriteTime),
+                   [this] { writeConfigurationAgain(); });
+}
+
+void World::writeConfigurationAgain()
+{
+    if (isStoreUnavailable()) {
+        m_timers.start(milliseconds(100), [this] { writeConfigurationAgain(); });
+        return;
+    }
+    const auto &keys = m_store.keys(Topic::Configuration);
+    const auto current = keys.find(configurationKey);
+    if (current == keys.end() || current->second.value != m_configuration)
+        m_store.append(Topic::Configuration, configurationKey, m_configuration);
 }
 
 } // namespace Simulation
--- a/tests/auto/simulation/world.h
+++ b/tests/auto/simulation/world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auto/simulation/history.h"
+#include "auto/simulation/randomsource.h"
 #include "auto/simulation/simulatedendpoints.h"
 #include "auto/simulation/simulatedrouter.h"
 #include "runtime/clock.h"
@@ -62,6 +63,8 @@
         return m_storeFaults.activeRefusals + m_storeFaults.activeSilences > 0;
     }
     void configure(std::size_t bytes);
+    void restoreStore(Lagoonbank::Base::MonoTime copyTime);
+    void writeConfigurationAgain();
     SimulatedRouter &router(VmIndex vm) { return *m_routers.at(vm); }
     Lagoonbank::Base::MonoTime nextDue();
 
@@ -77,6 +80,8 @@
     std::vector<FaultState> m_vmFaults; ///< Fault state of each VM.
     FaultState m_storeFaultState;
     std::uint64_t m_revision = 0;
+    std::string m_configuration; ///< As last written by the operator.
+    RandomSource m_random;
 };
 
 } // namespace Simulation
