Soak: Restore the store from older copies

Configurations change each second, and routers must have them in force after 2 s once the store and they were calm for 3 s. The entries of engines count their changes, as they do on the platform.

--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -10,6 +10,9 @@
 DRAIN_S = 5.0
 # A router, an engine or the store counts as undisturbed this long after its last fault.
 STABLE_S = 4.0
+# Time from the write of a configuration until it must be in force, and the time without faults of
+# the store and the router after which that is checked.
+CONFIGURATION_S, CONFIGURATION_STABLE_S = 2.0, 3.0
 
 
 class Disturbances:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,6 +2,7 @@
 """Runs real routers, with a store, engines and callers, under faults and checks their guarantees.
 
 Usage: soak.py --router BINARY [--seed N] [--seconds S] [--routers N] [--engines N] [--callers N]
+       [--restorations]
 The same seed gives the same faults at the same times. Prints each violated guarantee and exits 1 if
 there is one. Ends only the processes that it started, by their ids.
 """
@@ -18,6 +19,7 @@
 import tempfile
 import time
 
+import restoration
 import rules
 import wire
 import world
@@ -62,6 +64,16 @@
         if self.process.poll() is None:
             self.process.send_signal(signal_number)
 
+    async def metric(self, name):
+        """The value of a metric without labels."""
+        reader, writer = await asyncio.open_connection(self.ip, METRICS)
+        writer.write(wire.message("GET /metrics HTTP/1.1", {"host": "h"}))
+        _, fields = await wire.read_head(reader)
+        text = (await wire.read_whole_body(reader, fields)).decode()
+        writer.close()
+        return next(float(line.split()[1]) for line in text.splitlines()
+                    if line.startswith(f"{name} "))
+
     @staticmethod
     async def wait_for_exit(process, seconds):
         """Waits for a process to exit; returns False if it is still running."""
@@ -202,6 +214,7 @@
         await asyncio.sleep(1.5)
         await self.store.put("keyed.servers", engine.id, "")
         engine.boot += 1
+        engine.changes = 0
         engine.started_ms = time.time_ns() // 1_000_000
         await self.warm_up(engine)
         engine.is_changing = False
@@ -261,6 +274,8 @@
     async def inject_faults(self):
         """Starts random faults until the time is up; they may overlap."""
         faults = sorted(name for name in dir(self) if name.startswith("fault_"))
+        if self.options.restorations:
+            faults.remove("fault_store")  # It would leave no time in which the store is stable.
         running = []
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
@@ -272,6 +287,46 @@
             await asyncio.sleep(self.rng.uniform(0.1, 0.9))
         await asyncio.gather(*running)
 
+    async def restore_store(self):
+        """Restores the store from older copies, under frequent changes of the configuration."""
+        rng = world.random_generator(self.options.seed, "restorations")
+        end = asyncio.get_running_loop().time() + self.options.seconds
+        restorations = restoration.Restorations(self.store, self.disturbing, rng)
+        await asyncio.gather(restorations.run(end), self.configure_often(end),
+                             self.check_configurations(end))
+
+    async def configure_often(self, end):
+        """Writes newer configurations until `end` on the loop's clock."""
+        rng = world.random_generator(self.options.seed, "configurations")
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(rng.uniform(0.4, 1.2))
+            await self.fault_configure(rng)
+
+    async def check_configurations(self, end):
+        """Checks the configurations of the routers until `end` on the loop's clock."""
+        written = collections.deque()  # (Time, version), oldest first.
+        due = 0
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0.25)
+            written.append((time.monotonic(), self.version))
+            while time.monotonic() - written[0][0] > rules.CONFIGURATION_S:
+                due = written.popleft()[1]
+            for router in self.routers:
+                if self.disturbances.is_undisturbed("store", rules.CONFIGURATION_STABLE_S) \
+                        and self.disturbances.is_undisturbed(f"router {router.number}",
+                                                             rules.CONFIGURATION_STABLE_S):
+                    await self.check_configuration(router, due)
+
+    async def check_configuration(self, router, due):
+        """The router must have this version of the configuration, or a newer one, in force."""
+        try:
+            revision = await router.metric("lagoonbank_gateway_configuration_revision")
+        except (wire.ConnectionBroken, OSError):
+            return  # A fault has just begun.
+        if revision < due:
+            self.violations.append(f"router {router.number} has configuration {revision:.0f} in "
+                                   f"force instead of {due}")
+
     # Callers.
 
     async def run_caller(self, number):
@@ -369,7 +424,10 @@
         servers = await self.set_up()
         await asyncio.sleep(1)
         callers = [asyncio.create_task(self.run_caller(i)) for i in range(self.options.callers)]
-        await self.inject_faults()
+        if self.options.restorations:
+            await asyncio.gather(self.inject_faults(), self.restore_store())
+        else:
+            await self.inject_faults()
         await asyncio.sleep(RECOVERY_S)
         since = time.monotonic() - 2
         recent = [served for answered_at, served in self.recent_results if answered_at > since]
@@ -395,6 +453,8 @@
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--engines", type=int, default=8)
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--restorations", action="store_true",
+                        help="restore the store from older copies, beside all faults but its own")
     parser.add_argument("--net", type=int, default=77,
                         help="second octet of the loopback addresses; differs for concurrent runs")
     parser.add_argument("--keep", help="folder for settings and logs; default: a new one")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -73,27 +73,47 @@
 
     def __init__(self):
         self.records = {}  # topic -> list of (key, value)
+        self.times = {}  # topic -> times of its records
+        self.written = {}  # topic -> newest value of each key, whether or not it was lost since
+        self.era = 1
         self.status = 200
+        self.is_away = False
         self.delay = 0.0
         self.changed = asyncio.Condition()
 
     async def put(self, topic, key, value):
         """Appends a record; an empty value removes the key."""
+        self.written.setdefault(topic, {})[key] = value
         async with self.changed:
             self.records.setdefault(topic, []).append((key, value))
+            self.times.setdefault(topic, []).append(time.monotonic())
             self.changed.notify_all()
 
+    def restore(self, age):
+        """Reverts all topics to their state of `age` seconds ago."""
+        self.era += 1
+        for topic, times in self.times.items():
+            count = sum(1 for written_at in times if written_at <= time.monotonic() - age)
+            del times[count:], self.records[topic][count:]
+
+    def newest(self, topic):
+        """The newest value of each key, empty if the key was removed."""
+        return dict(self.records.get(topic, []))
+
     async def handle(self, start_line, fields, body, writer):
         """Handles one call."""
         del fields
         await asyncio.sleep(self.delay)
         path, _, query = start_line.split(" ")[1].partition("?")
         parameters = dict(item.split("=", 1) for item in query.split("&"))
-        if self.status != 200:
-            writer.write(wire.message(f"HTTP/1.1 {self.status} No", {}))
-            return True
-        answer = await getattr(self, path.rsplit("/", 1)[1].replace("-", "_"))(parameters, body)
-        writer.write(wire.message("HTTP/1.1 200 OK", {}, answer))
+        status = 503 if self.is_away else self.status
+        era = self.era
+        answer = b""
+        if status == 200:
+            answer = await getattr(self, path.rsplit("/", 1)[1].replace("-", "_"))(parameters, body)
+        if era != self.era or answer is None:
+            status, answer = 410, b'{"first":0}'
+        writer.write(wire.message(f"HTTP/1.1 {status} -", {"store-era": self.era}, answer))
         await writer.drain()
         return True
 
@@ -107,11 +127,13 @@
         return json.dumps({"items": items, "has_more": False, "end": len(records)}).encode()
 
     async def log_read(self, parameters, body):
-        """The records from an offset on; waits for new ones up to wait_ms."""
+        """The records from an offset on; waits for new ones up to wait_ms. None beyond the end."""
         del body
         start = int(parameters["from"])
         def end():
             return len(self.records.get(parameters["topic"], []))
+        if start > end():
+            return None
         async with self.changed:
             try:
                 await asyncio.wait_for(self.changed.wait_for(lambda: end() > start),
@@ -167,6 +189,7 @@
         self.rng = rng
         self.mode = "good"
         self.boot = 0
+        self.changes = 0  # Of the entry since the start of the engine.
         self.started_ms = time.time_ns() // 1_000_000
         self.is_changing = False
         self.address = None
@@ -183,9 +206,10 @@
     def entry(self, state="ready"):
         """The engine's entry in the store."""
         cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
+        self.changes += 1
         return json.dumps({"service": self.service, "address": self.address,
                            "zone": self.data_centre, "version": "v1", "slots": 8, "state": state,
-                           "seq": self.boot, "warmup_left_ms": cold_ms, "born": self.started_ms})
+                           "seq": self.changes, "warmup_left_ms": cold_ms, "born": self.started_ms})
 
     async def handle(self, start_line, fields, body, writer):
         """Handles one request; returns whether the connection is kept."""
