--- a/tests/auto/fleetsync/syncfleet.h
+++ b/tests/auto/fleetsync/syncfleet.h
@@ -229,6 +229,7 @@
                 router->directory->put({entry.first, Base::LogOffset(entry.second)});
             }
             router->directory->reconcile(present, Base::LogOffset(++m_offset));
+            router->sync->setStoreEra(Base::LogEra(1));
             router->sync->storeRead();
             if (m_operatorOffset > 0)
                 router->sync->drains().replace(m_drained, Base::LogOffset(m_operatorOffset));
