FleetSync: Let a router that registers again do so once

A router that was still registering when the store was restored went on with its earlier calls beside the new ones. A router's process destroys its registry only at its end, when no timer runs any more, so callers saw nothing.

Answers to calls from before writeAgain() are ignored now, and its timer is the only one.

--- a/src/libs/fleetsync/routerregistry.cpp
+++ b/src/libs/fleetsync/routerregistry.cpp
@@ -33,6 +33,7 @@
 void RouterRegistry::writeAgain()
 {
     m_options.timers->cancel(m_timer);
+    m_isCurrent = std::make_shared<bool>(true); // Answers to earlier calls are ignored.
     retry(&RouterRegistry::write);
 }
 
@@ -41,8 +42,8 @@
     m_options.write(
         m_options.id,
         formatRegistryEntry({m_options.dataCentre, m_options.address, m_options.strength}),
-        [this, isAlive = std::weak_ptr<bool>(m_isAlive)](const Errors::Result<void> &result) {
-            if (isAlive.expired())
+        [this, isCurrent = std::weak_ptr<bool>(m_isCurrent)](const Errors::Result<void> &result) {
+            if (isCurrent.expired())
                 return;
             if (result)
                 readAll();
@@ -54,9 +55,9 @@
 void RouterRegistry::read(const std::string &after)
 {
     m_options.source.readNewest(after,
-                                [this, isAlive = std::weak_ptr<bool>(m_isAlive)](
+                                [this, isCurrent = std::weak_ptr<bool>(m_isCurrent)](
                                     const Errors::Result<KeyedLog::NewestPage> &page) {
-                                    if (!isAlive.expired())
+                                    if (!isCurrent.expired())
                                         pageRead(page);
                                 });
 }
--- a/src/libs/fleetsync/routerregistry.h
+++ b/src/libs/fleetsync/routerregistry.h
@@ -52,8 +52,8 @@
     PlatformClient::Backoff m_backoff;
     bool m_isDone = false;
     Runtime::TimerId m_timer;
-    /// Lets callbacks detect that this object has been destroyed.
-    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    /// Lets callbacks detect that this object has been destroyed or writes again.
+    std::shared_ptr<bool> m_isCurrent = std::make_shared<bool>(true);
 };
 
 /// Entry of one router in the log.
--- a/tests/auto/fleetsync/tst_routerregistry.cpp
+++ b/tests/auto/fleetsync/tst_routerregistry.cpp
@@ -4,6 +4,7 @@
 #include "fleetsync/routerregistry.h"
 #include "runtime/clock.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,9 @@
         return [this](const std::string &key, const std::string &value, auto written) {
             ++writes;
             lastWrite = key + "=" + value;
-            if (isDown)
+            if (holdsAnswers)
+                heldAnswer = written;
+            else if (isDown)
                 written(Errors::makeError(Errors::ErrorKind::LogUnavailable));
             else
                 written(boost::outcome_v2::success());
@@ -44,6 +47,8 @@
     }
 
     bool isDown = false;
+    bool holdsAnswers = false;
+    std::function<void(Errors::Result<void>)> heldAnswer;
     int reads = 0;
     int writes = 0;
     std::string lastWrite;
@@ -141,3 +146,20 @@
     BOOST_TEST(f.log.reads > reads);
     BOOST_TEST(f.registry.isDone());
 }
+
+/// Guards against two sequences of calls side by side, one of whose timers outlived the registry.
+BOOST_AUTO_TEST_CASE(answerToAnEarlierWriteIsIgnoredOnceWrittenAgain)
+{
+    Fixture f;
+    f.log.holdsAnswers = true;
+    f.registry.start();
+    const auto earlierAnswer = f.log.heldAnswer;
+    f.registry.writeAgain();
+    earlierAnswer(boost::outcome_v2::success());
+    BOOST_TEST(f.log.reads == 0);
+    f.clock.advance(std::chrono::seconds(1));
+    f.timers.runDue();
+    BOOST_TEST(f.log.writes == 2);
+    f.log.heldAnswer(boost::outcome_v2::success());
+    BOOST_TEST(f.registry.isDone());
+}
