--- a/tests/auto/adapter/onerouter.h
+++ b/tests/auto/adapter/onerouter.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// An endpoint that answers all requests at once, with a status and headers set by the test.
@@ -99,3 +100,9 @@
     std::unique_ptr<Lagoonbank::Platform::RouterProcess> router;
     int calls = 0;
 };
+
+/// Whether an answer as received by a caller contains the text.
+inline bool has(const std::string &answer, std::string_view text)
+{
+    return answer.find(text) != std::string::npos;
+}
--- a/tests/auto/adapter/tst_endpointselfreport.cpp
+++ b/tests/auto/adapter/tst_endpointselfreport.cpp
@@ -2,7 +2,6 @@
 #include "auto/adapter/onerouter.h"
 
 #include <string>
-#include <string_view>
 
 using namespace Lagoonbank;
 using std::chrono::milliseconds;
@@ -20,11 +19,6 @@
 /// Maximum time from the report that an endpoint is leaving to the last request that it gets.
 constexpr auto drainTime = seconds(2);
 
-bool has(const std::string &answer, std::string_view text)
-{
-    return answer.find(text) != std::string::npos;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(leavingEndpointGetsNoNewRequests)
--- a/tests/auto/adapter/tst_restoredstore.cpp
+++ b/tests/auto/adapter/tst_restoredstore.cpp
@@ -3,7 +3,6 @@
 
 #include <memory>
 #include <string>
-#include <string_view>
 
 using namespace Lagoonbank;
 using std::chrono::milliseconds;
@@ -41,11 +40,6 @@
     }
 };
 
-bool has(const std::string &answer, std::string_view text)
-{
-    return answer.find(text) != std::string::npos;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(configurationWrittenAfterRestorationIsInForceInTime)
