Gateway: Log what the retry budget of a failed attempt consists of

Support: a request that is not retried for lack of budget shows only what is left of it. Whether a router that has just started has a budget of its own, or shares the slack with too few others, could not be told from that.

"Attempt failed." now has the service, the requests and retries that the budget counts, and this router's part of the slack. No logic changes.

--- a/src/libs/gateway/fleetretrybudget.cpp
+++ b/src/libs/gateway/fleetretrybudget.cpp
@@ -20,12 +20,18 @@
     return counts;
 }
 
+FleetRetryBudget::Usage FleetRetryBudget::usageOf(const Counts &counts) const
+{
+    return {.requests = std::accumulate(counts.requests.begin(), counts.requests.end(), 0U),
+            .retries = std::accumulate(counts.retries.begin(), counts.retries.end(), 0U),
+            .slack = m_options.slack / m_routerCount};
+}
+
 double FleetRetryBudget::remainingOf(const Counts &counts) const
 {
-    const double requests = std::accumulate(counts.requests.begin(), counts.requests.end(), 0U);
-    const double retries = std::accumulate(counts.retries.begin(), counts.retries.end(), 0U);
-    const double budget = m_options.ratio * requests + m_options.slack / m_routerCount;
-    return budget * m_options.usedShare - retries;
+    const Usage usage = usageOf(counts);
+    const double budget = m_options.ratio * usage.requests + usage.slack;
+    return budget * m_options.usedShare - usage.retries;
 }
 
 void FleetRetryBudget::requestArrived(const Base::ServiceId &service, Base::MonoTime now)
@@ -56,6 +62,11 @@
     }
 }
 
+FleetRetryBudget::Usage FleetRetryBudget::usage(const Base::ServiceId &service, Base::MonoTime now)
+{
+    return usageOf(countsAt(service, now));
+}
+
 double FleetRetryBudget::remaining(const Base::ServiceId &service, Base::MonoTime now)
 {
     return remainingOf(countsAt(service, now));
--- a/src/libs/gateway/fleetretrybudget.h
+++ b/src/libs/gateway/fleetretrybudget.h
@@ -40,6 +40,14 @@
     bool spend(const Base::ServiceId &service, Base::MonoTime now);
     /// Adds a retry that was taken from the budget but reached no endpoint to the budget again.
     void refund(const Base::ServiceId &service, Base::MonoTime now);
+    /// What determines the retries of a service that remain in the current window.
+    struct Usage
+    {
+        std::uint32_t requests = 0; ///< Requests that arrived within the window.
+        std::uint32_t retries = 0; ///< Retries taken within the window.
+        double slack = 0; ///< This router's part of the slack.
+    };
+    Usage usage(const Base::ServiceId &service, Base::MonoTime now);
     /// Retries that remain in the current window.
     double remaining(const Base::ServiceId &service, Base::MonoTime now);
 
@@ -54,6 +62,7 @@
     };
 
     Counts &countsAt(const Base::ServiceId &service, Base::MonoTime now);
+    Usage usageOf(const Counts &counts) const;
     double remainingOf(const Counts &counts) const;
 
     Options m_options;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -231,6 +231,8 @@
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
     cancelAttempt();
     const bool isRetried = mayRetry();
+    const FleetRetryBudget::Usage budget =
+        m_gateway.m_retryBudget.usage(m_service, m_timers.clock().now());
     m_gateway.m_options.log->request(
         part, "Attempt failed.",
         {{"request", m_request.id.value()},
@@ -245,6 +247,10 @@
          {"quiet_ms", m_timers.clock().now() - m_lastActivityAt},
          {"all_quiet_ms", m_timers.clock().now() - m_gateway.m_endpoints.lastContactAt()},
          {"repeats_left", m_gateway.m_retryBudget.remaining(m_service, m_timers.clock().now())},
+         {"service", m_service.value()},
+         {"budget_requests", budget.requests},
+         {"budget_repeats", budget.retries},
+         {"budget_slack", budget.slack},
          {"left_ms", timeLeft()}});
     if (isRetried)
         retry(failure);
