Gateway: Add failing tests for the retry budget of routers that start

In the tests all routers of a fleet are killed each 1.5 s, or none can read the registry of routers, while all requests are retried as often as the budget allows. The limit is the operators' own.

The existing case for the sliding window uses the same fleet now; its load, bound and moments are the same.

--- a/tests/auto/gateway/tst_fleetretrybudget.cpp
+++ b/tests/auto/gateway/tst_fleetretrybudget.cpp
@@ -21,55 +21,120 @@
     return {.ratio = 0.2, .window = std::chrono::seconds(10), .slack = 52};
 }
 
+/// Routers that share the budget. Each retries all of its requests as long as its part allows.
+class RetryingFleet
+{
+public:
+    explicit RetryingFleet(int routers)
+        : m_routers(routers)
+    { }
+
+    /// Starts the processes of all routers, without what earlier ones knew. The new ones know the
+    /// number of routers only if \a isFleetKnown.
+    void start(Base::MonoTime now, bool isFleetKnown)
+    {
+        m_startedAt = now;
+        m_budgets.assign(static_cast<std::size_t>(m_routers), FleetRetryBudget(usersOptions()));
+        for (FleetRetryBudget &budget : m_budgets)
+            budget.setRouterCount(isFleetKnown ? m_routers : 1);
+    }
+    Base::MonoTime startedAt() const { return m_startedAt; }
+    void requestArrived(Base::MonoTime now)
+    {
+        FleetRetryBudget &budget = m_budgets[m_next++ % m_budgets.size()];
+        budget.requestArrived(service, now);
+        m_requests.push_back(now);
+        if (budget.spend(service, now))
+            m_retries.push_back(now);
+    }
+    /// Whether the retries of the last window are within the limit, whose requests are those of
+    /// this window, of the previous one or of the one half a window earlier, whichever has most.
+    bool isLimitKept(Base::MonoTime now) const
+    {
+        const auto requests =
+            std::max({countIn(m_requests, now), countIn(m_requests, now - window / 2),
+                      countIn(m_requests, now - window)});
+        const double limit =
+            usersOptions().ratio * static_cast<double>(requests) + usersOptions().slack;
+        return static_cast<double>(countIn(m_retries, now)) <= limit;
+    }
+
+private:
+    static constexpr Base::Duration window = std::chrono::seconds(10);
+
+    static std::ptrdiff_t countIn(const std::deque<Base::MonoTime> &times, Base::MonoTime end)
+    {
+        return std::count_if(times.begin(), times.end(),
+                             [end](Base::MonoTime at) { return at <= end && at > end - window; });
+    }
+
+    int m_routers;
+    Base::MonoTime m_startedAt{};
+    std::vector<FleetRetryBudget> m_budgets;
+    std::size_t m_next = 0;
+    std::deque<Base::MonoTime> m_requests;
+    std::deque<Base::MonoTime> m_retries;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(fleetKeepsTheLimitInAnyWindow)
 {
     for (const int routers : {1, 6, 100}) {
-        BOOST_TEST_CONTEXT(routers << " routers")
-        {
-            std::vector<FleetRetryBudget> budgets(static_cast<std::size_t>(routers),
-                                                  FleetRetryBudget(usersOptions()));
-            for (FleetRetryBudget &budget : budgets)
-                budget.setRouterCount(routers);
-            // 120 requests a second over all routers; each asks for a retry.
-            std::deque<Base::MonoTime> requests;
-            std::deque<Base::MonoTime> retries;
-            std::size_t next = 0;
-            bool isKept = true;
-            for (int ms = 0; ms < 60000; ms += 10) {
-                const Base::MonoTime now{std::chrono::hours(1) + std::chrono::milliseconds(ms)};
-                // No requests for 10 s, then all at once, which is the worst case for a sliding
-                // window.
-                const bool isQuiet = ms % 30000 < 10000;
-                for (int i = 0; i < (isQuiet ? 0 : 2); ++i) {
-                    FleetRetryBudget &budget = budgets[next++ % budgets.size()];
-                    budget.requestArrived(service, now);
-                    requests.push_back(now);
-                    if (budget.spend(service, now))
-                        retries.push_back(now);
-                }
-                // The limit is based on the maximum of the requests in this window, in the previous
-                // one, and in the window half a window earlier.
-                const auto countIn = [now](const std::deque<Base::MonoTime> &times,
-                                           Base::Duration before) {
-                    const Base::MonoTime end = now - before;
-                    return std::count_if(times.begin(), times.end(), [end](Base::MonoTime at) {
-                        return at <= end && at > end - std::chrono::seconds(10);
-                    });
-                };
-                const bool isChecked = ms % 250 == 0;
-                if (!isChecked)
-                    continue;
-                const auto maxRequests = std::max({countIn(requests, std::chrono::seconds(0)),
-                                                   countIn(requests, std::chrono::seconds(5)),
-                                                   countIn(requests, std::chrono::seconds(10))});
-                const double limit = 0.2 * static_cast<double>(maxRequests) + 52;
-                isKept = isKept
-                    && static_cast<double>(countIn(retries, std::chrono::seconds(0))) <= limit;
-            }
-            BOOST_TEST(isKept);
+        // 200 requests a second over all routers; each asks for a retry.
+        RetryingFleet fleet(routers);
+        const Base::MonoTime start{std::chrono::hours(1)};
+        fleet.start(start, true);
+        bool isKept = true;
+        for (int ms = 0; ms < 60000; ms += 10) {
+            const Base::MonoTime now = start + std::chrono::milliseconds(ms);
+            // No requests for 10 s, then all at once, which is the worst case for a sliding window.
+            const bool isQuiet = ms % 30000 < 10000;
+            for (int i = 0; i < (isQuiet ? 0 : 2); ++i)
+                fleet.requestArrived(now);
+            isKept = isKept && (ms % 250 != 0 || fleet.isLimitKept(now));
+        }
+        BOOST_TEST(isKept, routers << " routers");
+    }
+}
+
+/// Guards against a fresh slack for each process: all routers are killed each 1.5 s while all
+/// endpoints fail.
+BOOST_AUTO_TEST_CASE(restartedRoutersKeepTheLimit)
+{
+    for (const int routers : {1, 6, 8, 100}) {
+        RetryingFleet fleet(routers);
+        const Base::MonoTime start{std::chrono::hours(1)};
+        fleet.start(start, true);
+        bool isKept = true;
+        for (int ms = 0; ms < 40000; ms += 10) {
+            const Base::MonoTime now = start + std::chrono::milliseconds(ms);
+            const bool isKilling =
+                ms > 15000 && now - fleet.startedAt() >= std::chrono::milliseconds(1500);
+            if (isKilling)
+                fleet.start(now, true);
+            fleet.requestArrived(now);
+            isKept = isKept && (ms % 250 != 0 || fleet.isLimitKept(now));
+        }
+        BOOST_TEST(isKept, routers << " routers");
+    }
+}
+
+/// Guards against the whole slack for each router that does not know the others: all routers start
+/// while the store is away, so that they can read no registry.
+BOOST_AUTO_TEST_CASE(routersThatDoNotKnowTheFleetKeepTheLimit)
+{
+    for (const int routers : {6, 100}) {
+        RetryingFleet fleet(routers);
+        const Base::MonoTime start{std::chrono::hours(1)};
+        fleet.start(start, false);
+        bool isKept = true;
+        for (int ms = 0; ms < 40000; ms += 10) {
+            const Base::MonoTime now = start + std::chrono::milliseconds(ms);
+            fleet.requestArrived(now);
+            isKept = isKept && (ms % 250 != 0 || fleet.isLimitKept(now));
         }
+        BOOST_TEST(isKept, routers << " routers");
     }
 }
 
