Gateway: Give a router that starts no slack for retries at first

Callers: requests that endpoints rejected or failed were retried up to a tenth more often than the fleet's budget allows, while routers were killed and started again; endpoints that were failing got that much more load.

Cause: the retry budget is counted by each process alone. One that starts has forgotten what the process before it spent, so that each restart added the router's part of the slack once more.

Change: a process has no slack before it is one window old. Of the processes of one router at most one uses slack in any window, however often it is restarted. Retries that requests earn are there at once. Weighed against it: asking peers what they have spent, which fails when all are killed together, and the store, which costs calls and may be away just then.

--- a/src/libs/gateway/fleetretrybudget.cpp
+++ b/src/libs/gateway/fleetretrybudget.cpp
@@ -20,16 +20,17 @@
     return counts;
 }
 
-FleetRetryBudget::Usage FleetRetryBudget::usageOf(const Counts &counts) const
+FleetRetryBudget::Usage FleetRetryBudget::usageOf(const Counts &counts, Base::MonoTime now) const
 {
+    const bool hasSlack = now - m_startedAt >= m_options.window;
     return {.requests = std::accumulate(counts.requests.begin(), counts.requests.end(), 0U),
             .retries = std::accumulate(counts.retries.begin(), counts.retries.end(), 0U),
-            .slack = m_options.slack / m_routerCount};
+            .slack = hasSlack ? m_options.slack / m_routerCount : 0};
 }
 
-double FleetRetryBudget::remainingOf(const Counts &counts) const
+double FleetRetryBudget::remainingOf(const Counts &counts, Base::MonoTime now) const
 {
-    const Usage usage = usageOf(counts);
+    const Usage usage = usageOf(counts, now);
     const double budget = m_options.ratio * usage.requests + usage.slack;
     return budget * m_options.usedShare - usage.retries;
 }
@@ -43,7 +44,7 @@
 bool FleetRetryBudget::spend(const Base::ServiceId &service, Base::MonoTime now)
 {
     Counts &counts = countsAt(service, now);
-    if (remainingOf(counts) < 1)
+    if (remainingOf(counts, now) < 1)
         return false;
     ++counts.retries.at(static_cast<std::size_t>(counts.slice) % sliceCount);
     return true;
@@ -64,12 +65,12 @@
 
 FleetRetryBudget::Usage FleetRetryBudget::usage(const Base::ServiceId &service, Base::MonoTime now)
 {
-    return usageOf(countsAt(service, now));
+    return usageOf(countsAt(service, now), now);
 }
 
 double FleetRetryBudget::remaining(const Base::ServiceId &service, Base::MonoTime now)
 {
-    return remainingOf(countsAt(service, now));
+    return remainingOf(countsAt(service, now), now);
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/fleetretrybudget.h
+++ b/src/libs/gateway/fleetretrybudget.h
@@ -27,8 +27,9 @@
         double usedShare = 0.7;
     };
 
-    explicit FleetRetryBudget(Options options)
+    FleetRetryBudget(Options options, Base::MonoTime startedAt)
         : m_options(options)
+        , m_startedAt(startedAt)
     { }
 
     void setOptions(const Options &options) { m_options = options; }
@@ -45,7 +46,7 @@
     {
         std::uint32_t requests = 0; ///< Requests that arrived within the window.
         std::uint32_t retries = 0; ///< Retries taken within the window.
-        double slack = 0; ///< This router's part of the slack.
+        double slack = 0; ///< This router's part of the slack; 0 while it has none yet.
     };
     Usage usage(const Base::ServiceId &service, Base::MonoTime now);
     /// Retries that remain in the current window.
@@ -62,10 +63,11 @@
     };
 
     Counts &countsAt(const Base::ServiceId &service, Base::MonoTime now);
-    Usage usageOf(const Counts &counts) const;
-    double remainingOf(const Counts &counts) const;
+    Usage usageOf(const Counts &counts, Base::MonoTime now) const;
+    double remainingOf(const Counts &counts, Base::MonoTime now) const;
 
     Options m_options;
+    Base::MonoTime m_startedAt; ///< When this process started.
     int m_routerCount = 1;
     absl::flat_hash_map<Base::ServiceId, Counts> m_services;
 };
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -73,7 +73,8 @@
                       .timers = &m_options.loop->timers(),
                       .check = connectionCheck(*m_options.client)})
     , m_placement(m_options.placement)
-    , m_retryBudget(m_options.retryBudget)
+    , m_retryBudget(m_options.retryBudget,
+                    m_options.startedAt.value_or(m_options.loop->clock().now()))
     , m_loadShedder(m_options.loadShedding)
     , m_admissionQueue({.timers = &m_options.loop->timers()})
     , m_backlog(m_options.backlog)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -122,6 +122,8 @@
         Placement::Options placement;
         PromptDirectory::Options prompts;
         EndpointRegistry::Options endpoints;
+        /// When the process started; the construction of the gateway if unset.
+        std::optional<Base::MonoTime> startedAt;
         FleetRetryBudget::Options retryBudget;
         LoadShedder::Options loadShedding;
         BacklogControl::Options backlog;
