Gateway, Platform: Give routers that do not know the fleet no slack for retries

Change: there is no slack before the registry has been read. The number of routers that is known without it still divides connections and load, where a share that is too large for a moment breaks no limit of the fleet.

Evidence: routersThatDoNotKnowTheFleetKeepTheLimit failed before with 6 and 100 routers. Retries that requests earn are there all the same.

--- a/src/libs/gateway/fleetretrybudget.cpp
+++ b/src/libs/gateway/fleetretrybudget.cpp
@@ -22,7 +22,7 @@
 
 FleetRetryBudget::Usage FleetRetryBudget::usageOf(const Counts &counts, Base::MonoTime now) const
 {
-    const bool hasSlack = now - m_startedAt >= m_options.window;
+    const bool hasSlack = m_routerCount > 0 && now - m_startedAt >= m_options.window;
     return {.requests = std::accumulate(counts.requests.begin(), counts.requests.end(), 0U),
             .retries = std::accumulate(counts.retries.begin(), counts.retries.end(), 0U),
             .slack = hasSlack ? m_options.slack / m_routerCount : 0};
--- a/src/libs/gateway/fleetretrybudget.h
+++ b/src/libs/gateway/fleetretrybudget.h
@@ -68,7 +68,7 @@
 
     Options m_options;
     Base::MonoTime m_startedAt; ///< When this process started.
-    int m_routerCount = 1;
+    int m_routerCount = 0; ///< 0 while unknown.
     absl::flat_hash_map<Base::ServiceId, Counts> m_services;
 };
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -120,10 +120,11 @@
         m_admissionQueue.slotMayBeFree(service);
 }
 
-void Gateway::setRouterCount(std::size_t routers)
+void Gateway::setRouterCount(std::size_t routers, bool isComplete)
 {
     m_routerCount = std::max<std::size_t>(1, routers);
-    m_retryBudget.setRouterCount(static_cast<int>(m_routerCount));
+    if (isComplete)
+        m_retryBudget.setRouterCount(static_cast<int>(m_routerCount));
     m_endpoints.setRouterCount(m_routerCount);
     const Base::MonoTime now = m_options.loop->clock().now();
     for (const auto &[service, endpoints] : m_endpoints.services()) {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -153,8 +153,9 @@
     {
         m_retryBudget.setOptions(options);
     }
-    /// Sets the number of routers of the fleet, which share its retry budget.
-    void setRouterCount(std::size_t routers);
+    /// Sets the number of known routers of the fleet, this one included. They share its retry
+    /// budget once the number is complete, that is includes all registered routers.
+    void setRouterCount(std::size_t routers, bool isComplete);
 
     /// Endpoint loads to be sent to peers.
     Schema::LoadUpdate loadsForPeers();
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -53,6 +53,7 @@
         : settle(settleTime)
     {
         using namespace Lagoonbank;
+        gateway.setRouterCount(1, true);
         for (int i = 0; i < endpointCount; ++i) {
             endpoints.push_back(std::make_unique<FakeEndpoint>());
             gateway.endpoints().put({.id = Base::EndpointId("e" + std::to_string(i)),
--- a/tests/auto/gateway/tst_fleetretrybudget.cpp
+++ b/tests/auto/gateway/tst_fleetretrybudget.cpp
@@ -36,8 +36,10 @@
         m_startedAt = now;
         m_budgets.assign(static_cast<std::size_t>(m_routers),
                          FleetRetryBudget(usersOptions(), now));
-        for (FleetRetryBudget &budget : m_budgets)
-            budget.setRouterCount(isFleetKnown ? m_routers : 1);
+        for (FleetRetryBudget &budget : m_budgets) {
+            if (isFleetKnown)
+                budget.setRouterCount(m_routers);
+        }
     }
     Base::MonoTime startedAt() const { return m_startedAt; }
     void requestArrived(Base::MonoTime now)
@@ -162,6 +164,7 @@
     Gateway::FleetRetryBudget budget(
         {.ratio = 0, .window = std::chrono::seconds(10), .slack = 3, .usedShare = 1},
         now - std::chrono::seconds(10));
+    budget.setRouterCount(1);
     BOOST_TEST(budget.spend(service, now));
     now += std::chrono::seconds(1);
     BOOST_TEST(budget.spend(service, now));
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -340,7 +340,7 @@
             .revision = Base::Revision(1),
             .routes = {route},
             .services = {{.name = Base::ServiceId("service"), .maxConnections = 20}}}));
-    f.gateway.setRouterCount(5);
+    f.gateway.setRouterCount(5, true);
     std::vector<RawSocket> callers;
     for (int i = 0; i < 6; ++i) {
         callers.push_back(f.call());
