Gateway: Let a router that starts send nothing to cold endpoints at first

A cold endpoint that gets more requests than it sustains answers all of them late.

Cause: each process counts the requests that it sent to a cold endpoint within the last second by itself, and routers are ready 0.2 s after they start. All routers that are killed and started again within a second may send their shares twice.

Change: a process sends nothing to cold endpoints for the length of that window, 1.05 s, as the process before it may have used the share just before.

Evidence: restartedRoutersStayWithinTheBound; without the change all of its 12 combinations of fleet size and interval exceed the operators' bound.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -25,6 +25,15 @@
 /// the answers of endpoints above it.
 constexpr Placement::LoadThreshold fleetBound{.meanLoadFactor = 2, .slack = 3};
 
+/// Returns the options with the start of the process for all parts that depend on it.
+Gateway::Options withStart(Gateway::Options options)
+{
+    if (!options.startedAt)
+        options.startedAt = options.loop->clock().now();
+    options.endpoints.warmupQuota.startedAt = options.startedAt;
+    return options;
+}
+
 /// Returns the options with the features disabled that `options.policy` switches off.
 Gateway::Options applyPolicySwitches(Gateway::Options options)
 {
@@ -65,7 +74,7 @@
 } // namespace
 
 Gateway::Gateway(Options options)
-    : m_options(applyPolicySwitches(std::move(options)))
+    : m_options(applyPolicySwitches(withStart(std::move(options))))
     , m_endpoints(m_options.endpoints)
     , m_loadSharing({.registry = &m_endpoints})
     , m_health({.registry = &m_endpoints, .clock = &m_options.loop->clock(), .log = m_options.log})
@@ -73,8 +82,7 @@
                       .timers = &m_options.loop->timers(),
                       .check = connectionCheck(*m_options.client)})
     , m_placement(m_options.placement)
-    , m_retryBudget(m_options.retryBudget,
-                    m_options.startedAt.value_or(m_options.loop->clock().now()))
+    , m_retryBudget(m_options.retryBudget, *m_options.startedAt)
     , m_loadShedder(m_options.loadShedding)
     , m_admissionQueue({.timers = &m_options.loop->timers()})
     , m_backlog(m_options.backlog)
--- a/src/libs/gateway/warmupquota.cpp
+++ b/src/libs/gateway/warmupquota.cpp
@@ -23,6 +23,8 @@
 bool WarmupQuota::admits(WarmupRecord &record, std::uint64_t endpointHash, double sustainableRate,
                          Base::MonoTime now) const
 {
+    if (m_options.startedAt && now - *m_options.startedAt < m_options.window)
+        return false;
     std::erase_if(record.sends, [&](Base::MonoTime at) { return now - at >= m_options.window; });
     return record.sends.size() < requestsPerWindow(record, endpointHash, sustainableRate);
 }
--- a/src/libs/gateway/warmupquota.h
+++ b/src/libs/gateway/warmupquota.h
@@ -39,6 +39,9 @@
         Base::Duration window = std::chrono::milliseconds(1050);
         /// Number of routers assumed while the fleet is unknown: that of the largest fleet.
         std::size_t assumedFleetSize = 330;
+        /// When the process started. Nothing is sent to cold endpoints within a window after that,
+        /// as the process that it replaces may have used the router's share just before.
+        std::optional<Base::MonoTime> startedAt;
     };
     struct Fleet
     {
--- a/tests/auto/gateway/tst_warmupquota.cpp
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -56,6 +57,15 @@
         }
         quotas[static_cast<std::size_t>(router)].setFleet(std::move(fleet));
     }
+    /// Replaces the processes of all routers.
+    void restart(Base::MonoTime now)
+    {
+        for (WarmupQuota &quota : quotas)
+            quota = WarmupQuota({.startedAt = now});
+        records.assign(records.size(), {});
+        for (int i = 0; i < static_cast<int>(quotas.size()); ++i)
+            setKnownFleet(i, static_cast<int>(quotas.size()), true);
+    }
     /// Maximum number of requests in any second.
     std::size_t maxRequestsInOneSecond(std::uint64_t endpoint, Base::Duration duration = seconds(3))
     {
@@ -63,6 +73,9 @@
         std::deque<Base::MonoTime> sends;
         std::mt19937_64 random(endpoint);
         for (Base::MonoTime now = start; now < start + duration; now += milliseconds(1)) {
+            if (restartInterval && now > start
+                && (now - start) % *restartInterval == Base::Duration())
+                restart(now);
             // Each router has a few hundred requests a second from its callers.
             for (std::size_t i = 0; i < quotas.size(); ++i) {
                 if (random() % 4 != 0
@@ -80,6 +93,7 @@
 
     std::vector<WarmupQuota> quotas;
     std::vector<WarmupRecord> records;
+    std::optional<Base::Duration> restartInterval; ///< Time between two calls of restart().
 };
 
 struct PlacementFixture
@@ -178,6 +192,20 @@
     }
 }
 
+/// Guards against a fresh quota for each process: all routers are killed and started again while
+/// endpoints are cold.
+BOOST_AUTO_TEST_CASE(restartedRoutersStayWithinTheBound)
+{
+    for (const int routers : {1, 6, 24, 85}) {
+        for (const int interval : {300, 700, 1200}) {
+            RouterFleet fleet(routers);
+            fleet.restartInterval = milliseconds(interval);
+            BOOST_TEST(fleet.maxRequestsInOneSecond(7919) <= maxRequestsPerSecond,
+                       routers << " routers restarted every " << interval << " ms");
+        }
+    }
+}
+
 /// All routers restarted while the store is down, so that none knows any peer.
 BOOST_AUTO_TEST_CASE(unknownFleetStaysWithinTheBound)
 {
