Gateway, Platform: Log when a router reaches no endpoint at all

Support: a router that is cut off from all endpoints logged one line for each of them, as if so many had crashed, and refused its callers; whether it was alone with that could not be told without comparing all routers' lines.

No logic changes.

--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -171,6 +171,13 @@
     return found;
 }
 
+std::size_t EndpointRegistry::unreachableCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_records.begin(), m_records.end(),
+                      [](const auto &entry) { return entry.second->isUnreachable; }));
+}
+
 EndpointPtr EndpointRegistry::find(const Base::EndpointId &id) const
 {
     const auto found = m_records.find(id);
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -185,6 +185,8 @@
     /// Finds an endpoint by EndpointRecord::startHash; null if it is unknown.
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
+    /// Number of endpoints to which no connection can be opened.
+    std::size_t unreachableCount() const;
     /// Endpoints of these data centres get no new requests.
     void setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres, Base::MonoTime now);
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -102,6 +102,7 @@
                                                     : "Endpoint is reachable again.",
                              {{"endpoint", endpoint.info.id.value()},
                               {"data_centre", endpoint.info.dataCentre.value()}});
+        logIsolation();
     };
 }
 
@@ -172,6 +173,18 @@
     counter->second.increment();
 }
 
+void Gateway::logIsolation()
+{
+    const bool isIsolated = m_endpoints.unreachableCount() == m_endpoints.size();
+    if (std::exchange(m_isIsolated, isIsolated) == isIsolated)
+        return;
+    m_options.log->event(
+        part, isIsolated ? "No endpoint is reachable." : "Endpoints are reachable again.",
+        {{"endpoints", m_endpoints.size()},
+         {"since_contact_ms", m_options.loop->clock().now() - m_endpoints.lastContactAt()},
+         {"in_flight", m_runs.size()}});
+}
+
 std::int64_t Gateway::knowledgeAgeMs() const
 {
     const auto age = m_options.stateAge ? m_options.stateAge() : std::nullopt;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -217,6 +217,8 @@
     ConcurrencyLimit &concurrencyLimit(const Base::ServiceId &service);
     /// Processes an endpoint's load report. Wakes waiting requests if more slots are free now.
     void loadReported(EndpointRecord &endpoint, const LoadReport &report);
+    /// Logs when the router loses its connections to all endpoints, and when one is back.
+    void logIsolation();
     void endpointCrashed(const EndpointRecord &endpoint,
                          const std::vector<RequestFingerprint> &requests);
     void noteQuarantined(RequestFingerprint request, std::string_view from);
@@ -229,6 +231,7 @@
     LoadSharing m_loadSharing;
     EndpointHealth m_health;
     Reachability m_reachability;
+    bool m_isIsolated = false; ///< No endpoint is reachable.
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
     LoadShedder m_loadShedder;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -54,6 +54,12 @@
            "Endpoints that are known.",
            "It falls: endpoints left, crashed, or their entries in the store lapsed.",
            {}},
+    Metric{"lagoonbank_gateway_unreachable_endpoints",
+           Kind::Gauge,
+           "endpoints",
+           "Known endpoints to which this router can open no connection.",
+           "All of them on one router only: it is cut off from the endpoints.",
+           {}},
     Metric{"lagoonbank_gateway_configuration_revision",
            Kind::Gauge,
            "revision",
@@ -164,6 +170,7 @@
     , firstEvent(registry.histogram("lagoonbank_gateway_first_event_seconds"))
     , requestTime(registry.histogram("lagoonbank_gateway_request_seconds"))
     , endpoints(registry.gauge("lagoonbank_gateway_endpoints"))
+    , unreachableEndpoints(registry.gauge("lagoonbank_gateway_unreachable_endpoints"))
     , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
     , storeEra(registry.gauge("lagoonbank_gateway_store_era"))
     , peerBytes(registry.counter("lagoonbank_gateway_peer_bytes_total"))
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -20,6 +20,7 @@
     Metrics::Histogram firstEvent;
     Metrics::Histogram requestTime;
     Metrics::Gauge endpoints;
+    Metrics::Gauge unreachableEndpoints;
     Metrics::Gauge configuration;
     Metrics::Gauge storeEra;
     Metrics::Counter peerBytes;
