Gateway, Platform: Relay requests to peers that reach the endpoints

Cause: a router had nowhere to go with a request but to endpoints. It noticed the cut within 0.1 to 0.7 s and refused at once, so that detection was ruled out; it stays in service, as callers, store and peers reach it.

Change: if no endpoint is left for a request and some are only out of this router's reach, the request is relayed to a peer, over the port on which routers serve each other. The peer admits it by its key and route, places and repeats it like its own, and answers with the endpoint's own head. Peers are tracked like endpoints, in a registry of their own. A relayed request is not relayed again; a peer that refused one is left alone for 150 ms; one whose peer broke is not sent again, as it may have run. The number of endpoints that it was sent to goes with it, and the budget counts it once. An answer without the mark of a relay counts as not run, so that routers of earlier versions are no trouble.

Weighed: to answer as not ready leaves kept connections, takes two misses, and brings the router back when under half of a data centre is ready; to close callers' connections costs each caller a failed request.

Evidence: requestsAtAPartitionedRouterAreServedByAPeer served 0 of 20 before, 20 now.

Left: a router that reaches a few endpoints still fills these and refuses the rest, as endpoints that are down look the same to it.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -60,11 +60,11 @@
             raw->receive(from, datagram);
         });
     link->m_server = std::make_unique<Http::Server>(Http::Server::Options{
-        .loop = own.loop, .address = own.address, .limits = {.bodyBytes = maxPullRequestBytes}});
+        .loop = own.loop, .address = own.address, .halfCloseMeansDisconnect = true});
     link->m_server->setHandler(
-        [raw = link.get()](const Http::Request &request,
+        [raw = link.get()](Http::Request request,
                            const std::shared_ptr<Http::Responder> &responder) {
-            raw->answer(request, *responder);
+            raw->handleCall(std::move(request), responder);
         });
     BOOST_OUTCOME_TRYV(link->m_server->listen());
     own.sync->send = [raw = link.get()](const auto &to, const auto &beacon) {
@@ -187,6 +187,16 @@
     m_options.sync->pullSucceeded(state.value());
 }
 
+void FleetLink::handleCall(Http::Request request, const std::shared_ptr<Http::Responder> &responder)
+{
+    if (!m_options.relayed || !request.path.starts_with(relayPath)) {
+        answer(request, *responder);
+        return;
+    }
+    request.path.erase(0, relayPath.size());
+    m_options.relayed(std::move(request), responder);
+}
+
 void FleetLink::answer(const Http::Request &request, Http::Responder &responder)
 {
     if (request.path != statePath) {
@@ -194,7 +204,7 @@
         return;
     }
     const auto decoded = Schema::decodeMessage<Schema::FleetStateRequest>(request.body);
-    if (!decoded) {
+    if (request.body.size() > maxPullRequestBytes || !decoded) {
         responder.send(badRequest, {}, {});
         return;
     }
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -27,7 +27,7 @@
 };
 
 /// Network transport of a FleetSync and of the gossips: beacons and gossip in UDP datagrams, pulls
-/// over HTTP on the TCP port of the same number.
+/// and relayed requests over HTTP on the TCP port of the same number.
 class FleetLink
 {
 public:
@@ -45,12 +45,19 @@
         double stateBytesPerSecond = 1e6;
         /// Called for each state that a peer has sent in answer to a pull.
         std::function<void(const Pull &pull, const Schema::FleetStateAnswer &state)> received;
+        /// Called for each request that a peer relays, with the path that the caller sent.
+        std::function<void(Http::Request request,
+                           const std::shared_ptr<Http::Responder> &responder)>
+            relayed;
         /// Called with the size of each message that is sent.
         std::function<void(std::size_t bytes)> sent;
         /// Called for messages that could not be read or encoded and for pulls that failed.
         std::function<void(const Errors::Error &error)> failed;
     };
 
+    /// Precedes the path of a relayed request.
+    static constexpr std::string_view relayPath = "/fleet/relay";
+
     /// Binds both sockets and connects the send and pull hooks of the sync and of the gossips.
     static Errors::Result<std::unique_ptr<FleetLink>> open(Options options);
     ~FleetLink();
@@ -68,6 +75,7 @@
     void pull(const Runtime::SocketAddress &peer, const Schema::FleetStateRequest &request);
     void pullFinished(const Runtime::SocketAddress &peer, Base::MonoTime startedAt,
                       const Http::CallResult &result);
+    void handleCall(Http::Request request, const std::shared_ptr<Http::Responder> &responder);
     void answer(const Http::Request &request, Http::Responder &responder);
 
     Options m_options;
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -1,6 +1,7 @@
 #include "fleetsync/fleetsync.h"
 
 #include "fleetsync/sharedendpoint.h"
+#include "routing/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
@@ -266,6 +267,21 @@
     return ids;
 }
 
+std::vector<const Peer *> FleetSync::relayPeers() const
+{
+    std::vector<const Peer *> peers = stayingPeers();
+    const std::size_t count = std::min(peers.size(), m_options.maxRelayPeers);
+    const std::uint64_t self = Routing::stableHash(m_options.id);
+    const auto order = [self](const Peer *peer) {
+        return Routing::mixHashes(self, Routing::stableHash(peer->id));
+    };
+    std::partial_sort(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(count),
+                      peers.end(),
+                      [&order](const Peer *a, const Peer *b) { return order(a) < order(b); });
+    peers.resize(count);
+    return peers;
+}
+
 void FleetSync::tick()
 {
     m_freshness.arrivalTime();
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -106,6 +106,9 @@
         /// neither side changes. Other peers may be asked meanwhile. Endpoints write their entries
         /// again within this time.
         Base::Duration emptyPullInterval = std::chrono::milliseconds(1500);
+        /// Maximum number of peers to which a router relays requests. If half of the fleet is cut
+        /// off from the endpoints, one of 16 is not with near certainty.
+        std::size_t maxRelayPeers = 16;
     };
 
     explicit FleetSync(Options options);
@@ -185,6 +188,9 @@
     std::vector<Runtime::SocketAddress> peerAddresses() const;
     /// Ids of the routers in peerAddresses().
     std::vector<std::string> peerIds() const;
+    /// Peers to which this router may relay requests: all that are not shutting down or, in a large
+    /// fleet, a selection that differs between routers, so that no peer gets the requests of all.
+    std::vector<const Peer *> relayPeers() const;
 
 private:
     Base::MonoTime now() const { return m_options.timers->clock().now(); }
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -45,6 +45,12 @@
     std::optional<Base::Duration> remainingTimeout; ///< Caller's timeout, counted from arrival.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last stream event that the caller has.
     std::optional<Prompt> prompt;
+    /// Set if a peer relayed the request because it cannot reach the endpoints.
+    struct Relay
+    {
+        int endpoints = 0; ///< Endpoints to which the peer had sent the request before.
+    };
+    std::optional<Relay> relay;
 };
 
 /// The reason why a request is refused instead of answered by an endpoint.
@@ -53,6 +59,7 @@
     Errors::ErrorKind kind = Errors::ErrorKind::Internal;
     Errors::Ran ran = Errors::Ran::No;
     std::optional<Base::Duration> retryAfter; ///< Time after which the caller may retry.
+    bool isToPeer = false; ///< Sent to the peer that relayed the request.
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -30,6 +30,8 @@
     /// Another endpoint whose cache holds parts of the prompt, which can be copied from there. Null
     /// if there is none.
     const Fleet::Endpoint *cacheSource = nullptr;
+    /// For a relayed request: endpoints to which it was sent before.
+    int earlierEndpoints = 0;
 };
 
 /// Information in the head of an endpoint's answer beyond status and headers.
@@ -43,6 +45,8 @@
     bool isWarmingUp = false; ///< The endpoint is cold and can handle few requests yet.
     /// Time for which this router must send the endpoint no request.
     std::optional<Base::Duration> backOffTime;
+    /// For the answer of a peer: the endpoint that produced it; empty if none did.
+    Base::EndpointId endpoint;
 };
 
 /// Encodes requests to endpoints and decodes their answers. Provided by an adapter.
@@ -53,4 +57,14 @@
         readHead;
 };
 
+/// The protocol between two routers of a fleet, one of which relays a request to the other.
+struct RelayProtocol
+{
+    EndpointProtocol peer; ///< Calls to a peer and the heads of its answers.
+    /// Adds the endpoint to the head of an answer to a relayed request.
+    std::function<void(Http::Headers &headers, const Base::EndpointId &endpoint)> addEndpoint;
+    /// Returns the head of a peer's answer without what is meant for this router only.
+    std::function<Http::Headers(const Http::Headers &headers)> headersForCaller;
+};
+
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -87,12 +87,16 @@
     std::optional<Base::MonoTime> failedAt; ///< Time of the last failure.
     Base::MonoTime lastContactAt; ///< When data was last received from it.
 
-    /// Whether the endpoint is available for new requests, now or after its back-off.
-    bool isInService() const
+    /// Whether the endpoint is available for new requests of routers that can reach it, now or
+    /// after its back-off.
+    bool isOpen() const
     {
-        return info.state == Fleet::EndpointState::Ready && !isGone && !isDrained && !isUnreachable
+        return info.state == Fleet::EndpointState::Ready && !isGone && !isDrained
             && !notice.isReplaced && !notice.isLeaving;
     }
+    /// Whether the endpoint is available for new requests of this router, now or after its
+    /// back-off.
+    bool isInService() const { return isOpen() && !isUnreachable; }
     bool takesRequests(Base::MonoTime now) const
     {
         return isInService() && now >= notice.backOffUntil;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -81,6 +81,9 @@
     , m_reachability({.registry = &m_endpoints,
                       .timers = &m_options.loop->timers(),
                       .check = connectionCheck(*m_options.client)})
+    , m_peers({.timers = &m_options.loop->timers(),
+               .log = m_options.log,
+               .check = connectionCheck(*m_options.client)})
     , m_placement(m_options.placement)
     , m_retryBudget(m_options.retryBudget, *m_options.startedAt)
     , m_loadShedder(m_options.loadShedding)
@@ -173,6 +176,14 @@
     counter->second.increment();
 }
 
+bool Gateway::isCutOffFrom(const Base::ServiceId &service) const
+{
+    const std::vector<EndpointPtr> &endpoints = m_endpoints.endpoints(service);
+    return std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointPtr &endpoint) {
+        return endpoint->isUnreachable && endpoint->isOpen();
+    });
+}
+
 void Gateway::logIsolation()
 {
     const bool isIsolated = m_endpoints.unreachableCount() == m_endpoints.size();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "gateway/loadsharing.h"
 #include "gateway/loadshedder.h"
+#include "gateway/peerrouters.h"
 #include "gateway/placement.h"
 #include "gateway/promptdirectory.h"
 #include "gateway/reachability.h"
@@ -101,6 +102,7 @@
         Runtime::Loop *loop = nullptr;
         Http::Client *client = nullptr;
         EndpointProtocol protocol;
+        RelayProtocol relay; ///< Unused without peer routers.
         /// Sends a refusal to a caller, in place of an endpoint's answer.
         std::function<void(Http::Responder &responder, const Refusal &refusal)> refuse;
         /// Returns the age of this router's state of endpoints and configuration, for the log;
@@ -157,6 +159,9 @@
     /// budget once the number is complete, that is includes all registered routers.
     void setRouterCount(std::size_t routers, bool isComplete);
 
+    /// Sets the peers to which requests are relayed while their endpoints cannot be reached.
+    void setPeerRouters(const std::vector<PeerRouter> &peers) { m_peers.set(peers); }
+
     /// Endpoint loads to be sent to peers.
     Schema::LoadUpdate loadsForPeers();
     /// Merges endpoint loads from a peer, which were received \a delay ago.
@@ -217,6 +222,9 @@
     ConcurrencyLimit &concurrencyLimit(const Base::ServiceId &service);
     /// Processes an endpoint's load report. Wakes waiting requests if more slots are free now.
     void loadReported(EndpointRecord &endpoint, const LoadReport &report);
+    /// Whether this router has lost its connections to endpoints of the service that are in service
+    /// otherwise, so that peers may reach them.
+    bool isCutOffFrom(const Base::ServiceId &service) const;
     /// Logs when the router loses its connections to all endpoints, and when one is back.
     void logIsolation();
     void endpointCrashed(const EndpointRecord &endpoint,
@@ -232,6 +240,7 @@
     EndpointHealth m_health;
     Reachability m_reachability;
     bool m_isIsolated = false; ///< No endpoint is reachable.
+    PeerRouters m_peers;
     Placement m_placement;
     FleetRetryBudget m_retryBudget;
     LoadShedder m_loadShedder;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -60,6 +60,18 @@
            "Known endpoints to which this router can open no connection.",
            "All of them on one router only: it is cut off from the endpoints.",
            {}},
+    Metric{"lagoonbank_gateway_relayed_total",
+           Kind::Counter,
+           "sends",
+           "Requests that this router sent to a peer, as it could not reach their endpoints.",
+           "This router is cut off from endpoints; look at the unreachable endpoints.",
+           {}},
+    Metric{"lagoonbank_gateway_relayed_by_peers_total",
+           Kind::Counter,
+           "requests",
+           "Requests that peers sent to this router, as they could not reach their endpoints.",
+           "Peers are cut off from endpoints; the log lines name them.",
+           {}},
     Metric{"lagoonbank_gateway_configuration_revision",
            Kind::Gauge,
            "revision",
@@ -171,6 +183,8 @@
     , requestTime(registry.histogram("lagoonbank_gateway_request_seconds"))
     , endpoints(registry.gauge("lagoonbank_gateway_endpoints"))
     , unreachableEndpoints(registry.gauge("lagoonbank_gateway_unreachable_endpoints"))
+    , relayed(registry.counter("lagoonbank_gateway_relayed_total"))
+    , relayedByPeers(registry.counter("lagoonbank_gateway_relayed_by_peers_total"))
     , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
     , storeEra(registry.gauge("lagoonbank_gateway_store_era"))
     , peerBytes(registry.counter("lagoonbank_gateway_peer_bytes_total"))
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -21,6 +21,8 @@
     Metrics::Histogram requestTime;
     Metrics::Gauge endpoints;
     Metrics::Gauge unreachableEndpoints;
+    Metrics::Counter relayed;
+    Metrics::Counter relayedByPeers;
     Metrics::Gauge configuration;
     Metrics::Gauge storeEra;
     Metrics::Counter peerBytes;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -128,7 +128,8 @@
 bool RequestRun::passesBacklogControl()
 {
     const Base::MonoTime now = m_timers.clock().now();
-    m_gateway.m_retryBudget.requestArrived(m_service, now);
+    if (!m_request.relay) // The peer has counted it.
+        m_gateway.m_retryBudget.requestArrived(m_service, now);
     const Base::Duration delay = m_gateway.ownDelay();
     if (m_gateway.m_backlog.admits(admissionRequest(), delay, now))
         return true;
@@ -187,17 +188,38 @@
     return m_lastEventId ? m_lastEventId : m_request.resumeAfter;
 }
 
-void RequestRun::send(const EndpointPtr &endpoint, const CacheSource &cacheSource)
+EndpointRegistry &RequestRun::registry() const
+{
+    return m_attempt->isRelayed ? m_gateway.m_peers.registry() : m_gateway.m_endpoints;
+}
+
+EndpointHealth &RequestRun::health() const
+{
+    return m_attempt->isRelayed ? m_gateway.m_peers.health() : m_gateway.m_health;
+}
+
+Reachability &RequestRun::reachability() const
+{
+    return m_attempt->isRelayed ? m_gateway.m_peers.reachability() : m_gateway.m_reachability;
+}
+
+void RequestRun::beginAttempt(const EndpointPtr &endpoint, bool isRelayed)
 {
     m_queuedAt.reset();
     m_triedEndpoints.push_back(endpoint);
     Attempt attempt;
     attempt.endpoint = endpoint;
+    attempt.isRelayed = isRelayed;
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
-    m_gateway.m_endpoints.requestSent(*endpoint, m_attempt->startedAt);
-    m_attempt->isPromptNew = m_gateway.notePrompt(m_prefixes, *endpoint, cacheSource.isConfirmed);
+    registry().requestSent(*endpoint, m_attempt->startedAt);
     m_eventSplitter.clear();
+}
+
+void RequestRun::send(const EndpointPtr &endpoint, const CacheSource &cacheSource)
+{
+    beginAttempt(endpoint, false);
+    m_attempt->isPromptNew = m_gateway.notePrompt(m_prefixes, *endpoint, cacheSource.isConfirmed);
     Http::Call call = m_gateway.m_options.protocol.makeCall(
         {.request = &m_request,
          .endpoint = &endpoint->info,
@@ -206,12 +228,17 @@
          .priority = m_priority,
          .resumeAfter = resumeAfter(),
          .cacheSource = cacheSource.endpoint ? &cacheSource.endpoint->info : nullptr});
-    call.freshConnection = !m_route->mayRepeat();
-    call.connectTimeout = m_gateway.m_options.timeouts.connect;
-    call.settleTime = m_gateway.m_options.timeouts.settle;
     // Up to half of the connections may be idle; the other half is left for requests in flight.
     if (const auto share = m_gateway.connectionShare(m_service))
         call.maxIdle = std::min(maxIdleConnections, std::max<std::size_t>(1, *share / 2));
+    startCall(std::move(call));
+}
+
+void RequestRun::startCall(Http::Call call)
+{
+    call.freshConnection = !m_route->mayRepeat();
+    call.connectTimeout = m_gateway.m_options.timeouts.connect;
+    call.settleTime = m_gateway.m_options.timeouts.settle;
     // The run's own timers limit the answer.
     call.headTimeout = defaultTimeout;
     call.progressTimeout = defaultTimeout;
@@ -272,7 +299,9 @@
 
 bool RequestRun::isEndpointLimitReached() const
 {
-    return static_cast<int>(m_mayHaveRunAt.size()) >= m_route->maxEndpoints;
+    const int earlier = m_request.relay ? m_request.relay->endpoints : 0;
+    return m_mayHaveRunAtPeer
+        || earlier + static_cast<int>(m_mayHaveRunAt.size()) >= m_route->maxEndpoints;
 }
 
 bool RequestRun::hasCallerTimedOut() const
@@ -307,9 +336,9 @@
     if (failure.isConnectionBroken)
         noteBrokenConnection();
     if (!failure.mayHaveReached && m_gateway.m_options.policy.reachability)
-        m_gateway.m_reachability.reportUnreachable(m_attempt->endpoint);
+        reachability().reportUnreachable(m_attempt->endpoint);
     else if (failure.mayHaveRun)
-        m_gateway.m_health.answered(*m_attempt->endpoint, false, m_request.id);
+        health().answered(*m_attempt->endpoint, false, m_request.id);
 }
 
 void RequestRun::fail(const Failure &failure)
@@ -351,7 +380,11 @@
              {"own_delay_ms", m_gateway.ownDelay()},
              {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
     }
-    m_gateway.m_options.refuse(*m_responder, {.kind = kind, .ran = ran, .retryAfter = retryAfter});
+    m_gateway.m_options.refuse(*m_responder,
+                               {.kind = kind,
+                                .ran = ran,
+                                .retryAfter = retryAfter,
+                                .isToPeer = m_request.relay.has_value()});
     end("refused", 0);
 }
 
@@ -378,7 +411,7 @@
         return;
     }
     if (m_attempt)
-        m_gateway.m_health.answered(*m_attempt->endpoint, false, m_request.id);
+        health().answered(*m_attempt->endpoint, false, m_request.id);
     cancelAttempt();
     const bool mayHaveRun = !m_mayHaveRunAt.empty();
     fail({.kind = mayHaveRun ? ErrorKind::EndpointTimeout : ErrorKind::EndpointUnreachable,
@@ -400,7 +433,7 @@
 {
     if (!m_attempt)
         return;
-    m_gateway.m_endpoints.requestEnded(*m_attempt->endpoint);
+    registry().requestEnded(*m_attempt->endpoint);
     m_gateway.m_admissionQueue.slotMayBeFree(m_attempt->endpoint->info.service);
     m_attempt.reset();
 }
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -35,6 +35,7 @@
         EndpointPtr endpoint;
         Http::CallId call;
         Base::MonoTime startedAt;
+        bool isRelayed = false; ///< The endpoint is a peer router.
         bool mayHaveBeenSent = false; ///< A byte may have been sent: the request may run.
         bool isPromptNew = false; ///< The endpoint did not hold the prompt before.
         int status = 0;
@@ -116,8 +117,22 @@
     double coldMilliseconds(const EndpointRecord &endpoint) const;
     void logSend(const PlacementResult &placement, const CacheSource &source) const;
     void send(const EndpointPtr &endpoint, const CacheSource &cacheSource);
+    /// Sends the request to a peer router if this one cannot reach the endpoints. False if there is
+    /// no peer, or if the request must not be relayed.
+    bool relayToPeer();
+    void beginAttempt(const EndpointPtr &endpoint, bool isRelayed);
+    void startCall(Http::Call call);
+    /// The registry, health and reachability of what the current attempt is sent to.
+    EndpointRegistry &registry() const;
+    EndpointHealth &health() const;
+    Reachability &reachability() const;
     Http::Hooks hooks();
     void headReceived(int status, const Http::Headers &headers);
+    void readAnswerHead();
+    void requestSent();
+    /// Records that the current attempt did not run.
+    void attemptNotRun();
+    Http::Headers answerHeaders() const;
     void bodyReceived(std::string_view piece);
     bool forwardEvent(const EventSplitter::Event &event);
     void callFinished(const Http::CallResult &result);
@@ -173,6 +188,8 @@
     std::vector<EndpointPtr> m_triedEndpoints; ///< One entry per attempt.
     bool m_isBudgetedRetry = false; ///< The current attempt was taken from the retry budget.
     std::vector<EndpointPtr> m_mayHaveRunAt; ///< Endpoints where the request may have run.
+    /// A peer may have run the request, at as many endpoints as the route allows.
+    bool m_mayHaveRunAtPeer = false;
     int m_sendCount = 0; ///< Attempts in which the request was sent.
     /// Number of requests that the last endpoint reported with its answer; -1 if it reported none.
     int m_reportedLoad = -1;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -27,9 +27,7 @@
                     const bool hasWaited = self->m_attempt->call != Http::CallId();
                     if (hasWaited && self->endIfCallerLeft())
                         return;
-                    self->m_attempt->mayHaveBeenSent = true;
-                    self->m_mayHaveRunAt.push_back(self->m_attempt->endpoint);
-                    ++self->m_sendCount;
+                    self->requestSent();
                 },
             .headReceived =
                 [weak](int status, const Http::Headers &headers) {
@@ -48,18 +46,64 @@
                 }};
 }
 
-void RequestRun::headReceived(int status, const Http::Headers &headers)
+void RequestRun::requestSent()
+{
+    m_attempt->mayHaveBeenSent = true;
+    m_mayHaveRunAt.push_back(m_attempt->endpoint);
+    m_mayHaveRunAtPeer = m_attempt->isRelayed;
+    ++m_sendCount;
+}
+
+void RequestRun::attemptNotRun()
+{
+    m_mayHaveRunAt.pop_back();
+    if (!m_attempt->isRelayed)
+        return;
+    // No endpoint has received it, so that it counts as no retry.
+    m_mayHaveRunAtPeer = false;
+    --m_sendCount;
+    if (std::exchange(m_isBudgetedRetry, false))
+        m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
+}
+
+/// Evaluates what the head of an answer says about the endpoint that produced it.
+void RequestRun::readAnswerHead()
 {
     Attempt &attempt = *m_attempt;
-    m_gateway.m_endpoints.recordContact(*attempt.endpoint, m_timers.clock().now());
-    attempt.status = status;
-    attempt.headers = headers;
-    attempt.facts = m_gateway.m_options.protocol.readHead(m_request, status, headers);
+    if (attempt.isRelayed) {
+        if (const EndpointPtr endpoint = m_gateway.m_endpoints.find(attempt.facts.endpoint))
+            m_gateway.m_health.headReceived(*endpoint, attempt.facts, m_request.id);
+        return;
+    }
     m_gateway.m_health.headReceived(*attempt.endpoint, attempt.facts, m_request.id);
     if (attempt.facts.load) {
         m_reportedLoad = attempt.facts.load->running + attempt.facts.load->waiting;
         m_gateway.loadReported(*attempt.endpoint, *attempt.facts.load);
     }
+}
+
+/// The head of the answer for whoever sent the request: a caller, or the peer that relayed it.
+Http::Headers RequestRun::answerHeaders() const
+{
+    const RelayProtocol &relay = m_gateway.m_options.relay;
+    if (m_attempt->isRelayed)
+        return relay.headersForCaller(m_attempt->headers);
+    Http::Headers headers = m_attempt->headers;
+    if (m_request.relay)
+        relay.addEndpoint(headers, m_attempt->endpoint->info.id);
+    return headers;
+}
+
+void RequestRun::headReceived(int status, const Http::Headers &headers)
+{
+    Attempt &attempt = *m_attempt;
+    registry().recordContact(*attempt.endpoint, m_timers.clock().now());
+    attempt.status = status;
+    attempt.headers = headers;
+    const EndpointProtocol &protocol =
+        attempt.isRelayed ? m_gateway.m_options.relay.peer : m_gateway.m_options.protocol;
+    attempt.facts = protocol.readHead(m_request, status, headers);
+    readAnswerHead();
     const bool isGood = status >= 200 && status < 300 && attempt.facts.isOwn;
     attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
     if (attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
@@ -101,18 +145,18 @@
     if (!m_hasStreamBegun) {
         m_hasStreamBegun = true;
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
-        m_responder->begin(attempt.status, attempt.headers);
+        m_responder->begin(attempt.status, answerHeaders());
     }
-    m_gateway.m_endpoints.recordContact(*attempt.endpoint, now);
-    if (!attempt.lastEventAt) {
+    registry().recordContact(*attempt.endpoint, now);
+    if (!attempt.lastEventAt && !attempt.isRelayed) {
         for (const PromptPrefix &prefix : m_prefixes)
             m_gateway.m_prompts.recordPrefillEnd(prefix.hash, attempt.endpoint->startHash, now);
     }
     if (attempt.lastEventAt)
         attempt.endpoint->pause.add(Base::toSeconds(now - *attempt.lastEventAt), now);
     else
-        m_gateway.m_endpoints.answerTimed(*attempt.endpoint, now - attempt.startedAt,
-                                          m_route->targetLatency, now);
+        registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
+                               now);
     attempt.lastEventAt = now;
     m_lastActivityAt = now;
     m_lastForwardedAt = now;
@@ -132,7 +176,7 @@
         return;
     }
     if (result.end == Http::CallEnd::TurnedAway) {
-        m_gateway.m_health.requestRefused(*m_attempt->endpoint, false, m_request.id);
+        health().requestRefused(*m_attempt->endpoint, false, m_request.id);
         attemptFailed({.kind = ErrorKind::EndpointRefused, .mayHaveRun = false});
         return;
     }
@@ -142,7 +186,7 @@
          .mayHaveReached = !isNotConnected,
          .mayHaveRun = !isNotConnected,
          .isLocalResourceShortage = result.isLocalResourceShortage,
-         .isConnectionBroken = !isNotConnected});
+         .isConnectionBroken = !isNotConnected && !m_attempt->isRelayed});
 }
 
 void RequestRun::answerCompleted()
@@ -150,10 +194,9 @@
     const Attempt &attempt = *m_attempt;
     const HeadFacts &facts = attempt.facts;
     if (facts.isNotRun || facts.isOtherEndpoint) {
-        m_mayHaveRunAt.pop_back();
-        m_gateway.m_health.requestRefused(*m_attempt->endpoint, facts.isOtherEndpoint,
-                                          m_request.id);
-        if (!facts.isOtherEndpoint)
+        attemptNotRun();
+        health().requestRefused(*m_attempt->endpoint, facts.isOtherEndpoint, m_request.id);
+        if (!facts.isOtherEndpoint && !attempt.isRelayed)
             m_gateway.concurrencyLimit(m_service).rejected(m_timers.clock().now());
         attemptFailed({.kind = ErrorKind::EndpointRefused, .mayHaveRun = false});
         return;
@@ -165,7 +208,8 @@
         attemptFailed({.kind = ErrorKind::EndpointBroke});
         return;
     }
-    m_gateway.m_health.answered(*m_attempt->endpoint, !isFailure, m_request.id);
+    // A peer that passes an endpoint's failure on has not failed itself.
+    health().answered(*m_attempt->endpoint, !isFailure || attempt.isRelayed, m_request.id);
     if (!isFailure && !m_gateway.m_quarantine.isEmpty())
         m_gateway.m_quarantine.answered(fingerprint());
     forwardAnswer();
@@ -179,13 +223,13 @@
     m_gateway.m_loadShedder.requestEnded(admissionRequest(), now - attempt.startedAt);
     if (attempt.isStreaming) {
         if (!m_hasStreamBegun)
-            m_responder->begin(status, attempt.headers);
+            m_responder->begin(status, answerHeaders());
         m_responder->write(m_eventSplitter.remainder());
         m_responder->end();
     } else {
-        m_gateway.m_endpoints.answerTimed(*attempt.endpoint, now - attempt.startedAt,
-                                          m_route->targetLatency, now);
-        m_responder->send(status, attempt.headers, std::move(attempt.body));
+        registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
+                               now);
+        m_responder->send(status, answerHeaders(), std::move(attempt.body));
     }
     m_gateway.countAnswer(status);
     end("answered", status);
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -123,7 +123,7 @@
         m_lastFullPlacement = placement;
         return false;
     }
-    if (!placement.endpoint && waitForReachableEndpoint())
+    if (!placement.endpoint && (relayToPeer() || waitForReachableEndpoint()))
         return true;
     if (!placement.endpoint) {
         const auto retryAfter = placement.backOffUntil
@@ -225,6 +225,35 @@
     return m_gateway.m_endpoints.averageLoad(m_service, m_timers.clock().now());
 }
 
+/// A relayed request is not relayed again: the peer refuses it if it reaches no endpoint either.
+bool RequestRun::relayToPeer()
+{
+    const bool isAllowed = !m_request.relay && m_gateway.isCutOffFrom(m_service);
+    if (!isAllowed)
+        return false;
+    const PlacementResult peer = m_gateway.m_peers.choose(endpointsToAvoid(), m_route->mayRepeat());
+    if (!peer.endpoint)
+        return false;
+    if (isQuarantined())
+        return true;
+    m_gateway.m_options.log->request(part, "Relaying the request to a peer.",
+                                     {{"request", m_request.id.value()},
+                                      {"route", m_route->name},
+                                      {"peer", peer.endpoint->info.id.value()},
+                                      {"candidates", peer.candidateCount},
+                                      {"send", m_triedEndpoints.size() + 1},
+                                      {"left_ms", timeLeft()}});
+    m_gateway.m_options.metrics->relayed.increment();
+    beginAttempt(peer.endpoint, true);
+    startCall(m_gateway.m_options.relay.peer.makeCall(
+        {.request = &m_request,
+         .endpoint = &peer.endpoint->info,
+         .timeLeft = std::max(timeLeft(), Base::Duration::zero()),
+         .resumeAfter = resumeAfter(),
+         .earlierEndpoints = static_cast<int>(m_mayHaveRunAt.size())}));
+    return true;
+}
+
 bool RequestRun::waitForReachableEndpoint()
 {
     if (!m_hasStreamBegun || hasCallerTimedOut())
--- a/tests/auto/adapter/tst_partitionedrouter.cpp
+++ b/tests/auto/adapter/tst_partitionedrouter.cpp
@@ -15,13 +15,14 @@
 
 namespace {
 
-/// Two routers of one fleet, the first of which can connect to no endpoint. It reads a store whose
-/// entries are the same but for the endpoints' addresses, at which nothing listens.
+/// Two routers of one fleet, the first of which, or both, can connect to no endpoint. Each reads a
+/// store of its own; the entries are the same but for the endpoints' addresses, at which nothing
+/// listens for a partitioned router.
 struct PartitionedRouter : Test::PausedLoop
 {
     static constexpr std::size_t engineCount = 3;
 
-    PartitionedRouter()
+    explicit PartitionedRouter(bool isPeerPartitioned = false)
     {
         for (std::size_t i = 0; i < routers.size(); ++i) {
             settings[i].vm = Base::VmId("edge-" + std::to_string(i));
@@ -42,7 +43,8 @@
             const std::string id = "i-" + std::to_string(i);
             const auto closed = Runtime::parseSocketAddress(Test::freeAddress()).value();
             stores[0].writeEndpoint(id, closed, {});
-            stores[1].writeEndpoint(id, engines[i].listener.address, {});
+            stores[1].writeEndpoint(id, isPeerPartitioned ? closed : engines[i].listener.address,
+                                    {});
         }
         for (std::size_t i = 0; i < routers.size(); ++i) {
             routers[i] = std::make_unique<Platform::RouterProcess>(loop, settings[i]);
@@ -87,3 +89,31 @@
         served += has(f.call(0), "200 OK") ? 1 : 0;
     BOOST_TEST(served == 20);
 }
+
+/// Guards against fields between routers that reach callers or endpoints.
+BOOST_AUTO_TEST_CASE(relayedAnswerIsThatOfTheEndpoint)
+{
+    PartitionedRouter f;
+    f.call(0);
+    f.pass(seconds(1));
+    const std::string answer = f.call(0, "lagoonbank-relayed-endpoints: 9\r\n");
+    BOOST_TEST(has(answer, "200 OK"));
+    BOOST_TEST(has(answer, "lagoonbank-server-seal: 3e"));
+    BOOST_TEST(!has(answer, "relay"));
+}
+
+/// Guards against requests that go round, or wait, while no router reaches an endpoint.
+BOOST_AUTO_TEST_CASE(requestIsRefusedAtOnceIfNoRouterReachesAnEndpoint)
+{
+    PartitionedRouter f(true);
+    f.call(0);
+    f.call(1);
+    f.pass(seconds(1));
+    for (int i = 0; i < 5; ++i) {
+        const Base::MonoTime before = f.clock.now();
+        const std::string answer = f.call(0);
+        BOOST_TEST(has(answer, "503"));
+        BOOST_TEST(has(answer, "retry-after"));
+        BOOST_TEST((f.clock.now() - before < milliseconds(100)));
+    }
+}
--- /dev/null
+++ b/tests/auto/adapter/tst_relaycodec.cpp
@@ -0,0 +1,134 @@
+#define BOOST_TEST_MODULE tst_relaycodec
+#include <boost/test/unit_test.hpp>
+
+#include "platform/relaycodec.h"
+
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+
+namespace {
+
+Gateway::CallerRequest callerRequest()
+{
+    Gateway::CallerRequest request;
+    request.id = Base::RequestId("9c41");
+    request.method = "POST";
+    request.host = "h.example";
+    request.target = "/x?a=b";
+    request.headers = {{"lagoonbank-attempt-id", "9c41"}, {"lagoonbank-model", "m"}};
+    request.body = "body";
+    request.key = "secret";
+    return request;
+}
+
+/// The request as it arrives at the peer.
+Http::Request received(const Http::Call &call, std::size_t prefixSize)
+{
+    Http::Request request;
+    request.method = call.method;
+    const std::string target = call.target.substr(prefixSize);
+    const std::size_t query = target.find('?');
+    request.path = target.substr(0, query);
+    request.query = query == std::string::npos ? std::string() : target.substr(query + 1);
+    request.headers = call.headers;
+    request.headers.add("host", call.host);
+    request.body = call.body;
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(peerReadsTheCallersRequest)
+{
+    const Gateway::CallerRequest sent = callerRequest();
+    Fleet::Endpoint peer;
+    peer.address = {"10.0.0.1", 80};
+    const Http::Call call =
+        Platform::relayProtocol().peer.makeCall({.request = &sent,
+                                                 .endpoint = &peer,
+                                                 .timeLeft = std::chrono::milliseconds(740),
+                                                 .resumeAfter = 12,
+                                                 .earlierEndpoints = 1});
+    BOOST_TEST(!call.headers.find("lagoonbank-expect-instance"));
+    BOOST_TEST(call.target == "/fleet/relay/x?a=b");
+    const auto read =
+        Platform::readRelayedRequest(received(call, std::string("/fleet/relay").size()));
+    BOOST_REQUIRE(read);
+    const Gateway::CallerRequest &request = read.value();
+    BOOST_TEST(request.id.value() == "9c41");
+    BOOST_TEST(request.method == "POST");
+    BOOST_TEST(request.host == "h.example");
+    BOOST_TEST(request.target == "/x?a=b");
+    BOOST_TEST(request.body == "body");
+    BOOST_TEST(request.key.value_or("") == "secret");
+    BOOST_TEST((request.remainingTimeout == std::chrono::milliseconds(740)));
+    BOOST_TEST(request.resumeAfter.value_or(0) == 12U);
+    BOOST_TEST(request.headers.find("lagoonbank-model").value_or("") == "m");
+    BOOST_TEST(!request.headers.find("lagoonbank-relayed-endpoints"));
+    BOOST_REQUIRE(request.relay);
+    BOOST_TEST(request.relay->endpoints == 1);
+}
+
+/// Guards against harm by requests at the routers' port that no router sent.
+BOOST_AUTO_TEST_CASE(malformedRelayedRequestsAreErrors)
+{
+    for (const std::string count : {"", "x", "-1", "1,2", "99999999999"}) {
+        Http::Request request;
+        request.path = "/x";
+        request.headers = {{"host", "h"}, {"lagoonbank-attempt-id", "a"}};
+        if (!count.empty())
+            request.headers.add("lagoonbank-relayed-endpoints", count);
+        BOOST_TEST(!Platform::readRelayedRequest(std::move(request)), "\"" << count << "\"");
+    }
+}
+
+/// Guards against taking a peer's own answers for those of an endpoint, and against passing on what
+/// a router of an earlier version answers.
+BOOST_AUTO_TEST_CASE(headsOfPeersAreToldApart)
+{
+    struct Row
+    {
+        const char *what;
+        int status;
+        Http::Headers headers;
+        bool isOwn;
+        bool isNotRun;
+        const char *endpoint;
+    };
+    const std::vector<Row> rows{
+        {"answer of an endpoint",
+         200,
+         {{"lagoonbank-attempt-id", "9c41"},
+          {"lagoonbank-server-seal", "3e"},
+          {"lagoonbank-relay-answer", "i-7"}},
+         true,
+         false,
+         "i-7"},
+        {"answer to another request",
+         200,
+         {{"lagoonbank-attempt-id", "77"},
+          {"lagoonbank-server-seal", "3e"},
+          {"lagoonbank-relay-answer", "i-7"}},
+         false,
+         false,
+         "i-7"},
+        {"success without proof", 200, {{"lagoonbank-relay-answer", "i-7"}}, false, false, "i-7"},
+        {"refusal", 503, {{"lagoonbank-relay-answer", "none"}}, true, true, ""},
+        {"request that may have run", 502, {{"lagoonbank-relay-answer", "none"}}, true, false, ""},
+        {"unknown key", 401, {{"lagoonbank-relay-answer", "none"}}, true, false, ""},
+        {"router without relays", 404, {}, true, true, ""},
+        {"router that cannot read it", 400, {}, true, true, ""}};
+    const Gateway::CallerRequest request = callerRequest();
+    for (const Row &row : rows) {
+        BOOST_TEST_CONTEXT(row.what)
+        {
+            const Gateway::HeadFacts facts =
+                Platform::relayProtocol().peer.readHead(request, row.status, row.headers);
+            BOOST_TEST(facts.isOwn == row.isOwn);
+            BOOST_TEST(facts.isNotRun == row.isNotRun);
+            BOOST_TEST(facts.endpoint.value() == row.endpoint);
+        }
+    }
+}
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -74,6 +74,7 @@
                 decoded.arrivedAt = request.arrivedAt - unread;
                 decoded.remainingTimeout = remainingTimeout;
                 decoded.prompt = prompt;
+                decoded.relay = relay;
                 gateway.run(std::move(decoded), std::move(responder));
             });
         BOOST_REQUIRE(server.listen());
@@ -125,6 +126,8 @@
     std::optional<Lagoonbank::Base::Duration> remainingTimeout = std::chrono::seconds(5);
     Lagoonbank::Base::Duration unread{}; ///< Added to the time that requests were unread.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Prompt of the requests.
+    /// Set if a peer relays the requests.
+    std::optional<Lagoonbank::Gateway::CallerRequest::Relay> relay;
     Lagoonbank::Fleet::Warmup warmup; ///< Used from the next setRoute() on.
     Lagoonbank::Base::Duration settle;
     Lagoonbank::Gateway::FleetRetryBudget::Options retryBudget{.ratio = 0.2, .slack = 50};
@@ -140,6 +143,7 @@
     Lagoonbank::Gateway::Gateway gateway{{.loop = &loop,
                                           .client = &client,
                                           .protocol = protocol(),
+                                          .relay = relayProtocol(),
                                           .refuse = refuse,
                                           .ownDelay = [this] { return ownDelay; },
                                           .startedAt = clock.now() - retryBudget.window,
@@ -159,6 +163,41 @@
         text += Lagoonbank::Errors::toString(refusal.ran);
         responder.send(refusal.ran == Lagoonbank::Errors::Ran::No ? 503 : 502, {}, text);
     }
+    /// `x-relayed` gives the endpoints that a relayed request was sent to before, `x-endpoint` the
+    /// one that produced the answer.
+    static Lagoonbank::Gateway::RelayProtocol relayProtocol()
+    {
+        using namespace Lagoonbank;
+        Gateway::EndpointProtocol peer = protocol();
+        const auto makeCall = peer.makeCall;
+        peer.makeCall = [makeCall](const Gateway::Send &send) {
+            Http::Call call = makeCall(send);
+            call.headers.add("x-relayed", std::to_string(send.earlierEndpoints));
+            return call;
+        };
+        const auto readHead = peer.readHead;
+        peer.readHead = [readHead](const Gateway::CallerRequest &request, int status,
+                                   const Http::Headers &headers) {
+            Gateway::HeadFacts facts = readHead(request, status, headers);
+            facts.endpoint = Base::EndpointId(std::string(headers.find("x-endpoint").value_or("")));
+            facts.isLeaving = headers.find("x-leaving").has_value();
+            return facts;
+        };
+        return {.peer = std::move(peer),
+                .addEndpoint =
+                    [](Http::Headers &headers, const Base::EndpointId &endpoint) {
+                        headers.add("x-endpoint", endpoint.value());
+                    },
+                .headersForCaller =
+                    [](const Http::Headers &headers) {
+                        Http::Headers forwarded;
+                        for (const Http::Header &field : headers.fields()) {
+                            if (field.name != "x-endpoint")
+                                forwarded.add(field.name, field.value);
+                        }
+                        return forwarded;
+                    }};
+    }
     /// `x-id` identifies the request in both directions; `x-not-run` marks a request that did not
     /// run.
     static Lagoonbank::Gateway::EndpointProtocol protocol()
--- /dev/null
+++ b/tests/auto/gateway/tst_relay.cpp
@@ -0,0 +1,237 @@
+#define BOOST_TEST_MODULE tst_relay
+#include "auto/gateway/gatewayfixture.h"
+#include "auto/gateway/streamanswers.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using Lagoonbank::Test::chunk;
+using Lagoonbank::Test::event;
+using Lagoonbank::Test::RawSocket;
+using Lagoonbank::Test::streamEnd;
+using Lagoonbank::Test::streamHead;
+using Lagoonbank::Test::streamRoute;
+using RouteKind = Fleet::RouteKind;
+using std::chrono::milliseconds;
+
+// Requests of a router that is partitioned from all endpoints are relayed to peer routers.
+
+namespace {
+
+constexpr std::string_view good =
+    "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-endpoint: e0\r\ncontent-length: 4\r\n\r\ngood";
+constexpr std::string_view refused =
+    "HTTP/1.1 503 Busy\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 4\r\n\r\nbusy";
+
+/// A router that can connect to none of its endpoints, and its peers.
+struct Partition : GatewayFixture
+{
+    explicit Partition(RouteKind kind = RouteKind::Idempotent, int peerCount = 2)
+    {
+        setRoute({.name = "r",
+                  .kind = kind,
+                  .maxEndpoints = 2,
+                  .timeout = milliseconds(800),
+                  .targetLatency = milliseconds(400)});
+        setUnreachable(true);
+        std::vector<Gateway::PeerRouter> known;
+        for (int i = 0; i < peerCount; ++i) {
+            peers.push_back(std::make_unique<FakeEndpoint>());
+            known.push_back({.id = Base::VmId("router-" + std::to_string(i)),
+                             .dataCentre = Base::DataCentreId("dc"),
+                             .address = peers.back()->listener.address});
+        }
+        gateway.setPeerRouters(known);
+    }
+    void setUnreachable(bool isUnreachable)
+    {
+        for (std::size_t i = 0; i < endpoints.size(); ++i)
+            record(i).isUnreachable = isUnreachable;
+    }
+    Gateway::EndpointRecord &record(std::size_t index)
+    {
+        return *gateway.endpoints().find(Base::EndpointId("e" + std::to_string(index)));
+    }
+    std::size_t relayed()
+    {
+        std::size_t count = 0;
+        for (const auto &peer : peers)
+            count += peer->requests();
+        return count;
+    }
+    /// Waits until \a count requests have been relayed. Returns the peer that got the last one.
+    FakeEndpoint &awaitRelayed(std::size_t count = 1)
+    {
+        FakeEndpoint *last = nullptr;
+        std::vector<std::size_t> before;
+        for (const auto &peer : peers)
+            before.push_back(peer->requests());
+        BOOST_REQUIRE(runUntil([&] {
+            clock.advance(milliseconds(1));
+            return relayed() >= count;
+        }));
+        for (std::size_t i = 0; i < peers.size(); ++i) {
+            const bool hasLast = peers[i]->requests() > before[i] || (count == 1 && !last);
+            if (hasLast && peers[i]->requests() > 0)
+                last = peers[i].get();
+        }
+        BOOST_REQUIRE(last);
+        return *last;
+    }
+
+    std::vector<std::unique_ptr<FakeEndpoint>> peers;
+};
+
+} // namespace
+
+/// Guards against refusals while peers reach the endpoints.
+BOOST_AUTO_TEST_CASE(requestIsRelayedIfNoEndpointIsReachable)
+{
+    Partition f;
+    RawSocket caller = f.call();
+    FakeEndpoint &peer = f.awaitRelayed();
+    BOOST_TEST(peer.last().has("x-relayed: 0"));
+    peer.last().send(good);
+    BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+    BOOST_TEST(!caller.has("x-endpoint"));
+    BOOST_TEST(f.requests() == 0U);
+}
+
+/// Guards against relaying after the partition has ended.
+BOOST_AUTO_TEST_CASE(reachableEndpointGetsTheRequestItself)
+{
+    Partition f;
+    f.record(1).isUnreachable = false;
+    RawSocket caller = f.call();
+    f.awaitRequest().last().send(good);
+    BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+    BOOST_TEST(f.relayed() == 0U);
+}
+
+/// Guards against relaying to peers what they cannot serve either: the endpoints are drained.
+BOOST_AUTO_TEST_CASE(requestIsNotRelayedIfNoEndpointIsInService)
+{
+    Partition f;
+    f.record(0).notice.isLeaving = true;
+    f.record(1).notice.isLeaving = true;
+    RawSocket caller = f.call();
+    BOOST_TEST(f.runUntil([&] { return caller.has("no_endpoint ran=no"); }));
+    BOOST_TEST(f.relayed() == 0U);
+}
+
+/// Guards against a request that goes round between routers that are all partitioned.
+BOOST_AUTO_TEST_CASE(relayedRequestIsNotRelayedAgain)
+{
+    Partition f;
+    f.relay.emplace();
+    RawSocket caller = f.call();
+    BOOST_TEST(f.runUntil([&] { return caller.has("no_endpoint ran=no"); }));
+    BOOST_TEST(f.relayed() == 0U);
+}
+
+/// Guards against refusals while another peer can serve the request.
+BOOST_AUTO_TEST_CASE(refusedRelayIsRetriedAtAnotherPeer)
+{
+    Partition f(RouteKind::NonIdempotent);
+    RawSocket caller = f.call();
+    f.awaitRelayed().last().send(refused);
+    FakeEndpoint &second = f.awaitRelayed(2);
+    second.last().send(good);
+    BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+}
+
+/// Guards against asking peers again and again when no router reaches an endpoint.
+BOOST_AUTO_TEST_CASE(peersThatRefusedAreLeftAloneForAWhile)
+{
+    Partition f;
+    RawSocket caller = f.call();
+    f.awaitRelayed().last().send(refused);
+    f.awaitRelayed(2).last().send(refused);
+    BOOST_TEST(f.runUntil([&] { return caller.has("ran=no"); }));
+    RawSocket next = f.call();
+    BOOST_TEST(f.runUntil([&] { return next.has("no_endpoint ran=no"); }));
+    BOOST_TEST(f.relayed() == 2U);
+}
+
+/// Guards against a second run of a request whose peer disappeared: the peer may have sent it to as
+/// many endpoints as the route allows.
+BOOST_AUTO_TEST_CASE(requestWhosePeerBrokeIsNotSentAgain)
+{
+    for (const RouteKind kind : {RouteKind::Idempotent, RouteKind::NonIdempotent}) {
+        Partition f(kind);
+        RawSocket caller = f.call();
+        f.awaitRelayed().last().close();
+        BOOST_TEST(f.runUntil([&] { return caller.has("endpoint_broke ran=unknown"); }));
+        BOOST_TEST(f.relayed() == 1U);
+        BOOST_TEST(f.requests() == 0U);
+    }
+}
+
+/// Guards against quarantining requests because a peer has crashed.
+BOOST_AUTO_TEST_CASE(crashOfAPeerBlamesNoRequest)
+{
+    Partition f;
+    RawSocket caller = f.call();
+    f.awaitRelayed();
+    f.peers.clear(); // Closes their connections and ports.
+    f.pass(milliseconds(800));
+    BOOST_TEST(caller.has("endpoint_broke ran=unknown"));
+    BOOST_TEST(f.gateway.quarantined().empty());
+}
+
+/// Guards against work for a caller that has left.
+BOOST_AUTO_TEST_CASE(relayEndsWhenTheCallerLeaves)
+{
+    Partition f;
+    RawSocket caller = f.call();
+    FakeEndpoint &peer = f.awaitRelayed();
+    caller.close();
+    BOOST_TEST(f.runUntil([&] { return peer.last().isEnded(); }));
+    BOOST_TEST(f.gateway.inFlight() == 0U);
+}
+
+/// Guards against requests to an endpoint that has said that it leaves, in an answer that came over
+/// a peer.
+BOOST_AUTO_TEST_CASE(leavingEndpointIsKnownFromARelayedAnswer)
+{
+    Partition f;
+    RawSocket caller = f.call();
+    f.awaitRelayed().last().send("HTTP/1.1 200 OK\r\nx-id: r1\r\nx-endpoint: e0\r\nx-leaving: 1\r\n"
+                                 "content-length: 4\r\n\r\ngood");
+    BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+    BOOST_TEST(f.record(0).notice.isLeaving);
+    BOOST_TEST(!f.record(1).notice.isLeaving);
+}
+
+/// Guards against streams that are cut with the connections to their endpoints.
+BOOST_AUTO_TEST_CASE(startedStreamGoesOnThroughAPeer)
+{
+    Partition f;
+    f.setRoute(streamRoute(true));
+    f.setUnreachable(false);
+    RawSocket caller = f.call();
+    FakeEndpoint &first = f.awaitRequest();
+    first.last().send(std::string(streamHead) + chunk(event(1) + event(2)));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e2"); }));
+    f.setUnreachable(true);
+    first.last().close();
+    FakeEndpoint &peer = f.awaitRelayed();
+    BOOST_TEST(peer.last().has("x-resume: 2"));
+    BOOST_TEST(peer.last().has("x-relayed: 1"));
+    peer.last().send(std::string(streamHead) + chunk(event(3) + event(4)) + std::string(streamEnd));
+    BOOST_TEST(f.runUntil([&] { return caller.has("e4") && caller.has("\r\n0\r\n\r\n"); }));
+}
+
+/// Guards against more endpoints for a request than its route allows: the peer had sent it to one.
+BOOST_AUTO_TEST_CASE(relayedRequestKeepsToTheEndpointLimit)
+{
+    Partition f;
+    f.setUnreachable(false);
+    f.relay.emplace().endpoints = 1;
+    RawSocket caller = f.call();
+    f.awaitRequest().last().close();
+    BOOST_TEST(f.runUntil([&] { return caller.has("ran=unknown"); }));
+    BOOST_TEST(f.requests() == 1U);
+}
