Gateway: Relay only if no endpoint of the service is reachable

Callers: a request that one endpoint had refused, while another one was down for all routers, went to a peer, which sent it to the first endpoint again; under overload that is more load where there is too much.

Cause: one endpoint out of reach was enough for a relay. Now all that are open for requests have to be out of reach.

Evidence: requestIsNotRelayedIfAnEndpointIsReachable, which got a relay before.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -179,9 +179,10 @@
 bool Gateway::isCutOffFrom(const Base::ServiceId &service) const
 {
     const std::vector<EndpointPtr> &endpoints = m_endpoints.endpoints(service);
-    return std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointPtr &endpoint) {
-        return endpoint->isUnreachable && endpoint->isOpen();
-    });
+    const auto isOpen = [](const EndpointPtr &endpoint) { return endpoint->isOpen(); };
+    const auto isInService = [](const EndpointPtr &endpoint) { return endpoint->isInService(); };
+    return std::any_of(endpoints.begin(), endpoints.end(), isOpen)
+        && std::none_of(endpoints.begin(), endpoints.end(), isInService);
 }
 
 void Gateway::logIsolation()
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -222,8 +222,8 @@
     ConcurrencyLimit &concurrencyLimit(const Base::ServiceId &service);
     /// Processes an endpoint's load report. Wakes waiting requests if more slots are free now.
     void loadReported(EndpointRecord &endpoint, const LoadReport &report);
-    /// Whether this router has lost its connections to endpoints of the service that are in service
-    /// otherwise, so that peers may reach them.
+    /// Whether this router can reach no endpoint of the service, but some are open for requests of
+    /// routers that reach them.
     bool isCutOffFrom(const Base::ServiceId &service) const;
     /// Logs when the router loses its connections to all endpoints, and when one is back.
     void logIsolation();
--- a/tests/auto/gateway/tst_relay.cpp
+++ b/tests/auto/gateway/tst_relay.cpp
@@ -121,6 +121,18 @@
     BOOST_TEST(f.relayed() == 0U);
 }
 
+/// Guards against extra load on endpoints that have refused a request, by peers that send it there
+/// again: another endpoint has crashed, and is out of reach for all routers.
+BOOST_AUTO_TEST_CASE(requestIsNotRelayedIfAnEndpointIsReachable)
+{
+    Partition f;
+    f.record(1).isUnreachable = false;
+    RawSocket caller = f.call();
+    f.awaitRequest().last().send(refused);
+    BOOST_TEST(f.runUntil([&] { return caller.has("ran=no"); }));
+    BOOST_TEST(f.relayed() == 0U);
+}
+
 /// Guards against a request that goes round between routers that are all partitioned.
 BOOST_AUTO_TEST_CASE(relayedRequestIsNotRelayedAgain)
 {
