Gateway, Platform: Count a relay as a retry if endpoints received the request

Operators: the retries of a service could exceed the fleet's budget beside a partition, by reading: a peer that had sent a relayed request to endpoints and refused it was taken for one that had sent it nowhere, so that the next relay cost no retry.

Change: a refusal says to how many endpoints the peer sent the request. Only if to none does the relay cost nothing; with a cost for each, the partitioned half of a fleet would spend its budget on asking the other half of itself. The field also tells a peer's own answers from those of endpoints.

Evidence: relayCountsAsRetryIfEndpointsReceivedTheRequest and the table of tst_relaycodec.

--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -59,7 +59,8 @@
     Errors::ErrorKind kind = Errors::ErrorKind::Internal;
     Errors::Ran ran = Errors::Ran::No;
     std::optional<Base::Duration> retryAfter; ///< Time after which the caller may retry.
-    bool isToPeer = false; ///< Sent to the peer that relayed the request.
+    /// Number of endpoints that received the request. Set if a peer relayed it.
+    std::optional<int> sendsForPeer;
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -47,6 +47,8 @@
     std::optional<Base::Duration> backOffTime;
     /// For the answer of a peer: the endpoint that produced it; empty if none did.
     Base::EndpointId endpoint;
+    /// For the refusal of a peer: number of endpoints that received the request there.
+    int peerSends = 0;
 };
 
 /// Encodes requests to endpoints and decodes their answers. Provided by an adapter.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -380,11 +380,12 @@
              {"own_delay_ms", m_gateway.ownDelay()},
              {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
     }
-    m_gateway.m_options.refuse(*m_responder,
-                               {.kind = kind,
-                                .ran = ran,
-                                .retryAfter = retryAfter,
-                                .isToPeer = m_request.relay.has_value()});
+    m_gateway.m_options.refuse(
+        *m_responder,
+        {.kind = kind,
+         .ran = ran,
+         .retryAfter = retryAfter,
+         .sendsForPeer = m_request.relay ? std::optional<int>(m_sendCount) : std::nullopt});
     end("refused", 0);
 }
 
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -57,10 +57,10 @@
 void RequestRun::attemptNotRun()
 {
     m_mayHaveRunAt.pop_back();
-    if (!m_attempt->isRelayed)
-        return;
-    // No endpoint has received it, so that it counts as no retry.
     m_mayHaveRunAtPeer = false;
+    if (!m_attempt->isRelayed || m_attempt->facts.peerSends > 0)
+        return;
+    // No endpoint has received it, so that it counts neither as a send nor as a retry.
     --m_sendCount;
     if (std::exchange(m_isBudgetedRetry, false))
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
--- a/tests/auto/adapter/tst_relaycodec.cpp
+++ b/tests/auto/adapter/tst_relaycodec.cpp
@@ -96,6 +96,7 @@
         bool isOwn;
         bool isNotRun;
         const char *endpoint;
+        int sends = 0;
     };
     const std::vector<Row> rows{
         {"answer of an endpoint",
@@ -115,9 +116,11 @@
          false,
          "i-7"},
         {"success without proof", 200, {{"lagoonbank-relay-answer", "i-7"}}, false, false, "i-7"},
-        {"refusal", 503, {{"lagoonbank-relay-answer", "none"}}, true, true, ""},
-        {"request that may have run", 502, {{"lagoonbank-relay-answer", "none"}}, true, false, ""},
-        {"unknown key", 401, {{"lagoonbank-relay-answer", "none"}}, true, false, ""},
+        {"refusal", 503, {{"lagoonbank-relay-refusal", "0"}}, true, true, ""},
+        {"refusal after sends", 503, {{"lagoonbank-relay-refusal", "2"}}, true, true, "", 2},
+        {"unreadable number", 503, {{"lagoonbank-relay-refusal", "x"}}, true, true, "", 1},
+        {"request that may have run", 502, {{"lagoonbank-relay-refusal", "1"}}, true, false, "", 1},
+        {"unknown key", 401, {{"lagoonbank-relay-refusal", "0"}}, true, false, ""},
         {"router without relays", 404, {}, true, true, ""},
         {"router that cannot read it", 400, {}, true, true, ""}};
     const Gateway::CallerRequest request = callerRequest();
@@ -129,6 +132,7 @@
             BOOST_TEST(facts.isOwn == row.isOwn);
             BOOST_TEST(facts.isNotRun == row.isNotRun);
             BOOST_TEST(facts.endpoint.value() == row.endpoint);
+            BOOST_TEST(facts.peerSends == row.sends);
         }
     }
 }
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -164,7 +164,7 @@
         responder.send(refusal.ran == Lagoonbank::Errors::Ran::No ? 503 : 502, {}, text);
     }
     /// `x-relayed` gives the endpoints that a relayed request was sent to before, `x-endpoint` the
-    /// one that produced the answer.
+    /// one that produced the answer; `x-sends` says that a peer had sent it before it refused.
     static Lagoonbank::Gateway::RelayProtocol relayProtocol()
     {
         using namespace Lagoonbank;
@@ -181,6 +181,7 @@
             Gateway::HeadFacts facts = readHead(request, status, headers);
             facts.endpoint = Base::EndpointId(std::string(headers.find("x-endpoint").value_or("")));
             facts.isLeaving = headers.find("x-leaving").has_value();
+            facts.peerSends = headers.find("x-sends") ? 1 : 0;
             return facts;
         };
         return {.peer = std::move(peer),
--- a/tests/auto/gateway/tst_relay.cpp
+++ b/tests/auto/gateway/tst_relay.cpp
@@ -154,6 +154,27 @@
     BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
 }
 
+/// Guards against retries over the budget: a peer may refuse a request that endpoints have
+/// received. A relay to a peer that sent it nowhere costs no retry.
+BOOST_AUTO_TEST_CASE(relayCountsAsRetryIfEndpointsReceivedTheRequest)
+{
+    for (const bool isSent : {false, true}) {
+        Partition f;
+        f.gateway.setRetryBudget({.ratio = 0, .slack = 0});
+        RawSocket caller = f.call();
+        const std::string sends = isSent ? "x-sends: 1\r\n" : "";
+        f.awaitRelayed().last().send("HTTP/1.1 503 Busy\r\nx-id: r1\r\nx-not-run: 1\r\n" + sends
+                                     + "content-length: 4\r\n\r\nbusy");
+        if (isSent) {
+            BOOST_TEST(f.runUntil([&] { return caller.has("ran=no"); }));
+            BOOST_TEST(f.relayed() == 1U);
+        } else {
+            f.awaitRelayed(2).last().send(good);
+            BOOST_TEST(f.runUntil([&] { return caller.has("good"); }));
+        }
+    }
+}
+
 /// Guards against asking peers again and again when no router reaches an endpoint.
 BOOST_AUTO_TEST_CASE(peersThatRefusedAreLeftAloneForAWhile)
 {
