Gateway: Declare what is known of a relayed request on its own

The linter's compiler cannot construct a nested struct with initializers by the enclosing class's optional. A test no longer uses a moved request. No behaviour changes.

--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -29,6 +29,13 @@
     std::vector<PromptPart> parts;
 };
 
+/// What a router knows of a request that a peer relayed to it, as the peer cannot reach the
+/// endpoints.
+struct Relay
+{
+    int endpoints = 0; ///< Endpoints to which the peer had sent the request before.
+};
+
 /// A request of a caller, as decoded by the ingress.
 struct CallerRequest
 {
@@ -45,12 +52,7 @@
     std::optional<Base::Duration> remainingTimeout; ///< Caller's timeout, counted from arrival.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last stream event that the caller has.
     std::optional<Prompt> prompt;
-    /// Set if a peer relayed the request because it cannot reach the endpoints.
-    struct Relay
-    {
-        int endpoints = 0; ///< Endpoints to which the peer had sent the request before.
-    };
-    std::optional<Relay> relay;
+    std::optional<Relay> relay; ///< Set if a peer relayed the request.
 };
 
 /// The reason why a request is refused instead of answered by an endpoint.
--- a/tests/auto/adapter/tst_relaycodec.cpp
+++ b/tests/auto/adapter/tst_relaycodec.cpp
@@ -80,7 +80,8 @@
         request.headers = {{"host", "h"}, {"lagoonbank-attempt-id", "a"}};
         if (!count.empty())
             request.headers.add("lagoonbank-relayed-endpoints", count);
-        BOOST_TEST(!Platform::readRelayedRequest(std::move(request)), "\"" << count << "\"");
+        const bool isRead = Platform::readRelayedRequest(std::move(request)).has_value();
+        BOOST_TEST(!isRead, "\"" << count << "\"");
     }
 }
 
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -127,7 +127,7 @@
     Lagoonbank::Base::Duration unread{}; ///< Added to the time that requests were unread.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Prompt of the requests.
     /// Set if a peer relays the requests.
-    std::optional<Lagoonbank::Gateway::CallerRequest::Relay> relay;
+    std::optional<Lagoonbank::Gateway::Relay> relay;
     Lagoonbank::Fleet::Warmup warmup; ///< Used from the next setRoute() on.
     Lagoonbank::Base::Duration settle;
     Lagoonbank::Gateway::FleetRetryBudget::Options retryBudget{.ratio = 0.2, .slack = 50};
