--- a/src/libs/gateway/fleetretrybudget.h
+++ b/src/libs/gateway/fleetretrybudget.h
@@ -13,6 +13,9 @@
 /// One router's part of the retry budget that all routers of a fleet share. In any window, the
 /// retries of a service are limited to a ratio of its requests plus a fixed number. The fixed
 /// number, the slack, applies to the whole fleet and is divided equally among the routers.
+///
+/// A process has no slack before it is one window old, as the process that it replaces may have
+/// used the router's part just before, and none before it knows how many routers share it.
 class FleetRetryBudget
 {
 public:
--- a/tests/auto/fleetsync/tst_fleetsync.cpp
+++ b/tests/auto/fleetsync/tst_fleetsync.cpp
@@ -419,3 +419,38 @@
     sync.leave();
     BOOST_TEST(claimsToRead);
 }
+
+/// Guards against a peer that gets the relayed requests of all routers of a large fleet, and
+/// against relays to a router that is shutting down.
+BOOST_AUTO_TEST_CASE(relayPeersAreSpreadOverALargeFleet)
+{
+    constexpr int routers = 300;
+    constexpr std::size_t maxRelayPeers = 16;
+    std::map<std::string, int> counts;
+    for (int i = 0; i < routers; ++i) {
+        Runtime::ManualClock clock;
+        Runtime::TimerQueue timers(clock);
+        Fleet::EndpointDirectory directory({.timers = &timers});
+        const auto id = [](int number) { return "router-" + std::to_string(number); };
+        FleetSync::FleetSync sync({.id = id(i),
+                                   .dataCentre = "dc0",
+                                   .directory = &directory,
+                                   .timers = &timers,
+                                   .maxRelayPeers = maxRelayPeers});
+        for (int peer = 0; peer < routers; ++peer) {
+            if (peer != i)
+                sync.addRouter(id(peer), "dc0", {"10.0.0.1", 7000}, 0);
+        }
+        const std::string leaving = sync.relayPeers().front()->id;
+        sync.receive("10.0.0.1",
+                     {.router = leaving, .dataCentre = "dc0", .port = 7000, .isLeaving = true});
+        const std::vector<const FleetSync::Peer *> peers = sync.relayPeers();
+        BOOST_TEST(peers.size() == maxRelayPeers);
+        for (const FleetSync::Peer *peer : peers) {
+            BOOST_TEST(peer->id != leaving);
+            ++counts[peer->id];
+        }
+    }
+    for (const auto &[id, count] : counts)
+        BOOST_TEST(count <= 3 * static_cast<int>(maxRelayPeers), id);
+}
