Gateway: Adapt the head of an answer once, when it is received

With relays each answer's head was copied once more when it was passed on, also where nothing is relayed. The head is now adapted where it is stored, and only for relayed requests.

--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -132,7 +132,6 @@
     void requestSent();
     /// Records that the current attempt did not run.
     void attemptNotRun();
-    Http::Headers answerHeaders() const;
     void bodyReceived(std::string_view piece);
     bool forwardEvent(const EventSplitter::Event &event);
     void callFinished(const Http::CallResult &result);
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -66,15 +66,20 @@
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
 }
 
-/// Evaluates what the head of an answer says about the endpoint that produced it.
+/// Evaluates what the head of an answer says about the endpoint that produced it, and adapts the
+/// head for whoever sent the request: a caller, or the peer that relayed it.
 void RequestRun::readAnswerHead()
 {
     Attempt &attempt = *m_attempt;
+    const RelayProtocol &relay = m_gateway.m_options.relay;
     if (attempt.isRelayed) {
+        attempt.headers = relay.headersForCaller(attempt.headers);
         if (const EndpointPtr endpoint = m_gateway.m_endpoints.find(attempt.facts.endpoint))
             m_gateway.m_health.headReceived(*endpoint, attempt.facts, m_request.id);
         return;
     }
+    if (m_request.relay)
+        relay.addEndpoint(attempt.headers, attempt.endpoint->info.id);
     m_gateway.m_health.headReceived(*attempt.endpoint, attempt.facts, m_request.id);
     if (attempt.facts.load) {
         m_reportedLoad = attempt.facts.load->running + attempt.facts.load->waiting;
@@ -82,18 +87,6 @@
     }
 }
 
-/// The head of the answer for whoever sent the request: a caller, or the peer that relayed it.
-Http::Headers RequestRun::answerHeaders() const
-{
-    const RelayProtocol &relay = m_gateway.m_options.relay;
-    if (m_attempt->isRelayed)
-        return relay.headersForCaller(m_attempt->headers);
-    Http::Headers headers = m_attempt->headers;
-    if (m_request.relay)
-        relay.addEndpoint(headers, m_attempt->endpoint->info.id);
-    return headers;
-}
-
 void RequestRun::headReceived(int status, const Http::Headers &headers)
 {
     Attempt &attempt = *m_attempt;
@@ -145,7 +138,7 @@
     if (!m_hasStreamBegun) {
         m_hasStreamBegun = true;
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
-        m_responder->begin(attempt.status, answerHeaders());
+        m_responder->begin(attempt.status, attempt.headers);
     }
     registry().recordContact(*attempt.endpoint, now);
     if (!attempt.lastEventAt && !attempt.isRelayed) {
@@ -223,13 +216,13 @@
     m_gateway.m_loadShedder.requestEnded(admissionRequest(), now - attempt.startedAt);
     if (attempt.isStreaming) {
         if (!m_hasStreamBegun)
-            m_responder->begin(status, answerHeaders());
+            m_responder->begin(status, attempt.headers);
         m_responder->write(m_eventSplitter.remainder());
         m_responder->end();
     } else {
         registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
                                now);
-        m_responder->send(status, answerHeaders(), std::move(attempt.body));
+        m_responder->send(status, attempt.headers, std::move(attempt.body));
     }
     m_gateway.countAnswer(status);
     end("answered", status);
