Http, Gateway: Log how the end of an endpoint's answer was marked

A broken-off answer was logged as answered like any other, so that the lines could not tell an answer that ends with its connection from one with a length, nor whether something was left of an event. Ended has framing, incomplete_event_bytes and request_written since. No decision has changed.

--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -459,6 +459,7 @@
 {
     const bool isIncomplete = m_attempt && outcome != "answered";
     const bool isUnmonitored = isIncomplete && m_route && !monitorsSilence();
+    const std::optional<Http::Framing> framing = m_attempt ? m_attempt->framing : std::nullopt;
     m_gateway.m_options.log->request(
         part, "Ended.",
         {{"request", m_request.id.value()},
@@ -470,6 +471,9 @@
           m_triedEndpoints.empty() ? std::string_view() : m_triedEndpoints.back()->info.id.value()},
          {"sends", m_sendCount},
          {"events", m_eventCount},
+         {"framing", framing ? Http::toString(*framing) : std::string_view()},
+         {"request_written", m_attempt && m_attempt->isRequestWritten},
+         {"incomplete_event_bytes", m_eventSplitter.remainder().size()},
          {"found_load", m_reportedLoad},
          // For an incomplete answer: how long the endpoint had been silent, and why the request was
          // not moved to another endpoint.
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -44,6 +44,8 @@
         bool isStreaming = false; ///< Events are forwarded as they arrive.
         std::optional<Base::MonoTime> lastEventAt;
         std::string body; ///< Buffered body of an answer that is not a stream.
+        std::optional<Http::Framing> framing; ///< Set once the call has ended.
+        bool isRequestWritten = false; ///< Set once the call has ended.
     };
     /// Describes how an attempt failed.
     struct Failure
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -164,6 +164,8 @@
 {
     if (!m_attempt || m_isEnded)
         return;
+    m_attempt->framing = result.framing;
+    m_attempt->isRequestWritten = result.isRequestWritten;
     if (result.end == Http::CallEnd::Whole) {
         answerCompleted();
         return;
--- a/src/libs/http/answerparser.cpp
+++ b/src/libs/http/answerparser.cpp
@@ -28,7 +28,7 @@
 
 void AnswerParser::handleClose()
 {
-    if (m_state == State::Body && endsWithConnection())
+    if (m_state == State::Body && framing() == Framing::Connection)
         m_state = State::Complete;
     else if (m_state != State::Complete && m_state != State::Failed)
         fail("the connection was closed before the answer was whole");
@@ -97,7 +97,6 @@
     }
     if (hasLength && isChunked)
         return false;
-    using Framing = BodyReader::Framing;
     if (m_isAnswerToHead || hasNoBody(m_status)) {
         m_body = BodyReader(Framing::Length, 0);
     } else if (isChunked) {
--- a/src/libs/http/answerparser.h
+++ b/src/libs/http/answerparser.h
@@ -35,8 +35,8 @@
     Headers &headers() { return m_headers; }
     /// Whether the connection can be reused after a complete answer.
     bool isReusable() const { return m_isReusable; }
-    /// Whether the end of the answer is marked by the end of the connection only.
-    bool endsWithConnection() const { return m_body.framing() == BodyReader::Framing::Connection; }
+    /// How the end of the answer is marked.
+    Framing framing() const { return m_body.framing(); }
     const char *error() const { return m_error; }
 
 private:
--- a/src/libs/http/bodyreader.h
+++ b/src/libs/http/bodyreader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/framing.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -10,12 +12,6 @@
 class BodyReader
 {
 public:
-    enum class Framing : std::uint8_t {
-        Length, ///< A known number of bytes, 0 for an empty body.
-        Chunked,
-        Connection ///< Ends with an orderly close of the connection.
-    };
-
     BodyReader() = default;
     explicit BodyReader(Framing framing, std::uint64_t length = 0)
         : m_framing(framing)
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -2,6 +2,7 @@
 
 #include "base/strongtype.h"
 #include "base/units.h"
+#include "http/framing.h"
 #include "http/headers.h"
 #include "runtime/udpsocket.h"
 
@@ -37,7 +38,9 @@
     /// memory, which says nothing about the server.
     bool isLocalResourceShortage = false;
     bool mayHaveBeenSent = false; ///< Bytes of the request may have been sent.
+    bool isRequestWritten = false; ///< The whole request was passed to the system.
     int status = 0; ///< 0 if no head was received.
+    std::optional<Framing> framing; ///< Unset if no head was received.
     Headers headers;
     std::string body; ///< Empty if Hooks::bodyReceived is set.
     std::string detail; ///< Description of the failure.
--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -219,7 +219,7 @@
 {
     // After a failed write an answer may still be readable; if not, the read reports the error.
     if (!error)
-        callOf(socket).m_isWritten = true;
+        callOf(socket).m_result.isRequestWritten = true;
 }
 
 void ClientCall::readable(h2o_socket_t *socket, const char *error)
@@ -261,6 +261,7 @@
         m_isHeadDelivered = true;
         m_result.status = m_parser.status();
         m_result.headers = std::move(m_parser.headers());
+        m_result.framing = m_parser.framing();
         startStage(m_call.progressTimeout);
         if (m_hooks.headReceived)
             m_hooks.headReceived(m_result.status, m_result.headers);
@@ -361,8 +362,8 @@
 
 void ClientCall::returnToPool(bool isComplete)
 {
-    const bool isReusable = isComplete && m_socket && m_isWritten && m_parser.isReusable()
-        && m_socket->input->size == 0;
+    const bool isReusable = isComplete && m_socket && m_result.isRequestWritten
+        && m_parser.isReusable() && m_socket->input->size == 0;
     if (!isReusable)
         return;
     m_context.pool.put(poolKey(), std::exchange(m_socket, nullptr),
--- a/src/libs/http/clientcall.h
+++ b/src/libs/http/clientcall.h
@@ -73,7 +73,6 @@
     AnswerParser m_parser;
     st_h2o_socket_t *m_socket = nullptr;
     std::string m_head;
-    bool m_isWritten = false;
     bool m_isHeadDelivered = false;
     bool m_isEnded = false;
     std::size_t m_bodyBytes = 0;
--- a/src/libs/http/requestparser.cpp
+++ b/src/libs/http/requestparser.cpp
@@ -117,7 +117,6 @@
         m_error = ErrorKind::BodyTooLarge;
         return false;
     }
-    using Framing = BodyReader::Framing;
     m_reader = isChunked ? BodyReader(Framing::Chunked) : BodyReader(Framing::Length, length);
     // The announced length cannot be trusted, so more memory is allocated only as bytes arrive.
     m_body.reserve(std::min<std::uint64_t>(length, 64 * 1024));
