Gateway: Add failing tests for streams that end with their connection

An endpoint that closes its connection inside an event, in an answer without a length and without chunks, has broken the stream off. The caller gets half of an event and a valid end of the body, and no other endpoint is asked to resume the stream.

--- a/tests/auto/gateway/streamanswers.h
+++ b/tests/auto/gateway/streamanswers.h
@@ -24,6 +24,8 @@
 constexpr std::string_view streamHead =
     "HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n";
 constexpr std::string_view streamEnd = "0\r\n\r\n";
+/// Head of an answer whose end is marked by the end of the connection only.
+constexpr std::string_view unframedHead = "HTTP/1.1 200 OK\r\nx-id: r1\r\n\r\n";
 
 inline std::string event(int id)
 {
--- a/tests/auto/gateway/tst_brokenstream.cpp
+++ b/tests/auto/gateway/tst_brokenstream.cpp
@@ -13,6 +13,7 @@
 using Lagoonbank::Test::streamEnd;
 using Lagoonbank::Test::streamHead;
 using Lagoonbank::Test::streamRoute;
+using Lagoonbank::Test::unframedHead;
 using std::chrono::milliseconds;
 
 // Guards against aborted streams of healthy endpoints when the router's own link is congested, for
@@ -111,3 +112,66 @@
     BOOST_TEST(next.last().has("x-resume: 2"));
     BOOST_TEST(!f.caller->isEnded());
 }
+
+/// Guards against broken-off streams that look complete to callers: an endpoint closes its
+/// connection inside an event, and nothing but this close marks the end of its answer.
+BOOST_AUTO_TEST_CASE(unframedStreamThatEndsInsideAnEventIsAborted)
+{
+    GatewayFixture f;
+    f.setRoute(streamRoute(false));
+    RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    endpoint.last().send(std::string(unframedHead) + event(1) + "id: 2\ndata: e");
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+    endpoint.last().close();
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(!caller.has("id: 2"));
+    BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
+}
+
+/// Guards against the loss of such a stream where another endpoint can resume it.
+BOOST_AUTO_TEST_CASE(unframedStreamThatEndsInsideAnEventIsResumed)
+{
+    GatewayFixture f;
+    f.setRoute(streamRoute(true));
+    RawSocket caller = f.call();
+    FakeEndpoint &first = f.awaitRequest();
+    first.last().send(std::string(unframedHead) + event(1) + "id: 2\ndata: e");
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+    first.last().close();
+    FakeEndpoint &second = f.awaitRequest();
+    BOOST_TEST(second.last().has("x-resume: 1"));
+    second.last().send(std::string(unframedHead) + event(2) + event(3));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e3"); }));
+    second.last().close();
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n0\r\n\r\n"); }));
+    const std::string &all = caller.receive();
+    BOOST_TEST(all.find("id: 2") == all.rfind("id: 2"));
+}
+
+/// Guards against aborts of complete streams that end with their connection.
+BOOST_AUTO_TEST_CASE(unframedStreamThatEndsBetweenEventsIsComplete)
+{
+    GatewayFixture f;
+    f.setRoute(streamRoute(false));
+    RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    endpoint.last().send(std::string(unframedHead) + event(1) + event(2));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e2"); }));
+    endpoint.last().close();
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n0\r\n\r\n"); }));
+}
+
+/// Guards against an unframed stream that is reset, between events, and looks complete.
+BOOST_AUTO_TEST_CASE(unframedStreamThatIsResetIsAborted)
+{
+    GatewayFixture f;
+    f.setRoute(streamRoute(false));
+    RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    endpoint.last().send(std::string(unframedHead) + event(1));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+    endpoint.last().reset();
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
+}
