Gateway: Treat a stream that ends inside an event as broken off

Callers got streams that their endpoint had broken off with a valid end of the body, and could neither repeat nor resume them.

Cause: the end of the body was taken for the end of the stream. An answer with neither a length nor chunks ends with its connection, and an endpoint that closes it in order inside an event left a complete body; the router forwarded half of an event and ended its own answer in order. A peer of an older version that relays such a stream adds chunks to it, so the framing alone does not show it either.

Ruled out: a router that ends its answer although an attempt failed; none of the answers in question has a line "Attempt failed.".

A stream is complete now only if no event is left open. Otherwise the attempt has failed like any other whose connection broke: the stream is resumed at another endpoint where the route allows it, else cut. No part of an event is forwarded any more.

Why it holds: every way on which events of an endpoint or a peer reach a caller goes through the splitter of RequestRun, and its remainder is never written.

--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -137,6 +137,7 @@
     void bodyReceived(std::string_view piece);
     bool forwardEvent(const EventSplitter::Event &event);
     void callFinished(const Http::CallResult &result);
+    bool isStreamTruncated() const;
     void answerCompleted();
     void forwardAnswer();
     void attemptFailed(const Failure &failure);
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -166,7 +166,7 @@
         return;
     m_attempt->framing = result.framing;
     m_attempt->isRequestWritten = result.isRequestWritten;
-    if (result.end == Http::CallEnd::Whole) {
+    if (result.end == Http::CallEnd::Whole && !isStreamTruncated()) {
         answerCompleted();
         return;
     }
@@ -184,6 +184,13 @@
          .isConnectionBroken = !isNotConnected && !m_attempt->isRelayed});
 }
 
+/// Whether the answer is a stream that ends inside an event. Its body is complete nevertheless if
+/// only the close of the connection marks its end, or if a peer has ended it so.
+bool RequestRun::isStreamTruncated() const
+{
+    return m_attempt->isStreaming && !m_eventSplitter.remainder().empty();
+}
+
 void RequestRun::answerCompleted()
 {
     const Attempt &attempt = *m_attempt;
@@ -219,7 +226,6 @@
     if (attempt.isStreaming) {
         if (!m_hasStreamBegun)
             m_responder->begin(status, attempt.headers);
-        m_responder->write(m_eventSplitter.remainder());
         m_responder->end();
     } else {
         registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
--- a/tests/auto/gateway/tst_relay.cpp
+++ b/tests/auto/gateway/tst_relay.cpp
@@ -257,6 +257,22 @@
     BOOST_TEST(f.runUntil([&] { return caller.has("e4") && caller.has("\r\n0\r\n\r\n"); }));
 }
 
+/// Guards against broken-off streams that look complete: a peer of an older version has taken one
+/// for complete, and ends its own answer as such.
+BOOST_AUTO_TEST_CASE(relayedStreamThatEndsInsideAnEventIsAborted)
+{
+    Partition f;
+    f.setRoute(streamRoute(false));
+    RawSocket caller = f.call();
+    FakeEndpoint &peer = f.awaitRelayed();
+    peer.last().send(std::string(streamHead) + chunk(event(1) + "id: 2\nda"));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+    peer.last().send(streamEnd);
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(!caller.has("id: 2"));
+    BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
+}
+
 /// Guards against more endpoints for a request than its route allows: the peer had sent it to one.
 BOOST_AUTO_TEST_CASE(relayedRequestKeepsToTheEndpointLimit)
 {
