Http: Don't let a reset during a write complete an answer

An answer without a length that its server had reset was reported as complete, and could reach a caller as such.

Cause: on Linux a socket reports the error of a reset to one call only. While a large request is still being written, the event loop tries the write before the read; the write gets the error, the read after it finds the end of the input, which is what an orderly close looks like.

Found while the cause of broken-off answers was looked for elsewhere; the incident does not need it, its requests are small and were written by then.

A close completes an answer now only if the request had been written. A server that closes in order without having read the request resets the connection anyway, and a server that answers early and is understood gives a length or chunks, as before (answerBeforeRequestIsSentIsRead).

--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -288,8 +288,10 @@
 void ClientCall::inputEnded(const char *error)
 {
     // With TLS an orderly close cannot be distinguished from a cut connection, so an answer without
-    // a length is never complete.
-    const bool isClosedInOrder = error == h2o_socket_error_closed && !m_call.tls;
+    // a length is never complete. Neither can it while the request is being written: the system
+    // reports a reset only once, and may have reported it to the write.
+    const bool isClosedInOrder =
+        error == h2o_socket_error_closed && !m_call.tls && m_result.isRequestWritten;
     if (isClosedInOrder) {
         m_parser.handleClose();
         if (m_parser.state() == AnswerParser::State::Complete) {
--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -174,6 +174,22 @@
     BOOST_TEST(f.finished().end == CallEnd::Broken);
 }
 
+/// Guards against a reset that completes an answer: the system reports the error of the connection
+/// to the write of the request's rest, and a read after that finds the end of the input.
+BOOST_AUTO_TEST_CASE(resetDuringWriteDoesNotCompleteAnswer)
+{
+    Fixture f;
+    Call call = f.call("POST");
+    call.body = std::string(16 * 1024 * 1024, 'x'); // Exceeds the socket buffers.
+    f.start(std::move(call));
+    RawSocket server = f.accept();
+    f.runIterations(5);
+    server.send("HTTP/1.1 200 OK\r\n\r\nok");
+    f.runIterations(5);
+    server.reset();
+    BOOST_TEST(f.finished().end == CallEnd::Broken);
+}
+
 BOOST_AUTO_TEST_CASE(answerBeforeRequestIsSentIsRead)
 {
     Fixture f;
