Gateway: Retry an empty stream that ends with its connection

Callers could get an empty stream as a complete answer.

An endpoint that crashes between the head of an answer without framing and its first event leaves a body that is complete, and empty.

Such a stream counts as broken off now, also if the caller resumes it: that all its events have arrived already cannot be told from a crash. Where framing marks the end, an empty stream stays complete.

tst_brokenstream: unframedStreamWithoutEventsIsRetried failed before for a new stream (the case of a resumed one came with the change) and passes.

--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -185,10 +185,15 @@
 }
 
 /// Whether the answer is a stream that ends inside an event. Its body is complete nevertheless if
-/// only the close of the connection marks its end, or if a peer has ended it so.
+/// only the close of the connection marks its end, or if a peer has ended it so. A stream without
+/// events of which only this close marks the end counts too: its endpoint may have crashed.
 bool RequestRun::isStreamTruncated() const
 {
-    return m_attempt->isStreaming && !m_eventSplitter.remainder().empty();
+    const Attempt &attempt = *m_attempt;
+    if (!attempt.isStreaming)
+        return false;
+    const bool isEmpty = attempt.framing == Http::Framing::Connection && !attempt.lastEventAt;
+    return isEmpty || !m_eventSplitter.remainder().empty();
 }
 
 void RequestRun::answerCompleted()
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -75,6 +75,7 @@
                 decoded.remainingTimeout = remainingTimeout;
                 decoded.prompt = prompt;
                 decoded.relay = relay;
+                decoded.resumeAfter = resumeAfter;
                 gateway.run(std::move(decoded), std::move(responder));
             });
         BOOST_REQUIRE(server.listen());
@@ -126,6 +127,7 @@
     std::optional<Lagoonbank::Base::Duration> remainingTimeout = std::chrono::seconds(5);
     Lagoonbank::Base::Duration unread{}; ///< Added to the time that requests were unread.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Prompt of the requests.
+    std::optional<std::uint64_t> resumeAfter; ///< Last event that callers say they have.
     /// Set if a peer relays the requests.
     std::optional<Lagoonbank::Gateway::Relay> relay;
     Lagoonbank::Fleet::Warmup warmup; ///< Used from the next setRoute() on.
--- a/tests/auto/gateway/tst_brokenstream.cpp
+++ b/tests/auto/gateway/tst_brokenstream.cpp
@@ -149,6 +149,32 @@
     BOOST_TEST(all.find("id: 2") == all.rfind("id: 2"));
 }
 
+/// Guards against an empty answer that looks complete: an endpoint has crashed between the head of
+/// its answer and the first event. The caller may have events of an earlier answer.
+BOOST_AUTO_TEST_CASE(unframedStreamWithoutEventsIsRetried)
+{
+    for (const std::uint64_t received : {0U, 4U}) {
+        BOOST_TEST_CONTEXT("the caller has " << received << " events")
+        {
+            GatewayFixture f;
+            f.setRoute(streamRoute(true));
+            if (received > 0)
+                f.resumeAfter = received;
+            RawSocket caller = f.call();
+            FakeEndpoint &first = f.awaitRequest();
+            first.last().send(unframedHead);
+            f.runIterations(5);
+            first.last().close();
+            FakeEndpoint &second = f.awaitRequest();
+            BOOST_TEST(second.last().has("x-resume") == (received > 0));
+            second.last().send(std::string(unframedHead) + event(5));
+            BOOST_REQUIRE(f.runUntil([&] { return caller.has("e5"); }));
+            second.last().close();
+            BOOST_TEST(f.runUntil([&] { return caller.has("\r\n0\r\n\r\n"); }));
+        }
+    }
+}
+
 /// Guards against aborts of complete streams that end with their connection.
 BOOST_AUTO_TEST_CASE(unframedStreamThatEndsBetweenEventsIsComplete)
 {
