Gateway, Platform: Log what a request resumes, and the endpoint's software

Nothing in a router's lines told a stream that a caller resumes from a new one, nor which version of its software an endpoint runs, so that they could not tell whether streams cross versions within an answer or between a caller's requests. No decision has changed.

--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -51,6 +51,8 @@
     std::optional<Base::MonoTime> arrivedAt;
     std::optional<Base::Duration> remainingTimeout; ///< Caller's timeout, counted from arrival.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last stream event that the caller has.
+    /// The request that began the stream, if this one resumes it.
+    std::optional<Base::RequestId> resumes;
     std::optional<Prompt> prompt;
     std::optional<Relay> relay; ///< Set if a peer relayed the request.
 };
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -265,6 +265,7 @@
         {{"request", m_request.id.value()},
          {"asks", toString(fingerprint())},
          {"endpoint", m_triedEndpoints.back()->info.id.value()},
+         {"software", m_triedEndpoints.back()->info.softwareVersion},
          {"kind", Errors::toString(failure.kind)},
          {"reached", failure.mayHaveReached},
          {"may_have_run", failure.mayHaveRun},
--- a/tests/auto/adapter/tst_ingress.cpp
+++ b/tests/auto/adapter/tst_ingress.cpp
@@ -41,6 +41,7 @@
             .headers = {{"host", "h.example"},
                         {"lagoonbank-attempt-id", "9c41"},
                         {"last-event-id", "12"},
+                        {"resumes", "8b30"},
                         {"lagoonbank-model", "m"},
                         {"lagoonbank-token-count", "1460,80"},
                         {"lagoonbank-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
@@ -63,6 +64,8 @@
     BOOST_TEST(request.key.value_or("") == "secret");
     BOOST_TEST((request.remainingTimeout == Base::Duration(std::chrono::seconds(15))));
     BOOST_TEST((request.resumeAfter == 12U));
+    BOOST_REQUIRE(request.resumes);
+    BOOST_TEST(request.resumes->value() == "8b30");
     BOOST_REQUIRE(request.prompt);
     BOOST_TEST(request.prompt->model == "m");
     BOOST_TEST(request.prompt->promptTokens.value() == 1460);
