Gateway: Add failing tests for streams at two software versions

A stream that an endpoint breaks off or leaves silent, and one that a caller resumes, go to the endpoint with the least load, whatever version of its software that one runs.

--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -56,11 +56,7 @@
         gateway.setRouterCount(1, true);
         for (int i = 0; i < endpointCount; ++i) {
             endpoints.push_back(std::make_unique<FakeEndpoint>());
-            gateway.endpoints().put({.id = Base::EndpointId("e" + std::to_string(i)),
-                                     .service = Base::ServiceId("service"),
-                                     .address = endpoints.back()->listener.address,
-                                     .slots = 4},
-                                    clock.now());
+            putEndpoint(static_cast<std::size_t>(i), {});
         }
         server.setHandler(
             [this](const Http::Request &request, std::shared_ptr<Http::Responder> responder) {
@@ -76,11 +72,24 @@
                 decoded.prompt = prompt;
                 decoded.relay = relay;
                 decoded.resumeAfter = resumeAfter;
+                decoded.resumes = resumes;
                 gateway.run(std::move(decoded), std::move(responder));
             });
         BOOST_REQUIRE(server.listen());
     }
 
+    /// Adds or updates an endpoint, which runs this version of its software.
+    void putEndpoint(std::size_t index, const std::string &softwareVersion)
+    {
+        using namespace Lagoonbank;
+        gateway.endpoints().put({.id = Base::EndpointId("e" + std::to_string(index)),
+                                 .service = Base::ServiceId("service"),
+                                 .address = endpoints[index]->listener.address,
+                                 .softwareVersion = softwareVersion,
+                                 .slots = 4},
+                                clock.now());
+    }
+
     /// Applies a configuration with this route only.
     void setRoute(Lagoonbank::Fleet::Route route)
     {
@@ -128,6 +137,8 @@
     Lagoonbank::Base::Duration unread{}; ///< Added to the time that requests were unread.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Prompt of the requests.
     std::optional<std::uint64_t> resumeAfter; ///< Last event that callers say they have.
+    /// Request that callers say began their stream.
+    std::optional<Lagoonbank::Base::RequestId> resumes;
     /// Set if a peer relays the requests.
     std::optional<Lagoonbank::Gateway::Relay> relay;
     Lagoonbank::Fleet::Warmup warmup; ///< Used from the next setRoute() on.
--- /dev/null
+++ b/tests/auto/gateway/tst_softwareversions.cpp
@@ -0,0 +1,94 @@
+#define BOOST_TEST_MODULE tst_softwareversions
+#include "auto/gateway/gatewayfixture.h"
+#include "auto/gateway/streamanswers.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+using namespace Lagoonbank;
+using Lagoonbank::Test::chunk;
+using Lagoonbank::Test::event;
+using Lagoonbank::Test::RawSocket;
+using Lagoonbank::Test::streamEnd;
+using Lagoonbank::Test::streamHead;
+using Lagoonbank::Test::streamRoute;
+using std::chrono::milliseconds;
+
+// Guards against streams with events of two software versions: what they generate does not fit
+// together, and endpoints resume any stream. Endpoints of both versions serve side by side.
+
+namespace {
+
+/// Four endpoints, of which the first two and the last two run the same version, and a stream of
+/// which the caller has received two events. Endpoints that could resume it have the highest load.
+struct MixedVersions : GatewayFixture
+{
+    MixedVersions()
+        : GatewayFixture(4)
+    {
+        for (std::size_t i = 0; i < endpoints.size(); ++i)
+            putEndpoint(i, i < 2 ? "v1" : "v2");
+        setRoute(streamRoute(true));
+        caller.emplace(call());
+        FakeEndpoint &serving = awaitRequest();
+        while (endpoints[first].get() != &serving)
+            ++first;
+        same = first ^ 1U;
+        for (const std::size_t index : {first, same}) {
+            record(index).report = Gateway::LoadReport{.running = 2, .slots = 4};
+            record(index).reportedAt = clock.now();
+        }
+        serving.last().send(std::string(streamHead) + chunk(event(1) + event(2)));
+        BOOST_REQUIRE(runUntil([&] { return caller->has("e2"); }));
+    }
+    Gateway::EndpointRecord &record(std::size_t index)
+    {
+        return *gateway.endpoints().find(Base::EndpointId("e" + std::to_string(index)));
+    }
+    FakeEndpoint &firstEndpoint() { return *endpoints[first]; }
+
+    std::optional<RawSocket> caller;
+    std::size_t first = 0; ///< Serves the stream.
+    std::size_t same = 0; ///< The other endpoint of that version.
+};
+
+} // namespace
+
+/// Guards against a stream that goes on at another version within an answer: its endpoint breaks it
+/// off or falls silent.
+BOOST_AUTO_TEST_CASE(streamIsMovedWithinItsSoftwareVersion)
+{
+    for (const bool isSilent : {false, true}) {
+        BOOST_TEST_CONTEXT((isSilent ? "falls silent" : "breaks off"))
+        {
+            MixedVersions f;
+            if (isSilent)
+                f.pass(milliseconds(160));
+            else
+                f.firstEndpoint().last().close();
+            FakeEndpoint &second = f.awaitRequest();
+            BOOST_TEST(&second == f.endpoints[f.same].get());
+            BOOST_TEST(second.last().has("x-resume: 2"));
+            second.last().send(std::string(streamHead) + chunk(event(3)) + std::string(streamEnd));
+            BOOST_TEST(f.runUntil([&] { return f.caller->has("\r\n0\r\n\r\n"); }));
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another version over a caller's requests: the caller
+/// lost its connection and resumes the stream.
+BOOST_AUTO_TEST_CASE(callerResumesStreamAtItsSoftwareVersion)
+{
+    MixedVersions f;
+    f.caller->close();
+    f.runIterations(10);
+    f.resumes = Base::RequestId("r1");
+    f.resumeAfter = 2;
+    RawSocket again = f.call();
+    FakeEndpoint &second = f.awaitRequest();
+    const bool isSameVersion =
+        &second == f.endpoints[f.same].get() || &second == &f.firstEndpoint();
+    BOOST_TEST(isSameVersion);
+    BOOST_TEST(second.last().has("x-resume: 2"));
+}
