FleetSync: Move the ranking of routers for a key into a class of its own

Gossip about streams will choose routers by a hash as that about crashes does. Behaviour is unchanged; tst_crashgossip passes with its assertions as they were.

--- a/src/libs/fleetsync/crashgossip.cpp
+++ b/src/libs/fleetsync/crashgossip.cpp
@@ -1,7 +1,5 @@
 #include "fleetsync/crashgossip.h"
 
-#include "routing/rendezvous.h"
-
 #include <algorithm>
 #include <cstddef>
 #include <map>
@@ -42,9 +40,7 @@
 
 void CrashGossip::sendCrashReports(const std::vector<Schema::SharedCrash> &crashes)
 {
-    std::vector<Router> routers{{Routing::stableHash(Runtime::toString(m_options.self))}};
-    for (const Runtime::SocketAddress &peer : m_options.peers())
-        routers.push_back({Routing::stableHash(Runtime::toString(peer)), peer});
+    const RouterRanking routers(m_options.self, m_options.peers());
     for (auto first = crashes.begin(); first != crashes.end();) {
         const auto count = std::min<std::ptrdiff_t>(crashes.end() - first, maxItemsPerDatagram);
         sendBatch({first, first + count}, routers);
@@ -53,11 +49,12 @@
 }
 
 void CrashGossip::sendBatch(const std::vector<Schema::SharedCrash> &crashes,
-                            const std::vector<Router> &routers)
+                            const RouterRanking &routers)
 {
     std::map<std::string, std::pair<Runtime::SocketAddress, Schema::CrashUpdate>> datagrams;
     for (const Schema::SharedCrash &crash : crashes) {
-        for (const Runtime::SocketAddress &router : countingRoutersOf(crash.request, routers)) {
+        for (const Runtime::SocketAddress &router :
+             routers.first(crash.request, m_options.countingRouters)) {
             auto &[to, datagram] = datagrams[Runtime::toString(router)];
             to = router;
             datagram.crashes.push_back(crash);
@@ -77,26 +74,6 @@
     }
 }
 
-/// Ranks all routers, this one included, by rendezvous hash for the request and returns the
-/// addresses of the first ones. This router is left out of the result.
-std::vector<Runtime::SocketAddress>
-CrashGossip::countingRoutersOf(std::uint64_t request, const std::vector<Router> &routers) const
-{
-    std::vector<std::pair<std::uint64_t, const Router *>> order;
-    order.reserve(routers.size());
-    for (const Router &router : routers)
-        order.emplace_back(Routing::mixHashes(request, router.hash), &router);
-    const std::size_t count = std::min(order.size(), m_options.countingRouters);
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
-                      order.end());
-    std::vector<Runtime::SocketAddress> addresses;
-    for (std::size_t i = 0; i < count; ++i) {
-        if (const auto &address = order[i].second->address)
-            addresses.push_back(*address);
-    }
-    return addresses;
-}
-
 void CrashGossip::sendQuarantine(const Schema::SharedQuarantine &quarantine)
 {
     if (!send)
--- a/src/libs/fleetsync/crashgossip.h
+++ b/src/libs/fleetsync/crashgossip.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/gcra.h"
+#include "fleetsync/routerranking.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
 #include "schema/generated/fleetsync.h"
@@ -8,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <random>
 #include <vector>
 
@@ -73,19 +73,10 @@
     std::uint64_t dropped() const { return m_dropped; }
 
 private:
-    struct Router
-    {
-        std::uint64_t hash = 0; ///< Hash of its address; every router computes the same one.
-        std::optional<Runtime::SocketAddress> address; ///< Empty for this router itself.
-    };
-
     void tick();
     /// Sends crash reports to the routers that count them, in one datagram to each.
-    void sendBatch(const std::vector<Schema::SharedCrash> &crashes,
-                   const std::vector<Router> &routers);
+    void sendBatch(const std::vector<Schema::SharedCrash> &crashes, const RouterRanking &routers);
     void resendQuarantined();
-    std::vector<Runtime::SocketAddress> countingRoutersOf(std::uint64_t request,
-                                                          const std::vector<Router> &routers) const;
 
     Options m_options;
     std::mt19937_64 m_random;
