Gateway: Move a stream only to endpoints of the version that began it

Callers got streams with events of two software versions within one answer: what the versions generate does not fit together.

Cause: a stream that is moved was placed like a new request, by prompt and load. The software version of an endpoint was known from its entry, and used nowhere.

The first event that is forwarded fixes the version at which the stream may go on. Placement excludes all other endpoints, for new attempts after a break, for moves away from a silent endpoint and for the last resort alike. Streams that wait for a slot have a queue for each version, so that they and others don't block each other. A stream of which no endpoint is left that could take it is cut at once, not after the time for which callers wait.

Why it holds: all ways on which a started stream gets another endpoint of this router use the same placement request. Relays are not covered yet.

--- a/src/libs/gateway/admissionqueue.cpp
+++ b/src/libs/gateway/admissionqueue.cpp
@@ -96,11 +96,26 @@
 void AdmissionQueue::retryFreed()
 {
     for (const Base::ServiceId &service : std::exchange(m_freed, {})) {
-        for (const bool isStream : {false, true})
-            tryPlace({.service = service, .isStream = isStream}, m_options.maxFailedAttempts);
+        for (const QueueId &queueId : queueIds(service))
+            tryPlace(queueId, m_options.maxFailedAttempts);
     }
 }
 
+std::vector<AdmissionQueue::QueueId>
+AdmissionQueue::queueIds(const std::optional<Base::ServiceId> &service) const
+{
+    std::vector<QueueId> ids;
+    ids.reserve(m_queues.size());
+    for (const auto &[queueId, waiters] : m_queues) {
+        if (!service || queueId.service == *service)
+            ids.push_back(queueId);
+    }
+    std::stable_partition(ids.begin(), ids.end(), [](const QueueId &queueId) {
+        return queueId.software != SoftwareHash();
+    });
+    return ids;
+}
+
 /// Tries the waiters of a queue in turn, until \a maxFailedAttempts of them found no slot.
 /// Callbacks may add and remove waiters, so no iterator is kept across a call.
 void AdmissionQueue::tryPlace(const QueueId &queueId, int maxFailedAttempts)
@@ -162,11 +177,7 @@
 
 void AdmissionQueue::tick()
 {
-    std::vector<QueueId> queueIds;
-    queueIds.reserve(m_queues.size());
-    for (const auto &[queueId, waiters] : m_queues)
-        queueIds.push_back(queueId);
-    for (const QueueId &queueId : queueIds)
+    for (const QueueId &queueId : queueIds(std::nullopt))
         tryPlace(queueId, 1);
     failExpired();
     if (!m_queues.empty())
--- a/src/libs/gateway/admissionqueue.h
+++ b/src/libs/gateway/admissionqueue.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/units.h"
+#include "gateway/softwareversions.h"
 #include "gateway/urgencyshares.h"
 #include "runtime/timerqueue.h"
 
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace Lagoonbank::Gateway {
 
@@ -36,11 +38,13 @@
 {
 public:
     /// Identifies a queue of requests of one service that can be placed under the same conditions.
-    /// Streams have a queue of their own, as only other requests may also wait at an endpoint.
+    /// Streams have a queue of their own, as only other requests may also wait at an endpoint. So
+    /// have streams that may go on at one software version only.
     struct QueueId
     {
         Base::ServiceId service;
         bool isStream = false;
+        SoftwareHash software; ///< Zero if endpoints of any version will do.
 
         auto operator<=>(const QueueId &) const = default;
     };
@@ -108,6 +112,9 @@
     void tick();
     void startTicking();
     void retryFreed();
+    /// The queues of a service, or of all services. Those that can use the fewest endpoints come
+    /// first, as others may find another free slot.
+    std::vector<QueueId> queueIds(const std::optional<Base::ServiceId> &service) const;
     void tryPlace(const QueueId &queueId, int maxFailedAttempts);
     /// Removes a waiter and calls its fail function.
     void fail(const QueueId &queueId, const Key &key);
--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -50,14 +50,16 @@
         if (endpoint.isWarmingUp && !known->second->info.isWarmingUp)
             markCold(*known->second, now);
         known->second->info = endpoint;
+        setSoftware(*known->second, now);
         return;
     }
-    remove(endpoint.id);
+    remove(endpoint.id, now);
     auto record = std::make_shared<EndpointRecord>();
     record->info = endpoint;
     record->knownSince = now;
     record->hash = Routing::stableHash(endpoint.id.value());
     record->startHash = startHash(endpoint);
+    setSoftware(*record, now);
     record->notice = retainedNotice(*record);
     record->isDrained = m_drained.contains(endpoint.dataCentre);
     if (endpoint.isWarmingUp)
@@ -79,7 +81,19 @@
     others.insert(position, record);
 }
 
-void EndpointRegistry::remove(const Base::EndpointId &id)
+/// Updates what is derived from the software version in the endpoint's entry.
+void EndpointRegistry::setSoftware(EndpointRecord &endpoint, Base::MonoTime now)
+{
+    const SoftwareHash software = softwareHash(endpoint.info);
+    if (software == endpoint.software)
+        return;
+    if (endpoint.software != SoftwareHash())
+        m_softwareVersions.endpointRemoved(endpoint.info.service, endpoint.software, now);
+    endpoint.software = software;
+    m_softwareVersions.endpointAdded(endpoint.info.service, software);
+}
+
+void EndpointRegistry::remove(const Base::EndpointId &id, Base::MonoTime now)
 {
     const auto known = m_records.find(id);
     if (known == m_records.end())
@@ -89,6 +103,7 @@
     retainNotice(*record);
     m_records.erase(known);
     m_byStart.erase(record->startHash);
+    m_softwareVersions.endpointRemoved(record->info.service, record->software, now);
     std::erase(m_services[record->info.service], record);
     m_freeIndices.push_back(record->index);
 }
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -4,6 +4,7 @@
 #include "fleet/endpoint.h"
 #include "gateway/averageload.h"
 #include "gateway/endpointprotocol.h"
+#include "gateway/softwareversions.h"
 #include "gateway/warmupquota.h"
 #include "routing/suspicion.h"
 
@@ -61,6 +62,7 @@
     std::uint64_t hash = 0; ///< Hash of the endpoint's id; the same on every router.
     /// Hash of the id and the start time, as a restarted endpoint has lost its cached prompts.
     std::uint64_t startHash = 0;
+    SoftwareHash software; ///< Version of its software.
     Routing::EndpointIndex index = Routing::noEndpoint;
     bool isDrained = false; ///< Its data centre is drained by the operators.
     bool isUnreachable = false; ///< No connection can be opened; see Reachability.
@@ -168,18 +170,20 @@
         /// the prefill of prompts that are not cached.
         double minimumTimelyShare = 0.6;
         WarmupQuota::Options warmupQuota;
+        SoftwareVersions::Options softwareVersions;
     };
 
     explicit EndpointRegistry(Options options)
         : m_options(options)
         , m_suspicion(options.suspicion)
         , m_warmupQuota(options.warmupQuota)
+        , m_softwareVersions(options.softwareVersions)
     { }
 
     /// Adds or updates an endpoint. A restarted endpoint counts as a new one: the load, suspicion,
     /// latency and prompts recorded for the previous process do not apply to it.
     void put(const Fleet::Endpoint &endpoint, Base::MonoTime now);
-    void remove(const Base::EndpointId &id);
+    void remove(const Base::EndpointId &id, Base::MonoTime now);
     /// The endpoints of a service, ordered by id.
     const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
     using Services = absl::flat_hash_map<Base::ServiceId, std::vector<EndpointPtr>>;
@@ -189,6 +193,7 @@
     /// Finds an endpoint by EndpointRecord::startHash; null if it is unknown.
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
+    const SoftwareVersions &softwareVersions() const { return m_softwareVersions; }
     /// Number of endpoints to which no connection can be opened.
     std::size_t unreachableCount() const;
     /// Endpoints of these data centres get no new requests.
@@ -268,6 +273,7 @@
         EndpointNotice notice;
     };
 
+    void setSoftware(EndpointRecord &endpoint, Base::MonoTime now);
     void retainNotice(const EndpointRecord &endpoint);
     EndpointNotice retainedNotice(const EndpointRecord &endpoint) const;
 
@@ -281,6 +287,7 @@
     absl::flat_hash_map<Base::ServiceId, AverageLoad> m_averageLoads;
     absl::flat_hash_map<Base::ServiceId, Fleet::Warmup> m_warmups; ///< Omits services without one.
     WarmupQuota m_warmupQuota;
+    SoftwareVersions m_softwareVersions;
     std::vector<Routing::EndpointIndex> m_freeIndices;
     Routing::EndpointIndex m_nextIndex = 0;
     double m_routerCount = 1;
--- a/src/libs/gateway/peerrouters.cpp
+++ b/src/libs/gateway/peerrouters.cpp
@@ -38,7 +38,7 @@
     const std::vector<EndpointPtr> known = m_registry.endpoints(peerService()); // A copy.
     for (const EndpointPtr &peer : known) {
         if (!ids.contains(peer->info.id))
-            m_registry.remove(peer->info.id);
+            m_registry.remove(peer->info.id, now());
     }
 }
 
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -22,8 +22,11 @@
     return static_cast<double>(hash % fractionSteps) / fractionSteps;
 }
 
-bool isTried(const PlacementRequest &request, const EndpointPtr &endpoint)
+/// Whether the request must not go to the endpoint, whatever its state.
+bool isExcluded(const PlacementRequest &request, const EndpointPtr &endpoint)
 {
+    if (request.software && endpoint->software != *request.software)
+        return true;
     return std::find(request.triedEndpoints.begin(), request.triedEndpoints.end(), endpoint)
         != request.triedEndpoints.end();
 }
@@ -101,6 +104,14 @@
     return !candidateSets(request, registry, now).candidates.empty();
 }
 
+bool Placement::isServed(const PlacementRequest &request, const EndpointRegistry &registry)
+{
+    const std::vector<EndpointPtr> &endpoints = registry.endpoints(request.service);
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointPtr &endpoint) {
+        return endpoint->isOpen() && !isExcluded(request, endpoint);
+    });
+}
+
 PlacementResult Placement::fullResult(const CandidateSets &sets, const EndpointRegistry &registry,
                                       Base::MonoTime now)
 {
@@ -118,8 +129,8 @@
                                                 const EndpointRegistry &registry,
                                                 Base::MonoTime now)
 {
-    const bool isAvailable =
-        endpoint->takesRequests(now) && now >= endpoint->fullUntil && !isTried(request, endpoint);
+    const bool isAvailable = endpoint->takesRequests(now) && now >= endpoint->fullUntil
+        && !isExcluded(request, endpoint);
     if (!isAvailable)
         return Eligibility::Excluded;
     const bool isHealthy = !request.excludeSuspected
@@ -365,7 +376,7 @@
 {
     PlacementResult result{.reason = PlacementReason::LastResort};
     for (const EndpointPtr &endpoint : registry.endpoints(request.service)) {
-        if (!endpoint->isInService() || isTried(request, endpoint))
+        if (!endpoint->isInService() || isExcluded(request, endpoint))
             continue;
         if (!endpoint->takesRequests(now)) {
             const Base::MonoTime until = endpoint->notice.backOffUntil;
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -29,6 +29,8 @@
     bool checkCapacity = true; ///< Excludes endpoints without a free slot.
     bool excludeSuspected = true; ///< Excludes endpoints that failed recently.
     std::vector<EndpointPtr> triedEndpoints; ///< Endpoints that are not tried again.
+    /// The version that began the stream, if the request resumes one. Unset if any will do.
+    std::optional<SoftwareHash> software;
     /// Maximum number of requests from this router in flight at one endpoint; unset for no limit.
     std::optional<std::size_t> connectionShare;
     /// Fraction of an endpoint's slots that may be in use for the request to be sent there.
@@ -144,6 +146,9 @@
     /// Whether a healthy endpoint, or one that is due for a trial, has a free slot for the request.
     bool canPlace(const PlacementRequest &request, const EndpointRegistry &registry,
                   Base::MonoTime now) const;
+    /// Whether some endpoint could take the request now or later, once it is reachable or has a
+    /// free slot.
+    static bool isServed(const PlacementRequest &request, const EndpointRegistry &registry);
 
 private:
     struct Candidate
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -209,6 +209,7 @@
     m_triedEndpoints.push_back(endpoint);
     Attempt attempt;
     attempt.endpoint = endpoint;
+    attempt.software = endpoint->software;
     attempt.isRelayed = isRelayed;
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -35,6 +35,7 @@
         EndpointPtr endpoint;
         Http::CallId call;
         Base::MonoTime startedAt;
+        SoftwareHash software; ///< Version of the endpoint when the request was sent there.
         bool isRelayed = false; ///< The endpoint is a peer router.
         bool mayHaveBeenSent = false; ///< A byte may have been sent: the request may run.
         bool isPromptNew = false; ///< The endpoint did not hold the prompt before.
@@ -196,6 +197,9 @@
     /// Number of requests that the last endpoint reported with its answer; -1 if it reported none.
     int m_reportedLoad = -1;
     bool m_hasStreamBegun = false; ///< The head of a stream was forwarded.
+    /// The version that began the stream, at which alone it may go on. Unset before its first
+    /// event.
+    std::optional<SoftwareHash> m_software;
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last forwarded event.
     std::int64_t m_eventCount = 0; ///< Number of forwarded events.
     EventSplitter m_eventSplitter;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -140,6 +140,8 @@
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
         m_responder->begin(attempt.status, attempt.headers);
     }
+    if (!m_software && !attempt.isRelayed)
+        m_software = attempt.software;
     registry().recordContact(*attempt.endpoint, now);
     if (!attempt.lastEventAt && !attempt.isRelayed) {
         for (const PromptPrefix &prefix : m_prefixes)
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -94,6 +94,7 @@
             .checkCapacity = policy.shedding,
             .excludeSuspected = policy.doubt,
             .triedEndpoints = endpointsToAvoid(),
+            .software = m_software,
             .connectionShare = m_gateway.connectionShare(m_service),
             .usableShare = usableShare(),
             .waitingPerSlot = isStream ? 0 : waitingPerRunning};
@@ -156,7 +157,9 @@
 
 AdmissionQueue::QueueId RequestRun::queueId() const
 {
-    return {.service = m_service, .isStream = m_route->kind == Fleet::RouteKind::Stream};
+    return {.service = m_service,
+            .isStream = m_route->kind == Fleet::RouteKind::Stream,
+            .software = m_software.value_or(SoftwareHash())};
 }
 
 QueuePriority RequestRun::queuePriority() const
@@ -259,7 +262,9 @@
 
 bool RequestRun::waitForReachableEndpoint()
 {
-    if (!m_hasStreamBegun || hasCallerTimedOut())
+    const bool mayWait = m_hasStreamBegun && !hasCallerTimedOut()
+        && Placement::isServed(placementRequest(), m_gateway.m_endpoints);
+    if (!mayWait)
         return false;
     schedulePlacement(m_gateway.m_options.timeouts.reachabilityRetryInterval);
     return true;
--- /dev/null
+++ b/src/libs/gateway/softwareversions.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+#include "fleet/endpoint.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace Lagoonbank::Gateway {
+
+/// Hash of a service and of a version of its endpoints' software; the same on every router. Zero if
+/// the version is unknown.
+using SoftwareHash = Base::StrongNumber<struct SoftwareHashTag, std::uint64_t>;
+
+SoftwareHash softwareHash(const Fleet::Endpoint &endpoint);
+
+/// The software versions that the endpoints of each service run, or have run a short time ago.
+/// Reads no clock.
+class SoftwareVersions
+{
+public:
+    struct Options
+    {
+        /// Time after the removal of a version's last endpoint in which callers may still resume
+        /// streams that it began. Exceeds the timeouts of streams, which are seconds.
+        Base::Duration retention = std::chrono::minutes(1);
+    };
+
+    explicit SoftwareVersions(const Options &options)
+        : m_options(options)
+    { }
+
+    void endpointAdded(const Base::ServiceId &service, SoftwareHash software);
+    void endpointRemoved(const Base::ServiceId &service, SoftwareHash software, Base::MonoTime now);
+    /// The version that all endpoints of the service run and have run. Unset if there are several,
+    /// or no endpoints.
+    std::optional<SoftwareHash> only(const Base::ServiceId &service, Base::MonoTime now) const;
+
+private:
+    struct Usage
+    {
+        int endpoints = 0;
+        Base::MonoTime removedAt{}; ///< When the last endpoint was removed.
+    };
+    using Usages = absl::flat_hash_map<SoftwareHash, Usage>;
+
+    Options m_options;
+    absl::flat_hash_map<Base::ServiceId, Usages> m_services;
+};
+
+} // namespace Lagoonbank::Gateway
--- a/tests/auto/gateway/overloadmodel.h
+++ b/tests/auto/gateway/overloadmodel.h
@@ -229,7 +229,7 @@
             Engine &engine = m_engines[static_cast<std::size_t>(e)];
             engine = {.boot = engine.boot + 1};
             for (const auto &router : m_routers)
-                router->registry.remove(idOf(static_cast<std::size_t>(e)));
+                router->registry.remove(idOf(static_cast<std::size_t>(e)), at(m_now));
         }
         setCapacity();
     }
--- a/tests/auto/gateway/tst_endpointregistry.cpp
+++ b/tests/auto/gateway/tst_endpointregistry.cpp
@@ -29,7 +29,7 @@
     for (const EndpointPtr &one : registry.endpoints(service))
         order += one->info.id.value();
     BOOST_TEST(order == "abc");
-    registry.remove(Base::EndpointId("a"));
+    registry.remove(Base::EndpointId("a"), start);
     BOOST_TEST(registry.endpoints(service).size() == 2U);
     BOOST_TEST(registry.endpoints(Base::ServiceId("other")).empty());
 }
@@ -40,7 +40,7 @@
     registry.put(endpoint("old"), start);
     const EndpointPtr old = registry.find(Base::EndpointId("old"));
     registry.suspicion().suspect(old->index, start);
-    registry.remove(Base::EndpointId("old"));
+    registry.remove(Base::EndpointId("old"), start);
     BOOST_TEST(old->isGone);
     registry.put(endpoint("new"), start);
     const EndpointPtr fresh = registry.find(Base::EndpointId("new"));
@@ -110,11 +110,11 @@
     registry.put(one, start);
     registry.find(one.id)->notice = {.isLeaving = true,
                                      .backOffUntil = start + std::chrono::hours(1)};
-    registry.remove(one.id);
+    registry.remove(one.id, start);
     registry.put(one, start);
     BOOST_TEST(registry.find(one.id)->notice.isLeaving);
     BOOST_TEST(!registry.find(one.id)->takesRequests(start));
-    registry.remove(one.id);
+    registry.remove(one.id, start);
     Fleet::Endpoint elsewhere = one;
     elsewhere.address.port = static_cast<std::uint16_t>(one.address.port + 1);
     registry.put(elsewhere, start);
--- a/tests/auto/gateway/tst_gatewayplacement.cpp
+++ b/tests/auto/gateway/tst_gatewayplacement.cpp
@@ -75,7 +75,7 @@
     std::map<std::uint64_t, std::string> before;
     for (std::uint64_t prompt = 1; prompt <= 200; ++prompt)
         before[prompt] = f.choose(prompt * 7919).endpoint->info.id.value();
-    f.registry.remove(Base::EndpointId("e3"));
+    f.registry.remove(Base::EndpointId("e3"), f.now);
     for (const auto &[prompt, home] : before) {
         if (home != "e3")
             BOOST_TEST(f.choose(prompt * 7919).endpoint->info.id.value() == home);
@@ -142,7 +142,7 @@
     BOOST_TEST((next.endpoint != home));
     BOOST_TEST((next.cacheSource == home));
     // The home is removed, and a new endpoint becomes the home.
-    f.registry.remove(home->info.id);
+    f.registry.remove(home->info.id, f.now);
     const EndpointPtr second = f.choose(42).endpoint;
     BOOST_TEST(!f.choose(42).cacheSource);
     for (int i = 6; i < 40; ++i) {
--- a/tests/auto/gateway/tst_reachability.cpp
+++ b/tests/auto/gateway/tst_reachability.cpp
@@ -127,7 +127,7 @@
     f.cut = {"10.0.0.1"};
     f.reachability.reportUnreachable(f.endpoint(1));
     f.pass(std::chrono::milliseconds(200));
-    f.registry.remove(Base::EndpointId("e1"));
+    f.registry.remove(Base::EndpointId("e1"), f.clock.now());
     f.pass(std::chrono::seconds(1));
     const int before = f.checkCount;
     f.pass(std::chrono::seconds(2));
--- a/tests/auto/gateway/tst_softwareversions.cpp
+++ b/tests/auto/gateway/tst_softwareversions.cpp
@@ -92,3 +92,31 @@
     BOOST_TEST(isSameVersion);
     BOOST_TEST(second.last().has("x-resume: 2"));
 }
+
+/// Guards against a stream that goes on at another version as none of its own is left, and against
+/// a wait for what will not come.
+BOOST_AUTO_TEST_CASE(streamWithoutEndpointOfItsSoftwareVersionIsCut)
+{
+    MixedVersions f;
+    f.record(f.same).notice.isLeaving = true;
+    f.firstEndpoint().last().close();
+    BOOST_TEST(f.runUntil([&] { return f.caller->isEnded(); }));
+    BOOST_TEST(!f.caller->has("\r\n0\r\n\r\n"));
+    BOOST_TEST(f.requests() == 1U);
+}
+
+/// Guards against streams that wait for a slot at their version, and keep requests waiting that
+/// endpoints of another version have slots for.
+BOOST_AUTO_TEST_CASE(streamThatWaitsForItsSoftwareVersionBlocksNoOther)
+{
+    MixedVersions f;
+    f.record(f.same).report->running = 4;
+    f.firstEndpoint().last().close();
+    f.runIterations(5);
+    BOOST_TEST(f.requests() == 1U);
+    RawSocket other = f.call();
+    FakeEndpoint &second = f.awaitRequest();
+    BOOST_TEST(&second != f.endpoints[f.same].get());
+    BOOST_TEST(second.last().has("x-id: r2"));
+    BOOST_TEST(!f.caller->isEnded());
+}
--- a/tests/auto/gateway/tst_warmupquota.cpp
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -241,7 +241,7 @@
 {
     PlacementFixture f;
     BOOST_TEST(f.chosen(2, 200) > 25);
-    f.registry.remove(Base::EndpointId("e2"));
+    f.registry.remove(Base::EndpointId("e2"), f.now);
     f.registry.put(PlacementFixture::endpoint(2, true), f.now);
     BOOST_TEST(f.chosen(2, 200) == 18);
     BOOST_TEST(f.chosen(2, 200) == 0);
