Gateway, Platform: Relay a stream only to endpoints of its software version

A stream that goes on through a peer, or that a peer has begun, could go on at another version of the endpoints' software within one answer.

Cause: the same as for streams that a router moves itself; the peer placed a relayed stream like a new request, and the router did not learn which version answered. Found by looking for that cause on every way on which a run goes on.

A relayed request names the version at which its stream must go on; the peer places it there. The head of a peer's answer names the version that produced it. An answer of another version is not forwarded, so that a peer that does not know the field does no harm; where all endpoints run one version, its answers still count. The field of a caller is dropped like the others between routers, and an unreadable one is an error.

tst_relay: relayedStreamGoesOnAtItsSoftwareVersion, streamOfAPeerGoesOnAtItsSoftwareVersion and relayedRequestKeepsToTheSoftwareVersion; tst_relaycodec: malformedSoftwareVersionOfRelayedRequestIsAnError and answersOfPeersTellTheSoftwareVersion. They come with the change.

--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "errors/errorkind.h"
+#include "gateway/softwareversions.h"
 #include "http/headers.h"
 
 #include <cstdint>
@@ -34,6 +35,9 @@
 struct Relay
 {
     int endpoints = 0; ///< Endpoints to which the peer had sent the request before.
+    /// The version at which the stream that the request resumes must go on. Unset if the peer does
+    /// not know it.
+    std::optional<SoftwareHash> software;
 };
 
 /// A request of a caller, as decoded by the ingress.
--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -32,6 +32,8 @@
     const Fleet::Endpoint *cacheSource = nullptr;
     /// For a relayed request: endpoints to which it was sent before.
     int earlierEndpoints = 0;
+    /// For a relayed request: the version at which its stream must go on. Unset if any will do.
+    std::optional<SoftwareHash> software;
 };
 
 /// Information in the head of an endpoint's answer beyond status and headers.
@@ -47,6 +49,9 @@
     std::optional<Base::Duration> backOffTime;
     /// For the answer of a peer: the endpoint that produced it; empty if none did.
     Base::EndpointId endpoint;
+    /// For the answer of a peer: version of that endpoint's software. Unset if the peer does not
+    /// tell.
+    std::optional<SoftwareHash> software;
     /// For the refusal of a peer: number of endpoints that received the request there.
     int peerSends = 0;
 };
@@ -64,7 +69,9 @@
 {
     EndpointProtocol peer; ///< Calls to a peer and the heads of its answers.
     /// Adds the endpoint to the head of an answer to a relayed request.
-    std::function<void(Http::Headers &headers, const Base::EndpointId &endpoint)> addEndpoint;
+    std::function<void(Http::Headers &headers, const Base::EndpointId &endpoint,
+                       SoftwareHash software)>
+        addEndpoint;
     /// Returns the head of a peer's answer without what is meant for this router only.
     std::function<Http::Headers(const Http::Headers &headers)> headersForCaller;
 };
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -59,6 +59,8 @@
         if (const auto self = weak.lock())
             self->callerLeft();
     });
+    if (m_request.relay)
+        m_software = m_request.relay->software;
     if (m_isEnded || !isAdmitted() || isQuarantined() || !passesBacklogControl())
         return;
     m_deadlineTimer = m_timers.start(m_deadline - m_timers.clock().now(), [this] {
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -132,6 +132,8 @@
     Http::Hooks hooks();
     void headReceived(int status, const Http::Headers &headers);
     void readAnswerHead();
+    /// The version that all endpoints of the service run; zero if there are several.
+    SoftwareHash onlySoftware() const;
     void requestSent();
     /// Records that the current attempt did not run.
     void attemptNotRun();
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -66,6 +66,12 @@
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
 }
 
+SoftwareHash RequestRun::onlySoftware() const
+{
+    const SoftwareVersions &versions = m_gateway.m_endpoints.softwareVersions();
+    return versions.only(m_service, m_timers.clock().now()).value_or(SoftwareHash());
+}
+
 /// Evaluates what the head of an answer says about the endpoint that produced it, and adapts the
 /// head for whoever sent the request: a caller, or the peer that relayed it.
 void RequestRun::readAnswerHead()
@@ -74,12 +80,16 @@
     const RelayProtocol &relay = m_gateway.m_options.relay;
     if (attempt.isRelayed) {
         attempt.headers = relay.headersForCaller(attempt.headers);
-        if (const EndpointPtr endpoint = m_gateway.m_endpoints.find(attempt.facts.endpoint))
+        const EndpointPtr endpoint = m_gateway.m_endpoints.find(attempt.facts.endpoint);
+        attempt.software = endpoint ? endpoint->software : onlySoftware();
+        if (attempt.facts.software)
+            attempt.software = *attempt.facts.software;
+        if (endpoint)
             m_gateway.m_health.headReceived(*endpoint, attempt.facts, m_request.id);
         return;
     }
     if (m_request.relay)
-        relay.addEndpoint(attempt.headers, attempt.endpoint->info.id);
+        relay.addEndpoint(attempt.headers, attempt.endpoint->info.id, attempt.software);
     m_gateway.m_health.headReceived(*attempt.endpoint, attempt.facts, m_request.id);
     if (attempt.facts.load) {
         m_reportedLoad = attempt.facts.load->running + attempt.facts.load->waiting;
@@ -99,7 +109,12 @@
     readAnswerHead();
     const bool isGood = status >= 200 && status < 300 && attempt.facts.isOwn;
     attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
-    if (attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
+    // A peer of an older version resumes a stream at an endpoint of any version.
+    const bool isOtherSoftware =
+        attempt.isStreaming && m_software && attempt.software != *m_software;
+    const bool isAnswer =
+        attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint;
+    if (isAnswer && !isOtherSoftware)
         return;
     attemptFailed({.kind = ErrorKind::AnswerMismatch});
 }
@@ -140,7 +155,7 @@
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
         m_responder->begin(attempt.status, attempt.headers);
     }
-    if (!m_software && !attempt.isRelayed)
+    if (!m_software)
         m_software = attempt.software;
     registry().recordContact(*attempt.endpoint, now);
     if (!attempt.lastEventAt && !attempt.isRelayed) {
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -256,7 +256,8 @@
          .endpoint = &peer.endpoint->info,
          .timeLeft = std::max(timeLeft(), Base::Duration::zero()),
          .resumeAfter = resumeAfter(),
-         .earlierEndpoints = static_cast<int>(m_mayHaveRunAt.size())}));
+         .earlierEndpoints = static_cast<int>(m_mayHaveRunAt.size()),
+         .software = m_software}));
     return true;
 }
 
--- a/tests/auto/adapter/tst_relaycodec.cpp
+++ b/tests/auto/adapter/tst_relaycodec.cpp
@@ -50,7 +50,8 @@
                                                  .endpoint = &peer,
                                                  .timeLeft = std::chrono::milliseconds(740),
                                                  .resumeAfter = 12,
-                                                 .earlierEndpoints = 1});
+                                                 .earlierEndpoints = 1,
+                                                 .software = Gateway::SoftwareHash(77)});
     BOOST_TEST(!call.headers.find("lagoonbank-expect-instance"));
     BOOST_TEST(call.target == "/fleet/relay/x?a=b");
     const auto read =
@@ -69,6 +70,8 @@
     BOOST_TEST(!request.headers.find("lagoonbank-relayed-endpoints"));
     BOOST_REQUIRE(request.relay);
     BOOST_TEST(request.relay->endpoints == 1);
+    BOOST_TEST((request.relay->software == Gateway::SoftwareHash(77)));
+    BOOST_TEST(!request.headers.find("lagoonbank-relayed-software"));
 }
 
 /// Guards against harm by requests at the routers' port that no router sent.
@@ -85,6 +88,35 @@
     }
 }
 
+/// Guards against a relayed stream that goes on at any version as its own one cannot be read.
+BOOST_AUTO_TEST_CASE(malformedSoftwareVersionOfRelayedRequestIsAnError)
+{
+    for (const std::string software : {"x", "-1", "99999999999999999999999"}) {
+        Http::Request request;
+        request.path = "/x";
+        request.headers = {{"host", "h"},
+                           {"lagoonbank-attempt-id", "a"},
+                           {"lagoonbank-relayed-endpoints", "1"},
+                           {"lagoonbank-relayed-software", software}};
+        const bool isRead = Platform::readRelayedRequest(std::move(request)).has_value();
+        BOOST_TEST(!isRead, software);
+    }
+}
+
+/// Guards against streams that go on at another version: the router does not learn which version
+/// began the one that a peer passes on.
+BOOST_AUTO_TEST_CASE(answersOfPeersTellTheSoftwareVersion)
+{
+    const Gateway::RelayProtocol relay = Platform::relayProtocol();
+    Http::Headers headers{{"lagoonbank-attempt-id", "9c41"}, {"lagoonbank-server-seal", "3e"}};
+    relay.addEndpoint(headers, Base::EndpointId("i-7"), Gateway::SoftwareHash(77));
+    const Gateway::HeadFacts facts = relay.peer.readHead(callerRequest(), 200, headers);
+    BOOST_TEST(facts.isOwn);
+    BOOST_TEST(facts.endpoint.value() == "i-7");
+    BOOST_TEST((facts.software == Gateway::SoftwareHash(77)));
+    BOOST_TEST(relay.headersForCaller(headers).fields().size() == 2U);
+}
+
 /// Guards against taking a peer's own answers for those of an endpoint, and against passing on what
 /// a router of an earlier version answers.
 BOOST_AUTO_TEST_CASE(headsOfPeersAreToldApart)
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -186,6 +186,8 @@
         peer.makeCall = [makeCall](const Gateway::Send &send) {
             Http::Call call = makeCall(send);
             call.headers.add("x-relayed", std::to_string(send.earlierEndpoints));
+            if (send.software)
+                call.headers.add("x-goes-on-at", std::to_string(send.software->value()));
             return call;
         };
         const auto readHead = peer.readHead;
@@ -194,19 +196,23 @@
             Gateway::HeadFacts facts = readHead(request, status, headers);
             facts.endpoint = Base::EndpointId(std::string(headers.find("x-endpoint").value_or("")));
             facts.isLeaving = headers.find("x-leaving").has_value();
+            if (const auto software = headers.find("x-software"))
+                facts.software = Gateway::SoftwareHash(std::stoull(std::string(*software)));
             facts.peerSends = headers.find("x-sends") ? 1 : 0;
             return facts;
         };
         return {.peer = std::move(peer),
                 .addEndpoint =
-                    [](Http::Headers &headers, const Base::EndpointId &endpoint) {
+                    [](Http::Headers &headers, const Base::EndpointId &endpoint,
+                       Gateway::SoftwareHash software) {
                         headers.add("x-endpoint", endpoint.value());
+                        headers.add("x-software", std::to_string(software.value()));
                     },
                 .headersForCaller =
                     [](const Http::Headers &headers) {
                         Http::Headers forwarded;
                         for (const Http::Header &field : headers.fields()) {
-                            if (field.name != "x-endpoint")
+                            if (field.name != "x-endpoint" && field.name != "x-software")
                                 forwarded.add(field.name, field.value);
                         }
                         return forwarded;
--- a/tests/auto/gateway/tst_relay.cpp
+++ b/tests/auto/gateway/tst_relay.cpp
@@ -257,6 +257,79 @@
     BOOST_TEST(f.runUntil([&] { return caller.has("e4") && caller.has("\r\n0\r\n\r\n"); }));
 }
 
+/// Guards against relayed streams that go on at another software version: the peer has to know the
+/// version, and one of an older software does not heed it.
+BOOST_AUTO_TEST_CASE(relayedStreamGoesOnAtItsSoftwareVersion)
+{
+    for (const bool isHeeded : {true, false}) {
+        BOOST_TEST_CONTEXT("the peer " << (isHeeded ? "heeds" : "ignores") << " the version")
+        {
+            Partition f;
+            f.putEndpoint(0, "v1");
+            f.putEndpoint(1, "v1");
+            f.setRoute(streamRoute(true));
+            f.setUnreachable(false);
+            RawSocket caller = f.call();
+            FakeEndpoint &first = f.awaitRequest();
+            first.last().send(std::string(streamHead) + chunk(event(1)));
+            BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+            const std::string software = std::to_string(f.record(0).software.value());
+            f.setUnreachable(true);
+            first.last().close();
+            FakeEndpoint &peer = f.awaitRelayed();
+            BOOST_TEST(peer.last().has("x-goes-on-at: " + software + "\r\n"));
+            const std::string answered = isHeeded ? software : "1";
+            peer.last().send("HTTP/1.1 200 OK\r\nx-id: r1\r\nx-endpoint: e9\r\nx-software: "
+                             + answered + "\r\ntransfer-encoding: chunked\r\n\r\n" + chunk(event(2))
+                             + std::string(streamEnd));
+            const auto isWhole = [&] { return caller.has("e2") && caller.has("\r\n0\r\n\r\n"); };
+            BOOST_TEST(f.runUntil([&] { return isWhole() || caller.isEnded(); }));
+            BOOST_TEST(isWhole() == isHeeded);
+            BOOST_TEST(caller.has("e2") == isHeeded);
+        }
+    }
+}
+
+/// Guards against streams of two software versions: a peer began one, and its endpoints can be
+/// reached again when it breaks.
+BOOST_AUTO_TEST_CASE(streamOfAPeerGoesOnAtItsSoftwareVersion)
+{
+    Partition f;
+    f.putEndpoint(0, "v1");
+    f.putEndpoint(1, "v2");
+    f.setRoute(streamRoute(true));
+    RawSocket caller = f.call();
+    FakeEndpoint &peer = f.awaitRelayed();
+    peer.last().send("HTTP/1.1 200 OK\r\nx-id: r1\r\nx-endpoint: e9\r\nx-software: "
+                     + std::to_string(f.record(1).software.value())
+                     + "\r\ntransfer-encoding: chunked\r\n\r\n" + chunk(event(1)));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+    f.setUnreachable(false);
+    f.record(0).report = Gateway::LoadReport{.running = 0, .slots = 4};
+    f.record(0).reportedAt = f.clock.now();
+    f.record(1).report = Gateway::LoadReport{.running = 2, .slots = 4};
+    f.record(1).reportedAt = f.clock.now();
+    peer.last().close();
+    BOOST_TEST(f.runUntil([&] { return f.requests() > 0 || caller.isEnded(); }));
+    BOOST_TEST(f.endpoints[0]->requests() == 0U);
+}
+
+/// Guards against a router that places a relayed stream by prompt and load only.
+BOOST_AUTO_TEST_CASE(relayedRequestKeepsToTheSoftwareVersion)
+{
+    Partition f;
+    f.putEndpoint(0, "v1");
+    f.putEndpoint(1, "v2");
+    f.setRoute(streamRoute(true));
+    f.setUnreachable(false);
+    f.record(1).report = Gateway::LoadReport{.running = 2, .slots = 4};
+    f.record(1).reportedAt = f.clock.now();
+    f.relay = Gateway::Relay{.endpoints = 1, .software = f.record(1).software};
+    f.resumeAfter = 1;
+    RawSocket caller = f.call();
+    BOOST_TEST(&f.awaitRequest() == f.endpoints[1].get());
+}
+
 /// Guards against broken-off streams that look complete: a peer of an older version has taken one
 /// for complete, and ends its own answer as such.
 BOOST_AUTO_TEST_CASE(relayedStreamThatEndsInsideAnEventIsAborted)
