FleetSync: Let routers tell and ask which version began a stream

A caller that resumes a stream names the request that began it, and may come to any router. The one that knows at which software version it began may have ended, which is why most of these streams break in the first place.

Ways weighed: - ask peers when a stream is resumed: nobody knows it if its router has ended; - tell all peers of each stream: 17 streams a second at each of 295 routers are 220 KB/s a router; - the platform's store: what is written there for each stream is priced, and not at hand in a few ms; it is also away at such moments; - choose the version of a stream by a hash of its request: needs no state, but the set of versions changes while streams last, and homes of prompts would be given up; - tell a few routers that are chosen by a hash of the stream, and ask the same.

StreamGossip is pure; nothing uses it yet. tst_streamgossip: known by every router after the one that began a stream has ended (2, 6, 24, 300 routers); at least half known after three of five routers ended at once; questions end when denied or lost; traffic within the budget.

--- /dev/null
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -0,0 +1,144 @@
+#include "fleetsync/streamgossip.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace Lagoonbank::FleetSync {
+
+namespace {
+
+constexpr std::size_t maxItemsPerDatagram = 32; ///< Streams or questions in one datagram.
+/// Size of an empty datagram: IP and UDP headers, version and two counts.
+constexpr double emptyDatagramBytes = 46;
+constexpr double streamBytes = 16; ///< Size of one stream in a datagram.
+constexpr double questionBytes = 8; ///< Size of one question in a datagram.
+
+} // namespace
+
+StreamGossip::StreamGossip(Options options)
+    : m_options(std::move(options))
+    , m_byteBudget({.rate = m_options.bytesPerSecond, .burst = m_options.burstBytes})
+{ }
+
+StreamGossip::~StreamGossip()
+{
+    if (m_reportTimer)
+        m_options.timers->cancel(*m_reportTimer);
+    for (const auto &[stream, question] : m_questions)
+        m_options.timers->cancel(question.timer);
+}
+
+std::vector<Runtime::SocketAddress> StreamGossip::holdersOf(std::uint64_t stream) const
+{
+    return RouterRanking(m_options.self, m_options.peers()).first(stream, m_options.holders);
+}
+
+void StreamGossip::report(const Schema::SharedStream &stream)
+{
+    m_reports.push_back(stream);
+    if (!m_reportTimer)
+        m_reportTimer = m_options.timers->start(m_options.reportDelay, [this] { flushReports(); });
+}
+
+void StreamGossip::flushReports()
+{
+    m_reportTimer.reset();
+    const RouterRanking routers(m_options.self, m_options.peers());
+    std::map<std::string, std::pair<Runtime::SocketAddress, Schema::StreamUpdate>> datagrams;
+    for (const Schema::SharedStream &stream : std::exchange(m_reports, {})) {
+        for (const Runtime::SocketAddress &router :
+             routers.first(stream.stream, m_options.holders)) {
+            auto &[to, message] = datagrams[Runtime::toString(router)];
+            to = router;
+            message.streams.push_back(stream);
+            if (message.streams.size() < maxItemsPerDatagram)
+                continue;
+            sendWithinBudget(to, message);
+            message.streams.clear();
+        }
+    }
+    for (const auto &[name, addressed] : datagrams) {
+        if (!addressed.second.streams.empty())
+            sendWithinBudget(addressed.first, addressed.second);
+    }
+}
+
+bool StreamGossip::sendWithinBudget(const Runtime::SocketAddress &to,
+                                    const Schema::StreamUpdate &message)
+{
+    const double cost = emptyDatagramBytes
+        + streamBytes * static_cast<double>(message.streams.size())
+        + questionBytes * static_cast<double>(message.asked.size());
+    const Base::MonoTime now = m_options.timers->clock().now();
+    if (!send || m_byteBudget.waitFor(cost, now) != Base::Duration::zero()) {
+        m_dropped += message.streams.size() + message.asked.size();
+        return false;
+    }
+    m_byteBudget.charge(cost, now);
+    send(to, message);
+    return true;
+}
+
+void StreamGossip::ask(std::uint64_t stream, Answered answered)
+{
+    Question &question = m_questions[stream];
+    question.answered.push_back(std::move(answered));
+    if (question.answered.size() > 1)
+        return; // The peers have been asked already.
+    for (const Runtime::SocketAddress &router : holdersOf(stream)) {
+        if (sendWithinBudget(router, {.asked = {stream}}))
+            ++question.openAnswers;
+    }
+    const Base::Duration timeout =
+        question.openAnswers > 0 ? m_options.askTimeout : Base::Duration::zero();
+    question.timer =
+        m_options.timers->start(timeout, [this, stream] { finishQuestion(stream, std::nullopt); });
+}
+
+void StreamGossip::receive(const Runtime::SocketAddress &from, const Schema::StreamUpdate &message)
+{
+    for (const Schema::SharedStream &stream : message.streams)
+        answerReceived(stream);
+    if (!message.asked.empty())
+        answer(from, message.asked);
+}
+
+/// Handles a report or an answer; both say which version began the stream.
+void StreamGossip::answerReceived(const Schema::SharedStream &stream)
+{
+    if (stream.software != 0) {
+        if (received)
+            received(stream);
+        finishQuestion(stream.stream, stream.software);
+        return;
+    }
+    const auto question = m_questions.find(stream.stream);
+    if (question == m_questions.end())
+        return;
+    question->second.openAnswers -= std::min<std::size_t>(question->second.openAnswers, 1);
+    if (question->second.openAnswers == 0)
+        finishQuestion(stream.stream, std::nullopt);
+}
+
+void StreamGossip::answer(const Runtime::SocketAddress &from,
+                          const std::vector<std::uint64_t> &streams)
+{
+    Schema::StreamUpdate message;
+    for (const std::uint64_t stream : streams)
+        message.streams.push_back({.stream = stream, .software = find ? find(stream) : 0});
+    sendWithinBudget(from, message);
+}
+
+void StreamGossip::finishQuestion(std::uint64_t stream, std::optional<std::uint64_t> software)
+{
+    auto question = m_questions.extract(stream);
+    if (question.empty())
+        return;
+    m_options.timers->cancel(question.mapped().timer);
+    for (const Answered &answered : question.mapped().answered)
+        answered(software);
+}
+
+} // namespace Lagoonbank::FleetSync
--- /dev/null
+++ b/src/libs/fleetsync/streamgossip.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "admission/gcra.h"
+#include "fleetsync/routerranking.h"
+#include "runtime/timerqueue.h"
+#include "runtime/udpsocket.h"
+#include "schema/generated/fleetsync.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace Lagoonbank::FleetSync {
+
+/// Gossip about streams: reports to other routers which software version began a stream, so that
+/// any router can resume it there, also after the router that began it has ended.
+///
+/// A stream is reported to a few routers, which are chosen by its hash. A router that does not know
+/// a stream asks the same ones. Reporting every stream to every router would exceed the control
+/// traffic that a large fleet may cause.
+///
+/// Pure: time comes from the timers, messages go out through the hooks.
+class StreamGossip
+{
+public:
+    /// Hash of a software version; empty if no router knows it.
+    using Answered = std::function<void(std::optional<std::uint64_t> software)>;
+
+    struct Options
+    {
+        Runtime::TimerQueue *timers = nullptr;
+        std::function<std::vector<Runtime::SocketAddress>()> peers;
+        Runtime::SocketAddress self; ///< Address at which peers reach this router.
+        /// Number of routers that know a stream beside the one that began it. Several routers may
+        /// end at the same time.
+        std::size_t holders = 3;
+        /// Budget for reports and questions. What exceeds it is dropped.
+        double bytesPerSecond = 3000;
+        /// Maximum size of a burst. Each router reports some hundred streams at once when another
+        /// version begins to serve, and asks for as many when a router ends.
+        double burstBytes = 48000;
+        /// Time for which reports are collected into one datagram for each router. A stream whose
+        /// router ends within this time cannot be resumed.
+        Base::Duration reportDelay = std::chrono::milliseconds(5);
+        /// Time after which a question without an answer fails. Peers are a few ms away.
+        Base::Duration askTimeout = std::chrono::milliseconds(50);
+    };
+
+    explicit StreamGossip(Options options);
+    ~StreamGossip();
+    StreamGossip(const StreamGossip &) = delete;
+    StreamGossip &operator=(const StreamGossip &) = delete;
+
+    std::function<void(const Runtime::SocketAddress &to, const Schema::StreamUpdate &message)> send;
+    std::function<void(const Schema::SharedStream &stream)> received;
+    /// Returns the hash of the version that began the stream; 0 if this router does not know it.
+    std::function<std::uint64_t(std::uint64_t stream)> find;
+
+    void report(const Schema::SharedStream &stream);
+    /// Asks peers for the version that began a stream. \a answered is called once, later than this
+    /// function returns, unless the gossip is destroyed first.
+    void ask(std::uint64_t stream, Answered answered);
+    void receive(const Runtime::SocketAddress &from, const Schema::StreamUpdate &message);
+    /// Number of reports and questions that were not sent for lack of budget, once for each
+    /// receiver.
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    struct Question
+    {
+        std::vector<Answered> answered;
+        std::size_t openAnswers = 0;
+        Runtime::TimerId timer;
+    };
+
+    std::vector<Runtime::SocketAddress> holdersOf(std::uint64_t stream) const;
+    void flushReports();
+    /// Whether the message was sent.
+    bool sendWithinBudget(const Runtime::SocketAddress &to, const Schema::StreamUpdate &message);
+    void answer(const Runtime::SocketAddress &from, const std::vector<std::uint64_t> &streams);
+    void answerReceived(const Schema::SharedStream &stream);
+    void finishQuestion(std::uint64_t stream, std::optional<std::uint64_t> software);
+
+    Options m_options;
+    Admission::Gcra m_byteBudget;
+    std::vector<Schema::SharedStream> m_reports; ///< Not sent yet.
+    std::optional<Runtime::TimerId> m_reportTimer;
+    absl::flat_hash_map<std::uint64_t, Question> m_questions; ///< By stream.
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace Lagoonbank::FleetSync
--- /dev/null
+++ b/tests/auto/fleetsync/tst_streamgossip.cpp
@@ -0,0 +1,194 @@
+#define BOOST_TEST_MODULE tst_streamgossip
+#include <boost/test/unit_test.hpp>
+
+#include "fleetsync/streamgossip.h"
+#include "runtime/clock.h"
+#include "schema/messagecodec.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+using namespace Lagoonbank;
+using FleetSync::StreamGossip;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t software = 77;
+
+/// Routers that keep the streams reported to them. Datagrams arrive at once, unless their receiver
+/// has ended.
+struct Routers
+{
+    explicit Routers(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            addresses.push_back({"10.0.0." + std::to_string(i), 7000});
+        known.resize(count);
+        sentBytes.resize(count);
+        for (std::size_t i = 0; i < count; ++i)
+            add(i);
+    }
+    void add(std::size_t index)
+    {
+        auto gossip = std::make_unique<StreamGossip>(StreamGossip::Options{
+            .timers = &timers,
+            .peers =
+                [this, index] {
+                    auto peers = addresses;
+                    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+                    return peers;
+                },
+            .self = addresses[index]});
+        gossip->send = [this, index](const Runtime::SocketAddress &to,
+                                     const Schema::StreamUpdate &message) {
+            constexpr std::size_t headers = 28;
+            sentBytes[index] += headers + Schema::encodeMessage(message).value().size();
+            const auto receiver = std::find(addresses.begin(), addresses.end(), to);
+            const auto receiverIndex = static_cast<std::size_t>(receiver - addresses.begin());
+            if (!ended.contains(receiverIndex))
+                routers[receiverIndex]->receive(addresses[index], message);
+        };
+        gossip->received = [this, index](const Schema::SharedStream &stream) {
+            known[index][stream.stream] = stream.software;
+        };
+        gossip->find = [this, index](std::uint64_t stream) {
+            const auto found = known[index].find(stream);
+            return found == known[index].end() ? 0 : found->second;
+        };
+        routers.push_back(std::move(gossip));
+    }
+    void pass(Base::Duration duration)
+    {
+        for (auto left = duration; left > left.zero(); left -= milliseconds(1)) {
+            clock.advance(milliseconds(1));
+            timers.runDue();
+        }
+    }
+    /// A stream begins at a router.
+    void begin(std::size_t router, std::uint64_t stream)
+    {
+        known[router][stream] = software;
+        routers[router]->report({.stream = stream, .software = software});
+    }
+    /// What a router learns of a stream that a caller resumes there, within this time.
+    std::optional<std::uint64_t> ask(std::size_t router, std::uint64_t stream,
+                                     Base::Duration within = milliseconds(1))
+    {
+        if (const std::uint64_t own = routers[router]->find(stream))
+            return own;
+        isAnswered = false;
+        std::optional<std::uint64_t> answer;
+        routers[router]->ask(stream, [&](std::optional<std::uint64_t> found) {
+            isAnswered = true;
+            answer = found;
+        });
+        pass(within);
+        return answer;
+    }
+
+    std::vector<Runtime::SocketAddress> addresses;
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers{clock};
+    std::vector<std::unique_ptr<StreamGossip>> routers;
+    std::vector<std::map<std::uint64_t, std::uint64_t>> known; ///< By router and stream.
+    std::vector<std::size_t> sentBytes; ///< By router.
+    std::set<std::size_t> ended;
+    bool isAnswered = false;
+};
+
+} // namespace
+
+/// Guards against streams that no other router can resume when the one that began them ends.
+BOOST_AUTO_TEST_CASE(everyRouterLearnsTheVersionOfAStreamOfAnEndedRouter)
+{
+    for (const std::size_t count : {2U, 6U, 24U, 300U}) {
+        BOOST_TEST_CONTEXT(count << " routers")
+        {
+            Routers f(count);
+            constexpr std::uint64_t streams = 20;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream)
+                f.begin(0, stream * 7919);
+            f.pass(milliseconds(10));
+            f.ended.insert(0);
+            for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+                const std::size_t router = 1 + stream % (count - 1);
+                BOOST_TEST((f.ask(router, stream * 7919) == software));
+            }
+        }
+    }
+}
+
+/// Guards against streams that cannot be resumed when most routers end at the same moment: half of
+/// those of the routers that ended have to be known by one that is left.
+BOOST_AUTO_TEST_CASE(mostStreamsAreKnownAfterMostRoutersHaveEnded)
+{
+    for (const std::size_t count : {6U, 24U}) {
+        BOOST_TEST_CONTEXT(count << " routers")
+        {
+            Routers f(count);
+            constexpr std::uint64_t streams = 200;
+            const std::size_t left = count * 2 / 5;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream)
+                f.begin(left + stream % (count - left), stream * 7919);
+            f.pass(milliseconds(10));
+            for (std::size_t router = left; router < count; ++router)
+                f.ended.insert(router);
+            std::uint64_t found = 0;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream)
+                found += f.ask(0, stream * 7919, milliseconds(60)) == software ? 1 : 0;
+            BOOST_TEST(found >= streams / 2);
+        }
+    }
+}
+
+/// Guards against requests that wait for an answer that cannot come.
+BOOST_AUTO_TEST_CASE(questionEndsOnceAllAskedRoutersDenyTheStream)
+{
+    Routers f(6);
+    BOOST_TEST(!f.ask(0, 5));
+    BOOST_TEST(f.isAnswered);
+    Routers alone(1);
+    BOOST_TEST(!alone.ask(0, 5));
+    BOOST_TEST(alone.isAnswered);
+}
+
+/// Guards against requests that wait for routers that have ended.
+BOOST_AUTO_TEST_CASE(questionEndsIfAnswersAreLost)
+{
+    Routers f(6);
+    for (std::size_t router = 1; router < 6; ++router)
+        f.ended.insert(router);
+    BOOST_TEST(!f.ask(0, 5, milliseconds(40)));
+    BOOST_TEST(!f.isAnswered);
+    bool isAnswered = false;
+    f.routers[0]->ask(5, [&](std::optional<std::uint64_t>) { isAnswered = true; });
+    f.pass(milliseconds(15));
+    BOOST_TEST(isAnswered);
+}
+
+/// Guards against control traffic beyond what a router may cause: 200 streams begin in a second,
+/// and as many are asked for.
+BOOST_AUTO_TEST_CASE(trafficStaysWithinTheBudget)
+{
+    Routers f(24);
+    constexpr int duration = 30;
+    for (int second = 0; second < duration; ++second) {
+        for (std::uint64_t i = 0; i < 200; ++i) {
+            const std::uint64_t stream = static_cast<std::uint64_t>(second) * 1000 + i;
+            f.begin(0, stream * 7919);
+            f.routers[0]->ask(stream * 104729 + 1, [](std::optional<std::uint64_t>) {});
+            f.pass(milliseconds(5));
+        }
+    }
+    const StreamGossip::Options options;
+    BOOST_TEST(static_cast<double>(f.sentBytes[0])
+               <= options.burstBytes + options.bytesPerSecond * duration);
+    BOOST_TEST(f.routers[0]->dropped() > 0U);
+}
