Gateway, Platform: Resume callers' streams at the version that began them

Cause: a router that gets a resumed stream placed it like a new request. It did not read which request began the stream, and would not have known at which version that one ran; the router that knew had ended.

Ruled out: an outdated version of a known endpoint; ids are new at each start here, and requests name the id that they expect.

Each router remembers for a minute which version began the streams that callers may resume, by the id of the request that began them. While endpoints of a service run, or have run a minute ago, more than one version, it tells three routers chosen by a hash, and all streams in progress when a second version appears. A resumed stream goes on at its version only; a router that does not know it asks the same three, for 50 ms at most. What nobody knows is refused as not run, without a time to come back. With one version everything is as before, and nothing is told.

Class: what a request needs to go on was kept only where it began, by the process most likely to be gone.

Why it holds: the version is fixed before a resumed request is placed, and all placement of it goes through the same filter as moves within an answer.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -47,6 +47,7 @@
     m_options.prompts->send = nullptr;
     m_options.loads->send = nullptr;
     m_options.crashes->send = nullptr;
+    m_options.streams->send = nullptr;
 }
 
 Errors::Result<std::unique_ptr<FleetLink>> FleetLink::open(Options options)
@@ -79,6 +80,9 @@
     own.crashes->send = [raw = link.get()](const auto &to, const auto &message) {
         raw->send(to, message);
     };
+    own.streams->send = [raw = link.get()](const auto &to, const auto &message) {
+        raw->send(to, message);
+    };
     own.sync->pull = [raw = link.get()](const auto &peer, const auto &request) {
         raw->pull(peer, request);
     };
@@ -110,6 +114,10 @@
     } else if (version == versionOf(Schema::CrashUpdate{})) {
         read<Schema::CrashUpdate>(
             datagram, [this](const auto &message) { m_options.crashes->receive(message); });
+    } else if (version == versionOf(Schema::StreamUpdate{})) {
+        read<Schema::StreamUpdate>(datagram, [this, &from](const auto &message) {
+            m_options.streams->receive(from, message);
+        });
     } else {
         read<Schema::FleetBeacon>(datagram, [this, &from](const auto &beacon) {
             m_options.sync->receive(from.ip, beacon);
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -6,6 +6,7 @@
 #include "fleetsync/fleetsync.h"
 #include "fleetsync/loadgossip.h"
 #include "fleetsync/promptgossip.h"
+#include "fleetsync/streamgossip.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "runtime/loop.h"
@@ -39,6 +40,7 @@
         PromptGossip *prompts = nullptr;
         LoadGossip *loads = nullptr;
         CrashGossip *crashes = nullptr;
+        StreamGossip *streams = nullptr;
         Runtime::SocketAddress address;
         /// Rate limit for answers to pulls. A pull beyond it is refused, and the peer pulls from
         /// another router. A single answer may exceed it.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -93,6 +93,7 @@
     , m_quarantine(m_options.quarantine)
     , m_crashWatch(
           {.timers = &m_options.loop->timers(), .check = connectionCheck(*m_options.client)})
+    , m_streams(m_options.streams)
 {
     m_crashWatch.crashed = [this](const auto &endpoint, const auto &requests) {
         endpointCrashed(endpoint, requests);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/promptdirectory.h"
 #include "gateway/reachability.h"
 #include "gateway/requestquarantine.h"
+#include "gateway/streamdirectory.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "logging/decisionlog.h"
@@ -120,6 +121,13 @@
         /// Announces a quarantined request to peers and to routers that start later. Null without
         /// peers.
         std::function<void(const QuarantinedRequest &quarantined)> requestQuarantined;
+        /// Announces streams to peers, of which callers may resume them. Null without peers.
+        std::function<void(const std::vector<StreamOrigin> &streams)> streamsBegan;
+        /// Asks peers which version began a stream, and calls \a answered later. Null without
+        /// peers.
+        std::function<void(StreamHash stream,
+                           std::function<void(std::optional<SoftwareHash>)> answered)>
+            askForStream;
         Schema::PolicySettings policy;
         Placement::Options placement;
         PromptDirectory::Options prompts;
@@ -131,6 +139,7 @@
         BacklogControl::Options backlog;
         ConcurrencyLimit::Options concurrencyLimit;
         RequestQuarantine::Options quarantine;
+        StreamDirectory::Options streams;
         GatewayTimeouts timeouts;
         Logging::DecisionLog *log = nullptr;
         GatewayMetrics *metrics = nullptr;
@@ -176,6 +185,14 @@
     std::optional<Base::Duration> quarantineReceived(const QuarantinedRequest &quarantined);
     std::vector<QuarantinedRequest> quarantined() const;
 
+    /// Records a stream that began at a peer.
+    void streamReceived(const StreamOrigin &origin);
+    /// The version that began a stream, if this router knows it.
+    std::optional<SoftwareHash> findStream(StreamHash stream) const;
+    /// Announces the streams in progress of services of which a second version serves since the
+    /// last call. Call it regularly.
+    void announceStreams();
+
     void run(CallerRequest request, std::shared_ptr<Http::Responder> responder);
     std::size_t inFlight() const { return m_runs.size(); }
 
@@ -199,6 +216,8 @@
     {
         return m_options.ownDelay ? m_options.ownDelay() : Base::Duration::zero();
     }
+    /// Records a stream that began at this router, or that has gone on here.
+    void streamBegan(const Base::ServiceId &service, const StreamOrigin &origin);
     void countRefusal(Errors::ErrorKind kind);
     void countAnswer(int status);
     /// Age of this router's state in milliseconds; -1 if unknown.
@@ -250,6 +269,8 @@
     PromptDirectory m_prompts;
     RequestQuarantine m_quarantine;
     CrashWatch m_crashWatch;
+    StreamDirectory m_streams;
+    std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
     std::size_t m_routerCount = 1;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
     /// Cached counters, as finding a metric by its labels builds several strings.
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -72,6 +72,21 @@
            "Requests that peers sent to this router, as they could not reach their endpoints.",
            "Peers are cut off from endpoints; the log lines name them.",
            {}},
+    Metric{"lagoonbank_gateway_asked_streams_total",
+           Kind::Counter,
+           "requests",
+           "Requests that resume a stream for which peers were asked which software version began "
+           "it.",
+           "Routers have ended, or callers lose connections, while endpoints of several versions "
+           "serve.",
+           {}},
+    Metric{"lagoonbank_gateway_unknown_streams_total",
+           Kind::Counter,
+           "requests",
+           "Requests that resume a stream and were refused, as no router knows which software "
+           "version began it.",
+           "Many routers have ended at once, or the messages between routers are lost.",
+           {}},
     Metric{"lagoonbank_gateway_configuration_revision",
            Kind::Gauge,
            "revision",
@@ -185,6 +200,8 @@
     , unreachableEndpoints(registry.gauge("lagoonbank_gateway_unreachable_endpoints"))
     , relayed(registry.counter("lagoonbank_gateway_relayed_total"))
     , relayedByPeers(registry.counter("lagoonbank_gateway_relayed_by_peers_total"))
+    , askedStreams(registry.counter("lagoonbank_gateway_asked_streams_total"))
+    , unknownStreams(registry.counter("lagoonbank_gateway_unknown_streams_total"))
     , configuration(registry.gauge("lagoonbank_gateway_configuration_revision"))
     , storeEra(registry.gauge("lagoonbank_gateway_store_era"))
     , peerBytes(registry.counter("lagoonbank_gateway_peer_bytes_total"))
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -23,6 +23,8 @@
     Metrics::Gauge unreachableEndpoints;
     Metrics::Counter relayed;
     Metrics::Counter relayedByPeers;
+    Metrics::Counter askedStreams;
+    Metrics::Counter unknownStreams;
     Metrics::Gauge configuration;
     Metrics::Gauge storeEra;
     Metrics::Counter peerBytes;
--- /dev/null
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -0,0 +1,44 @@
+#include "gateway/gateway.h"
+
+#include "gateway/requestrun.h"
+
+// Software versions of streams, which callers may resume at any router.
+
+namespace Lagoonbank::Gateway {
+
+void Gateway::streamBegan(const Base::ServiceId &service, const StreamOrigin &origin)
+{
+    const Base::MonoTime now = m_options.loop->clock().now();
+    m_streams.record(origin, now);
+    if (m_options.streamsBegan && m_endpoints.softwareVersions().isMixed(service, now))
+        m_options.streamsBegan({origin});
+}
+
+void Gateway::streamReceived(const StreamOrigin &origin)
+{
+    m_streams.record(origin, m_options.loop->clock().now());
+}
+
+std::optional<SoftwareHash> Gateway::findStream(StreamHash stream) const
+{
+    return m_streams.find(stream, m_options.loop->clock().now());
+}
+
+void Gateway::announceStreams()
+{
+    const std::set<Base::ServiceId> mixed =
+        m_endpoints.softwareVersions().mixedServices(m_options.loop->clock().now());
+    std::vector<StreamOrigin> streams;
+    for (const auto &run : m_runs) {
+        const bool isNewlyMixed =
+            mixed.contains(run->service()) && !m_mixedServices.contains(run->service());
+        const auto origin = isNewlyMixed ? run->streamOrigin() : std::nullopt;
+        if (origin)
+            streams.push_back(*origin);
+    }
+    m_mixedServices = mixed;
+    if (m_options.streamsBegan && !streams.empty())
+        m_options.streamsBegan(streams);
+}
+
+} // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -75,7 +75,8 @@
         return;
     }
     m_prefixes = sharedPrefixes();
-    place();
+    if (determineSoftware())
+        place();
 }
 
 bool RequestRun::endIfCallerLeft()
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -27,6 +27,9 @@
     void quarantined(RequestFingerprint request);
     /// Ends the run without an answer to the caller.
     void drop();
+    const Base::ServiceId &service() const { return m_service; }
+    /// The stream that the request has begun or resumed; unset if callers cannot resume it.
+    std::optional<StreamOrigin> streamOrigin() const;
 
 private:
     /// The current attempt to send the request to an endpoint.
@@ -134,6 +137,13 @@
     void readAnswerHead();
     /// The version that all endpoints of the service run; zero if there are several.
     SoftwareHash onlySoftware() const;
+    bool isCallerResuming() const;
+    /// Identifies the stream that the request begins or resumes.
+    StreamHash stream() const;
+    void streamBegan();
+    bool determineSoftware();
+    void softwareAnswered(std::optional<SoftwareHash> software);
+    void refuseUnknownStream();
     void requestSent();
     /// Records that the current attempt did not run.
     void attemptNotRun();
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -66,12 +66,6 @@
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
 }
 
-SoftwareHash RequestRun::onlySoftware() const
-{
-    const SoftwareVersions &versions = m_gateway.m_endpoints.softwareVersions();
-    return versions.only(m_service, m_timers.clock().now()).value_or(SoftwareHash());
-}
-
 /// Evaluates what the head of an answer says about the endpoint that produced it, and adapts the
 /// head for whoever sent the request: a caller, or the peer that relayed it.
 void RequestRun::readAnswerHead()
@@ -154,9 +148,10 @@
         m_hasStreamBegun = true;
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
         m_responder->begin(attempt.status, attempt.headers);
+        if (!m_software)
+            m_software = attempt.software;
+        streamBegan();
     }
-    if (!m_software)
-        m_software = attempt.software;
     registry().recordContact(*attempt.endpoint, now);
     if (!attempt.lastEventAt && !attempt.isRelayed) {
         for (const PromptPrefix &prefix : m_prefixes)
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -157,9 +157,10 @@
 
 AdmissionQueue::QueueId RequestRun::queueId() const
 {
+    const bool isRestricted = m_software && onlySoftware() != *m_software;
     return {.service = m_service,
             .isStream = m_route->kind == Fleet::RouteKind::Stream,
-            .software = m_software.value_or(SoftwareHash())};
+            .software = isRestricted ? *m_software : SoftwareHash()};
 }
 
 QueuePriority RequestRun::queuePriority() const
--- a/src/libs/gateway/softwareversions.cpp
+++ b/src/libs/gateway/softwareversions.cpp
@@ -2,6 +2,8 @@
 
 #include "routing/rendezvous.h"
 
+#include <algorithm>
+
 namespace Lagoonbank::Gateway {
 
 SoftwareHash softwareHash(const Fleet::Endpoint &endpoint)
@@ -22,26 +24,40 @@
     Usage &usage = usages[software];
     --usage.endpoints;
     usage.removedAt = now;
-    absl::erase_if(usages, [&](const auto &entry) {
-        return entry.second.endpoints <= 0 && now - entry.second.removedAt >= m_options.retention;
-    });
+    absl::erase_if(usages, [&](const auto &entry) { return !isUsed(entry.second, now); });
 }
 
 std::optional<SoftwareHash> SoftwareVersions::only(const Base::ServiceId &service,
                                                    Base::MonoTime now) const
 {
     const auto usages = m_services.find(service);
-    if (usages == m_services.end())
+    if (usages == m_services.end() || isMixed(service, now))
         return std::nullopt;
-    std::optional<SoftwareHash> found;
     for (const auto &[software, usage] : usages->second) {
-        if (usage.endpoints <= 0 && now - usage.removedAt >= m_options.retention)
-            continue;
-        if (found)
-            return std::nullopt;
-        found = software;
+        if (isUsed(usage, now))
+            return software;
+    }
+    return std::nullopt;
+}
+
+bool SoftwareVersions::isMixed(const Base::ServiceId &service, Base::MonoTime now) const
+{
+    const auto usages = m_services.find(service);
+    if (usages == m_services.end())
+        return false;
+    const auto used = std::count_if(usages->second.begin(), usages->second.end(),
+                                    [&](const auto &entry) { return isUsed(entry.second, now); });
+    return used > 1;
+}
+
+std::set<Base::ServiceId> SoftwareVersions::mixedServices(Base::MonoTime now) const
+{
+    std::set<Base::ServiceId> mixed;
+    for (const auto &[service, usages] : m_services) {
+        if (isMixed(service, now))
+            mixed.insert(service);
     }
-    return found;
+    return mixed;
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/softwareversions.h
+++ b/src/libs/gateway/softwareversions.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace Lagoonbank::Gateway {
 
@@ -38,6 +39,9 @@
     /// The version that all endpoints of the service run and have run. Unset if there are several,
     /// or no endpoints.
     std::optional<SoftwareHash> only(const Base::ServiceId &service, Base::MonoTime now) const;
+    /// Whether endpoints of the service run or have run several versions.
+    bool isMixed(const Base::ServiceId &service, Base::MonoTime now) const;
+    std::set<Base::ServiceId> mixedServices(Base::MonoTime now) const;
 
 private:
     struct Usage
@@ -47,6 +51,11 @@
     };
     using Usages = absl::flat_hash_map<SoftwareHash, Usage>;
 
+    bool isUsed(const Usage &usage, Base::MonoTime now) const
+    {
+        return usage.endpoints > 0 || now - usage.removedAt < m_options.retention;
+    }
+
     Options m_options;
     absl::flat_hash_map<Base::ServiceId, Usages> m_services;
 };
--- a/tests/auto/adapter/keyedstore.h
+++ b/tests/auto/adapter/keyedstore.h
@@ -59,12 +59,13 @@
         isUp = true;
     }
     /// Writes a configuration with one route, from /p/ of host h to service s.
-    void writeRoute(int revision = 7, const std::string &prefix = "/p/")
+    void writeRoute(int revision = 7, const std::string &prefix = "/p/",
+                    const std::string &kind = "idempotent")
     {
         write("keyed.op", "config",
               R"({"version":)" + std::to_string(revision)
-                  + R"(,"routes":[{"name":"r","host":"h","prefix":")" + prefix
-                  + R"(","kind":"idempotent","service":"s","max_attempts":2,
+                  + R"(,"routes":[{"name":"r","host":"h","prefix":")" + prefix + R"(","kind":")"
+                  + kind + R"(","resumable":true,"service":"s","max_attempts":2,
                        "timeout_ms":8000,"target_latency_ms":4000}]})");
     }
     struct EndpointEntry
@@ -73,6 +74,7 @@
         int slots = 4;
         bool isDraining = false;
         int sequence = 1;
+        std::string softwareVersion = "v1";
     };
     /// Writes the entry of an endpoint of service s.
     void writeEndpoint(const std::string &id, const Lagoonbank::Runtime::SocketAddress &address,
@@ -80,8 +82,9 @@
     {
         write("keyed.servers", id,
               R"({"service":"s","address":")" + Lagoonbank::Runtime::toString(address)
-                  + R"(","zone":"dc0","version":"v1","slots":)" + std::to_string(entry.slots)
-                  + R"(,"state":")" + (entry.isDraining ? "draining" : "ready") + R"(","seq":)"
+                  + R"(","zone":"dc0","version":")" + entry.softwareVersion + R"(","slots":)"
+                  + std::to_string(entry.slots) + R"(,"state":")"
+                  + (entry.isDraining ? "draining" : "ready") + R"(","seq":)"
                   + std::to_string(entry.sequence) + R"(,"warmup_left_ms":0,"born":)"
                   + std::to_string(entry.startedAt) + "}");
     }
--- /dev/null
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -0,0 +1,198 @@
+#define BOOST_TEST_MODULE tst_softwareversionfleet
+#include "auto/adapter/keyedstore.h"
+#include "platform/routerprocess.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Lagoonbank;
+using Lagoonbank::Test::RawSocket;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against the failure of tst_softwareversions in a fleet: the router that began a stream has
+// ended, and another one does not know at which software version the stream has to go on.
+
+namespace {
+
+constexpr int routerCount = 4;
+constexpr std::size_t engineCount = 4; ///< Half of them run each version.
+
+/// An endpoint that sends one event and then nothing.
+struct Engine
+{
+    Test::RawListener listener;
+    std::vector<std::unique_ptr<RawSocket>> connections;
+    std::size_t answered = 0;
+
+    static std::string valueOf(const std::string &request, const std::string &field)
+    {
+        const std::size_t at = request.find("\r\n" + field + ": ");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t begin = at + field.size() + 4;
+        return request.substr(begin, request.find("\r\n", begin) - begin);
+    }
+    /// Answers new requests. Returns the number of those that resume a stream.
+    int answerRequests()
+    {
+        for (int fd = listener.accept(); fd >= 0; fd = listener.accept())
+            connections.push_back(std::make_unique<RawSocket>(fd));
+        int resumed = 0;
+        for (; answered < connections.size(); ++answered) {
+            RawSocket &connection = *connections[answered];
+            if (!connection.has("\r\n\r\n"))
+                break;
+            const std::string request = connection.receive();
+            const std::string last = valueOf(request, "last-event-id");
+            const int event = last.empty() ? 1 : std::stoi(last) + 1;
+            resumed += last.empty() ? 0 : 1;
+            connection.send("HTTP/1.1 200 OK\r\nlagoonbank-attempt-id: "
+                            + valueOf(request, "lagoonbank-attempt-id")
+                            + "\r\nlagoonbank-server-seal: 1\r\n\r\nid: " + std::to_string(event)
+                            + "\ndata: x\n\n");
+        }
+        return resumed;
+    }
+};
+
+struct RouterFleet : Test::PausedLoop
+{
+    explicit RouterFleet(bool isMixed = true)
+    {
+        store.writeRoute(7, "/p/", "streaming");
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            engines.push_back(std::make_unique<Engine>());
+            writeEngine(i, isMixed && i % 2 == 1 ? "v2" : "v1");
+        }
+        for (int i = 0; i < routerCount; ++i)
+            start(i);
+        pass(seconds(2));
+    }
+    void writeEngine(std::size_t index, const std::string &version)
+    {
+        store.writeEndpoint("i-" + std::to_string(index), engines[index]->listener.address,
+                            {.slots = 32, .sequence = ++sequence, .softwareVersion = version});
+    }
+    void start(int index)
+    {
+        Schema::GatewaySettings &settings = settingsOf[index];
+        settings.vm = Base::VmId("edge-" + std::to_string(index));
+        settings.dataCentre = Base::DataCentreId("dc0");
+        settings.listenAddress = Test::freeAddress();
+        settings.readyAddress = Test::freeAddress();
+        settings.peerAddress = Test::freeAddress();
+        settings.storeAddress = Runtime::toString(store.server.address());
+        routers[index] = std::make_unique<Platform::RouterProcess>(loop, settings);
+        BOOST_REQUIRE(routers[index]->start());
+    }
+    /// Sends a request. If it resumes a stream, the caller has that one's first event.
+    RawSocket request(int router, const std::string &id, const std::string &resumes = {})
+    {
+        RawSocket caller(Runtime::parseSocketAddress(settingsOf.at(router).listenAddress).value());
+        std::string text = "GET /p/1 HTTP/1.1\r\nhost: h\r\nlagoonbank-attempt-id: " + id + "\r\n";
+        if (!resumes.empty())
+            text += "last-event-id: 1\r\nresumes: " + resumes + "\r\n";
+        caller.send(text + "\r\n");
+        return caller;
+    }
+    /// Waits until the caller has received something. Returns the engine that resumed a stream
+    /// meanwhile, or -1 if none did.
+    int awaitAnswer(RawSocket &caller)
+    {
+        int resumedAt = -1;
+        BOOST_REQUIRE(runUntil([&] {
+            clock.advance(milliseconds(1));
+            for (std::size_t i = 0; i < engineCount; ++i) {
+                if (engines[i]->answerRequests() > 0)
+                    resumedAt = static_cast<int>(i);
+            }
+            return caller.has("\r\n\r\n");
+        }));
+        return resumedAt;
+    }
+    /// Begins streams at a router. Returns the engine of each.
+    std::vector<std::size_t> begin(int router, int count)
+    {
+        std::vector<std::size_t> servedBy;
+        for (int i = 0; i < count; ++i) {
+            std::vector<std::size_t> before;
+            for (const auto &engine : engines)
+                before.push_back(engine->answered);
+            callers.push_back(request(router, "s" + std::to_string(i)));
+            awaitAnswer(callers.back());
+            BOOST_REQUIRE(callers.back().has("id: 1"));
+            for (std::size_t e = 0; e < engineCount; ++e) {
+                if (engines[e]->answered > before[e])
+                    servedBy.push_back(e);
+            }
+        }
+        return servedBy;
+    }
+
+    KeyedStore store{loop};
+    std::vector<std::unique_ptr<Engine>> engines;
+    std::map<int, Schema::GatewaySettings> settingsOf;
+    std::map<int, std::unique_ptr<Platform::RouterProcess>> routers;
+    std::vector<RawSocket> callers;
+    int sequence = 0;
+};
+
+} // namespace
+
+/// Guards against streams of a router that has ended which go on at another version.
+BOOST_AUTO_TEST_CASE(streamsOfAnEndedRouterGoOnAtTheirSoftwareVersion)
+{
+    RouterFleet f;
+    constexpr int streams = 12;
+    const std::vector<std::size_t> servedBy = f.begin(0, streams);
+    f.pass(milliseconds(100));
+    f.routers.at(0).reset();
+    for (int i = 0; i < streams; ++i) {
+        RawSocket caller =
+            f.request(1 + i % (routerCount - 1), "t" + std::to_string(i), "s" + std::to_string(i));
+        const int resumedAt = f.awaitAnswer(caller);
+        BOOST_TEST(caller.has("id: 2"));
+        BOOST_REQUIRE(resumedAt >= 0);
+        const std::size_t first = servedBy[static_cast<std::size_t>(i)];
+        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == first % 2);
+    }
+}
+
+/// Guards against streams that go on at a version that began to serve after them.
+BOOST_AUTO_TEST_CASE(streamsFromBeforeAReleaseGoOnAtTheirSoftwareVersion)
+{
+    RouterFleet f(false);
+    constexpr int streams = 6;
+    f.begin(0, streams);
+    f.writeEngine(1, "v2");
+    f.writeEngine(3, "v2");
+    f.pass(seconds(1));
+    f.routers.at(0).reset();
+    for (int i = 0; i < streams; ++i) {
+        RawSocket caller =
+            f.request(1 + i % (routerCount - 1), "t" + std::to_string(i), "s" + std::to_string(i));
+        const int resumedAt = f.awaitAnswer(caller);
+        BOOST_TEST(caller.has("id: 2"));
+        BOOST_TEST(resumedAt % 2 == 0);
+    }
+}
+
+/// Guards against streams that go on anywhere as no router knows which version began them. They are
+/// refused as not run, without a wait for what will not come.
+BOOST_AUTO_TEST_CASE(unknownStreamIsRefusedWhileVersionsAreMixed)
+{
+    for (const bool isMixed : {true, false}) {
+        BOOST_TEST_CONTEXT((isMixed ? "two versions" : "one version"))
+        {
+            RouterFleet f(isMixed);
+            RawSocket caller = f.request(1, "t1", "never-seen");
+            const int resumedAt = f.awaitAnswer(caller);
+            BOOST_TEST(caller.has("HTTP/1.1 503") == isMixed);
+            BOOST_TEST((resumedAt < 0) == isMixed);
+            BOOST_TEST(!caller.has("Retry-After"));
+        }
+    }
+}
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -37,6 +37,7 @@
                                         .prompts = &prompts,
                                         .loads = &loads,
                                         .crashes = &crashes,
+                                        .streams = &streams,
                                         .address = {"127.0.0.1", port},
                                         .stateBytesPerSecond = 100000,
                                         .received = [](const auto &, const auto &) {},
@@ -60,6 +61,9 @@
     FleetSync::CrashGossip crashes{{.timers = timers,
                                     .peers = [this] { return sync.peerAddresses(); },
                                     .self = {"127.0.0.1", port}}};
+    FleetSync::StreamGossip streams{{.timers = timers,
+                                     .peers = [this] { return sync.peerAddresses(); },
+                                     .self = {"127.0.0.1", port}}};
     std::unique_ptr<FleetSync::FleetLink> link;
     std::size_t bytes = 0;
     int failures = 0;
--- a/tests/auto/gateway/tst_softwareversions.cpp
+++ b/tests/auto/gateway/tst_softwareversions.cpp
@@ -120,3 +120,50 @@
     BOOST_TEST(second.last().has("x-id: r2"));
     BOOST_TEST(!f.caller->isEnded());
 }
+
+/// Guards against a stream that goes on anywhere after a second break: the caller names the first
+/// request again, and the second one has ended at another router.
+BOOST_AUTO_TEST_CASE(streamOfAPeerIsResumedAtItsSoftwareVersion)
+{
+    MixedVersions f;
+    f.gateway.streamReceived(
+        {.stream = Gateway::streamHash("far"), .software = f.record(f.same).software});
+    f.resumes = Base::RequestId("far");
+    f.resumeAfter = 9;
+    RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    const bool isSameVersion =
+        &endpoint == f.endpoints[f.same].get() || &endpoint == &f.firstEndpoint();
+    BOOST_TEST(isSameVersion);
+}
+
+/// Guards against a resume at any version by callers that do not say which stream they resume.
+BOOST_AUTO_TEST_CASE(unnamedStreamIsRefusedWhileVersionsAreMixed)
+{
+    MixedVersions f;
+    f.resumeAfter = 2;
+    RawSocket caller = f.call();
+    BOOST_TEST(f.runUntil([&] { return caller.has("ran=no"); }));
+    BOOST_TEST(f.requests() == 1U);
+}
+
+/// Guards against streams of a version that has just left which go on at the one that is left.
+BOOST_AUTO_TEST_CASE(versionCountsForAWhileAfterItsLastEndpoint)
+{
+    MixedVersions f;
+    f.caller->close();
+    f.runIterations(10);
+    const Base::MonoTime now = f.clock.now();
+    for (const std::size_t index : {f.first, f.same})
+        f.gateway.endpoints().remove(f.record(index).info.id, now);
+    f.resumes = Base::RequestId("r1");
+    f.resumeAfter = 2;
+    RawSocket early = f.call();
+    BOOST_TEST(f.runUntil([&] { return early.has("ran=no"); }));
+    f.advance(std::chrono::minutes(2));
+    f.pass(milliseconds(200)); // The router takes the jump of its clock for a delay of its own.
+    f.resumes = Base::RequestId("never-seen");
+    RawSocket late = f.call();
+    f.awaitRequest();
+    BOOST_TEST(!late.has("ran=no"));
+}
