Gateway: Resume a stream at the service that began it

A stream of a route that divides its requests between services could go on at another service when its caller resumed it.

Cause, found while that of mixed software versions was looked for elsewhere: the service is chosen by a hash of the request's id, and a request that resumes a stream has an id of its own. It is chosen by the request that began the stream now.

--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -1,7 +1,5 @@
 #include "gateway/requestrun.h"
 
-#include "routing/rendezvous.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -118,7 +116,7 @@
         return false;
     }
     m_priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
-    m_service = Fleet::serviceFor(*m_route, Routing::stableHash(m_request.id.value()));
+    m_service = Fleet::serviceFor(*m_route, stream().value());
     if (m_request.remainingTimeout)
         m_deadline = std::min(m_deadline, m_arrivedAt + *m_request.remainingTimeout);
     if (m_route->timeout > Base::Duration::zero())
--- a/tests/auto/gateway/tst_softwareversions.cpp
+++ b/tests/auto/gateway/tst_softwareversions.cpp
@@ -3,8 +3,10 @@
 #include "auto/gateway/streamanswers.h"
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace Lagoonbank;
 using Lagoonbank::Test::chunk;
@@ -167,3 +169,37 @@
     f.awaitRequest();
     BOOST_TEST(!late.has("ran=no"));
 }
+
+/// Guards against a stream that goes on at another service: a route divides its requests between
+/// two, by the id of a request, and the one that resumes a stream has another id.
+BOOST_AUTO_TEST_CASE(resumedStreamStaysWithItsService)
+{
+    GatewayFixture f(1);
+    f.endpoints.push_back(std::make_unique<FakeEndpoint>());
+    f.gateway.endpoints().put({.id = Base::EndpointId("e1"),
+                               .service = Base::ServiceId("other"),
+                               .address = f.endpoints.back()->listener.address,
+                               .slots = 32},
+                              f.clock.now());
+    Fleet::Route route = streamRoute(true);
+    route.host = "a";
+    route.prefix = "/";
+    route.services = {{Base::ServiceId("service"), 0.5}, {Base::ServiceId("other"), 0.5}};
+    f.gateway.setConfiguration(std::make_shared<const Fleet::Configuration>(
+        Fleet::ConfigurationParts{.revision = Base::Revision(1),
+                                  .routes = {route},
+                                  .services = {{.name = Base::ServiceId("service")},
+                                               {.name = Base::ServiceId("other")}}}));
+    RawSocket first = f.call();
+    FakeEndpoint &serving = f.awaitRequest();
+    f.resumes = Base::RequestId("r1");
+    f.resumeAfter = 1;
+    std::vector<RawSocket> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(f.call());
+        BOOST_TEST(&f.awaitRequest() == &serving);
+        f.runIterations(2);
+        callers.back().close();
+        f.runIterations(5);
+    }
+}
