--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/requestrun.h"
 
+#include <utility>
+
 // Software versions of streams, which callers may resume at any router.
 
 namespace Lagoonbank::Gateway {
@@ -28,15 +30,18 @@
 {
     const std::set<Base::ServiceId> mixed =
         m_endpoints.softwareVersions().mixedServices(m_options.loop->clock().now());
+    if (mixed == m_mixedServices)
+        return;
+    const std::set<Base::ServiceId> before = std::exchange(m_mixedServices, mixed);
     std::vector<StreamOrigin> streams;
     for (const auto &run : m_runs) {
         const bool isNewlyMixed =
-            mixed.contains(run->service()) && !m_mixedServices.contains(run->service());
-        const auto origin = isNewlyMixed ? run->streamOrigin() : std::nullopt;
-        if (origin)
+            mixed.contains(run->service()) && !before.contains(run->service());
+        if (!isNewlyMixed)
+            continue;
+        if (const auto origin = run->streamOrigin())
             streams.push_back(*origin);
     }
-    m_mixedServices = mixed;
     if (m_options.streamsBegan && !streams.empty())
         m_options.streamsBegan(streams);
 }
