FleetSync: Tell of a stream at once, and ask more routers for it

Most callers came back within the 5 ms for which reports were collected; some streams had begun at a router that had just started and did not know its peers yet.

Reports are collected for one iteration of the event loop only: streams begin at a rate at which more time merges nothing. Six routers are asked instead of three, which includes the one that began the stream in a small fleet. The answers that are awaited are counted before the questions are sent.

--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -30,11 +30,6 @@
         m_options.timers->cancel(question.timer);
 }
 
-std::vector<Runtime::SocketAddress> StreamGossip::holdersOf(std::uint64_t stream) const
-{
-    return RouterRanking(m_options.self, m_options.peers()).first(stream, m_options.holders);
-}
-
 void StreamGossip::report(const Schema::SharedStream &stream)
 {
     m_reports.push_back(stream);
@@ -65,7 +60,7 @@
     }
 }
 
-bool StreamGossip::sendWithinBudget(const Runtime::SocketAddress &to,
+void StreamGossip::sendWithinBudget(const Runtime::SocketAddress &to,
                                     const Schema::StreamUpdate &message)
 {
     const double cost = emptyDatagramBytes
@@ -74,11 +69,10 @@
     const Base::MonoTime now = m_options.timers->clock().now();
     if (!send || m_byteBudget.waitFor(cost, now) != Base::Duration::zero()) {
         m_dropped += message.streams.size() + message.asked.size();
-        return false;
+        return;
     }
     m_byteBudget.charge(cost, now);
     send(to, message);
-    return true;
 }
 
 void StreamGossip::ask(std::uint64_t stream, Answered answered)
@@ -87,14 +81,14 @@
     question.answered.push_back(std::move(answered));
     if (question.answered.size() > 1)
         return; // The peers have been asked already.
-    for (const Runtime::SocketAddress &router : holdersOf(stream)) {
-        if (sendWithinBudget(router, {.asked = {stream}}))
-            ++question.openAnswers;
-    }
-    const Base::Duration timeout =
-        question.openAnswers > 0 ? m_options.askTimeout : Base::Duration::zero();
+    const RouterRanking routers(m_options.self, m_options.peers());
+    const std::vector<Runtime::SocketAddress> asked = routers.first(stream, m_options.askedRouters);
+    question.openAnswers = asked.size();
     question.timer =
-        m_options.timers->start(timeout, [this, stream] { finishQuestion(stream, std::nullopt); });
+        m_options.timers->start(asked.empty() ? Base::Duration::zero() : m_options.askTimeout,
+                                [this, stream] { finishQuestion(stream, std::nullopt); });
+    for (const Runtime::SocketAddress &router : asked)
+        sendWithinBudget(router, {.asked = {stream}});
 }
 
 void StreamGossip::receive(const Runtime::SocketAddress &from, const Schema::StreamUpdate &message)
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -20,8 +20,8 @@
 /// any router can resume it there, also after the router that began it has ended.
 ///
 /// A stream is reported to a few routers, which are chosen by its hash. A router that does not know
-/// a stream asks the same ones. Reporting every stream to every router would exceed the control
-/// traffic that a large fleet may cause.
+/// a stream asks these, and some more. Reporting every stream to every router would exceed the
+/// control traffic that a large fleet may cause.
 ///
 /// Pure: time comes from the timers, messages go out through the hooks.
 class StreamGossip
@@ -38,14 +38,18 @@
         /// Number of routers that know a stream beside the one that began it. Several routers may
         /// end at the same time.
         std::size_t holders = 3;
+        /// Number of routers that are asked for a stream. There are more than holders, as a router
+        /// that has just started reports to those that it knows by then.
+        std::size_t askedRouters = 6;
         /// Budget for reports and questions. What exceeds it is dropped.
         double bytesPerSecond = 3000;
         /// Maximum size of a burst. Each router reports some hundred streams at once when another
         /// version begins to serve, and asks for as many when a router ends.
         double burstBytes = 48000;
-        /// Time for which reports are collected into one datagram for each router. A stream whose
-        /// router ends within this time cannot be resumed.
-        Base::Duration reportDelay = std::chrono::milliseconds(5);
+        /// Time for which reports are collected into one datagram for each router. By default those
+        /// of one iteration of the event loop: a caller may lose its connection and resume the
+        /// stream a few ms after the first event.
+        Base::Duration reportDelay{};
         /// Time after which a question without an answer fails. Peers are a few ms away.
         Base::Duration askTimeout = std::chrono::milliseconds(50);
     };
@@ -77,10 +81,8 @@
         Runtime::TimerId timer;
     };
 
-    std::vector<Runtime::SocketAddress> holdersOf(std::uint64_t stream) const;
     void flushReports();
-    /// Whether the message was sent.
-    bool sendWithinBudget(const Runtime::SocketAddress &to, const Schema::StreamUpdate &message);
+    void sendWithinBudget(const Runtime::SocketAddress &to, const Schema::StreamUpdate &message);
     void answer(const Runtime::SocketAddress &from, const std::vector<std::uint64_t> &streams);
     void answerReceived(const Schema::SharedStream &stream);
     void finishQuestion(std::uint64_t stream, std::optional<std::uint64_t> software);
--- a/tests/auto/fleetsync/tst_streamgossip.cpp
+++ b/tests/auto/fleetsync/tst_streamgossip.cpp
@@ -35,17 +35,20 @@
         for (std::size_t i = 0; i < count; ++i)
             add(i);
     }
+    std::vector<Runtime::SocketAddress> peersOf(std::size_t index) const
+    {
+        auto peers = addresses;
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+        if (starting.contains(index))
+            peers.clear();
+        return peers;
+    }
     void add(std::size_t index)
     {
-        auto gossip = std::make_unique<StreamGossip>(StreamGossip::Options{
-            .timers = &timers,
-            .peers =
-                [this, index] {
-                    auto peers = addresses;
-                    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
-                    return peers;
-                },
-            .self = addresses[index]});
+        auto gossip = std::make_unique<StreamGossip>(
+            StreamGossip::Options{.timers = &timers,
+                                  .peers = [this, index] { return peersOf(index); },
+                                  .self = addresses[index]});
         gossip->send = [this, index](const Runtime::SocketAddress &to,
                                      const Schema::StreamUpdate &message) {
             constexpr std::size_t headers = 28;
@@ -100,6 +103,7 @@
     std::vector<std::map<std::uint64_t, std::uint64_t>> known; ///< By router and stream.
     std::vector<std::size_t> sentBytes; ///< By router.
     std::set<std::size_t> ended;
+    std::set<std::size_t> starting; ///< Routers that don't know their peers yet.
     bool isAnswered = false;
 };
 
@@ -148,6 +152,20 @@
     }
 }
 
+/// Guards against streams that cannot be resumed as the router that began them, which still serves,
+/// did not know its peers then.
+BOOST_AUTO_TEST_CASE(streamOfARouterThatHasJustStartedIsFound)
+{
+    Routers f(6);
+    f.starting.insert(0);
+    for (std::uint64_t stream = 1; stream <= 20; ++stream)
+        f.begin(0, stream * 7919);
+    f.pass(milliseconds(10));
+    f.starting.clear();
+    for (std::uint64_t stream = 1; stream <= 20; ++stream)
+        BOOST_TEST((f.ask(1 + stream % 5, stream * 7919) == software));
+}
+
 /// Guards against requests that wait for an answer that cannot come.
 BOOST_AUTO_TEST_CASE(questionEndsOnceAllAskedRoutersDenyTheStream)
 {
