--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -54,6 +54,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def unframed_head(start_line, fields):
+    """Start line and header fields without a content-length."""
+    lines = [start_line] + [f"{name}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
 def chunk(piece):
     """One chunk in the chunked transfer coding."""
     return f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
