Http: Reset a call that is given up while the server may lack its bytes

Cause, traced there: the router sent the request into the cut of a data centre, gave it up and was answered by another endpoint. It closed the connection in order, so that the system went on sending the bytes, and they arrived when the cut had ended, 6 s later.

Ruled out: knowledge of the leaving endpoint; nothing was sent to it after it had said so.

A call that is given up before its answer begins resets its connection if the system still holds bytes that the server has not acknowledged, which drops them. Otherwise it is closed in order as before: a reset that is lost on a lossy link is not repeated, and the server would work on for a caller that has left.

tst_client: cancelledRequestIsNotSentOn failed before; cancelledCallWithAnAnswerIsClosedInOrder guards what must stay.

--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -1,6 +1,7 @@
 #include "http/clientcall.h"
 
 #include "http/socketconnect.h"
+#include "http/socketreset.h"
 
 #include <h2o.h>
 
@@ -94,8 +95,16 @@
         m_context.loop.timers().cancel(*std::exchange(m_timer, std::nullopt));
     if (m_settleTimer)
         m_context.loop.timers().cancel(*std::exchange(m_settleTimer, std::nullopt));
-    if (m_socket)
-        h2o_socket_close(std::exchange(m_socket, nullptr));
+    if (!m_socket)
+        return;
+    // After an orderly close the system goes on sending the request, for as long as a partition
+    // lasts. Once an answer has begun, the server has the request, and a close in order is better:
+    // it is repeated if it is lost.
+    const int fd = h2o_socket_get_fd(m_socket);
+    const bool isUnanswered = m_result.mayHaveBeenSent && !m_isHeadDelivered;
+    if (isUnanswered && mayHoldUnsentBytes(fd))
+        resetOnClose(fd);
+    h2o_socket_close(std::exchange(m_socket, nullptr));
 }
 
 bool ClientCall::isRequestSafe() const
--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -3,6 +3,7 @@
 #include "http/errorfilter.h"
 #include "http/http1responder.h"
 #include "http/socketlook.h"
+#include "http/socketreset.h"
 #include "runtime/loop.h"
 
 #include <h2o.h>
@@ -318,10 +319,8 @@
     if (!m_socket)
         return;
     // With HTTP/1.0 only a reset shows the caller that a streamed answer is incomplete.
-    if (m_isHttp10) {
-        const linger now{1, 0};
-        setsockopt(h2o_socket_get_fd(m_socket), SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    }
+    if (m_isHttp10)
+        resetOnClose(h2o_socket_get_fd(m_socket));
     if (m_writing.empty())
         close();
 }
--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -190,6 +190,37 @@
     BOOST_TEST(f.finished().end == CallEnd::Broken);
 }
 
+/// Guards against requests that reach their server long after they were given up: the system goes
+/// on sending what a connection that is closed in order still holds, also once a partition has
+/// ended.
+BOOST_AUTO_TEST_CASE(cancelledRequestIsNotSentOn)
+{
+    Fixture f;
+    Call call = f.call("POST");
+    call.body = std::string(16 * 1024 * 1024, 'x'); // Exceeds the socket buffers.
+    const CallId id = f.start(std::move(call));
+    RawSocket server = f.accept();
+    f.runIterations(5);
+    f.client.cancel(id);
+    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+    BOOST_TEST(server.isReset());
+}
+
+/// Guards against servers that miss a cancellation: a reset that is lost is not repeated, an
+/// orderly close is. Once the server has answered, nothing of the request is left to be sent.
+BOOST_AUTO_TEST_CASE(cancelledCallWithAnAnswerIsClosedInOrder)
+{
+    Fixture f;
+    const CallId id = f.start(f.call());
+    RawSocket server = f.accept();
+    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    server.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+    f.runIterations(5);
+    f.client.cancel(id);
+    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
+    BOOST_TEST(!server.isReset());
+}
+
 BOOST_AUTO_TEST_CASE(answerBeforeRequestIsSentIsRead)
 {
     Fixture f;
