FleetSync: Give questions for streams a budget of their own

A router whose reports of beginning streams use up the budget could not ask for a stream, nor answer, so that streams were refused that others knew. Found by reading: at the target's size reports alone are at the limit while versions are mixed.

--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -19,7 +19,9 @@
 
 StreamGossip::StreamGossip(Options options)
     : m_options(std::move(options))
-    , m_byteBudget({.rate = m_options.bytesPerSecond, .burst = m_options.burstBytes})
+    , m_reportBudget({.rate = m_options.bytesPerSecond, .burst = m_options.burstBytes})
+    , m_questionBudget(
+          {.rate = m_options.questionBytesPerSecond, .burst = m_options.questionBurstBytes})
 { }
 
 StreamGossip::~StreamGossip()
@@ -50,28 +52,28 @@
             message.streams.push_back(stream);
             if (message.streams.size() < maxItemsPerDatagram)
                 continue;
-            sendWithinBudget(to, message);
+            sendWithinBudget(m_reportBudget, to, message);
             message.streams.clear();
         }
     }
     for (const auto &[name, addressed] : datagrams) {
         if (!addressed.second.streams.empty())
-            sendWithinBudget(addressed.first, addressed.second);
+            sendWithinBudget(m_reportBudget, addressed.first, addressed.second);
     }
 }
 
-void StreamGossip::sendWithinBudget(const Runtime::SocketAddress &to,
+void StreamGossip::sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
                                     const Schema::StreamUpdate &message)
 {
     const double cost = emptyDatagramBytes
         + streamBytes * static_cast<double>(message.streams.size())
         + questionBytes * static_cast<double>(message.asked.size());
     const Base::MonoTime now = m_options.timers->clock().now();
-    if (!send || m_byteBudget.waitFor(cost, now) != Base::Duration::zero()) {
+    if (!send || budget.waitFor(cost, now) != Base::Duration::zero()) {
         m_dropped += message.streams.size() + message.asked.size();
         return;
     }
-    m_byteBudget.charge(cost, now);
+    budget.charge(cost, now);
     send(to, message);
 }
 
@@ -88,7 +90,7 @@
         m_options.timers->start(asked.empty() ? Base::Duration::zero() : m_options.askTimeout,
                                 [this, stream] { finishQuestion(stream, std::nullopt); });
     for (const Runtime::SocketAddress &router : asked)
-        sendWithinBudget(router, {.asked = {stream}});
+        sendWithinBudget(m_questionBudget, router, {.asked = {stream}});
 }
 
 void StreamGossip::receive(const Runtime::SocketAddress &from, const Schema::StreamUpdate &message)
@@ -122,7 +124,7 @@
     Schema::StreamUpdate message;
     for (const std::uint64_t stream : streams)
         message.streams.push_back({.stream = stream, .software = find ? find(stream) : 0});
-    sendWithinBudget(from, message);
+    sendWithinBudget(m_questionBudget, from, message);
 }
 
 void StreamGossip::finishQuestion(std::uint64_t stream, std::optional<std::uint64_t> software)
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -41,11 +41,17 @@
         /// Number of routers that are asked for a stream. There are more than holders, as a router
         /// that has just started reports to those that it knows by then.
         std::size_t askedRouters = 6;
-        /// Budget for reports and questions. What exceeds it is dropped.
+        /// Budget for reports. What exceeds it is dropped.
         double bytesPerSecond = 3000;
-        /// Maximum size of a burst. Each router reports some hundred streams at once when another
-        /// version begins to serve, and asks for as many when a router ends.
+        /// Maximum size of a burst of reports. Each router reports some hundred streams at once
+        /// when another version begins to serve.
         double burstBytes = 48000;
+        /// Budget for questions and answers. It is apart, so that streams that begin don't keep
+        /// others from being resumed.
+        double questionBytesPerSecond = 2000;
+        /// Maximum size of a burst of questions and answers. Some hundred streams are resumed at
+        /// the same moment when a router ends.
+        double questionBurstBytes = 96000;
         /// Time for which reports are collected into one datagram for each router. By default those
         /// of one iteration of the event loop: a caller may lose its connection and resume the
         /// stream a few ms after the first event.
@@ -82,13 +88,15 @@
     };
 
     void flushReports();
-    void sendWithinBudget(const Runtime::SocketAddress &to, const Schema::StreamUpdate &message);
+    void sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
+                          const Schema::StreamUpdate &message);
     void answer(const Runtime::SocketAddress &from, const std::vector<std::uint64_t> &streams);
     void answerReceived(const Schema::SharedStream &stream);
     void finishQuestion(std::uint64_t stream, std::optional<std::uint64_t> software);
 
     Options m_options;
-    Admission::Gcra m_byteBudget;
+    Admission::Gcra m_reportBudget;
+    Admission::Gcra m_questionBudget;
     std::vector<Schema::SharedStream> m_reports; ///< Not sent yet.
     std::optional<Runtime::TimerId> m_reportTimer;
     absl::flat_hash_map<std::uint64_t, Question> m_questions; ///< By stream.
