--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE tst_client
-#include "loopback.h"
+#include "clientfixture.h"
 
 #include <memory>
 #include <optional>
@@ -7,59 +7,11 @@
 
 using namespace Lagoonbank;
 using namespace Lagoonbank::Http;
-using Lagoonbank::Test::PausedLoop;
 using Lagoonbank::Test::RawListener;
 using Lagoonbank::Test::RawSocket;
 
-namespace Lagoonbank::Http {
-
-std::ostream &operator<<(std::ostream &stream, CallEnd end)
-{
-    constexpr std::array names{"Whole",    "NotConnected", "TurnedAway",
-                               "TimedOut", "Broken",       "TooLarge"};
-    return stream << names.at(static_cast<std::size_t>(end));
-}
-
-} // namespace Lagoonbank::Http
-
 namespace {
 
-struct Fixture : PausedLoop
-{
-    Fixture()
-        : client({.loop = &loop})
-    { }
-
-    Call call(std::string method = "GET")
-    {
-        return {.server = listener.address, .method = std::move(method), .target = "/x?y=1"};
-    }
-    Hooks hooks()
-    {
-        return {.sending = [this] { ++sendingCalls; },
-                .finished = [this](CallResult result) { results.push_back(std::move(result)); }};
-    }
-    CallId start(Call given) { return client.start(std::move(given), hooks()); }
-    RawSocket accept()
-    {
-        int fd = -1;
-        BOOST_REQUIRE(runUntil([&] { return (fd = listener.accept()) >= 0; }));
-        return RawSocket(fd);
-    }
-    const CallResult &finished(std::size_t count = 1)
-    {
-        BOOST_REQUIRE(runUntil([&] { return results.size() >= count; }));
-        return results.back();
-    }
-
-    RawListener listener;
-    Client client;
-    std::vector<CallResult> results;
-    int sendingCalls = 0;
-};
-
-constexpr std::string_view completeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-
 struct AnswerCase
 {
     std::string_view name;
@@ -125,7 +77,7 @@
     for (const AnswerCase &row : answerCases) {
         BOOST_TEST_CONTEXT(row.name)
         {
-            Fixture f;
+            ClientFixture f;
             f.start(f.call(std::string(row.method)));
             RawSocket server = f.accept();
             BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
@@ -147,7 +99,7 @@
     for (const AnswerCase &row : answerCases) {
         BOOST_TEST_CONTEXT(row.name)
         {
-            Fixture f;
+            ClientFixture f;
             f.start(f.call(std::string(row.method)));
             RawSocket server = f.accept();
             BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
@@ -165,7 +117,7 @@
 
 BOOST_AUTO_TEST_CASE(resetWhileReadingUntilCloseIsBroken)
 {
-    Fixture f;
+    ClientFixture f;
     f.start(f.call());
     RawSocket server = f.accept();
     BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
@@ -178,7 +130,7 @@
 /// to the write of the request's rest, and a read after that finds the end of the input.
 BOOST_AUTO_TEST_CASE(resetDuringWriteDoesNotCompleteAnswer)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call("POST");
     call.body = std::string(16 * 1024 * 1024, 'x'); // Exceeds the socket buffers.
     f.start(std::move(call));
@@ -195,7 +147,7 @@
 /// ended.
 BOOST_AUTO_TEST_CASE(cancelledRequestIsNotSentOn)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call("POST");
     call.body = std::string(16 * 1024 * 1024, 'x'); // Exceeds the socket buffers.
     const CallId id = f.start(std::move(call));
@@ -210,7 +162,7 @@
 /// orderly close is. Once the server has answered, nothing of the request is left to be sent.
 BOOST_AUTO_TEST_CASE(cancelledCallWithAnAnswerIsClosedInOrder)
 {
-    Fixture f;
+    ClientFixture f;
     const CallId id = f.start(f.call());
     RawSocket server = f.accept();
     BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
@@ -223,7 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(answerBeforeRequestIsSentIsRead)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call("POST");
     call.body = std::string(16 * 1024 * 1024, 'x'); // Exceeds the socket buffers.
     f.start(std::move(call));
@@ -239,7 +191,7 @@
 
 BOOST_AUTO_TEST_CASE(endlessHeadIsBroken)
 {
-    Fixture f;
+    ClientFixture f;
     f.start(f.call());
     RawSocket server = f.accept();
     BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
@@ -255,7 +207,7 @@
 
 BOOST_AUTO_TEST_CASE(requestIsWrittenCompletely)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call("POST");
     call.body = "{}";
     call.headers.add("x-request-id", "r1");
@@ -280,7 +232,7 @@
         [](Call &call) { call.method = "GET /"; },
     };
     for (const auto &attack : attacks) {
-        Fixture f;
+        ClientFixture f;
         Call call = f.call();
         attack(call);
         f.start(std::move(call));
@@ -293,147 +245,9 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(connectionIsReusedAfterCompleteAnswer)
-{
-    Fixture f;
-    f.start(f.call());
-    RawSocket first = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
-    first.send(completeAnswer);
-    f.finished(1);
-    f.start(f.call());
-    BOOST_REQUIRE(f.runUntil([&] { return first.receive().find("GET", 5) != std::string::npos; }));
-    first.send(completeAnswer);
-    f.finished(2);
-    Call fresh = f.call();
-    fresh.freshConnection = true;
-    f.start(std::move(fresh));
-    RawSocket second = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
-}
-
-BOOST_AUTO_TEST_CASE(connectionWithBytesAfterAnswerIsNotReused)
-{
-    for (const std::string_view answer :
-         {"HTTP/1.1 204 No Content\r\n\r\nmore", "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nab",
-          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\nmore"}) {
-        BOOST_TEST_CONTEXT(answer)
-        {
-            Fixture f;
-            f.start(f.call());
-            RawSocket first = f.accept();
-            BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
-            first.send(answer);
-            BOOST_TEST(f.finished(1).end == CallEnd::Whole);
-            f.start(f.call());
-            int second = -1;
-            BOOST_TEST(f.runUntil([&] { return (second = f.listener.accept()) >= 0; }));
-            const RawSocket owner(second);
-            BOOST_TEST(first.isEnded());
-        }
-    }
-}
-
-BOOST_AUTO_TEST_CASE(closedPooledConnectionIsNotReused)
-{
-    Fixture f;
-    f.start(f.call());
-    RawSocket first = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
-    first.send(completeAnswer);
-    f.finished(1);
-    first.close();
-    f.start(f.call());
-    RawSocket second = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
-    second.send(completeAnswer);
-    BOOST_TEST(f.finished(2).end == CallEnd::Whole);
-}
-
-BOOST_AUTO_TEST_CASE(pooledConnectionResetDuringRequestIsBroken)
-{
-    Fixture f;
-    f.start(f.call());
-    RawSocket first = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
-    first.send(completeAnswer);
-    f.finished(1);
-    f.start(f.call());
-    first.reset();
-    BOOST_TEST(f.finished(2).end == CallEnd::Broken);
-    BOOST_TEST(f.results.back().mayHaveBeenSent);
-    BOOST_TEST(f.results.back().status == 0);
-}
-
-/// A server at its connection limit accepts each new connection and resets it immediately.
-BOOST_AUTO_TEST_CASE(resetBeforeSendingIsReportedAsNotSent)
-{
-    Fixture f;
-    Call call = f.call("POST");
-    call.freshConnection = true;
-    call.settleTime = std::chrono::milliseconds(2);
-    f.start(call);
-    RawSocket first = f.accept();
-    int iterations = 0;
-    f.runUntil([&] { return ++iterations > 10; }); // Let the client notice that it is connected.
-    first.reset();
-    BOOST_TEST(f.finished(1).end == CallEnd::TurnedAway);
-    BOOST_TEST(!f.results.back().mayHaveBeenSent);
-    BOOST_TEST(f.sendingCalls == 0);
-    f.start(call);
-    RawSocket second = f.accept();
-    BOOST_TEST(!second.has("POST"));
-    BOOST_REQUIRE(f.runUntil([&] {
-        f.clock.advance(std::chrono::milliseconds(1));
-        return second.has("\r\n\r\n");
-    }));
-    second.send(completeAnswer);
-    BOOST_TEST(f.finished(2).end == CallEnd::Whole);
-    BOOST_TEST(f.sendingCalls == 1);
-}
-
-BOOST_AUTO_TEST_CASE(callLimitsKeptIdleConnections)
-{
-    Fixture f;
-    Call call = f.call();
-    call.maxIdle = 1;
-    std::vector<RawSocket> servers;
-    for (int i = 0; i < 3; ++i)
-        f.start(call);
-    for (int i = 0; i < 3; ++i) {
-        servers.push_back(f.accept());
-        BOOST_REQUIRE(f.runUntil([&] { return servers.back().has("\r\n\r\n"); }));
-    }
-    for (RawSocket &server : servers)
-        server.send(completeAnswer);
-    f.finished(3);
-    int ended = 0;
-    f.runUntil([&] {
-        ended = 0;
-        for (RawSocket &server : servers)
-            ended += server.isEnded() ? 1 : 0;
-        return ended >= 2;
-    });
-    BOOST_TEST(ended == 2);
-}
-
-BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedAfterTheIdleTimeout)
-{
-    Fixture f;
-    f.start(f.call());
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
-    server.send(completeAnswer);
-    f.finished(1);
-    f.advance(std::chrono::seconds(4));
-    BOOST_TEST(!server.isEnded());
-    f.advance(std::chrono::seconds(1));
-    BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
-}
-
 BOOST_AUTO_TEST_CASE(refusedConnectionIsNotConnected)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call();
     {
         const RawListener closedListener;
@@ -468,7 +282,7 @@
     for (const Row &row : rows) {
         BOOST_TEST_CONTEXT(row.name)
         {
-            Fixture f;
+            ClientFixture f;
             Call call = f.call();
             call.headTimeout = std::chrono::seconds(10);
             call.progressTimeout = std::chrono::seconds(5);
@@ -494,7 +308,7 @@
 
 BOOST_AUTO_TEST_CASE(progressPostponesOnlyTheProgressDeadline)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call();
     call.progressTimeout = std::chrono::seconds(5);
     call.totalTimeout = std::chrono::seconds(13);
@@ -517,7 +331,7 @@
 
 BOOST_AUTO_TEST_CASE(tooLargeAnswerEndsTheCall)
 {
-    Fixture f;
+    ClientFixture f;
     Call call = f.call();
     call.maxBodyBytes = 1;
     f.start(std::move(call));
@@ -530,7 +344,7 @@
 
 BOOST_AUTO_TEST_CASE(cancelClosesConnectionAndCallsNoHook)
 {
-    Fixture f;
+    ClientFixture f;
     const CallId id = f.start(f.call());
     RawSocket server = f.accept();
     BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
@@ -546,7 +360,7 @@
     for (const std::string_view hook : {"leaving", "head", "piece"}) {
         BOOST_TEST_CONTEXT(hook)
         {
-            Fixture f;
+            ClientFixture f;
             CallId id;
             int cancels = 0;
             const auto cancel = [&](std::string_view hookName) {
@@ -574,7 +388,7 @@
 
 BOOST_AUTO_TEST_CASE(bodyPiecesAreForwardedAsReceived)
 {
-    Fixture f;
+    ClientFixture f;
     std::string pieces;
     Hooks hooks = f.hooks();
     hooks.bodyReceived = [&](std::string_view piece) { pieces += piece; };
