Gateway: Pause for an endpoint that becomes cold in service

Cause: an engine that becomes cold by itself tells it with its entry, which routers read up to 0.95 s later. Until then it gets what a warm engine gets, 25 to 38 requests a second, and from then on what a cold one bears, 16, in the same second. Each alone is within the bound; their sum is not. The quota counted only what it had admitted itself.

Ruled out: to count a router's own requests of the last second against its share. In a fleet of 85 the routers that sent are others than those that may send, so that the sum stays.

An endpoint that is new, was unreachable or drained, or is known to be cold already is not paused: nobody sent it the requests of a warm one.

Holds because each second sees either requests as to a warm endpoint, at most the delay times their rate, or the quota. An endpoint with more than 29 requests within the delay still breaks the bound.

--- a/src/libs/gateway/endpointhealth.cpp
+++ b/src/libs/gateway/endpointhealth.cpp
@@ -72,7 +72,7 @@
     }
     const Base::MonoTime now = m_options.clock->now();
     if (facts.isWarmingUp && !m_options.registry->isWarmingUp(endpoint, now))
-        EndpointRegistry::markCold(endpoint, now);
+        m_options.registry->becameCold(endpoint, now);
     if (!facts.backOffTime)
         return;
     notice.backOffUntil = std::max(notice.backOffUntil, now + *facts.backOffTime);
--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -48,7 +48,7 @@
     const auto known = m_records.find(endpoint.id);
     if (known != m_records.end() && !Fleet::isRestart(known->second->info, endpoint)) {
         if (endpoint.isWarmingUp && !known->second->info.isWarmingUp)
-            markCold(*known->second, now);
+            becameCold(*known->second, now);
         known->second->info = endpoint;
         setSoftware(*known->second, now);
         return;
@@ -130,6 +130,13 @@
     }
 }
 
+void EndpointRegistry::becameCold(EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    if (!isWarmingUp(endpoint, now))
+        m_warmupQuota.pause(endpoint.warmup, now);
+    markCold(endpoint, now);
+}
+
 bool EndpointRegistry::isWarmingUp(const EndpointRecord &endpoint, Base::MonoTime now) const
 {
     if (!endpoint.warmup.coldSince)
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -201,11 +201,14 @@
 
     void setServices(const std::vector<Fleet::Service> &services);
     void setFleet(WarmupQuota::Fleet fleet) { m_warmupQuota.setFleet(std::move(fleet)); }
-    /// Starts the warm-up of an endpoint that was found to be cold.
+    /// Starts the warm-up of an endpoint that was not in service before.
     static void markCold(EndpointRecord &endpoint, Base::MonoTime now)
     {
         endpoint.warmup.coldSince = now;
     }
+    /// The endpoint became cold while it was in service. Its warm-up starts with a pause, unless
+    /// this router takes it for cold already.
+    void becameCold(EndpointRecord &endpoint, Base::MonoTime now) const;
     bool isWarmingUp(const EndpointRecord &endpoint, Base::MonoTime now) const;
     /// Whether the warm-up quota of this router lets it send the endpoint a request now.
     bool admitsRequest(EndpointRecord &endpoint, Base::MonoTime now) const;
--- a/src/libs/gateway/warmupquota.cpp
+++ b/src/libs/gateway/warmupquota.cpp
@@ -25,6 +25,8 @@
 {
     if (m_options.startedAt && now - *m_options.startedAt < m_options.window)
         return false;
+    if (now < record.pausedUntil)
+        return false;
     std::erase_if(record.sends, [&](Base::MonoTime at) { return now - at >= m_options.window; });
     return record.sends.size() < requestsPerWindow(record, endpointHash, sustainableRate);
 }
--- a/src/libs/gateway/warmupquota.h
+++ b/src/libs/gateway/warmupquota.h
@@ -14,6 +14,7 @@
 struct WarmupRecord
 {
     std::optional<Base::MonoTime> coldSince; ///< When the endpoint was last found to be cold.
+    Base::MonoTime pausedUntil{}; ///< This router sends nothing before this time.
     std::vector<Base::MonoTime> sends; ///< Times of this router's requests within the window.
     /// Position of this router in the endpoint's order of routers, from 0, and the generation of
     /// the fleet that it was computed for.
@@ -27,6 +28,10 @@
 /// send several. A router that knows only some of its peers exceeds its share, which endpoints
 /// tolerate.
 ///
+/// An endpoint that becomes cold while it is in service has received the requests of a warm one
+/// until the routers learned that. They pause for a window then, so that these requests and the
+/// rate of the cold endpoint do not add up.
+///
 /// If the rate were divided evenly and rounded up, each of hundreds of routers could send one
 /// request a second. Reports of what other routers have sent would arrive too late.
 class WarmupQuota
@@ -62,6 +67,11 @@
     bool admits(WarmupRecord &record, std::uint64_t endpointHash, double sustainableRate,
                 Base::MonoTime now) const;
     void recordSend(WarmupRecord &record, Base::MonoTime now) const;
+    /// Sends the endpoint nothing for a window.
+    void pause(WarmupRecord &record, Base::MonoTime now) const
+    {
+        record.pausedUntil = now + m_options.window;
+    }
 
 private:
     std::size_t requestsPerWindow(WarmupRecord &record, std::uint64_t endpointHash,
