Gateway: Take an endpoint for cold for as long as its entry says so

Cause: an engine became cold a second time while its entry still said that it warms up. The second time changed nothing in the entry, and routers took the engine for warm a warm-up's time after the first.

Change: an endpoint counts as cold as long as its entry says that it warms up, if the entries are current (state younger than 5 s). Outdated ones, as while the store is down, count for the time of a warm-up, as before.

Weighed: the time that is left, which entries contain, would have to go into the messages between routers, which older routers could not read. Cost of this way: an engine that has warmed up gets the requests of a cold one until its next entry is read, at most a check-in interval.

--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -142,7 +142,16 @@
     if (!endpoint.warmup.coldSince)
         return false;
     const auto warmup = m_warmups.find(endpoint.info.service);
-    return warmup != m_warmups.end() && now - *endpoint.warmup.coldSince < warmup->second.time;
+    if (warmup == m_warmups.end())
+        return false;
+    return now - *endpoint.warmup.coldSince < warmup->second.time
+        || (endpoint.info.isWarmingUp && areEntriesCurrent());
+}
+
+bool EndpointRegistry::areEntriesCurrent() const
+{
+    const auto age = m_options.stateAge ? m_options.stateAge() : std::nullopt;
+    return age && *age < m_options.maximumStateAge;
 }
 
 bool EndpointRegistry::admitsRequest(EndpointRecord &endpoint, Base::MonoTime now) const
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -11,6 +11,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -171,13 +172,19 @@
         double minimumTimelyShare = 0.6;
         WarmupQuota::Options warmupQuota;
         SoftwareVersions::Options softwareVersions;
+        /// Returns the age of the entries; empty if there are none. If it is not set, the entries
+        /// count as old.
+        std::function<std::optional<Base::Duration>()> stateAge;
+        /// Age from which entries may be outdated, as the store or the way to it is down. The state
+        /// of a router far from the readers is a few seconds old.
+        Base::Duration maximumStateAge = std::chrono::seconds(5);
     };
 
     explicit EndpointRegistry(Options options)
-        : m_options(options)
-        , m_suspicion(options.suspicion)
-        , m_warmupQuota(options.warmupQuota)
-        , m_softwareVersions(options.softwareVersions)
+        : m_options(std::move(options))
+        , m_suspicion(m_options.suspicion)
+        , m_warmupQuota(m_options.warmupQuota)
+        , m_softwareVersions(m_options.softwareVersions)
     { }
 
     /// Adds or updates an endpoint. A restarted endpoint counts as a new one: the load, suspicion,
@@ -209,6 +216,8 @@
     /// The endpoint became cold while it was in service. Its warm-up starts with a pause, unless
     /// this router takes it for cold already.
     void becameCold(EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Whether the endpoint is cold: for the time of a warm-up after that was found, and for as
+    /// long as its entry says so. An endpoint may become cold again before its entry has changed.
     bool isWarmingUp(const EndpointRecord &endpoint, Base::MonoTime now) const;
     /// Whether the warm-up quota of this router lets it send the endpoint a request now.
     bool admitsRequest(EndpointRecord &endpoint, Base::MonoTime now) const;
@@ -277,6 +286,7 @@
     };
 
     void setSoftware(EndpointRecord &endpoint, Base::MonoTime now);
+    bool areEntriesCurrent() const;
     void retainNotice(const EndpointRecord &endpoint);
     EndpointNotice retainedNotice(const EndpointRecord &endpoint) const;
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -25,12 +25,13 @@
 /// the answers of endpoints above it.
 constexpr Placement::LoadThreshold fleetBound{.meanLoadFactor = 2, .slack = 3};
 
-/// Returns the options with the start of the process for all parts that depend on it.
-Gateway::Options withStart(Gateway::Options options)
+/// Returns the options with those set that parts of the gateway share.
+Gateway::Options withSharedOptions(Gateway::Options options)
 {
     if (!options.startedAt)
         options.startedAt = options.loop->clock().now();
     options.endpoints.warmupQuota.startedAt = options.startedAt;
+    options.endpoints.stateAge = options.stateAge;
     return options;
 }
 
@@ -74,7 +75,7 @@
 } // namespace
 
 Gateway::Gateway(Options options)
-    : m_options(applyPolicySwitches(withStart(std::move(options))))
+    : m_options(applyPolicySwitches(withSharedOptions(std::move(options))))
     , m_endpoints(m_options.endpoints)
     , m_loadSharing({.registry = &m_endpoints})
     , m_health({.registry = &m_endpoints, .clock = &m_options.loop->clock(), .log = m_options.log})
--- a/tests/auto/gateway/tst_warmupquota.cpp
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -172,7 +172,8 @@
 
     static constexpr int endpoints = 4;
     Base::MonoTime now = start;
-    EndpointRegistry registry{{}};
+    std::optional<Base::Duration> stateAge; ///< Age of the entries.
+    EndpointRegistry registry{{.stateAge = [this] { return stateAge; }}};
     Placement placement{{}};
 };
 
@@ -310,6 +311,32 @@
     BOOST_TEST(f.chosen(1, 200) == 18);
 }
 
+/// Guards against an endpoint that is taken for warm as it became cold a second time before its
+/// entry had said that the first warm-up was over.
+BOOST_AUTO_TEST_CASE(endpointIsColdForAsLongAsItsEntrySaysSo)
+{
+    PlacementFixture f;
+    f.stateAge = seconds(1);
+    f.restart(1);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+    f.now += seconds(6);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+    f.now += milliseconds(200);
+    f.registry.put(PlacementFixture::endpoint(1, false), f.now);
+    BOOST_TEST(f.chosen(1, 200) > 25);
+}
+
+/// Guards against a fleet that spares its endpoints for as long as the store is down.
+BOOST_AUTO_TEST_CASE(outdatedEntryCountsForTheTimeOfAWarmUp)
+{
+    PlacementFixture f;
+    f.stateAge = seconds(10);
+    f.restart(1);
+    BOOST_TEST(f.chosen(1, 200) == 18);
+    f.now += seconds(4);
+    BOOST_TEST(f.chosen(1, 200) > 25);
+}
+
 /// The engines of a data centre may have become cold while it was drained.
 BOOST_AUTO_TEST_CASE(endpointsAreLimitedAfterADrain)
 {
