Gateway: Move an endpoint to the service of its new entry

Found by reading. An entry whose service changed in place left the endpoint in the list of its former service, and its software version stayed counted there for good while it was removed from the new service, which never had it.

An endpoint with another service counts as a new one now, like a restart.

--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -46,7 +46,9 @@
 void EndpointRegistry::put(const Fleet::Endpoint &endpoint, Base::MonoTime now)
 {
     const auto known = m_records.find(endpoint.id);
-    if (known != m_records.end() && !Fleet::isRestart(known->second->info, endpoint)) {
+    const bool isKnown = known != m_records.end() && known->second->info.service == endpoint.service
+        && !Fleet::isRestart(known->second->info, endpoint);
+    if (isKnown) {
         if (endpoint.isWarmingUp && !known->second->info.isWarmingUp)
             becameCold(*known->second, now);
         known->second->info = endpoint;
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -187,8 +187,8 @@
         , m_softwareVersions(m_options.softwareVersions)
     { }
 
-    /// Adds or updates an endpoint. A restarted endpoint counts as a new one: the load, suspicion,
-    /// latency and prompts recorded for the previous process do not apply to it.
+    /// Adds or updates an endpoint. One that has restarted or changed its service counts as a new
+    /// one: the load, suspicion, latency and prompts recorded before do not apply to it.
     void put(const Fleet::Endpoint &endpoint, Base::MonoTime now);
     void remove(const Base::EndpointId &id, Base::MonoTime now);
     /// The endpoints of a service, ordered by id.
--- a/tests/auto/gateway/tst_endpointregistry.cpp
+++ b/tests/auto/gateway/tst_endpointregistry.cpp
@@ -34,6 +34,24 @@
     BOOST_TEST(registry.endpoints(Base::ServiceId("other")).empty());
 }
 
+/// Guards against an endpoint that stays with its former service: its software version would never
+/// count as gone there, so that streams of that service count as mixed for good.
+BOOST_AUTO_TEST_CASE(endpointMovesToTheServiceOfItsNewEntry)
+{
+    const Base::ServiceId newService("new");
+    EndpointRegistry registry({});
+    Fleet::Endpoint one = endpoint("a");
+    one.softwareVersion = "v1";
+    registry.put(one, start);
+    one.service = newService;
+    registry.put(one, start);
+    const Base::MonoTime later = start + std::chrono::minutes(2);
+    BOOST_TEST(registry.endpoints(service).empty());
+    BOOST_TEST(registry.endpoints(newService).size() == 1U);
+    BOOST_TEST(!registry.softwareVersions().only(service, later).has_value());
+    BOOST_TEST(registry.softwareVersions().only(newService, later).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(newIdAtAnAddressIsAnotherEndpoint)
 {
     EndpointRegistry registry({});
