--- a/tests/auto/http/loopback.h
+++ b/tests/auto/http/loopback.h
@@ -111,6 +111,7 @@
         return m_isEnded;
     }
     bool isReset() const { return m_isReset; }
+    int descriptor() const { return m_fd; }
     void finishSending() { shutdown(m_fd, SHUT_WR); }
     void reset()
     {
