Tests: Add the failing case of two drained data centres

Cause, as far as known: drained engines stay in the mean by which the bound is taken, for as long as they are drained. With half of them drained the bound is the mean of the others and three requests; homes go by 1.7 x that mean and 3, which all engines reach, and requests leave them for engines of unknown load.

--- a/tests/auto/gateway/tst_unknownload.cpp
+++ b/tests/auto/gateway/tst_unknownload.cpp
@@ -344,3 +344,25 @@
         BOOST_TEST(figures.maximumOverBoundShare < overBoundShareLimit);
     }
 }
+
+/// Guards against overloaded engines after two data centres of four are drained within a second:
+/// half of the prompts need new homes at once.
+BOOST_AUTO_TEST_CASE(enginesStayWithinTheBoundAfterTwoDrainsAtOnce)
+{
+    for (unsigned seed = 1; seed <= incidentSeeds; ++seed) {
+        const auto figures =
+            ManyRoutersModel(
+                {.routers = 85,
+                 .engines = 60,
+                 .kinds = {{120, 1.3, 209, 10512}, {211, 1.0, 319, 699}, {233, 0.08, 406, 2041}},
+                 .burstSize = 3,
+                 .dataCentres = 4,
+                 .drains = {{.dataCentre = 0, .from = 6, .to = 15},
+                            {.dataCentre = 1, .from = 7, .to = 16}},
+                 .warmup = {.time = seconds(3), .requestsPerSecond = 18},
+                 .seed = seed})
+                .run();
+        BOOST_TEST_MESSAGE("two drained, seed " << seed << ": " << text(figures));
+        BOOST_TEST(figures.maximumOverBoundShare < overBoundShareLimit);
+    }
+}
