--- a/tests/auto/gateway/tst_unknownload.cpp
+++ b/tests/auto/gateway/tst_unknownload.cpp
@@ -5,6 +5,7 @@
 #include "auto/gateway/manyroutersmodel.h"
 
 #include <string>
+#include <vector>
 
 using namespace Lagoonbank;
 using namespace Lagoonbank::Gateway;
@@ -70,6 +71,26 @@
     BOOST_TEST_MESSAGE(what << ", with sharing: " << text(after));
 }
 
+/// Checks that the other engines stay within the bound while data centres of four are drained.
+void checkDrains(const std::vector<ManyRoutersModel::Drain> &drains)
+{
+    for (unsigned seed = 1; seed <= incidentSeeds; ++seed) {
+        const auto figures =
+            ManyRoutersModel(
+                {.routers = 85,
+                 .engines = 60,
+                 .kinds = {{120, 1.3, 209, 10512}, {211, 1.0, 319, 699}, {233, 0.08, 406, 2041}},
+                 .burstSize = 3,
+                 .dataCentres = 4,
+                 .drains = drains,
+                 .warmup = {.time = seconds(3), .requestsPerSecond = 18},
+                 .seed = seed})
+                .run();
+        BOOST_TEST_MESSAGE("drained, seed " << seed << ": " << text(figures));
+        BOOST_TEST(figures.maximumOverBoundShare < overBoundShareLimit);
+    }
+}
+
 } // namespace
 
 /// A large fleet at low traffic.
@@ -327,42 +348,12 @@
 /// half of that of the others.
 BOOST_AUTO_TEST_CASE(otherEnginesStayWithinTheBoundDuringDrains)
 {
-    for (unsigned seed = 1; seed <= incidentSeeds; ++seed) {
-        const auto figures =
-            ManyRoutersModel(
-                {.routers = 85,
-                 .engines = 60,
-                 .kinds = {{120, 1.3, 209, 10512}, {211, 1.0, 319, 699}, {233, 0.08, 406, 2041}},
-                 .burstSize = 3,
-                 .dataCentres = 4,
-                 .drains = {{.dataCentre = 0, .from = 3, .to = 10},
-                            {.dataCentre = 1, .from = 11, .to = 18}},
-                 .warmup = {.time = seconds(3), .requestsPerSecond = 18},
-                 .seed = seed})
-                .run();
-        BOOST_TEST_MESSAGE("drained, seed " << seed << ": " << text(figures));
-        BOOST_TEST(figures.maximumOverBoundShare < overBoundShareLimit);
-    }
+    checkDrains({{.dataCentre = 0, .from = 3, .to = 10}, {.dataCentre = 1, .from = 11, .to = 18}});
 }
 
 /// Guards against overloaded engines after two data centres of four are drained within a second:
 /// half of the prompts need new homes at once.
 BOOST_AUTO_TEST_CASE(enginesStayWithinTheBoundAfterTwoDrainsAtOnce)
 {
-    for (unsigned seed = 1; seed <= incidentSeeds; ++seed) {
-        const auto figures =
-            ManyRoutersModel(
-                {.routers = 85,
-                 .engines = 60,
-                 .kinds = {{120, 1.3, 209, 10512}, {211, 1.0, 319, 699}, {233, 0.08, 406, 2041}},
-                 .burstSize = 3,
-                 .dataCentres = 4,
-                 .drains = {{.dataCentre = 0, .from = 6, .to = 15},
-                            {.dataCentre = 1, .from = 7, .to = 16}},
-                 .warmup = {.time = seconds(3), .requestsPerSecond = 18},
-                 .seed = seed})
-                .run();
-        BOOST_TEST_MESSAGE("two drained, seed " << seed << ": " << text(figures));
-        BOOST_TEST(figures.maximumOverBoundShare < overBoundShareLimit);
-    }
+    checkDrains({{.dataCentre = 0, .from = 6, .to = 15}, {.dataCentre = 1, .from = 7, .to = 16}});
 }
