Tests: Share the begin of a call and the resumption of a stream

tst_sockettimeouts accepted connections by a function of its own beside ClientFixture::accept(), and checked the same options twice. 17 cases of tst_client and tst_clientpool and two of it waited for the head of the first request in the same two lines, which is ClientFixture::acceptRequest() now. tst_softwareversionfleet resumed streams in the same four lines twice. No check, bound or expectation has changed; the number of cases is the same (17, 7, 5).

--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -113,6 +113,16 @@
         }));
         return resumedAt;
     }
+    /// Resumes a stream of router 0 at another router, which sends its second event. Returns the
+    /// engine that resumed it, or -1 if none did.
+    int resume(int stream)
+    {
+        const std::string number = std::to_string(stream);
+        RawSocket caller = request(1 + stream % (routerCount - 1), "t" + number, "s" + number);
+        const int resumedAt = awaitAnswer(caller);
+        BOOST_TEST(caller.has("id: 2"));
+        return resumedAt;
+    }
     /// Begins streams at a router. Returns the engine of each.
     std::vector<std::size_t> begin(int router, int count)
     {
@@ -151,10 +161,7 @@
     f.pass(milliseconds(100));
     f.routers.at(0).reset();
     for (int i = 0; i < streams; ++i) {
-        RawSocket caller =
-            f.request(1 + i % (routerCount - 1), "t" + std::to_string(i), "s" + std::to_string(i));
-        const int resumedAt = f.awaitAnswer(caller);
-        BOOST_TEST(caller.has("id: 2"));
+        const int resumedAt = f.resume(i);
         BOOST_REQUIRE(resumedAt >= 0);
         const std::size_t first = servedBy[static_cast<std::size_t>(i)];
         BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == first % 2);
@@ -172,10 +179,7 @@
     f.pass(seconds(1));
     f.routers.at(0).reset();
     for (int i = 0; i < streams; ++i) {
-        RawSocket caller =
-            f.request(1 + i % (routerCount - 1), "t" + std::to_string(i), "s" + std::to_string(i));
-        const int resumedAt = f.awaitAnswer(caller);
-        BOOST_TEST(caller.has("id: 2"));
+        const int resumedAt = f.resume(i);
         BOOST_TEST(resumedAt % 2 == 0);
     }
 }
--- a/tests/auto/http/clientfixture.h
+++ b/tests/auto/http/clientfixture.h
@@ -50,6 +50,13 @@
         BOOST_REQUIRE(runUntil([&] { return (fd = listener.accept()) >= 0; }));
         return Lagoonbank::Test::RawSocket(fd);
     }
+    /// Accepts a connection and waits for the head of the request on it.
+    Lagoonbank::Test::RawSocket acceptRequest()
+    {
+        Lagoonbank::Test::RawSocket server = accept();
+        BOOST_REQUIRE(runUntil([&] { return server.has("\r\n\r\n"); }));
+        return server;
+    }
     const Lagoonbank::Http::CallResult &finished(std::size_t count = 1)
     {
         BOOST_REQUIRE(runUntil([&] { return results.size() >= count; }));
--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -79,8 +79,7 @@
         {
             ClientFixture f;
             f.start(f.call(std::string(row.method)));
-            RawSocket server = f.accept();
-            BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+            RawSocket server = f.acceptRequest();
             server.send(row.bytes);
             if (row.closesAfter)
                 server.finishSending();
@@ -101,8 +100,7 @@
         {
             ClientFixture f;
             f.start(f.call(std::string(row.method)));
-            RawSocket server = f.accept();
-            BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+            RawSocket server = f.acceptRequest();
             for (std::size_t i = 0; i < row.bytes.size() && f.results.empty(); ++i) {
                 server.send(row.bytes.substr(i, 1));
                 f.loop.runOnce(std::chrono::milliseconds(1));
@@ -119,8 +117,7 @@
 {
     ClientFixture f;
     f.start(f.call());
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send("HTTP/1.1 200 OK\r\n\r\nok");
     server.reset();
     BOOST_TEST(f.finished().end == CallEnd::Broken);
@@ -164,8 +161,7 @@
 {
     ClientFixture f;
     const CallId id = f.start(f.call());
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
     f.runIterations(5);
     f.client.cancel(id);
@@ -193,8 +189,7 @@
 {
     ClientFixture f;
     f.start(f.call());
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send("HTTP/1.1 200 OK\r\na: ");
     const std::string part(1000, 'x');
     for (int sent = 0; sent < 1000 && f.results.empty(); ++sent) {
@@ -287,8 +282,7 @@
             call.headTimeout = std::chrono::seconds(10);
             call.progressTimeout = std::chrono::seconds(5);
             f.start(std::move(call));
-            RawSocket server = f.accept();
-            BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+            RawSocket server = f.acceptRequest();
             server.send(row.sent);
             f.runIterations(5);
             f.advance(row.beforeTimeout);
@@ -313,8 +307,7 @@
     call.progressTimeout = std::chrono::seconds(5);
     call.totalTimeout = std::chrono::seconds(13);
     f.start(std::move(call));
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n");
     for (int i = 0; i < 3; ++i) {
         server.send("x");
@@ -335,8 +328,7 @@
     Call call = f.call();
     call.maxBodyBytes = 1;
     f.start(std::move(call));
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send(completeAnswer);
     BOOST_TEST(f.finished().end == CallEnd::TooLarge);
     BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
@@ -346,8 +338,7 @@
 {
     ClientFixture f;
     const CallId id = f.start(f.call());
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     f.client.cancel(id);
     BOOST_TEST(f.client.activeCalls() == 0U);
     BOOST_TEST(f.runUntil([&] { return server.isEnded(); }));
@@ -393,8 +384,7 @@
     Hooks hooks = f.hooks();
     hooks.bodyReceived = [&](std::string_view piece) { pieces += piece; };
     f.client.start(f.call(), std::move(hooks));
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n");
     BOOST_TEST(f.runUntil([&] { return pieces == "ab"; }));
     server.send("1\r\nc\r\n0\r\n\r\n");
--- a/tests/auto/http/tst_clientpool.cpp
+++ b/tests/auto/http/tst_clientpool.cpp
@@ -14,8 +14,7 @@
 {
     ClientFixture f;
     f.start(f.call());
-    RawSocket first = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+    RawSocket first = f.acceptRequest();
     first.send(completeAnswer);
     f.finished(1);
     f.start(f.call());
@@ -25,8 +24,7 @@
     Call fresh = f.call();
     fresh.freshConnection = true;
     f.start(std::move(fresh));
-    RawSocket second = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
+    RawSocket second = f.acceptRequest();
 }
 
 BOOST_AUTO_TEST_CASE(connectionWithBytesAfterAnswerIsNotReused)
@@ -38,8 +36,7 @@
         {
             ClientFixture f;
             f.start(f.call());
-            RawSocket first = f.accept();
-            BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+            RawSocket first = f.acceptRequest();
             first.send(answer);
             BOOST_TEST(f.finished(1).end == CallEnd::Whole);
             f.start(f.call());
@@ -55,14 +52,12 @@
 {
     ClientFixture f;
     f.start(f.call());
-    RawSocket first = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+    RawSocket first = f.acceptRequest();
     first.send(completeAnswer);
     f.finished(1);
     first.close();
     f.start(f.call());
-    RawSocket second = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return second.has("\r\n\r\n"); }));
+    RawSocket second = f.acceptRequest();
     second.send(completeAnswer);
     BOOST_TEST(f.finished(2).end == CallEnd::Whole);
 }
@@ -71,8 +66,7 @@
 {
     ClientFixture f;
     f.start(f.call());
-    RawSocket first = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n\r\n"); }));
+    RawSocket first = f.acceptRequest();
     first.send(completeAnswer);
     f.finished(1);
     f.start(f.call());
@@ -138,8 +132,7 @@
 {
     ClientFixture f;
     f.start(f.call());
-    RawSocket server = f.accept();
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
+    RawSocket server = f.acceptRequest();
     server.send(completeAnswer);
     f.finished(1);
     f.advance(std::chrono::seconds(4));
--- a/tests/auto/http/tst_sockettimeouts.cpp
+++ b/tests/auto/http/tst_sockettimeouts.cpp
@@ -55,6 +55,7 @@
     return -1;
 }
 
+/// The timeouts of the connection of this process from \a localPort to \a remotePort.
 SocketTimeouts timeoutsOf(std::uint16_t localPort, std::uint16_t remotePort)
 {
     const int fd = findConnection(localPort, remotePort);
@@ -63,17 +64,13 @@
             .userTimeout = milliseconds(option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT))};
 }
 
-/// The timeouts of the client's connection to the given listener, on \a accepted.
-SocketTimeouts timeoutsOfClient(const RawListener &listener, int accepted)
+/// Checks the connection of the client of which \a server is the other end.
+void checkClientTimeouts(const ClientFixture &f, const RawSocket &server)
 {
-    return timeoutsOf(portOf(accepted, getpeername), listener.address.port);
-}
-
-int acceptFrom(ClientFixture &f)
-{
-    int fd = -1;
-    BOOST_REQUIRE(f.runUntil([&] { return (fd = f.listener.accept()) >= 0; }));
-    return fd;
+    const SocketTimeouts timeouts =
+        timeoutsOf(portOf(server.descriptor(), getpeername), f.listener.address.port);
+    BOOST_TEST(!timeouts.hasProbes);
+    BOOST_TEST((timeouts.userTimeout == std::chrono::seconds(10)));
 }
 
 constexpr std::string_view get = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -97,7 +94,7 @@
         BOOST_REQUIRE(server->listen());
     }
 
-    /// Connects a caller and sends its request; returns the port of its end.
+    /// Sends a request of the caller; returns the port of the caller's end.
     std::uint16_t callFrom(RawSocket &caller)
     {
         caller.send(get);
@@ -116,12 +113,8 @@
 {
     ClientFixture f;
     f.start(f.call());
-    const int fd = acceptFrom(f);
-    RawSocket server(fd);
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
-    const SocketTimeouts timeouts = timeoutsOfClient(f.listener, fd);
-    BOOST_TEST(!timeouts.hasProbes);
-    BOOST_TEST((timeouts.userTimeout == std::chrono::seconds(10)));
+    RawSocket server = f.acceptRequest();
+    checkClientTimeouts(f, server);
 }
 
 /// Guards against another timeout on a connection that is used again.
@@ -129,18 +122,14 @@
 {
     ClientFixture f;
     f.start(f.call());
-    const int fd = acceptFrom(f);
-    RawSocket server(fd);
-    BOOST_REQUIRE(f.runUntil([&] { return server.has("\r\n\r\n"); }));
-    server.send("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    RawSocket server = f.acceptRequest();
+    server.send(completeAnswer);
     f.finished();
     Call second = f.call();
     second.target = "/second";
     f.start(std::move(second));
     BOOST_REQUIRE(f.runUntil([&] { return server.has("/second"); }));
-    const SocketTimeouts timeouts = timeoutsOfClient(f.listener, fd);
-    BOOST_TEST(!timeouts.hasProbes);
-    BOOST_TEST((timeouts.userTimeout == std::chrono::seconds(10)));
+    checkClientTimeouts(f, server);
 }
 
 /// Guards against callers that vanish and hold their connection longer than intended.
