Gateway: Log the shared parts of prompts

Endpoints crashed one after the other under requests of which no two were alike. The lines named only the hash of all shared parts together, so that nobody could tell which one the crashes have in common, nor which of the requests of a crashed endpoint had begun.

"Sending." and "Attempt failed." name the parts, the latter also the number of events that came from the endpoint of the attempt.

--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -258,6 +258,7 @@
         noteFailure(failure);
     if (!failure.mayHaveReached && std::exchange(m_isBudgetedRetry, false))
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
+    const int eventsHere = m_attempt ? m_attempt->eventCount : 0;
     cancelAttempt();
     const bool isRetried = mayRetry();
     const FleetRetryBudget::Usage budget =
@@ -273,6 +274,8 @@
          {"may_have_run", failure.mayHaveRun},
          {"own_lack", failure.isLocalResourceShortage},
          {"events", m_eventCount},
+         {"events_here", eventsHere},
+         {"parts", toString(parts())},
          {"goes_on", isRetried},
          {"quiet_ms", m_timers.clock().now() - m_lastActivityAt},
          {"all_quiet_ms", m_timers.clock().now() - m_gateway.m_endpoints.lastContactAt()},
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -2,6 +2,7 @@
 
 #include "gateway/eventsplitter.h"
 #include "gateway/gateway.h"
+#include "gateway/promptparts.h"
 #include "gateway/requestfingerprint.h"
 
 #include <memory>
@@ -47,6 +48,7 @@
         HeadFacts facts;
         bool isStreaming = false; ///< Events are forwarded as they arrive.
         std::optional<Base::MonoTime> lastEventAt;
+        int eventCount = 0; ///< Events from this endpoint.
         std::string body; ///< Buffered body of an answer that is not a stream.
         std::optional<Http::Framing> framing; ///< Set once the call has ended.
         bool isRequestWritten = false; ///< Set once the call has ended.
@@ -81,6 +83,8 @@
     std::vector<PromptPrefix> sharedPrefixes() const;
     std::optional<std::uint64_t> affinity() const;
     Base::Tokens sharedTokens() const;
+    /// The parts of the prompt that the request may share with others; empty without a prompt.
+    std::vector<PartHash> parts() const;
     /// Waits if the endpoint is processing the same prompt for another request. False if there is
     /// nothing to wait for.
     bool waitForPrefill(const PlacementResult &placement);
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -163,6 +163,7 @@
         registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
                                now);
     attempt.lastEventAt = now;
+    ++attempt.eventCount;
     m_lastActivityAt = now;
     m_lastForwardedAt = now;
     ++m_eventCount;
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -55,6 +55,11 @@
     return m_prefixes.empty() ? Base::Tokens() : m_prefixes.back().tokens;
 }
 
+std::vector<PartHash> RequestRun::parts() const
+{
+    return m_request.prompt ? sharedParts(*m_request.prompt) : std::vector<PartHash>();
+}
+
 AdmissionRequest RequestRun::admissionRequest() const
 {
     return {.service = m_service,
@@ -210,6 +215,7 @@
          {"cold_ms", coldMilliseconds(*placement.endpoint)},
          {"usual_load", averageLoad().value_or(unknownValue)},
          {"prompt", static_cast<std::int64_t>(affinity().value_or(0))},
+         {"parts", toString(parts())},
          {"shared_tokens", sharedTokens().value()},
          {"cache_source", source.endpoint ? source.endpoint->info.id.value() : std::string_view()},
          {"send", m_triedEndpoints.size() + 1},
