Tests: Add the failing case of a prompt part that crashes endpoints

Four routers get requests with one part in common, no two alike, that crash the endpoint which begins to answer them. On today's code the endpoints go on crashing until the test ends, and sound requests that share the other parts find too few of them.

--- /dev/null
+++ b/tests/auto/adapter/tst_crashingpartfleet.cpp
@@ -0,0 +1,71 @@
+#define BOOST_TEST_MODULE tst_crashingpartfleet
+#include "auto/adapter/routerfleet.h"
+
+using namespace Lagoonbank;
+using Lagoonbank::Test::RouterFleet;
+using std::chrono::seconds;
+
+// Failure: one part of prompts crashed each endpoint that began to answer a request with it, up to
+// 84 in a row. No two of these requests were alike and they came to all routers, so no request was
+// quarantined in time, while sound requests that shared the other parts broke with them.
+
+namespace {
+
+/// Crashes after which no router in contact may send more than maxFurtherSends such requests.
+constexpr int maxCrashes = 5;
+constexpr int maxFurtherSends = 3;
+constexpr auto stableTime = seconds(3);
+
+/// Routers that get requests of which a third has a part that crashes endpoints.
+struct CrashingPartFleet : RouterFleet
+{
+    explicit CrashingPartFleet(int routerCount)
+        : RouterFleet(routerCount, "streaming")
+    {
+        crashesOn = [](const std::string &request) {
+            return request.find(",bad:") != std::string::npos;
+        };
+    }
+    /// Sends a request that differs from all others in its path and in the last part of its prompt.
+    std::string send(int router, const std::string &parts)
+    {
+        const std::string own = std::to_string(attempts + 1);
+        return attempt(router, "/p/" + own,
+                       "lagoonbank-model: m\r\nlagoonbank-token-count: 900,40\r\n"
+                       "lagoonbank-prompt-prefix: "
+                           + parts + ",f" + own + ":50\r\n");
+    }
+    std::string sendBad(int router) { return send(router, "a1:300,b2:400,bad:100"); }
+    /// Sends a request that shares the first parts with those that crash endpoints.
+    bool isSoundServed(int router)
+    {
+        return send(router, "a1:300,b2:400").find("HTTP/1.1 200") != std::string::npos;
+    }
+    void restart(int router)
+    {
+        routers.at(router).reset();
+        start(router);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestsWithOnePartStopCrashingEndpoints)
+{
+    CrashingPartFleet f(4);
+    int served = 0;
+    for (int round = 0; f.crashes < maxCrashes && round < maxCrashes; ++round) {
+        f.sendBad(round % 4);
+        f.isSoundServed((round + 1) % 4);
+    }
+    f.pass(stableTime);
+    const int before = f.crashes;
+    for (int round = 0; round < 12; ++round) {
+        f.sendBad(round % 4);
+        served += f.isSoundServed(round % 4) ? 1 : 0;
+    }
+    BOOST_TEST(f.crashes - before <= maxFurtherSends);
+    BOOST_TEST(served == 12);
+    const std::string answer = f.sendBad(1);
+    BOOST_TEST(answer.find("HTTP/1.1 503") != std::string::npos);
+}
