Gateway: Blame crashes only on requests that had not begun

A stream that broke in three crashes within ten minutes was refused from then on, although it had got events for seconds.

An endpoint crashes on what it begins to answer, so a request of which it has sent events is not the cause. Two events count as begun: with one, the endpoint may have crashed just after it. The share of crashed endpoints by which a cut of the network is told from crashes still counts all requests.

streamThatHadBegunIsNotQuarantined failed before (503 at the second repeat).

--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -19,13 +19,18 @@
         m_options.timers->cancel(*m_reportTimer);
 }
 
-void CrashWatch::answerBroke(const EndpointPtr &endpoint, RequestFingerprint request)
+void CrashWatch::answerBroke(const EndpointPtr &endpoint, const BrokenRequest &request)
 {
     const auto [entry, isNew] =
         m_brokenEndpoints.try_emplace(endpoint->startHash, BrokenEndpoint{.endpoint = endpoint});
-    std::vector<RequestFingerprint> &requests = entry->second.requests;
-    if (std::find(requests.begin(), requests.end(), request) == requests.end())
+    std::vector<BrokenRequest> &requests = entry->second.requests;
+    const auto known = std::find_if(requests.begin(), requests.end(), [&](const auto &one) {
+        return one.request == request.request;
+    });
+    if (known == requests.end())
         requests.push_back(request);
+    else
+        known->hasBegun = known->hasBegun && request.hasBegun;
     if (isNew)
         checkAfter(m_options.checkDelay, entry->second);
 }
@@ -44,7 +49,7 @@
         m_brokenEndpoints.erase(startHash);
         return;
     }
-    const std::vector<RequestFingerprint> requests = std::exchange(broken.requests, {});
+    const std::vector<BrokenRequest> requests = std::exchange(broken.requests, {});
     m_options.check(
         broken.endpoint->info.address, m_options.checkTimeout,
         [this, startHash, requests, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isReachable) {
@@ -53,7 +58,7 @@
         });
 }
 
-void CrashWatch::checked(std::uint64_t startHash, const std::vector<RequestFingerprint> &requests,
+void CrashWatch::checked(std::uint64_t startHash, const std::vector<BrokenRequest> &requests,
                          bool isReachable)
 {
     BrokenEndpoint &broken = m_brokenEndpoints.at(startHash);
@@ -66,22 +71,35 @@
             m_options.timers->start(m_options.correlationWindow, [this] { reportCrashes(); });
 }
 
-void CrashWatch::reportCrashes()
+absl::flat_hash_map<RequestFingerprint, std::size_t>
+CrashWatch::crashCounts(const std::vector<Crash> &crashes)
 {
-    m_reportTimer.reset();
-    std::vector<Crash> crashes = std::exchange(m_crashes, {});
     absl::flat_hash_map<RequestFingerprint, std::size_t> counts;
     for (const Crash &crash : crashes) {
-        for (const RequestFingerprint request : crash.requests)
-            ++counts[request];
+        for (const BrokenRequest &broken : crash.requests)
+            ++counts[broken.request];
     }
+    return counts;
+}
+
+void CrashWatch::reportCrashes()
+{
+    m_reportTimer.reset();
+    std::vector<Crash> crashes = std::exchange(m_crashes, {});
+    const auto counts = crashCounts(crashes);
     const double minCount = m_options.minCrashShare * static_cast<double>(crashes.size());
     for (Crash &crash : crashes) {
-        std::erase_if(crash.requests, [&](RequestFingerprint request) {
-            return static_cast<double>(counts.at(request)) < minCount;
+        std::erase_if(crash.requests, [&](const BrokenRequest &broken) {
+            return static_cast<double>(counts.at(broken.request)) < minCount;
         });
-        if (!crash.requests.empty() && crashed)
-            crashed(*crash.endpoint, crash.requests);
+        if (crash.requests.empty() || !crashed)
+            continue;
+        std::vector<RequestFingerprint> blamed;
+        for (const BrokenRequest &broken : crash.requests) {
+            if (!broken.hasBegun)
+                blamed.push_back(broken.request);
+        }
+        crashed(*crash.endpoint, blamed);
     }
 }
 
--- a/src/libs/gateway/crashwatch.h
+++ b/src/libs/gateway/crashwatch.h
@@ -20,10 +20,17 @@
 ///
 /// A request is blamed only if it ran on a large part of the endpoints that crashed together. A
 /// router that is cut off from the network sees many endpoints fail at once, most of which did not
-/// have any request in common.
+/// have any request in common. A request that its endpoint had begun to answer is not blamed.
 class CrashWatch
 {
 public:
+    /// A request whose answer has broken off.
+    struct BrokenRequest
+    {
+        RequestFingerprint request;
+        bool hasBegun = false; ///< The endpoint outlived the begin of the answer.
+    };
+
     struct Options
     {
         Runtime::TimerQueue *timers = nullptr;
@@ -55,10 +62,10 @@
     CrashWatch &operator=(const CrashWatch &) = delete;
 
     /// Records that the answer to \a request from \a endpoint has broken off.
-    void answerBroke(const EndpointPtr &endpoint, RequestFingerprint request);
+    void answerBroke(const EndpointPtr &endpoint, const BrokenRequest &request);
 
     /// Called when \a endpoint has crashed while running \a requests, any of which may have caused
-    /// the crash. Each request is listed once.
+    /// the crash. Each request is listed once. The list is empty if all had begun.
     std::function<void(const EndpointRecord &endpoint,
                        const std::vector<RequestFingerprint> &requests)>
         crashed;
@@ -67,22 +74,25 @@
     struct Crash
     {
         EndpointPtr endpoint;
-        std::vector<RequestFingerprint> requests;
+        std::vector<BrokenRequest> requests;
     };
     struct BrokenEndpoint
     {
         EndpointPtr endpoint;
         /// Requests whose answers broke since the last check.
-        std::vector<RequestFingerprint> requests;
+        std::vector<BrokenRequest> requests;
         std::optional<Runtime::TimerId> timer; ///< Set until the next check, unset while it runs.
     };
 
     void checkAfter(Base::Duration delay, BrokenEndpoint &broken);
     void check(std::uint64_t startHash);
-    void checked(std::uint64_t startHash, const std::vector<RequestFingerprint> &requests,
+    void checked(std::uint64_t startHash, const std::vector<BrokenRequest> &requests,
                  bool isReachable);
     /// Blames requests for the collected crashes and calls crashed().
     void reportCrashes();
+    /// Number of the collected crashes in which each request was running.
+    static absl::flat_hash_map<RequestFingerprint, std::size_t>
+    crashCounts(const std::vector<Crash> &crashes);
 
     Options m_options;
     /// Keyed by EndpointRecord::startHash.
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -24,6 +24,9 @@
 /// proxied request (bench/socketlook, bench/http). Younger requests are not checked, as callers
 /// wait 150 ms or more.
 constexpr Base::Duration closeCheckAge = std::chrono::milliseconds(50);
+/// Number of events with which an endpoint has outlived the begin of its answer. With the first one
+/// it may crash just after it was sent.
+constexpr int eventsOfBegunAnswer = 2;
 /// Maximum number of idle connections to one endpoint. More requests are seldom sent to it at once.
 constexpr std::size_t maxIdleConnections = 32;
 
@@ -178,10 +181,13 @@
 
 void RequestRun::noteBrokenConnection()
 {
-    m_gateway.m_crashWatch.answerBroke(m_attempt->endpoint, fingerprint());
-    m_mayCauseQuarantine = m_gateway.m_quarantine.wouldQuarantine(
-        {.request = fingerprint(), .endpoint = m_attempt->endpoint->startHash},
-        m_timers.clock().now());
+    const bool hasBegun = m_attempt->eventCount >= eventsOfBegunAnswer;
+    m_gateway.m_crashWatch.answerBroke(m_attempt->endpoint,
+                                       {.request = fingerprint(), .hasBegun = hasBegun});
+    m_mayCauseQuarantine = !hasBegun
+        && m_gateway.m_quarantine.wouldQuarantine(
+            {.request = fingerprint(), .endpoint = m_attempt->endpoint->startHash},
+            m_timers.clock().now());
 }
 
 std::optional<std::uint64_t> RequestRun::resumeAfter() const
--- a/tests/auto/gateway/tst_crashingrequest.cpp
+++ b/tests/auto/gateway/tst_crashingrequest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE tst_crashingrequest
 #include "auto/gateway/gatewayfixture.h"
+#include "auto/gateway/streamanswers.h"
 
 #include <algorithm>
 #include <string>
@@ -62,6 +63,27 @@
         pass(milliseconds(200)); // Until the check whether the endpoint is alive has completed.
         return caller.receive();
     }
+    /// Makes one attempt of a stream whose endpoints crash after three events, because of another
+    /// request. Returns what the caller received.
+    std::string streamThatIsCutOff(const std::string &path)
+    {
+        RawSocket caller = call(path);
+        const std::string head = "HTTP/1.1 200 OK\r\nx-id: r" + std::to_string(lastRequest + 1)
+            + "\r\ntransfer-encoding: chunked\r\n\r\n";
+        int nextEvent = 1;
+        BOOST_REQUIRE(runUntil([&] {
+            if (FakeEndpoint *endpoint = withNewRequest()) {
+                endpoint->last().send(head);
+                for (int i = 0; i < 3; ++i)
+                    endpoint->last().send(Test::chunk(Test::event(nextEvent++)));
+                runIterations(10);
+                crash(*endpoint);
+            }
+            return caller.isEnded() || caller.has("ran=");
+        }));
+        pass(milliseconds(200));
+        return caller.receive();
+    }
     /// Sends one request as the caller. Each endpoint that receives it closes the connection but
     /// stays alive. Returns the answer to the caller.
     std::string attemptThatBreaks(const std::string &path)
@@ -161,6 +183,16 @@
     }
 }
 
+/// Scenario: a long stream breaks in many crashes, which other requests cause.
+BOOST_AUTO_TEST_CASE(streamThatHadBegunIsNotQuarantined)
+{
+    CrashingEndpoints f;
+    f.setRoute(Test::streamRoute(true));
+    for (int attempt = 0; attempt < 3; ++attempt)
+        BOOST_TEST(has(f.streamThatIsCutOff("/x"), "data: e1"));
+    BOOST_TEST(f.crashes > maxCrashes);
+}
+
 /// Scenario: endpoints break answers but stay alive, or the network resets connections.
 BOOST_AUTO_TEST_CASE(brokenAnswersOfALiveEndpointAreNoCrashes)
 {
--- a/tests/auto/gateway/tst_crashwatch.cpp
+++ b/tests/auto/gateway/tst_crashwatch.cpp
@@ -31,9 +31,10 @@
                 blamed.push_back(request.value());
         };
     }
-    void answerBroke(std::uint64_t request, std::size_t endpoint = 0)
+    void answerBroke(std::uint64_t request, std::size_t endpoint = 0, bool hasBegun = false)
     {
-        watch.answerBroke(endpoints[endpoint], RequestFingerprint(request));
+        watch.answerBroke(endpoints[endpoint],
+                          {.request = RequestFingerprint(request), .hasBegun = hasBegun});
     }
     void pass(Base::Duration duration)
     {
@@ -94,6 +95,18 @@
     BOOST_TEST(f.blamed == (Numbers{2}), boost::test_tools::per_element());
 }
 
+/// An endpoint crashes on what it begins to answer. Two callers send the same request; one of them
+/// has got events.
+BOOST_AUTO_TEST_CASE(requestsThatHadBegunAreNotBlamed)
+{
+    Fixture f;
+    f.answerBroke(1, 0, true);
+    f.answerBroke(2);
+    f.answerBroke(2, 0, true);
+    f.crashAll();
+    BOOST_TEST(f.blamed == (Numbers{2}), boost::test_tools::per_element());
+}
+
 /// Scenario: a router is cut off from most endpoints, and every connection is reset and refused. A
 /// request that was retried at some of them must not be blamed.
 BOOST_AUTO_TEST_CASE(networkCutBlamesNoRequest)
