Gateway: Quarantine prompt parts that crash endpoints

What callers saw: endpoints crashed one after the other, up to five a second, and up to a third of the model requests of a second were not served, as long as requests with one part in their prompts came.

Cause: what a crash is blamed on was the request alone. No two of these requests were alike, so each crashed three endpoints before it was quarantined, and the next one began at zero.

Change: a crash is evidence against the shared parts of all prompts that waited for their answers there. Routers report it to the same eight routers (PartGossip), so that what all crashes have in common shows. - An answer that has begun acquits the parts of its prompt, at any router. Before a part is quarantined all peers are asked, as most answers begin at routers that count no crashes. - A part is suspected after three crashes at different times, unless a part further down or one request explains all of them. - The part with the most crashes is blamed first; its crashes don't count against others. - It is quarantined for ten minutes, told to all routers and kept in the store. An answer that begins ends it early.

Ruled out: the hash of the whole prefix, as the part does it whatever the rest of the prompt is; two crashes (below).

--- a/src/libs/fleetsync/crashgossip.cpp
+++ b/src/libs/fleetsync/crashgossip.cpp
@@ -1,5 +1,7 @@
 #include "fleetsync/crashgossip.h"
 
+#include "fleetsync/randomsample.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <map>
@@ -100,13 +102,10 @@
     Schema::CrashUpdate message{.quarantined = quarantined()};
     if (message.quarantined.empty())
         return;
-    std::shuffle(message.quarantined.begin(), message.quarantined.end(), m_random);
-    message.quarantined.resize(
-        std::min<std::size_t>(message.quarantined.size(), maxItemsPerDatagram));
-    std::vector<Runtime::SocketAddress> peers = m_options.peers();
-    std::shuffle(peers.begin(), peers.end(), m_random);
-    peers.resize(std::min(peers.size(), m_options.resendPeerCount));
-    for (const Runtime::SocketAddress &peer : peers)
+    message.quarantined =
+        randomSample(std::move(message.quarantined), maxItemsPerDatagram, m_random);
+    for (const Runtime::SocketAddress &peer :
+         randomSample(m_options.peers(), m_options.resendPeerCount, m_random))
         send(peer, message);
 }
 
--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -47,6 +47,7 @@
     m_options.prompts->send = nullptr;
     m_options.loads->send = nullptr;
     m_options.crashes->send = nullptr;
+    m_options.parts->send = nullptr;
     m_options.streams->send = nullptr;
 }
 
@@ -80,6 +81,9 @@
     own.crashes->send = [raw = link.get()](const auto &to, const auto &message) {
         raw->send(to, message);
     };
+    own.parts->send = [raw = link.get()](const auto &to, const auto &message) {
+        raw->send(to, message);
+    };
     own.streams->send = [raw = link.get()](const auto &to, const auto &message) {
         raw->send(to, message);
     };
@@ -114,6 +118,10 @@
     } else if (version == versionOf(Schema::CrashUpdate{})) {
         read<Schema::CrashUpdate>(
             datagram, [this](const auto &message) { m_options.crashes->receive(message); });
+    } else if (version == versionOf(Schema::PartUpdate{})) {
+        read<Schema::PartUpdate>(datagram, [this, &from](const auto &message) {
+            m_options.parts->receive(from, message);
+        });
     } else if (version == versionOf(Schema::StreamUpdate{})) {
         read<Schema::StreamUpdate>(datagram, [this, &from](const auto &message) {
             m_options.streams->receive(from, message);
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -5,6 +5,7 @@
 #include "fleetsync/crashgossip.h"
 #include "fleetsync/fleetsync.h"
 #include "fleetsync/loadgossip.h"
+#include "fleetsync/partgossip.h"
 #include "fleetsync/promptgossip.h"
 #include "fleetsync/streamgossip.h"
 #include "http/client.h"
@@ -40,6 +41,7 @@
         PromptGossip *prompts = nullptr;
         LoadGossip *loads = nullptr;
         CrashGossip *crashes = nullptr;
+        PartGossip *parts = nullptr;
         StreamGossip *streams = nullptr;
         Runtime::SocketAddress address;
         /// Rate limit for answers to pulls. A pull beyond it is refused, and the peer pulls from
--- a/src/libs/fleetsync/quarantinelog.cpp
+++ b/src/libs/fleetsync/quarantinelog.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <optional>
 #include <utility>
 
 namespace Lagoonbank::FleetSync {
@@ -12,9 +13,23 @@
 /// Value of each key that is present; the key carries all information.
 constexpr const char *presentValue = "1";
 
-std::string keyOf(std::uint64_t request)
+const std::string partPrefix = "part-"; ///< Of the keys of prompt parts.
+
+std::string keyOf(const QuarantineKey &key)
+{
+    const bool isPart = key.kind == QuarantineKey::Kind::PromptPart;
+    return absl::StrCat(isPart ? partPrefix : std::string(), absl::Hex(key.hash, absl::kZeroPad16));
+}
+
+std::optional<QuarantineKey> parseKey(const std::string &text)
 {
-    return absl::StrCat(absl::Hex(request, absl::kZeroPad16));
+    QuarantineKey key;
+    const bool isPart = text.starts_with(partPrefix);
+    if (isPart)
+        key.kind = QuarantineKey::Kind::PromptPart;
+    if (!absl::SimpleHexAtoi(isPart ? text.substr(partPrefix.size()) : text, &key.hash))
+        return std::nullopt;
+    return key;
 }
 
 } // namespace
@@ -31,38 +46,49 @@
         m_options.timers->cancel(timer);
 }
 
-void QuarantineLog::save(std::uint64_t request)
+void QuarantineLog::save(const QuarantineKey &key)
 {
-    const std::string key = keyOf(request);
     scheduleDrop(key);
-    write(key, presentValue);
+    write(keyOf(key), presentValue);
+}
+
+void QuarantineLog::remove(const QuarantineKey &key)
+{
+    const auto timer = m_dropTimers.find(keyOf(key));
+    if (timer != m_dropTimers.end()) {
+        m_options.timers->cancel(timer->second);
+        m_dropTimers.erase(timer);
+    }
+    write(keyOf(key), {});
 }
 
-void QuarantineLog::saveMissing(const std::vector<Schema::SharedQuarantine> &quarantines,
+void QuarantineLog::saveMissing(const std::vector<Quarantine> &quarantines,
                                 const KeyedLog::KeyedView::Keys &present)
 {
-    for (const Schema::SharedQuarantine &one : quarantines) {
-        const bool lastsLong = std::chrono::milliseconds(one.leftMs) >= m_options.minLeftToSave;
-        if (lastsLong && !present.contains(keyOf(one.request)))
-            save(one.request);
+    for (const Quarantine &one : quarantines) {
+        if (one.remaining >= m_options.minLeftToSave && !present.contains(keyOf(one.key)))
+            save(one.key);
     }
 }
 
 void QuarantineLog::recordRead(const KeyedLog::KeyedRecord &record)
 {
-    std::uint64_t request = 0;
-    if (!record.value || !absl::SimpleHexAtoi(record.key, &request))
-        return; // Deleted, or not the key of a request.
-    scheduleDrop(record.key);
+    const auto key = parseKey(record.key);
+    if (!record.value || !key)
+        return; // Deleted, or written by a version that quarantines something else.
+    scheduleDrop(*key);
     if (received)
-        received(request);
+        received(*key);
 }
 
-void QuarantineLog::scheduleDrop(const std::string &key)
+void QuarantineLog::scheduleDrop(const QuarantineKey &quarantine)
 {
+    const std::string key = keyOf(quarantine);
     if (m_dropTimers.contains(key))
         return;
-    m_dropTimers[key] = m_options.timers->start(m_options.retention, [this, key] {
+    const bool isPart = quarantine.kind == QuarantineKey::Kind::PromptPart;
+    const Base::Duration retention = isPart ? m_options.partRetention : m_options.retention;
+    m_dropTimers[key] = m_options.timers->start(retention, [this, key] {
         m_dropTimers.erase(key);
         write(key, {});
     });
--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -24,6 +24,8 @@
     const auto [entry, isNew] =
         m_brokenEndpoints.try_emplace(endpoint->startHash, BrokenEndpoint{.endpoint = endpoint});
     std::vector<BrokenRequest> &requests = entry->second.requests;
+    if (requests.empty())
+        entry->second.brokenAt = m_options.timers->clock().now();
     const auto known = std::find_if(requests.begin(), requests.end(), [&](const auto &one) {
         return one.request == request.request;
     });
@@ -49,23 +51,23 @@
         m_brokenEndpoints.erase(startHash);
         return;
     }
-    const std::vector<BrokenRequest> requests = std::exchange(broken.requests, {});
+    const Crash crash{.endpoint = broken.endpoint,
+                      .at = broken.brokenAt,
+                      .requests = std::exchange(broken.requests, {})};
     m_options.check(
         broken.endpoint->info.address, m_options.checkTimeout,
-        [this, startHash, requests, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isReachable) {
+        [this, startHash, crash, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isReachable) {
             if (!isAlive.expired())
-                checked(startHash, requests, isReachable);
+                checked(startHash, crash, isReachable);
         });
 }
 
-void CrashWatch::checked(std::uint64_t startHash, const std::vector<BrokenRequest> &requests,
-                         bool isReachable)
+void CrashWatch::checked(std::uint64_t startHash, const Crash &crash, bool isReachable)
 {
-    BrokenEndpoint &broken = m_brokenEndpoints.at(startHash);
-    checkAfter(m_options.checkInterval, broken);
+    checkAfter(m_options.checkInterval, m_brokenEndpoints.at(startHash));
     if (isReachable)
         return;
-    m_crashes.push_back({.endpoint = broken.endpoint, .requests = requests});
+    m_crashes.push_back(crash);
     if (!m_reportTimer)
         m_reportTimer =
             m_options.timers->start(m_options.correlationWindow, [this] { reportCrashes(); });
@@ -82,25 +84,40 @@
     return counts;
 }
 
+CrashWatch::Report CrashWatch::reportOf(const Crash &crash,
+                                        const std::function<bool(RequestFingerprint)> &isCommon)
+{
+    Report report{.endpoint = *crash.endpoint, .isUnrelated = true};
+    for (const BrokenRequest &broken : crash.requests) {
+        const bool isBlamed = isCommon(broken.request);
+        report.isUnrelated = report.isUnrelated && !isBlamed;
+        if (broken.hasBegun)
+            continue;
+        if (isBlamed)
+            report.requests.push_back(broken.request);
+        for (std::size_t depth = 0; depth < broken.parts.size(); ++depth)
+            report.parts.push_back({.part = broken.parts[depth],
+                                    .depth = static_cast<int>(depth),
+                                    .request = broken.request,
+                                    .endpoint = crash.endpoint->startHash,
+                                    .at = crash.at});
+    }
+    return report;
+}
+
 void CrashWatch::reportCrashes()
 {
     m_reportTimer.reset();
-    std::vector<Crash> crashes = std::exchange(m_crashes, {});
+    const std::vector<Crash> crashes = std::exchange(m_crashes, {});
+    if (!crashed)
+        return;
     const auto counts = crashCounts(crashes);
     const double minCount = m_options.minCrashShare * static_cast<double>(crashes.size());
-    for (Crash &crash : crashes) {
-        std::erase_if(crash.requests, [&](const BrokenRequest &broken) {
-            return static_cast<double>(counts.at(broken.request)) < minCount;
-        });
-        if (crash.requests.empty() || !crashed)
-            continue;
-        std::vector<RequestFingerprint> blamed;
-        for (const BrokenRequest &broken : crash.requests) {
-            if (!broken.hasBegun)
-                blamed.push_back(broken.request);
-        }
-        crashed(*crash.endpoint, blamed);
-    }
+    const auto isCommon = [&](RequestFingerprint request) {
+        return static_cast<double>(counts.at(request)) >= minCount;
+    };
+    for (const Crash &crash : crashes)
+        crashed(reportOf(crash, isCommon));
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/crashwatch.h
+++ b/src/libs/gateway/crashwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/endpointregistry.h"
+#include "gateway/partevidence.h"
 #include "gateway/requestfingerprint.h"
 #include "runtime/timerqueue.h"
 
@@ -28,8 +29,21 @@
     struct BrokenRequest
     {
         RequestFingerprint request;
+        std::vector<PartHash> parts; ///< sharedParts() of its prompt.
         bool hasBegun = false; ///< The endpoint outlived the begin of the answer.
     };
+    /// An endpoint that has crashed, and what may have caused it.
+    struct Report
+    {
+        const EndpointRecord &endpoint;
+        /// Requests that waited for their answers to begin. Each is listed once.
+        std::vector<RequestFingerprint> requests;
+        /// The shared parts of their prompts, also of requests that are not blamed.
+        std::vector<PartCrash> parts;
+        /// No request was running on a large part of the endpoints that crashed together, as in a
+        /// cut of the network.
+        bool isUnrelated = false;
+    };
 
     struct Options
     {
@@ -64,21 +78,19 @@
     /// Records that the answer to \a request from \a endpoint has broken off.
     void answerBroke(const EndpointPtr &endpoint, const BrokenRequest &request);
 
-    /// Called when \a endpoint has crashed while running \a requests, any of which may have caused
-    /// the crash. Each request is listed once. The list is empty if all had begun.
-    std::function<void(const EndpointRecord &endpoint,
-                       const std::vector<RequestFingerprint> &requests)>
-        crashed;
+    std::function<void(const Report &report)> crashed;
 
 private:
     struct Crash
     {
         EndpointPtr endpoint;
+        Base::MonoTime at;
         std::vector<BrokenRequest> requests;
     };
     struct BrokenEndpoint
     {
         EndpointPtr endpoint;
+        Base::MonoTime brokenAt; ///< When the first of these answers broke.
         /// Requests whose answers broke since the last check.
         std::vector<BrokenRequest> requests;
         std::optional<Runtime::TimerId> timer; ///< Set until the next check, unset while it runs.
@@ -86,10 +98,11 @@
 
     void checkAfter(Base::Duration delay, BrokenEndpoint &broken);
     void check(std::uint64_t startHash);
-    void checked(std::uint64_t startHash, const std::vector<BrokenRequest> &requests,
-                 bool isReachable);
+    void checked(std::uint64_t startHash, const Crash &crash, bool isReachable);
     /// Blames requests for the collected crashes and calls crashed().
     void reportCrashes();
+    static Report reportOf(const Crash &crash,
+                           const std::function<bool(RequestFingerprint)> &isCommon);
     /// Number of the collected crashes in which each request was running.
     static absl::flat_hash_map<RequestFingerprint, std::size_t>
     crashCounts(const std::vector<Crash> &crashes);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -72,6 +72,13 @@
     };
 }
 
+PartQuarantine::Options partQuarantineOptions(const Gateway::Options &options)
+{
+    PartQuarantine::Options own = options.partQuarantine;
+    own.timers = &options.loop->timers();
+    return own;
+}
+
 } // namespace
 
 Gateway::Gateway(Options options)
@@ -92,13 +99,13 @@
     , m_backlog(m_options.backlog)
     , m_prompts(m_options.prompts)
     , m_quarantine(m_options.quarantine)
+    , m_partQuarantine(partQuarantineOptions(m_options))
     , m_crashWatch(
           {.timers = &m_options.loop->timers(), .check = connectionCheck(*m_options.client)})
     , m_streams(m_options.streams)
 {
-    m_crashWatch.crashed = [this](const auto &endpoint, const auto &requests) {
-        endpointCrashed(endpoint, requests);
-    };
+    m_crashWatch.crashed = [this](const auto &report) { endpointCrashed(report); };
+    wirePartQuarantine();
     m_reachability.reachabilityChanged = [this](EndpointRecord &endpoint) {
         if (!endpoint.isUnreachable && std::exchange(endpoint.hasCrashed, false))
             EndpointRegistry::markCold(endpoint, m_options.loop->clock().now());
@@ -262,72 +269,6 @@
     m_prompts.mergeHolding(completed, m_options.loop->clock().now());
 }
 
-void Gateway::endpointCrashed(const EndpointRecord &endpoint,
-                              const std::vector<RequestFingerprint> &requests)
-{
-    // The endpoint may restart under the same id before its store entry shows that.
-    if (const EndpointPtr record = m_endpoints.findByStart(endpoint.startHash)) {
-        record->hasCrashed = true;
-        if (m_options.policy.reachability)
-            m_reachability.reportUnreachable(record);
-    }
-    std::vector<RequestCrash> crashes;
-    for (const RequestFingerprint request : requests) {
-        crashes.push_back({.request = request, .endpoint = endpoint.startHash});
-        m_options.log->request(
-            part, "Endpoint terminated while processing a request.",
-            {{"endpoint", endpoint.info.id.value()}, {"asks", toString(request)}});
-    }
-    // Requests that have crashed endpoints before are announced first, as they are the likelier
-    // cause.
-    std::stable_partition(crashes.begin(), crashes.end(), [this](const RequestCrash &crash) {
-        return m_quarantine.hasCrashes(crash.request);
-    });
-    if (m_options.crashesDetected)
-        m_options.crashesDetected(crashes);
-    for (const RequestCrash &crash : crashes)
-        recordCrash(crash);
-}
-
-void Gateway::recordCrash(const RequestCrash &crash)
-{
-    const Base::MonoTime now = m_options.loop->clock().now();
-    if (!m_quarantine.crashed(crash, now))
-        return;
-    const QuarantinedRequest quarantined{.request = crash.request,
-                                         .remaining = *m_quarantine.timeLeft(crash.request, now)};
-    noteQuarantined(crash.request, "ends");
-    if (m_options.requestQuarantined)
-        m_options.requestQuarantined(quarantined);
-}
-
-std::optional<Base::Duration> Gateway::quarantineReceived(const QuarantinedRequest &quarantined)
-{
-    const Base::MonoTime now = m_options.loop->clock().now();
-    if (!m_quarantine.quarantine(quarantined, now))
-        return std::nullopt;
-    noteQuarantined(quarantined.request, "told");
-    return m_quarantine.timeLeft(quarantined.request, now);
-}
-
-void Gateway::noteQuarantined(RequestFingerprint request, std::string_view from)
-{
-    const Base::MonoTime now = m_options.loop->clock().now();
-    m_options.log->event(
-        part, "Request was quarantined.",
-        {{"asks", toString(request)},
-         {"from", from},
-         {"for_ms", m_quarantine.timeLeft(request, now).value_or(Base::Duration::zero())}});
-    const auto runs = m_runs; // A copy, as some runs end and remove themselves.
-    for (const auto &run : runs)
-        run->quarantined(request);
-}
-
-std::vector<QuarantinedRequest> Gateway::quarantined() const
-{
-    return m_quarantine.quarantined(m_options.loop->clock().now());
-}
-
 const PromptDirectory *Gateway::sharedPrompts() const
 {
     const bool isShared = m_options.promptPlaced && m_routerCount <= maxAnnouncingRouters;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "gateway/loadsharing.h"
 #include "gateway/loadshedder.h"
+#include "gateway/partquarantine.h"
 #include "gateway/peerrouters.h"
 #include "gateway/placement.h"
 #include "gateway/promptdirectory.h"
@@ -121,6 +122,16 @@
         /// Announces a quarantined request to peers and to routers that start later. Null without
         /// peers.
         std::function<void(const QuarantinedRequest &quarantined)> requestQuarantined;
+        /// Announces to peers that an endpoint crashed at which requests of this router with these
+        /// prompt parts waited. Null without peers.
+        std::function<void(const std::vector<PartCrash> &crashes)> partCrashesDetected;
+        /// Asks peers whether answers to requests with these parts have begun. Null without peers.
+        std::function<void(const std::vector<PartQuestion> &questions)> partsSuspected;
+        /// Announces a quarantined part to peers and to routers that start later. Null without
+        /// peers.
+        std::function<void(const QuarantinedPart &quarantined)> partQuarantined;
+        /// Announces that a quarantine was wrong. Null without peers.
+        std::function<void(PartHash part)> partReleased;
         /// Announces streams to peers, of which callers may resume them. Null without peers.
         std::function<void(const std::vector<StreamOrigin> &streams)> streamsBegan;
         /// Asks peers which version began a stream, and calls \a answered later. Null without
@@ -139,6 +150,7 @@
         BacklogControl::Options backlog;
         ConcurrencyLimit::Options concurrencyLimit;
         RequestQuarantine::Options quarantine;
+        PartQuarantine::Options partQuarantine; ///< The gateway sets its timers.
         StreamDirectory::Options streams;
         GatewayTimeouts timeouts;
         Logging::DecisionLog *log = nullptr;
@@ -185,6 +197,23 @@
     std::optional<Base::Duration> quarantineReceived(const QuarantinedRequest &quarantined);
     std::vector<QuarantinedRequest> quarantined() const;
 
+    /// Records crashes that a peer has noticed, at which requests with these prompt parts waited.
+    void partCrashesReceived(const std::vector<PartCrash> &crashes)
+    {
+        m_partQuarantine.crashed(crashes);
+    }
+    /// Answers a peer's question; empty if no answer has begun here.
+    std::optional<PartBegin> answer(const PartQuestion &question) const
+    {
+        return m_partQuarantine.answer(question);
+    }
+    /// Records what a peer has answered, or that it has released a quarantined part.
+    void partBeginReceived(const PartBegin &begin) { m_partQuarantine.beginReceived(begin); }
+    /// Merges a quarantined part from a peer or the store. Returns the remaining time of its
+    /// quarantine if this router did not have it yet.
+    std::optional<Base::Duration> partQuarantineReceived(const QuarantinedPart &quarantined);
+    std::vector<QuarantinedPart> quarantinedParts() const { return m_partQuarantine.quarantined(); }
+
     /// Records a stream that began at a peer.
     void streamReceived(const StreamOrigin &origin);
     /// The version that began a stream, if this router knows it.
@@ -246,9 +275,11 @@
     bool isCutOffFrom(const Base::ServiceId &service) const;
     /// Logs when the router loses its connections to all endpoints, and when one is back.
     void logIsolation();
-    void endpointCrashed(const EndpointRecord &endpoint,
-                         const std::vector<RequestFingerprint> &requests);
+    void endpointCrashed(const CrashWatch::Report &report);
+    void requestsWaited(const CrashWatch::Report &report);
     void noteQuarantined(RequestFingerprint request, std::string_view from);
+    void wirePartQuarantine();
+    void notePartQuarantined(PartHash part, std::string_view from, std::size_t crashes);
     /// Cache memory of one endpoint of a service; 0 if unknown.
     Base::Tokens memoryOf(const Base::ServiceId &service) const;
 
@@ -268,6 +299,7 @@
     BacklogControl m_backlog;
     PromptDirectory m_prompts;
     RequestQuarantine m_quarantine;
+    PartQuarantine m_partQuarantine;
     CrashWatch m_crashWatch;
     StreamDirectory m_streams;
     std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -167,6 +167,12 @@
            "Requests under which so many endpoints ended that they are sent to none.",
            "Above 0: one kind of request crashes endpoints; the log lines name it.",
            {}},
+    Metric{"lagoonbank_gateway_quarantined_parts",
+           Kind::Gauge,
+           "parts",
+           "Parts of prompts that crash endpoints; requests with them are sent to none.",
+           "Above 0: look for the part in the log lines and mend the prompts or the engines.",
+           {}},
     Metric{
         "lagoonbank_gateway_overloaded_answers_total",
         Kind::Counter,
@@ -214,6 +220,7 @@
     , disconnectedUnread(registry.counter("lagoonbank_gateway_left_unread_total"))
     , callerConnections(registry.gauge("lagoonbank_gateway_caller_connections"))
     , quarantined(registry.gauge("lagoonbank_gateway_quarantined_requests"))
+    , quarantinedParts(registry.gauge("lagoonbank_gateway_quarantined_parts"))
     , overloadedAnswers(registry.counter("lagoonbank_gateway_overloaded_answers_total"))
 { }
 
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -37,6 +37,7 @@
     Metrics::Counter disconnectedUnread; ///< Requests not sent, as an unread close was found.
     Metrics::Gauge callerConnections;
     Metrics::Gauge quarantined;
+    Metrics::Gauge quarantinedParts;
     Metrics::Counter overloadedAnswers;
 
     Metrics::Counter answers(int status);
--- a/src/libs/gateway/requestquarantine.cpp
+++ b/src/libs/gateway/requestquarantine.cpp
@@ -55,36 +55,15 @@
 
 bool RequestQuarantine::quarantine(const QuarantinedRequest &quarantined, Base::MonoTime now)
 {
-    absl::erase_if(m_quarantinedUntil, [now](const auto &entry) { return entry.second <= now; });
     m_crashes.erase(quarantined.request);
-    const Base::Duration remaining = std::min(quarantined.remaining, m_options.quarantineTime);
-    if (remaining <= Base::Duration::zero() || m_quarantinedUntil.contains(quarantined.request))
-        return false;
-    if (m_quarantinedUntil.size() >= m_options.maxQuarantined) {
-        m_quarantinedUntil.erase(
-            std::min_element(m_quarantinedUntil.begin(), m_quarantinedUntil.end(),
-                             [](const auto &a, const auto &b) { return a.second < b.second; }));
-    }
-    m_quarantinedUntil.emplace(quarantined.request, now + remaining);
-    return true;
-}
-
-std::optional<Base::Duration> RequestQuarantine::timeLeft(RequestFingerprint request,
-                                                          Base::MonoTime now) const
-{
-    const auto found = m_quarantinedUntil.find(request);
-    if (found == m_quarantinedUntil.end() || found->second <= now)
-        return std::nullopt;
-    return found->second - now;
+    return m_table.add(quarantined.request, quarantined.remaining, now);
 }
 
 std::vector<QuarantinedRequest> RequestQuarantine::quarantined(Base::MonoTime now) const
 {
     std::vector<QuarantinedRequest> all;
-    for (const auto &[request, until] : m_quarantinedUntil) {
-        if (until > now)
-            all.push_back({.request = request, .remaining = until - now});
-    }
+    for (const auto &[request, remaining] : m_table.items(now))
+        all.push_back({.request = request, .remaining = remaining});
     return all;
 }
 
--- a/src/libs/gateway/requestquarantine.h
+++ b/src/libs/gateway/requestquarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/units.h"
+#include "gateway/quarantinetable.h"
 #include "gateway/requestfingerprint.h"
 #include "schema/generated/fleetsync.h"
 
@@ -68,6 +69,7 @@
 
     explicit RequestQuarantine(Options options)
         : m_options(options)
+        , m_table({.maxTime = options.quarantineTime, .maxItems = options.maxQuarantined})
     { }
 
     /// Records a crash; returns whether it has put the request into quarantine.
@@ -82,10 +84,13 @@
     /// Applies a quarantine that another router decided; returns whether it was not known yet.
     bool quarantine(const QuarantinedRequest &quarantined, Base::MonoTime now);
     /// Remaining time of the request's quarantine; empty if it is not quarantined.
-    std::optional<Base::Duration> timeLeft(RequestFingerprint request, Base::MonoTime now) const;
+    std::optional<Base::Duration> timeLeft(RequestFingerprint request, Base::MonoTime now) const
+    {
+        return m_table.timeLeft(request, now);
+    }
     std::vector<QuarantinedRequest> quarantined(Base::MonoTime now) const;
     /// Whether neither crashes nor quarantines are recorded, so that no request needs a lookup.
-    bool isEmpty() const { return m_crashes.empty() && m_quarantinedUntil.empty(); }
+    bool isEmpty() const { return m_crashes.empty() && m_table.isEmpty(); }
 
 private:
     struct Crashes
@@ -108,7 +113,7 @@
 
     Options m_options;
     absl::flat_hash_map<RequestFingerprint, Crashes> m_crashes;
-    absl::flat_hash_map<RequestFingerprint, Base::MonoTime> m_quarantinedUntil;
+    QuarantineTable<RequestFingerprint> m_table;
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -24,9 +24,6 @@
 /// proxied request (bench/socketlook, bench/http). Younger requests are not checked, as callers
 /// wait 150 ms or more.
 constexpr Base::Duration closeCheckAge = std::chrono::milliseconds(50);
-/// Number of events with which an endpoint has outlived the begin of its answer. With the first one
-/// it may crash just after it was sent.
-constexpr int eventsOfBegunAnswer = 2;
 /// Maximum number of idle connections to one endpoint. More requests are seldom sent to it at once.
 constexpr std::size_t maxIdleConnections = 32;
 
@@ -146,50 +143,6 @@
     return m_deadline - m_timers.clock().now();
 }
 
-RequestFingerprint RequestRun::fingerprint()
-{
-    if (!m_fingerprint) {
-        m_fingerprint =
-            fingerprintOf(m_request, m_workspace ? m_workspace->name : Base::WorkspaceId());
-    }
-    return *m_fingerprint;
-}
-
-bool RequestRun::isQuarantined()
-{
-    const RequestQuarantine &quarantine = m_gateway.m_quarantine;
-    if (quarantine.isEmpty())
-        return false;
-    const auto remaining = quarantine.timeLeft(fingerprint(), m_timers.clock().now());
-    if (!remaining)
-        return false;
-    fail({.kind = ErrorKind::RequestCrashes,
-          .mayHaveReached = false,
-          .mayHaveRun = false,
-          .retryAfter = remaining});
-    return true;
-}
-
-void RequestRun::quarantined(RequestFingerprint request)
-{
-    const bool isWaiting = !m_isEnded && m_attempt && !m_attempt->lastEventAt;
-    if (!isWaiting || fingerprint() != request)
-        return;
-    cancelAttempt();
-    fail({.kind = ErrorKind::RequestCrashes, .mayHaveRun = !m_mayHaveRunAt.empty()});
-}
-
-void RequestRun::noteBrokenConnection()
-{
-    const bool hasBegun = m_attempt->eventCount >= eventsOfBegunAnswer;
-    m_gateway.m_crashWatch.answerBroke(m_attempt->endpoint,
-                                       {.request = fingerprint(), .hasBegun = hasBegun});
-    m_mayCauseQuarantine = !hasBegun
-        && m_gateway.m_quarantine.wouldQuarantine(
-            {.request = fingerprint(), .endpoint = m_attempt->endpoint->startHash},
-            m_timers.clock().now());
-}
-
 std::optional<std::uint64_t> RequestRun::resumeAfter() const
 {
     return m_lastEventId ? m_lastEventId : m_request.resumeAfter;
@@ -390,6 +343,7 @@
              {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
              // If this exceeds the target of BacklogControl, the router itself was overloaded.
              {"own_delay_ms", m_gateway.ownDelay()},
+             {"prompt_part", m_quarantinedPart ? toString(*m_quarantinedPart) : std::string()},
              {"retry_after_ms", retryAfter.value_or(Base::Duration::zero())}});
     }
     m_gateway.m_options.refuse(
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -26,6 +26,8 @@
     /// Called when a request fingerprint was quarantined. If it is that of this request, the
     /// request fails before it starts to run, unless its endpoint has begun to answer.
     void quarantined(RequestFingerprint request);
+    /// The same for a prompt part.
+    void partQuarantined(PartHash part);
     /// Ends the run without an answer to the caller.
     void drop();
     const Base::ServiceId &service() const { return m_service; }
@@ -33,6 +35,10 @@
     std::optional<StreamOrigin> streamOrigin() const;
 
 private:
+    /// Number of events with which an endpoint has outlived the begin of its answer. With the first
+    /// one it may crash just after it was sent.
+    static constexpr int eventsOfBegunAnswer = 2;
+
     /// The current attempt to send the request to an endpoint.
     struct Attempt
     {
@@ -74,8 +80,15 @@
     bool passesBacklogControl();
     Base::Duration timeLeft() const;
     RequestFingerprint fingerprint();
-    /// Whether the request is quarantined for crashing endpoints. Fails it in that case.
+    /// Whether the request or a part of its prompt is quarantined for crashing endpoints. Fails it
+    /// in that case.
     bool isQuarantined();
+    std::optional<Base::Duration> quarantineTimeLeft();
+    /// Whether the request waits at an endpoint for its answer to begin.
+    bool isWaitingForAnswer() const;
+    void failAsQuarantined();
+    /// Records that the endpoint of the current attempt has outlived the begin of its answer.
+    void answerBegan();
     /// Records that the endpoint of the current attempt may have crashed on the request.
     void noteBrokenConnection();
     /// The prompt prefixes that the request may share with others, shortest first. Empty if the
@@ -204,6 +217,7 @@
     /// Whether the request will be quarantined if the endpoint whose connection broke has crashed.
     /// As that is known only later, the request is not retried.
     bool m_mayCauseQuarantine = false;
+    std::optional<PartHash> m_quarantinedPart; ///< The part that the request failed for.
     std::vector<EndpointPtr> m_triedEndpoints; ///< One entry per attempt.
     bool m_isBudgetedRetry = false; ///< The current attempt was taken from the retry budget.
     std::vector<EndpointPtr> m_mayHaveRunAt; ///< Endpoints where the request may have run.
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -163,7 +163,8 @@
         registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
                                now);
     attempt.lastEventAt = now;
-    ++attempt.eventCount;
+    if (++attempt.eventCount == eventsOfBegunAnswer)
+        answerBegan();
     m_lastActivityAt = now;
     m_lastForwardedAt = now;
     ++m_eventCount;
@@ -232,6 +233,9 @@
     health().answered(*m_attempt->endpoint, !isFailure || attempt.isRelayed, m_request.id);
     if (!isFailure && !m_gateway.m_quarantine.isEmpty())
         m_gateway.m_quarantine.answered(fingerprint());
+    const bool isGood = attempt.status >= 200 && attempt.status < 300;
+    if (isGood && attempt.eventCount < eventsOfBegunAnswer)
+        answerBegan();
     forwardAnswer();
 }
 
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -55,11 +55,6 @@
     return m_prefixes.empty() ? Base::Tokens() : m_prefixes.back().tokens;
 }
 
-std::vector<PartHash> RequestRun::parts() const
-{
-    return m_request.prompt ? sharedParts(*m_request.prompt) : std::vector<PartHash>();
-}
-
 AdmissionRequest RequestRun::admissionRequest() const
 {
     return {.service = m_service,
--- a/tests/auto/adapter/tst_crashingpartfleet.cpp
+++ b/tests/auto/adapter/tst_crashingpartfleet.cpp
@@ -69,3 +69,45 @@
     const std::string answer = f.sendBad(1);
     BOOST_TEST(answer.find("HTTP/1.1 503") != std::string::npos);
 }
+
+/// A router that has just started knows of no crash, and after the restart of all of them only the
+/// store holds the quarantine.
+BOOST_AUTO_TEST_CASE(startingRoutersReceiveTheQuarantineOfAPart)
+{
+    CrashingPartFleet f(3);
+    for (int round = 0; f.crashes < maxCrashes && round < maxCrashes; ++round)
+        f.sendBad(round % 3);
+    f.pass(seconds(1));
+    const int before = f.crashes;
+    f.restart(2);
+    BOOST_REQUIRE(f.isReady());
+    f.pass(stableTime);
+    for (int round = 0; round < 6; ++round)
+        f.sendBad(2);
+    BOOST_TEST(f.crashes - before <= maxFurtherSends);
+    f.routers.clear();
+    for (int router = 0; router < 3; ++router)
+        f.start(router);
+    BOOST_REQUIRE(f.isReady());
+    f.pass(stableTime);
+    for (int round = 0; round < 6; ++round)
+        f.sendBad(round % 3);
+    BOOST_TEST(f.crashes - before <= maxFurtherSends);
+    BOOST_TEST(f.isSoundServed(0));
+}
+
+/// Failure: sound requests are refused, as a part of theirs is blamed for crashes that had another
+/// cause. One router sees only requests that break, the others serve the part.
+BOOST_AUTO_TEST_CASE(partThatOtherRoutersServeIsNotBlamed)
+{
+    CrashingPartFleet f(4);
+    bool areCrashing = false;
+    f.crashesOn = [&](const std::string &) { return areCrashing; };
+    for (int round = 0; round < maxCrashes + 1; ++round) {
+        areCrashing = true;
+        f.send(0, "a1:300,b2:400");
+        areCrashing = false;
+        BOOST_TEST(f.isSoundServed(1 + round % 3));
+    }
+    BOOST_TEST(f.isSoundServed(0));
+}
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -37,6 +37,7 @@
                                         .prompts = &prompts,
                                         .loads = &loads,
                                         .crashes = &crashes,
+                                        .parts = &parts,
                                         .streams = &streams,
                                         .address = {"127.0.0.1", port},
                                         .stateBytesPerSecond = 100000,
@@ -61,6 +62,9 @@
     FleetSync::CrashGossip crashes{{.timers = timers,
                                     .peers = [this] { return sync.peerAddresses(); },
                                     .self = {"127.0.0.1", port}}};
+    FleetSync::PartGossip parts{{.timers = timers,
+                                 .peers = [this] { return sync.peerAddresses(); },
+                                 .self = {"127.0.0.1", port}}};
     FleetSync::StreamGossip streams{{.timers = timers,
                                      .peers = [this] { return sync.peerAddresses(); },
                                      .self = {"127.0.0.1", port}}};
--- a/tests/auto/fleetsync/tst_quarantinelog.cpp
+++ b/tests/auto/fleetsync/tst_quarantinelog.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 using namespace Lagoonbank;
+using FleetSync::QuarantineKey;
 using FleetSync::QuarantineLog;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
@@ -21,7 +22,7 @@
 {
     Fixture()
     {
-        log.received = [this](std::uint64_t request) { received.push_back(request); };
+        log.received = [this](const QuarantineKey &read) { received.push_back(read); };
     }
     void pass(Base::Duration duration)
     {
@@ -49,7 +50,7 @@
     std::map<std::string, std::string> values;
     int writes = 0;
     std::function<void(Errors::Result<void>)> pending;
-    std::vector<std::uint64_t> received;
+    std::vector<QuarantineKey> received;
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
     QuarantineLog log{{.write =
@@ -62,25 +63,36 @@
 };
 
 const std::string key = "00000000000000ab";
+const std::string partKey = "part-00000000000000ab";
+
+QuarantineKey request(std::uint64_t hash)
+{
+    return {.kind = QuarantineKey::Kind::Request, .hash = hash};
+}
+
+QuarantineKey promptPart(std::uint64_t hash)
+{
+    return {.kind = QuarantineKey::Kind::PromptPart, .hash = hash};
+}
 
 } // namespace
 
 BOOST_AUTO_TEST_CASE(savedRequestIsRead)
 {
     Fixture f;
-    f.log.save(0xab);
+    f.log.save(request(0xab));
     BOOST_REQUIRE(f.pending);
     f.answer(true);
     f.read(key);
-    BOOST_TEST(f.received == (std::vector<std::uint64_t>{0xab}), boost::test_tools::per_element());
+    BOOST_TEST((f.received == std::vector{request(0xab)}));
 }
 
 /// The log is unavailable while a request crashes endpoints.
 BOOST_AUTO_TEST_CASE(writeIsRetriedUntilItSucceeds)
 {
     Fixture f;
-    f.log.save(0xab);
-    f.log.save(0xcd);
+    f.log.save(request(0xab));
+    f.log.save(request(0xcd));
     for (int i = 0; i < 5; ++i) {
         BOOST_REQUIRE(f.pending);
         f.answer(false);
@@ -97,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(expiredRequestIsDeletedFromLog)
 {
     Fixture f;
-    f.log.save(0xab);
+    f.log.save(request(0xab));
     f.answer(true);
     f.pass(minutes(59));
     f.read(key); // A second read does not extend the time.
@@ -137,13 +149,43 @@
 BOOST_AUTO_TEST_CASE(quarantinesThatARestoredLogLacksAreWrittenAgain)
 {
     Fixture f;
-    const std::vector<Schema::SharedQuarantine> quarantines{
-        {.request = 0xab, .leftMs = 1800000},
-        {.request = 0xcd, .leftMs = 1800000},
-        {.request = 0xef, .leftMs = 30000}}; // Another router may just have deleted this one.
+    const std::vector<QuarantineLog::Quarantine> quarantines{
+        {.key = request(0xab), .remaining = minutes(30)},
+        {.key = request(0xcd), .remaining = minutes(30)},
+        // Another router may just have deleted this one.
+        {.key = request(0xef), .remaining = seconds(30)}};
     f.log.saveMissing(quarantines, {"00000000000000cd"});
     BOOST_TEST(f.writes == 1);
     BOOST_TEST(f.values[key] == "1");
     f.answer(true);
     BOOST_TEST(f.writes == 1);
 }
+
+/// A part and a request with the same hash are told apart; the quarantine of a part is shorter.
+BOOST_AUTO_TEST_CASE(partsHaveKeysOfTheirOwn)
+{
+    Fixture f;
+    f.log.save(promptPart(0xab));
+    f.answer(true);
+    f.read(partKey);
+    BOOST_TEST((f.received == std::vector{promptPart(0xab)}));
+    BOOST_TEST(!f.values.contains(key));
+    f.pass(minutes(10));
+    BOOST_REQUIRE(f.pending);
+    f.answer(true);
+    BOOST_TEST(f.values.at(partKey).empty());
+}
+
+/// Failure: a part that was wrongly blamed is quarantined again when all routers restart.
+BOOST_AUTO_TEST_CASE(removedQuarantineIsDeletedFromLog)
+{
+    Fixture f;
+    f.log.save(promptPart(0xab));
+    f.answer(true);
+    f.log.remove(promptPart(0xab));
+    BOOST_REQUIRE(f.pending);
+    f.answer(true);
+    BOOST_TEST(f.values.at(partKey).empty());
+    f.pass(minutes(11));
+    BOOST_TEST(!f.pending);
+}
--- a/tests/auto/gateway/tst_crashwatch.cpp
+++ b/tests/auto/gateway/tst_crashwatch.cpp
@@ -26,15 +26,19 @@
             endpoints.push_back(std::make_shared<EndpointRecord>());
             endpoints.back()->startHash = i;
         }
-        watch.crashed = [this](const EndpointRecord &, const auto &requests) {
-            for (const RequestFingerprint request : requests)
+        watch.crashed = [this](const CrashWatch::Report &report) {
+            for (const RequestFingerprint request : report.requests)
                 blamed.push_back(request.value());
+            for (const Gateway::PartCrash &crash : report.parts)
+                waitingParts.push_back(crash.part.value());
         };
     }
-    void answerBroke(std::uint64_t request, std::size_t endpoint = 0, bool hasBegun = false)
+    void answerBroke(std::uint64_t request, std::size_t endpoint = 0, bool hasBegun = false,
+                     const std::vector<Gateway::PartHash> &parts = {})
     {
-        watch.answerBroke(endpoints[endpoint],
-                          {.request = RequestFingerprint(request), .hasBegun = hasBegun});
+        watch.answerBroke(
+            endpoints[endpoint],
+            {.request = RequestFingerprint(request), .parts = parts, .hasBegun = hasBegun});
     }
     void pass(Base::Duration duration)
     {
@@ -59,6 +63,7 @@
     std::vector<std::function<void(bool)>> pending;
     int checks = 0;
     Numbers blamed;
+    Numbers waitingParts;
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
     CrashWatch watch{{.timers = &timers, .check = [this](const auto &, auto, auto checked) {
@@ -134,6 +139,20 @@
     BOOST_TEST(f.blamed == (Numbers{1, 1, 1, 1, 1}), boost::test_tools::per_element());
 }
 
+/// Scenario: different requests with one part crash several endpoints at once. None of them is
+/// blamed, as none was running in a large part of the crashes.
+BOOST_AUTO_TEST_CASE(partsOfWaitingRequestsAreReportedForEachCrash)
+{
+    Fixture f;
+    for (std::uint64_t endpoint = 0; endpoint < 5; ++endpoint) {
+        f.answerBroke(endpoint, endpoint, false, {Gateway::PartHash(7)});
+        f.answerBroke(100 + endpoint, endpoint, true, {Gateway::PartHash(8)});
+    }
+    f.crashAll();
+    BOOST_TEST(f.blamed.empty());
+    BOOST_TEST(f.waitingParts == (Numbers{7, 7, 7, 7, 7}), boost::test_tools::per_element());
+}
+
 /// Scenario: an endpoint breaks half of its answers but stays alive.
 BOOST_AUTO_TEST_CASE(checksOfABreakingEndpointAreRateLimited)
 {
