Gateway: Let a router that gets most callers use the slots of others

When most new connections go to one of 16 routers, it refused callers at four times its fair share of the slots, while the endpoints had 8 requests of 64: the limit was given by the number of routers, not by who needs it.

The limit rises by one for each answer of an endpoint that is less than half full, up to all slots; near the capacity it stays as it was. It falls as before, to below the fair share within 3 s.

routerWithMostCallersMayUseTheSlotsOfOthers fails on the former limit (288 of 1,152 slots).

--- a/src/libs/gateway/concurrencylimit.cpp
+++ b/src/libs/gateway/concurrencylimit.cpp
@@ -7,6 +7,7 @@
 void ConcurrencyLimit::setCapacity(double slots, double routers)
 {
     m_isEnforced = slots > 0 && routers >= m_options.minRouters;
+    m_slots = slots;
     m_fairShare = slots / std::max(1.0, routers);
     if (m_limit <= 0)
         m_limit = m_options.maxShare * m_fairShare;
@@ -22,7 +23,12 @@
     // A limit that is not reached gives no evidence of what the endpoints can take.
     if (inFlight < m_options.minShare * m_limit)
         return;
-    m_limit += m_options.raise / std::max(1.0, m_limit);
+    const int requests = report.running + report.waiting;
+    const bool isFarFromFull = requests < m_options.lowLoad * report.slots;
+    if (isFarFromFull)
+        m_limit += m_options.raise;
+    else if (m_limit < m_options.maxShare * m_fairShare)
+        m_limit += m_options.raise / std::max(1.0, m_limit);
     clamp();
 }
 
@@ -42,8 +48,8 @@
 
 void ConcurrencyLimit::clamp()
 {
-    m_limit =
-        std::clamp(m_limit, m_options.minShare * m_fairShare, m_options.maxShare * m_fairShare);
+    const double lowest = m_options.minShare * m_fairShare;
+    m_limit = std::clamp(m_limit, lowest, std::max(m_slots, lowest));
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/concurrencylimit.h
+++ b/src/libs/gateway/concurrencylimit.h
@@ -7,8 +7,9 @@
 
 /// Adaptive limit (AIMD) of the requests that this router has in flight at the endpoints of one
 /// service. Answers of endpoints with free slots raise the limit: by one after as many answers as
-/// the limit allows requests in flight (additive increase). Requests that queue at an endpoint or
-/// are rejected by it lower the limit by a factor (multiplicative decrease).
+/// the limit allows requests in flight (additive increase), or by one for each answer while the
+/// endpoints are far from full. Requests that queue at an endpoint or are rejected by it lower the
+/// limit by a factor (multiplicative decrease).
 ///
 /// In a fleet of many routers no router can rely on load reports alone: it receives reports of each
 /// endpoint so seldom that all routers see free slots where there are none.
@@ -35,8 +36,12 @@
         /// Minimum of the limit, relative to the router's fair share of all slots.
         double minShare = 0.5;
         /// Maximum of the limit, relative to the router's fair share of all slots. It bounds
-        /// the limit so that it falls quickly to a suitable value when load rises.
+        /// the limit so that it falls quickly to a suitable value when load rises. While endpoints
+        /// are far from full, the limit may rise to all slots, as callers may connect to few of
+        /// the routers.
         double maxShare = 4;
+        /// Requests at an endpoint, relative to its slots, below which it is far from full.
+        double lowLoad = 0.5;
     };
 
     explicit ConcurrencyLimit(const Options &options)
@@ -59,6 +64,7 @@
     void clamp();
 
     Options m_options;
+    double m_slots = 0; ///< Slots of all endpoints in service.
     double m_fairShare = 0; ///< Slots divided by routers.
     double m_limit = 0; ///< 0 until the slots are known.
     bool m_isEnforced = false;
--- a/tests/auto/gateway/tst_concurrencylimit.cpp
+++ b/tests/auto/gateway/tst_concurrencylimit.cpp
@@ -187,3 +187,35 @@
     limit.setCapacity(60, 6);
     BOOST_TEST(limit.admits(1000, 1));
 }
+
+/// Failure: most callers connect to one of 16 routers, and it refuses them at four times its fair
+/// share of the slots, while the endpoints are nearly idle.
+BOOST_AUTO_TEST_CASE(routerWithMostCallersMayUseTheSlotsOfOthers)
+{
+    ConcurrencyLimit limit{{}};
+    limit.setCapacity(1152, 16);
+    const LoadReport idle{.running = 8, .waiting = 0, .slots = 64};
+    Base::MonoTime now{std::chrono::hours(1)};
+    for (int answer = 0; answer < 1000; ++answer)
+        limit.loadReported(idle, limit.value(), now);
+    BOOST_TEST(limit.admits(1100, 1));
+    BOOST_TEST(!limit.admits(1152, 1));
+    // The endpoints become full: the limit is at the fair share again within a few seconds.
+    const LoadReport full{.running = 64, .waiting = 20, .slots = 64};
+    for (int second = 0; second < 10; ++second) {
+        now += milliseconds(300);
+        limit.loadReported(full, limit.value(), now);
+    }
+    BOOST_TEST(limit.value() < 72);
+}
+
+/// Near their capacity, endpoints have no room for more than a router's part and its reserve.
+BOOST_AUTO_TEST_CASE(limitOfBusyEndpointsStaysNearTheFairShare)
+{
+    ConcurrencyLimit limit{{}};
+    limit.setCapacity(1152, 16);
+    const LoadReport busy{.running = 50, .waiting = 0, .slots = 64};
+    for (int answer = 0; answer < 100000; ++answer)
+        limit.loadReported(busy, limit.value(), {});
+    BOOST_TEST(limit.value() <= 4 * 72 + 1);
+}
