Revert "Gateway: Tell slow connections from unreachable endpoints"

It also has a risk that was not measured: an endpoint that is cut off in one direction, or that accepts no more connections, may send data as well.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -89,7 +89,6 @@
     , m_reachability({.registry = &m_endpoints,
                       .timers = &m_options.loop->timers(),
                       .check = connectionCheck(*m_options.client)})
-    , m_connectTimeout({.usual = m_options.timeouts.connect})
     , m_peers({.timers = &m_options.loop->timers(),
                .log = m_options.log,
                .check = connectionCheck(*m_options.client)})
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -5,7 +5,6 @@
 #include "gateway/backlogcontrol.h"
 #include "gateway/callerrequest.h"
 #include "gateway/concurrencylimit.h"
-#include "gateway/connecttimeout.h"
 #include "gateway/crashwatch.h"
 #include "gateway/endpointhealth.h"
 #include "gateway/endpointprotocol.h"
@@ -290,7 +289,6 @@
     LoadSharing m_loadSharing;
     EndpointHealth m_health;
     Reachability m_reachability;
-    ConnectTimeout m_connectTimeout;
     bool m_isIsolated = false; ///< No endpoint is reachable.
     PeerRouters m_peers;
     Placement m_placement;
--- a/src/libs/gateway/reachability.cpp
+++ b/src/libs/gateway/reachability.cpp
@@ -43,20 +43,15 @@
 void Reachability::check(const EndpointPtr &endpoint)
 {
     m_checking.insert(endpoint->info.id);
-    const Base::MonoTime startedAt = m_options.timers->clock().now();
-    m_options.check(
-        endpoint->info.address, m_options.checkTimeout,
-        [this, endpoint, startedAt, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isAccepted) {
-            if (!isAlive.expired())
-                checkFinished(endpoint, startedAt, isAccepted);
-        });
+    m_options.check(endpoint->info.address, m_options.checkTimeout,
+                    [this, endpoint, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isReachable) {
+                        if (!isAlive.expired())
+                            checkFinished(endpoint, isReachable);
+                    });
 }
 
-void Reachability::checkFinished(const EndpointPtr &endpoint, Base::MonoTime startedAt,
-                                 bool isAccepted)
+void Reachability::checkFinished(const EndpointPtr &endpoint, bool isReachable)
 {
-    const bool hasTimedOut = m_options.timers->clock().now() - startedAt >= m_options.checkTimeout;
-    const bool isReachable = isAccepted || (hasTimedOut && isOnlySlow(*endpoint, startedAt));
     m_checking.erase(endpoint->info.id);
     if (const auto timer = m_timers.find(endpoint->info.id); timer != m_timers.end()) {
         m_options.timers->cancel(timer->second);
--- a/src/libs/gateway/reachability.h
+++ b/src/libs/gateway/reachability.h
@@ -49,13 +49,6 @@
 
     /// Reports that a request could not connect to the endpoint.
     void reportUnreachable(const EndpointPtr &endpoint);
-    /// Whether an attempt to connect that began at \a startedAt and took longer than its timeout
-    /// says nothing about the endpoint, as it has sent data on other connections since. The link or
-    /// the processor of this router is overloaded then, and all connections take longer.
-    static bool isOnlySlow(const EndpointRecord &endpoint, Base::MonoTime startedAt)
-    {
-        return endpoint.lastContactAt > startedAt;
-    }
 
     /// Called when an endpoint becomes unreachable or reachable again.
     std::function<void(EndpointRecord &endpoint)> reachabilityChanged;
@@ -63,7 +56,7 @@
 private:
     void checkOthers(const EndpointRecord &failed);
     void check(const EndpointPtr &endpoint);
-    void checkFinished(const EndpointPtr &endpoint, Base::MonoTime startedAt, bool isAccepted);
+    void checkFinished(const EndpointPtr &endpoint, bool isReachable);
     void setUnreachable(EndpointRecord &endpoint, bool isUnreachable);
 
     Options m_options;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -198,7 +198,7 @@
 void RequestRun::startCall(Http::Call call)
 {
     call.freshConnection = !m_route->mayRepeat();
-    call.connectTimeout = m_gateway.m_connectTimeout.value(m_attempt->startedAt);
+    call.connectTimeout = m_gateway.m_options.timeouts.connect;
     call.settleTime = m_gateway.m_options.timeouts.settle;
     // The run's own timers limit the answer.
     call.headTimeout = defaultTimeout;
@@ -301,21 +301,11 @@
     if (failure.isConnectionBroken)
         noteBrokenConnection();
     if (!failure.mayHaveReached && m_gateway.m_options.policy.reachability)
-        noteNotConnected(m_attempt->endpoint, m_attempt->startedAt);
+        reachability().reportUnreachable(m_attempt->endpoint);
     else if (failure.mayHaveRun)
         health().answered(*m_attempt->endpoint, false, m_request.id);
 }
 
-void RequestRun::noteNotConnected(const EndpointPtr &endpoint, Base::MonoTime startedAt)
-{
-    const Base::MonoTime now = m_timers.clock().now();
-    const bool hasTimedOut = now - startedAt >= m_gateway.m_options.timeouts.connect;
-    if (hasTimedOut && Reachability::isOnlySlow(*endpoint, startedAt))
-        m_gateway.m_connectTimeout.wasTooShort(now);
-    else
-        reachability().reportUnreachable(endpoint);
-}
-
 void RequestRun::fail(const Failure &failure)
 {
     if (m_hasStreamBegun) {
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -178,8 +178,6 @@
     /// Whether the request may be sent to another endpoint now.
     bool mayRetry();
     void noteFailure(const Failure &failure);
-    /// Records that an attempt to connect to the endpoint, begun at \a startedAt, has failed.
-    void noteNotConnected(const EndpointPtr &endpoint, Base::MonoTime startedAt);
     void fail(const Failure &failure);
     void refuse(Errors::ErrorKind kind, Errors::Ran ran,
                 std::optional<Base::Duration> retryAfter = std::nullopt);
@@ -195,8 +193,7 @@
     void moveIfPossible();
     /// Moves the request to another endpoint once that one has accepted a connection.
     void probeOtherEndpoint();
-    void otherEndpointProbed(const PlacementResult &other, Base::MonoTime startedAt,
-                             bool isReachable);
+    void otherEndpointProbed(const PlacementResult &other, bool isReachable);
     void cancelAttempt();
     void releaseEndpoint();
     void end(std::string_view outcome, int status);
--- a/src/libs/gateway/requestrunsilence.cpp
+++ b/src/libs/gateway/requestrunsilence.cpp
@@ -111,21 +111,20 @@
     auto reserved = std::make_shared<SlotReservation>(other.endpoint);
     m_gateway.m_options.client->checkReachable(
         other.endpoint->info.address, m_gateway.m_options.timeouts.connect,
-        [weak = weak_from_this(), other, startedAt = now, reserved = std::move(reserved),
+        [weak = weak_from_this(), other, reserved = std::move(reserved),
          lastActivityAt = m_lastActivityAt](bool isReachable) mutable {
             reserved.reset();
             const auto self = weak.lock();
             const bool isStillSilent = self && self->m_lastActivityAt == lastActivityAt;
             if (isStillSilent && !self->m_isEnded && self->m_attempt)
-                self->otherEndpointProbed(other, startedAt, isReachable);
+                self->otherEndpointProbed(other, isReachable);
         });
 }
 
-void RequestRun::otherEndpointProbed(const PlacementResult &other, Base::MonoTime startedAt,
-                                     bool isReachable)
+void RequestRun::otherEndpointProbed(const PlacementResult &other, bool isReachable)
 {
     if (!isReachable && m_gateway.m_options.policy.reachability) {
-        noteNotConnected(other.endpoint, startedAt);
+        m_gateway.m_reachability.reportUnreachable(other.endpoint);
         m_stayReason = otherUnreachable;
         moveIfPossible();
         return;
--- a/tests/auto/gateway/tst_reachability.cpp
+++ b/tests/auto/gateway/tst_reachability.cpp
@@ -3,7 +3,6 @@
 #define BOOST_TEST_MODULE tst_reachability
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/connecttimeout.h"
 #include "gateway/placement.h"
 #include "gateway/reachability.h"
 #include "runtime/clock.h"
@@ -50,18 +49,8 @@
         for (auto left = duration; left > left.zero(); left -= step) {
             clock.advance(step);
             timers.runDue();
-            for (const std::string &server : talking) {
-                for (int i = 0; i < 9; ++i) {
-                    if (endpoint(i)->info.address.ip == server)
-                        registry.recordContact(*endpoint(i), clock.now());
-                }
-            }
             for (auto &[server, checked] : std::exchange(checks, {})) {
                 ++checkCount;
-                if (refusing.contains(server)) {
-                    checked(false);
-                    continue;
-                }
                 if (!cut.contains(server))
                     checked(true);
                 else
@@ -82,8 +71,6 @@
     Runtime::TimerQueue timers{clock};
     EndpointRegistry registry{{}};
     std::set<std::string> cut;
-    std::set<std::string> refusing; ///< Refuse new connections.
-    std::set<std::string> talking; ///< Send data on connections that are open.
     int checkCount = 0;
     std::vector<std::pair<std::string, std::function<void(bool)>>> checks;
     Reachability reachability{{.registry = &registry,
@@ -170,50 +157,3 @@
         unreachableCount += endpoint->isUnreachable ? 1 : 0;
     BOOST_TEST(unreachableCount == 500);
 }
-
-/// Failure: most callers connect to one router, whose link is overloaded. Connections to all
-/// endpoints take longer than the timeout, and the router refused three in four requests as it took
-/// all endpoints for unreachable, though these went on sending it events.
-BOOST_AUTO_TEST_CASE(slowConnectionsToEndpointsThatSendDataAreNoPartition)
-{
-    Fixture f;
-    for (int i = 0; i < 9; ++i)
-        f.cut.insert(f.endpoint(i)->info.address.ip);
-    f.talking = f.cut;
-    const Base::MonoTime startedAt = f.clock.now();
-    f.pass(std::chrono::milliseconds(10));
-    BOOST_TEST(Reachability::isOnlySlow(*f.endpoint(1), startedAt));
-    f.reachability.reportUnreachable(f.endpoint(1)); // A connection of another kind has failed.
-    f.pass(std::chrono::milliseconds(110));
-    BOOST_TEST(f.unreachableCount() == 0);
-}
-
-/// The same connections live on in a partition in which new ones are refused.
-BOOST_AUTO_TEST_CASE(refusedConnectionsAreAPartition)
-{
-    Fixture f;
-    f.refusing = {"10.0.0.1", "10.0.0.4", "10.0.0.7"};
-    f.talking = f.refusing;
-    f.reachability.reportUnreachable(f.endpoint(1));
-    f.pass(std::chrono::milliseconds(20));
-    BOOST_TEST(f.unreachableCount() == 3);
-}
-
-/// Endpoints that were silent while the router tried to connect may be cut off.
-BOOST_AUTO_TEST_CASE(silentEndpointIsNotOnlySlow)
-{
-    Fixture f;
-    f.registry.recordContact(*f.endpoint(1), f.clock.now());
-    BOOST_TEST(!Reachability::isOnlySlow(*f.endpoint(1), f.clock.now()));
-}
-
-/// Without a longer timeout, the next requests would fail at one endpoint after the other.
-BOOST_AUTO_TEST_CASE(connectTimeoutIsLongerForAWhileAfterASlowConnection)
-{
-    ConnectTimeout timeout({.usual = std::chrono::milliseconds(120)});
-    Base::MonoTime now{std::chrono::hours(1)};
-    BOOST_TEST((timeout.value(now) == std::chrono::milliseconds(120)));
-    timeout.wasTooShort(now);
-    BOOST_TEST((timeout.value(now + std::chrono::seconds(1)) == std::chrono::milliseconds(500)));
-    BOOST_TEST((timeout.value(now + std::chrono::seconds(2)) == std::chrono::milliseconds(120)));
-}
