Gateway: Blame no prompt part before all peers could be asked

Found on reading: questions to peers shared the budget of crash reports. In a fleet of 295 routers one question takes 22 KB of the 48 KB; beside many reports it was dropped, nobody could object, and the decision came as if nobody had wanted to.

Questions have a budget of their own and are asked of all peers or of none; in the latter case the decision waits until they can be asked. suspectIsNotBlamedBeforePeersWereAsked and questionsAreAskedOfAllPeersOrOfNone guard it.

--- a/src/libs/fleetsync/partgossip.cpp
+++ b/src/libs/fleetsync/partgossip.cpp
@@ -33,6 +33,8 @@
     : m_options(std::move(options))
     , m_random(m_options.randomSeed)
     , m_byteBudget({.rate = m_options.bytesPerSecond, .burst = m_options.burstBytes})
+    , m_questionBudget(
+          {.rate = m_options.questionBytesPerSecond, .burst = m_options.questionBurstBytes})
 { }
 
 PartGossip::~PartGossip()
@@ -55,20 +57,29 @@
     const auto receivers = routers.first(comparingRoutersKey, m_options.comparingRouters);
     forEachDatagram(crashes, [&](std::vector<Schema::SharedPartCrash> items) {
         const double bytes = emptyDatagramBytes + crashBytes * static_cast<double>(items.size());
-        sendWithinBudget(receivers, {.crashes = std::move(items)}, bytes);
+        sendReports(receivers, {.crashes = std::move(items)}, bytes);
     });
 }
 
-void PartGossip::ask(const std::vector<Schema::SharedPartTime> &questions)
+bool PartGossip::ask(const std::vector<Schema::SharedPartTime> &questions)
 {
+    const std::size_t datagrams =
+        (questions.size() + maxItemsPerDatagram - 1) / maxItemsPerDatagram;
+    const double bytes = emptyDatagramBytes * static_cast<double>(datagrams)
+        + partTimeBytes * static_cast<double>(questions.size());
+    const double cost = bytes * static_cast<double>(m_options.peers().size());
+    const Base::MonoTime now = m_options.timers->clock().now();
+    if (m_questionBudget.waitFor(cost, now) != Base::Duration::zero())
+        return false;
+    m_questionBudget.charge(cost, now);
     forEachDatagram(questions, [&](std::vector<Schema::SharedPartTime> items) {
-        const double bytes = emptyDatagramBytes + partTimeBytes * static_cast<double>(items.size());
-        sendWithinBudget(m_options.peers(), {.asked = std::move(items)}, bytes);
+        sendToAll({.asked = std::move(items)});
     });
+    return true;
 }
 
-void PartGossip::sendWithinBudget(const std::vector<Runtime::SocketAddress> &receivers,
-                                  const Schema::PartUpdate &message, double bytes)
+void PartGossip::sendReports(const std::vector<Runtime::SocketAddress> &receivers,
+                             const Schema::PartUpdate &message, double bytes)
 {
     const Base::MonoTime now = m_options.timers->clock().now();
     for (const Runtime::SocketAddress &to : receivers) {
--- a/src/libs/fleetsync/partgossip.h
+++ b/src/libs/fleetsync/partgossip.h
@@ -33,11 +33,16 @@
         /// Number of routers that compare crashes. There are several because some may be down, cut
         /// off or restarting.
         std::size_t comparingRouters = 8;
-        /// Budget for crash reports and questions. What exceeds it is dropped, not delayed.
+        /// Budget for crash reports. What exceeds it is dropped, not delayed.
         double bytesPerSecond = 1000;
         /// Maximum size of a burst. An endpoint that crashes while it runs 16 requests of this
         /// router, with three parts each, costs 1,600 bytes to each of eight peers.
         double burstBytes = 48000;
+        /// Budget for questions, which is apart so that many crashes don't keep a sound part from
+        /// being acquitted.
+        double questionBytesPerSecond = 1000;
+        /// Maximum size of a burst of questions. One to each of 329 peers takes 24 KB.
+        double questionBurstBytes = 96000;
         /// Time between two rounds in which quarantines are sent again to a few peers.
         Base::Duration interval = std::chrono::seconds(1);
         /// Number of peers to which each round sends.
@@ -61,24 +66,26 @@
 
     void start();
     void sendCrashes(const std::vector<Schema::SharedPartCrash> &crashes);
-    void ask(const std::vector<Schema::SharedPartTime> &questions);
+    /// Asks all peers; returns false and asks none if the budget is too small.
+    bool ask(const std::vector<Schema::SharedPartTime> &questions);
     void sendQuarantine(const Schema::SharedPartTime &quarantine);
     /// Tells all routers that an answer has begun with a part that was quarantined.
     void sendBegin(const Schema::SharedPartTime &begin);
     void receive(const Runtime::SocketAddress &from, const Schema::PartUpdate &message) const;
-    /// Number of datagrams that were not sent for lack of budget.
+    /// Number of datagrams with crash reports that were not sent for lack of budget.
     std::uint64_t dropped() const { return m_dropped; }
 
 private:
     void tick();
     void sendToAll(const Schema::PartUpdate &message);
-    /// Sends to the receivers as long as the budget lasts.
-    void sendWithinBudget(const std::vector<Runtime::SocketAddress> &receivers,
-                          const Schema::PartUpdate &message, double bytes);
+    /// Sends crash reports to the receivers as long as the budget lasts.
+    void sendReports(const std::vector<Runtime::SocketAddress> &receivers,
+                     const Schema::PartUpdate &message, double bytes);
 
     Options m_options;
     std::mt19937_64 m_random;
     Admission::Gcra m_byteBudget;
+    Admission::Gcra m_questionBudget;
     std::uint64_t m_dropped = 0;
     Runtime::TimerId m_timer;
 };
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -125,8 +125,9 @@
         /// Announces to peers that an endpoint crashed at which requests of this router with these
         /// prompt parts waited. Null without peers.
         std::function<void(const std::vector<PartCrash> &crashes)> partCrashesDetected;
-        /// Asks peers whether answers to requests with these parts have begun. Null without peers.
-        std::function<void(const std::vector<PartQuestion> &questions)> partsSuspected;
+        /// Asks peers whether answers to requests with these parts have begun. Returns false if it
+        /// cannot ask now. Null without peers.
+        std::function<bool(const std::vector<PartQuestion> &questions)> askAboutParts;
         /// Announces a quarantined part to peers and to routers that start later. Null without
         /// peers.
         std::function<void(const QuarantinedPart &quarantined)> partQuarantined;
@@ -203,7 +204,7 @@
         m_partQuarantine.crashed(crashes);
     }
     /// Answers a peer's question; empty if no answer has begun here.
-    std::optional<PartBegin> answer(const PartQuestion &question) const
+    std::optional<PartBegin> findPartBegin(const PartQuestion &question) const
     {
         return m_partQuarantine.answer(question);
     }
@@ -276,7 +277,7 @@
     /// Logs when the router loses its connections to all endpoints, and when one is back.
     void logIsolation();
     void endpointCrashed(const CrashWatch::Report &report);
-    void requestsWaited(const CrashWatch::Report &report);
+    void recordRequestCrashes(const CrashWatch::Report &report);
     void noteQuarantined(RequestFingerprint request, std::string_view from);
     void wirePartQuarantine();
     void notePartQuarantined(PartHash part, std::string_view from, std::size_t crashes);
--- a/src/libs/gateway/gatewaycrashes.cpp
+++ b/src/libs/gateway/gatewaycrashes.cpp
@@ -22,7 +22,7 @@
             if (m_options.policy.reachability)
                 m_reachability.reportUnreachable(record);
         }
-        requestsWaited(report);
+        recordRequestCrashes(report);
     }
     if (m_options.partCrashesDetected && !report.parts.empty())
         m_options.partCrashesDetected(report.parts);
@@ -30,7 +30,7 @@
 }
 
 /// Records the crash for the requests that waited for their answers to begin.
-void Gateway::requestsWaited(const CrashWatch::Report &report)
+void Gateway::recordRequestCrashes(const CrashWatch::Report &report)
 {
     std::vector<RequestCrash> crashes;
     for (const RequestFingerprint request : report.requests) {
@@ -96,8 +96,7 @@
             m_options.log->event(
                 part, "A prompt part may crash endpoints; peers are asked.",
                 {{"prompt_part", toString(question.part)}, {"first_crash_ms", question.within}});
-        if (m_options.partsSuspected)
-            m_options.partsSuspected(questions);
+        return !m_options.askAboutParts || m_options.askAboutParts(questions);
     };
     m_partQuarantine.decided = [this](const QuarantinedPart &quarantined,
                                       const PartEvidence::Suspect &suspect) {
@@ -127,7 +126,7 @@
         part, "Prompt part was quarantined.",
         {{"prompt_part", toString(quarantined)},
          {"from", from},
-         {"ends", crashes},
+         {"crashes", crashes},
          {"for_ms", m_partQuarantine.timeLeft(quarantined).value_or(Base::Duration::zero())}});
     const auto runs = m_runs; // A copy, as some runs end and remove themselves.
     for (const auto &run : runs)
--- a/src/libs/gateway/partquarantine.cpp
+++ b/src/libs/gateway/partquarantine.cpp
@@ -100,12 +100,13 @@
     if (suspects.empty())
         return;
     std::vector<PartQuestion> questions;
-    for (const PartEvidence::Suspect &suspect : suspects) {
+    questions.reserve(suspects.size());
+    for (const PartEvidence::Suspect &suspect : suspects)
         questions.push_back({.part = suspect.part, .within = now() - suspect.since});
-        m_asked.insert(suspect.part);
+    if (!ask || ask(questions)) {
+        for (const PartQuestion &question : questions)
+            m_asked.insert(question.part);
     }
-    if (ask)
-        ask(questions);
     m_decisionTimer = m_options.timers->start(m_options.answerWait, [this] {
         m_decisionTimer.reset();
         decide();
--- a/src/libs/gateway/partquarantine.h
+++ b/src/libs/gateway/partquarantine.h
@@ -76,8 +76,9 @@
     PartQuarantine(const PartQuarantine &) = delete;
     PartQuarantine &operator=(const PartQuarantine &) = delete;
 
-    /// Asks all peers about suspects. Null without peers.
-    std::function<void(const std::vector<PartQuestion> &questions)> ask;
+    /// Asks all peers about suspects. Returns false if it cannot ask now; the decision is then put
+    /// off. Null without peers.
+    std::function<bool(const std::vector<PartQuestion> &questions)> ask;
     /// Called when this router has decided to quarantine a part, for which these crashes speak.
     std::function<void(const QuarantinedPart &quarantined, const PartEvidence::Suspect &suspect)>
         decided;
--- a/tests/auto/adapter/routerfleet.h
+++ b/tests/auto/adapter/routerfleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Lagoonbank::Test {
@@ -19,6 +20,7 @@
     /// An endpoint of service s.
     struct Engine
     {
+        std::string id;
         RawListener listener;
         std::vector<std::unique_ptr<RawSocket>> connections;
     };
@@ -35,8 +37,14 @@
     void addEngine()
     {
         engines.push_back(std::make_unique<Engine>());
-        store.writeEndpoint("i-" + std::to_string(++lastEngine), engines.back()->listener.address,
-                            {});
+        engines.back()->id = "i-" + std::to_string(++lastEngine);
+        store.writeEndpoint(engines.back()->id, engines.back()->listener.address, {});
+    }
+    /// Removes the entries of crashed endpoints from the store, which does so after a while.
+    void expireCrashed()
+    {
+        for (const std::string &id : std::exchange(crashedIds, {}))
+            store.write("keyed.servers", id, {});
     }
     void start(int index)
     {
@@ -86,6 +94,7 @@
     std::vector<std::unique_ptr<Engine>> engines;
     std::map<int, Schema::GatewaySettings> settingsOf;
     std::map<int, std::unique_ptr<Platform::RouterProcess>> routers;
+    std::vector<std::string> crashedIds;
     int lastEngine = 0;
     int attempts = 0;
     int crashes = 0;
@@ -93,8 +102,12 @@
 private:
     void runEngines()
     {
-        crashes += static_cast<int>(
-            std::erase_if(engines, [this](const auto &engine) { return !work(*engine); }));
+        crashes += static_cast<int>(std::erase_if(engines, [this](const auto &engine) {
+            const bool hasCrashed = !work(*engine);
+            if (hasCrashed)
+                crashedIds.push_back(engine->id);
+            return hasCrashed;
+        }));
     }
     /// Answers the requests that have arrived at an endpoint. False if it has crashed.
     bool work(Engine &engine)
--- a/tests/auto/adapter/tst_crashingpartfleet.cpp
+++ b/tests/auto/adapter/tst_crashingpartfleet.cpp
@@ -86,6 +86,7 @@
         f.sendBad(2);
     BOOST_TEST(f.crashes - before <= maxFurtherSends);
     f.routers.clear();
+    f.expireCrashed(); // Routers that start know only from the store which endpoints there are.
     for (int router = 0; router < 3; ++router)
         f.start(router);
     BOOST_REQUIRE(f.isReady());
--- a/tests/auto/fleetsync/tst_partgossip.cpp
+++ b/tests/auto/fleetsync/tst_partgossip.cpp
@@ -133,3 +133,20 @@
     BOOST_TEST(f.bytes <= 48000 + 60 * 1000 + 2000);
     BOOST_TEST(f.routers[0]->dropped() > 0);
 }
+
+/// Whoever asks must know whether nobody objects or nobody was asked.
+BOOST_AUTO_TEST_CASE(questionsAreAskedOfAllPeersOrOfNone)
+{
+    Routers f(330);
+    int asked = 0;
+    for (int i = 0; i < 100; ++i) {
+        f.servingRouter = static_cast<std::size_t>(1 + i);
+        const std::size_t before = f.begun["10.0.0.0"];
+        const bool isAsked = f.routers[0]->ask({{.part = 1, .timeMs = 5000}});
+        BOOST_TEST((f.begun["10.0.0.0"] > before) == isAsked);
+        asked += isAsked ? 1 : 0;
+    }
+    BOOST_TEST(asked >= 3);
+    BOOST_TEST(asked < 100);
+    BOOST_TEST(f.bytes <= 96000 + 10000);
+}
--- a/tests/auto/gateway/crashingpartsmodel.h
+++ b/tests/auto/gateway/crashingpartsmodel.h
@@ -169,7 +169,10 @@
         auto quarantine = std::make_unique<Gateway::PartQuarantine>(
             Gateway::PartQuarantine::Options{.timers = &m_timers, .evidence = m_options.evidence});
         if (m_options.asksPeers)
-            quarantine->ask = [this, index](const auto &questions) { ask(index, questions); };
+            quarantine->ask = [this, index](const auto &questions) {
+                ask(index, questions);
+                return true;
+            };
         quarantine->decided = [this, index](const auto &quarantined, const auto &) {
             blamed(quarantined.part);
             toPeers(index, [quarantined](auto &peer) { peer.quarantineReceived(quarantined); });
--- a/tests/auto/gateway/tst_partquarantine.cpp
+++ b/tests/auto/gateway/tst_partquarantine.cpp
@@ -25,6 +25,7 @@
         quarantine.ask = [this](const auto &questions) {
             asked += static_cast<int>(questions.size());
             lastQuestion = questions.front();
+            return mayAsk;
         };
         quarantine.decided = [this](const auto &, const auto &) { ++decisions; };
         quarantine.released = [this](PartHash) { ++releases; };
@@ -54,6 +55,7 @@
     Runtime::TimerQueue timers{clock};
     PartQuarantine quarantine{{.timers = &timers}};
     std::uint64_t requests = 0;
+    bool mayAsk = true;
     int asked = 0;
     int decisions = 0;
     int releases = 0;
@@ -76,6 +78,22 @@
     BOOST_TEST(!f.isQuarantined());
 }
 
+/// Failure: sound parts are blamed as nobody could object, since so many crashes were reported that
+/// no budget was left to ask.
+BOOST_AUTO_TEST_CASE(suspectIsNotBlamedBeforePeersWereAsked)
+{
+    Fixture f;
+    f.mayAsk = false;
+    f.crashThrice();
+    f.pass(milliseconds(250));
+    f.pass(milliseconds(250));
+    BOOST_TEST(!f.isQuarantined());
+    f.mayAsk = true;
+    f.pass(milliseconds(250));
+    f.pass(milliseconds(250));
+    BOOST_TEST(f.isQuarantined());
+}
+
 /// Failure: a part is blamed though another router has served it between the crashes.
 BOOST_AUTO_TEST_CASE(answerOfAPeerAcquits)
 {
