--- a/tests/auto/fleetsync/tst_partgossip.cpp
+++ b/tests/auto/fleetsync/tst_partgossip.cpp
@@ -139,8 +139,8 @@
 {
     Routers f(330);
     int asked = 0;
-    for (int i = 0; i < 100; ++i) {
-        f.servingRouter = static_cast<std::size_t>(1 + i);
+    for (std::size_t i = 1; i <= 100; ++i) {
+        f.servingRouter = i;
         const std::size_t before = f.begun["10.0.0.0"];
         const bool isAsked = f.routers[0]->ask({{.part = 1, .timeMs = 5000}});
         BOOST_TEST((f.begun["10.0.0.0"] > before) == isAsked);
--- a/tests/auto/gateway/tst_partevidence.cpp
+++ b/tests/auto/gateway/tst_partevidence.cpp
@@ -89,9 +89,8 @@
 BOOST_AUTO_TEST_CASE(partsOfOneRepeatedRequestAreNotSuspects)
 {
     Fixture f;
-    for (int repeat = 0; repeat < 5; ++repeat) {
+    for (std::uint64_t other = 100; other < 105; ++other) {
         f.crash(1, {10, 20});
-        const auto other = static_cast<std::uint64_t>(100 + repeat);
         f.alsoWaits(other, {10, other});
     }
     f.evidence.begun(PartHash(10), f.now);
