--- a/src/libs/gateway/peerrouters.cpp
+++ b/src/libs/gateway/peerrouters.cpp
@@ -53,4 +53,10 @@
     return result;
 }
 
+double PeerRouters::latencyMs(const EndpointRecord &peer) const
+{
+    constexpr double msPerSecond = 1000;
+    return msPerSecond * peer.latency.value(0, now(), Placement::Options().speedHalfLife);
+}
+
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -249,6 +249,8 @@
                                       {"route", m_route->name},
                                       {"peer", peer.endpoint->info.id.value()},
                                       {"candidates", peer.candidateCount},
+                                      {"load", peer.load},
+                                      {"latency_ms", m_gateway.m_peers.latencyMs(*peer.endpoint)},
                                       {"send", m_triedEndpoints.size() + 1},
                                       {"left_ms", timeLeft()}});
     m_gateway.m_options.metrics->relayed.increment();
