--- a/src/libs/gateway/peerrouters.h
+++ b/src/libs/gateway/peerrouters.h
@@ -40,7 +40,8 @@
     /// Chooses a peer that is not in \a tried. Its endpoint is null if there is none.
     PlacementResult choose(const std::vector<EndpointPtr> &tried, bool mayRepeat);
 
-    /// Average time in milliseconds that a peer took for an answer; 0 if it has not answered lately.
+    /// Average time in milliseconds that a peer took for an answer; 0 if it has not answered
+    /// lately.
     double latencyMs(const EndpointRecord &peer) const;
 
     EndpointRegistry &registry() { return m_registry; }
