Gateway: Relay only to peers that reach the endpoints

Cause: peers were chosen by load and latency. A peer that is cut off too refuses at once, and so has neither; one that works has both. Of 5,308 relays to peers that were cut off, 5,285 found no load and 5,228 no latency there; of 1,009 to peers that reach endpoints, 902 and 43. After a pause of 150 ms the wrong peer was chosen again, and four such refusals ended a request. Ruled out: peers without room (no refusal as overloaded), and peers that were chosen badly once for all (each router had asked 5 to 12 that reach endpoints).

Change: a refusal says that the peer reaches no endpoint either, and names some routers that do. Refusals of this kind count in a limit of their own. Routers know up to 64 such peers instead of 16.

--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -106,9 +106,9 @@
         /// neither side changes. Other peers may be asked meanwhile. Endpoints write their entries
         /// again within this time.
         Base::Duration emptyPullInterval = std::chrono::milliseconds(1500);
-        /// Maximum number of peers to which a router relays requests. If half of the fleet is cut
-        /// off from the endpoints, one of 16 is not with near certainty.
-        std::size_t maxRelayPeers = 16;
+        /// Maximum number of peers to which a router relays requests. If nine of ten routers are
+        /// cut off from the endpoints, one of 64 is not with near certainty.
+        std::size_t maxRelayPeers = 64;
     };
 
     explicit FleetSync(Options options);
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -61,14 +61,22 @@
     std::optional<Relay> relay; ///< Set if a peer relayed the request.
 };
 
+/// What a refusal tells the peer that relayed the request.
+struct RelayRefusal
+{
+    int sends = 0; ///< Number of endpoints that received the request.
+    bool hasNoEndpoint = false; ///< This router reaches no endpoint of the service either.
+    /// Ids of some routers that reach endpoints of the service; empty if none are known.
+    std::vector<std::string> reachingPeers;
+};
+
 /// The reason why a request is refused instead of answered by an endpoint.
 struct Refusal
 {
     Errors::ErrorKind kind = Errors::ErrorKind::Internal;
     Errors::Ran ran = Errors::Ran::No;
     std::optional<Base::Duration> retryAfter; ///< Time after which the caller may retry.
-    /// Number of endpoints that received the request. Set if a peer relayed it.
-    std::optional<int> sendsForPeer;
+    std::optional<RelayRefusal> forPeer; ///< Set if a peer relayed the request.
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -52,8 +52,7 @@
     /// For the answer of a peer: version of that endpoint's software. Unset if the peer does not
     /// tell.
     std::optional<SoftwareHash> software;
-    /// For the refusal of a peer: number of endpoints that received the request there.
-    int peerSends = 0;
+    RelayRefusal peerRefusal; ///< For the refusal of a peer.
 };
 
 /// Encodes requests to endpoints and decodes their answers. Provided by an adapter.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -91,7 +91,9 @@
                       .check = connectionCheck(*m_options.client)})
     , m_peers({.timers = &m_options.loop->timers(),
                .log = m_options.log,
-               .check = connectionCheck(*m_options.client)})
+               .check = connectionCheck(*m_options.client),
+               .self = m_options.vm,
+               .dataCentre = m_options.dataCentre})
     , m_placement(m_options.placement)
     , m_retryBudget(m_options.retryBudget, *m_options.startedAt)
     , m_loadShedder(m_options.loadShedding)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -105,6 +105,8 @@
         Http::Client *client = nullptr;
         EndpointProtocol protocol;
         RelayProtocol relay; ///< Unused without peer routers.
+        Base::VmId vm; ///< Of this router.
+        Base::DataCentreId dataCentre; ///< Of this router.
         /// Sends a refusal to a caller, in place of an endpoint's answer.
         std::function<void(Http::Responder &responder, const Refusal &refusal)> refuse;
         /// Returns the age of this router's state of endpoints and configuration, for the log;
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -16,6 +16,9 @@
 constexpr Base::Duration defaultTimeout = std::chrono::minutes(10);
 /// Maximum number of attempts of a request whose caller can still be refused.
 constexpr std::size_t maxAttempts = 4;
+/// Maximum number of peers without endpoints that refuse a request. If five of six routers are cut
+/// off, one of eight others is not with a probability of 0.8.
+constexpr std::size_t maxCutOffPeers = 8;
 /// Minimum remaining time for an attempt. No endpoint answers faster.
 constexpr Base::Duration minAttemptTime = std::chrono::milliseconds(10);
 /// Minimum age of a request, or delay of the event loop, at which the router checks for an unread
@@ -252,9 +255,7 @@
 
 bool RequestRun::mayRetry()
 {
-    const bool areAttemptsUsed =
-        m_triedEndpoints.size() >= maxAttempts && (!m_hasStreamBegun || hasCallerTimedOut());
-    if (areAttemptsUsed || m_mayCauseQuarantine || timeLeft() < minAttemptTime)
+    if (areAttemptsUsed() || m_mayCauseQuarantine || timeLeft() < minAttemptTime)
         return false;
     if (!m_mayHaveRunAt.empty() && (!m_route->mayRepeat() || isEndpointLimitReached()))
         return false;
@@ -262,6 +263,14 @@
     return !isRepeat || m_gateway.m_retryBudget.remaining(m_service, m_timers.clock().now()) >= 1;
 }
 
+/// Peers without endpoints refuse at once, and count in a limit of their own.
+bool RequestRun::areAttemptsUsed() const
+{
+    const bool isLimitReached = m_triedEndpoints.size() - m_cutOffPeerCount >= maxAttempts
+        || m_cutOffPeerCount >= maxCutOffPeers;
+    return isLimitReached && (!m_hasStreamBegun || hasCallerTimedOut());
+}
+
 bool RequestRun::isEndpointLimitReached() const
 {
     const int earlier = m_request.relay ? m_request.relay->endpoints : 0;
@@ -348,13 +357,20 @@
     }
     m_gateway.m_options.refuse(
         *m_responder,
-        {.kind = kind,
-         .ran = ran,
-         .retryAfter = retryAfter,
-         .sendsForPeer = m_request.relay ? std::optional<int>(m_sendCount) : std::nullopt});
+        {.kind = kind, .ran = ran, .retryAfter = retryAfter, .forPeer = relayRefusal(kind)});
     end("refused", 0);
 }
 
+std::optional<RelayRefusal> RequestRun::relayRefusal(ErrorKind kind) const
+{
+    if (!m_request.relay)
+        return std::nullopt;
+    RelayRefusal refusal{.sends = m_sendCount, .hasNoEndpoint = kind == ErrorKind::NoEndpoint};
+    if (refusal.hasNoEndpoint)
+        refusal.reachingPeers = m_gateway.m_peers.reachingPeers(m_service);
+    return refusal;
+}
+
 void RequestRun::callerLeft()
 {
     if (m_isEnded)
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -152,6 +152,8 @@
     Http::Hooks hooks();
     void headReceived(int status, const Http::Headers &headers);
     void readAnswerHead();
+    /// Records whether the peer reaches the endpoints of the service.
+    void readPeerReach();
     /// The version that all endpoints of the service run; zero if there are several.
     SoftwareHash onlySoftware() const;
     bool isCallerResuming() const;
@@ -175,12 +177,15 @@
     /// nothing for too long.
     bool hasCallerTimedOut() const;
     Base::MonoTime callerTimeoutAt() const;
+    bool areAttemptsUsed() const;
     /// Whether the request may be sent to another endpoint now.
     bool mayRetry();
     void noteFailure(const Failure &failure);
     void fail(const Failure &failure);
     void refuse(Errors::ErrorKind kind, Errors::Ran ran,
                 std::optional<Base::Duration> retryAfter = std::nullopt);
+    /// What a refusal tells the peer that relayed the request; unset if none did.
+    std::optional<RelayRefusal> relayRefusal(Errors::ErrorKind kind) const;
     void callerLeft();
     void deadlinePassed();
     bool monitorsSilence() const;
@@ -221,6 +226,7 @@
     std::vector<EndpointPtr> m_triedEndpoints; ///< One entry per attempt.
     bool m_isBudgetedRetry = false; ///< The current attempt was taken from the retry budget.
     std::vector<EndpointPtr> m_mayHaveRunAt; ///< Endpoints where the request may have run.
+    std::size_t m_cutOffPeerCount = 0; ///< Peers that refused it as they reach no endpoint.
     /// A peer may have run the request, at as many endpoints as the route allows.
     bool m_mayHaveRunAtPeer = false;
     int m_sendCount = 0; ///< Attempts in which the request was sent.
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -58,7 +58,7 @@
 {
     m_mayHaveRunAt.pop_back();
     m_mayHaveRunAtPeer = false;
-    if (!m_attempt->isRelayed || m_attempt->facts.peerSends > 0)
+    if (!m_attempt->isRelayed || m_attempt->facts.peerRefusal.sends > 0)
         return;
     // No endpoint has received it, so that it counts neither as a send nor as a retry.
     --m_sendCount;
@@ -74,6 +74,7 @@
     const RelayProtocol &relay = m_gateway.m_options.relay;
     if (attempt.isRelayed) {
         attempt.headers = relay.headersForCaller(attempt.headers);
+        readPeerReach();
         const EndpointPtr endpoint = m_gateway.m_endpoints.find(attempt.facts.endpoint);
         attempt.software = endpoint ? endpoint->software : onlySoftware();
         if (attempt.facts.software)
@@ -91,6 +92,17 @@
     }
 }
 
+void RequestRun::readPeerReach()
+{
+    const HeadFacts &facts = m_attempt->facts;
+    if (facts.peerRefusal.hasNoEndpoint)
+        ++m_cutOffPeerCount;
+    if (!facts.endpoint.value().empty())
+        m_gateway.m_peers.answered(m_service, *m_attempt->endpoint);
+    else if (facts.isNotRun)
+        m_gateway.m_peers.refused(m_service, *m_attempt->endpoint, facts.peerRefusal);
+}
+
 void RequestRun::headReceived(int status, const Http::Headers &headers)
 {
     Attempt &attempt = *m_attempt;
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -239,25 +239,29 @@
     const bool isAllowed = !m_request.relay && m_gateway.isCutOffFrom(m_service);
     if (!isAllowed)
         return false;
-    const PlacementResult peer = m_gateway.m_peers.choose(endpointsToAvoid(), m_route->mayRepeat());
-    if (!peer.endpoint)
+    const PeerChoice choice =
+        m_gateway.m_peers.choose(m_service, endpointsToAvoid(), m_route->mayRepeat());
+    const EndpointPtr &peer = choice.peer;
+    if (!peer)
         return false;
     if (isQuarantined())
         return true;
     m_gateway.m_options.log->request(part, "Relaying the request to a peer.",
                                      {{"request", m_request.id.value()},
                                       {"route", m_route->name},
-                                      {"peer", peer.endpoint->info.id.value()},
-                                      {"candidates", peer.candidateCount},
-                                      {"load", peer.load},
-                                      {"latency_ms", m_gateway.m_peers.latencyMs(*peer.endpoint)},
+                                      {"service", m_service.value()},
+                                      {"peer", peer->info.id.value()},
+                                      {"reach", toString(choice.reach)},
+                                      {"reaching_peers", choice.reachingPeers},
+                                      {"load", choice.load},
+                                      {"latency_ms", m_gateway.m_peers.latencyMs(*peer)},
                                       {"send", m_triedEndpoints.size() + 1},
                                       {"left_ms", timeLeft()}});
     m_gateway.m_options.metrics->relayed.increment();
-    beginAttempt(peer.endpoint, true);
+    beginAttempt(peer, true);
     startCall(m_gateway.m_options.relay.peer.makeCall(
         {.request = &m_request,
-         .endpoint = &peer.endpoint->info,
+         .endpoint = &peer->info,
          .timeLeft = std::max(timeLeft(), Base::Duration::zero()),
          .resumeAfter = resumeAfter(),
          .earlierEndpoints = static_cast<int>(m_mayHaveRunAt.size()),
--- a/tests/auto/adapter/tst_relaycodec.cpp
+++ b/tests/auto/adapter/tst_relaycodec.cpp
@@ -130,6 +130,8 @@
         bool isNotRun;
         const char *endpoint;
         int sends = 0;
+        bool hasNoEndpoint = false;
+        std::vector<std::string> reachingPeers;
     };
     const std::vector<Row> rows{
         {"answer of an endpoint",
@@ -151,6 +153,17 @@
         {"success without proof", 200, {{"lagoonbank-relay-answer", "i-7"}}, false, false, "i-7"},
         {"refusal", 503, {{"lagoonbank-relay-refusal", "0"}}, true, true, ""},
         {"refusal after sends", 503, {{"lagoonbank-relay-refusal", "2"}}, true, true, "", 2},
+        {"refusal without endpoints",
+         503,
+         {{"lagoonbank-relay-refusal", "0"},
+          {"lagoonbank-relay-no-endpoint", "1"},
+          {"lagoonbank-relay-reaching-peers", "edge-1,edge-2"}},
+         true,
+         true,
+         "",
+         0,
+         true,
+         {"edge-1", "edge-2"}},
         {"unreadable number", 503, {{"lagoonbank-relay-refusal", "x"}}, true, true, "", 1},
         {"request that may have run", 502, {{"lagoonbank-relay-refusal", "1"}}, true, false, "", 1},
         {"unknown key", 401, {{"lagoonbank-relay-refusal", "0"}}, true, false, ""},
@@ -165,7 +178,39 @@
             BOOST_TEST(facts.isOwn == row.isOwn);
             BOOST_TEST(facts.isNotRun == row.isNotRun);
             BOOST_TEST(facts.endpoint.value() == row.endpoint);
-            BOOST_TEST(facts.peerSends == row.sends);
+            BOOST_TEST(facts.peerRefusal.sends == row.sends);
+            BOOST_TEST(facts.peerRefusal.hasNoEndpoint == row.hasNoEndpoint);
+            BOOST_TEST(facts.peerRefusal.reachingPeers == row.reachingPeers,
+                       boost::test_tools::per_element());
         }
     }
 }
+
+/// Guards against a list of peers without an end, from a peer that is faulty.
+BOOST_AUTO_TEST_CASE(fewReachingPeersAreRead)
+{
+    std::string peers = "edge-0";
+    for (int i = 1; i < 1000; ++i)
+        peers += ",edge-" + std::to_string(i);
+    const Gateway::HeadFacts facts = Platform::relayProtocol().peer.readHead(
+        callerRequest(), 503,
+        {{"lagoonbank-relay-refusal", "0"}, {"lagoonbank-relay-reaching-peers", peers}});
+    BOOST_TEST(facts.peerRefusal.reachingPeers.size() <= 8U);
+}
+
+/// Guards against refusals that the peer cannot read, and against names in those for which they
+/// mean nothing.
+BOOST_AUTO_TEST_CASE(peerReadsARefusal)
+{
+    for (const bool hasNoEndpoint : {false, true}) {
+        Http::Headers headers;
+        Platform::addRelayRefusal(
+            headers,
+            {.sends = 2, .hasNoEndpoint = hasNoEndpoint, .reachingPeers = {"edge-1", "edge-2"}});
+        const Gateway::HeadFacts facts =
+            Platform::relayProtocol().peer.readHead(callerRequest(), 503, headers);
+        BOOST_TEST(facts.peerRefusal.sends == 2);
+        BOOST_TEST(facts.peerRefusal.hasNoEndpoint == hasNoEndpoint);
+        BOOST_TEST(facts.peerRefusal.reachingPeers.size() == (hasNoEndpoint ? 2U : 0U));
+    }
+}
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -198,7 +198,10 @@
             facts.isLeaving = headers.find("x-leaving").has_value();
             if (const auto software = headers.find("x-software"))
                 facts.software = Gateway::SoftwareHash(std::stoull(std::string(*software)));
-            facts.peerSends = headers.find("x-sends") ? 1 : 0;
+            facts.peerRefusal.sends = headers.find("x-sends") ? 1 : 0;
+            facts.peerRefusal.hasNoEndpoint = headers.find("x-no-endpoint").has_value();
+            if (const auto peers = headers.find("x-reaching"))
+                facts.peerRefusal.reachingPeers = {std::string(*peers)};
             return facts;
         };
         return {.peer = std::move(peer),
--- a/tests/auto/gateway/tst_relaychoice.cpp
+++ b/tests/auto/gateway/tst_relaychoice.cpp
@@ -112,3 +112,37 @@
     BOOST_TEST(f.answered >= 76);
     BOOST_TEST(f.refusals <= 0.05 * f.relays);
 }
+
+/// Guards against relays that find out again and again that no router reaches an endpoint.
+BOOST_AUTO_TEST_CASE(fewRelaysAreTriedIfNoPeerReachesTheEndpoints)
+{
+    RelayChoice f(4, {0, 1, 2, 3});
+    f.runFor(seconds(3));
+    f.runFor(seconds(4));
+    BOOST_TEST(f.answered == 0);
+    BOOST_TEST(f.relays <= 4 * 3);
+    BOOST_TEST(f.relays >= 4);
+}
+
+/// Guards against peers that stay unused after the end of their partition.
+BOOST_AUTO_TEST_CASE(peersAreUsedAgainAfterTheirPartition)
+{
+    RelayChoice f(4, {0, 1, 2, 3});
+    f.runFor(seconds(5));
+    f.partitioned = {0, 1, 2};
+    f.runFor(seconds(2));
+    f.runFor(seconds(2));
+    BOOST_TEST(f.answered >= 36);
+}
+
+/// Guards against relays to a peer that has lost its endpoints since its last answer.
+BOOST_AUTO_TEST_CASE(peerThatLosesItsEndpointsIsLeft)
+{
+    RelayChoice f(4, {});
+    f.runFor(seconds(3));
+    f.partitioned = {0, 1, 2};
+    f.runFor(seconds(1));
+    f.runFor(seconds(3));
+    BOOST_TEST(f.answered >= 57);
+    BOOST_TEST(f.refusals <= 0.05 * f.relays);
+}
