--- a/src/libs/gateway/peerrouters.cpp
+++ b/src/libs/gateway/peerrouters.cpp
@@ -158,6 +158,9 @@
     if (isBusy)
         return;
     reach.refused(peer.info.id, now());
+    // Whoever knows a peer finds others itself, so that not all routers use the same few.
+    if (!reachingPeers(service).empty())
+        return;
     for (const std::string &name : refusal.reachingPeers) {
         const EndpointPtr named = m_registry.find(Base::EndpointId(name));
         if (named)
@@ -171,10 +174,16 @@
     const auto reach = m_reach.find(service);
     if (reach == m_reach.end())
         return ids;
+    // In an order that differs between routers, so that they don't name the same ones.
+    std::map<std::uint64_t, const EndpointRecord *> reaching;
     for (const EndpointPtr &peer : m_registry.endpoints(peerService())) {
         const bool isReaching =
             peer->isInService() && reach->second.state(peer->info.id) == PeerReach::State::Reaches;
-        if (isReaching && ids.size() < maxNamedPeers)
+        if (isReaching)
+            reaching.emplace(Routing::mixHashes(m_selfHash, peer->hash), peer.get());
+    }
+    for (const auto &[order, peer] : reaching) {
+        if (ids.size() < maxNamedPeers)
             ids.push_back(peer->info.id.value());
     }
     return ids;
