Gateway: Weigh refusals in the choice of an endpoint by cost

Callers of a plain service were refused although three of its five endpoints had room (83 routers, the other two refuse all requests for 12 s): 1,775 requests ended with a refusal because the fleet's retry budget was spent.

A refusal leaves neither load nor latency, so that after 150 ms the endpoint looks idle and is chosen first again. Worse, an endpoint without a measured latency got the mean of all, the unknown ones counted as zero.

Change: each endpoint has a refusal rate; its cost is that of the expected number of attempts. The mean latency is that of the measured ones. Services of model engines are not concerned, they choose by prompt.

--- a/src/libs/gateway/endpointhealth.cpp
+++ b/src/libs/gateway/endpointhealth.cpp
@@ -20,6 +20,7 @@
     const Base::MonoTime now = m_options.clock->now();
     Routing::Suspicion &suspicion = m_options.registry->suspicion();
     const State before = suspicion.state(endpoint.index);
+    m_options.registry->requestAccepted(endpoint, now);
     if (!isGood && before == State::Healthy && isInFailureBurst(endpoint, now))
         return;
     if (!isGood)
@@ -50,7 +51,9 @@
                                     const Base::RequestId &request) const
 {
     if (!isOtherEndpoint) {
-        endpoint.fullUntil = m_options.clock->now() + m_options.fullBackOff;
+        const Base::MonoTime now = m_options.clock->now();
+        endpoint.fullUntil = now + m_options.fullBackOff;
+        m_options.registry->requestRefused(endpoint, now);
         return;
     }
     if (std::exchange(endpoint.notice.isReplaced, true))
--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -35,12 +35,23 @@
     m_at = now;
 }
 
+void MovingAverage::addDecayed(double value, Base::MonoTime now, double weight,
+                               Base::Duration halfLife)
+{
+    m_mean = this->value(0, now, halfLife);
+    add(value, now, weight);
+}
+
 double MovingAverage::value(double fallback, Base::MonoTime now, Base::Duration halfLife) const
+{
+    return fallback + (m_mean - fallback) * weight(now, halfLife);
+}
+
+double MovingAverage::weight(Base::MonoTime now, Base::Duration halfLife) const
 {
     if (!m_at)
-        return fallback;
-    const double kept = std::exp2(-Base::toSeconds(now - *m_at) / Base::toSeconds(halfLife));
-    return fallback + (m_mean - fallback) * kept;
+        return 0;
+    return std::exp2(-Base::toSeconds(now - *m_at) / Base::toSeconds(halfLife));
 }
 
 void EndpointRegistry::put(const Fleet::Endpoint &endpoint, Base::MonoTime now)
@@ -247,6 +258,24 @@
     return found == m_averageLoads.end() ? std::nullopt : found->second.value(now);
 }
 
+double EndpointRegistry::expectedAttempts(const EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    constexpr double maxRefusals = 0.95;
+    const double refusals = endpoint.refusals.value(0, now, m_options.refusalHalfLife);
+    return refusals < m_options.negligibleRefusals ? 1 : 1 / (1 - std::min(refusals, maxRefusals));
+}
+
+void EndpointRegistry::requestRefused(EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    endpoint.refusals.addDecayed(1, now, m_options.refusalWeight, m_options.refusalHalfLife);
+}
+
+void EndpointRegistry::requestAccepted(EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    if (!endpoint.refusals.isEmpty())
+        endpoint.refusals.addDecayed(0, now, m_options.refusalWeight, m_options.refusalHalfLife);
+}
+
 double EndpointRegistry::load(const EndpointRecord &endpoint, Base::MonoTime now) const
 {
     const double own = endpoint.inFlight;
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -33,8 +33,12 @@
 
     /// \a weight is the smoothing factor, the weight of the new observation.
     void add(double value, Base::MonoTime now, double weight = 0.2);
+    /// The same after the average has decayed towards zero.
+    void addDecayed(double value, Base::MonoTime now, double weight, Base::Duration halfLife);
     /// The average, which decays towards \a fallback with \a halfLife since the last observation.
     double value(double fallback, Base::MonoTime now, Base::Duration halfLife) const;
+    /// What is left of the weight of the observations: 1 for a new one, 0 without any.
+    double weight(Base::MonoTime now, Base::Duration halfLife) const;
     bool isEmpty() const { return !m_at; }
 
 private:
@@ -88,6 +92,7 @@
     MovingAverage pause; ///< Seconds between consecutive events of a stream.
     MovingAverage failures{0.0}; ///< Failure rate: 1 for a failed request, 0 for a successful one.
     std::optional<Base::MonoTime> failedAt; ///< Time of the last failure.
+    MovingAverage refusals{0.0}; ///< Refusal rate: 1 for a refused request, 0 for an accepted one.
     Base::MonoTime lastContactAt; ///< When data was last received from it.
 
     /// Whether the endpoint is available for new requests of routers that can reach it, now or
@@ -154,6 +159,12 @@
         /// and 0.15, requests that would have been answered in time were refused during a start
         /// with cold caches.
         double waitingShare = 0.4;
+        /// Weight of the newest request in an endpoint's refusal rate. One refusal doubles the
+        /// expected number of attempts.
+        double refusalWeight = 0.5;
+        Base::Duration refusalHalfLife = std::chrono::seconds(4);
+        /// Refusal rate below which an endpoint is tried again, 9 s after a single refusal.
+        double negligibleRefusals = 0.1;
         /// Half-life of the estimated number of requests of other routers at an endpoint since its
         /// last report. Used if this router had too few requests of its own there to estimate the
         /// trend.
@@ -249,6 +260,12 @@
     {
         return endpoint.report && now - endpoint.reportedAt < m_options.reportLifetime;
     }
+    /// The endpoint has refused a request, or has accepted one.
+    void requestRefused(EndpointRecord &endpoint, Base::MonoTime now) const;
+    void requestAccepted(EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Expected number of requests to the endpoint until it accepts one. An endpoint that refuses
+    /// at once has neither load nor latency, so that these alone make it look better than others.
+    double expectedAttempts(const EndpointRecord &endpoint, Base::MonoTime now) const;
     /// Estimated requests at the endpoint, used to compare endpoints: its last report plus the
     /// change in this router's requests in flight since. Without a report only the latter.
     double load(const EndpointRecord &endpoint, Base::MonoTime now) const;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -91,7 +91,7 @@
         result = chooseByAffinity(request, std::move(sets), registry, now);
         result.cacheSource = cacheSource(request, registry, result, now);
     } else {
-        result = chooseByCost(candidates, now);
+        result = chooseByCost(candidates, registry, now);
     }
     result.meanLoad = mean;
     result.candidateCount = count;
@@ -348,10 +348,23 @@
     return source;
 }
 
-PlacementResult Placement::chooseByCost(const Candidates &candidates, Base::MonoTime now) const
+/// Mean of the measured latencies. Endpoints without any, such as those that have refused all
+/// requests, are expected to be no faster than the others.
+double Placement::knownMeanLatency(const Candidates &candidates, Base::MonoTime now) const
 {
-    const double meanLatency =
-        latencySums(candidates, now).latency / static_cast<double>(candidates.size());
+    double sum = 0;
+    double weight = 0;
+    for (const Candidate &candidate : candidates) {
+        sum += candidate.endpoint->latency.value(0, now, m_options.speedHalfLife);
+        weight += candidate.endpoint->latency.weight(now, m_options.speedHalfLife);
+    }
+    return weight > 0 ? sum / weight : 0;
+}
+
+PlacementResult Placement::chooseByCost(const Candidates &candidates,
+                                        const EndpointRegistry &registry, Base::MonoTime now) const
+{
+    const double meanLatency = knownMeanLatency(candidates, now);
     PlacementResult best;
     double lowest = std::numeric_limits<double>::max();
     for (const Candidate &candidate : candidates) {
@@ -359,8 +372,9 @@
         const double slots = std::max(1, endpoint.info.slots);
         const double queues = std::max(1.0, (candidate.load + 1) / slots);
         const double cost =
-            endpoint.latency.value(meanLatency, now, m_options.speedHalfLife) * queues
-            + 0.001 * candidate.load / slots;
+            (endpoint.latency.value(meanLatency, now, m_options.speedHalfLife) * queues
+             + 0.001 * candidate.load / slots)
+            * registry.expectedAttempts(endpoint, now);
         if (cost >= lowest)
             continue;
         lowest = cost;
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -200,7 +200,9 @@
     {
         return {.meanLoadFactor = m_options.boundFactor, .slack = m_options.boundSlack};
     }
-    PlacementResult chooseByCost(const Candidates &candidates, Base::MonoTime now) const;
+    double knownMeanLatency(const Candidates &candidates, Base::MonoTime now) const;
+    PlacementResult chooseByCost(const Candidates &candidates, const EndpointRegistry &registry,
+                                 Base::MonoTime now) const;
     static PlacementResult chooseLastResort(const PlacementRequest &request,
                                             const EndpointRegistry &registry, Base::MonoTime now);
     /// Sums of the mean latencies and pauses of all candidates, in seconds.
--- a/tests/auto/gateway/tst_refusingendpoint.cpp
+++ b/tests/auto/gateway/tst_refusingendpoint.cpp
@@ -5,6 +5,7 @@
 #include "gateway/placement.h"
 #include "logging/boundedoutput.h"
 
+#include <array>
 #include <random>
 #include <set>
 #include <string>
@@ -14,20 +15,17 @@
 using namespace Lagoonbank::Gateway;
 using std::chrono::milliseconds;
 
-// Endpoints of a plain service that refuse or fail requests at once, in a model without network.
+// Endpoints of a plain service that refuse requests at once, in a model without network.
 
 namespace {
 
-/// One router before five endpoints, some of which refuse or fail each request at once. The others
+/// One router before five endpoints, some of which refuse each request at once. The others
 /// answer after 40 ms.
 class Model
 {
 public:
-    enum class Fault { Refuses, Fails };
-
-    Model(Fault fault, std::set<int> faulty, unsigned seed)
-        : m_fault(fault)
-        , m_faulty(std::move(faulty))
+    Model(std::set<int> refusing, unsigned seed)
+        : m_refusing(std::move(refusing))
         , m_random(seed)
     {
         for (int i = 0; i < endpointCount; ++i) {
@@ -50,9 +48,12 @@
         }
     }
 
+    void setRefusing(std::set<int> refusing) { m_refusing = std::move(refusing); }
+    int received(int endpoint) const { return m_received.at(static_cast<std::size_t>(endpoint)); }
+
     int requests = 0;
     int repeats = 0; ///< Sends beyond the first.
-    int faults = 0; ///< Sends to faulty endpoints.
+    int refusals = 0;
 
 private:
     static constexpr int endpointCount = 5;
@@ -78,23 +79,21 @@
             repeats += tried.empty() ? 0 : 1;
             tried.push_back(endpoint);
             m_registry.requestSent(*endpoint, m_clock.now());
-            if (!m_faulty.contains(std::stoi(endpoint->info.id.value()))) {
+            ++m_received.at(std::stoul(endpoint->info.id.value()));
+            if (!m_refusing.contains(std::stoi(endpoint->info.id.value()))) {
                 m_answers.push_back({m_clock.now() + milliseconds(40), endpoint});
                 return;
             }
-            ++faults;
-            fail(*endpoint);
+            ++refusals;
+            refuse(*endpoint);
         }
     }
-    void fail(EndpointRecord &endpoint)
+    void refuse(EndpointRecord &endpoint)
     {
         m_clock.advance(milliseconds(2));
         m_registry.loadReported(endpoint, {.slots = 6}, m_clock.now());
         m_registry.requestEnded(endpoint);
-        if (m_fault == Fault::Refuses)
-            m_health.requestRefused(endpoint, false, m_request);
-        else
-            m_health.answered(endpoint, false, m_request);
+        m_health.requestRefused(endpoint, false, m_request);
     }
     void finishAnswers()
     {
@@ -109,8 +108,8 @@
         }
     }
 
-    Fault m_fault;
-    std::set<int> m_faulty;
+    std::set<int> m_refusing;
+    std::array<int, endpointCount> m_received{};
     std::mt19937 m_random;
     Base::ServiceId m_service{"service"};
     Base::RequestId m_request{"r"};
@@ -134,26 +133,43 @@
 /// leaves no load there, until the retry budget is spent.
 BOOST_AUTO_TEST_CASE(refusingEndpointsAreNotPreferred)
 {
-    for (const std::set<int> &faulty : {std::set<int>{0}, std::set<int>{1, 3}}) {
+    for (const std::set<int> &refusing : {std::set<int>{0}, std::set<int>{1, 3}}) {
         int requests = 0;
         int repeats = 0;
         for (unsigned seed = 1; seed <= 20; ++seed) {
-            Model model(Model::Fault::Refuses, faulty, seed);
+            Model model(refusing, seed);
             model.run(std::chrono::seconds(12), 1.5);
             requests += model.requests;
             repeats += model.repeats;
         }
-        BOOST_TEST_MESSAGE(faulty.size() << " refuse: " << repeats << " repeats of " << requests);
+        BOOST_TEST_MESSAGE(refusing.size() << " refuse: " << repeats << " repeats of " << requests);
         BOOST_TEST(repeats <= retryRatio * requests);
     }
 }
 
-/// Guards against an endpoint that stays unused after it has ceased to refuse.
+/// Guards against an endpoint that stays unused after it has ceased to refuse. Half of its share is
+/// enough, as the others are not busy.
 BOOST_AUTO_TEST_CASE(endpointIsUsedAgainAfterItsRefusals)
 {
-    Model model(Model::Fault::Refuses, {0, 1, 2, 3, 4}, 1);
+    for (const double requestsPerSecond : {1.5, 20.0, 200.0}) {
+        Model model({0}, 1);
+        model.run(std::chrono::seconds(5), requestsPerSecond);
+        model.setRefusing({});
+        model.run(std::chrono::seconds(15), requestsPerSecond);
+        const int requests = model.requests;
+        const int received = model.received(0);
+        model.run(std::chrono::seconds(20), requestsPerSecond);
+        const double share = double(model.received(0) - received) / (model.requests - requests);
+        BOOST_TEST(share >= 0.1, requestsPerSecond << " requests a second: " << share);
+    }
+}
+
+/// Guards against requests that are refused at the router while endpoints may accept some again.
+BOOST_AUTO_TEST_CASE(endpointsAreTriedWhileAllRefuse)
+{
+    Model model({0, 1, 2, 3, 4}, 1);
     model.run(std::chrono::seconds(5), 20);
-    const int before = model.faults;
+    const int before = model.refusals;
     model.run(std::chrono::seconds(5), 20);
-    BOOST_TEST(model.faults > before);
+    BOOST_TEST(model.refusals > before);
 }
