Gateway: Relay requests that find no slot if most endpoints are out of reach

Callers of routers that reach few endpoints of a service were refused as overloaded while peers reached endpoints with room.

Cause: a request was relayed only if no endpoint at all was reachable. Endpoints that are down for all routers look the same, which was the reason to leave it; then peers refuse for the same reason, and the budget for relays to peers that are not known to help bounds what is spent.

Change: a request that finds no slot is relayed if half of the open endpoints or more are out of reach. A peer in the same state says so in its refusal.

--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -65,7 +65,8 @@
 struct RelayRefusal
 {
     int sends = 0; ///< Number of endpoints that received the request.
-    bool hasNoEndpoint = false; ///< This router reaches no endpoint of the service either.
+    /// This router reaches no endpoint of the service either, or few that are full.
+    bool hasNoEndpoint = false;
     /// Ids of some routers that reach endpoints of the service; empty if none are known.
     std::vector<std::string> reachingPeers;
 };
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -196,6 +196,16 @@
         && std::none_of(endpoints.begin(), endpoints.end(), isInService);
 }
 
+bool Gateway::isMostlyCutOffFrom(const Base::ServiceId &service) const
+{
+    const std::vector<EndpointPtr> &endpoints = m_endpoints.endpoints(service);
+    const auto isOpen = [](const EndpointPtr &endpoint) { return endpoint->isOpen(); };
+    const auto isInService = [](const EndpointPtr &endpoint) { return endpoint->isInService(); };
+    const auto open = std::count_if(endpoints.begin(), endpoints.end(), isOpen);
+    const auto inService = std::count_if(endpoints.begin(), endpoints.end(), isInService);
+    return open > 0 && 2 * inService <= open;
+}
+
 void Gateway::logIsolation()
 {
     const bool isIsolated = m_endpoints.unreachableCount() == m_endpoints.size();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -276,6 +276,8 @@
     /// Whether this router can reach no endpoint of the service, but some are open for requests of
     /// routers that reach them.
     bool isCutOffFrom(const Base::ServiceId &service) const;
+    /// Whether this router can reach at most half of the endpoints of the service that are open.
+    bool isMostlyCutOffFrom(const Base::ServiceId &service) const;
     /// Logs when the router loses its connections to all endpoints, and when one is back.
     void logIsolation();
     void endpointCrashed(const CrashWatch::Report &report);
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -365,7 +365,10 @@
 {
     if (!m_request.relay)
         return std::nullopt;
-    RelayRefusal refusal{.sends = m_sendCount, .hasNoEndpoint = kind == ErrorKind::NoEndpoint};
+    const bool isFull = kind == ErrorKind::Overloaded || kind == ErrorKind::EndpointRefused;
+    const bool hasNoEndpoint =
+        kind == ErrorKind::NoEndpoint || (isFull && m_gateway.isMostlyCutOffFrom(m_service));
+    RelayRefusal refusal{.sends = m_sendCount, .hasNoEndpoint = hasNoEndpoint};
     if (refusal.hasNoEndpoint)
         refusal.reachingPeers = m_gateway.m_peers.reachingPeers(m_service);
     return refusal;
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -140,9 +140,12 @@
     double coldMilliseconds(const EndpointRecord &endpoint) const;
     void logSend(const PlacementResult &placement, const CacheSource &source) const;
     void send(const EndpointPtr &endpoint, const CacheSource &cacheSource);
-    /// Sends the request to a peer router if this one cannot reach the endpoints. False if there is
-    /// no peer, or if the request must not be relayed.
+    /// Sends the request to a peer router. False if there is no peer, or if the request must not be
+    /// relayed.
     bool relayToPeer();
+    /// Relays the request if the endpoints that this router reaches are full, but most are out of
+    /// its reach.
+    bool relayOverflow();
     void beginAttempt(const EndpointPtr &endpoint, bool isRelayed);
     void startCall(Http::Call call);
     /// The registry, health and reachability of what the current attempt is sent to.
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -105,7 +105,8 @@
     const QueuePriority priority = queuePriority();
     const bool mustWait =
         m_gateway.m_admissionQueue.mustWait(queueId(), priority, m_route->mayRepeat());
-    if (mustWait || !tryPlace())
+    const bool isPlaced = mustWait ? relayOverflow() : tryPlace();
+    if (!isPlaced)
         waitInQueue(priority);
 }
 
@@ -116,15 +117,16 @@
     const Base::MonoTime now = m_timers.clock().now();
     if (exceedsConcurrencyLimit()) {
         m_lastFullPlacement = {};
-        return false;
+        return relayOverflow();
     }
     const PlacementResult placement =
         m_gateway.m_placement.choose(placementRequest(), m_gateway.m_endpoints, now);
     if (placement.isFull) {
         m_lastFullPlacement = placement;
-        return false;
+        return relayOverflow();
     }
-    if (!placement.endpoint && (relayToPeer() || waitForReachableEndpoint()))
+    const bool isCutOff = !placement.endpoint && m_gateway.isCutOffFrom(m_service);
+    if ((isCutOff && relayToPeer()) || (!placement.endpoint && waitForReachableEndpoint()))
         return true;
     if (!placement.endpoint) {
         const auto retryAfter = placement.backOffUntil
@@ -236,8 +238,7 @@
 /// A relayed request is not relayed again: the peer refuses it if it reaches no endpoint either.
 bool RequestRun::relayToPeer()
 {
-    const bool isAllowed = !m_request.relay && m_gateway.isCutOffFrom(m_service);
-    if (!isAllowed)
+    if (m_request.relay)
         return false;
     const PeerChoice choice =
         m_gateway.m_peers.choose(m_service, endpointsToAvoid(), m_route->mayRepeat());
@@ -269,6 +270,13 @@
     return true;
 }
 
+/// The few endpoints that the router reaches fill up with the requests of its callers, while those
+/// that only its peers reach have room.
+bool RequestRun::relayOverflow()
+{
+    return m_gateway.isMostlyCutOffFrom(m_service) && relayToPeer();
+}
+
 bool RequestRun::waitForReachableEndpoint()
 {
     const bool mayWait = m_hasStreamBegun && !hasCallerTimedOut()
--- a/tests/auto/gateway/tst_relay.cpp
+++ b/tests/auto/gateway/tst_relay.cpp
@@ -72,6 +72,32 @@
     BOOST_TEST(f.relayed() == 0U);
 }
 
+/// Guards against refusals while most endpoints have room: those that the router reaches are full.
+BOOST_AUTO_TEST_CASE(requestIsRelayedIfTheReachableEndpointsAreFull)
+{
+    for (const bool isMostlyCutOff : {true, false}) {
+        Partition f;
+        f.setRoute(streamRoute(false));
+        f.setUnreachable(false);
+        f.record(0).isUnreachable = isMostlyCutOff;
+        for (std::size_t i = 0; i < f.endpoints.size(); ++i) {
+            f.record(i).report = Gateway::LoadReport{.running = 4, .slots = 4};
+            f.record(i).reportedAt = f.clock.now();
+        }
+        RawSocket caller = f.call();
+        if (isMostlyCutOff) {
+            f.awaitRelayed().last().send(std::string(streamHead) + chunk(event(1))
+                                         + std::string(streamEnd));
+            BOOST_TEST(f.runUntil([&] { return caller.has("e1"); }));
+        } else {
+            f.pass(milliseconds(100));
+            BOOST_TEST(caller.has("overloaded ran=no"));
+            BOOST_TEST(f.relayed() == 0U);
+        }
+        BOOST_TEST(f.requests() == 0U);
+    }
+}
+
 /// Guards against a request that goes round between routers that are all partitioned.
 BOOST_AUTO_TEST_CASE(relayedRequestIsNotRelayedAgain)
 {
