Gateway: Don't time errors as answers

An endpoint of a plain service that answers errors at once looked fast to the choice by cost, the faster the sooner it fails, until it was suspect. Found on looking for the cause of relays to peers without endpoints elsewhere.

Only answers without a server error are timed. errorsDoNotCountAsFastAnswers failed before.

--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -12,6 +12,11 @@
 /// is complete.
 constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
+bool isServerError(int status)
+{
+    return status >= 500;
+}
+
 } // namespace
 
 Http::Hooks RequestRun::hooks()
@@ -234,7 +239,7 @@
         attemptFailed({.kind = ErrorKind::EndpointRefused, .mayHaveRun = false});
         return;
     }
-    const bool isFailure = attempt.status >= 500;
+    const bool isFailure = isServerError(attempt.status);
     // An error status cannot be forwarded once the head of a stream was forwarded.
     const bool isUnusable = m_hasStreamBegun && !attempt.isStreaming;
     if (isUnusable || (isFailure && mayRetry())) {
@@ -262,8 +267,10 @@
             m_responder->begin(status, attempt.headers);
         m_responder->end();
     } else {
-        registry().answerTimed(*attempt.endpoint, now - attempt.startedAt, m_route->targetLatency,
-                               now);
+        if (!isServerError(status)) {
+            registry().answerTimed(*attempt.endpoint, now - attempt.startedAt,
+                                   m_route->targetLatency, now);
+        }
         m_responder->send(status, attempt.headers, std::move(attempt.body));
     }
     m_gateway.countAnswer(status);
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -444,3 +444,18 @@
     }));
     BOOST_TEST(!caller.isEnded());
 }
+
+/// Guards against endpoints that look fast because they answer errors at once.
+BOOST_AUTO_TEST_CASE(errorsDoNotCountAsFastAnswers)
+{
+    for (const int status : {200, 500}) {
+        GatewayFixture f(1);
+        f.setRoute(plain(RouteKind::NonIdempotent));
+        RawSocket caller = f.call();
+        f.awaitRequest().last().send("HTTP/1.1 " + std::to_string(status)
+                                     + " S\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nbody");
+        BOOST_REQUIRE(f.runUntil([&] { return caller.has("body"); }));
+        const auto endpoint = f.gateway.endpoints().find(Base::EndpointId("e0"));
+        BOOST_TEST(endpoint->latency.isEmpty() == (status == 500));
+    }
+}
