Gateway: Let endpoints of unknown latency get requests soon again

The change that weighs refusals also took endpoints without a measured latency for as fast as the others.

--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -348,8 +348,7 @@
     return source;
 }
 
-/// Mean of the measured latencies. Endpoints without any, such as those that have refused all
-/// requests, are expected to be no faster than the others.
+/// Mean of the measured latencies only.
 double Placement::knownMeanLatency(const Candidates &candidates, Base::MonoTime now) const
 {
     double sum = 0;
@@ -364,17 +363,23 @@
 PlacementResult Placement::chooseByCost(const Candidates &candidates,
                                         const EndpointRegistry &registry, Base::MonoTime now) const
 {
-    const double meanLatency = knownMeanLatency(candidates, now);
+    // An endpoint without a measured latency is expected to be fast, so that it gets requests soon,
+    // unless it has none because it refuses them.
+    const double optimisticLatency =
+        latencySums(candidates, now).latency / static_cast<double>(candidates.size());
+    const double knownLatency = knownMeanLatency(candidates, now);
     PlacementResult best;
     double lowest = std::numeric_limits<double>::max();
     for (const Candidate &candidate : candidates) {
         const EndpointRecord &endpoint = *candidate.endpoint;
         const double slots = std::max(1, endpoint.info.slots);
         const double queues = std::max(1.0, (candidate.load + 1) / slots);
+        const double attempts = registry.expectedAttempts(endpoint, now);
+        const double expectedLatency = attempts > 1 ? knownLatency : optimisticLatency;
         const double cost =
-            (endpoint.latency.value(meanLatency, now, m_options.speedHalfLife) * queues
+            (endpoint.latency.value(expectedLatency, now, m_options.speedHalfLife) * queues
              + 0.001 * candidate.load / slots)
-            * registry.expectedAttempts(endpoint, now);
+            * attempts;
         if (cost >= lowest)
             continue;
         lowest = cost;
