--- a/tests/auto/gateway/tst_relaychoice.cpp
+++ b/tests/auto/gateway/tst_relaychoice.cpp
@@ -21,7 +21,7 @@
     RelayChoice(int peerCount, std::set<std::size_t> partitionedPeers)
         : Partition(RouteKind::Idempotent, peerCount)
         , partitioned(std::move(partitionedPeers))
-        , handled(peers.size())
+        , m_handled(peers.size())
     { }
     /// Runs for this time, and counts from zero.
     void runFor(Base::Duration time)
@@ -29,7 +29,7 @@
         answered = relays = refusals = 0;
         const Base::MonoTime end = clock.now() + time;
         while (clock.now() < end) {
-            callers.push_back(call());
+            m_callers.push_back(call());
             const Base::MonoTime next = clock.now() + milliseconds(50);
             while (clock.now() < next) {
                 pass(milliseconds(5));
@@ -57,15 +57,15 @@
         for (std::size_t i = 0; i < peers.size(); ++i) {
             peers[i]->accept();
             auto &connections = peers[i]->connections;
-            for (; handled[i] < connections.size(); ++handled[i]) {
-                if (!connections[handled[i]]->socket.has("\r\n\r\n"))
+            for (; m_handled[i] < connections.size(); ++m_handled[i]) {
+                if (!connections[m_handled[i]]->socket.has("\r\n\r\n"))
                     break;
-                handleRelay(i, connections[handled[i]]->socket);
+                handleRelay(i, connections[m_handled[i]]->socket);
             }
         }
-        while (!pending.empty() && pending.front().due <= clock.now()) {
-            pending.front().connection->send(pending.front().text);
-            pending.pop_front();
+        while (!m_pending.empty() && m_pending.front().due <= clock.now()) {
+            m_pending.front().connection->send(m_pending.front().text);
+            m_pending.pop_front();
         }
     }
     void handleRelay(std::size_t peer, RawSocket &connection)
@@ -81,23 +81,24 @@
                               "connection: close\r\ncontent-length: 4\r\n\r\nbusy");
             return;
         }
-        pending.push_back({.due = clock.now() + milliseconds(100),
-                           .connection = &connection,
-                           .text = "HTTP/1.1 200 OK\r\n" + idField
-                               + "x-endpoint: e0\r\nconnection: close\r\n"
-                                 "content-length: 4\r\n\r\ngood"});
+        m_pending.push_back({.due = clock.now() + milliseconds(100),
+                             .connection = &connection,
+                             .text = "HTTP/1.1 200 OK\r\n" + idField
+                                 + "x-endpoint: e0\r\nconnection: close\r\n"
+                                   "content-length: 4\r\n\r\ngood"});
     }
     void countAnswers()
     {
-        while (!callers.empty() && (callers.front().has("good") || callers.front().has("ran="))) {
-            answered += callers.front().has("good") ? 1 : 0;
-            callers.pop_front();
+        while (!m_callers.empty()
+               && (m_callers.front().has("good") || m_callers.front().has("ran="))) {
+            answered += m_callers.front().has("good") ? 1 : 0;
+            m_callers.pop_front();
         }
     }
 
-    std::vector<std::size_t> handled; ///< Connections of each peer that were handled.
-    std::deque<PendingAnswer> pending;
-    std::deque<RawSocket> callers;
+    std::vector<std::size_t> m_handled; ///< Connections of each peer that were handled.
+    std::deque<PendingAnswer> m_pending;
+    std::deque<RawSocket> m_callers;
 };
 
 } // namespace
