Gateway: Remember longer which peers reach the endpoints

In a large fleet a router gets few requests of some services, and had forgotten after 5 s without a relay which peers serve them.

Dropped: trying further peers only while the known ones are busy.

--- a/src/libs/gateway/peerreach.h
+++ b/src/libs/gateway/peerreach.h
@@ -38,9 +38,9 @@
         double trialsPerSecond = 2.5;
         /// Trials per relay to a peer that is known to reach the endpoints.
         double trialsPerRelay = 0.04;
-        /// Time without relays after which everything is forgotten, as partitions end after
-        /// seconds.
-        Base::Duration lifetime = std::chrono::seconds(5);
+        /// Time without relays after which everything is forgotten. In a large fleet, a router gets
+        /// few requests of some services.
+        Base::Duration lifetime = std::chrono::seconds(30);
         /// Time after a refusal for which the peer is not taken to reach the endpoints on the word
         /// of another one, which may not have noticed yet that it is cut off.
         Base::Duration refusalPrecedence = std::chrono::seconds(2);
