--- a/src/libs/gateway/peerreach.h
+++ b/src/libs/gateway/peerreach.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace Lagoonbank::Gateway {
 
