--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr std::string_view statePath = "/fleet/state";
+constexpr std::string_view quarantinesPath = "/fleet/quarantines";
+/// Timeout of a request for quarantines, while which a starting router takes no requests. A peer
+/// answers within some milliseconds.
+constexpr Base::Duration quarantinesTimeout = std::chrono::milliseconds(300);
+constexpr Base::Duration quarantinesConnectTimeout = std::chrono::milliseconds(150);
 /// Connect timeout of a pull. A reachable peer accepts within a few ms; otherwise another peer has
 /// to be asked in time.
 constexpr Base::Duration pullConnectTimeout = std::chrono::milliseconds(400);
@@ -205,20 +210,20 @@
 
 void FleetLink::handleCall(Http::Request request, const std::shared_ptr<Http::Responder> &responder)
 {
-    if (!m_options.relayed || !request.path.starts_with(relayPath)) {
-        answer(request, *responder);
-        return;
+    if (m_options.relayed && request.path.starts_with(relayPath)) {
+        request.path.erase(0, relayPath.size());
+        m_options.relayed(std::move(request), responder);
+    } else if (request.path == statePath) {
+        answerState(request, *responder);
+    } else if (m_options.quarantines && request.path == quarantinesPath) {
+        answerQuarantines(request, *responder);
+    } else {
+        responder->send(notFound, {}, {});
     }
-    request.path.erase(0, relayPath.size());
-    m_options.relayed(std::move(request), responder);
 }
 
-void FleetLink::answer(const Http::Request &request, Http::Responder &responder)
+void FleetLink::answerState(const Http::Request &request, Http::Responder &responder)
 {
-    if (request.path != statePath) {
-        responder.send(notFound, {}, {});
-        return;
-    }
     const auto decoded = Schema::decodeMessage<Schema::FleetStateRequest>(request.body);
     if (request.body.size() > maxPullRequestBytes || !decoded) {
         responder.send(badRequest, {}, {});
@@ -229,15 +234,55 @@
         responder.send(tooBusy, {}, {});
         return;
     }
-    auto body = Schema::encodeMessage(m_options.sync->answer(decoded.value()));
+    sendAnswer(m_options.sync->answer(decoded.value()), responder);
+}
+
+void FleetLink::answerQuarantines(const Http::Request &request, Http::Responder &responder)
+{
+    const auto decoded = Schema::decodeMessage<Schema::QuarantineRequest>(request.body);
+    if (request.body.size() > maxPullRequestBytes || !decoded) {
+        responder.send(badRequest, {}, {});
+        return;
+    }
+    sendAnswer(m_options.quarantines(), responder);
+}
+
+template<typename Message>
+void FleetLink::sendAnswer(const Message &message, Http::Responder &responder)
+{
+    auto body = Schema::encodeMessage(message);
     if (!body) {
         m_options.failed(body.error());
         responder.abort();
         return;
     }
-    m_stateByteBudget.charge(static_cast<double>(body.value().size()), now);
+    m_stateByteBudget.charge(static_cast<double>(body.value().size()),
+                             m_options.loop->clock().now());
     m_options.sent(body.value().size());
     responder.send(ok, {{"content-type", "application/octet-stream"}}, std::move(body.value()));
 }
 
+void FleetLink::askForQuarantines(const Runtime::SocketAddress &peer, const std::string &router,
+                                  QuarantinePull::Answered answered)
+{
+    Http::Call call;
+    call.server = peer;
+    call.method = "POST";
+    call.target = quarantinesPath;
+    call.body = Schema::encodeMessage(Schema::QuarantineRequest{.router = router}).value();
+    call.freshConnection = true;
+    call.connectTimeout = quarantinesConnectTimeout;
+    call.headTimeout = quarantinesTimeout;
+    call.progressTimeout = quarantinesTimeout;
+    call.totalTimeout = quarantinesTimeout;
+    m_options.client->start(
+        std::move(call),
+        {.finished = [answered = std::move(answered)](const Http::CallResult &result) {
+            if (result.end == Http::CallEnd::Whole && result.status == ok)
+                answered(Schema::decodeMessage<Schema::QuarantineAnswer>(result.body));
+            else
+                answered(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
+        }});
+}
+
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -7,6 +7,7 @@
 #include "fleetsync/loadgossip.h"
 #include "fleetsync/partgossip.h"
 #include "fleetsync/promptgossip.h"
+#include "fleetsync/quarantinepull.h"
 #include "fleetsync/streamgossip.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -16,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace Lagoonbank::FleetSync {
 
@@ -47,6 +49,8 @@
         /// Rate limit for answers to pulls. A pull beyond it is refused, and the peer pulls from
         /// another router. A single answer may exceed it.
         double stateBytesPerSecond = 1e6;
+        /// Returns the quarantines and crashes that this router knows, for a peer that starts.
+        std::function<Schema::QuarantineAnswer()> quarantines;
         /// Called for each state that a peer has sent in answer to a pull.
         std::function<void(const Pull &pull, const Schema::FleetStateAnswer &state)> received;
         /// Called for each request that a peer relays, with the path that the caller sent.
@@ -68,6 +72,10 @@
     FleetLink(const FleetLink &) = delete;
     FleetLink &operator=(const FleetLink &) = delete;
 
+    /// Asks a peer for quarantines; calls back once, asynchronously.
+    void askForQuarantines(const Runtime::SocketAddress &peer, const std::string &router,
+                           QuarantinePull::Answered answered);
+
 private:
     explicit FleetLink(Options options);
     template<typename Message>
@@ -80,7 +88,10 @@
     void pullFinished(const Runtime::SocketAddress &peer, Base::MonoTime startedAt,
                       const Http::CallResult &result);
     void handleCall(Http::Request request, const std::shared_ptr<Http::Responder> &responder);
-    void answer(const Http::Request &request, Http::Responder &responder);
+    void answerState(const Http::Request &request, Http::Responder &responder);
+    void answerQuarantines(const Http::Request &request, Http::Responder &responder);
+    template<typename Message>
+    void sendAnswer(const Message &message, Http::Responder &responder);
 
     Options m_options;
     Admission::Gcra m_stateByteBudget;
--- a/src/libs/fleetsync/partgossip.cpp
+++ b/src/libs/fleetsync/partgossip.cpp
@@ -13,8 +13,6 @@
 constexpr double emptyDatagramBytes = 62;
 constexpr double crashBytes = 30; ///< Size of one crash in a datagram.
 constexpr double partTimeBytes = 12; ///< Size of one part with its time in a datagram.
-/// All routers rank each other by this key to find those that compare crashes.
-constexpr std::uint64_t comparingRoutersKey = 0x7061727473;
 
 /// Calls \a handle with the items in groups that fit into a datagram.
 template<typename Item, typename Handler>
--- a/src/libs/fleetsync/partgossip.h
+++ b/src/libs/fleetsync/partgossip.h
@@ -49,6 +49,9 @@
         std::size_t resendPeerCount = 2;
     };
 
+    /// All routers rank each other by this key to find those that compare crashes.
+    static constexpr std::uint64_t comparingRoutersKey = 0x7061727473;
+
     explicit PartGossip(Options options);
     ~PartGossip();
     PartGossip(const PartGossip &) = delete;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -102,6 +102,7 @@
     , m_prompts(m_options.prompts)
     , m_quarantine(m_options.quarantine)
     , m_partQuarantine(partQuarantineOptions(m_options))
+    , m_areQuarantinesKnown(!m_options.awaitsQuarantines)
     , m_crashWatch(
           {.timers = &m_options.loop->timers(), .check = connectionCheck(*m_options.client)})
     , m_streams(m_options.streams)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -142,6 +142,8 @@
         std::function<void(StreamHash stream,
                            std::function<void(std::optional<SoftwareHash>)> answered)>
             askForStream;
+        /// Whether requests are refused until setQuarantinesKnown() is called.
+        bool awaitsQuarantines = false;
         Schema::PolicySettings policy;
         Placement::Options placement;
         PromptDirectory::Options prompts;
@@ -199,6 +201,12 @@
     /// quarantine if this router did not have it yet.
     std::optional<Base::Duration> quarantineReceived(const QuarantinedRequest &quarantined);
     std::vector<QuarantinedRequest> quarantined() const;
+    /// Crashes under requests that are not quarantined, for a router that starts.
+    std::vector<RequestCrash> requestCrashes() const;
+    /// Crashes of which prompt parts are not acquitted, for a router that starts.
+    std::vector<PartCrash> partCrashes() const { return m_partQuarantine.crashes(); }
+    /// The quarantines of the fleet have been merged, so that requests may be sent.
+    void setQuarantinesKnown() { m_areQuarantinesKnown = true; }
 
     /// Records crashes that a peer has noticed, at which requests with these prompt parts waited.
     void partCrashesReceived(const std::vector<PartCrash> &crashes)
@@ -305,6 +313,7 @@
     PromptDirectory m_prompts;
     RequestQuarantine m_quarantine;
     PartQuarantine m_partQuarantine;
+    bool m_areQuarantinesKnown = false;
     CrashWatch m_crashWatch;
     StreamDirectory m_streams;
     std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
--- a/src/libs/gateway/gatewaycrashes.cpp
+++ b/src/libs/gateway/gatewaycrashes.cpp
@@ -89,6 +89,11 @@
     return m_quarantine.quarantined(m_options.loop->clock().now());
 }
 
+std::vector<RequestCrash> Gateway::requestCrashes() const
+{
+    return m_quarantine.crashes(m_options.loop->clock().now());
+}
+
 void Gateway::wirePartQuarantine()
 {
     m_partQuarantine.ask = [this](const std::vector<PartQuestion> &questions) {
--- a/src/libs/gateway/partevidence.cpp
+++ b/src/libs/gateway/partevidence.cpp
@@ -67,6 +67,25 @@
     crash.parts.clear();
 }
 
+std::vector<PartCrash> PartEvidence::crashes(Base::MonoTime now) const
+{
+    std::vector<PartCrash> all;
+    for (const Crash &crash : m_crashes) {
+        if (now - crash.at >= m_options.lifetime)
+            continue;
+        for (const auto &[part, presence] : crash.parts) {
+            for (const RequestFingerprint request : presence.requests) {
+                all.push_back({.part = part,
+                               .depth = presence.depth,
+                               .request = request,
+                               .endpoint = crash.endpoint,
+                               .at = crash.at});
+            }
+        }
+    }
+    return all;
+}
+
 /// Collects for each part the crashes of which it is not acquitted.
 absl::flat_hash_map<PartHash, PartEvidence::Tally> PartEvidence::tallies(Base::MonoTime now) const
 {
--- a/src/libs/gateway/partevidence.h
+++ b/src/libs/gateway/partevidence.h
@@ -77,6 +77,8 @@
     void explain(PartHash part);
     /// The same for one crash.
     void explainCrash(std::uint64_t endpoint, Base::MonoTime at);
+    /// The crashes that are remembered, for a router that starts.
+    std::vector<PartCrash> crashes(Base::MonoTime now) const;
     /// Parts with at least crashesToSuspect crashes, the strongest suspect first. A part is left
     /// out if one further down in the prompts, which fewer requests share, took part in all of its
     /// crashes.
--- a/src/libs/gateway/partquarantine.h
+++ b/src/libs/gateway/partquarantine.h
@@ -100,6 +100,8 @@
     /// Remaining time of a part's quarantine; empty if it is not quarantined.
     std::optional<Base::Duration> timeLeft(PartHash part) const;
     std::vector<QuarantinedPart> quarantined() const;
+    /// Crashes of which parts are not acquitted, for a router that starts.
+    std::vector<PartCrash> crashes() const { return m_evidence.crashes(now()); }
     /// Whether no part is quarantined, so that no request needs a lookup.
     bool isEmpty() const { return m_table.isEmpty(); }
 
--- a/src/libs/gateway/requestquarantine.cpp
+++ b/src/libs/gateway/requestquarantine.cpp
@@ -67,6 +67,18 @@
     return all;
 }
 
+std::vector<RequestCrash> RequestQuarantine::crashes(Base::MonoTime now) const
+{
+    std::vector<RequestCrash> all;
+    for (const auto &[request, crashes] : m_crashes) {
+        if (!isFresh(crashes, now))
+            continue;
+        for (const std::uint64_t endpoint : crashes.endpoints)
+            all.push_back({.request = request, .endpoint = endpoint});
+    }
+    return all;
+}
+
 void RequestQuarantine::evictIfFull(Base::MonoTime now)
 {
     if (m_crashes.size() < m_options.maxRequests)
--- a/src/libs/gateway/requestquarantine.h
+++ b/src/libs/gateway/requestquarantine.h
@@ -89,6 +89,8 @@
         return m_table.timeLeft(request, now);
     }
     std::vector<QuarantinedRequest> quarantined(Base::MonoTime now) const;
+    /// The crashes that are remembered, for a router that starts.
+    std::vector<RequestCrash> crashes(Base::MonoTime now) const;
     /// Whether neither crashes nor quarantines are recorded, so that no request needs a lookup.
     bool isEmpty() const { return m_crashes.empty() && m_table.isEmpty(); }
 
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -102,7 +102,7 @@
 
 bool RequestRun::isAdmitted()
 {
-    if (!m_configuration) {
+    if (!m_configuration || !m_gateway.m_areQuarantinesKnown) {
         refuse(ErrorKind::NotReady, Ran::No, m_gateway.m_options.timeouts.retryAfter);
         return false;
     }
--- a/tests/auto/adapter/tst_crashingpartfleet.cpp
+++ b/tests/auto/adapter/tst_crashingpartfleet.cpp
@@ -140,3 +140,40 @@
     BOOST_TEST(f.crashes == before);
     BOOST_TEST(f.isSoundServed(0));
 }
+
+/// Failure: routers that all start at once take requests before one of them has read the
+/// quarantines in the store.
+BOOST_AUTO_TEST_CASE(routersThatAllRestartKnowQuarantinesBeforeTheirFirstRequest)
+{
+    CrashingPartFleet f(3);
+    f.crashUntil(maxCrashes);
+    f.pass(seconds(2));
+    f.expireCrashed();
+    const int before = f.crashes;
+    f.afterAttempt = std::chrono::milliseconds(10);
+    for (int router = 0; router < 3; ++router)
+        f.routers.at(router).reset();
+    for (int router = 0; router < 3; ++router)
+        f.restart(router);
+    for (int round = 0; round < 60; ++round)
+        f.sendBad(round % 3);
+    BOOST_TEST(f.crashes == before);
+    BOOST_TEST(f.isSoundServed(0));
+}
+
+/// Failure: crashes are forgotten with the routers that counted them, so that a part whose requests
+/// come less often than routers restart is never quarantined.
+BOOST_AUTO_TEST_CASE(crashesAreRememberedAcrossRestartsOneAfterTheOther)
+{
+    CrashingPartFleet f(3);
+    for (int round = 0; round < 8; ++round) {
+        f.sendBad(round % 3);
+        BOOST_TEST(f.isSoundServed(0));
+        for (int router = 0; router < 3; ++router) {
+            f.restart(router);
+            f.pass(std::chrono::milliseconds(300));
+        }
+        f.expireCrashed();
+    }
+    BOOST_TEST(f.crashes <= maxCrashes);
+}
--- a/tests/auto/adapter/tst_crashingrequestfleet.cpp
+++ b/tests/auto/adapter/tst_crashingrequestfleet.cpp
@@ -49,3 +49,21 @@
         f.attempt(attempt % 3);
     BOOST_TEST(f.crashes - before <= maxFurtherCrashes);
 }
+
+/// Failure: a router that has just started sends a quarantined request to an endpoint before it
+/// hears of the quarantine.
+BOOST_AUTO_TEST_CASE(restartedRoutersKnowTheQuarantineBeforeTheirFirstRequest)
+{
+    RouterFleet f(4);
+    for (int attempt = 0; f.crashes < maxCrashes; ++attempt)
+        f.attempt(attempt % 4);
+    f.pass(seconds(1));
+    const int before = f.crashes;
+    f.afterAttempt = std::chrono::milliseconds(10);
+    for (int router = 0; router < 4; ++router) {
+        f.restart(router);
+        for (int attempt = 0; attempt < 50; ++attempt)
+            f.attempt(router);
+    }
+    BOOST_TEST(f.crashes == before);
+}
--- a/tests/auto/adapter/tst_routerprocess.cpp
+++ b/tests/auto/adapter/tst_routerprocess.cpp
@@ -33,8 +33,12 @@
                 responder->send(200, {}, newest(request.query));
             else if (request.path == "/v1/log-append")
                 responder->send(200, {}, R"({"offset":0,"end":1})");
+            else if (request.query.find("keyed.servers") != std::string::npos)
+                waiting[true] = responder;
+            else if (request.query.find("keyed.op") != std::string::npos)
+                waiting[false] = responder;
             else
-                waiting[request.query.find("keyed.servers") != std::string::npos] = responder;
+                otherReads.push_back(responder);
         });
         BOOST_REQUIRE(server.listen());
     }
@@ -48,6 +52,7 @@
     Http::Server server;
     /// Waiting reads of the tail: of the endpoints (true) and of the operators' records (false).
     std::map<bool, std::shared_ptr<Http::Responder>> waiting;
+    std::vector<std::shared_ptr<Http::Responder>> otherReads; ///< Of other topics; not answered.
 
     /// Answers the waiting read of the endpoints with a new entry of the only endpoint.
     void writeEndpoint(const std::string &value) { writeRecord(true, "i-1", value); }
