--- a/src/libs/gateway/endpointprotocol.h
+++ b/src/libs/gateway/endpointprotocol.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
+#include <vector>
 
 namespace Lagoonbank::Gateway {
 
@@ -16,6 +18,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0; ///< Maximum number of running requests.
+    /// Current duration of work on the endpoint's machine as a multiple of the usual one: 1 is as
+    /// usual. Unset if the endpoint does not report it.
+    std::optional<double> slowdown;
 };
 
 /// A request together with the endpoint that it is sent to.
@@ -53,6 +58,8 @@
     /// tell.
     std::optional<SoftwareHash> software;
     RelayRefusal peerRefusal; ///< For the refusal of a peer.
+    /// Names of the endpoint's headers whose values could not be decoded. They refer to constants.
+    std::vector<std::string_view> undecodable;
 };
 
 /// Encodes requests to endpoints and decodes their answers. Provided by an adapter.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -106,6 +106,7 @@
     , m_crashWatch(
           {.timers = &m_options.loop->timers(), .check = connectionCheck(*m_options.client)})
     , m_streams(m_options.streams)
+    , m_undecodableValues(*m_options.metrics)
 {
     m_crashWatch.crashed = [this](const auto &report) { endpointCrashed(report); };
     wirePartQuarantine();
@@ -302,6 +303,19 @@
         m_admissionQueue.slotMayBeFree(service);
 }
 
+void Gateway::noteUndecodable(const EndpointRecord &endpoint, const HeadFacts &facts,
+                              const Base::RequestId &request)
+{
+    for (const std::string_view name : facts.undecodable) {
+        if (!m_undecodableValues.count(endpoint.info.id, name))
+            continue;
+        m_options.log->event(part, "A header of an endpoint cannot be decoded.",
+                             {{"endpoint", endpoint.info.id.value()},
+                              {"request", request.value()},
+                              {"header", name}});
+    }
+}
+
 Schema::LoadUpdate Gateway::loadsForPeers()
 {
     if (!m_options.policy.sharedLoads)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/reachability.h"
 #include "gateway/requestquarantine.h"
 #include "gateway/streamdirectory.h"
+#include "gateway/undecodablevalues.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "logging/decisionlog.h"
@@ -174,6 +175,7 @@
         return m_configuration;
     }
     EndpointRegistry &endpoints() { return m_endpoints; }
+    UndecodableValues &undecodableValues() { return m_undecodableValues; }
     /// Sets the data centres whose endpoints get no new requests. Requests that run there are
     /// completed.
     void setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres);
@@ -281,6 +283,9 @@
     ConcurrencyLimit &concurrencyLimit(const Base::ServiceId &service);
     /// Processes an endpoint's load report. Wakes waiting requests if more slots are free now.
     void loadReported(EndpointRecord &endpoint, const LoadReport &report);
+    /// Counts headers of the endpoint that could not be decoded, and logs the first of each name.
+    void noteUndecodable(const EndpointRecord &endpoint, const HeadFacts &facts,
+                         const Base::RequestId &request);
     /// Whether this router can reach no endpoint of the service, but some are open for requests of
     /// routers that reach them.
     bool isCutOffFrom(const Base::ServiceId &service) const;
@@ -316,6 +321,7 @@
     bool m_areQuarantinesKnown = false;
     CrashWatch m_crashWatch;
     StreamDirectory m_streams;
+    UndecodableValues m_undecodableValues;
     std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
     std::size_t m_routerCount = 1;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -187,6 +187,13 @@
         "Requests that were not sent because their callers had left, which had not been read yet.",
         "The router is behind by more than its callers wait.",
         {}},
+    Metric{"lagoonbank_gateway_undecodable_total",
+           Kind::Counter,
+           "values",
+           "Headers and store entries of endpoints that could not be decoded, by name.",
+           "Endpoints of another version: the log lines name them. Without its load an endpoint "
+           "gets too many requests.",
+           {}},
 };
 
 } // namespace
@@ -236,6 +243,11 @@
                             {{"kind", std::string(Errors::toString(kind))}});
 }
 
+Metrics::Counter GatewayMetrics::undecodable(std::string_view name)
+{
+    return registry.counter("lagoonbank_gateway_undecodable_total", {{"name", std::string(name)}});
+}
+
 Metrics::Counter GatewayMetrics::repeats(Errors::ErrorKind kind)
 {
     return registry.counter("lagoonbank_gateway_repeats_total",
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -3,6 +3,8 @@
 #include "errors/errorkind.h"
 #include "metrics/registry.h"
 
+#include <string_view>
+
 namespace Lagoonbank::Gateway {
 
 /// Descriptions of all metrics of a gateway process, for its metrics page and its tests.
@@ -43,6 +45,8 @@
     Metrics::Counter answers(int status);
     Metrics::Counter refusals(Errors::ErrorKind kind);
     Metrics::Counter repeats(Errors::ErrorKind kind);
+    /// Values of endpoints that could not be decoded; \a name is that of the header or topic.
+    Metrics::Counter undecodable(std::string_view name);
 };
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -91,6 +91,7 @@
     if (m_request.relay)
         relay.addEndpoint(attempt.headers, attempt.endpoint->info.id, attempt.software);
     m_gateway.m_health.headReceived(*attempt.endpoint, attempt.facts, m_request.id);
+    m_gateway.noteUndecodable(*attempt.endpoint, attempt.facts, m_request.id);
     if (attempt.facts.load) {
         m_reportedLoad = attempt.facts.load->running + attempt.facts.load->waiting;
         m_gateway.loadReported(*attempt.endpoint, *attempt.facts.load);
--- a/tests/auto/adapter/tst_relaycodec.cpp
+++ b/tests/auto/adapter/tst_relaycodec.cpp
@@ -117,6 +117,15 @@
     BOOST_TEST(relay.headersForCaller(headers).fields().size() == 2U);
 }
 
+/// Guards against counting a header twice, here and at the peer that received it from the endpoint.
+BOOST_AUTO_TEST_CASE(undecodableHeadersOfRelayedAnswersAreLeftToThePeer)
+{
+    const Gateway::RelayProtocol relay = Platform::relayProtocol();
+    Http::Headers headers{{"lagoonbank-engine-load", "x"}, {"server-leaving", "x"}};
+    relay.addEndpoint(headers, Base::EndpointId("i-7"), Gateway::SoftwareHash(77));
+    BOOST_TEST(relay.peer.readHead(callerRequest(), 200, headers).undecodable.empty());
+}
+
 /// Guards against taking a peer's own answers for those of an endpoint, and against passing on what
 /// a router of an earlier version answers.
 BOOST_AUTO_TEST_CASE(headsOfPeersAreToldApart)
