--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -239,6 +239,8 @@
 {
     noteReport(endpoint, report, now);
     endpoint.isReportFromPeer = false;
+    if (report.slowdown)
+        endpoint.slowdown.reported(*report.slowdown, now);
     m_averageLoads[endpoint.info.service].addReport(report.running + report.waiting, now);
 }
 
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/endpointslowdown.h"
 #include "fleet/configuration.h"
 #include "fleet/endpoint.h"
 #include "gateway/averageload.h"
@@ -84,6 +85,7 @@
     Base::MonoTime reportedAt;
     bool isReportFromPeer = false; ///< Whether the last report came from a peer.
     int inFlightAtReport = 0;
+    Capacity::EndpointSlowdown slowdown; ///< Slowdown of its machine, from its load reports.
     std::optional<Base::MonoTime> hotAt; ///< When its load was last far above average.
     /// Fraction of its slots up to which it answers within the target latency.
     double timelyShare = 1;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -43,6 +43,7 @@
         options.placement.boundFactor = std::numeric_limits<double>::infinity();
     if (!policy.gradualLeaving || !policy.bound)
         options.placement.divertsLoadGradually = false;
+    options.placement.usesSlowdown = policy.slowdown;
     if (!policy.usualLoad)
         options.placement.usesAverageLoad = false;
     if (!policy.slowness)
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -376,10 +376,11 @@
         const double queues = std::max(1.0, (candidate.load + 1) / slots);
         const double attempts = registry.expectedAttempts(endpoint, now);
         const double expectedLatency = attempts > 1 ? knownLatency : optimisticLatency;
+        const double slowdown = m_options.usesSlowdown ? endpoint.slowdown.factor(now) : 1;
         const double cost =
             (endpoint.latency.value(expectedLatency, now, m_options.speedHalfLife) * queues
              + 0.001 * candidate.load / slots)
-            * attempts;
+            * attempts * slowdown;
         if (cost >= lowest)
             continue;
         lowest = cost;
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -135,6 +135,8 @@
         /// reports in three seconds, each of 16 routers one, and each of 80 routers one in 16 s.
         /// With fewer routers than this the reports are recent enough.
         double largeFleetRouters = 10;
+        /// Whether the expected completion time at an endpoint is multiplied by its slowdown.
+        bool usesSlowdown = true;
     };
 
     explicit Placement(Options options)
