--- a/tests/soak/batchengine.py
+++ b/tests/soak/batchengine.py
@@ -106,13 +106,12 @@
         return True
 
 
-class BatchEngine(Endpoint):
-    """Streams tokens and caches prompts."""
+class PromptCache:
+    """The prompt parts that an engine has in its memory."""
 
-    def __init__(self, options, record):
-        super().__init__(options, record)
+    def __init__(self, memory):
+        self.memory = memory
         self.cached = collections.OrderedDict()  # Prompt part -> tokens, least recently used first.
-        self.prefill_ends_at = 0.0
 
     def uncached(self, parts):
         """Number of tokens to prefill: all from the first uncached part on. Caches all parts."""
@@ -122,14 +121,23 @@
                 uncached_tokens += tokens
             self.cached[name] = tokens
             self.cached.move_to_end(name)
-        while sum(self.cached.values()) > self.options["memory"]:
+        while sum(self.cached.values()) > self.memory:
             self.cached.popitem(last=False)
         return uncached_tokens
 
+
+class BatchEngine(Endpoint):
+    """Streams tokens and caches prompts."""
+
+    def __init__(self, options, record):
+        super().__init__(options, record)
+        self.cache = PromptCache(options["memory"])
+        self.prefill_ends_at = 0.0
+
     async def run(self, fields, body, head, writer):
         listed = fields["lagoonbank-prompt-prefix"].split(",")
         parts = [(name, int(tokens)) for name, tokens in (one.split(":") for one in listed)]
-        uncached_tokens = self.uncached(parts)
+        uncached_tokens = self.cache.uncached(parts)
         if "kv-fetch" in fields:
             uncached_tokens = min(uncached_tokens, parts[-1][1])
         now = time.monotonic()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 """Runs real routers, with a store, engines and callers, under faults and checks their guarantees.
 
 Usage: soak.py --router BINARY [--seed N] [--seconds S] [--routers N] [--engines N] [--callers N]
-       [--restorations] [--streams]
+       [--restorations] [--streams] [--capacity]
 The same seed gives the same faults at the same times. Prints each violated guarantee and exits 1 if
 there is one. Ends only the processes that it started, by their ids.
 """
@@ -20,6 +20,7 @@
 import tempfile
 import time
 
+import capacity
 import restoration
 import rules
 import streams
@@ -112,15 +113,26 @@
         self.routers, self.engines, self.proxies, self.store_proxies = [], [], [], []
         self.next_id = 0
         self.is_finished = False
+        self.capacity = capacity.Capacity(self) if options.capacity else None
+
+    def configuration(self):
+        """The current configuration."""
+        return world.operator_configuration(self.version, KEYS,
+                                            capacity.ENGINE if self.capacity else None)
 
     async def set_up(self):
         """Starts store, engines, proxies and routers."""
         net = f"127.{self.options.net}"
         servers = [await wire.serve(f"{net}.9.1", STORE_PORT, self.store.handle)]
-        await self.store.put("keyed.op", "config", world.operator_configuration(self.version, KEYS))
+        await self.store.put("keyed.op", "config", self.configuration())
         for i in range(self.options.engines):
-            engine = world.Engine(f"e{i}", "app" if i % 2 else "llm", f"dc{i // 2 % 2}", self.runs,
-                                  world.random_generator(self.options.seed, f"engine {i}"))
+            service = "app" if i % 2 else "llm"
+            has_capacity = self.capacity and service == "llm"
+            engine = (capacity.CapacityEngine if has_capacity else world.Engine)(
+                f"e{i}", service, f"dc{i // 2 % 2}", self.runs,
+                world.random_generator(self.options.seed, f"engine {i}"))
+            if has_capacity:
+                engine.on_crash = self.capacity.crashed
             engine.on_arrival = self.arrival_checker.check_arrival
             if self.options.streams:
                 engine.version_of_boot = functools.partial(streams.engine_version, i)
@@ -223,12 +235,14 @@
         engine.is_changing = True
         await self.store.put("keyed.servers", engine.id, engine.entry("draining"))
         await asyncio.sleep(1.5)
+        await self.start_anew(engine)
+        engine.is_changing = False
+
+    async def start_anew(self, engine):
+        """Replaces an engine by a new start of it, which warms up."""
         await self.store.put("keyed.servers", engine.id, "")
-        engine.boot += 1
-        engine.changes = 0
-        engine.started_ms = time.time_ns() // 1_000_000
+        engine.start_anew()
         await self.warm_up(engine)
-        engine.is_changing = False
 
     async def warm_up(self, engine):
         """Makes an engine cold, waits until it is warm and updates its entry."""
@@ -280,7 +294,7 @@
         """Writes a newer configuration to the store."""
         del rng
         self.version += 1
-        await self.store.put("keyed.op", "config", world.operator_configuration(self.version, KEYS))
+        await self.store.put("keyed.op", "config", self.configuration())
 
     async def inject_faults(self):
         """Starts random faults until the time is up; they may overlap."""
@@ -289,6 +303,8 @@
             faults.remove("fault_store")  # It would leave no time in which the store is stable.
         if not self.options.streams:
             faults.remove("fault_unframed")
+        if self.capacity:
+            faults = [name for name in faults if name not in capacity.OTHER_FAULTS]
         running = []
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
@@ -418,7 +434,12 @@
         kind = rng.choice("inss")
         request, fields = self.next_request(kind, router, rng)
         try:
-            writer.write(wire.message(f"{METHODS[kind]} /{kind}/x HTTP/1.1", fields))
+            body = b""
+            if self.capacity and kind == "s":
+                fields |= self.capacity.prompt_fields(request)
+                # Equal requests that run at lost engines would be quarantined as their cause.
+                body = request.encode()
+            writer.write(wire.message(f"{METHODS[kind]} /{kind}/x HTTP/1.1", fields, body))
             keep_open = await asyncio.wait_for(self.read_answer(reader, request, kind), 6)
         except (wire.ConnectionBroken, OSError):
             self.record_outcome("cut", False)
@@ -446,6 +467,8 @@
         elif status in (400, 401, 403, 404):
             self.violations.append(f"{request} was answered {status} although it is valid")
         self.record_outcome(str(status), status == 200)
+        if self.capacity:
+            await self.capacity.answered(request, status, fields)
         return fields.get("connection", "").lower() != "close"
 
     def check_success(self, request, kind, fields, body):
@@ -474,16 +497,20 @@
             if request in self.refused and self.kinds.get(request) == "n":
                 self.violations.append(
                     f"{request} was refused as not executed but ran at {engines}")
+            elif self.capacity and request in self.capacity.refused:
+                self.violations.append(f"{request} was answered 503 but ran at {engines}")
 
     async def run(self):
         """Runs everything; returns the violated guarantees."""
         servers = await self.set_up()
         await asyncio.sleep(1)
         callers = [asyncio.create_task(self.run_caller(i)) for i in range(self.options.callers)]
+        parts = [self.inject_faults()]
         if self.options.restorations:
-            await asyncio.gather(self.inject_faults(), self.restore_store())
-        else:
-            await self.inject_faults()
+            parts.append(self.restore_store())
+        if self.capacity:
+            parts.append(self.capacity.lose_most())
+        await asyncio.gather(*parts)
         await asyncio.sleep(RECOVERY_S)
         since = time.monotonic() - 2
         recent = [served for answered_at, served in self.recent_results if answered_at > since]
@@ -507,17 +534,24 @@
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--routers", type=int, default=4)
-    parser.add_argument("--engines", type=int, default=8)
-    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--engines", type=int, help="default: 8, with --capacity 20")
+    parser.add_argument("--callers", type=int, help="default: 12, with --capacity 100")
     parser.add_argument("--restorations", action="store_true",
                         help="restore the store from older copies, beside all faults but its own")
     parser.add_argument("--streams", action="store_true",
                         help="engines run two software versions and send answers without framing, "
                              "and callers resume streams, beside all other faults")
+    parser.add_argument("--capacity", action="store_true",
+                        help="engines of little memory that are slow at times, of which most are "
+                             "lost for some seconds, beside the faults of routers")
     parser.add_argument("--net", type=int, default=77,
                         help="second octet of the loopback addresses; differs for concurrent runs")
     parser.add_argument("--keep", help="folder for settings and logs; default: a new one")
     options = parser.parse_args()
+    if options.capacity and options.streams:
+        parser.error("--capacity and --streams exclude each other: resumed streams have no prompt")
+    options.engines = options.engines or (20 if options.capacity else 8)
+    options.callers = options.callers or (100 if options.capacity else 12)
     if options.seed is None:
         options.seed = time.time_ns() % 1000000
     folder = pathlib.Path(options.keep or tempfile.mkdtemp(prefix="lagoonbank-soak-"))
@@ -526,6 +560,9 @@
     violations = asyncio.run(soak.run())
     print(f"seed {options.seed}: {dict(soak.outcomes)}, {len(soak.runs)} ran, "
           f"{len(violations)} violations")
+    if soak.capacity:
+        print(f"  streams while most engines were lost: {dict(soak.capacity.outcomes)}, "
+              f"{len(soak.capacity.crashes)} engines crashed")
     for line in violations[:20]:
         print(f"  {line}")
     if violations:
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -68,8 +68,10 @@
 async def serve(ip, port, handle):
     """Starts a server that passes each request to `handle(start_line, fields, body, writer)`.
 
-    The handler returns whether the connection stays open."""
+    The handler returns whether the connection stays open; writer.has_left() tells it whether the
+    caller has closed the connection."""
     async def connected(reader, writer):
+        writer.has_left = lambda: reader.at_eof() or writer.is_closing()
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_whole_body(reader, head[1])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,12 +19,20 @@
         self.mode = "pass"
         self.writers = set()
         self.server = None
+        self.address = None
 
     async def start(self, ip, port):
         """Starts to listen; returns the proxy itself."""
+        self.address = (ip, port)
         self.server = await asyncio.start_server(self.connected, ip, port)
         return self
 
+    def close(self):
+        """Closes all connections and the socket, as the end of the target's process does."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def set_mode(self, mode):
         """Sets how connections are treated, open ones included."""
         self.mode = mode
@@ -179,6 +187,9 @@
 class Engine:
     """An engine or a plain service; records which requests it ran."""
 
+    slots = 8
+    event_s = 0.02  # Between the events of a stream.
+
     def __init__(self, name, service, data_centre, runs, rng):
         self.name = name
         self.service = service
@@ -205,6 +216,12 @@
         """Version of the engine's software."""
         return self.version_of_boot(self.boot)
 
+    def start_anew(self):
+        """Begins another start of the engine, under another id."""
+        self.boot += 1
+        self.changes = 0
+        self.started_ms = time.time_ns() // 1_000_000
+
     def become_cold(self):
         """Starts a warm-up, in which the engine takes few requests."""
         self.cold_until = time.monotonic() + WARMUP_S
@@ -214,9 +231,14 @@
         cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
         self.changes += 1
         return json.dumps({"service": self.service, "address": self.address,
-                           "zone": self.data_centre, "version": self.version, "slots": 8, "state": state,
+                           "zone": self.data_centre, "version": self.version, "slots": self.slots,
+                           "state": state,
                            "seq": self.changes, "warmup_left_ms": cold_ms, "born": self.started_ms})
 
+    async def work(self, seconds):
+        """Spends time on a request."""
+        await asyncio.sleep(seconds)
+
     async def handle(self, start_line, fields, body, writer):
         """Handles one request; returns whether the connection is kept."""
         del body
@@ -264,7 +286,7 @@
                 return False
             writer.write(wire.chunk(piece))
             await writer.drain()
-            await asyncio.sleep(0.02)
+            await self.work(self.event_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
@@ -284,17 +306,21 @@
         return False
 
 
-def operator_configuration(version, keys):
-    """The configuration that the operator writes to the store."""
+def operator_configuration(version, keys, engine=None):
+    """The configuration that the operator writes to the store.
+
+    `engine` is what it says of the engines of the model service."""
     def route(kind, prefix, service, timeout):
         return {"name": prefix, "host": "h", "prefix": f"/{prefix}/", "kind": kind,
                 "service": service, "max_attempts": 2, "timeout_ms": timeout,
-                "target_latency_ms": 300, "max_gap_ms": 400, "resumable": kind == "streaming"}
+                "target_latency_ms": 300, "max_gap_ms": 400, "resumable": kind == "streaming",
+                "session_affinity": kind == "streaming" and engine is not None}
     return json.dumps({
         "version": version,
         "routes": [route("idempotent", "i", "app", 2000), route("non_idempotent", "n", "app", 2000),
                    route("streaming", "s", "llm", 5000)],
         "services": [{"name": name, "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}
+                     | ({"engine": engine} if engine and name == "llm" else {})
                      for name in ("app", "llm")],
         "limits": {"header_bytes": 16384, "body_bytes": 65536, "header_ms": 3000, "idle_ms": 15000},
         "tenants": [{"name": f"t{i}", "keys": [key]} for i, key in enumerate(keys)]})
