--- a/src/libs/gateway/admissionqueue.cpp
+++ b/src/libs/gateway/admissionqueue.cpp
@@ -111,7 +111,7 @@
             ids.push_back(queueId);
     }
     std::stable_partition(ids.begin(), ids.end(), [](const QueueId &queueId) {
-        return queueId.software != SoftwareHash();
+        return queueId.software != SoftwareHash() || queueId.awaitsMemory;
     });
     return ids;
 }
@@ -178,7 +178,8 @@
 void AdmissionQueue::tick()
 {
     for (const QueueId &queueId : queueIds(std::nullopt))
-        tryPlace(queueId, 1);
+        // Waiters for memory need different amounts of it, so that the first may block none.
+        tryPlace(queueId, queueId.awaitsMemory ? m_options.maxFailedAttempts : 1);
     failExpired();
     if (!m_queues.empty())
         startTicking();
--- a/src/libs/gateway/admissionqueue.h
+++ b/src/libs/gateway/admissionqueue.h
@@ -39,12 +39,14 @@
 public:
     /// Identifies a queue of requests of one service that can be placed under the same conditions.
     /// Streams have a queue of their own, as only other requests may also wait at an endpoint. So
-    /// have streams that may go on at one software version only.
+    /// have streams that may go on at one software version only, and requests that found a free
+    /// slot, but not the memory that they need: smaller requests may find it.
     struct QueueId
     {
         Base::ServiceId service;
         bool isStream = false;
         SoftwareHash software; ///< Zero if endpoints of any version will do.
+        bool awaitsMemory = false;
 
         auto operator<=>(const QueueId &) const = default;
     };
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "capacity/endpointslowdown.h"
+#include "capacity/kvcachebudget.h"
 #include "fleet/configuration.h"
 #include "fleet/endpoint.h"
 #include "gateway/averageload.h"
@@ -82,6 +83,7 @@
     bool isGone = false; ///< Its entry was removed; requests may still be in flight.
     Base::MonoTime knownSince;
     int inFlight = 0; ///< Requests of this router in flight.
+    Capacity::KvCacheBudget kvCache; ///< Memory used by the requests of this router.
     std::optional<LoadReport> report;
     Base::MonoTime reportedAt;
     bool isReportFromPeer = false; ///< Whether the last report came from a peer.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -336,6 +336,11 @@
     return known && known->engine ? known->engine->memory : Base::Tokens();
 }
 
+Base::Tokens Gateway::limitingMemoryOf(const Base::ServiceId &service) const
+{
+    return m_options.policy.kvCacheBudget ? memoryOf(service) : Base::Tokens();
+}
+
 void Gateway::run(CallerRequest request, std::shared_ptr<Http::Responder> responder)
 {
     const Base::MonoTime now = m_options.loop->clock().now();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -90,6 +90,10 @@
     /// Minimum number of shared prompt tokens for which a request waits while its endpoint
     /// processes the same prompt for another request. That takes 20 ms or more.
     Base::Tokens minAwaitedTokens{1500};
+    /// Fraction of the target latency for which a request waits for KV cache memory, with no other
+    /// upper limit. An engine with 416,734 tokens frees about 360 of them per millisecond, so that
+    /// a large request waits for 100 ms.
+    double memoryWaitShare = 0.25;
     /// Maximum wait for the same prompt of another request, as a fraction of the target latency. An
     /// engine processes 20,000 tokens in a third of the target latency.
     double prefillWaitShare = 0.33;
@@ -300,6 +304,8 @@
     void notePartQuarantined(PartHash part, std::string_view from, std::size_t crashes);
     /// Cache memory of one endpoint of a service; 0 if unknown.
     Base::Tokens memoryOf(const Base::ServiceId &service) const;
+    /// The same if requests are limited by it; 0 if they are not.
+    Base::Tokens limitingMemoryOf(const Base::ServiceId &service) const;
 
     Options m_options;
     std::shared_ptr<const Fleet::Configuration> m_configuration;
@@ -316,6 +322,8 @@
     absl::flat_hash_map<Base::ServiceId, ConcurrencyLimit> m_concurrencyLimits;
     BacklogControl m_backlog;
     PromptDirectory m_prompts;
+    absl::flat_hash_map<Base::ServiceId, Capacity::RequestSizeMeans> m_requestSizes;
+    Capacity::TokenReservations m_tokenReservations;
     RequestQuarantine m_quarantine;
     PartQuarantine m_partQuarantine;
     bool m_areQuarantinesKnown = false;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -45,6 +45,34 @@
     return slots <= 0 || registry.fleetLoad(endpoint, now) + 1 <= std::max(1.0, usable);
 }
 
+bool lacksMemory(const PlacementRequest &request, const EndpointRegistry &registry,
+                 const EndpointRecord &endpoint, Base::MonoTime now)
+{
+    return request.memoryNeed && !hasFreeMemory(*request.memoryNeed, endpoint, registry, now);
+}
+
+/// The full endpoint with a free slot that lacks the least memory for the request, or null.
+EndpointPtr leastLackingMemory(const PlacementRequest &request,
+                               const std::vector<EndpointPtr> &full,
+                               const EndpointRegistry &registry, Base::MonoTime now)
+{
+    EndpointPtr best;
+    double lowest = std::numeric_limits<double>::max();
+    for (const EndpointPtr &endpoint : full) {
+        const bool lacksOnlyMemory = lacksMemory(request, registry, *endpoint, now)
+            && isBelowConnectionShare(request, *endpoint)
+            && hasFreeSlot(request, registry, *endpoint, now);
+        if (!lacksOnlyMemory)
+            continue;
+        const double missing = missingTokens(*request.memoryNeed, *endpoint, registry, now);
+        if (missing >= lowest)
+            continue;
+        lowest = missing;
+        best = endpoint;
+    }
+    return best;
+}
+
 /// The first of the full endpoints in the rendezvous-hash order that precedes \a cost, or null.
 EndpointPtr firstFullBefore(double cost, const Routing::RendezvousCost &order,
                             const std::vector<EndpointPtr> &full)
@@ -74,7 +102,7 @@
     const Candidates &candidates = sets.candidates;
     if (candidates.empty())
         return sets.full.empty() ? chooseLastResort(request, registry, now)
-                                 : fullResult(sets, registry, now);
+                                 : fullResult(request, sets, registry, now);
     double sum = 0;
     for (const Candidate &candidate : candidates)
         sum += candidate.load;
@@ -112,15 +140,16 @@
     });
 }
 
-PlacementResult Placement::fullResult(const CandidateSets &sets, const EndpointRegistry &registry,
-                                      Base::MonoTime now)
+PlacementResult Placement::fullResult(const PlacementRequest &request, const CandidateSets &sets,
+                                      const EndpointRegistry &registry, Base::MonoTime now)
 {
     double sum = 0;
     for (const EndpointPtr &endpoint : sets.full)
         sum += registry.fleetLoad(*endpoint, now);
     return {.meanLoad = sum / static_cast<double>(sets.full.size()),
             .candidateCount = sets.full.size(),
-            .isFull = true};
+            .isFull = true,
+            .memoryLacking = leastLackingMemory(request, sets.full, registry, now)};
 }
 
 /// Applies the filters in turn: availability, health, capacity.
@@ -142,7 +171,8 @@
     const bool hasCapacity =
         !request.checkCapacity || hasFreeSlot(request, registry, *endpoint, now);
     if (!isBelowConnectionShare(request, *endpoint) || !hasCapacity
-        || !registry.admitsRequest(*endpoint, now))
+        || !registry.admitsRequest(*endpoint, now)
+        || lacksMemory(request, registry, *endpoint, now))
         return Eligibility::Full;
     return isHealthy ? Eligibility::Candidate : Eligibility::Trial;
 }
@@ -405,12 +435,17 @@
         }
         if (!registry.admitsRequest(*endpoint, now))
             continue;
+        if (lacksMemory(request, registry, *endpoint, now)) {
+            result.isFull = true;
+            continue;
+        }
         const bool isBetter = !result.endpoint
             || registry.suspicion().suspectedSince(endpoint->index)
                 < registry.suspicion().suspectedSince(result.endpoint->index);
         if (isBetter)
             result.endpoint = endpoint;
     }
+    result.isFull = result.isFull && !result.endpoint;
     return result;
 }
 
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/endpointregistry.h"
+#include "gateway/memoryfit.h"
 #include "gateway/promptdirectory.h"
 
 #include <cstdint>
@@ -20,6 +21,8 @@
     Base::Tokens sharedTokens; ///< Length of the shared prompt.
     const PromptDirectory *prompts = nullptr; ///< If null, only the home endpoint is preferred.
     Base::Tokens memory; ///< Cache memory of each endpoint of the service; 0 if unknown.
+    /// Unset if the KV cache memory of endpoints is not checked.
+    std::optional<MemoryNeed> memoryNeed;
     std::uint64_t requestHash = 0;
     Base::Duration targetLatency{};
     Base::Duration maxEventGap{};
@@ -66,7 +69,9 @@
     /// request has no prompt.
     std::optional<double> maximumLoad;
     std::size_t candidateCount = 0;
-    bool isFull = false; ///< No candidate has a free slot for the request.
+    bool isFull = false; ///< No candidate has a free slot and the memory for the request.
+    /// If full: the endpoint with a free slot that lacks the least memory; null if none has a slot.
+    EndpointPtr memoryLacking;
     /// Time at which the first endpoint accepts requests again; set if all endpoints in service
     /// have asked routers to back off.
     std::optional<Base::MonoTime> backOffUntil;
@@ -177,8 +182,8 @@
                                      const EndpointRegistry &registry, Base::MonoTime now);
     CandidateSets candidateSets(const PlacementRequest &request, const EndpointRegistry &registry,
                                 Base::MonoTime now) const;
-    static PlacementResult fullResult(const CandidateSets &sets, const EndpointRegistry &registry,
-                                      Base::MonoTime now);
+    static PlacementResult fullResult(const PlacementRequest &request, const CandidateSets &sets,
+                                      const EndpointRegistry &registry, Base::MonoTime now);
     PlacementResult chooseByAffinity(const PlacementRequest &request, CandidateSets sets,
                                      const EndpointRegistry &registry, Base::MonoTime now) const;
     double meanLoad(const PlacementRequest &request, const Candidates &candidates,
--- a/src/libs/gateway/promptdirectory.cpp
+++ b/src/libs/gateway/promptdirectory.cpp
@@ -103,10 +103,14 @@
 {
     if (memory.value() <= 0)
         return true;
-    const auto use = m_memoryUses.find(endpoint);
-    const std::int64_t held = use == m_memoryUses.end() ? 0 : use->second.tokens;
     const double usable = m_options.memoryShare * static_cast<double>(memory.value());
-    return static_cast<double>(held + tokens.value()) <= usable;
+    return static_cast<double>((heldTokens(endpoint) + tokens).value()) <= usable;
+}
+
+Base::Tokens PromptDirectory::heldTokens(std::uint64_t endpoint) const
+{
+    const auto use = m_memoryUses.find(endpoint);
+    return Base::Tokens(use == m_memoryUses.end() ? 0 : use->second.tokens);
 }
 
 /// Returns the holder, which is added if it is new.
--- a/src/libs/gateway/promptdirectory.h
+++ b/src/libs/gateway/promptdirectory.h
@@ -89,6 +89,8 @@
     /// Whether an endpoint has memory for one more prompt of \a tokens; true if its memory is not
     /// known.
     bool hasMemory(std::uint64_t endpoint, Base::Tokens tokens, Base::Tokens memory) const;
+    /// Total length of the prompts that the endpoint holds.
+    Base::Tokens heldTokens(std::uint64_t endpoint) const;
     std::size_t size() const { return m_prompts.size(); }
 
 private:
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -76,6 +76,9 @@
         return;
     }
     m_prefixes = sharedPrefixes();
+    m_size = memorySize();
+    if (exceedsMemory())
+        return;
     if (determineSoftware())
         place();
 }
@@ -169,6 +172,8 @@
 void RequestRun::beginAttempt(const EndpointPtr &endpoint, bool isRelayed)
 {
     m_queuedAt.reset();
+    m_awaitsMemory = false;
+    m_gateway.m_tokenReservations.release(requestHash());
     m_triedEndpoints.push_back(endpoint);
     Attempt attempt;
     attempt.endpoint = endpoint;
@@ -183,6 +188,7 @@
 void RequestRun::send(const EndpointPtr &endpoint, const CacheSource &cacheSource)
 {
     beginAttempt(endpoint, false);
+    noteMemoryUse();
     m_attempt->isPromptNew = m_gateway.notePrompt(m_prefixes, *endpoint, cacheSource.isConfirmed);
     Http::Call call = m_gateway.m_options.protocol.makeCall(
         {.request = &m_request,
@@ -420,6 +426,8 @@
     if (!m_attempt)
         return;
     registry().requestEnded(*m_attempt->endpoint);
+    if (m_attempt->size)
+        m_attempt->endpoint->kvCache.requestEnded(*m_attempt->size);
     m_gateway.m_admissionQueue.slotMayBeFree(m_attempt->endpoint->info.service);
     m_attempt.reset();
 }
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -48,6 +48,8 @@
         SoftwareHash software; ///< Version of the endpoint when the request was sent there.
         bool isRelayed = false; ///< The endpoint is a peer router.
         bool mayHaveBeenSent = false; ///< A byte may have been sent: the request may run.
+        /// Size with which the request counts at the endpoint; unset if it does not count.
+        std::optional<Capacity::RequestSize> size;
         bool isPromptNew = false; ///< The endpoint did not hold the prompt before.
         int status = 0;
         Http::Headers headers;
@@ -94,8 +96,25 @@
     /// The prompt prefixes that the request may share with others, shortest first. Empty if the
     /// endpoints of its route don't cache prompts.
     std::vector<PromptPrefix> sharedPrefixes() const;
+    std::uint64_t requestHash() const;
     std::optional<std::uint64_t> affinity() const;
     Base::Tokens sharedTokens() const;
+    /// Tokens of the prompt beyond the shared ones, and the maximum output; unset if the request
+    /// does not declare its length.
+    std::optional<Base::Tokens> declaredOwnTokens() const;
+    /// Size of the request in KV cache memory; unset if memory does not limit requests of the
+    /// service.
+    std::optional<Capacity::RequestSize> memorySize() const;
+    /// Identifies requests of similar length.
+    std::uint64_t sizeKind() const;
+    /// Whether the request needs more memory than an endpoint has. Refuses it in that case.
+    bool exceedsMemory();
+    std::optional<MemoryNeed> memoryNeed() const;
+    /// Counts the request at the endpoint of the current attempt.
+    void noteMemoryUse();
+    /// Called if no endpoint takes the request. Lets it wait for memory, if that is what lacks, and
+    /// reserves some if it has waited long enough. True if it was queued.
+    bool awaitMemory(const PlacementResult &placement);
     /// The parts of the prompt that the request may share with others; empty without a prompt.
     std::vector<PartHash> parts() const;
     /// Waits if the endpoint is processing the same prompt for another request. False if there is
@@ -219,6 +238,8 @@
     int m_priority = 0;
     std::vector<PromptPrefix> m_prefixes; ///< See sharedPrefixes().
     bool m_hasAwaitedPrefill = false;
+    std::optional<Capacity::RequestSize> m_size; ///< See memorySize().
+    bool m_awaitsMemory = false; ///< The last placement found a free slot, but no memory.
     Base::MonoTime m_arrivedAt;
     Base::MonoTime m_deadline;
     std::optional<Attempt> m_attempt;
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -98,7 +98,8 @@
             .sharedTokens = sharedTokens(),
             .prompts = m_gateway.sharedPrompts(),
             .memory = m_gateway.memoryOf(m_service),
-            .requestHash = Routing::stableHash(m_request.id.value()),
+            .memoryNeed = memoryNeed(),
+            .requestHash = requestHash(),
             .targetLatency = m_route->targetLatency,
             .maxEventGap = m_route->maxEventGap,
             .mayRepeat = m_route->mayRepeat(),
@@ -134,7 +135,7 @@
         m_gateway.m_placement.choose(placementRequest(), m_gateway.m_endpoints, now);
     if (placement.isFull) {
         m_lastFullPlacement = placement;
-        return relayOverflow();
+        return relayOverflow() || awaitMemory(placement);
     }
     const bool isCutOff = !placement.endpoint && m_gateway.isCutOffFrom(m_service);
     if ((isCutOff && relayToPeer()) || (!placement.endpoint && waitForReachableEndpoint()))
@@ -173,7 +174,8 @@
     const bool isRestricted = m_software && onlySoftware() != *m_software;
     return {.service = m_service,
             .isStream = m_route->kind == Fleet::RouteKind::Stream,
-            .software = isRestricted ? *m_software : SoftwareHash()};
+            .software = isRestricted ? *m_software : SoftwareHash(),
+            .awaitsMemory = m_awaitsMemory};
 }
 
 QueuePriority RequestRun::queuePriority() const
@@ -325,6 +327,7 @@
 
 void RequestRun::leaveQueue()
 {
+    m_gateway.m_tokenReservations.release(requestHash());
     if (const auto ticket = std::exchange(m_queueTicket, std::nullopt))
         m_gateway.m_admissionQueue.remove(*ticket);
 }
@@ -334,7 +337,7 @@
     m_queueTicket.reset();
     if (m_gateway.m_options.log->shouldLogRequest()) {
         m_gateway.m_options.log->request(
-            part, "No endpoint has a free slot.",
+            part, m_awaitsMemory ? "No endpoint has free memory." : "No endpoint has a free slot.",
             {{"request", m_request.id.value()},
              {"route", m_route->name},
              {"priority", m_priority},
@@ -344,6 +347,7 @@
              {"mean_load", m_lastFullPlacement.meanLoad},
              {"candidates", m_lastFullPlacement.candidateCount},
              {"own_requests", m_gateway.m_endpoints.inFlight(m_service)},
+             {"needed_tokens", m_size ? m_size->total().value() : 0},
              {"own_limit", m_gateway.concurrencyLimit(m_service).value()},
              {"in_line", m_gateway.m_admissionQueue.size()},
              {"waited_ms", m_timers.clock().now() - *m_queuedAt},
@@ -369,6 +373,10 @@
     const GatewayTimeouts &timeouts = m_gateway.m_options.timeouts;
     const auto share = std::chrono::duration_cast<Base::Duration>(m_route->targetLatency
                                                                   * timeouts.queueWaitShare);
+    if (m_awaitsMemory) {
+        return std::chrono::duration_cast<Base::Duration>(m_route->targetLatency
+                                                          * timeouts.memoryWaitShare);
+    }
     return std::min(timeouts.maxQueueWait, share);
 }
 
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -49,8 +49,10 @@
 {
     using RouteKind = Lagoonbank::Fleet::RouteKind;
 
-    explicit GatewayFixture(int endpointCount = 2, Lagoonbank::Base::Duration settleTime = {})
-        : settle(settleTime)
+    explicit GatewayFixture(int endpointCount = 2, Lagoonbank::Base::Duration settleTime = {},
+                            const Lagoonbank::Schema::PolicySettings &settings = {})
+        : policy(settings)
+        , settle(settleTime)
     {
         using namespace Lagoonbank;
         gateway.setRouterCount(1, true);
@@ -101,7 +103,8 @@
             std::make_shared<const Fleet::Configuration>(Fleet::ConfigurationParts{
                 .revision = Base::Revision(++revision),
                 .routes = {std::move(route)},
-                .services = {{.name = Base::ServiceId("service"), .warmup = warmup}}}));
+                .services = {
+                    {.name = Base::ServiceId("service"), .warmup = warmup, .engine = engine}}}));
     }
     Lagoonbank::Test::RawSocket call()
     {
@@ -142,6 +145,9 @@
     /// Set if a peer relays the requests.
     std::optional<Lagoonbank::Gateway::Relay> relay;
     Lagoonbank::Fleet::Warmup warmup; ///< Used from the next setRoute() on.
+    /// The same; unset if the endpoints are not model engines.
+    std::optional<Lagoonbank::Fleet::EngineCapacity> engine;
+    Lagoonbank::Schema::PolicySettings policy;
     Lagoonbank::Base::Duration settle;
     Lagoonbank::Gateway::FleetRetryBudget::Options retryBudget{.ratio = 0.2, .slack = 50};
     Lagoonbank::Base::Duration ownDelay{}; ///< Delay of the router's own event loop.
@@ -159,6 +165,7 @@
                                           .relay = relayProtocol(),
                                           .refuse = refuse,
                                           .ownDelay = [this] { return ownDelay; },
+                                          .policy = policy,
                                           .startedAt = clock.now() - retryBudget.window,
                                           .retryBudget = retryBudget,
                                           .timeouts = {.settle = settle},
