--- /dev/null
+++ b/src/libs/capacity/prefillrate.cpp
@@ -0,0 +1,62 @@
+#include "capacity/prefillrate.h"
+
+#include <algorithm>
+
+namespace Lagoonbank::Capacity {
+
+namespace {
+
+double toMs(Base::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double tokenCount(Base::Tokens tokens)
+{
+    return static_cast<double>(std::max<std::int64_t>(0, tokens.value()));
+}
+
+} // namespace
+
+void PrefillRate::firstEventObserved(Base::Tokens uncached, Base::Duration elapsed, double slowdown)
+{
+    const double length = tokenCount(uncached);
+    const double longest =
+        m_options.maxExcess * (length / tokensPerMs() + std::max(10.0, toMs(constantTime())));
+    const double time = std::clamp(toMs(elapsed) / slowdown, 0.0, longest);
+    for (double *sum : {&m_count, &m_lengths, &m_times, &m_squaredLengths, &m_lengthsTimesTimes})
+        *sum *= m_options.decay;
+    m_count += 1;
+    m_lengths += length;
+    m_times += time;
+    m_squaredLengths += length * length;
+    m_lengthsTimesTimes += length * time;
+    computeRate();
+    computeConstantTime();
+}
+
+Base::Duration PrefillRate::prefillTime(Base::Tokens uncached, double slowdown) const
+{
+    return Base::fromSeconds(tokenCount(uncached) * slowdown / m_tokensPerMs / 1000);
+}
+
+void PrefillRate::computeRate()
+{
+    const double priorVariance =
+        m_options.initialWeight * m_options.initialDeviation * m_options.initialDeviation;
+    const double variance = std::max(0.0, m_squaredLengths - m_lengths * m_lengths / m_count);
+    const double covariance = m_lengthsTimesTimes - m_lengths * m_times / m_count;
+    const double msPerToken =
+        (covariance + priorVariance / m_options.initialTokensPerMs) / (variance + priorVariance);
+    m_tokensPerMs =
+        std::max(1 / std::max(msPerToken, 1 / m_options.maxTokensPerMs), m_options.minTokensPerMs);
+}
+
+void PrefillRate::computeConstantTime()
+{
+    const double ms = (m_times - m_lengths / m_tokensPerMs) / m_count;
+    m_constantTime =
+        std::clamp(Base::fromSeconds(ms / 1000), Base::Duration(0), m_options.maxConstantTime);
+}
+
+} // namespace Lagoonbank::Capacity
