--- a/src/libs/capacity/firsteventforecast.cpp
+++ b/src/libs/capacity/firsteventforecast.cpp
@@ -8,10 +8,12 @@
                                      const Conditions &conditions, const ServicePrefill &service,
                                      Base::MonoTime now)
 {
-    const Base::Duration queued = m_queue.queuedTime(now, conditions.slowdown);
+    // The correction must not count here: it contains the constant time until that has been learnt
+    // from requests that found no prompt waiting.
+    const Base::Duration queued = m_queue.waitTime(now, conditions.slowdown);
     m_sent[request] = {.uncached = uncached,
                        .conditions = conditions,
-                       .foundIdle = waitTime(conditions, service, now) <= m_options.idleWait,
+                       .foundIdle = queued <= m_options.idleWait,
                        .predicted = queued + ownTime(uncached, conditions, service),
                        .at = now};
     m_queue.setPace({.tokensPerMs = service.rate.tokensPerMs(), .slowdown = conditions.slowdown},
@@ -70,7 +72,7 @@
     const Base::Duration wait = waitTime(conditions, service, now);
     if (wait <= m_options.idleWait)
         return true;
-    if (wait + ownTime(request.uncached, conditions, service)
+    if (request.waited + wait + ownTime(request.uncached, conditions, service)
         > service.kinds.usableTime(request.target))
         return false;
     const auto longest =
--- a/src/libs/capacity/firsteventforecast.h
+++ b/src/libs/capacity/firsteventforecast.h
@@ -25,16 +25,17 @@
 /// the endpoint may take a request.
 ///
 /// The prompts that wait for prefill at an endpoint are limited because prefill is interleaved with
-/// decoding: while prompts wait, running streams get a fifth of their usual speed, and more streams
-/// at a time get even less. Requests whose prompts are cached add little to the wait and are
-/// limited by the slots only.
+/// decoding: while prompts wait, a decode step of 4 to 6 ms follows each chunk of 33 ms, and
+/// running streams are that much slower. Requests whose prompts are cached add little to the wait
+/// and are limited by the slots only.
 class FirstEventForecast
 {
 public:
     struct Options
     {
         /// Wait time up to which nothing is regarded as waiting for prefill: half a chunk of 2,048
-        /// tokens (33 ms). Shorter waits can't be distinguished from errors of the forecast.
+        /// tokens. With a whole chunk (33 ms) fewer of the most urgent requests are in time in the
+        /// model (tst_prefillmodel), and more with long prompts.
         Base::Duration idleWait = std::chrono::milliseconds(16);
     };
     /// State of the endpoint and of the way to it.
@@ -46,10 +47,9 @@
     struct Request
     {
         Urgency urgency;
-        /// Target for the first event; not reduced by the time already waited, as the request must
-        /// not become impossible to place once it is late.
-        Base::Duration target{};
+        Base::Duration target{}; ///< For the first event, from the arrival on.
         Base::Tokens uncached; ///< Prompt tokens that the endpoint has not cached.
+        Base::Duration waited{}; ///< Time since the arrival.
     };
 
     FirstEventForecast() = default;
@@ -73,7 +73,8 @@
     Base::Duration timeToFirstEvent(Base::Tokens uncached, const Conditions &conditions,
                                     const ServicePrefill &service, Base::MonoTime now) const;
     /// Whether the endpoint may take the request: it would be in time, and requests of more urgent
-    /// kinds that arrive after it as well, or no prompt waits for prefill.
+    /// kinds that arrive after it as well, or no prompt waits for prefill. So a request that is
+    /// late already is taken by idle endpoints only.
     bool mayTake(const Request &request, const Conditions &conditions,
                  const ServicePrefill &service, Base::MonoTime now) const;
     /// Whether the first event can arrive within \a remaining under the best conditions. Slowdown,
--- a/src/libs/capacity/prefillrate.cpp
+++ b/src/libs/capacity/prefillrate.cpp
@@ -21,16 +21,18 @@
 void PrefillRate::firstEventObserved(Base::Tokens uncached, Base::Duration elapsed, double slowdown)
 {
     const double length = tokenCount(uncached);
+    const double predicted = length / m_tokensPerMs + toMs(m_constantTime);
     const double longest =
-        m_options.maxExcess * (length / tokensPerMs() + std::max(10.0, toMs(constantTime())));
+        m_options.maxExcess * length / m_tokensPerMs + toMs(m_options.maxConstantTime);
     const double time = std::clamp(toMs(elapsed) / slowdown, 0.0, longest);
+    const double weight = time > predicted ? m_options.longerWeight : 1;
     for (double *sum : {&m_count, &m_lengths, &m_times, &m_squaredLengths, &m_lengthsTimesTimes})
-        *sum *= m_options.decay;
-    m_count += 1;
-    m_lengths += length;
-    m_times += time;
-    m_squaredLengths += length * length;
-    m_lengthsTimesTimes += length * time;
+        *sum *= 1 - (1 - m_options.decay) * weight;
+    m_count += weight;
+    m_lengths += weight * length;
+    m_times += weight * time;
+    m_squaredLengths += weight * length * length;
+    m_lengthsTimesTimes += weight * length * time;
     computeRate();
     computeConstantTime();
 }
--- a/src/libs/capacity/prefillrate.h
+++ b/src/libs/capacity/prefillrate.h
@@ -8,8 +8,9 @@
 ///
 /// A weighted linear regression of the time to the first event on the uncached tokens. The constant
 /// part, which is the time for decoding the first event, would otherwise make short prompts appear
-/// to be prefilled slowly: 130 tokens take 2 ms, and the 8 tokens of the event 24 ms. Waits for
-/// prompts of routers that this one does not know raise the constant part rather than the rate.
+/// to be prefilled slowly: 130 tokens take 2 ms, and the 8 tokens of the event 24 ms. Times that
+/// are longer than predicted have less weight than shorter ones, as they may contain waits for
+/// prompts that the router does not know.
 class PrefillRate
 {
 public:
@@ -24,13 +25,17 @@
         double decay = 0.998;
         /// Number of prompts with the following deviation from the mean length that the initial
         /// rate is worth.
-        double initialWeight = 3;
-        double initialDeviation = 2000; ///< In tokens.
+        double initialWeight = 1;
+        double initialDeviation = 4000; ///< In tokens.
         /// Longest constant part. Longer ones contain waits that are not recognised.
-        Base::Duration maxConstantTime = std::chrono::milliseconds(50);
-        /// Longest observed time relative to the predicted one; longer ones count as this. It
-        /// limits the effect of single answers of a frozen endpoint.
-        double maxExcess = 4;
+        Base::Duration maxConstantTime = std::chrono::milliseconds(100);
+        /// Weight of a time that is longer than predicted. With equal weights the rate fell from 60
+        /// to 13 tokens per millisecond after the loss of most engines, when 24 routers send the
+        /// prompts of all chats at once; then too little was sent to correct it.
+        double longerWeight = 0.05;
+        /// Longest time for the prefill relative to the predicted one; longer ones count as this.
+        /// It limits the effect of single answers of a frozen endpoint.
+        double maxExcess = 2;
     };
 
     PrefillRate() = default;
--- a/src/libs/capacity/waitcorrection.cpp
+++ b/src/libs/capacity/waitcorrection.cpp
@@ -18,7 +18,8 @@
 Base::Duration WaitCorrection::value(Base::MonoTime now, Base::Duration prior) const
 {
     const double factor = decay(now);
-    const double sum = m_sum * factor + m_options.priorWeight * Base::toSeconds(prior);
+    // Without new answers the unknown prompts are prefilled, so the difference itself decays too.
+    const double sum = m_sum * factor * factor + m_options.priorWeight * Base::toSeconds(prior);
     return Base::fromSeconds(sum / (m_weight * factor + m_options.priorWeight));
 }
 
--- a/src/libs/capacity/waitcorrection.h
+++ b/src/libs/capacity/waitcorrection.h
@@ -15,7 +15,7 @@
         Base::Duration halfLife = std::chrono::seconds(1);
         /// Number of observations that the prior value is worth. A router in a large fleet gets
         /// less than one answer a second from an endpoint.
-        double priorWeight = 1;
+        double priorWeight = 3;
         /// Largest difference; larger ones count as this.
         Base::Duration maxDifference = std::chrono::seconds(3);
     };
--- a/tests/auto/capacity/tst_firsteventforecast.cpp
+++ b/tests/auto/capacity/tst_firsteventforecast.cpp
@@ -161,6 +161,31 @@
     BOOST_TEST(endpoint.mayTake(Endpoint::urgent(829), now + 8s));
 }
 
+// Guards against refusals for many seconds after a wave of unknown prompts, while little is sent
+// that could correct the forecast.
+BOOST_AUTO_TEST_CASE(correctionDecaysWithoutObservations)
+{
+    WaitCorrection correction;
+    for (int i = 0; i < 100; ++i)
+        correction.observed(1s, start);
+    BOOST_TEST(toMilliseconds(correction.value(start)) > 950);
+    BOOST_TEST(toMilliseconds(correction.value(start + 2s)) < 250);
+    BOOST_TEST(toMilliseconds(correction.value(start + 60s)) == 0);
+    BOOST_TEST(toMilliseconds(correction.value(start + 60s, 40ms)) == 40);
+}
+
+// Guards against requests that are late already and delay others that can be in time.
+BOOST_AUTO_TEST_CASE(lateRequestsAreTakenByIdleEndpointsOnly)
+{
+    Endpoint endpoint;
+    FirstEventForecast::Request request = Endpoint::large(1'300);
+    request.waited = 800ms;
+    BOOST_TEST(endpoint.mayTake(request));
+    endpoint.send(1, 6000);
+    BOOST_TEST(!endpoint.mayTake(request));
+    BOOST_TEST(endpoint.mayTake(Endpoint::large(1'300)));
+}
+
 // Failure: a frozen endpoint gets no more than the bound, and requests again when it answers.
 BOOST_AUTO_TEST_CASE(frozenEndpointGetsNoMoreThanTheBound)
 {
