--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -338,7 +338,8 @@
 
 Base::Tokens Gateway::limitingMemoryOf(const Base::ServiceId &service) const
 {
-    return m_options.policy.kvCacheBudget ? memoryOf(service) : Base::Tokens();
+    const bool isLimited = m_options.policy.kvCacheBudget && m_endpoints.reportsSlowdown(service);
+    return isLimited ? memoryOf(service) : Base::Tokens();
 }
 
 void Gateway::run(CallerRequest request, std::shared_ptr<Http::Responder> responder)
--- a/tests/auto/gateway/tst_kvcachememory.cpp
+++ b/tests/auto/gateway/tst_kvcachememory.cpp
@@ -23,6 +23,9 @@
                   .kind = Fleet::RouteKind::Stream,
                   .targetLatency = milliseconds(1000),
                   .usesPromptCache = true});
+        // Memory limits only services whose endpoints report the slowdown of their machines.
+        gateway.endpoints().loadReported(*gateway.endpoints().find(Base::EndpointId("e0")),
+                                         {.slots = 4, .slowdown = 1.0}, clock.now());
     }
 
     RawSocket callWith(int promptTokens, int output = 100)
