--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::string_view statePath = "/fleet/state";
 constexpr std::string_view quarantinesPath = "/fleet/quarantines";
-/// Timeout of a request for quarantines, while which a starting router takes no requests. A peer
+/// Timeout of a request for quarantines, during which a starting router takes no requests. A peer
 /// answers within some milliseconds.
 constexpr Base::Duration quarantinesTimeout = std::chrono::milliseconds(300);
 constexpr Base::Duration quarantinesConnectTimeout = std::chrono::milliseconds(150);
