--- a/src/libs/capacity/prefillqueue.cpp
+++ b/src/libs/capacity/prefillqueue.cpp
@@ -1,23 +1,13 @@
 #include "capacity/prefillqueue.h"
 
+#include "capacity/conversions.h"
+
 #include <algorithm>
 
 namespace Lagoonbank::Capacity {
 
-namespace {
-
-double toMs(Base::Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-/// Announced or declared counts may be wrong; none is negative.
-double tokenCount(Base::Tokens tokens)
-{
-    return static_cast<double>(std::max<std::int64_t>(0, tokens.value()));
-}
-
-} // namespace
+using Internal::tokenCount;
+using Internal::toMs;
 
 void PrefillQueue::setPace(const PrefillPace &pace, Base::MonoTime now)
 {
--- a/src/libs/capacity/prefillrate.cpp
+++ b/src/libs/capacity/prefillrate.cpp
@@ -1,22 +1,13 @@
 #include "capacity/prefillrate.h"
 
+#include "capacity/conversions.h"
+
 #include <algorithm>
 
 namespace Lagoonbank::Capacity {
 
-namespace {
-
-double toMs(Base::Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-double tokenCount(Base::Tokens tokens)
-{
-    return static_cast<double>(std::max<std::int64_t>(0, tokens.value()));
-}
-
-} // namespace
+using Internal::tokenCount;
+using Internal::toMs;
 
 void PrefillRate::firstEventObserved(Base::Tokens uncached, Base::Duration elapsed, double slowdown)
 {
--- a/src/libs/capacity/recentkinds.cpp
+++ b/src/libs/capacity/recentkinds.cpp
@@ -1,5 +1,7 @@
 #include "capacity/recentkinds.h"
 
+#include "capacity/conversions.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -8,7 +10,7 @@
 void RecentKinds::requestArrived(const Urgency &urgency, Base::Duration target,
                                  Base::Tokens uncached, Base::MonoTime now)
 {
-    const auto tokens = static_cast<double>(std::max<std::int64_t>(0, uncached.value()));
+    const double tokens = Internal::tokenCount(uncached);
     const Kind kind(urgency, target);
     auto arrivals = m_kinds.find(kind);
     if (arrivals == m_kinds.end()) {
--- a/tests/auto/capacity/prefillmodel.h
+++ b/tests/auto/capacity/prefillmodel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "auto/capacity/prefillworkload.h"
 #include "capacity/firsteventforecast.h"
 
 #include <algorithm>
@@ -49,17 +50,7 @@
         int frozenEngine = -1;
         std::uint64_t seed = 1;
     };
-    struct Kind
-    {
-        std::string name;
-        int priority = 0;
-        std::int64_t shared = 0; ///< Prompt tokens.
-        std::int64_t own = 0; ///< Prompt tokens.
-        int events = 0;
-        double requestsPerSecond = 0;
-        Duration target{};
-        Duration timeout{};
-    };
+    using Kind = PrefillWorkload::Kind;
     struct Tally
     {
         int arrived = 0;
@@ -81,38 +72,10 @@
             return *this;
         }
     };
-    static constexpr std::size_t kindCount = 3;
+    static constexpr std::size_t kindCount = PrefillWorkload::kindCount;
     using Result = std::array<Tally, kindCount>; ///< In the order of urgency.
 
-    static const std::array<Kind, kindCount> &kinds()
-    {
-        using namespace std::chrono_literals;
-        static const std::array<Kind, kindCount> all{{{.name = "urgent",
-                                                       .priority = 0,
-                                                       .shared = 699,
-                                                       .own = 130,
-                                                       .events = 36,
-                                                       .requestsPerSecond = 162,
-                                                       .target = 400ms,
-                                                       .timeout = 12s},
-                                                      {.name = "large",
-                                                       .priority = 1,
-                                                       .shared = 10512,
-                                                       .own = 1300,
-                                                       .events = 48,
-                                                       .requestsPerSecond = 95,
-                                                       .target = 1000ms,
-                                                       .timeout = 15s},
-                                                      {.name = "short",
-                                                       .priority = 2,
-                                                       .shared = 2041,
-                                                       .own = 360,
-                                                       .events = 3,
-                                                       .requestsPerSecond = 141,
-                                                       .target = 500ms,
-                                                       .timeout = 3s}}};
-        return all;
-    }
+    static const std::array<Kind, kindCount> &kinds() { return PrefillWorkload::kinds(); }
 
     explicit PrefillModel(const Options &options)
         : m_options(options)
