--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -63,6 +63,23 @@
     return options;
 }
 
+/// Numbers of endpoints that are open for new requests.
+struct OpenEndpoints
+{
+    int all = 0;
+    int reachable = 0;
+};
+
+OpenEndpoints countOpen(const std::vector<EndpointPtr> &endpoints)
+{
+    OpenEndpoints open;
+    for (const EndpointPtr &endpoint : endpoints) {
+        open.all += endpoint->isOpen() ? 1 : 0;
+        open.reachable += endpoint->isInService() ? 1 : 0;
+    }
+    return open;
+}
+
 /// Returns a function that checks whether a server is reachable by opening and closing a
 /// connection.
 auto connectionCheck(Http::Client &client)
@@ -192,21 +209,14 @@
 
 bool Gateway::isCutOffFrom(const Base::ServiceId &service) const
 {
-    const std::vector<EndpointPtr> &endpoints = m_endpoints.endpoints(service);
-    const auto isOpen = [](const EndpointPtr &endpoint) { return endpoint->isOpen(); };
-    const auto isInService = [](const EndpointPtr &endpoint) { return endpoint->isInService(); };
-    return std::any_of(endpoints.begin(), endpoints.end(), isOpen)
-        && std::none_of(endpoints.begin(), endpoints.end(), isInService);
+    const OpenEndpoints endpoints = countOpen(m_endpoints.endpoints(service));
+    return endpoints.all > 0 && endpoints.reachable == 0;
 }
 
 bool Gateway::isMostlyCutOffFrom(const Base::ServiceId &service) const
 {
-    const std::vector<EndpointPtr> &endpoints = m_endpoints.endpoints(service);
-    const auto isOpen = [](const EndpointPtr &endpoint) { return endpoint->isOpen(); };
-    const auto isInService = [](const EndpointPtr &endpoint) { return endpoint->isInService(); };
-    const auto open = std::count_if(endpoints.begin(), endpoints.end(), isOpen);
-    const auto inService = std::count_if(endpoints.begin(), endpoints.end(), isInService);
-    return open > 0 && 2 * inService <= open;
+    const OpenEndpoints endpoints = countOpen(m_endpoints.endpoints(service));
+    return endpoints.all > 0 && 2 * endpoints.reachable <= endpoints.all;
 }
 
 void Gateway::logIsolation()
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requestrun.h"
 
+#include "routing/rendezvous.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -39,6 +41,7 @@
     , m_request(std::move(request))
     , m_responder(std::move(responder))
     , m_configuration(gateway.m_configuration)
+    , m_requestHash(Routing::stableHash(m_request.id.value()))
     , m_arrivedAt(m_request.arrivedAt.value_or(m_timers.clock().now()))
     , m_deadline(m_arrivedAt + defaultTimeout)
 { }
@@ -173,7 +176,7 @@
 {
     m_queuedAt.reset();
     m_awaitsMemory = false;
-    m_gateway.m_tokenReservations.release(requestHash());
+    m_gateway.m_tokenReservations.release(m_requestHash);
     m_triedEndpoints.push_back(endpoint);
     Attempt attempt;
     attempt.endpoint = endpoint;
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -96,7 +96,6 @@
     /// The prompt prefixes that the request may share with others, shortest first. Empty if the
     /// endpoints of its route don't cache prompts.
     std::vector<PromptPrefix> sharedPrefixes() const;
-    std::uint64_t requestHash() const;
     std::optional<std::uint64_t> affinity() const;
     Base::Tokens sharedTokens() const;
     /// Tokens of the prompt beyond the shared ones, and the maximum output; unset if the request
@@ -236,6 +235,7 @@
     const Fleet::Workspace *m_workspace = nullptr;
     Base::ServiceId m_service;
     int m_priority = 0;
+    const std::uint64_t m_requestHash; ///< Hash of the request's id.
     std::vector<PromptPrefix> m_prefixes; ///< See sharedPrefixes().
     bool m_hasAwaitedPrefill = false;
     std::optional<Capacity::RequestSize> m_size; ///< See memorySize().
--- a/src/libs/gateway/requestrunmemory.cpp
+++ b/src/libs/gateway/requestrunmemory.cpp
@@ -21,11 +21,6 @@
 
 } // namespace
 
-std::uint64_t RequestRun::requestHash() const
-{
-    return Routing::stableHash(m_request.id.value());
-}
-
 std::optional<Base::Tokens> RequestRun::declaredOwnTokens() const
 {
     const std::optional<Prompt> &prompt = m_request.prompt;
@@ -81,7 +76,7 @@
                       .means = &m_gateway.m_requestSizes[m_service],
                       .reservations = &m_gateway.m_tokenReservations,
                       .prompts = &m_gateway.m_prompts,
-                      .request = requestHash(),
+                      .request = m_requestHash,
                       .priority = m_priority};
 }
 
@@ -106,7 +101,7 @@
     const EndpointRecord &endpoint = *placement.memoryLacking;
     if (reservations.isDue(now - *m_queuedAt, m_route->targetLatency)) {
         reservations.reserve(endpoint.startHash,
-                             {.request = requestHash(),
+                             {.request = m_requestHash,
                               .tokens = endpoint.kvCache.addedTokens(*m_size),
                               .priority = m_priority,
                               .madeAt = now},
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -99,7 +99,7 @@
             .prompts = m_gateway.sharedPrompts(),
             .memory = m_gateway.memoryOf(m_service),
             .memoryNeed = memoryNeed(),
-            .requestHash = requestHash(),
+            .requestHash = m_requestHash,
             .targetLatency = m_route->targetLatency,
             .maxEventGap = m_route->maxEventGap,
             .mayRepeat = m_route->mayRepeat(),
@@ -327,7 +327,7 @@
 
 void RequestRun::leaveQueue()
 {
-    m_gateway.m_tokenReservations.release(requestHash());
+    m_gateway.m_tokenReservations.release(m_requestHash);
     if (const auto ticket = std::exchange(m_queueTicket, std::nullopt))
         m_gateway.m_admissionQueue.remove(*ticket);
 }
@@ -371,13 +371,9 @@
 Base::Duration RequestRun::maxQueueWait() const
 {
     const GatewayTimeouts &timeouts = m_gateway.m_options.timeouts;
-    const auto share = std::chrono::duration_cast<Base::Duration>(m_route->targetLatency
-                                                                  * timeouts.queueWaitShare);
-    if (m_awaitsMemory) {
-        return std::chrono::duration_cast<Base::Duration>(m_route->targetLatency
-                                                          * timeouts.memoryWaitShare);
-    }
-    return std::min(timeouts.maxQueueWait, share);
+    const double share = m_awaitsMemory ? timeouts.memoryWaitShare : timeouts.queueWaitShare;
+    const auto wait = std::chrono::duration_cast<Base::Duration>(m_route->targetLatency * share);
+    return m_awaitsMemory ? wait : std::min(timeouts.maxQueueWait, wait);
 }
 
 RequestRun::CacheSource RequestRun::cacheSource(const PlacementResult &placement) const
