--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -35,6 +35,24 @@
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 
+/// A call on a connection of its own, as a kept one may have gone silent. \a timeout limits the
+/// whole call.
+Http::Call peerCall(const Runtime::SocketAddress &peer, std::string_view path, std::string body,
+                    Base::Duration connectTimeout, Base::Duration timeout)
+{
+    Http::Call call;
+    call.server = peer;
+    call.method = "POST";
+    call.target = path;
+    call.body = std::move(body);
+    call.freshConnection = true;
+    call.connectTimeout = connectTimeout;
+    call.headTimeout = timeout;
+    call.progressTimeout = timeout;
+    call.totalTimeout = timeout;
+    return call;
+}
+
 } // namespace
 
 FleetLink::FleetLink(Options options)
@@ -156,16 +174,8 @@
         m_options.sync->pullFailed();
         return;
     }
-    Http::Call call;
-    call.server = peer;
-    call.method = "POST";
-    call.target = statePath;
-    call.body = std::move(body.value());
-    call.freshConnection = true;
-    call.connectTimeout = pullConnectTimeout;
-    call.headTimeout = m_pullTimeout;
-    call.progressTimeout = m_pullTimeout;
-    call.totalTimeout = m_pullTimeout;
+    Http::Call call =
+        peerCall(peer, statePath, std::move(body.value()), pullConnectTimeout, m_pullTimeout);
     const Base::MonoTime startedAt = m_options.loop->clock().now();
     const auto finished = [this, peer, startedAt, isAlive = std::weak_ptr<bool>(m_isAlive)](
                               const Http::CallResult &result) {
@@ -265,16 +275,9 @@
 void FleetLink::askForQuarantines(const Runtime::SocketAddress &peer, const std::string &router,
                                   QuarantinePull::Answered answered)
 {
-    Http::Call call;
-    call.server = peer;
-    call.method = "POST";
-    call.target = quarantinesPath;
-    call.body = Schema::encodeMessage(Schema::QuarantineRequest{.router = router}).value();
-    call.freshConnection = true;
-    call.connectTimeout = quarantinesConnectTimeout;
-    call.headTimeout = quarantinesTimeout;
-    call.progressTimeout = quarantinesTimeout;
-    call.totalTimeout = quarantinesTimeout;
+    auto body = Schema::encodeMessage(Schema::QuarantineRequest{.router = router}).value();
+    Http::Call call = peerCall(peer, quarantinesPath, std::move(body), quarantinesConnectTimeout,
+                               quarantinesTimeout);
     m_options.client->start(
         std::move(call),
         {.finished = [answered = std::move(answered)](const Http::CallResult &result) {
--- a/src/libs/fleetsync/quarantinepull.cpp
+++ b/src/libs/fleetsync/quarantinepull.cpp
@@ -1,6 +1,7 @@
 #include "fleetsync/quarantinepull.h"
 
 #include "fleetsync/partgossip.h"
+#include "fleetsync/routerranking.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libs/fleetsync/quarantinepull.h
+++ b/src/libs/fleetsync/quarantinepull.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "errors/result.h"
-#include "fleetsync/routerranking.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
 #include "schema/generated/fleetsync.h"
