--- a/review/standins.py
+++ b/review/standins.py
@@ -341,11 +341,15 @@
         self.ended = ""
         self.status = 0
 
+    def pick(self):
+        """The machine that gets the next channel."""
+        return self.deployment.node_for(self.consumer, self.router)
+
     async def run(self):
         """Reads the stream to its end; takes it up again after a broken channel."""
         deadline = time.monotonic() + 15
         for attempt in range(1 + self.MAX_RESUMES):
-            router = self.deployment.node_for(self.consumer, self.router)
+            router = self.pick()
             if router is None or time.monotonic() > deadline:
                 break
             request = f"{self.name}-{attempt}"
