--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""Most streams that consumers take up again are refused, in a fleet that was scaled in: the
-machines that left for good still count as routers that remember which version began a stream."""
+"""Streams that a planned restart of all machines breaks off are refused when consumers take them
+up: the machines that know which version began them have been restarted too."""
 
 import asyncio
 import pathlib
@@ -10,13 +10,21 @@
 
 import standins  # noqa: E402  pylint: disable=wrong-import-position
 
-MACHINES = 6
-SPARES = 4
-KEPT = 2
-STREAMS = 100
-EVENTS = 60  # At 0.1 s each.
+ZONES = ["pasig-hall-a", "pasig-hall-a", "pasig-hall-b", "pasig-hall-b", "makati-hall",
+         "quezon-hall"]
+ENGINES = 18
+GAP_S = 1.0  # Between two stops.
+STREAMS_PER_S = 20
+LEAD_S = 6  # Streams begin before the first stop.
+LAST_STREAMS_S = 15  # And after it.
+EVENTS = 120  # At 0.1 s each.
 MIN_TAKEN_UP = 12
-NEW_STREAMS = 24
+
+
+class Consumer(standins.Stream):
+    """A stream whose tries are further apart, so that some come after the restarts."""
+
+    RETRY_S = 0.3
 
 
 async def case(folder, record, has_trouble):
@@ -28,68 +36,59 @@
         await deployment.close()
 
 
-async def restart(deployment, router):
+async def restart(router):
     """Planned: SIGTERM, and a new start after a short delay."""
     router.send_signal(signal.SIGTERM)
-    if not await router.ended(8):
+    if not await router.ended(standins.GRACE_S):
         raise standins.CaseCouldNotRun("a router did not end within grace_s")
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(0.4)
     router.start()
-    await asyncio.sleep(0.1)
-    await deployment.until_in_rotation([router], 10)
+
+
+async def restart_all(routers):
+    """Planned: SIGTERM to each machine, GAP_S apart."""
+    restarts = []
+    for router in routers:
+        restarts.append(asyncio.create_task(restart(router)))
+        await asyncio.sleep(GAP_S)
+    await asyncio.gather(*restarts)
 
 
 async def play(deployment, record, has_trouble):
     """The order of events."""
     await deployment.start_store()
-    for version in ("v1", "v2"):
-        for i, zone in enumerate("ab"):
-            await deployment.add_engine(f"{version}-{i}", version, zone)
-    kept = [deployment.add_router(f"edge-{'ab'[i % 2]}-{i}", "ab"[i % 2]) for i in range(KEPT)]
-    others = []
-    if has_trouble:
-        others = [deployment.add_router(f"edge-{'ab'[i % 2]}-{i}", "ab"[i % 2])
-                  for i in range(KEPT, MACHINES + SPARES)]
+    for i in range(ENGINES):
+        await deployment.add_engine(str(i), ("v1", "v2")[i % 2], ZONES[i % len(ZONES)])
+    routers = [deployment.add_router(f"edge-{zone}-{i}", zone) for i, zone in enumerate(ZONES)]
     deployment.start_balancer()
-    await deployment.until_in_rotation(kept + others, 20)
-    await asyncio.sleep(2)
-
-    # Planned: the fleet is scaled in. The machines leave one after the other, with SIGTERM.
-    for router in others:
-        router.send_signal(signal.SIGTERM)
-        await asyncio.sleep(0.5)
-    for router in others:
-        if not await router.ended(8):
-            raise standins.CaseCouldNotRun("a router did not end within grace_s")
-        deployment.routers.remove(router)
-    # Planned: the machines that are left are restarted one after the other.
-    for router in kept:
-        await restart(deployment, router)
-    await asyncio.sleep(8)
-
-    killed, left = kept
-    streams = [standins.Stream(deployment, i, f"s{i}") for i in range(STREAMS)]
-    running = [asyncio.create_task(stream.run()) for stream in streams]
-    await asyncio.sleep(2.5)
-    # The one disruption that is not planned: the processes of one machine are killed.
-    killed.send_signal(signal.SIGKILL)
-    new = [standins.Stream(deployment, i, f"n{i}") for i in range(NEW_STREAMS)]
-    for stream in new:
-        await asyncio.sleep(0.1)
-        running.append(asyncio.create_task(stream.run()))
+    await deployment.until_in_rotation(routers, 20)
+    await asyncio.sleep(11)
+
+    clock = asyncio.get_running_loop().time
+    streams, running = [], []
+    begin = clock()
+    stops = None
+    while clock() - begin < LEAD_S + LAST_STREAMS_S:
+        streams.append(Consumer(deployment, len(streams), f"s{len(streams)}"))
+        running.append(asyncio.create_task(streams[-1].run()))
+        await asyncio.sleep(1 / STREAMS_PER_S)
+        if stops is None and clock() - begin > LEAD_S:
+            # Without the disruption only the last machine is restarted.
+            stops = asyncio.create_task(restart_all(routers if has_trouble else routers[-1:]))
     await asyncio.gather(*running)
+    await stops
 
-    new_here = [stream for stream in new if stream.router is left]
-    began = sum(1 for stream in new_here if stream.received) / max(1, len(new_here))
-    taken_up = [stream for stream in streams
-                if any(router is left for router, _, _ in stream.took_up)]
+    taken_up = [stream for stream in streams if any(touch for _, _, touch in stream.took_up)]
     went_on = [stream for stream in taken_up
-               if any(did and router is left for router, did, _ in stream.took_up)]
+               if any(did and touch for _, did, touch in stream.took_up)]
+    new = [stream.began_in_touch for stream in streams if stream.began_in_touch is not None]
+    began = sum(new) / max(1, len(new))
     share = len(went_on) / max(1, len(taken_up))
-    record(f"streams taken up again at {left.name}: {len(taken_up)}, of these go on "
-           f"{len(went_on)} ({share:.2f}); new streams there {len(new_here)}, of these begin "
-           f"{began:.2f}")
-    if len(taken_up) < MIN_TAKEN_UP or not new_here:
+    mixed = sum(1 for stream in streams if len(stream.versions) > 1)
+    record(f"at machines in touch: streams taken up again {len(taken_up)}, of these go on "
+           f"{len(went_on)} ({share:.2f}); new streams {len(new)}, of these begin {began:.2f}; "
+           f"of two versions {mixed}")
+    if len(taken_up) < MIN_TAKEN_UP:
         raise standins.CaseCouldNotRun("too few streams were taken up again")
     return standins.RULE_BROKEN if share < began / 2 else standins.RULE_HELD
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,8 @@
 PATH = "/chat/"
 KEY = "key-of-t1"
 BEAT_S = 1.2
+STABLE_WINDOW_S = 3.0
+GRACE_S = 8
 MAX_GAP_MS = 250
 
 
@@ -79,6 +81,7 @@
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.yaml"
         self.process = None
+        self.disturbed_at = 0.0  # Last start or signal.
         self.is_in_rotation = False
         self.misses = 0
         self.ip = "127.0.0.1"
@@ -98,14 +101,20 @@
             self.process = subprocess.Popen(
                 router_command(), cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                 env={"PATH": os.environ.get("PATH", ""), "LAGOONBANK_NODE_FILE": str(self.settings)})
+        self.disturbed_at = time.monotonic()
         self.record(f"{self.name} starts, process {self.process.pid}")
 
     def send_signal(self, number):
         """Sends a signal to the process if it is running."""
         if self.process and self.process.poll() is None:
             self.record(f"{self.name} gets {signal.Signals(number).name}")
+            self.disturbed_at = time.monotonic()
             self.process.send_signal(number)
 
+    def is_in_touch(self):
+        """Whether its process runs, and has had no start and no signal for stable_window_ms."""
+        return self.process.poll() is None and time.monotonic() - self.disturbed_at > STABLE_WINDOW_S
+
     async def ended(self, seconds):
         """Waits for the end of the process; whether it came in time."""
         end = time.monotonic() + seconds
@@ -294,6 +303,8 @@
     def node_for(self, consumer, other_than=None):
         """The machine that gets the next channel of a consumer; retries meet others."""
         nodes = [router for router in self.routers if router.is_in_rotation]
+        if 2 * len(nodes) < len(self.routers):
+            nodes = self.routers  # As the platform does if fewer than half are in rotation.
         others = [router for router in nodes if router is not other_than]
         nodes = others or nodes
         return nodes[consumer % len(nodes)] if nodes else None
@@ -327,6 +338,7 @@
     """One stream of a consumer: its first attempt and those that take it up again."""
 
     MAX_RESUMES = 3
+    RETRY_S = 0.02  # Pause before the next try, unless the answer gives one.
 
     def __init__(self, deployment, consumer, name):
         self.deployment = deployment
@@ -336,7 +348,10 @@
         self.first = ""  # Id of the attempt that brought the first event.
         self.received = 0
         self.versions = []  # Versions of its events, in order, without repetition.
-        self.took_up = []  # For each attempt that takes it up: (router, whether it went on).
+        # For each attempt that takes it up: (router, whether it went on, whether that router was in
+        # touch and answered).
+        self.took_up = []
+        self.began_in_touch = None  # Whether the first attempt at a machine in touch brought events.
         self.router = None
         self.ended = ""
         self.status = 0
@@ -355,13 +370,16 @@
             request = f"{self.name}-{attempt}"
             before = self.received
             self.router = router
+            was_in_touch = router.is_in_touch()
             is_resuming = before > 0
             retry_after = await self.attempt(router, request, deadline)
+            if not is_resuming and self.began_in_touch is None and was_in_touch and self.status:
+                self.began_in_touch = self.received > 0
             if is_resuming:
-                self.took_up.append((router, self.received > before, self.status))
+                self.took_up.append((router, self.received > before, was_in_touch and self.status > 0))
             if self.ended:
                 return
-            await asyncio.sleep(retry_after if retry_after is not None else 0.02)
+            await asyncio.sleep(retry_after if retry_after is not None else self.RETRY_S)
         self.ended = self.ended or "given up"
         self.record(f"consumer: {self.name} given up after event {self.received}")
 
