--- a/review/standins.py
+++ b/review/standins.py
@@ -5,15 +5,16 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -49,20 +50,29 @@
         self.file.flush()
 
 
-def free_port(ip, taken=set()):  # pylint: disable=dangerous-default-value
-    """A port that is free for both TCP and UDP at this loopback address."""
+def loopback_address():
+    """A loopback address of this run's own. Outgoing connections use 127.0.0.1, so that none of
+    them takes the port of a process that is about to start again."""
+    return f"127.{random.randint(2, 250)}.{random.randint(0, 250)}.{random.randint(1, 250)}"
+
+
+IP = loopback_address()
+
+
+def free_port(taken=set()):  # pylint: disable=dangerous-default-value
+    """A port that is free for both TCP and UDP at this run's address."""
     while True:
+        port = random.randint(10000, 30000)
+        if port in taken:
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((ip, 0))
-            port = tcp.getsockname()[1]
-            if (ip, port) in taken:
-                continue
             try:
-                udp.bind((ip, port))
+                tcp.bind((IP, port))
+                udp.bind((IP, port))
             except OSError:
                 continue
-            taken.add((ip, port))
-            return port
+        taken.add(port)
+        return port
 
 
 def router_command():
@@ -84,8 +94,8 @@
         self.disturbed_at = 0.0  # Last start or signal.
         self.is_in_rotation = False
         self.misses = 0
-        self.ip = "127.0.0.1"
-        self.front, self.ready, self.metrics, self.peer = (free_port(self.ip) for _ in range(4))
+        self.ip = IP
+        self.front, self.ready, self.metrics, self.peer = (free_port() for _ in range(4))
         self.settings.write_text("".join(f"{key}: {value}\n" for key, value in {
             "vm": json.dumps(name), "data_centre": json.dumps(zone),
             "listen_address": f'"{self.ip}:{self.front}"',
@@ -162,9 +172,9 @@
 
     async def start(self):
         """Listens, and registers itself."""
-        port = free_port("127.0.0.1")
-        self.server = await wire.serve("127.0.0.1", port, self.handle)
-        self.address = f"127.0.0.1:{port}"
+        port = free_port()
+        self.server = await wire.serve(IP, port, self.handle)
+        self.address = f"{IP}:{port}"
         self.beat = asyncio.create_task(self.keep_registered())
 
     def entry(self):
@@ -250,9 +260,9 @@
 
     async def start_store(self):
         """Starts the store and writes the first configuration."""
-        port = free_port("127.0.0.1")
-        self.servers.append(await wire.serve("127.0.0.1", port, self.store.handle))
-        self.store_address = f"127.0.0.1:{port}"
+        port = free_port()
+        self.servers.append(await wire.serve(IP, port, self.store.handle))
+        self.store_address = f"{IP}:{port}"
         await self.store.put("keyed.op", "config", json.dumps({
             "version": 1,
             "routes": [{"name": "chat", "host": HOST, "prefix": PATH, "kind": "streaming",
@@ -447,24 +457,30 @@
             self.record(f"consumer: {request} event {number} is of version {version}")
 
 
+async def run_until_stopped(play):
+    """Runs the case, for 110 s at most. SIGTERM and SIGINT end it with all its processes."""
+    task = asyncio.ensure_future(play)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, 110)
+
+
 def run_case(case):
-    """Runs `case(deployment factory, record, has_trouble)`; exits with its result."""
+    """Runs `case(folder for logs, record, has_trouble)`; exits with its result."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
-    import tempfile  # pylint: disable=import-outside-toplevel
     result = COULD_NOT_RUN
     with tempfile.TemporaryDirectory(prefix="lagoonbank-review-") as scratch:
-        with contextlib.suppress(KeyboardInterrupt):
-            try:
-                result = asyncio.run(
-                    asyncio.wait_for(case(pathlib.Path(scratch), record, has_trouble), 110))
-            except (CaseCouldNotRun, asyncio.TimeoutError, OSError) as error:
-                record(f"the case could not run: {type(error).__name__} {error}")
+        try:
+            result = asyncio.run(run_until_stopped(case(pathlib.Path(scratch), record, has_trouble)))
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
+            # A fault of the case itself must not look like a broken rule.
+            record(f"the case could not run: {type(error).__name__} {error}")
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             subprocess.run(["cp", "-r", scratch, keep], check=False)
     record({RULE_HELD: "rule held", RULE_BROKEN: "rule broken",
             COULD_NOT_RUN: "could not run"}[result])
-    print((folder / "record.txt").read_text(encoding="utf-8").splitlines()[-2])
+    print(*(folder / "record.txt").read_text(encoding="utf-8").splitlines()[-2:], sep="\n")
     sys.exit(result)
