FleetSync, Platform: Tell a starting router which software versions have served

Cause: SoftwareVersions remembers versions for a minute, but only those that its own process has seen. A router that starts later takes the service for unmixed and asks nobody.

A starting router now asks its peers for these versions on the way on which it learns of quarantines, and takes no request before an answer. A stream whose version is known is also resumed there where the service looks unmixed.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -14,10 +14,11 @@
 
 constexpr std::string_view statePath = "/fleet/state";
 constexpr std::string_view quarantinesPath = "/fleet/quarantines";
-/// Timeout of a request for quarantines, during which a starting router takes no requests. A peer
-/// answers within some milliseconds.
-constexpr Base::Duration quarantinesTimeout = std::chrono::milliseconds(300);
-constexpr Base::Duration quarantinesConnectTimeout = std::chrono::milliseconds(150);
+constexpr std::string_view streamStatePath = "/fleet/streams";
+/// Timeout of a call of a starting router, which takes no requests meanwhile. A peer answers within
+/// some milliseconds.
+constexpr Base::Duration startCallTimeout = std::chrono::milliseconds(300);
+constexpr Base::Duration startConnectTimeout = std::chrono::milliseconds(150);
 /// Connect timeout of a pull. A reachable peer accepts within a few ms; otherwise another peer has
 /// to be asked in time.
 constexpr Base::Duration pullConnectTimeout = std::chrono::milliseconds(400);
@@ -226,7 +227,9 @@
     } else if (request.path == statePath) {
         answerState(request, *responder);
     } else if (m_options.quarantines && request.path == quarantinesPath) {
-        answerQuarantines(request, *responder);
+        answerStart<Schema::QuarantineRequest>(request, m_options.quarantines, *responder);
+    } else if (m_options.streamState && request.path == streamStatePath) {
+        answerStart<Schema::StreamStateRequest>(request, m_options.streamState, *responder);
     } else {
         responder->send(notFound, {}, {});
     }
@@ -247,14 +250,16 @@
     sendAnswer(m_options.sync->answer(decoded.value()), responder);
 }
 
-void FleetLink::answerQuarantines(const Http::Request &request, Http::Responder &responder)
+template<typename Request, typename Answer>
+void FleetLink::answerStart(const Http::Request &request, const std::function<Answer()> &state,
+                            Http::Responder &responder)
 {
-    const auto decoded = Schema::decodeMessage<Schema::QuarantineRequest>(request.body);
+    const auto decoded = Schema::decodeMessage<Request>(request.body);
     if (request.body.size() > maxPullRequestBytes || !decoded) {
         responder.send(badRequest, {}, {});
         return;
     }
-    sendAnswer(m_options.quarantines(), responder);
+    sendAnswer(state(), responder);
 }
 
 template<typename Message>
@@ -276,8 +281,8 @@
                                   QuarantinePull::Answered answered)
 {
     auto body = Schema::encodeMessage(Schema::QuarantineRequest{.router = router}).value();
-    Http::Call call = peerCall(peer, quarantinesPath, std::move(body), quarantinesConnectTimeout,
-                               quarantinesTimeout);
+    Http::Call call =
+        peerCall(peer, quarantinesPath, std::move(body), startConnectTimeout, startCallTimeout);
     m_options.client->start(
         std::move(call),
         {.finished = [answered = std::move(answered)](const Http::CallResult &result) {
@@ -288,4 +293,25 @@
         }});
 }
 
+void FleetLink::askForStreamState(const Runtime::SocketAddress &peer, const std::string &router,
+                                  StreamStateAnswered answered)
+{
+    auto body = Schema::encodeMessage(Schema::StreamStateRequest{.router = router}).value();
+    Http::Call call =
+        peerCall(peer, streamStatePath, std::move(body), startConnectTimeout, startCallTimeout);
+    m_options.client->start(
+        std::move(call),
+        {.finished = [answered = std::move(answered),
+                      isAlive = std::weak_ptr<bool>(m_isAlive)](const Http::CallResult &result) {
+            if (isAlive.expired())
+                return;
+            if (result.end == Http::CallEnd::Whole && result.status == ok)
+                answered(Schema::decodeMessage<Schema::StreamStateAnswer>(result.body));
+            else if (result.end == Http::CallEnd::Whole && result.status == notFound)
+                answered(Schema::StreamStateAnswer());
+            else
+                answered(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
+        }});
+}
+
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -121,6 +121,12 @@
     m_freeIndices.push_back(record->index);
 }
 
+void EndpointRegistry::mergeSoftware(const std::vector<SoftwareUse> &uses, Base::MonoTime now)
+{
+    for (const SoftwareUse &use : uses)
+        m_softwareVersions.merge(use, now);
+}
+
 /// Endpoints whose drain ends count as cold: they may have become cold while they were drained, and
 /// report that only with an answer.
 void EndpointRegistry::setDrainedDataCentres(std::set<Base::DataCentreId> dataCentres,
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -217,6 +217,8 @@
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
     const SoftwareVersions &softwareVersions() const { return m_softwareVersions; }
+    /// Records software versions that a peer knows.
+    void mergeSoftware(const std::vector<SoftwareUse> &uses, Base::MonoTime now);
     /// Number of endpoints to which no connection can be opened.
     std::size_t unreachableCount() const;
     /// Endpoints of these data centres get no new requests.
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -235,6 +235,10 @@
     void streamReceived(const StreamOrigin &origin);
     /// The version that began a stream, if this router knows it.
     std::optional<SoftwareHash> findStream(StreamHash stream) const;
+    /// Software versions that endpoints run or have run, for a router that starts.
+    std::vector<SoftwareUse> softwareUses() const;
+    /// Merges the software versions that a peer knows.
+    void softwareUsesReceived(const std::vector<SoftwareUse> &uses);
     /// Announces the streams in progress of services of which a second version serves since the
     /// last call. Call it regularly.
     void announceStreams();
--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -26,6 +26,16 @@
     return m_streams.find(stream, m_options.loop->clock().now());
 }
 
+std::vector<SoftwareUse> Gateway::softwareUses() const
+{
+    return m_endpoints.softwareVersions().uses(m_options.loop->clock().now());
+}
+
+void Gateway::softwareUsesReceived(const std::vector<SoftwareUse> &uses)
+{
+    m_endpoints.mergeSoftware(uses, m_options.loop->clock().now());
+}
+
 void Gateway::announceStreams()
 {
     const std::set<Base::ServiceId> mixed =
--- a/src/libs/gateway/requestrunstream.cpp
+++ b/src/libs/gateway/requestrunstream.cpp
@@ -47,15 +47,15 @@
 {
     if (m_software || !isCallerResuming())
         return true;
+    if (m_request.resumes)
+        m_software = m_gateway.findStream(stream());
+    if (m_software)
+        return true;
     const SoftwareVersions &versions = m_gateway.m_endpoints.softwareVersions();
     if (!versions.isMixed(m_service, m_timers.clock().now())) {
         m_software = versions.only(m_service, m_timers.clock().now());
         return true;
     }
-    if (m_request.resumes)
-        m_software = m_gateway.findStream(stream());
-    if (m_software)
-        return true;
     if (!m_request.resumes || !m_gateway.m_options.askForStream) {
         refuseUnknownStream();
         return false;
--- a/src/libs/gateway/softwareversions.cpp
+++ b/src/libs/gateway/softwareversions.cpp
@@ -12,6 +12,20 @@
                                            Routing::stableHash(endpoint.softwareVersion)));
 }
 
+Schema::SharedSoftware toShared(const SoftwareUse &use)
+{
+    return {.service = use.service.value(),
+            .software = use.software.value(),
+            .ageMs = static_cast<std::uint32_t>(Base::toMilliseconds(use.age))};
+}
+
+SoftwareUse fromShared(const Schema::SharedSoftware &shared)
+{
+    return {.service = Base::ServiceId(shared.service),
+            .software = SoftwareHash(shared.software),
+            .age = std::chrono::milliseconds(shared.ageMs)};
+}
+
 void SoftwareVersions::endpointAdded(const Base::ServiceId &service, SoftwareHash software)
 {
     ++m_services[service][software].endpoints;
@@ -27,6 +41,28 @@
     absl::erase_if(usages, [&](const auto &entry) { return !isUsed(entry.second, now); });
 }
 
+void SoftwareVersions::merge(const SoftwareUse &use, Base::MonoTime now)
+{
+    if (use.age >= m_options.retention)
+        return;
+    Usage &usage = m_services[use.service][use.software];
+    usage.removedAt = std::max(usage.removedAt, now - use.age);
+}
+
+std::vector<SoftwareUse> SoftwareVersions::uses(Base::MonoTime now) const
+{
+    std::vector<SoftwareUse> uses;
+    for (const auto &[service, usages] : m_services) {
+        for (const auto &[software, usage] : usages) {
+            const Base::Duration age =
+                usage.endpoints > 0 ? Base::Duration::zero() : now - usage.removedAt;
+            if (isUsed(usage, now))
+                uses.push_back({.service = service, .software = software, .age = age});
+        }
+    }
+    return uses;
+}
+
 std::optional<SoftwareHash> SoftwareVersions::only(const Base::ServiceId &service,
                                                    Base::MonoTime now) const
 {
--- a/src/libs/gateway/softwareversions.h
+++ b/src/libs/gateway/softwareversions.h
@@ -3,12 +3,14 @@
 #include "base/ids.h"
 #include "base/units.h"
 #include "fleet/endpoint.h"
+#include "schema/generated/fleetsync.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace Lagoonbank::Gateway {
 
@@ -18,6 +20,16 @@
 
 SoftwareHash softwareHash(const Fleet::Endpoint &endpoint);
 
+/// A version that endpoints of a service run or have run.
+struct SoftwareUse
+{
+    Base::ServiceId service;
+    SoftwareHash software;
+    Base::Duration age{}; ///< Since its last endpoint was removed; zero while there are some.
+};
+Schema::SharedSoftware toShared(const SoftwareUse &use);
+SoftwareUse fromShared(const Schema::SharedSoftware &shared);
+
 /// The software versions that the endpoints of each service run, or have run a short time ago.
 /// Reads no clock.
 class SoftwareVersions
@@ -36,6 +48,10 @@
 
     void endpointAdded(const Base::ServiceId &service, SoftwareHash software);
     void endpointRemoved(const Base::ServiceId &service, SoftwareHash software, Base::MonoTime now);
+    /// Records what a peer knows, which may have seen endpoints that this router has not.
+    void merge(const SoftwareUse &use, Base::MonoTime now);
+    /// All versions that are used or have been used.
+    std::vector<SoftwareUse> uses(Base::MonoTime now) const;
     /// The version that all endpoints of the service run and have run. Unset if there are several,
     /// or no endpoints.
     std::optional<SoftwareHash> only(const Base::ServiceId &service, Base::MonoTime now) const;
--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -85,9 +85,19 @@
         settings.readyAddress = Test::freeAddress();
         settings.peerAddress = Test::freeAddress();
         settings.storeAddress = Runtime::toString(store.server.address());
-        routers[index] = std::make_unique<Platform::RouterProcess>(loop, settings);
+        run(index);
+    }
+    /// Starts a router that has ended, at the same addresses.
+    void run(int index)
+    {
+        routers[index] = std::make_unique<Platform::RouterProcess>(loop, settingsOf.at(index));
         BOOST_REQUIRE(routers[index]->start());
     }
+    /// Removes the entry of an endpoint, which serves on.
+    void removeEngine(std::size_t index)
+    {
+        store.write("keyed.servers", "i-" + std::to_string(index), {});
+    }
     /// Sends a request. If it resumes a stream, the caller has that one's first event.
     RawSocket request(int router, const std::string &id, const std::string &resumes = {})
     {
@@ -200,3 +210,27 @@
         }
     }
 }
+
+/// Guards against streams that go on at another version at a router that was down when the last
+/// endpoints of their own were removed from the store.
+BOOST_AUTO_TEST_CASE(restartedRouterKnowsVersionsThatHaveServed)
+{
+    RouterFleet f;
+    constexpr int restarted = 3;
+    f.routers.at(restarted).reset();
+    constexpr int streams = 12;
+    const std::vector<std::size_t> servedBy = f.begin(0, streams);
+    for (const std::size_t engine : {0U, 2U})
+        f.removeEngine(engine);
+    f.pass(seconds(1));
+    f.run(restarted);
+    f.pass(seconds(1));
+    for (int i = 0; i < streams; ++i) {
+        const std::string number = std::to_string(i);
+        RawSocket caller = f.request(restarted, "t" + number, "s" + number);
+        const int resumedAt = f.awaitAnswer(caller);
+        const bool isServed = servedBy[static_cast<std::size_t>(i)] % 2 == 1;
+        BOOST_TEST((resumedAt >= 0) == isServed);
+        BOOST_TEST(caller.has("HTTP/1.1 503") == !isServed);
+    }
+}
