FleetSync, Platform: Hand over streams in progress when a router stops

Cause: which version began a stream is known to processes only. A router that stops told nobody, although it breaks the streams off; routers that are shutting down were neither told nor asked, although they serve for 7.5 s more; one that starts asked nobody; and the own router counted as one of three holders. Ruled out: the time limit and the budget of questions (refusals after 2 to 3 ms, nothing dropped).

A router now reports the streams in progress right before its process ends, tells and asks routers that are shutting down where there are too few others, and gets at its start the recent streams that it will be asked for.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -227,9 +227,9 @@
     } else if (request.path == statePath) {
         answerState(request, *responder);
     } else if (m_options.quarantines && request.path == quarantinesPath) {
-        answerStart<Schema::QuarantineRequest>(request, m_options.quarantines, *responder);
+        answerStart(request, m_options.quarantines, *responder);
     } else if (m_options.streamState && request.path == streamStatePath) {
-        answerStart<Schema::StreamStateRequest>(request, m_options.streamState, *responder);
+        answerStart(request, m_options.streamState, *responder);
     } else {
         responder->send(notFound, {}, {});
     }
@@ -250,8 +250,9 @@
     sendAnswer(m_options.sync->answer(decoded.value()), responder);
 }
 
-template<typename Request, typename Answer>
-void FleetLink::answerStart(const Http::Request &request, const std::function<Answer()> &state,
+template<typename Answer, typename Request>
+void FleetLink::answerStart(const Http::Request &request,
+                            const std::function<Answer(const Request &)> &state,
                             Http::Responder &responder)
 {
     const auto decoded = Schema::decodeMessage<Request>(request.body);
@@ -259,7 +260,7 @@
         responder.send(badRequest, {}, {});
         return;
     }
-    sendAnswer(state(), responder);
+    sendAnswer(state(decoded.value()), responder);
 }
 
 template<typename Message>
@@ -296,7 +297,10 @@
 void FleetLink::askForStreamState(const Runtime::SocketAddress &peer, const std::string &router,
                                   StreamStateAnswered answered)
 {
-    auto body = Schema::encodeMessage(Schema::StreamStateRequest{.router = router}).value();
+    auto body = Schema::encodeMessage(
+                    Schema::StreamStateRequest{.router = router,
+                                               .address = Runtime::toString(m_options.address)})
+                    .value();
     Http::Call call =
         peerCall(peer, streamStatePath, std::move(body), startConnectTimeout, startCallTimeout);
     m_options.client->start(
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -50,9 +50,12 @@
         /// another router. A single answer may exceed it.
         double stateBytesPerSecond = 1e6;
         /// Returns the quarantines and crashes that this router knows, for a peer that starts.
-        std::function<Schema::QuarantineAnswer()> quarantines;
-        /// Returns the software versions that this router knows, for a peer that starts.
-        std::function<Schema::StreamStateAnswer()> streamState;
+        std::function<Schema::QuarantineAnswer(const Schema::QuarantineRequest &request)>
+            quarantines;
+        /// Returns the software versions and streams that this router knows, for a peer that
+        /// starts.
+        std::function<Schema::StreamStateAnswer(const Schema::StreamStateRequest &request)>
+            streamState;
         /// Called for each state that a peer has sent in answer to a pull.
         std::function<void(const Pull &pull, const Schema::FleetStateAnswer &state)> received;
         /// Called for each request that a peer relays, with the path that the caller sent.
@@ -79,8 +82,8 @@
                            QuarantinePull::Answered answered);
     using StreamStateAnswered =
         std::function<void(const Errors::Result<Schema::StreamStateAnswer> &answer)>;
-    /// Asks a peer for software versions; calls back once, asynchronously. The answer of a peer
-    /// that does not support this is empty.
+    /// Asks a peer for software versions and streams; calls back once, asynchronously. The answer
+    /// of a peer that does not support this is empty.
     void askForStreamState(const Runtime::SocketAddress &peer, const std::string &router,
                            StreamStateAnswered answered);
 
@@ -98,8 +101,9 @@
     void handleCall(Http::Request request, const std::shared_ptr<Http::Responder> &responder);
     void answerState(const Http::Request &request, Http::Responder &responder);
     /// Answers a router that starts with what \a state returns.
-    template<typename Request, typename Answer>
-    void answerStart(const Http::Request &request, const std::function<Answer()> &state,
+    template<typename Answer, typename Request>
+    void answerStart(const Http::Request &request,
+                     const std::function<Answer(const Request &)> &state,
                      Http::Responder &responder);
     template<typename Message>
     void sendAnswer(const Message &message, Http::Responder &responder);
--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -259,6 +259,16 @@
     return addresses;
 }
 
+std::vector<Runtime::SocketAddress> FleetSync::leavingPeerAddresses() const
+{
+    std::vector<Runtime::SocketAddress> addresses;
+    for (const auto &[id, peer] : m_peers.peers()) {
+        if (peer.isLeaving)
+            addresses.push_back(peer.address);
+    }
+    return addresses;
+}
+
 std::vector<std::string> FleetSync::peerIds() const
 {
     std::vector<std::string> ids;
--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -186,6 +186,8 @@
     /// Addresses of all routers that are registered or have sent a beacon and are not shutting
     /// down.
     std::vector<Runtime::SocketAddress> peerAddresses() const;
+    /// Addresses of routers that are or were shutting down, and have not started again.
+    std::vector<Runtime::SocketAddress> leavingPeerAddresses() const;
     /// Ids of all routers that are registered or have sent a beacon, without those that have shut
     /// down. A router that is shutting down still serves.
     std::vector<std::string> peerIds() const;
--- a/src/libs/fleetsync/routerranking.cpp
+++ b/src/libs/fleetsync/routerranking.cpp
@@ -8,27 +8,69 @@
 namespace Lagoonbank::FleetSync {
 
 RouterRanking::RouterRanking(const Runtime::SocketAddress &self,
-                             const std::vector<Runtime::SocketAddress> &peers)
-    : m_routers{{Routing::stableHash(Runtime::toString(self)), std::nullopt}}
+                             const std::vector<Runtime::SocketAddress> &peers,
+                             const std::vector<Runtime::SocketAddress> &reserve)
+    : m_routers{{.hash = Routing::stableHash(Runtime::toString(self))}}
 {
+    const auto add = [this](const Runtime::SocketAddress &peer, bool isReserve) {
+        m_routers.push_back({.hash = Routing::stableHash(Runtime::toString(peer)),
+                             .address = peer,
+                             .isReserve = isReserve});
+    };
     for (const Runtime::SocketAddress &peer : peers)
-        m_routers.push_back({Routing::stableHash(Runtime::toString(peer)), peer});
+        add(peer, false);
+    for (const Runtime::SocketAddress &peer : reserve)
+        add(peer, true);
 }
 
-std::vector<Runtime::SocketAddress> RouterRanking::first(std::uint64_t key, std::size_t count) const
+RouterRanking::Rank RouterRanking::rankOf(const Router &router, std::uint64_t key)
+{
+    return {router.isReserve, Routing::mixHashes(key, router.hash)};
+}
+
+std::vector<const RouterRanking::Router *> RouterRanking::ranked(std::uint64_t key,
+                                                                 std::size_t count) const
 {
-    std::vector<std::pair<std::uint64_t, const Router *>> order;
+    std::vector<std::pair<Rank, const Router *>> order;
     order.reserve(m_routers.size());
     for (const Router &router : m_routers)
-        order.emplace_back(Routing::mixHashes(key, router.hash), &router);
+        order.emplace_back(rankOf(router, key), &router);
     const std::size_t end = std::min(order.size(), count);
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(end), order.end());
+    std::vector<const Router *> routers;
+    for (std::size_t i = 0; i < end; ++i)
+        routers.push_back(order[i].second);
+    return routers;
+}
+
+std::vector<Runtime::SocketAddress> RouterRanking::first(std::uint64_t key, std::size_t count) const
+{
     std::vector<Runtime::SocketAddress> addresses;
-    for (std::size_t i = 0; i < end; ++i) {
-        if (const auto &address = order[i].second->address)
-            addresses.push_back(*address);
+    for (const Router *router : ranked(key, count)) {
+        if (router->address)
+            addresses.push_back(*router->address);
     }
     return addresses;
 }
 
+std::vector<Runtime::SocketAddress> RouterRanking::firstPeers(std::uint64_t key,
+                                                              std::size_t count) const
+{
+    std::vector<Runtime::SocketAddress> addresses = first(key, count + 1);
+    addresses.resize(std::min(addresses.size(), count));
+    return addresses;
+}
+
+bool RouterRanking::isAmongFirst(const Runtime::SocketAddress &peer, std::uint64_t key,
+                                 std::size_t count) const
+{
+    const std::uint64_t own = Routing::mixHashes(key, Routing::stableHash(Runtime::toString(peer)));
+    std::size_t before = 0;
+    for (const Router &router : m_routers) {
+        if (!router.isReserve && Routing::mixHashes(key, router.hash) < own && ++before >= count)
+            return false;
+    }
+    return true;
+}
+
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <string>
 #include <utility>
 
 namespace Lagoonbank::FleetSync {
@@ -39,26 +38,56 @@
         m_reportTimer = m_options.timers->start(m_options.reportDelay, [this] { flushReports(); });
 }
 
+RouterRanking StreamGossip::ranking() const
+{
+    return {m_options.self, m_options.peers(),
+            m_options.leavingPeers ? m_options.leavingPeers()
+                                   : std::vector<Runtime::SocketAddress>()};
+}
+
 void StreamGossip::flushReports()
 {
     m_reportTimer.reset();
-    const RouterRanking routers(m_options.self, m_options.peers());
-    std::map<std::string, std::pair<Runtime::SocketAddress, Schema::StreamUpdate>> datagrams;
-    for (const Schema::SharedStream &stream : std::exchange(m_reports, {})) {
-        for (const Runtime::SocketAddress &router :
-             routers.first(stream.stream, m_options.holders)) {
-            auto &[to, message] = datagrams[Runtime::toString(router)];
-            to = router;
+    sendStreams(std::exchange(m_reports, {}), m_options.holders, m_reportBudget);
+}
+
+void StreamGossip::handOver(const std::vector<Schema::SharedStream> &streams)
+{
+    Admission::Gcra budget({.rate = m_options.bytesPerSecond, .burst = m_options.handOverBytes});
+    sendStreams(streams, m_options.askedRouters, budget);
+}
+
+std::vector<Schema::SharedStream>
+StreamGossip::streamsFor(const Runtime::SocketAddress &peer,
+                         const std::vector<Schema::SharedStream> &streams) const
+{
+    const RouterRanking routers = ranking();
+    std::vector<Schema::SharedStream> chosen;
+    for (const Schema::SharedStream &stream : streams) {
+        if (routers.isAmongFirst(peer, stream.stream, m_options.askedRouters))
+            chosen.push_back(stream);
+    }
+    return chosen;
+}
+
+void StreamGossip::sendStreams(const std::vector<Schema::SharedStream> &streams, std::size_t count,
+                               Admission::Gcra &budget)
+{
+    const RouterRanking routers = ranking();
+    std::map<Runtime::SocketAddress, Schema::StreamUpdate> datagrams;
+    for (const Schema::SharedStream &stream : streams) {
+        for (const Runtime::SocketAddress &router : routers.firstPeers(stream.stream, count)) {
+            Schema::StreamUpdate &message = datagrams[router];
             message.streams.push_back(stream);
             if (message.streams.size() < maxItemsPerDatagram)
                 continue;
-            sendWithinBudget(m_reportBudget, to, message);
+            sendWithinBudget(budget, router, message);
             message.streams.clear();
         }
     }
-    for (const auto &[name, addressed] : datagrams) {
-        if (!addressed.second.streams.empty())
-            sendWithinBudget(m_reportBudget, addressed.first, addressed.second);
+    for (const auto &[router, message] : datagrams) {
+        if (!message.streams.empty())
+            sendWithinBudget(budget, router, message);
     }
 }
 
@@ -83,8 +112,8 @@
     question.answered.push_back(std::move(answered));
     if (question.answered.size() > 1)
         return; // The peers have been asked already.
-    const RouterRanking routers(m_options.self, m_options.peers());
-    const std::vector<Runtime::SocketAddress> asked = routers.first(stream, m_options.askedRouters);
+    const std::vector<Runtime::SocketAddress> asked =
+        ranking().firstPeers(stream, m_options.askedRouters);
     question.openAnswers = asked.size();
     question.timer =
         m_options.timers->start(asked.empty() ? Base::Duration::zero() : m_options.askTimeout,
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -21,7 +21,9 @@
 ///
 /// A stream is reported to a few routers, which are chosen by its hash. A router that does not know
 /// a stream asks these, and some more. Reporting every stream to every router would exceed the
-/// control traffic that a large fleet may cause.
+/// control traffic that a large fleet may cause. A router that stops reports the streams that it
+/// breaks off once more, as the first receivers may have restarted since, and one that starts gets
+/// those that it will be asked for from peers.
 ///
 /// Pure: time comes from the timers, messages go out through the hooks.
 class StreamGossip
@@ -34,6 +36,9 @@
     {
         Runtime::TimerQueue *timers = nullptr;
         std::function<std::vector<Runtime::SocketAddress>()> peers;
+        /// Returns peers that are shutting down. They still answer and serve for some seconds, and
+        /// are used where there are too few others. A peer may also have started again unnoticed.
+        std::function<std::vector<Runtime::SocketAddress>()> leavingPeers;
         Runtime::SocketAddress self; ///< Address at which peers reach this router.
         /// Number of routers that know a stream beside the one that began it. Several routers may
         /// end at the same time.
@@ -52,6 +57,8 @@
         /// Maximum size of a burst of questions and answers. Some hundred streams are resumed at
         /// the same moment when a router ends.
         double questionBurstBytes = 96000;
+        /// Maximum size of what a router that stops reports.
+        double handOverBytes = 96000;
         /// Time for which reports are collected into one datagram for each router. By default those
         /// of one iteration of the event loop: a caller may lose its connection and resume the
         /// stream a few ms after the first event.
@@ -71,6 +78,13 @@
     std::function<std::uint64_t(std::uint64_t stream)> find;
 
     void report(const Schema::SharedStream &stream);
+    /// Reports streams at once to all routers that are asked for them. To be called when this
+    /// router is about to end, and its streams break off.
+    void handOver(const std::vector<Schema::SharedStream> &streams);
+    /// Those of the streams for which other routers ask this peer.
+    std::vector<Schema::SharedStream>
+    streamsFor(const Runtime::SocketAddress &peer,
+               const std::vector<Schema::SharedStream> &streams) const;
     /// Asks peers for the version that began a stream. \a answered is called once, later than this
     /// function returns, unless the gossip is destroyed first.
     void ask(std::uint64_t stream, Answered answered);
@@ -87,7 +101,11 @@
         Runtime::TimerId timer;
     };
 
+    RouterRanking ranking() const;
     void flushReports();
+    /// Sends each stream to the first \a count peers in its order, in few datagrams.
+    void sendStreams(const std::vector<Schema::SharedStream> &streams, std::size_t count,
+                     Admission::Gcra &budget);
     void sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
                           const Schema::StreamUpdate &message);
     void answer(const Runtime::SocketAddress &from, const std::vector<std::uint64_t> &streams);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -239,6 +239,10 @@
     std::vector<SoftwareUse> softwareUses() const;
     /// Merges the software versions that a peer knows.
     void softwareUsesReceived(const std::vector<SoftwareUse> &uses);
+    /// The known streams of services that run several versions, the latest ones first.
+    std::vector<StreamOrigin> latestStreams() const;
+    /// The streams in progress of services that run several versions.
+    std::vector<StreamOrigin> streamsInProgress() const;
     /// Announces the streams in progress of services of which a second version serves since the
     /// last call. Call it regularly.
     void announceStreams();
@@ -266,6 +270,7 @@
     {
         return m_options.ownDelay ? m_options.ownDelay() : Base::Duration::zero();
     }
+    std::vector<StreamOrigin> streamsInProgress(const std::set<Base::ServiceId> &services) const;
     /// Records a stream that began at this router, or that has gone on here.
     void streamBegan(const Base::ServiceId &service, const StreamOrigin &origin);
     void countRefusal(Errors::ErrorKind kind);
--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/requestrun.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 // Software versions of streams, which callers may resume at any router.
@@ -36,22 +38,42 @@
     m_endpoints.mergeSoftware(uses, m_options.loop->clock().now());
 }
 
-void Gateway::announceStreams()
+std::vector<StreamOrigin> Gateway::latestStreams() const
+{
+    const Base::MonoTime now = m_options.loop->clock().now();
+    return m_streams.latest(m_endpoints.softwareVersions().mixedSoftware(now), now);
+}
+
+std::vector<StreamOrigin> Gateway::streamsInProgress() const
+{
+    return streamsInProgress(
+        m_endpoints.softwareVersions().mixedServices(m_options.loop->clock().now()));
+}
+
+std::vector<StreamOrigin>
+Gateway::streamsInProgress(const std::set<Base::ServiceId> &services) const
 {
-    const std::set<Base::ServiceId> mixed =
-        m_endpoints.softwareVersions().mixedServices(m_options.loop->clock().now());
-    if (mixed == m_mixedServices)
-        return;
-    const std::set<Base::ServiceId> before = std::exchange(m_mixedServices, mixed);
     std::vector<StreamOrigin> streams;
     for (const auto &run : m_runs) {
-        const bool isNewlyMixed =
-            mixed.contains(run->service()) && !before.contains(run->service());
-        if (!isNewlyMixed)
+        if (!services.contains(run->service()))
             continue;
         if (const auto origin = run->streamOrigin())
             streams.push_back(*origin);
     }
+    return streams;
+}
+
+void Gateway::announceStreams()
+{
+    const std::set<Base::ServiceId> mixed =
+        m_endpoints.softwareVersions().mixedServices(m_options.loop->clock().now());
+    if (mixed == m_mixedServices)
+        return;
+    const std::set<Base::ServiceId> before = std::exchange(m_mixedServices, mixed);
+    std::set<Base::ServiceId> newlyMixed;
+    std::set_difference(mixed.begin(), mixed.end(), before.begin(), before.end(),
+                        std::inserter(newlyMixed, newlyMixed.end()));
+    const std::vector<StreamOrigin> streams = streamsInProgress(newlyMixed);
     if (m_options.streamsBegan && !streams.empty())
         m_options.streamsBegan(streams);
 }
--- a/src/libs/gateway/softwareversions.cpp
+++ b/src/libs/gateway/softwareversions.cpp
@@ -96,4 +96,14 @@
     return mixed;
 }
 
+std::set<SoftwareHash> SoftwareVersions::mixedSoftware(Base::MonoTime now) const
+{
+    std::set<SoftwareHash> software;
+    for (const SoftwareUse &use : uses(now)) {
+        if (isMixed(use.service, now))
+            software.insert(use.software);
+    }
+    return software;
+}
+
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/softwareversions.h
+++ b/src/libs/gateway/softwareversions.h
@@ -58,6 +58,8 @@
     /// Whether endpoints of the service run or have run several versions.
     bool isMixed(const Base::ServiceId &service, Base::MonoTime now) const;
     std::set<Base::ServiceId> mixedServices(Base::MonoTime now) const;
+    /// The versions of the services that are mixed.
+    std::set<SoftwareHash> mixedSoftware(Base::MonoTime now) const;
 
 private:
     struct Usage
--- a/src/libs/gateway/streamdirectory.cpp
+++ b/src/libs/gateway/streamdirectory.cpp
@@ -47,4 +47,19 @@
     return isKnown ? std::optional(entry->second.software) : std::nullopt;
 }
 
+std::vector<StreamOrigin> StreamDirectory::latest(const std::set<SoftwareHash> &software,
+                                                  Base::MonoTime now) const
+{
+    std::vector<StreamOrigin> streams;
+    for (auto recording = m_recordings.rbegin(); recording != m_recordings.rend(); ++recording) {
+        const auto entry = m_streams.find(recording->stream);
+        const bool isCurrent =
+            entry != m_streams.end() && entry->second.recordedAt == recording->at;
+        const bool isExpired = now - recording->at >= m_options.lifetime;
+        if (isCurrent && !isExpired && software.contains(entry->second.software))
+            streams.push_back({.stream = recording->stream, .software = entry->second.software});
+    }
+    return streams;
+}
+
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/streamdirectory.h
+++ b/src/libs/gateway/streamdirectory.h
@@ -11,7 +11,9 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string_view>
+#include <vector>
 
 namespace Lagoonbank::Gateway {
 
@@ -49,6 +51,9 @@
 
     void record(const StreamOrigin &origin, Base::MonoTime now);
     std::optional<SoftwareHash> find(StreamHash stream, Base::MonoTime now) const;
+    /// The streams that one of these versions began, the latest ones first.
+    std::vector<StreamOrigin> latest(const std::set<SoftwareHash> &software,
+                                     Base::MonoTime now) const;
     std::size_t size() const { return m_streams.size(); }
 
 private:
--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -234,3 +234,29 @@
         BOOST_TEST(caller.has("HTTP/1.1 503") == !isServed);
     }
 }
+
+/// Guards against streams that are unknown after a planned restart of all routers in turn: each
+/// router that was told of them restarts before the one that serves them ends.
+BOOST_AUTO_TEST_CASE(streamsGoOnAfterAllRoutersHaveRestarted)
+{
+    RouterFleet f;
+    constexpr int streams = 12;
+    const std::vector<std::size_t> servedBy = f.begin(0, streams);
+    f.pass(milliseconds(100));
+    for (int router = 1; router < routerCount; ++router) {
+        f.routers.at(router)->stopGracefully();
+        f.pass(seconds(1));
+        f.routers.at(router).reset();
+        f.run(router);
+        f.pass(seconds(1));
+    }
+    f.routers.at(0)->stopGracefully();
+    f.pass(seconds(8));
+    f.routers.at(0).reset();
+    for (int i = 0; i < streams; ++i) {
+        const int resumedAt = f.resume(i);
+        BOOST_REQUIRE(resumedAt >= 0);
+        const std::size_t first = servedBy[static_cast<std::size_t>(i)];
+        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == first % 2);
+    }
+}
--- a/tests/auto/fleetsync/tst_streamgossip.cpp
+++ b/tests/auto/fleetsync/tst_streamgossip.cpp
@@ -35,19 +35,24 @@
         for (std::size_t i = 0; i < count; ++i)
             add(i);
     }
-    std::vector<Runtime::SocketAddress> peersOf(std::size_t index) const
+    /// The peers of a router that are leaving, or those that are not.
+    std::vector<Runtime::SocketAddress> peersOf(std::size_t index, bool areLeaving = false) const
     {
-        auto peers = addresses;
-        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
-        if (starting.contains(index))
-            peers.clear();
+        std::vector<Runtime::SocketAddress> peers;
+        for (std::size_t i = 0; i < addresses.size() && !starting.contains(index); ++i) {
+            if (i != index && leaving.contains(i) == areLeaving)
+                peers.push_back(addresses[i]);
+        }
         return peers;
     }
+    /// A router ends and starts again, so that it knows nothing.
+    void restart(std::size_t index) { known[index].clear(); }
     void add(std::size_t index)
     {
         auto gossip = std::make_unique<StreamGossip>(
             StreamGossip::Options{.timers = &timers,
                                   .peers = [this, index] { return peersOf(index); },
+                                  .leavingPeers = [this, index] { return peersOf(index, true); },
                                   .self = addresses[index]});
         gossip->send = [this, index](const Runtime::SocketAddress &to,
                                      const Schema::StreamUpdate &message) {
@@ -103,6 +108,7 @@
     std::vector<std::map<std::uint64_t, std::uint64_t>> known; ///< By router and stream.
     std::vector<std::size_t> sentBytes; ///< By router.
     std::set<std::size_t> ended;
+    std::set<std::size_t> leaving; ///< Routers that are shutting down and still answer.
     std::set<std::size_t> starting; ///< Routers that don't know their peers yet.
     bool isAnswered = false;
 };
@@ -232,3 +238,84 @@
         found += f.ask(1, stream * 7919) == software ? 1 : 0;
     BOOST_TEST(found == streams);
 }
+
+/// Guards against streams that fewer routers know than intended as the one that began them counts
+/// as one of their holders.
+BOOST_AUTO_TEST_CASE(threeRoutersBesideTheOwnKnowAStream)
+{
+    Routers f(6);
+    for (std::uint64_t stream = 1; stream <= 50; ++stream) {
+        f.begin(0, stream * 7919);
+        f.pass(milliseconds(1));
+        const auto holders = std::count_if(f.known.begin(), f.known.end(), [&](const auto &known) {
+            return known.contains(stream * 7919);
+        });
+        BOOST_TEST(holders == 4);
+    }
+}
+
+/// Guards against streams that nobody is told of as all other routers are shutting down; these
+/// still serve the callers that resume them.
+BOOST_AUTO_TEST_CASE(streamIsKnownIfAllOtherRoutersAreLeaving)
+{
+    Routers f(6);
+    f.leaving = {1, 2, 3, 4, 5};
+    for (std::uint64_t stream = 1; stream <= 20; ++stream)
+        f.begin(0, stream * 7919);
+    f.pass(milliseconds(10));
+    f.ended.insert(0);
+    for (std::uint64_t stream = 1; stream <= 20; ++stream)
+        BOOST_TEST((f.ask(1 + stream % 5, stream * 7919) == software));
+}
+
+/// Guards against streams that are unknown after a planned restart of all routers in turn: the
+/// routers that were told of them have restarted when the one that serves them ends.
+BOOST_AUTO_TEST_CASE(stoppingRouterHandsOverItsStreams)
+{
+    for (const std::size_t count : {2U, 6U, 24U, 300U}) {
+        BOOST_TEST_CONTEXT(count << " routers")
+        {
+            Routers f(count);
+            constexpr std::uint64_t streams = 200;
+            std::vector<Schema::SharedStream> inProgress;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+                f.begin(0, stream * 7919);
+                inProgress.push_back({.stream = stream * 7919, .software = software});
+            }
+            f.pass(milliseconds(10));
+            for (std::size_t router = 1; router < count; ++router)
+                f.restart(router);
+            f.routers[0]->handOver(inProgress);
+            f.ended.insert(0);
+            for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+                const std::size_t router = 1 + stream % (count - 1);
+                BOOST_TEST((f.ask(router, stream * 7919) == software));
+            }
+        }
+    }
+}
+
+/// Guards against a router that starts and is asked for streams that it was told of before, and
+/// against pulls of all streams of a large fleet.
+BOOST_AUTO_TEST_CASE(startingRouterGetsTheStreamsThatItIsAskedFor)
+{
+    constexpr std::uint64_t streams = 300;
+    std::vector<Schema::SharedStream> all;
+    for (std::uint64_t stream = 1; stream <= streams; ++stream)
+        all.push_back({.stream = stream * 7919, .software = software});
+    for (const std::size_t count : {6U, 300U}) {
+        BOOST_TEST_CONTEXT(count << " routers")
+        {
+            Routers f(count);
+            for (const auto &stream : f.routers[0]->streamsFor(f.addresses[1], all))
+                f.known[1][stream.stream] = stream.software;
+            // Only the other router knows the streams.
+            std::size_t found = 0;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream)
+                found += f.ask(2, stream * 7919) == software ? 1 : 0;
+            BOOST_TEST(found == f.known[1].size());
+            BOOST_TEST((count > 6 || found == streams));
+            BOOST_TEST((count == 6 || found < streams / 10));
+        }
+    }
+}
