FleetSync: Leave out peers that do not answer

Cause: routers that have left stay registered, and gossip about streams took the first three routers of an order by hash, alive or not; with eight of ten gone none of the three was alive for 7 in 10 streams. Ruled out: the budget of reports (nothing dropped).

A peer that does not answer is left out, and what it was told goes to the next one; questions go on to others too. Reports of crashes choose their receivers in the same way.

Open: such routers still count in shares of connections and of retries.

--- a/src/libs/fleetsync/crashgossip.cpp
+++ b/src/libs/fleetsync/crashgossip.cpp
@@ -42,7 +42,7 @@
 
 void CrashGossip::sendCrashReports(const std::vector<Schema::SharedCrash> &crashes)
 {
-    const RouterRanking routers(m_options.self, m_options.peers());
+    const RouterRanking routers(m_options.self, m_options.silence->answering(m_options.peers()));
     for (auto first = crashes.begin(); first != crashes.end();) {
         const auto count = std::min<std::ptrdiff_t>(crashes.end() - first, maxItemsPerDatagram);
         sendBatch({first, first + count}, routers);
@@ -73,6 +73,7 @@
         }
         m_byteBudget.charge(cost, now);
         send(to, datagram);
+        m_options.silence->confirm(to);
     }
 }
 
--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -28,6 +28,8 @@
 /// own link is slow then.
 constexpr Base::Duration initialPullTimeout = std::chrono::seconds(1);
 constexpr Base::Duration maxPullTimeout = std::chrono::seconds(8);
+/// A stream that no router knows. Routers of any version answer a question for it.
+constexpr std::uint64_t unusedStream = 0;
 constexpr std::size_t maxPullRequestBytes = 1024;
 /// Maximum size of one answer: 8,192 endpoints and a configuration of 4 MB when compressed.
 constexpr double maxStateBytes = 6e6;
@@ -73,6 +75,7 @@
     m_options.crashes->send = nullptr;
     m_options.parts->send = nullptr;
     m_options.streams->send = nullptr;
+    m_options.silence->probe = nullptr;
 }
 
 Errors::Result<std::unique_ptr<FleetLink>> FleetLink::open(Options options)
@@ -111,6 +114,9 @@
     own.streams->send = [raw = link.get()](const auto &to, const auto &message) {
         raw->send(to, message);
     };
+    own.silence->probe = [raw = link.get()](const auto &to) {
+        raw->send(to, Schema::StreamUpdate{.asked = {unusedStream}});
+    };
     own.sync->pull = [raw = link.get()](const auto &peer, const auto &request) {
         raw->pull(peer, request);
     };
@@ -131,6 +137,7 @@
 
 void FleetLink::receive(const Runtime::SocketAddress &from, std::string_view datagram)
 {
+    m_options.silence->heard(from);
     const auto version = Schema::messageVersion(datagram);
     if (version == versionOf(Schema::PromptUpdate{})) {
         read<Schema::PromptUpdate>(
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -6,6 +6,7 @@
 #include "fleetsync/fleetsync.h"
 #include "fleetsync/loadgossip.h"
 #include "fleetsync/partgossip.h"
+#include "fleetsync/peersilence.h"
 #include "fleetsync/promptgossip.h"
 #include "fleetsync/quarantinepull.h"
 #include "fleetsync/streamgossip.h"
@@ -45,6 +46,7 @@
         CrashGossip *crashes = nullptr;
         PartGossip *parts = nullptr;
         StreamGossip *streams = nullptr;
+        PeerSilence *silence = nullptr;
         Runtime::SocketAddress address;
         /// Rate limit for answers to pulls. A pull beyond it is refused, and the peer pulls from
         /// another router. A single answer may exceed it.
--- a/src/libs/fleetsync/partgossip.cpp
+++ b/src/libs/fleetsync/partgossip.cpp
@@ -51,7 +51,7 @@
 
 void PartGossip::sendCrashes(const std::vector<Schema::SharedPartCrash> &crashes)
 {
-    const RouterRanking routers(m_options.self, m_options.peers());
+    const RouterRanking routers(m_options.self, m_options.silence->answering(m_options.peers()));
     const auto receivers = routers.first(comparingRoutersKey, m_options.comparingRouters);
     forEachDatagram(crashes, [&](std::vector<Schema::SharedPartCrash> items) {
         const double bytes = emptyDatagramBytes + crashBytes * static_cast<double>(items.size());
@@ -87,6 +87,7 @@
         }
         m_byteBudget.charge(bytes, now);
         send(to, message);
+        m_options.silence->confirm(to);
     }
 }
 
--- a/src/libs/fleetsync/partgossip.h
+++ b/src/libs/fleetsync/partgossip.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/gcra.h"
+#include "fleetsync/peersilence.h"
 #include "fleetsync/routerranking.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
@@ -28,6 +29,7 @@
     {
         Runtime::TimerQueue *timers = nullptr;
         std::function<std::vector<Runtime::SocketAddress>()> peers;
+        PeerSilence *silence = nullptr;
         Runtime::SocketAddress self; ///< Address at which peers reach this router.
         std::uint64_t randomSeed = 1;
         /// Number of routers that compare crashes. There are several because some may be down, cut
--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -40,21 +40,28 @@
 
 RouterRanking StreamGossip::ranking() const
 {
-    return {m_options.self, m_options.peers(),
-            m_options.leavingPeers ? m_options.leavingPeers()
-                                   : std::vector<Runtime::SocketAddress>()};
+    std::vector<Runtime::SocketAddress> leaving;
+    if (m_options.leavingPeers)
+        leaving = m_options.silence->answering(m_options.leavingPeers());
+    return {m_options.self, m_options.silence->answering(m_options.peers()), leaving};
 }
 
 void StreamGossip::flushReports()
 {
     m_reportTimer.reset();
-    sendStreams(std::exchange(m_reports, {}), m_options.holders, m_reportBudget);
+    const auto holders = [this](const RouterRanking &routers, std::uint64_t stream) {
+        return routers.firstPeers(stream, m_options.holders);
+    };
+    sendStreams(std::exchange(m_reports, {}), holders, m_reportBudget);
 }
 
 void StreamGossip::handOver(const std::vector<Schema::SharedStream> &streams)
 {
     Admission::Gcra budget({.rate = m_options.bytesPerSecond, .burst = m_options.handOverBytes});
-    sendStreams(streams, m_options.askedRouters, budget);
+    const auto asked = [this](const RouterRanking &routers, std::uint64_t stream) {
+        return routers.firstPeers(stream, m_options.askedRouters);
+    };
+    sendStreams(streams, asked, budget);
 }
 
 std::vector<Schema::SharedStream>
@@ -70,28 +77,53 @@
     return chosen;
 }
 
-void StreamGossip::sendStreams(const std::vector<Schema::SharedStream> &streams, std::size_t count,
-                               Admission::Gcra &budget)
+void StreamGossip::sendStreams(const std::vector<Schema::SharedStream> &streams,
+                               const ChooseReceivers &receivers, Admission::Gcra &budget)
 {
     const RouterRanking routers = ranking();
     std::map<Runtime::SocketAddress, Schema::StreamUpdate> datagrams;
     for (const Schema::SharedStream &stream : streams) {
-        for (const Runtime::SocketAddress &router : routers.firstPeers(stream.stream, count)) {
+        for (const Runtime::SocketAddress &router : receivers(routers, stream.stream)) {
             Schema::StreamUpdate &message = datagrams[router];
             message.streams.push_back(stream);
             if (message.streams.size() < maxItemsPerDatagram)
                 continue;
-            sendWithinBudget(budget, router, message);
+            sendStreamsTo(router, message, budget);
             message.streams.clear();
         }
     }
     for (const auto &[router, message] : datagrams) {
         if (!message.streams.empty())
-            sendWithinBudget(budget, router, message);
+            sendStreamsTo(router, message, budget);
     }
 }
 
-void StreamGossip::sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
+void StreamGossip::sendStreamsTo(const Runtime::SocketAddress &router,
+                                 const Schema::StreamUpdate &message, Admission::Gcra &budget)
+{
+    if (!sendWithinBudget(budget, router, message) || m_options.silence->isConfirmed(router))
+        return;
+    auto &unconfirmed = m_unconfirmed[router];
+    unconfirmed.insert(unconfirmed.end(), message.streams.begin(), message.streams.end());
+    m_options.silence->confirm(router);
+}
+
+void StreamGossip::peerFellSilent(const Runtime::SocketAddress &peer)
+{
+    const auto streams = m_unconfirmed.extract(peer);
+    if (streams.empty())
+        return;
+    // Without the silent peer, the last holder is a new one.
+    const auto newHolder = [this](const RouterRanking &routers, std::uint64_t stream) {
+        std::vector<Runtime::SocketAddress> holders = routers.firstPeers(stream, m_options.holders);
+        if (holders.size() < m_options.holders)
+            return std::vector<Runtime::SocketAddress>();
+        return std::vector<Runtime::SocketAddress>{std::move(holders.back())};
+    };
+    sendStreams(streams.mapped(), newHolder, m_reportBudget);
+}
+
+bool StreamGossip::sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
                                     const Schema::StreamUpdate &message)
 {
     const double cost = emptyDatagramBytes
@@ -100,10 +132,11 @@
     const Base::MonoTime now = m_options.timers->clock().now();
     if (!send || budget.waitFor(cost, now) != Base::Duration::zero()) {
         m_dropped += message.streams.size() + message.asked.size();
-        return;
+        return false;
     }
     budget.charge(cost, now);
     send(to, message);
+    return true;
 }
 
 void StreamGossip::ask(std::uint64_t stream, Answered answered)
@@ -112,14 +145,52 @@
     question.answered.push_back(std::move(answered));
     if (question.answered.size() > 1)
         return; // The peers have been asked already.
-    const std::vector<Runtime::SocketAddress> asked =
-        ranking().firstPeers(stream, m_options.askedRouters);
-    question.openAnswers = asked.size();
+    if (!askNext(stream, question)) {
+        question.timer = m_options.timers->start(
+            Base::Duration::zero(), [this, stream] { finishQuestion(stream, std::nullopt); });
+    }
+}
+
+bool StreamGossip::askNext(std::uint64_t stream, Question &question)
+{
+    std::vector<Runtime::SocketAddress> next =
+        ranking().firstPeers(stream, question.asked.size() + m_options.askedRouters);
+    std::erase_if(next, [&question](const Runtime::SocketAddress &router) {
+        return std::find(question.asked.begin(), question.asked.end(), router)
+            != question.asked.end();
+    });
+    next.resize(std::min(next.size(), m_options.askedRouters));
+    if (next.empty())
+        return false;
+    ++question.rounds;
+    question.askedAt = m_options.timers->clock().now();
+    question.openAnswers += next.size();
+    question.asked.insert(question.asked.end(), next.begin(), next.end());
     question.timer =
-        m_options.timers->start(asked.empty() ? Base::Duration::zero() : m_options.askTimeout,
-                                [this, stream] { finishQuestion(stream, std::nullopt); });
-    for (const Runtime::SocketAddress &router : asked)
-        sendWithinBudget(m_questionBudget, router, {.asked = {stream}});
+        m_options.timers->start(m_options.askTimeout, [this, stream] { questionTimedOut(stream); });
+    std::vector<Runtime::SocketAddress> sentTo;
+    for (const Runtime::SocketAddress &router : next) {
+        if (sendWithinBudget(m_questionBudget, router, {.asked = {stream}}))
+            sentTo.push_back(router);
+    }
+    if (const auto found = m_questions.find(stream); found != m_questions.end())
+        found->second.lastAsked = std::move(sentTo);
+    return true;
+}
+
+void StreamGossip::questionTimedOut(std::uint64_t stream)
+{
+    const auto found = m_questions.find(stream);
+    if (found == m_questions.end())
+        return;
+    Question &question = found->second;
+    std::size_t silent = 0;
+    for (const Runtime::SocketAddress &router : question.lastAsked)
+        silent += m_options.silence->unanswered(router, question.askedAt) ? 1 : 0;
+    question.openAnswers -= std::min(question.openAnswers, silent);
+    const bool isLast = silent == 0 || question.rounds >= m_options.maxQuestionRounds;
+    if (isLast || !askNext(stream, question))
+        finishQuestion(stream, std::nullopt);
 }
 
 void StreamGossip::receive(const Runtime::SocketAddress &from, const Schema::StreamUpdate &message)
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/gcra.h"
+#include "fleetsync/peersilence.h"
 #include "fleetsync/routerranking.h"
 #include "runtime/timerqueue.h"
 #include "runtime/udpsocket.h"
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -23,7 +25,7 @@
 /// a stream asks these, and some more. Reporting every stream to every router would exceed the
 /// control traffic that a large fleet may cause. A router that stops reports the streams that it
 /// breaks off once more, as the first receivers may have restarted since, and one that starts gets
-/// those that it will be asked for from peers.
+/// those that it will be asked for from peers. Peers that do not answer are replaced by others.
 ///
 /// Pure: time comes from the timers, messages go out through the hooks.
 class StreamGossip
@@ -39,6 +41,7 @@
         /// Returns peers that are shutting down. They still answer and serve for some seconds, and
         /// are used where there are too few others. A peer may also have started again unnoticed.
         std::function<std::vector<Runtime::SocketAddress>()> leavingPeers;
+        PeerSilence *silence = nullptr;
         Runtime::SocketAddress self; ///< Address at which peers reach this router.
         /// Number of routers that know a stream beside the one that began it. Several routers may
         /// end at the same time.
@@ -46,6 +49,8 @@
         /// Number of routers that are asked for a stream. There are more than holders, as a router
         /// that has just started reports to those that it knows by then.
         std::size_t askedRouters = 6;
+        /// Number of times that further routers are asked in place of those that do not answer.
+        int maxQuestionRounds = 3;
         /// Budget for reports. What exceeds it is dropped.
         double bytesPerSecond = 3000;
         /// Maximum size of a burst of reports. Each router reports some hundred streams at once
@@ -63,7 +68,8 @@
         /// of one iteration of the event loop: a caller may lose its connection and resume the
         /// stream a few ms after the first event.
         Base::Duration reportDelay{};
-        /// Time after which a question without an answer fails. Peers are a few ms away.
+        /// Time after which routers that have not answered a question count as silent, and others
+        /// are asked. Peers are a few ms away.
         Base::Duration askTimeout = std::chrono::milliseconds(50);
     };
 
@@ -89,6 +95,10 @@
     /// function returns, unless the gossip is destroyed first.
     void ask(std::uint64_t stream, Answered answered);
     void receive(const Runtime::SocketAddress &from, const Schema::StreamUpdate &message);
+    /// Reports the streams to others that a peer was told of and has not confirmed.
+    void peerFellSilent(const Runtime::SocketAddress &peer);
+    /// A peer has confirmed that it receives what is sent to it.
+    void peerAnswered(const Runtime::SocketAddress &peer) { m_unconfirmed.erase(peer); }
     /// Number of reports and questions that were not sent for lack of budget, once for each
     /// receiver.
     std::uint64_t dropped() const { return m_dropped; }
@@ -97,17 +107,30 @@
     struct Question
     {
         std::vector<Answered> answered;
+        std::vector<Runtime::SocketAddress> asked; ///< In all rounds.
+        std::vector<Runtime::SocketAddress>
+            lastAsked; ///< In the last round, without those dropped.
+        Base::MonoTime askedAt{}; ///< Time of the last round.
+        int rounds = 0;
         std::size_t openAnswers = 0;
         Runtime::TimerId timer;
     };
 
     RouterRanking ranking() const;
     void flushReports();
-    /// Sends each stream to the first \a count peers in its order, in few datagrams.
-    void sendStreams(const std::vector<Schema::SharedStream> &streams, std::size_t count,
-                     Admission::Gcra &budget);
-    void sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
+    using ChooseReceivers = std::function<std::vector<Runtime::SocketAddress>(
+        const RouterRanking &routers, std::uint64_t stream)>;
+    /// Sends each stream to its receivers, in few datagrams.
+    void sendStreams(const std::vector<Schema::SharedStream> &streams,
+                     const ChooseReceivers &receivers, Admission::Gcra &budget);
+    bool sendWithinBudget(Admission::Gcra &budget, const Runtime::SocketAddress &to,
                           const Schema::StreamUpdate &message);
+    void sendStreamsTo(const Runtime::SocketAddress &router, const Schema::StreamUpdate &message,
+                       Admission::Gcra &budget);
+    /// Asks the first routers that have not been asked; returns false if there are none. An answer
+    /// may end the question meanwhile.
+    bool askNext(std::uint64_t stream, Question &question);
+    void questionTimedOut(std::uint64_t stream);
     void answer(const Runtime::SocketAddress &from, const std::vector<std::uint64_t> &streams);
     void answerReceived(const Schema::SharedStream &stream);
     void finishQuestion(std::uint64_t stream, std::optional<std::uint64_t> software);
@@ -117,6 +140,8 @@
     Admission::Gcra m_questionBudget;
     std::vector<Schema::SharedStream> m_reports; ///< Not sent yet.
     std::optional<Runtime::TimerId> m_reportTimer;
+    /// Streams that were sent to peers that have not been heard for a while.
+    std::map<Runtime::SocketAddress, std::vector<Schema::SharedStream>> m_unconfirmed;
     absl::flat_hash_map<std::uint64_t, Question> m_questions; ///< By stream.
     std::uint64_t m_dropped = 0;
 };
--- a/tests/auto/fleetsync/tst_crashgossip.cpp
+++ b/tests/auto/fleetsync/tst_crashgossip.cpp
@@ -38,6 +38,7 @@
                     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
                     return peers;
                 },
+            .silence = &silence,
             .self = addresses[index],
             .randomSeed = index + 1});
         gossip->send = [this](const Runtime::SocketAddress &to,
@@ -63,6 +64,7 @@
     std::vector<Runtime::SocketAddress> addresses;
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
+    FleetSync::PeerSilence silence{{.timers = &timers}};
     std::vector<std::unique_ptr<CrashGossip>> routers;
     std::size_t datagrams = 0;
     std::size_t bytes = 0;
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -39,6 +39,7 @@
                                         .crashes = &crashes,
                                         .parts = &parts,
                                         .streams = &streams,
+                                        .silence = &silence,
                                         .address = {"127.0.0.1", port},
                                         .stateBytesPerSecond = 100000,
                                         .received = [](const auto &, const auto &) {},
@@ -59,14 +60,18 @@
         {.timers = timers, .peers = [this] { return sync.peerAddresses(); }}};
     FleetSync::LoadGossip loads{
         {.timers = timers, .peers = [this] { return sync.peerAddresses(); }}};
+    FleetSync::PeerSilence silence{{.timers = timers}};
     FleetSync::CrashGossip crashes{{.timers = timers,
                                     .peers = [this] { return sync.peerAddresses(); },
+                                    .silence = &silence,
                                     .self = {"127.0.0.1", port}}};
     FleetSync::PartGossip parts{{.timers = timers,
                                  .peers = [this] { return sync.peerAddresses(); },
+                                 .silence = &silence,
                                  .self = {"127.0.0.1", port}}};
     FleetSync::StreamGossip streams{{.timers = timers,
                                      .peers = [this] { return sync.peerAddresses(); },
+                                     .silence = &silence,
                                      .self = {"127.0.0.1", port}}};
     std::unique_ptr<FleetSync::FleetLink> link;
     std::size_t bytes = 0;
--- a/tests/auto/fleetsync/tst_partgossip.cpp
+++ b/tests/auto/fleetsync/tst_partgossip.cpp
@@ -38,6 +38,7 @@
                     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
                     return peers;
                 },
+            .silence = &silence,
             .self = addresses[index],
             .randomSeed = index + 1});
         gossip->send = [this, index](const Runtime::SocketAddress &to,
@@ -65,6 +66,7 @@
     std::vector<Runtime::SocketAddress> addresses;
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
+    FleetSync::PeerSilence silence{{.timers = &timers}};
     std::vector<std::unique_ptr<PartGossip>> routers;
     std::size_t servingRouter = 2; ///< The only one that answers questions.
     std::size_t bytes = 0;
--- a/tests/auto/fleetsync/tst_streamgossip.cpp
+++ b/tests/auto/fleetsync/tst_streamgossip.cpp
@@ -49,19 +49,33 @@
     void restart(std::size_t index) { known[index].clear(); }
     void add(std::size_t index)
     {
+        silences.push_back(
+            std::make_unique<FleetSync::PeerSilence>(FleetSync::PeerSilence::Options{&timers}));
         auto gossip = std::make_unique<StreamGossip>(
             StreamGossip::Options{.timers = &timers,
                                   .peers = [this, index] { return peersOf(index); },
                                   .leavingPeers = [this, index] { return peersOf(index, true); },
+                                  .silence = silences[index].get(),
                                   .self = addresses[index]});
+        silences[index]->probe = [this, index](const Runtime::SocketAddress &to) {
+            routers[index]->send(to, {.asked = {0}});
+        };
+        silences[index]->answered = [this, index](const Runtime::SocketAddress &peer) {
+            routers[index]->peerAnswered(peer);
+        };
+        silences[index]->fellSilent = [this, index](const Runtime::SocketAddress &peer) {
+            routers[index]->peerFellSilent(peer);
+        };
         gossip->send = [this, index](const Runtime::SocketAddress &to,
                                      const Schema::StreamUpdate &message) {
             constexpr std::size_t headers = 28;
             sentBytes[index] += headers + Schema::encodeMessage(message).value().size();
             const auto receiver = std::find(addresses.begin(), addresses.end(), to);
             const auto receiverIndex = static_cast<std::size_t>(receiver - addresses.begin());
-            if (!ended.contains(receiverIndex))
-                routers[receiverIndex]->receive(addresses[index], message);
+            if (ended.contains(receiverIndex) || ended.contains(index))
+                return;
+            silences[receiverIndex]->heard(addresses[index]);
+            routers[receiverIndex]->receive(addresses[index], message);
         };
         gossip->received = [this, index](const Schema::SharedStream &stream) {
             known[index][stream.stream] = stream.software;
@@ -92,18 +106,20 @@
         if (const std::uint64_t own = routers[router]->find(stream))
             return own;
         isAnswered = false;
-        std::optional<std::uint64_t> answer;
-        routers[router]->ask(stream, [&](std::optional<std::uint64_t> found) {
+        // The answer may come after this function has returned.
+        const auto answer = std::make_shared<std::optional<std::uint64_t>>();
+        routers[router]->ask(stream, [this, answer](std::optional<std::uint64_t> found) {
             isAnswered = true;
-            answer = found;
+            *answer = found;
         });
         pass(within);
-        return answer;
+        return *answer;
     }
 
     std::vector<Runtime::SocketAddress> addresses;
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
+    std::vector<std::unique_ptr<FleetSync::PeerSilence>> silences;
     std::vector<std::unique_ptr<StreamGossip>> routers;
     std::vector<std::map<std::uint64_t, std::uint64_t>> known; ///< By router and stream.
     std::vector<std::size_t> sentBytes; ///< By router.
@@ -319,3 +335,73 @@
         }
     }
 }
+
+/// Guards against streams that are told to routers that have left for good: these stay registered,
+/// and a router that is killed tells nobody. Half of the streams of a router that ends have to be
+/// known by those that are left.
+BOOST_AUTO_TEST_CASE(routersThatHaveLeftAreNoHolders)
+{
+    struct Fleet
+    {
+        std::size_t registered;
+        std::size_t living;
+    };
+    for (const Fleet &fleet : {Fleet{10, 2}, Fleet{24, 4}, Fleet{300, 60}, Fleet{300, 20}}) {
+        BOOST_TEST_CONTEXT(fleet.living << " of " << fleet.registered << " routers")
+        {
+            Routers f(fleet.registered);
+            for (std::size_t router = fleet.living; router < fleet.registered; ++router)
+                f.ended.insert(router);
+            constexpr std::uint64_t streams = 100;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+                f.begin(0, stream * 7919);
+                f.pass(milliseconds(10));
+            }
+            f.pass(milliseconds(500));
+            f.ended.insert(0);
+            std::uint64_t found = 0;
+            for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+                const std::size_t router = 1 + stream % (fleet.living - 1);
+                found += f.ask(router, stream * 7919, milliseconds(160)) == software ? 1 : 0;
+            }
+            BOOST_TEST(found >= streams / 2);
+            BOOST_TEST((fleet.living > 2 || found == streams));
+        }
+    }
+}
+
+/// Guards against routers that are never told of streams again after a moment of silence.
+BOOST_AUTO_TEST_CASE(routerThatReturnsIsHolderAgain)
+{
+    Routers f(2);
+    f.ended.insert(1);
+    f.begin(0, 1);
+    f.pass(milliseconds(60));
+    BOOST_TEST(f.silences[0]->isSilent(f.addresses[1]));
+    f.ended.clear();
+    BOOST_TEST((f.ask(1, 1) == software)); // Router 0 hears it again.
+    f.begin(0, 2);
+    f.pass(milliseconds(1));
+    BOOST_TEST(f.known[1].contains(2));
+}
+
+/// Guards against control traffic for routers that have left for good.
+BOOST_AUTO_TEST_CASE(silentRoutersAreProbedLessAndLess)
+{
+    Routers f(10);
+    for (std::size_t router = 1; router < 10; ++router)
+        f.ended.insert(router);
+    std::uint64_t stream = 0;
+    const auto beginFor = [&](seconds duration) {
+        const std::size_t before = f.sentBytes[0];
+        for (auto left = duration; left > left.zero(); --left) {
+            f.begin(0, ++stream * 7919);
+            f.pass(seconds(1));
+        }
+        return f.sentBytes[0] - before;
+    };
+    const std::size_t first = beginFor(seconds(60));
+    beginFor(seconds(600));
+    const std::size_t last = beginFor(seconds(60));
+    BOOST_TEST(last < first / 2);
+}
