Gateway: Accept gaps between the ids of events

Streams whose ids increase by more than one were broken off, though the users' page asks for increasing ids only. Cause: forwardEvent() took any gap for missing events. That check now holds where a stream is moved to another endpoint and had no gaps before.

tst_gateway (eventIdsMayHaveGaps) failed before. The existing test of missing events after a move is unchanged and holds.

--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -266,6 +266,7 @@
     /// event.
     std::optional<SoftwareHash> m_software;
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last forwarded event.
+    bool m_hasIdGaps = false; ///< Ids of forwarded events are not consecutive.
     std::int64_t m_eventCount = 0; ///< Number of forwarded events.
     AnswerBuffer m_answerBody; ///< Of an answer that is not a stream.
     EventSplitter m_eventSplitter;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -150,7 +150,9 @@
     attemptFailed({.kind = ErrorKind::EndpointBroke});
 }
 
-/// Forwards a complete event. False if preceding events are missing.
+/// Forwards a complete event. False if preceding events are missing: a stream that was moved has to
+/// go on with the next event. Ids of one endpoint's events may have gaps; where they do, a missing
+/// event cannot be told from a gap.
 bool RequestRun::forwardEvent(const EventSplitter::Event &event)
 {
     Attempt &attempt = *m_attempt;
@@ -158,8 +160,10 @@
     if (event.id && m_lastEventId) {
         if (*event.id <= *m_lastEventId)
             return true; // The caller has already received this event.
-        if (*event.id > *m_lastEventId + 1)
+        const bool hasGap = *event.id > *m_lastEventId + 1;
+        if (hasGap && attempt.eventCount == 0 && !m_hasIdGaps)
             return false;
+        m_hasIdGaps = m_hasIdGaps || hasGap;
     }
     if (event.id)
         m_lastEventId = event.id;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -281,6 +281,24 @@
     BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
 }
 
+/// Guards against streams that are broken off as the ids of their events increase by more than one.
+BOOST_AUTO_TEST_CASE(eventIdsMayHaveGaps)
+{
+    GatewayFixture f;
+    f.setRoute(streamRoute(true));
+    RawSocket caller = f.call();
+    FakeEndpoint &first = f.awaitRequest();
+    first.last().send(std::string(streamHead) + chunk(event(10) + event(20)));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e20"); }));
+    first.last().close();
+    FakeEndpoint &second = f.awaitRequest();
+    BOOST_TEST(second.last().has("x-resume: 20"));
+    second.last().send(std::string(streamHead) + chunk(event(30) + event(35)) + "0\r\n\r\n");
+    BOOST_TEST(f.runUntil([&] { return caller.has("\r\n0\r\n\r\n"); }));
+    BOOST_TEST(caller.has("e30"));
+    BOOST_TEST(caller.has("e35"));
+}
+
 BOOST_AUTO_TEST_CASE(brokenStreamWithoutResumeIsAborted)
 {
     GatewayFixture f;
