Http, Platform: Keep an empty query

A request for /x? reached its endpoint as /x. Cause: the server splits the target, and an empty query looked like none. The request now says whether its target ends with the question mark.

tst_ingress (emptyQueryIsKept), through a real router, failed before.

--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -186,6 +186,7 @@
     request.path = target.substr(0, question);
     if (question != std::string_view::npos)
         request.query = target.substr(question + 1);
+    request.hasEmptyQuery = question != std::string_view::npos && request.query.empty();
     request.headers = std::move(parser.headers());
     request.body = std::move(parser.body());
     request.peer = m_peer;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -26,6 +26,7 @@
     std::string method;
     std::string path; ///< Without the query.
     std::string query; ///< Without the question mark; empty if there is none.
+    bool hasEmptyQuery = false; ///< Whether the target ends with the question mark.
     Headers headers;
     std::string body;
     Runtime::SocketAddress peer;
--- a/src/libs/router/callerapi.cpp
+++ b/src/libs/router/callerapi.cpp
@@ -240,7 +240,7 @@
                 .service = service.value()}))
         return;
 
-    if (!request.query.empty())
+    if (!request.query.empty() || request.hasEmptyQuery)
         call.target += '?' + request.query;
 
     Exchange::RouteQuery &route = context->route;
--- a/tests/auto/adapter/tst_ingress.cpp
+++ b/tests/auto/adapter/tst_ingress.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE tst_ingress
 #include <boost/test/unit_test.hpp>
 
+#include "auto/adapter/onerouter.h"
 #include "platform/ingress.h"
 
 #include <optional>
@@ -80,6 +81,33 @@
     BOOST_TEST(!request.headers.find("api-key"));
 }
 
+/// Guards against a target that reaches the endpoint changed.
+BOOST_AUTO_TEST_CASE(emptyQueryIsKept)
+{
+    for (const std::string target : {"/p/1?", "/p/1?a=b", "/p/1"}) {
+        BOOST_TEST_CONTEXT(target)
+        {
+            OneRouter f(1);
+            Test::RawSocket caller(Runtime::parseSocketAddress(f.settings.listenAddress).value());
+            caller.send("GET " + target
+                        + " HTTP/1.1\r\nhost: h\r\nlagoonbank-attempt-id: a1\r\n\r\n");
+            std::string sent;
+            BOOST_REQUIRE(f.runUntil([&] {
+                f.clock.advance(std::chrono::milliseconds(1));
+                Engine &engine = *f.engines.front();
+                for (int fd = engine.listener.accept(); fd >= 0; fd = engine.listener.accept())
+                    engine.connections.push_back(std::make_unique<Test::RawSocket>(fd));
+                for (const auto &connection : engine.connections) {
+                    if (connection->has("\r\n\r\n"))
+                        sent = connection->receive();
+                }
+                return !sent.empty();
+            }));
+            BOOST_TEST(sent.substr(0, sent.find('\r')) == "GET " + target + " HTTP/1.1");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fleetOnlyFieldsAreNotForwarded)
 {
     for (const char *name :
