Gateway, Platform: Pass on event ids that are no numbers

A Last-Event-Id that is no number was dropped, so that the stream began anew, at any software version. It is passed on unchanged, and the stream counts as resumed: it goes on at the version that began it.

tst_softwareversions (streamAfterAnUnreadableEventIdStaysAtItsSoftware- Version) failed before; tst_ingress (unreadableEventIdIsKept) checks the codec.

--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -55,6 +55,8 @@
     std::optional<Base::MonoTime> arrivedAt;
     std::optional<Base::Duration> remainingTimeout; ///< Caller's timeout, counted from arrival.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last stream event that the caller has.
+    /// The same if it is not a number. It is passed on unchanged.
+    std::optional<std::string> unreadableEventId;
     /// The request that began the stream, if this one resumes it.
     std::optional<Base::RequestId> resumes;
     std::optional<Prompt> prompt;
--- a/src/libs/gateway/requestrunstream.cpp
+++ b/src/libs/gateway/requestrunstream.cpp
@@ -18,12 +18,13 @@
 
 bool RequestRun::isCallerResuming() const
 {
-    return m_request.resumeAfter && m_route->kind == Fleet::RouteKind::Stream;
+    return (m_request.resumeAfter || m_request.unreadableEventId)
+        && m_route->kind == Fleet::RouteKind::Stream;
 }
 
 StreamHash RequestRun::stream() const
 {
-    const bool isResumed = m_request.resumeAfter && m_request.resumes;
+    const bool isResumed = isCallerResuming() && m_request.resumes;
     return streamHash(isResumed ? m_request.resumes->value() : m_request.id.value());
 }
 
--- a/tests/auto/adapter/tst_ingress.cpp
+++ b/tests/auto/adapter/tst_ingress.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "auto/adapter/onerouter.h"
+#include "platform/enginecodec.h"
 #include "platform/ingress.h"
 
 #include <optional>
@@ -108,6 +109,27 @@
     }
 }
 
+/// Guards against an id of an event that is dropped as it is not a number.
+BOOST_AUTO_TEST_CASE(unreadableEventIdIsKept)
+{
+    for (const char *id : {"x", "", "-1", "1.5", "99999999999999999999"}) {
+        BOOST_TEST_CONTEXT(id)
+        {
+            Http::Request request = exampleRequest();
+            request.headers = {
+                {"host", "h"}, {"lagoonbank-attempt-id", "1"}, {"last-event-id", id}};
+            const auto read = Platform::readRequest(std::move(request));
+            BOOST_REQUIRE(read);
+            BOOST_TEST(!read.value().resumeAfter);
+            BOOST_TEST(read.value().unreadableEventId.value_or("unset") == id);
+            const Fleet::Endpoint endpoint;
+            const Http::Call call = Platform::endpointProtocol().makeCall(
+                {.request = &read.value(), .endpoint = &endpoint});
+            BOOST_TEST(call.headers.find("last-event-id").value_or("unset") == id);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fleetOnlyFieldsAreNotForwarded)
 {
     for (const char *name :
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -74,6 +74,7 @@
                 decoded.prompt = prompt;
                 decoded.relay = relay;
                 decoded.resumeAfter = resumeAfter;
+                decoded.unreadableEventId = unreadableEventId;
                 decoded.resumes = resumes;
                 gateway.run(std::move(decoded), std::move(responder));
             });
@@ -140,6 +141,7 @@
     Lagoonbank::Base::Duration unread{}; ///< Added to the time that requests were unread.
     std::optional<Lagoonbank::Gateway::Prompt> prompt; ///< Prompt of the requests.
     std::optional<std::uint64_t> resumeAfter; ///< Last event that callers say they have.
+    std::optional<std::string> unreadableEventId; ///< The same if it is not a number.
     /// Request that callers say began their stream.
     std::optional<Lagoonbank::Base::RequestId> resumes;
     /// Set if a peer relays the requests.
--- a/tests/auto/gateway/tst_softwareversions.cpp
+++ b/tests/auto/gateway/tst_softwareversions.cpp
@@ -139,6 +139,21 @@
     BOOST_TEST(isSameVersion);
 }
 
+/// Guards against a resume at any version by callers whose last event has an id that is no number.
+BOOST_AUTO_TEST_CASE(streamAfterAnUnreadableEventIdStaysAtItsSoftwareVersion)
+{
+    MixedVersions f;
+    f.gateway.streamReceived(
+        {.stream = Gateway::streamHash("far"), .software = f.record(f.same).software});
+    f.resumes = Base::RequestId("far");
+    f.unreadableEventId = "x9";
+    RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    const bool isSameVersion =
+        &endpoint == f.endpoints[f.same].get() || &endpoint == &f.firstEndpoint();
+    BOOST_TEST(isSameVersion);
+}
+
 /// Guards against a resume at any version by callers that do not say which stream they resume.
 BOOST_AUTO_TEST_CASE(unnamedStreamIsRefusedWhileVersionsAreMixed)
 {
