FleetSync, Gateway: Share what calls at start and dropped answers have in common

The two calls of a starting router to its peers were written twice, and so were the receivers of streams and the steps that free a buffered answer. The order of RouterRanking is computed in one place. The id of the sender leaves StreamStateRequest, as nobody read it; no landed router has sent that message.

A peer without /fleet/quarantines now counts as one that does not know them, and no longer as one that failed; both lead to the next peer.

--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -285,31 +285,13 @@
     responder.send(ok, {{"content-type", "application/octet-stream"}}, std::move(body.value()));
 }
 
-void FleetLink::askForQuarantines(const Runtime::SocketAddress &peer, const std::string &router,
-                                  QuarantinePull::Answered answered)
-{
-    auto body = Schema::encodeMessage(Schema::QuarantineRequest{.router = router}).value();
-    Http::Call call =
-        peerCall(peer, quarantinesPath, std::move(body), startConnectTimeout, startCallTimeout);
-    m_options.client->start(
-        std::move(call),
-        {.finished = [answered = std::move(answered)](const Http::CallResult &result) {
-            if (result.end == Http::CallEnd::Whole && result.status == ok)
-                answered(Schema::decodeMessage<Schema::QuarantineAnswer>(result.body));
-            else
-                answered(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
-        }});
-}
-
-void FleetLink::askForStreamState(const Runtime::SocketAddress &peer, const std::string &router,
-                                  StreamStateAnswered answered)
+template<typename Answer, typename Request>
+void FleetLink::askAtStart(const Runtime::SocketAddress &peer, std::string_view path,
+                           const Request &request,
+                           std::function<void(const Errors::Result<Answer> &)> answered)
 {
-    auto body = Schema::encodeMessage(
-                    Schema::StreamStateRequest{.router = router,
-                                               .address = Runtime::toString(m_options.address)})
-                    .value();
-    Http::Call call =
-        peerCall(peer, streamStatePath, std::move(body), startConnectTimeout, startCallTimeout);
+    auto body = Schema::encodeMessage(request).value();
+    Http::Call call = peerCall(peer, path, std::move(body), startConnectTimeout, startCallTimeout);
     m_options.client->start(
         std::move(call),
         {.finished = [answered = std::move(answered),
@@ -317,12 +299,27 @@
             if (isAlive.expired())
                 return;
             if (result.end == Http::CallEnd::Whole && result.status == ok)
-                answered(Schema::decodeMessage<Schema::StreamStateAnswer>(result.body));
+                answered(Schema::decodeMessage<Answer>(result.body));
             else if (result.end == Http::CallEnd::Whole && result.status == notFound)
-                answered(Schema::StreamStateAnswer());
+                answered(Answer());
             else
                 answered(Errors::makeError(Errors::ErrorKind::EndpointBroke, result.detail));
         }});
 }
 
+void FleetLink::askForQuarantines(const Runtime::SocketAddress &peer, const std::string &router,
+                                  QuarantinePull::Answered answered)
+{
+    askAtStart<Schema::QuarantineAnswer>(
+        peer, quarantinesPath, Schema::QuarantineRequest{.router = router}, std::move(answered));
+}
+
+void FleetLink::askForStreamState(const Runtime::SocketAddress &peer, StreamStateAnswered answered)
+{
+    askAtStart<Schema::StreamStateAnswer>(
+        peer, streamStatePath,
+        Schema::StreamStateRequest{.address = Runtime::toString(m_options.address)},
+        std::move(answered));
+}
+
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -79,15 +79,14 @@
     FleetLink(const FleetLink &) = delete;
     FleetLink &operator=(const FleetLink &) = delete;
 
-    /// Asks a peer for quarantines; calls back once, asynchronously.
+    /// Asks a peer for quarantines; calls back once, asynchronously. The answer of a peer that does
+    /// not support this is empty.
     void askForQuarantines(const Runtime::SocketAddress &peer, const std::string &router,
                            QuarantinePull::Answered answered);
     using StreamStateAnswered =
         std::function<void(const Errors::Result<Schema::StreamStateAnswer> &answer)>;
-    /// Asks a peer for software versions and streams; calls back once, asynchronously. The answer
-    /// of a peer that does not support this is empty.
-    void askForStreamState(const Runtime::SocketAddress &peer, const std::string &router,
-                           StreamStateAnswered answered);
+    /// The same for software versions and streams.
+    void askForStreamState(const Runtime::SocketAddress &peer, StreamStateAnswered answered);
 
 private:
     explicit FleetLink(Options options);
@@ -102,6 +101,10 @@
                       const Http::CallResult &result);
     void handleCall(Http::Request request, const std::shared_ptr<Http::Responder> &responder);
     void answerState(const Http::Request &request, Http::Responder &responder);
+    template<typename Answer, typename Request>
+    void askAtStart(const Runtime::SocketAddress &peer, std::string_view path,
+                    const Request &request,
+                    std::function<void(const Errors::Result<Answer> &)> answered);
     /// Answers a router that starts with what \a state returns.
     template<typename Answer, typename Request>
     void answerStart(const Http::Request &request,
--- a/src/libs/fleetsync/routerranking.cpp
+++ b/src/libs/fleetsync/routerranking.cpp
@@ -64,10 +64,10 @@
 bool RouterRanking::isAmongFirst(const Runtime::SocketAddress &peer, std::uint64_t key,
                                  std::size_t count) const
 {
-    const std::uint64_t own = Routing::mixHashes(key, Routing::stableHash(Runtime::toString(peer)));
+    const Rank own = rankOf({.hash = Routing::stableHash(Runtime::toString(peer))}, key);
     std::size_t before = 0;
     for (const Router &router : m_routers) {
-        if (!router.isReserve && Routing::mixHashes(key, router.hash) < own && ++before >= count)
+        if (rankOf(router, key) < own && ++before >= count)
             return false;
     }
     return true;
--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -49,19 +49,13 @@
 void StreamGossip::flushReports()
 {
     m_reportTimer.reset();
-    const auto holders = [this](const RouterRanking &routers, std::uint64_t stream) {
-        return routers.firstPeers(stream, m_options.holders);
-    };
-    sendStreams(std::exchange(m_reports, {}), holders, m_reportBudget);
+    sendStreams(std::exchange(m_reports, {}), firstPeers(m_options.holders), m_reportBudget);
 }
 
 void StreamGossip::handOver(const std::vector<Schema::SharedStream> &streams)
 {
     Admission::Gcra budget({.rate = m_options.bytesPerSecond, .burst = m_options.handOverBytes});
-    const auto asked = [this](const RouterRanking &routers, std::uint64_t stream) {
-        return routers.firstPeers(stream, m_options.askedRouters);
-    };
-    sendStreams(streams, asked, budget);
+    sendStreams(streams, firstPeers(m_options.askedRouters), budget);
 }
 
 std::vector<Schema::SharedStream>
@@ -77,6 +71,13 @@
     return chosen;
 }
 
+StreamGossip::ChooseReceivers StreamGossip::firstPeers(std::size_t count)
+{
+    return [count](const RouterRanking &routers, std::uint64_t stream) {
+        return routers.firstPeers(stream, count);
+    };
+}
+
 void StreamGossip::sendStreams(const std::vector<Schema::SharedStream> &streams,
                                const ChooseReceivers &receivers, Admission::Gcra &budget)
 {
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -120,6 +120,7 @@
     void flushReports();
     using ChooseReceivers = std::function<std::vector<Runtime::SocketAddress>(
         const RouterRanking &routers, std::uint64_t stream)>;
+    static ChooseReceivers firstPeers(std::size_t count);
     /// Sends each stream to its receivers, in few datagrams.
     void sendStreams(const std::vector<Schema::SharedStream> &streams,
                      const ChooseReceivers &receivers, Admission::Gcra &budget);
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -190,10 +190,8 @@
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
     registry().requestSent(*endpoint, m_attempt->startedAt);
-    m_eventSplitter.clear();
-    m_eventMemory.set(0);
+    discardAnswer();
     m_incompleteEventBytes = 0;
-    m_answerBody.take();
 }
 
 void RequestRun::send(const EndpointPtr &endpoint, const CacheSource &cacheSource)
@@ -430,11 +428,16 @@
     if (m_attempt->isPromptNew && !m_attempt->lastEventAt)
         m_gateway.m_prompts.drop(m_prefixes.back().hash, m_attempt->endpoint->startHash);
     m_gateway.m_options.client->cancel(m_attempt->call);
-    m_answerBody.take();
     m_incompleteEventBytes = m_eventSplitter.remainder().size();
+    discardAnswer();
+    releaseEndpoint();
+}
+
+void RequestRun::discardAnswer()
+{
+    m_answerBody.take();
     m_eventSplitter.clear();
     m_eventMemory.set(0);
-    releaseEndpoint();
 }
 
 void RequestRun::releaseEndpoint()
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -226,6 +226,8 @@
     void probeOtherEndpoint();
     void otherEndpointProbed(const PlacementResult &other, bool isReachable);
     void cancelAttempt();
+    /// Frees what is buffered of an answer.
+    void discardAnswer();
     void releaseEndpoint();
     void end(std::string_view outcome, int status);
     void logEnd(std::string_view outcome, int status, Base::MonoTime now) const;
