--- a/tests/auto/adapter/tst_endlessanswers.cpp
+++ b/tests/auto/adapter/tst_endlessanswers.cpp
@@ -153,6 +153,11 @@
     }
 };
 
+/// Stated in docs/design/failures.md.
+constexpr std::size_t maxGrowth = 16 * 1024 * 1024;
+/// That of the route and of the callers, and some time in which the router notices it.
+constexpr Base::Duration timeLimit = seconds(8) + milliseconds(200);
+
 /// A router before eight endpoints, a quarter of which send without end.
 struct TroubledService : Test::PausedLoop
 {
@@ -266,6 +271,18 @@
         return count;
     }
 
+    /// Lets troubled endpoints send until all is over. \a before is the memory of this process
+    /// before the trouble.
+    void expectGivenUp(std::size_t bytesPerStep, std::size_t before)
+    {
+        for (auto left = timeLimit; left > left.zero() && !isOver(); left -= milliseconds(100))
+            work(milliseconds(100), bytesPerStep);
+        BOOST_TEST(troubledConnections() > 0U);
+        BOOST_TEST(openTroubledConnections() == 0U);
+        BOOST_TEST(answered() >= servable());
+        BOOST_TEST((peakBytes < before + maxGrowth));
+    }
+
     static constexpr std::size_t blockBytes = 256 * 1024;
     Place place;
     std::string block;
@@ -279,11 +296,6 @@
     bool hasTrouble = false;
 };
 
-/// Stated in docs/design/failures.md.
-constexpr std::size_t maxGrowth = 16 * 1024 * 1024;
-/// That of the route and of the callers, and some time in which the router notices it.
-constexpr Base::Duration timeLimit = seconds(8) + milliseconds(200);
-
 } // namespace
 
 /// Guards against memory that grows with what is sent, connections that stay open, and requests
@@ -300,13 +312,7 @@
                 f.call();
                 f.work(milliseconds(5), unlimited);
             }
-            for (auto left = timeLimit; left > left.zero() && !f.isOver();
-                 left -= milliseconds(100))
-                f.work(milliseconds(100), unlimited);
-            BOOST_TEST(f.troubledConnections() > 0U);
-            BOOST_TEST(f.openTroubledConnections() == 0U);
-            BOOST_TEST(f.answered() >= f.servable());
-            BOOST_TEST((f.peakBytes < before + maxGrowth));
+            f.expectGivenUp(unlimited, before);
             BOOST_TEST_MESSAGE(place.name
                                << ": " << f.troubledConnections() << " connections, grew by "
                                << (f.peakBytes - std::min(f.peakBytes, before)) / 1024 << " KB");
@@ -324,13 +330,7 @@
             const std::size_t before = residentBytes();
             for (int i = 0; i < TroubledService::callerCount; ++i)
                 f.call();
-            for (auto left = timeLimit; left > left.zero() && !f.isOver();
-                 left -= milliseconds(100))
-                f.work(milliseconds(100), slow);
-            BOOST_TEST(f.troubledConnections() > 0U);
-            BOOST_TEST(f.openTroubledConnections() == 0U);
-            BOOST_TEST(f.answered() >= f.servable());
-            BOOST_TEST((f.peakBytes < before + maxGrowth));
+            f.expectGivenUp(slow, before);
         }
     }
 }
--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -133,6 +133,16 @@
         BOOST_TEST(caller.has("id: 2"));
         return resumedAt;
     }
+    /// Resumes streams of router 0, which have to go on at their software versions.
+    void resumeAll(const std::vector<std::size_t> &servedBy)
+    {
+        BOOST_REQUIRE(servedBy.size() == callers.size());
+        for (std::size_t stream = 0; stream < servedBy.size(); ++stream) {
+            const int resumedAt = resume(static_cast<int>(stream));
+            BOOST_REQUIRE(resumedAt >= 0);
+            BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == servedBy[stream] % 2);
+        }
+    }
     /// Begins streams at a router. Returns the engine of each.
     std::vector<std::size_t> begin(int router, int count)
     {
@@ -170,12 +180,7 @@
     const std::vector<std::size_t> servedBy = f.begin(0, streams);
     f.pass(milliseconds(100));
     f.routers.at(0).reset();
-    for (int i = 0; i < streams; ++i) {
-        const int resumedAt = f.resume(i);
-        BOOST_REQUIRE(resumedAt >= 0);
-        const std::size_t first = servedBy[static_cast<std::size_t>(i)];
-        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == first % 2);
-    }
+    f.resumeAll(servedBy);
 }
 
 /// Guards against streams that go on at a version that began to serve after them.
@@ -253,10 +258,5 @@
     f.routers.at(0)->stopGracefully();
     f.pass(seconds(8));
     f.routers.at(0).reset();
-    for (int i = 0; i < streams; ++i) {
-        const int resumedAt = f.resume(i);
-        BOOST_REQUIRE(resumedAt >= 0);
-        const std::size_t first = servedBy[static_cast<std::size_t>(i)];
-        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == first % 2);
-    }
+    f.resumeAll(servedBy);
 }
