--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -75,12 +75,7 @@
 {
     Request request;
     request.method = view(source->input.method);
-    const std::string_view target = view(source->input.path);
-    const std::size_t question = target.find('?');
-    request.path = target.substr(0, question);
-    if (question != std::string_view::npos)
-        request.query = target.substr(question + 1);
-    request.hasEmptyQuery = question != std::string_view::npos && request.query.empty();
+    request.setTarget(view(source->input.path));
     for (std::size_t i = 0; i < source->headers.size; ++i) {
         const h2o_header_t &field = source->headers.entries[i];
         request.headers.add(view(*field.name), view(field.value));
--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -181,12 +181,7 @@
     m_isHttp10 = parser.isHttp10();
     Request request;
     request.method = parser.method();
-    const std::string_view target = parser.target();
-    const std::size_t question = target.find('?');
-    request.path = target.substr(0, question);
-    if (question != std::string_view::npos)
-        request.query = target.substr(question + 1);
-    request.hasEmptyQuery = question != std::string_view::npos && request.query.empty();
+    request.setTarget(parser.target());
     request.headers = std::move(parser.headers());
     request.body = std::move(parser.body());
     request.peer = m_peer;
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -9,6 +9,21 @@
 
 namespace Lagoonbank::Http {
 
+void Request::setTarget(std::string_view target)
+{
+    const std::size_t question = target.find('?');
+    path = target.substr(0, question);
+    query.clear();
+    if (question != std::string_view::npos)
+        query = target.substr(question + 1);
+    hasEmptyQuery = question != std::string_view::npos && query.empty();
+}
+
+std::string Request::queryPart() const
+{
+    return query.empty() && !hasEmptyQuery ? std::string() : '?' + query;
+}
+
 class Server::Private
 {
 public:
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -33,6 +33,11 @@
     /// Estimated arrival of its last bytes. Can be long before they were read if the event loop was
     /// behind.
     Base::MonoTime arrivedAt;
+
+    /// Sets path and query.
+    void setTarget(std::string_view target);
+    /// The query with its question mark; empty if there is none.
+    std::string queryPart() const;
 };
 
 /// Sends the answer to one request; can outlive the connection. Calls have no effect after send(),
--- a/src/libs/router/callerapi.cpp
+++ b/src/libs/router/callerapi.cpp
@@ -240,8 +240,7 @@
                 .service = service.value()}))
         return;
 
-    if (!request.query.empty() || request.hasEmptyQuery)
-        call.target += '?' + request.query;
+    call.target += request.queryPart();
 
     Exchange::RouteQuery &route = context->route;
     route.service = service;
