--- /dev/null
+++ b/tests/soak/fleetrestart.py
@@ -0,0 +1,396 @@
+#!/usr/bin/python3
+"""Ends all routers at once and checks how callers' streams go on after the new start.
+
+Usage: fleetrestart.py --router BINARY --case NAME [--seed N] [--net N] [--earlier-router BINARY]
+Engines of several software versions serve meanwhile, also after their entries were removed. A stream
+may go on only at the version that began it, and streams of versions whose engines have entries must
+go on about as often as new ones begin. Prints the shares and the reasons of refusals, and exits 1 if
+a check fails. Ends only the processes that it started, by their ids.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import shutil
+import sys
+import tempfile
+import time
+
+import restoration
+import soak
+import wire
+import world
+
+ROUTERS, ENGINES_PER_VERSION = 6, 6
+EVENTS, EVENT_S, STREAMS_PER_S = 60, 0.05, 30
+SLOTS = 24  # One version alone bears all streams, of which some 90 run at a time.
+LIMIT_S = 15.0  # A caller gives a stream up after this time.
+RETRIES, RETRY_S = 3, 0.3
+RETRIED_STATUSES = (502, 503, 504)
+WINDOW_S = 2.5  # Streams that are first tried within this time after the start are counted.
+STORE_AWAY_S = 1.0
+MIN_SHARE = 0.9  # Of the share of new streams that begin.
+MIN_TRIED = 12  # A share of fewer streams says nothing.
+ENTRIES, CONFIGURATION = "keyed.servers", "keyed.op"
+CASES = {  # Name -> versions that serve from the beginning.
+    "both_serve": 2, "entries_gone_before": 2, "entries_gone_meanwhile": 2, "store_away_at_start": 2,
+    "store_silent_at_start": 2, "store_entries_first": 2, "store_restored": 1, "two_releases": 1,
+    "three_versions": 3, "earlier_routers": 2}
+
+
+class Store(world.Store):
+    """A store that answers 503 or nothing while it is away, except for some topics."""
+
+    def __init__(self):
+        super().__init__()
+        self.outage = None  # "refuse" or "silent" while the store is away.
+        self.answered_topics = ()
+
+    async def handle(self, start_line, fields, body, writer):
+        is_answered = any(f"topic={topic}&" in start_line.replace(" HTTP", "&")
+                          for topic in self.answered_topics)
+        if self.outage == "silent" and not is_answered:
+            await asyncio.sleep(60)
+        if self.outage == "refuse" and not is_answered:
+            writer.write(wire.message("HTTP/1.1 503 -", {"store-era": self.era}))
+            await writer.drain()
+            return True
+        return await super().handle(start_line, fields, body, writer)
+
+
+@dataclasses.dataclass
+class Stream:
+    """A stream of a caller over all its requests."""
+
+    end: float  # When the caller gives up.
+    first: str = ""  # Id of the request that brought the first event.
+    version: str = ""  # Software version that wrote the newest event.
+    received: int = 0
+
+
+@dataclasses.dataclass
+class Attempt:
+    """The first try to begin a stream or to take it up again, with its retries."""
+
+    tried_at: float
+    version: str  # That began the stream; empty for a new stream.
+    has_entries: bool  # At least two engines of the version have entries.
+    router: soak.Router = None  # The last one tried.
+    has_events: bool = False
+    reason: str = "unanswered"
+
+
+class FleetRestart:
+    """One run with its processes and callers."""
+
+    def __init__(self, options, folder):
+        self.options = options
+        self.folder = folder
+        self.rng = world.random_generator(options.seed, "restart")
+        self.store = Store()
+        self.routers, self.engines, self.tasks = [], [], []
+        self.ready = set()  # Routers.
+        self.is_down = False  # No router runs, or all are about to be ended.
+        self.started_at = []  # Times at which all routers were started again.
+        self.attempts = []
+        self.joined_by = collections.Counter()  # Earlier router? -> streams of two versions.
+        self.violations = []
+        self.sent = 0
+
+    async def add_version(self, number):
+        """Starts engines of a software version and writes their entries."""
+        for i in range(ENGINES_PER_VERSION):
+            engine = world.Engine(f"v{number}e{i}", "llm", f"dc{i % 2}", {}, self.rng)
+            engine.version_of_boot = lambda boot: f"v{number}"
+            engine.on_arrival = lambda engine, request: None
+            engine.slots, engine.event_s, engine.events = SLOTS, EVENT_S, EVENTS
+            ip = f"127.{self.options.net}.{10 + number}.{i + 1}"
+            await wire.serve(ip, soak.ENGINE_PORT, engine.handle)
+            engine.address = f"{ip}:{soak.ENGINE_PORT}"
+            self.engines.append(engine)
+            await self.store.put(ENTRIES, engine.id, engine.entry())
+
+    async def remove_entries(self, version):
+        """Removes the entries of a version, whose engines serve on."""
+        for engine in self.engines:
+            if engine.version == version:
+                await self.store.put(ENTRIES, engine.id, "")
+
+    def has_entries(self, version):
+        """Whether at least two engines of a version have entries."""
+        entries = [json.loads(value) for value in self.store.newest(ENTRIES).values() if value]
+        return sum(entry["version"] == version for entry in entries) >= 2
+
+    async def set_up(self):
+        """Starts store, engines and routers, and waits until all routers are ready."""
+        net = f"127.{self.options.net}"
+        await wire.serve(f"{net}.9.1", soak.STORE_PORT, self.store.handle)
+        await self.store.put(CONFIGURATION, "config", world.operator_configuration(
+            1, soak.KEYS, stream_timeout_ms=int(LIMIT_S * 1000)))
+        for number in range(1, CASES[self.options.case] + 1):
+            await self.add_version(number)
+        for i in range(ROUTERS):
+            is_earlier = self.options.earlier_router and i % 2
+            router = soak.Router(net, i + 1, self.options.earlier_router if is_earlier
+                                 else self.options.router, self.folder)
+            router.is_earlier = bool(is_earlier)
+            router.store = f"{net}.9.1:{soak.STORE_PORT}"
+            router.start()
+            self.routers.append(router)
+            self.tasks.append(asyncio.create_task(self.watch(router)))
+        while len(self.ready) < ROUTERS:
+            await asyncio.sleep(0.05)
+
+    async def watch(self, router):
+        """Keeps track of whether a router is ready."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(router.ip, soak.READY)
+                writer.write(wire.message("GET /v1/readiness HTTP/1.1", {"host": "h"}))
+                head = await asyncio.wait_for(wire.read_head(reader), 1)
+                writer.close()
+                is_ready = head is not None and head[0].split(" ")[1] == "200"
+            except (OSError, asyncio.TimeoutError, wire.ConnectionBroken):
+                is_ready = False
+            is_ready = is_ready and not self.is_down
+            (self.ready.add if is_ready else self.ready.discard)(router)
+            await asyncio.sleep(0.04)
+
+    async def restart_all(self, meanwhile=None, outage=None, answered_topics=()):
+        """Ends all routers at once, starts them again and lets the counted time pass."""
+        self.is_down = True
+        self.ready.clear()
+        await asyncio.gather(*(router.stop() for router in self.routers))
+        pause = self.rng.uniform(1.5, 2.5)
+        await asyncio.sleep(pause / 2)
+        if meanwhile:
+            await meanwhile()
+        await asyncio.sleep(pause / 2)
+        self.store.outage, self.store.answered_topics = outage, answered_topics
+        self.is_down = False
+        self.started_at.append(time.monotonic())
+        for router in self.routers:
+            router.start()
+        await asyncio.sleep(STORE_AWAY_S)
+        self.store.outage = None
+        await asyncio.sleep(WINDOW_S - STORE_AWAY_S)
+
+    # Cases.
+
+    async def case_both_serve(self):
+        """Both versions keep their entries."""
+        await self.restart_all()
+
+    case_three_versions = case_both_serve
+
+    async def case_entries_gone_before(self):
+        """The entries of a version are removed just before the routers end."""
+        await self.remove_entries("v1")
+        await asyncio.sleep(0.3)
+        await self.restart_all()
+
+    case_earlier_routers = case_entries_gone_before
+
+    async def case_entries_gone_meanwhile(self):
+        """The entries of a version are removed while no router runs."""
+        await self.restart_all(meanwhile=lambda: self.remove_entries("v1"))
+
+    async def case_store_away_at_start(self):
+        """The store refuses all calls when the routers start."""
+        await self.restart_all(outage="refuse")
+
+    async def case_store_silent_at_start(self):
+        """The store answers no call when the routers start."""
+        await self.restart_all(outage="silent")
+
+    async def case_store_entries_first(self):
+        """When the routers start, only the topic of the entries is answered."""
+        await self.restart_all(outage="refuse", answered_topics=(ENTRIES,))
+
+    async def case_store_restored(self):
+        """The store loses the entries of a new version, which are written again within 2 s."""
+        await self.add_version(2)
+        await asyncio.sleep(1.2)
+
+        async def restore():
+            self.store.restore(3)
+            rewrites = restoration.Restorations(self.store, None, self.rng).start_rewrites()
+            self.tasks.append(asyncio.gather(*rewrites))
+        await self.restart_all(meanwhile=restore)
+
+    async def case_two_releases(self):
+        """Each version is replaced by the next one, and the routers end after each release."""
+        for number in (1, 2):
+            await self.add_version(number + 1)
+            await asyncio.sleep(1.2)
+            await self.remove_entries(f"v{number}")
+            await asyncio.sleep(0.3)
+            await self.restart_all()
+
+    # Callers.
+
+    async def begin_streams(self):
+        """Begins streams at random times."""
+        rng = world.random_generator(self.options.seed, "callers")
+        while True:
+            self.tasks.append(asyncio.create_task(self.run_stream(rng)))
+            await asyncio.sleep(rng.expovariate(STREAMS_PER_S))
+
+    async def ready_router(self, stream, rng):
+        """A router that is ready; waits for one as long as the stream's time allows, else None."""
+        while not self.ready and time.monotonic() < stream.end:
+            await asyncio.sleep(rng.uniform(0.05, 0.4))
+        return rng.choice(sorted(self.ready, key=lambda router: router.number)) \
+            if self.ready and time.monotonic() < stream.end else None
+
+    async def run_stream(self, rng):
+        """Begins a stream and takes it up again whenever it breaks."""
+        stream = Stream(time.monotonic() + LIMIT_S)
+        while stream.received < EVENTS:
+            router = await self.ready_router(stream, rng)
+            if router is None:
+                return
+            attempt = Attempt(time.monotonic(), stream.version, self.has_entries(stream.version))
+            self.attempts.append(attempt)
+            for retries_left in range(RETRIES, -1, -1):
+                attempt.router = router
+                wait_s = await self.send(stream, attempt)
+                if attempt.has_events:
+                    break
+                if wait_s is None or not retries_left or time.monotonic() + wait_s > stream.end:
+                    return
+                await asyncio.sleep(wait_s * rng.uniform(1, 1.2))
+                router = await self.ready_router(stream, rng)
+                if router is None:
+                    return
+
+    async def send(self, stream, attempt):
+        """Sends one request of an attempt; returns after which time to retry, None for never."""
+        self.sent += 1
+        request = f"{self.options.seed:x}-{self.sent:x}"
+        left_s = stream.end - time.monotonic()
+        fields = {"host": "h", "lagoonbank-attempt-id": request, "api-key": soak.KEYS[0],
+                  "lagoonbank-deadline-remaining": int(left_s * 1000)}
+        if stream.received:
+            fields |= {"last-event-id": stream.received, "resumes": stream.first}
+        writer = None
+        try:
+            reader, writer = await asyncio.open_connection(attempt.router.ip, soak.FRONT)
+            writer.write(wire.message("POST /s/x HTTP/1.1", fields))
+            return await asyncio.wait_for(self.read_answer(reader, request, stream, attempt), left_s)
+        except asyncio.TimeoutError:
+            attempt.reason = "timed out"
+            return None
+        except (OSError, wire.ConnectionBroken):
+            attempt.reason = "broken connection"
+            return RETRY_S
+        finally:
+            if writer:
+                writer.close()
+
+    async def read_answer(self, reader, request, stream, attempt):
+        """Reads an answer; returns after which time to retry, None for never."""
+        head = await wire.read_head(reader)
+        if head is None:
+            raise wire.ConnectionBroken("closed")
+        status, fields = int(head[0].split(" ")[1]), head[1]
+        if status != 200:
+            body = (await wire.read_whole_body(reader, fields)).decode()
+            kind = json.loads(body)["error"]["kind"] if body.startswith('{"error"') else body
+            attempt.reason = f"{status} {kind}"
+            wait_s = max(RETRY_S, float(fields.get("retry-after", "0")))
+            return wait_s if status in RETRIED_STATUSES else None
+        rest = b""
+        async for piece in wire.read_body(reader, fields):
+            *events, rest = (rest + piece).split(b"\n\n")
+            for event in events:
+                self.check_event(event + b"\n\n", request, stream, attempt.router)
+                attempt.has_events = True
+        if stream.received < EVENTS:
+            self.violations.append(f"{request} ends as complete after {stream.received} events")
+            stream.received = EVENTS
+        return None
+
+    def check_event(self, event, request, stream, router):
+        """Checks that an event is the next one, and of the version that wrote the one before."""
+        stream.received += 1
+        stream.first = stream.first or request
+        version = event.rsplit(b" ", 1)[-1].strip().decode()
+        if event != world.event(request, stream.received, version):
+            self.violations.append(f"{request} got another event than {stream.received}: {event!r}")
+        if stream.version not in ("", version):
+            self.joined_by[router.is_earlier] += 1
+        stream.version = version
+
+    # Results.
+
+    def check(self):
+        """Checks the shares; returns a summary of the run."""
+        groups = {"new": [], "taken up": [], "taken up without entries": []}
+        for attempt in self.attempts:
+            if not attempt.router.is_earlier and any(
+                    at <= attempt.tried_at < at + WINDOW_S for at in self.started_at):
+                groups["new" if not attempt.version else "taken up" if attempt.has_entries
+                       else "taken up without entries"].append(attempt)
+        shares, parts = {}, []
+        for name, attempts in groups.items():
+            served = sum(attempt.has_events for attempt in attempts)
+            shares[name] = served / max(1, len(attempts))
+            parts.append(f"{name}: {served} of {len(attempts)} ({shares[name]:.2f})")
+            if reasons := collections.Counter(a.reason for a in attempts if not a.has_events):
+                parts.append(f"refused: {dict(reasons)}")
+        if min(len(groups["new"]), len(groups["taken up"])) < MIN_TRIED or shares["new"] == 0:
+            self.violations.append("too few streams were tried, or no new one began")
+        if shares["taken up"] < MIN_SHARE * shares["new"]:
+            self.violations.append("streams that are taken up go on less often than new ones begin")
+        if self.joined_by[False]:
+            self.violations.append(f"{self.joined_by[False]} streams hold events of two versions")
+        return f"mixed {self.joined_by[False]}, by earlier routers {self.joined_by[True]}; " \
+            + "; ".join(parts)
+
+    async def run(self):
+        """Runs everything; returns a summary."""
+        try:
+            await asyncio.wait_for(self.set_up(), 30)
+            callers = asyncio.create_task(self.begin_streams())
+            await asyncio.sleep(2.5)
+            await getattr(self, f"case_{self.options.case}")()
+            callers.cancel()
+            await asyncio.sleep(EVENTS * EVENT_S)  # Until most streams are whole.
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*(router.stop() for router in self.routers))
+        return self.check()
+
+
+def main():
+    """Reads the command line and runs once."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--router", required=True)
+    parser.add_argument("--case", required=True, choices=CASES)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--net", type=int, default=78,
+                        help="second octet of the loopback addresses; differs for concurrent runs")
+    parser.add_argument("--earlier-router", help="binary of every second router")
+    options = parser.parse_args()
+    if options.case == "earlier_routers" and not options.earlier_router:
+        print("earlier_routers: skipped, --earlier-router is not given")
+        return
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="lagoonbank-restart-"))
+    test = FleetRestart(options, folder)
+    summary = asyncio.run(test.run())
+    print(f"{options.case}, seed {options.seed}: {summary}")
+    for line in test.violations[:20]:
+        print(f"  {line}")
+    if test.violations:
+        print(f"  logs: {folder}")
+        sys.exit(1)
+    shutil.rmtree(folder)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -188,6 +188,7 @@
     """An engine or a plain service; records which requests it ran."""
 
     slots = 8
+    events = EVENTS  # Of a stream.
     event_s = 0.02  # Between the events of a stream.
 
     def __init__(self, name, service, data_centre, runs, rng):
@@ -277,7 +278,7 @@
             return await self.stream_unframed(request, after, head, writer)
         writer.write(wire.unframed_head("HTTP/1.1 200 OK",
                                         head | {"transfer-encoding": "chunked"}))
-        for number in range(after + 1, EVENTS + 1):
+        for number in range(after + 1, self.events + 1):
             piece = event(request, number, version)
             if self.mode == "reset" and self.rng.random() < 0.1:
                 writer.write(wire.chunk(piece[:7]))
@@ -295,7 +296,7 @@
         """Streams events without framing and closes the connection, at times within an event."""
         version = self.version
         writer.write(wire.unframed_head("HTTP/1.1 200 OK", head))
-        for number in range(after + 1, EVENTS + 1):
+        for number in range(after + 1, self.events + 1):
             piece = event(request, number, version)
             is_broken_off = self.rng.random() < 0.1
             writer.write(piece[:7] if is_broken_off else piece)
@@ -306,7 +307,7 @@
         return False
 
 
-def operator_configuration(version, keys, engine=None):
+def operator_configuration(version, keys, engine=None, stream_timeout_ms=5000):
     """The configuration that the operator writes to the store.
 
     `engine` is what it says of the engines of the model service."""
@@ -318,7 +319,7 @@
     return json.dumps({
         "version": version,
         "routes": [route("idempotent", "i", "app", 2000), route("non_idempotent", "n", "app", 2000),
-                   route("streaming", "s", "llm", 5000)],
+                   route("streaming", "s", "llm", stream_timeout_ms)],
         "services": [{"name": name, "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}
                      | ({"engine": engine} if engine and name == "llm" else {})
                      for name in ("app", "llm")],
