--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -2,10 +2,10 @@
 """Ends all routers at once and checks how callers' streams go on after the new start.
 
 Usage: fleetrestart.py --router BINARY --case NAME [--seed N] [--net N] [--earlier-router BINARY]
-Engines of several software versions serve meanwhile, also after their entries were removed. A stream
-may go on only at the version that began it, and streams of versions whose engines have entries must
-go on about as often as new ones begin. Prints the shares and the reasons of refusals, and exits 1 if
-a check fails. Ends only the processes that it started, by their ids.
+Engines of several software versions serve meanwhile, also after their entries were removed. A
+stream may go on only at the version that began it, and streams of versions whose engines have
+entries must go on about as often as new ones begin. Prints the shares and the reasons of refusals,
+and exits 1 if a check fails. Ends only the processes that it started, by their ids.
 """
 
 import argparse
@@ -30,35 +30,24 @@
 LIMIT_S = 15.0  # A caller gives a stream up after this time.
 RETRIES, RETRY_S = 3, 0.3
 RETRIED_STATUSES = (502, 503, 504)
-WINDOW_S = 2.5  # Streams that are first tried within this time after the start are counted.
+READY_TIMEOUT_S = 8.0
+WINDOW_S = 2.0  # Streams first tried until this time after the first router is ready are counted.
 STORE_AWAY_S = 1.0
 MIN_SHARE = 0.9  # Of the share of new streams that begin.
 MIN_TRIED = 12  # A share of fewer streams says nothing.
-ENTRIES, CONFIGURATION = "keyed.servers", "keyed.op"
-CASES = {  # Name -> versions that serve from the beginning.
-    "both_serve": 2, "entries_gone_before": 2, "entries_gone_meanwhile": 2, "store_away_at_start": 2,
-    "store_silent_at_start": 2, "store_entries_first": 2, "store_restored": 1, "two_releases": 1,
-    "three_versions": 3, "earlier_routers": 2}
-
-
-class Store(world.Store):
-    """A store that answers 503 or nothing while it is away, except for some topics."""
-
-    def __init__(self):
-        super().__init__()
-        self.outage = None  # "refuse" or "silent" while the store is away.
-        self.answered_topics = ()
-
-    async def handle(self, start_line, fields, body, writer):
-        is_answered = any(f"topic={topic}&" in start_line.replace(" HTTP", "&")
-                          for topic in self.answered_topics)
-        if self.outage == "silent" and not is_answered:
-            await asyncio.sleep(60)
-        if self.outage == "refuse" and not is_answered:
-            writer.write(wire.message("HTTP/1.1 503 -", {"store-era": self.era}))
-            await writer.drain()
-            return True
-        return await super().handle(start_line, fields, body, writer)
+ENTRIES = "keyed.servers"
+# Name -> number of versions that serve from the beginning, and what happens when all routers end.
+CASES = {
+    "both_serve": (2, "restart_all"),
+    "three_versions": (3, "restart_all"),
+    "entries_gone_before": (2, "restart_after_removal"),
+    "entries_gone_meanwhile": (2, "restart_around_removal"),
+    "store_away_at_start": (2, "restart_without_store"),
+    "store_silent_at_start": (2, "restart_without_store"),
+    "store_entries_first": (2, "restart_without_store"),
+    "store_restored": (1, "restart_around_restoration"),
+    "two_releases": (1, "release_twice"),
+    "earlier_routers": (2, "restart_after_removal")}
 
 
 @dataclasses.dataclass
@@ -90,13 +79,16 @@
         self.options = options
         self.folder = folder
         self.rng = world.random_generator(options.seed, "restart")
-        self.store = Store()
+        self.store = world.Store()
         self.routers, self.engines, self.tasks = [], [], []
         self.ready = set()  # Routers.
         self.is_down = False  # No router runs, or all are about to be ended.
-        self.started_at = []  # Times at which all routers were started again.
+        self.ready_at = None  # Time at which the first router became ready after the newest start.
+        self.ready_after_s = []  # The same after each start, from it on.
+        self.windows = []  # Begins and ends of the times in which streams are counted.
         self.attempts = []
-        self.joined_by = collections.Counter()  # Earlier router? -> streams of two versions.
+        # Whether an earlier router joined the versions -> first requests of streams with two.
+        self.mixed = {False: set(), True: set()}
         self.violations = []
         self.sent = 0
 
@@ -128,9 +120,9 @@
         """Starts store, engines and routers, and waits until all routers are ready."""
         net = f"127.{self.options.net}"
         await wire.serve(f"{net}.9.1", soak.STORE_PORT, self.store.handle)
-        await self.store.put(CONFIGURATION, "config", world.operator_configuration(
+        await self.store.put("keyed.op", "config", world.operator_configuration(
             1, soak.KEYS, stream_timeout_ms=int(LIMIT_S * 1000)))
-        for number in range(1, CASES[self.options.case] + 1):
+        for number in range(1, CASES[self.options.case][0] + 1):
             await self.add_version(number)
         for i in range(ROUTERS):
             is_earlier = self.options.earlier_router and i % 2
@@ -156,73 +148,67 @@
             except (OSError, asyncio.TimeoutError, wire.ConnectionBroken):
                 is_ready = False
             is_ready = is_ready and not self.is_down
+            if is_ready:
+                self.ready_at = self.ready_at or time.monotonic()
             (self.ready.add if is_ready else self.ready.discard)(router)
             await asyncio.sleep(0.04)
 
-    async def restart_all(self, meanwhile=None, outage=None, answered_topics=()):
-        """Ends all routers at once, starts them again and lets the counted time pass."""
+    async def restart_all(self, meanwhile=None, pauses_s=((0.75, 1.25), (0.75, 1.25))):
+        """Ends all routers at once, starts them again and lets the counted time pass.
+
+        `meanwhile` is called between two pauses in which no router runs."""
         self.is_down = True
         self.ready.clear()
         await asyncio.gather(*(router.stop() for router in self.routers))
-        pause = self.rng.uniform(1.5, 2.5)
-        await asyncio.sleep(pause / 2)
+        await asyncio.sleep(self.rng.uniform(*pauses_s[0]))
         if meanwhile:
             await meanwhile()
-        await asyncio.sleep(pause / 2)
-        self.store.outage, self.store.answered_topics = outage, answered_topics
+        await asyncio.sleep(self.rng.uniform(*pauses_s[1]))
         self.is_down = False
-        self.started_at.append(time.monotonic())
+        self.ready_at = None
+        started_at = time.monotonic()
         for router in self.routers:
             router.start()
         await asyncio.sleep(STORE_AWAY_S)
-        self.store.outage = None
-        await asyncio.sleep(WINDOW_S - STORE_AWAY_S)
-
-    # Cases.
-
-    async def case_both_serve(self):
-        """Both versions keep their entries."""
-        await self.restart_all()
-
-    case_three_versions = case_both_serve
+        self.store.is_away = self.store.is_silent = False
+        while self.ready_at is None and time.monotonic() < started_at + READY_TIMEOUT_S:
+            await asyncio.sleep(0.05)
+        end = (self.ready_at or time.monotonic()) + WINDOW_S
+        self.windows.append((started_at, end))
+        self.ready_after_s.append(round(end - WINDOW_S - started_at, 2))
+        await asyncio.sleep(end - time.monotonic())
 
-    async def case_entries_gone_before(self):
-        """The entries of a version are removed just before the routers end."""
+    async def restart_after_removal(self):
+        """Removes the entries of a version just before the routers end."""
         await self.remove_entries("v1")
         await asyncio.sleep(0.3)
         await self.restart_all()
 
-    case_earlier_routers = case_entries_gone_before
-
-    async def case_entries_gone_meanwhile(self):
-        """The entries of a version are removed while no router runs."""
+    async def restart_around_removal(self):
+        """Removes the entries of a version while no router runs."""
         await self.restart_all(meanwhile=lambda: self.remove_entries("v1"))
 
-    async def case_store_away_at_start(self):
-        """The store refuses all calls when the routers start."""
-        await self.restart_all(outage="refuse")
-
-    async def case_store_silent_at_start(self):
-        """The store answers no call when the routers start."""
-        await self.restart_all(outage="silent")
-
-    async def case_store_entries_first(self):
-        """When the routers start, only the topic of the entries is answered."""
-        await self.restart_all(outage="refuse", answered_topics=(ENTRIES,))
-
-    async def case_store_restored(self):
-        """The store loses the entries of a new version, which are written again within 2 s."""
-        await self.add_version(2)
-        await asyncio.sleep(1.2)
-
+    async def restart_without_store(self):
+        """Takes the store away, in one case but for the entries, until after the start."""
+        async def take_away():
+            self.store.is_silent = self.options.case == "store_silent_at_start"
+            self.store.is_away = not self.store.is_silent
+            if self.options.case == "store_entries_first":
+                self.store.answered_topics = (ENTRIES,)
+        await self.restart_all(meanwhile=take_away)
+
+    async def restart_around_restoration(self):
+        """Makes the store lose the entries of a new version, which are written again within 2 s."""
         async def restore():
             self.store.restore(3)
             rewrites = restoration.Restorations(self.store, None, self.rng).start_rewrites()
             self.tasks.append(asyncio.gather(*rewrites))
-        await self.restart_all(meanwhile=restore)
+        await self.add_version(2)
+        await asyncio.sleep(0.9)
+        await self.restart_all(meanwhile=restore, pauses_s=((1.4, 1.7), (0, 0.1)))
 
-    async def case_two_releases(self):
-        """Each version is replaced by the next one, and the routers end after each release."""
+    async def release_twice(self):
+        """Replaces each version by the next one; the routers end after each release."""
         for number in (1, 2):
             await self.add_version(number + 1)
             await asyncio.sleep(1.2)
@@ -241,10 +227,11 @@
 
     async def ready_router(self, stream, rng):
         """A router that is ready; waits for one as long as the stream's time allows, else None."""
-        while not self.ready and time.monotonic() < stream.end:
+        while time.monotonic() < stream.end:
+            if self.ready:
+                return rng.choice(sorted(self.ready, key=lambda router: router.number))
             await asyncio.sleep(rng.uniform(0.05, 0.4))
-        return rng.choice(sorted(self.ready, key=lambda router: router.number)) \
-            if self.ready and time.monotonic() < stream.end else None
+        return None
 
     async def run_stream(self, rng):
         """Begins a stream and takes it up again whenever it breaks."""
@@ -280,7 +267,8 @@
         try:
             reader, writer = await asyncio.open_connection(attempt.router.ip, soak.FRONT)
             writer.write(wire.message("POST /s/x HTTP/1.1", fields))
-            return await asyncio.wait_for(self.read_answer(reader, request, stream, attempt), left_s)
+            return await asyncio.wait_for(self.read_answer(reader, request, stream, attempt),
+                                          left_s)
         except asyncio.TimeoutError:
             attempt.reason = "timed out"
             return None
@@ -322,7 +310,7 @@
         if event != world.event(request, stream.received, version):
             self.violations.append(f"{request} got another event than {stream.received}: {event!r}")
         if stream.version not in ("", version):
-            self.joined_by[router.is_earlier] += 1
+            self.mixed[router.is_earlier].add(stream.first)
         stream.version = version
 
     # Results.
@@ -332,7 +320,7 @@
         groups = {"new": [], "taken up": [], "taken up without entries": []}
         for attempt in self.attempts:
             if not attempt.router.is_earlier and any(
-                    at <= attempt.tried_at < at + WINDOW_S for at in self.started_at):
+                    begin <= attempt.tried_at < end for begin, end in self.windows):
                 groups["new" if not attempt.version else "taken up" if attempt.has_entries
                        else "taken up without entries"].append(attempt)
         shares, parts = {}, []
@@ -342,24 +330,31 @@
             parts.append(f"{name}: {served} of {len(attempts)} ({shares[name]:.2f})")
             if reasons := collections.Counter(a.reason for a in attempts if not a.has_events):
                 parts.append(f"refused: {dict(reasons)}")
-        if min(len(groups["new"]), len(groups["taken up"])) < MIN_TRIED or shares["new"] == 0:
+        needed = ["new", "taken up"]
+        if self.options.case in ("entries_gone_before", "entries_gone_meanwhile", "two_releases"):
+            needed.append("taken up without entries")
+        if min(len(groups[name]) for name in needed) < MIN_TRIED or shares["new"] == 0:
             self.violations.append("too few streams were tried, or no new one began")
         if shares["taken up"] < MIN_SHARE * shares["new"]:
             self.violations.append("streams that are taken up go on less often than new ones begin")
-        if self.joined_by[False]:
-            self.violations.append(f"{self.joined_by[False]} streams hold events of two versions")
-        return f"mixed {self.joined_by[False]}, by earlier routers {self.joined_by[True]}; " \
-            + "; ".join(parts)
+        mixed = len(self.mixed[False])
+        if mixed:
+            self.violations.append(f"{mixed} streams hold events of two versions")
+        return f"mixed {mixed}, by earlier routers {len(self.mixed[True])}; " \
+            f"first router ready after {self.ready_after_s} s; " + "; ".join(parts)
 
     async def run(self):
         """Runs everything; returns a summary."""
         try:
             await asyncio.wait_for(self.set_up(), 30)
             callers = asyncio.create_task(self.begin_streams())
-            await asyncio.sleep(2.5)
-            await getattr(self, f"case_{self.options.case}")()
+            versions, method = CASES[self.options.case]
+            await asyncio.sleep(2.5 if versions > 1 else 1.5)
+            await getattr(self, method)()
             callers.cancel()
-            await asyncio.sleep(EVENTS * EVENT_S)  # Until most streams are whole.
+            await asyncio.sleep(RETRIES * RETRY_S + 1)  # Until the last retries are answered.
+            self.violations += [repr(task.exception()) for task in self.tasks
+                                if task.done() and task.exception()]
         finally:
             for task in self.tasks:
                 task.cancel()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -86,6 +86,8 @@
         self.era = 1
         self.status = 200
         self.is_away = False
+        self.is_silent = False  # Calls get no answer at all.
+        self.answered_topics = ()  # These are answered even while the store is away or silent.
         self.delay = 0.0
         self.changed = asyncio.Condition()
 
@@ -114,7 +116,10 @@
         await asyncio.sleep(self.delay)
         path, _, query = start_line.split(" ")[1].partition("?")
         parameters = dict(item.split("=", 1) for item in query.split("&"))
-        status = 503 if self.is_away else self.status
+        is_answered = parameters.get("topic") in self.answered_topics
+        if self.is_silent and not is_answered:
+            await asyncio.sleep(60)
+        status = 503 if self.is_away and not is_answered else self.status
         era = self.era
         answer = b""
         if status == 200:
