--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -95,7 +95,7 @@
     async def add_version(self, number):
         """Starts engines of a software version and writes their entries."""
         for i in range(ENGINES_PER_VERSION):
-            engine = world.Engine(f"v{number}e{i}", "llm", f"dc{i % 2}", {}, self.rng)
+            engine = world.Engine(f"e{i}v{number}", "llm", f"dc{i % 2}", {}, self.rng)
             engine.version_of_boot = lambda boot: f"v{number}"
             engine.on_arrival = lambda engine, request: None
             engine.slots, engine.event_s, engine.events = SLOTS, EVENT_S, EVENTS
@@ -349,7 +349,7 @@
             await asyncio.wait_for(self.set_up(), 30)
             callers = asyncio.create_task(self.begin_streams())
             versions, method = CASES[self.options.case]
-            await asyncio.sleep(2.5 if versions > 1 else 1.5)
+            await asyncio.sleep(3 if versions > 1 else 1.5)
             await getattr(self, method)()
             callers.cancel()
             await asyncio.sleep(RETRIES * RETRY_S + 1)  # Until the last retries are answered.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -135,7 +135,9 @@
         del body
         records = self.records.get(parameters["topic"], [])
         newest = {key: (value, offset) for offset, (key, value) in enumerate(records)}
-        items = [{"key": key, "value": base64.b64encode(value.encode()).decode(), "offset": offset}
+        def encoded(value):
+            return base64.b64encode(value.encode(errors="surrogateescape")).decode()
+        items = [{"key": key, "value": encoded(value), "offset": offset}
                  for key, (value, offset) in sorted(newest.items()) if value]
         return json.dumps({"items": items, "has_more": False, "end": len(records)}).encode()
 
@@ -155,14 +157,15 @@
                 pass
         out = end().to_bytes(8, "big") + bytes(8)
         for key, value in self.records.get(parameters["topic"], [])[start:]:
-            content = bytes([len(key)]) + key.encode() + value.encode()
+            content = bytes([len(key)]) + key.encode() + value.encode(errors="surrogateescape")
             out += len(content).to_bytes(4, "big") + content
         return out
 
     async def log_append(self, parameters, body):
         """Appends one record."""
         size = body[4]
-        await self.put(parameters["topic"], body[5:5 + size].decode(), body[5 + size:].decode())
+        await self.put(parameters["topic"], body[5:5 + size].decode(),
+                       body[5 + size:].decode(errors="surrogateescape"))
         return b'{"offset":0,"end":1}'
 
 
