--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -86,6 +86,8 @@
         self.era = 1
         self.status = 200
         self.is_away = False
+        self.is_silent = False  # Calls get no answer at all.
+        self.answered_topics = ()  # These are answered even while the store is away or silent.
         self.delay = 0.0
         self.changed = asyncio.Condition()
 
@@ -114,7 +116,10 @@
         await asyncio.sleep(self.delay)
         path, _, query = start_line.split(" ")[1].partition("?")
         parameters = dict(item.split("=", 1) for item in query.split("&"))
-        status = 503 if self.is_away else self.status
+        is_answered = parameters.get("topic") in self.answered_topics
+        if self.is_silent and not is_answered:
+            await asyncio.sleep(60)
+        status = 503 if self.is_away and not is_answered else self.status
         era = self.era
         answer = b""
         if status == 200:
@@ -130,7 +135,9 @@
         del body
         records = self.records.get(parameters["topic"], [])
         newest = {key: (value, offset) for offset, (key, value) in enumerate(records)}
-        items = [{"key": key, "value": base64.b64encode(value.encode()).decode(), "offset": offset}
+        def encoded(value):
+            return base64.b64encode(value.encode(errors="surrogateescape")).decode()
+        items = [{"key": key, "value": encoded(value), "offset": offset}
                  for key, (value, offset) in sorted(newest.items()) if value]
         return json.dumps({"items": items, "has_more": False, "end": len(records)}).encode()
 
@@ -150,14 +157,15 @@
                 pass
         out = end().to_bytes(8, "big") + bytes(8)
         for key, value in self.records.get(parameters["topic"], [])[start:]:
-            content = bytes([len(key)]) + key.encode() + value.encode()
+            content = bytes([len(key)]) + key.encode() + value.encode(errors="surrogateescape")
             out += len(content).to_bytes(4, "big") + content
         return out
 
     async def log_append(self, parameters, body):
         """Appends one record."""
         size = body[4]
-        await self.put(parameters["topic"], body[5:5 + size].decode(), body[5 + size:].decode())
+        await self.put(parameters["topic"], body[5:5 + size].decode(),
+                       body[5 + size:].decode(errors="surrogateescape"))
         return b'{"offset":0,"end":1}'
 
 
@@ -188,6 +196,7 @@
     """An engine or a plain service; records which requests it ran."""
 
     slots = 8
+    events = EVENTS  # Of a stream.
     event_s = 0.02  # Between the events of a stream.
 
     def __init__(self, name, service, data_centre, runs, rng):
@@ -277,7 +286,7 @@
             return await self.stream_unframed(request, after, head, writer)
         writer.write(wire.unframed_head("HTTP/1.1 200 OK",
                                         head | {"transfer-encoding": "chunked"}))
-        for number in range(after + 1, EVENTS + 1):
+        for number in range(after + 1, self.events + 1):
             piece = event(request, number, version)
             if self.mode == "reset" and self.rng.random() < 0.1:
                 writer.write(wire.chunk(piece[:7]))
@@ -295,7 +304,7 @@
         """Streams events without framing and closes the connection, at times within an event."""
         version = self.version
         writer.write(wire.unframed_head("HTTP/1.1 200 OK", head))
-        for number in range(after + 1, EVENTS + 1):
+        for number in range(after + 1, self.events + 1):
             piece = event(request, number, version)
             is_broken_off = self.rng.random() < 0.1
             writer.write(piece[:7] if is_broken_off else piece)
@@ -306,7 +315,7 @@
         return False
 
 
-def operator_configuration(version, keys, engine=None):
+def operator_configuration(version, keys, engine=None, stream_timeout_ms=5000):
     """The configuration that the operator writes to the store.
 
     `engine` is what it says of the engines of the model service."""
@@ -318,7 +327,7 @@
     return json.dumps({
         "version": version,
         "routes": [route("idempotent", "i", "app", 2000), route("non_idempotent", "n", "app", 2000),
-                   route("streaming", "s", "llm", 5000)],
+                   route("streaming", "s", "llm", stream_timeout_ms)],
         "services": [{"name": name, "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}
                      | ({"engine": engine} if engine and name == "llm" else {})
                      for name in ("app", "llm")],
