FleetSync, Platform: Rank routers once for each stream that is stored

Each stream that begins or is reported while versions are mixed ranked all routers twice, for its shard and for the writers of it; with 300 routers that is 600 hashes of addresses a stream. shardToWrite() ranks them once. The shard of a stream was computed in four places, now in one.

No behaviour changes. The cost was read from the code, not measured.

--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -16,7 +16,7 @@
 
 /// Key by which routers are ranked as writers of a shard. Any fixed key will do, as long as all
 /// routers use the same one.
-std::uint64_t writersKey(std::uint64_t shard)
+std::uint64_t writersKey(std::uint32_t shard)
 {
     constexpr std::uint64_t firstShardKey = 0x73747265616d73;
     return firstShardKey + shard;
@@ -72,6 +72,19 @@
     return static_cast<std::uint32_t>((routers.size() + perShard - 1) / perShard);
 }
 
+std::uint32_t StreamGossip::shardOf(const RouterRanking &routers, std::uint64_t stream) const
+{
+    return static_cast<std::uint32_t>(stream % shardCount(routers));
+}
+
+std::optional<std::uint32_t> StreamGossip::shardToWrite(std::uint64_t stream) const
+{
+    const RouterRanking routers = ranking();
+    const std::uint32_t shard = shardOf(routers, stream);
+    const bool isWriter = routers.isOwnAmongFirst(writersKey(shard), m_options.writers);
+    return isWriter ? std::optional(shard) : std::nullopt;
+}
+
 bool StreamGossip::isWriter(std::uint32_t shard) const
 {
     return ranking().isOwnAmongFirst(writersKey(shard), m_options.writers);
@@ -82,7 +95,7 @@
                                                                   std::size_t count) const
 {
     std::vector<Runtime::SocketAddress> peers =
-        routers.first(writersKey(stream % shardCount(routers)), m_options.writers);
+        routers.first(writersKey(shardOf(routers, stream)), m_options.writers);
     for (Runtime::SocketAddress &peer : routers.firstPeers(stream, count)) {
         if (std::find(peers.begin(), peers.end(), peer) == peers.end())
             peers.push_back(std::move(peer));
@@ -94,7 +107,7 @@
                                                                std::uint64_t stream) const
 {
     const auto holders = routers.firstPeers(stream, m_options.holders);
-    auto writers = routers.first(writersKey(stream % shardCount(routers)), m_options.writers);
+    auto writers = routers.first(writersKey(shardOf(routers, stream)), m_options.writers);
     std::erase_if(writers, [&holders](const Runtime::SocketAddress &writer) {
         return std::find(holders.begin(), holders.end(), writer) != holders.end();
     });
@@ -131,7 +144,7 @@
     const RouterRanking routers = ranking();
     std::vector<Schema::SharedStream> chosen;
     for (const Schema::SharedStream &stream : streams) {
-        const std::uint64_t writers = writersKey(stream.stream % shardCount(routers));
+        const std::uint64_t writers = writersKey(shardOf(routers, stream.stream));
         if (routers.isAmongFirst(peer, writers, m_options.writers)
             || routers.isAmongFirst(peer, stream.stream, m_options.askedRouters)) {
             chosen.push_back(stream);
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -102,6 +102,8 @@
     /// Number of groups into which streams are divided by the remainder of their hash. Each has its
     /// own writers.
     std::uint32_t shardCount() const { return shardCount(ranking()); }
+    /// The shard of a stream if this router is one of its writers.
+    std::optional<std::uint32_t> shardToWrite(std::uint64_t stream) const;
     bool isSmallFleet() const { return ranking().size() <= m_options.smallFleet; }
     /// Whether this router writes the streams of this shard to the store.
     bool isWriter(std::uint32_t shard) const;
@@ -139,6 +141,7 @@
     RouterRanking rankingWith(const Runtime::SocketAddress &silentPeer) const;
     std::vector<Runtime::SocketAddress> leavingPeers() const;
     std::uint32_t shardCount(const RouterRanking &routers) const;
+    std::uint32_t shardOf(const RouterRanking &routers, std::uint64_t stream) const;
     /// The writers of a stream, then the first \a count peers by its hash. No peer comes twice.
     std::vector<Runtime::SocketAddress>
     writersAndPeers(const RouterRanking &routers, std::uint64_t stream, std::size_t count) const;
--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -77,10 +77,10 @@
 
 void StreamLog::add(const Schema::SharedStream &stream)
 {
-    const auto shard = static_cast<std::uint32_t>(stream.stream % m_options.shardCount());
-    if (!m_options.isWriter(shard))
+    const std::optional<std::uint32_t> shard = m_options.shardToWrite(stream.stream);
+    if (!shard)
         return;
-    Batch &batch = m_batches[shard];
+    Batch &batch = m_batches[*shard];
     if (batch.streams.size() < maxBatchStreams)
         batch.streams.push_back(stream);
     if (batch.timer)
@@ -90,7 +90,7 @@
     const Base::Duration delay = batch.writtenAt
         ? std::max(Base::Duration::zero(), *batch.writtenAt + m_options.writeInterval - now)
         : Base::Duration::zero();
-    batch.timer = m_options.timers->start(delay, [this, shard] { write(shard); });
+    batch.timer = m_options.timers->start(delay, [this, shard = *shard] { write(shard); });
 }
 
 void StreamLog::write(std::uint32_t shard)
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -34,6 +34,8 @@
         std::function<bool()> readsAll;
         /// Whether this router writes the streams of a shard.
         std::function<bool(std::uint32_t shard)> isWriter;
+        /// Returns the shard of a stream if this router is one of its writers.
+        std::function<std::optional<std::uint32_t>(std::uint64_t stream)> shardToWrite;
         /// Minimum time between two batches of a shard, and so what may be lost of the streams that
         /// begin last.
         Base::Duration writeInterval = std::chrono::milliseconds(200);
--- a/src/libs/keyedlog/keyedlisting.h
+++ b/src/libs/keyedlog/keyedlisting.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Lagoonbank::KeyedLog {
--- a/src/libs/keyedlog/pendingwrites.h
+++ b/src/libs/keyedlog/pendingwrites.h
@@ -29,7 +29,6 @@
 
     /// An empty value drops the key.
     void write(const std::string &key, const std::string &value);
-    std::size_t size() const { return m_values.size(); }
 
 private:
     void writeNext();
