Gateway: Say how the software version of a resumed stream is known

The lines of a router did not say what it relied on when it let a resumed stream go on at a version: its own record, a peer's answer or a list of endpoints with one version, nor how old that was. Streams at two versions at a router out of step could not be told from those of versions that all routers had forgotten.

StreamVersionLookup is now the one place that decides it, with its source and age. A line and a metric say both. It can read the versions and the streams from the store before it decides; nothing is wired to that yet, so that decisions are as before, but for one: a stream of a service without endpoints is refused at once with a time to come back, instead of going on at whichever version appears while it waits.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -125,6 +125,7 @@
     , m_crashWatch(
           {.timers = &m_options.loop->timers(), .check = connectionCheck(*m_options.client)})
     , m_streams(m_options.streams)
+    , m_streamVersions(streamVersionOptions())
     , m_answerMemory(m_options.maxAnswerMemory)
     , m_undecodableValues(*m_options.metrics)
 {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/reachability.h"
 #include "gateway/requestquarantine.h"
 #include "gateway/streamdirectory.h"
+#include "gateway/streamversionlookup.h"
 #include "gateway/undecodablevalues.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -148,6 +149,15 @@
         std::function<void(StreamHash stream,
                            std::function<void(std::optional<SoftwareHash>)> answered)>
             askForStream;
+        /// Reads from the store which software versions there are, and calls \a refreshed with
+        /// whether all that the store held at the time of the call is known. Null if the endpoints
+        /// are always up to date.
+        std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshVersions;
+        /// Reads from the store which streams have begun while versions were mixed, passes them to
+        /// streamReceived(), and calls \a refreshed like refreshVersions(). Null without a store.
+        std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
+        /// Whether the last of these reads has failed. Null if none can fail.
+        std::function<bool()> isStoreFailing;
         /// Whether requests are refused until setQuarantinesKnown() is called.
         bool awaitsQuarantines = false;
         /// Whether the software versions that have served are unknown until
@@ -247,6 +257,8 @@
     std::optional<SoftwareHash> findStream(StreamHash stream) const;
     /// Software versions that endpoints run or have run, for a router that starts.
     std::vector<SoftwareUse> softwareUses() const;
+    /// Whether this router knows that endpoints run or have run the version.
+    bool hasSoftware(SoftwareHash software) const;
     /// Whether streams of the service may have begun at several versions.
     bool isMixed(const Base::ServiceId &service) const;
     /// Merges the software versions that a peer knows.
@@ -283,6 +295,7 @@
         return m_options.ownDelay ? m_options.ownDelay() : Base::Duration::zero();
     }
     std::vector<StreamOrigin> streamsInProgress(const std::set<Base::ServiceId> &services) const;
+    StreamVersionLookup::Options streamVersionOptions();
     /// Records a stream that began at this router, or that has gone on here.
     void streamBegan(const Base::ServiceId &service, const StreamOrigin &origin);
     /// Fails the attempt with the largest buffered answer or event while all of them take too much
@@ -356,6 +369,7 @@
     bool m_isSoftwareHistoryKnown = false;
     CrashWatch m_crashWatch;
     StreamDirectory m_streams;
+    StreamVersionLookup m_streamVersions;
     AnswerMemory m_answerMemory;
     UndecodableValues m_undecodableValues;
     std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -87,6 +87,13 @@
            "memory; the largest one is given up first.",
            "An endpoint sends bytes without end; the lines `Attempt failed.` name it.",
            {}},
+    Metric{"lagoonbank_gateway_resumed_streams_total",
+           Kind::Counter,
+           "requests",
+           "Requests that resume a stream whose software version is known, by where it is known "
+           "from.",
+           "Many from peers: endpoints of several versions serve, and routers or connections end.",
+           {}},
     Metric{"lagoonbank_gateway_unknown_streams_total",
            Kind::Counter,
            "requests",
@@ -251,6 +258,12 @@
                             {{"kind", std::string(Errors::toString(kind))}});
 }
 
+Metrics::Counter GatewayMetrics::resumedStreams(StreamVersionSource source)
+{
+    return registry.counter("lagoonbank_gateway_resumed_streams_total",
+                            {{"from", std::string(toString(source))}});
+}
+
 Metrics::Counter GatewayMetrics::undecodable(std::string_view name)
 {
     return registry.counter("lagoonbank_gateway_undecodable_total", {{"name", std::string(name)}});
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "errors/errorkind.h"
+#include "gateway/streamversionlookup.h"
 #include "metrics/registry.h"
 
 #include <string_view>
@@ -46,6 +47,7 @@
 
     Metrics::Counter answers(int status);
     Metrics::Counter refusals(Errors::ErrorKind kind);
+    Metrics::Counter resumedStreams(StreamVersionSource source);
     Metrics::Counter repeats(Errors::ErrorKind kind);
     /// Values of endpoints that could not be decoded; \a name is that of the header or topic.
     Metrics::Counter undecodable(std::string_view name);
--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -18,6 +18,34 @@
         m_options.streamsBegan({origin});
 }
 
+StreamVersionLookup::Options Gateway::streamVersionOptions()
+{
+    const Runtime::Clock &clock = m_options.loop->clock();
+    return {.timers = &m_options.loop->timers(),
+            .findRecord = [this, &clock](StreamHash stream) -> std::optional<StreamVersion> {
+                const auto software = m_streams.find(stream, clock.now());
+                if (!software)
+                    return std::nullopt;
+                return StreamVersion{.software = software,
+                                     .source = StreamVersionSource::Record,
+                                     .asOf = *m_streams.recordedAt(stream, clock.now())};
+            },
+            .isMixed = [this](const Base::ServiceId &service) { return isMixed(service); },
+            .onlyVersion =
+                [this, &clock](const Base::ServiceId &service) {
+                    return m_endpoints.softwareVersions().only(service, clock.now());
+                },
+            .askPeers = m_options.askForStream
+                ? [this](StreamHash stream, auto answered) {
+                      m_options.metrics->askedStreams.increment();
+                      m_options.askForStream(stream, std::move(answered));
+                  }
+                : decltype(m_options.askForStream)(),
+            .refreshVersions = m_options.refreshVersions,
+            .refreshStreams = m_options.refreshStreams,
+            .isStoreFailing = m_options.isStoreFailing};
+}
+
 bool Gateway::isMixed(const Base::ServiceId &service) const
 {
     return !m_isSoftwareHistoryKnown
@@ -39,6 +67,13 @@
     return m_endpoints.softwareVersions().uses(m_options.loop->clock().now());
 }
 
+bool Gateway::hasSoftware(SoftwareHash software) const
+{
+    const std::vector<SoftwareUse> uses = softwareUses();
+    return std::any_of(uses.begin(), uses.end(),
+                       [&](const SoftwareUse &use) { return use.software == software; });
+}
+
 void Gateway::softwareUsesReceived(const std::vector<SoftwareUse> &uses)
 {
     m_endpoints.mergeSoftware(uses, m_options.loop->clock().now());
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -187,8 +187,8 @@
     StreamHash stream() const;
     void streamBegan();
     bool determineSoftware();
-    void softwareAnswered(std::optional<SoftwareHash> software);
-    void refuseUnknownStream();
+    void softwareFound(const StreamVersion &version);
+    void refuseUnknownStream(bool mayBeKnownLater);
     void requestSent();
     /// Records that the current attempt did not run.
     void attemptNotRun();
--- a/src/libs/gateway/requestrunstream.cpp
+++ b/src/libs/gateway/requestrunstream.cpp
@@ -48,43 +48,42 @@
 {
     if (m_software || !isCallerResuming())
         return true;
-    if (m_request.resumes)
-        m_software = m_gateway.findStream(stream());
-    if (m_software)
-        return true;
-    if (!m_gateway.isMixed(m_service)) {
-        const SoftwareVersions &versions = m_gateway.m_endpoints.softwareVersions();
-        m_software = versions.only(m_service, m_timers.clock().now());
-        return true;
-    }
-    if (!m_request.resumes || !m_gateway.m_options.askForStream) {
-        refuseUnknownStream();
-        return false;
-    }
-    m_gateway.m_options.metrics->askedStreams.increment();
-    m_gateway.m_options.askForStream(
-        stream(), [weak = weak_from_this()](std::optional<SoftwareHash> software) {
-            if (const auto self = weak.lock())
-                self->softwareAnswered(software);
-        });
+    const std::optional<StreamHash> named =
+        m_request.resumes ? std::optional(stream()) : std::nullopt;
+    m_gateway.m_streamVersions.find(m_service, named,
+                                    [weak = weak_from_this()](const StreamVersion &version) {
+                                        if (const auto self = weak.lock())
+                                            self->softwareFound(version);
+                                    });
     return false;
 }
 
-void RequestRun::softwareAnswered(std::optional<SoftwareHash> software)
+void RequestRun::softwareFound(const StreamVersion &version)
 {
     if (m_isEnded)
         return;
-    if (!software) {
-        refuseUnknownStream();
+    if (!version.software) {
+        refuseUnknownStream(version.mayBeKnownLater);
         return;
     }
-    m_software = software;
+    m_software = version.software;
+    const Base::MonoTime now = m_timers.clock().now();
+    m_gateway.m_options.metrics->resumedStreams(version.source).increment();
+    m_gateway.m_options.log->request(
+        part, "The software version of a resumed stream is known.",
+        {{"request", m_request.id.value()},
+         {"resumes", m_request.resumes ? m_request.resumes->value() : std::string_view()},
+         {"service", m_service.value()},
+         {"from", toString(version.source)},
+         {"from_age_ms", now - version.asOf},
+         {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
+         {"waited_ms", now - m_arrivedAt}});
     place();
 }
 
-/// A time to come back is given only while this router does not know all versions that have served;
-/// later no router will know the stream either.
-void RequestRun::refuseUnknownStream()
+/// A time to come back is given if the version may be known later. Otherwise no router will know
+/// it.
+void RequestRun::refuseUnknownStream(bool mayBeKnownLater)
 {
     m_gateway.m_options.metrics->unknownStreams.increment();
     m_gateway.m_options.log->request(
@@ -93,11 +92,14 @@
          {"resumes", m_request.resumes ? m_request.resumes->value() : std::string_view()},
          {"service", m_service.value()},
          {"streams_known", m_gateway.m_streams.size()},
+         {"is_mixed", m_gateway.isMixed(m_service)},
          {"history_known", m_gateway.m_isSoftwareHistoryKnown},
+         {"known_later", mayBeKnownLater},
+         {"knowledge_age_ms", m_gateway.knowledgeAgeMs()},
          {"waited_ms", m_timers.clock().now() - m_arrivedAt}});
-    const bool isKnownLater = !m_gateway.m_isSoftwareHistoryKnown;
+    const bool isRetried = mayBeKnownLater || !m_gateway.m_isSoftwareHistoryKnown;
     refuse(Errors::ErrorKind::NoEndpoint, Errors::Ran::No,
-           isKnownLater ? std::optional(m_gateway.m_options.timeouts.retryAfter) : std::nullopt);
+           isRetried ? std::optional(m_gateway.m_options.timeouts.retryAfter) : std::nullopt);
 }
 
 } // namespace Lagoonbank::Gateway
--- a/src/libs/gateway/streamdirectory.cpp
+++ b/src/libs/gateway/streamdirectory.cpp
@@ -39,12 +39,26 @@
         m_streams.erase(entry);
 }
 
-std::optional<SoftwareHash> StreamDirectory::find(StreamHash stream, Base::MonoTime now) const
+const StreamDirectory::Entry *StreamDirectory::findEntry(StreamHash stream,
+                                                         Base::MonoTime now) const
 {
     const auto entry = m_streams.find(stream);
     const bool isKnown =
         entry != m_streams.end() && now - entry->second.recordedAt < m_options.lifetime;
-    return isKnown ? std::optional(entry->second.software) : std::nullopt;
+    return isKnown ? &entry->second : nullptr;
+}
+
+std::optional<SoftwareHash> StreamDirectory::find(StreamHash stream, Base::MonoTime now) const
+{
+    const Entry *entry = findEntry(stream, now);
+    return entry ? std::optional(entry->software) : std::nullopt;
+}
+
+std::optional<Base::MonoTime> StreamDirectory::recordedAt(StreamHash stream,
+                                                          Base::MonoTime now) const
+{
+    const Entry *entry = findEntry(stream, now);
+    return entry ? std::optional(entry->recordedAt) : std::nullopt;
 }
 
 std::vector<StreamOrigin> StreamDirectory::latest(const std::set<SoftwareHash> &software,
--- a/src/libs/gateway/streamdirectory.h
+++ b/src/libs/gateway/streamdirectory.h
@@ -51,6 +51,8 @@
 
     void record(const StreamOrigin &origin, Base::MonoTime now);
     std::optional<SoftwareHash> find(StreamHash stream, Base::MonoTime now) const;
+    /// When the stream was last recorded; unset if it is unknown.
+    std::optional<Base::MonoTime> recordedAt(StreamHash stream, Base::MonoTime now) const;
     /// The streams that one of these versions began, the latest ones first.
     std::vector<StreamOrigin> latest(const std::set<SoftwareHash> &software,
                                      Base::MonoTime now) const;
@@ -68,6 +70,7 @@
         Base::MonoTime at;
     };
 
+    const Entry *findEntry(StreamHash stream, Base::MonoTime now) const;
     void forgetOldest();
 
     Options m_options;
