FleetSync, Gateway, Platform: Confirm the only version of a service with the store

What callers saw: a stream that had begun at a new software version was taken up at a router that had not heard of it, and went on at the old one (ORDER). Cause: the router had one version in its list, took the service for unmixed and asked nobody, however old the list was: up to 0.7 s in step, for seconds while the store or peers did not answer.

Ruled out: an age limit on the list. No age above zero is safe, as the list may be outdated from the moment after it was read; a limit on the join of a new version at its senders would protect it, but only while endpoints of another version can take their streams.

The entry of an endpoint is in the store before any router sends a request there. A resumed stream that the router has not recorded goes on at the only version now once a read of the entries and of the log of versions that began after the request has shown no other one. Otherwise it is refused as not run, with a time to come back. Where versions are mixed and no peer knows the stream, the streams in the store are read as well: a router without peers refused half of them for good.

Both new cases of tst_softwareversionfleet failed before. The stand-in for the store holds a read only if it has a time to wait.

--- a/src/libs/fleetsync/softwarelog.cpp
+++ b/src/libs/fleetsync/softwarelog.cpp
@@ -21,17 +21,6 @@
     return softwarePrefix + absl::StrCat(absl::Hex(use.software, absl::kZeroPad16));
 }
 
-std::optional<Schema::SharedSoftware> parseSoftware(const KeyedLog::KeyedRecord &record)
-{
-    Schema::SharedSoftware use;
-    const bool isSoftware = record.value && record.key.starts_with(softwarePrefix)
-        && absl::SimpleHexAtoi(record.key.substr(softwarePrefix.size()), &use.software);
-    if (!isSoftware)
-        return std::nullopt;
-    use.service = *record.value;
-    return use;
-}
-
 } // namespace
 
 SoftwareLog::SoftwareLog(Options options)
@@ -67,7 +56,7 @@
 {
     if (record.key == eraKey)
         m_storedEra = Base::parseNumber<std::uint64_t>(record.value.value_or(std::string()));
-    const auto use = parseSoftware(record);
+    const auto use = readRecord(record);
     if (!use)
         return;
     m_listedKeys.insert(record.key);
@@ -92,6 +81,17 @@
         });
 }
 
+std::optional<Schema::SharedSoftware> SoftwareLog::readRecord(const KeyedLog::KeyedRecord &record)
+{
+    Schema::SharedSoftware use;
+    const bool isSoftware = record.value && record.key.starts_with(softwarePrefix)
+        && absl::SimpleHexAtoi(record.key.substr(softwarePrefix.size()), &use.software);
+    if (!isSoftware)
+        return std::nullopt;
+    use.service = *record.value;
+    return use;
+}
+
 void SoftwareLog::update(const std::vector<Schema::SharedSoftware> &uses)
 {
     if (!m_isRead || m_isListing || !m_options.isWriter())
--- a/src/libs/fleetsync/softwarelog.h
+++ b/src/libs/fleetsync/softwarelog.h
@@ -50,6 +50,8 @@
     void logRestored();
     /// Updates the log to the versions that serve or have served within the last minute.
     void update(const std::vector<Schema::SharedSoftware> &uses);
+    /// Decodes a record of the log; empty if it does not name a version.
+    static std::optional<Schema::SharedSoftware> readRecord(const KeyedLog::KeyedRecord &record);
     bool isRead() const { return m_isRead; }
     bool isFailing() const { return m_listing.isFailing(); }
 
--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -27,6 +27,7 @@
     : m_options(std::move(options))
     , m_listing(
           {.source = m_options.source, .timers = m_options.timers, .backoff = m_options.backoff})
+    , m_refresh({.source = m_options.source, .timers = m_options.timers})
     , m_writes({.write = m_options.write, .timers = m_options.timers, .backoff = m_options.backoff})
 {
     m_listing.listed = [this](const KeyedLog::KeyedRecord &record) { recordListed(record); };
@@ -34,6 +35,7 @@
         m_unread.erase(m_unread.begin());
         readNextShard();
     };
+    m_refresh.recordRead = [this](const KeyedLog::KeyedRecord &record) { batchRead(record); };
 }
 
 StreamLog::~StreamLog()
@@ -67,6 +69,11 @@
 void StreamLog::recordListed(const KeyedLog::KeyedRecord &record)
 {
     continueAfter(record);
+    batchRead(record);
+}
+
+void StreamLog::batchRead(const KeyedLog::KeyedRecord &record)
+{
     const auto batch =
         Schema::decodeMessage<Schema::StreamBatch>(record.value.value_or(std::string()));
     if (!batch || !received)
@@ -93,6 +100,14 @@
     batch.timer = m_options.timers->start(delay, [this, shard = *shard] { write(shard); });
 }
 
+void StreamLog::refresh(const KeyedLog::KeyedRefresh::Refreshed &refreshed)
+{
+    if (m_options.readsAll())
+        m_refresh.refresh(refreshed);
+    else
+        m_options.timers->start(Base::Duration::zero(), [refreshed] { refreshed(false); });
+}
+
 void StreamLog::write(std::uint32_t shard)
 {
     Batch &batch = m_batches[shard];
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "keyedlog/keyedlisting.h"
+#include "keyedlog/keyedrefresh.h"
 #include "keyedlog/pendingwrites.h"
 #include "schema/generated/fleetsync.h"
 
@@ -64,6 +65,10 @@
     bool isFailing() const { return m_listing.isFailing(); }
     /// Writes a stream if this router is one of its writers.
     void add(const Schema::SharedStream &stream);
+    /// Reads what was written to the log, unless it is too large for this router to read all of it.
+    /// \a refreshed is called as by KeyedLog::KeyedRefresh::refresh().
+    void refresh(const KeyedLog::KeyedRefresh::Refreshed &refreshed);
+    bool isRefreshFailing() const { return m_refresh.isFailing(); }
 
 private:
     struct Batch
@@ -77,6 +82,7 @@
 
     void readNextShard();
     void recordListed(const KeyedLog::KeyedRecord &record);
+    void batchRead(const KeyedLog::KeyedRecord &record);
     /// Continues after the slot that this router wrote last, if \a record is one of its batches.
     void continueAfter(const KeyedLog::KeyedRecord &record);
     void write(std::uint32_t shard);
@@ -84,6 +90,7 @@
 
     Options m_options;
     KeyedLog::KeyedListing m_listing;
+    KeyedLog::KeyedRefresh m_refresh;
     KeyedLog::PendingWrites m_writes;
     std::map<std::uint32_t, Batch> m_batches; ///< By shard.
     std::set<std::uint32_t> m_unread; ///< Shards that are to be read.
--- a/tests/auto/adapter/keyedstore.h
+++ b/tests/auto/adapter/keyedstore.h
@@ -22,14 +22,16 @@
         server.setHandler([this](const auto &request, const auto &responder) {
             const std::string topic = queryValue(request.query, "topic");
             ++calls;
-            if (!isUp || (!topic.empty() && topic == unreadableTopic))
+            if (isSilent)
+                m_unanswered.push_back(responder);
+            else if (!isUp || (!topic.empty() && topic == unreadableTopic))
                 answer(*responder, 503, {});
             else if (request.path == "/v1/log-newest")
                 answer(*responder, 200, newest(topic));
             else if (request.path == "/v1/log-append")
                 appended(topic, request.body, *responder);
             else
-                read(topic, std::stoull(queryValue(request.query, "from")), responder);
+                read(topic, request.query, responder);
         });
         BOOST_REQUIRE(server.listen());
     }
@@ -49,6 +51,15 @@
                 answer(*responder, 503, {});
         }
     }
+    /// Writes all records of a topic of another store.
+    void copyTopic(const KeyedStore &other, const std::string &topic)
+    {
+        const auto records = other.m_topics.find(topic);
+        if (records == other.m_topics.end())
+            return;
+        for (const auto &[key, value] : records->second)
+            write(topic, key, value);
+    }
     void saveCopy() { m_copy = m_topics; }
     /// Brings the store back as it was at the last saveCopy(), in the next era.
     void restoreCopy()
@@ -90,6 +101,7 @@
     }
 
     bool isUp = true;
+    bool isSilent = false; ///< Calls get no answer.
     std::string unreadableTopic; ///< All calls for this topic are refused.
     int calls = 0;
     Lagoonbank::Http::Server server;
@@ -161,17 +173,20 @@
         }
         return text;
     }
-    void read(const std::string &topic, std::uint64_t from, const Responder &responder)
+    void read(const std::string &topic, const std::string &query, const Responder &responder)
     {
+        const std::uint64_t from = std::stoull(queryValue(query, "from"));
+        const bool waits = queryValue(query, "wait_ms") != "0";
         if (from > m_topics[topic].size())
             answer(*responder, 410, R"({"first":0})");
-        else if (from < m_topics[topic].size())
+        else if (from < m_topics[topic].size() || !waits)
             answer(*responder, 200, tail(topic, from));
         else
             m_waiting[topic].push_back({from, responder});
     }
 
     Topics m_topics;
+    std::vector<Responder> m_unanswered;
     Topics m_copy; ///< Content at the last saveCopy().
     int m_era = 1;
     std::map<std::string, std::vector<std::pair<std::uint64_t, Responder>>> m_waiting;
--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr int routerCount = 4;
+constexpr int loneRouter = routerCount - 1;
 constexpr std::size_t engineCount = 4; ///< Half of them run each version.
 
 /// An endpoint that sends one event and then nothing.
@@ -61,13 +62,16 @@
 
 struct RouterFleet : Test::PausedLoop
 {
-    explicit RouterFleet(bool isMixed = true)
+    explicit RouterFleet(bool isMixed = true, bool withLoneRouter = false)
+        : hasLoneRouter(withLoneRouter)
     {
         store.writeRoute(7, "/p/", "streaming");
         for (std::size_t i = 0; i < engineCount; ++i) {
             engines.push_back(std::make_unique<Engine>());
             writeEngine(i, isMixed && i % 2 == 1 ? "v2" : "v1");
         }
+        for (const std::string topic : {"keyed.op", "keyed.servers"})
+            loneStore.copyTopic(store, topic);
         for (int i = 0; i < routerCount; ++i)
             start(i);
         pass(seconds(2));
@@ -85,7 +89,8 @@
         settings.listenAddress = Test::freeAddress();
         settings.readyAddress = Test::freeAddress();
         settings.peerAddress = Test::freeAddress();
-        settings.storeAddress = Runtime::toString(store.server.address());
+        const bool isAlone = hasLoneRouter && index == loneRouter;
+        settings.storeAddress = Runtime::toString((isAlone ? loneStore : store).server.address());
         run(index);
     }
     /// Starts a router that has ended, at the same addresses.
@@ -174,6 +179,9 @@
     }
 
     KeyedStore store{loop};
+    /// The store as the lone router reaches it, which has no peers and hears nothing from others.
+    KeyedStore loneStore{loop};
+    bool hasLoneRouter = false;
     std::vector<std::unique_ptr<Engine>> engines;
     std::map<int, Schema::GatewaySettings> settingsOf;
     std::map<int, std::unique_ptr<Platform::RouterProcess>> routers;
@@ -321,3 +329,58 @@
     BOOST_TEST(refused.has("HTTP/1.1 503"));
     BOOST_TEST(refused.has("retry-after"));
 }
+
+/// Guards against streams that go on at another version at a router whose channel to the store
+/// stands still while endpoints of a new version join, so that it knows one version only.
+BOOST_AUTO_TEST_CASE(routerOutOfStepResumesNoStreamAtTheOnlyVersionThatItKnows)
+{
+    RouterFleet f(false, true);
+    f.loneStore.isSilent = true;
+    f.writeEngine(1, "v2");
+    f.writeEngine(3, "v2");
+    f.pass(seconds(1));
+    constexpr int streams = 12;
+    const std::vector<std::size_t> servedBy = f.begin(0, streams);
+    f.pass(seconds(1));
+    for (int i = 0; i < streams; ++i) {
+        const std::string number = std::to_string(i);
+        RawSocket caller = f.request(loneRouter, "t" + number, "s" + number);
+        BOOST_TEST(f.awaitAnswer(caller) < 0);
+        BOOST_TEST(caller.has("HTTP/1.1 503"));
+        BOOST_TEST(caller.has("retry-after"));
+    }
+    f.loneStore.isSilent = false;
+    for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
+        f.loneStore.copyTopic(f.store, topic);
+    f.pass(seconds(1));
+    for (int i = 0; i < streams; ++i) {
+        const std::string number = std::to_string(i);
+        RawSocket caller = f.request(loneRouter, "u" + number, "s" + number);
+        const int resumedAt = f.awaitAnswer(caller);
+        BOOST_REQUIRE(resumedAt >= 0);
+        const std::size_t began = servedBy[static_cast<std::size_t>(i)];
+        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == began % 2);
+    }
+}
+
+/// Guards against the same between two reads of a router in step, which are 0.7 s apart.
+BOOST_AUTO_TEST_CASE(resumedStreamHeedsAVersionThatHasJoinedSinceTheLastRead)
+{
+    RouterFleet f(false, true);
+    f.writeEngine(1, "v2");
+    f.writeEngine(3, "v2");
+    f.pass(seconds(1));
+    constexpr int streams = 12;
+    const std::vector<std::size_t> servedBy = f.begin(0, streams);
+    f.pass(seconds(1));
+    for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
+        f.loneStore.copyTopic(f.store, topic);
+    for (int i = 0; i < streams; ++i) {
+        const std::string number = std::to_string(i);
+        RawSocket caller = f.request(loneRouter, "t" + number, "s" + number);
+        const int resumedAt = f.awaitAnswer(caller);
+        BOOST_REQUIRE(resumedAt >= 0);
+        const std::size_t began = servedBy[static_cast<std::size_t>(i)];
+        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == began % 2);
+    }
+}
