Gateway: Confirm the only version also if versions cease to be mixed during a lookup

A service that counted as mixed when a resumed stream came was not read from the store before peers were asked. If it had ceased to be mixed when they answered, the stream went on at the only version that the router knew, which nothing had confirmed (ORDER). That happens when the last minute of a version ends meanwhile, and at a router that has started: until the history of versions is known, all services count as mixed, and a peer makes it known while the store does not answer.

Ruled out: to end such a lookup as unknown. It would refuse streams for good that the store can tell.

The versions are read from the store now before the only one is used, unless that was done since the request came. The new case of tst_streamversionlookup failed before.

--- a/src/libs/gateway/streamversionlookup.cpp
+++ b/src/libs/gateway/streamversionlookup.cpp
@@ -54,9 +54,14 @@
 
 void StreamVersionLookup::refreshVersions(LookupId id)
 {
-    m_lookups.at(id).peerTimer =
-        m_options.timers->start(isStoreFailing() ? Base::Duration::zero() : m_options.peerDelay,
-                                [this, id] { askPeers(id); });
+    Lookup &lookup = m_lookups.at(id);
+    lookup.areVersionsAsked = true;
+    lookup.isCurrent.reset();
+    if (!lookup.arePeersAsked) {
+        lookup.peerTimer =
+            m_options.timers->start(isStoreFailing() ? Base::Duration::zero() : m_options.peerDelay,
+                                    [this, id] { askPeers(id); });
+    }
     startStoreTimer(id);
     m_options.refreshVersions(storeAnswered(id));
 }
@@ -138,7 +143,11 @@
         return;
     }
     if (!m_options.isMixed(lookup.service) && *lookup.isCurrent) {
-        finish(id, onlyVersion(lookup));
+        // The service may have counted as mixed when the request came, and no longer does.
+        if (!lookup.areVersionsAsked && m_options.refreshVersions)
+            refreshVersions(id);
+        else
+            finish(id, onlyVersion(lookup));
         return;
     }
     if (!lookup.arePeersAsked)
--- a/src/libs/gateway/streamversionlookup.h
+++ b/src/libs/gateway/streamversionlookup.h
@@ -103,6 +103,7 @@
         Base::MonoTime startedAt;
         bool arePeersAsked = false;
         bool havePeersAnswered = false; ///< None of them knows the stream.
+        bool areVersionsAsked = false; ///< The store was asked for the versions.
         bool areStreamsAsked = false; ///< The store was asked for the stream.
         /// Whether the store has answered the last read; unset while that is in progress.
         std::optional<bool> isCurrent;
--- a/tests/auto/gateway/tst_streamversionlookup.cpp
+++ b/tests/auto/gateway/tst_streamversionlookup.cpp
@@ -178,6 +178,23 @@
     }
 }
 
+/// Guards against the only version being used unconfirmed because the service counted as mixed when
+/// the request came: its other version expires, or the history of versions becomes known from a
+/// peer, while peers are asked for the stream.
+BOOST_AUTO_TEST_CASE(onlyVersionIsConfirmedIfVersionsCeaseToBeMixedMeanwhile)
+{
+    Router r;
+    r.versions.push_back(v2);
+    r.find();
+    r.versions.pop_back();
+    r.peerQuestions.at(0)(std::nullopt);
+    BOOST_TEST(r.from() == "none");
+    BOOST_REQUIRE(r.versionReads.size() == 1U);
+    r.versionReads[0](true);
+    BOOST_TEST(r.from() == "only_version");
+    BOOST_TEST(r.peerQuestions.size() == 1U);
+}
+
 /// Guards against a service without endpoints of which one appears while the request waits.
 BOOST_AUTO_TEST_CASE(streamOfAServiceWithoutEndpointsIsRefusedForNow)
 {
