Gateway, Platform: Wait for the versions in the store after a failed read of its streams

A lookup waits for the store for 0.1 s in place of 1 s, and asks peers at once, if the last read has failed. The last read of the versions and that of the streams counted alike. The streams are read only for a stream that nobody knows while versions are mixed, so that one failure of such a read was held against every later lookup, for minutes: peers were asked about each resumed stream, and it was refused while the store needed 0.1 s to 1 s, although no read of the versions had failed.

Each of the two reads now has its own state, which that read itself renews. The new cases of tst_streamversionlookup fail with the states joined.

--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -157,7 +157,8 @@
         /// streamReceived(), and calls \a refreshed like refreshVersions(). Null without a store.
         std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
         /// Whether the last of these reads has failed. Null if none can fail.
-        std::function<bool()> isStoreFailing;
+        std::function<bool()> areVersionsFailing;
+        std::function<bool()> areStreamsFailing;
         /// Whether requests are refused until setQuarantinesKnown() is called.
         bool awaitsQuarantines = false;
         /// Whether the software versions that have served are unknown until
--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -43,7 +43,8 @@
                 : decltype(m_options.askForStream)(),
             .refreshVersions = m_options.refreshVersions,
             .refreshStreams = m_options.refreshStreams,
-            .isStoreFailing = m_options.isStoreFailing};
+            .areVersionsFailing = m_options.areVersionsFailing,
+            .areStreamsFailing = m_options.areStreamsFailing};
 }
 
 bool Gateway::isMixed(const Base::ServiceId &service) const
--- a/src/libs/gateway/streamversionlookup.cpp
+++ b/src/libs/gateway/streamversionlookup.cpp
@@ -58,11 +58,11 @@
     lookup.areVersionsAsked = true;
     lookup.isCurrent.reset();
     if (!lookup.arePeersAsked) {
-        lookup.peerTimer =
-            m_options.timers->start(isStoreFailing() ? Base::Duration::zero() : m_options.peerDelay,
-                                    [this, id] { askPeers(id); });
+        lookup.peerTimer = m_options.timers->start(areVersionsFailing() ? Base::Duration::zero()
+                                                                        : m_options.peerDelay,
+                                                   [this, id] { askPeers(id); });
     }
-    startStoreTimer(id);
+    startStoreTimer(id, areVersionsFailing());
     m_options.refreshVersions(storeAnswered(id));
 }
 
@@ -71,7 +71,7 @@
     Lookup &lookup = m_lookups.at(id);
     lookup.areStreamsAsked = true;
     lookup.isCurrent.reset();
-    startStoreTimer(id);
+    startStoreTimer(id, areStreamsFailing());
     m_options.refreshStreams(storeAnswered(id));
 }
 
@@ -83,10 +83,10 @@
     };
 }
 
-void StreamVersionLookup::startStoreTimer(LookupId id)
+void StreamVersionLookup::startStoreTimer(LookupId id, bool isStoreFailing)
 {
     m_lookups.at(id).storeTimer = m_options.timers->start(
-        isStoreFailing() ? m_options.failingStoreTimeout : m_options.storeTimeout,
+        isStoreFailing ? m_options.failingStoreTimeout : m_options.storeTimeout,
         [this, id] { storeRead(id, false); });
 }
 
--- a/src/libs/gateway/streamversionlookup.h
+++ b/src/libs/gateway/streamversionlookup.h
@@ -68,8 +68,11 @@
         /// returns them afterwards. Calls \a refreshed like refreshVersions(). Null without a
         /// store.
         std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
-        /// Whether the last read of the store has failed. Null if none can fail.
-        std::function<bool()> isStoreFailing;
+        /// Whether the last read of the versions has failed. Null if none can fail.
+        std::function<bool()> areVersionsFailing;
+        /// The same for the last read of the streams. It is apart, as streams are seldom read: a
+        /// failure of long ago says nothing about the versions, which are read for each lookup.
+        std::function<bool()> areStreamsFailing;
         /// Time after which peers are asked as well. The store normally answers within 25 ms.
         Base::Duration peerDelay = std::chrono::milliseconds(50);
         /// Maximum wait for the store. Callers abandon a stream after a pause of 2 s or more.
@@ -111,10 +114,17 @@
         Runtime::TimerId storeTimer;
     };
 
-    bool isStoreFailing() const { return m_options.isStoreFailing && m_options.isStoreFailing(); }
+    bool areVersionsFailing() const
+    {
+        return m_options.areVersionsFailing && m_options.areVersionsFailing();
+    }
+    bool areStreamsFailing() const
+    {
+        return m_options.areStreamsFailing && m_options.areStreamsFailing();
+    }
     void refreshVersions(LookupId id);
     void refreshStreams(LookupId id);
-    void startStoreTimer(LookupId id);
+    void startStoreTimer(LookupId id, bool isStoreFailing);
     std::function<void(bool isCurrent)> storeAnswered(LookupId id);
     /// The store has answered, or is not waited for any longer.
     void storeRead(LookupId id, bool isCurrent);
--- a/tests/auto/gateway/tst_streamversionlookup.cpp
+++ b/tests/auto/gateway/tst_streamversionlookup.cpp
@@ -48,7 +48,8 @@
                  [this](auto refreshed) { versionReads.push_back(std::move(refreshed)); },
              .refreshStreams =
                  [this](auto refreshed) { streamReads.push_back(std::move(refreshed)); },
-             .isStoreFailing = [this] { return isFailing; }})
+             .areVersionsFailing = [this] { return isFailing; },
+             .areStreamsFailing = [this] { return areStreamsFailing; }})
     { }
     void find(std::optional<StreamHash> wanted = stream)
     {
@@ -68,7 +69,8 @@
     Runtime::TimerQueue timers{clock};
     std::map<StreamHash, SoftwareHash> records;
     std::vector<SoftwareHash> versions{v1};
-    bool isFailing = false;
+    bool isFailing = false; ///< The last read of the versions.
+    bool areStreamsFailing = false;
     std::vector<std::function<void(std::optional<SoftwareHash>)>> peerQuestions;
     std::vector<std::function<void(bool)>> versionReads;
     std::vector<std::function<void(bool)>> streamReads;
@@ -148,6 +150,33 @@
     BOOST_TEST(r.from() == "only_version");
 }
 
+/// Guards against a read of the streams that failed long ago and still shortens the wait for the
+/// versions: the streams are not read again while versions are not mixed.
+BOOST_AUTO_TEST_CASE(failedReadOfTheStreamsDoesNotShortenTheWaitForTheVersions)
+{
+    Router r;
+    r.areStreamsFailing = true;
+    r.find();
+    r.pass(milliseconds(1));
+    BOOST_TEST(r.peerQuestions.empty());
+    r.pass(milliseconds(300));
+    BOOST_TEST(r.from() == "none");
+    r.versionReads.at(0)(true);
+    BOOST_TEST(r.from() == "only_version");
+}
+
+BOOST_AUTO_TEST_CASE(failingReadOfTheStreamsIsNotWaitedForLong)
+{
+    Router r;
+    r.versions.push_back(v2);
+    r.areStreamsFailing = true;
+    r.find();
+    r.peerQuestions.at(0)(std::nullopt);
+    r.pass(milliseconds(100));
+    BOOST_TEST(r.from() == "nobody");
+    BOOST_TEST(r.result->mayBeKnownLater);
+}
+
 BOOST_AUTO_TEST_CASE(peersAreAskedWhileTheStoreDoesNotAnswer)
 {
     Router r;
