FleetSync, Gateway: Name no time to come back where the stored streams are not read

In fleets of more than 24 routers the streams in the store are too many to read, and StreamLog::refresh() answered at once that the read had failed. A caller whose stream no peer knew was therefore told to come back in every case, found nobody who knew it again, and the lines said that it may be known later. Before and in small fleets it is refused for good, so that the caller spends its tries elsewhere.

The lookup does not ask for streams that the router does not read. That they are not read remains: in a large fleet a stream is lost if the six routers that are asked do not know it, although the store does.

--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -100,14 +100,6 @@
     batch.timer = m_options.timers->start(delay, [this, shard = *shard] { write(shard); });
 }
 
-void StreamLog::refresh(const KeyedLog::KeyedRefresh::Refreshed &refreshed)
-{
-    if (m_options.readsAll())
-        m_refresh.refresh(refreshed);
-    else
-        m_options.timers->start(Base::Duration::zero(), [refreshed] { refreshed(false); });
-}
-
 void StreamLog::write(std::uint32_t shard)
 {
     Batch &batch = m_batches[shard];
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -65,9 +65,14 @@
     bool isFailing() const { return m_listing.isFailing(); }
     /// Writes a stream if this router is one of its writers.
     void add(const Schema::SharedStream &stream);
-    /// Reads what was written to the log, unless it is too large for this router to read all of it.
+    /// Whether refresh() can read all of the log, which is too large in a large fleet.
+    bool readsAll() const { return m_options.readsAll(); }
+    /// Reads what was written to the log. To be called only if readsAll().
     /// \a refreshed is called as by KeyedLog::KeyedRefresh::refresh().
-    void refresh(const KeyedLog::KeyedRefresh::Refreshed &refreshed);
+    void refresh(const KeyedLog::KeyedRefresh::Refreshed &refreshed)
+    {
+        m_refresh.refresh(refreshed);
+    }
     bool isRefreshFailing() const { return m_refresh.isFailing(); }
 
 private:
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -156,6 +156,8 @@
         /// Reads from the store which streams have begun while versions were mixed, passes them to
         /// streamReceived(), and calls \a refreshed like refreshVersions(). Null without a store.
         std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
+        /// Whether this router reads the streams in the store. Null if it always does.
+        std::function<bool()> areStreamsReadable;
         /// Whether the last of these reads has failed. Null if none can fail.
         std::function<bool()> areVersionsFailing;
         std::function<bool()> areStreamsFailing;
--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -43,6 +43,7 @@
                 : decltype(m_options.askForStream)(),
             .refreshVersions = m_options.refreshVersions,
             .refreshStreams = m_options.refreshStreams,
+            .areStreamsReadable = m_options.areStreamsReadable,
             .areVersionsFailing = m_options.areVersionsFailing,
             .areStreamsFailing = m_options.areStreamsFailing};
 }
--- a/src/libs/gateway/streamversionlookup.cpp
+++ b/src/libs/gateway/streamversionlookup.cpp
@@ -152,8 +152,7 @@
     }
     if (!lookup.arePeersAsked)
         askPeers(id);
-    else if (lookup.havePeersAnswered && *lookup.isCurrent && lookup.stream
-             && m_options.refreshStreams)
+    else if (lookup.havePeersAnswered && *lookup.isCurrent && lookup.stream && areStreamsReadable())
         refreshStreams(id);
     else if (lookup.havePeersAnswered)
         finish(id, {.mayBeKnownLater = !*lookup.isCurrent});
--- a/src/libs/gateway/streamversionlookup.h
+++ b/src/libs/gateway/streamversionlookup.h
@@ -68,6 +68,9 @@
         /// returns them afterwards. Calls \a refreshed like refreshVersions(). Null without a
         /// store.
         std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
+        /// Whether the store keeps the streams of this fleet in a form that this router reads. Null
+        /// if it always does.
+        std::function<bool()> areStreamsReadable;
         /// Whether the last read of the versions has failed. Null if none can fail.
         std::function<bool()> areVersionsFailing;
         /// The same for the last read of the streams. It is apart, as streams are seldom read: a
@@ -122,6 +125,11 @@
     {
         return m_options.areStreamsFailing && m_options.areStreamsFailing();
     }
+    bool areStreamsReadable() const
+    {
+        return m_options.refreshStreams
+            && (!m_options.areStreamsReadable || m_options.areStreamsReadable());
+    }
     void refreshVersions(LookupId id);
     void refreshStreams(LookupId id);
     void startStoreTimer(LookupId id, bool isStoreFailing);
--- a/tests/auto/gateway/tst_streamversionlookup.cpp
+++ b/tests/auto/gateway/tst_streamversionlookup.cpp
@@ -48,6 +48,7 @@
                  [this](auto refreshed) { versionReads.push_back(std::move(refreshed)); },
              .refreshStreams =
                  [this](auto refreshed) { streamReads.push_back(std::move(refreshed)); },
+             .areStreamsReadable = [this] { return areStreamsReadable; },
              .areVersionsFailing = [this] { return isFailing; },
              .areStreamsFailing = [this] { return areStreamsFailing; }})
     { }
@@ -71,6 +72,7 @@
     std::vector<SoftwareHash> versions{v1};
     bool isFailing = false; ///< The last read of the versions.
     bool areStreamsFailing = false;
+    bool areStreamsReadable = true;
     std::vector<std::function<void(std::optional<SoftwareHash>)>> peerQuestions;
     std::vector<std::function<void(bool)>> versionReads;
     std::vector<std::function<void(bool)>> streamReads;
@@ -177,6 +179,20 @@
     BOOST_TEST(r.result->mayBeKnownLater);
 }
 
+/// Guards against callers in a large fleet who are told to come back, although no router will ever
+/// know their stream.
+BOOST_AUTO_TEST_CASE(unknownStreamIsNotExpectedLaterIfTheStoredStreamsAreNotRead)
+{
+    Router r;
+    r.versions.push_back(v2);
+    r.areStreamsReadable = false;
+    r.find();
+    r.peerQuestions.at(0)(std::nullopt);
+    BOOST_TEST(r.from() == "nobody");
+    BOOST_TEST(r.streamReads.empty());
+    BOOST_TEST(!r.result->mayBeKnownLater);
+}
+
 BOOST_AUTO_TEST_CASE(peersAreAskedWhileTheStoreDoesNotAnswer)
 {
     Router r;
