FleetSync, Platform: Wait again for what a restored store lacks if it fails meanwhile

For 2.5 s after the restoration of the store from an older copy, versions may be missing there, and a read of them does not count as current.

The time begins anew when the store returns, if a read of the versions or of the endpoints has failed before it had passed. The new case of tst_softwarerefresh fails without that.

--- a/src/libs/fleetsync/softwarerefresh.cpp
+++ b/src/libs/fleetsync/softwarerefresh.cpp
@@ -33,15 +33,39 @@
     const auto answers = std::make_shared<Answers>();
     const auto answered = [this, answers, refreshed = std::move(refreshed)](bool isCurrent) {
         answers->areCurrent = answers->areCurrent && isCurrent;
-        if (--answers->open == 0)
-            refreshed(answers->areCurrent && !mayLackVersions());
+        if (--answers->open > 0)
+            return;
+        if (answers->areCurrent)
+            logReturned();
+        else
+            logFailed();
+        refreshed(answers->areCurrent && !mayLackVersions());
     };
     m_endpoints.refresh(answered);
     m_software.refresh(answered);
 }
 
+void SoftwareRefresh::logRestored()
+{
+    m_restoredAt = m_options.timers->clock().now();
+    m_hasFailedSinceRestored = false;
+}
+
+void SoftwareRefresh::logFailed()
+{
+    m_hasFailedSinceRestored = mayLackVersions();
+}
+
+void SoftwareRefresh::logReturned()
+{
+    if (m_hasFailedSinceRestored)
+        logRestored();
+}
+
 bool SoftwareRefresh::mayLackVersions() const
 {
+    if (m_hasFailedSinceRestored)
+        return true;
     return m_restoredAt && m_options.timers->clock().now() - *m_restoredAt < m_options.rewriteTime;
 }
 
--- a/src/libs/fleetsync/softwarerefresh.h
+++ b/src/libs/fleetsync/softwarerefresh.h
@@ -39,7 +39,12 @@
     void refresh(Refreshed refreshed);
     bool isFailing() const { return m_endpoints.isFailing() || m_software.isFailing(); }
     /// The store has been restored from an older copy.
-    void logRestored() { m_restoredAt = m_options.timers->clock().now(); }
+    void logRestored();
+    /// A call to the store has failed. Nothing can be written again while it is down, so that
+    /// `rewriteTime` begins anew if it has not passed.
+    void logFailed();
+    /// The store answers after a failure.
+    void logReturned();
 
 private:
     bool mayLackVersions() const;
@@ -48,6 +53,7 @@
     KeyedLog::KeyedRefresh m_endpoints;
     KeyedLog::KeyedRefresh m_software;
     std::optional<Base::MonoTime> m_restoredAt;
+    bool m_hasFailedSinceRestored = false; ///< The store has not answered since.
 };
 
 } // namespace Lagoonbank::FleetSync
--- a/tests/auto/fleetsync/tst_softwarerefresh.cpp
+++ b/tests/auto/fleetsync/tst_softwarerefresh.cpp
@@ -77,3 +77,39 @@
     f.software.answerTail({}, 0);
     BOOST_TEST(f.result.value());
 }
+
+/// Guards against a restored store that fails again before what the copy lacks could be written,
+/// and returns without it later than the time that is allowed for that.
+BOOST_AUTO_TEST_CASE(versionsAreNotCurrentIfARestoredStoreFailsBeforeTheyAreWrittenAgain)
+{
+    for (const bool isFailureSeenByThisRead : {true, false}) {
+        BOOST_TEST_CONTEXT("failure seen by this read: " << isFailureSeenByThisRead)
+        {
+            Fixture f;
+            f.refresh.logRestored();
+            if (isFailureSeenByThisRead) {
+                f.endpoints.answerNewest({}, 0);
+                f.software.take().newest(
+                    Errors::makeError(Errors::ErrorKind::LogUnavailable, "down"));
+            } else {
+                f.endpoints.answerNewest({}, 0);
+                f.software.answerNewest({}, 0);
+                f.refresh.logFailed();
+            }
+            f.clock.advance(milliseconds(5000));
+            f.refresh.logReturned();
+            for (const bool isRewritten : {false, true}) {
+                f.clock.advance(milliseconds(isRewritten ? 2500 : 100));
+                f.refresh.refresh([&f](bool isCurrent) { f.result = isCurrent; });
+                f.timers.runDue();
+                for (auto *log : {&f.endpoints, &f.software}) {
+                    if (log->reads.front().tail)
+                        log->answerTail({}, 0);
+                    else
+                        log->answerNewest({}, 0);
+                }
+                BOOST_TEST(f.result.value() == isRewritten);
+            }
+        }
+    }
+}
