FleetSync: List the log of versions anew for each confirmation

The tail of the log of versions does not repeat a version that a router has forgotten after a minute, and the tail of the endpoints' entries, which each endpoint writes every 1.2 s, is longer than a listing after some seconds: 0.3 to 0.4 MB after 10 s of 198 endpoints, against 60 to 80 KB (worked out). The log of versions has a few keys, so that it is listed each time; a tail of entries is read for 2 s at most.

--- a/src/libs/fleetsync/softwarerefresh.cpp
+++ b/src/libs/fleetsync/softwarerefresh.cpp
@@ -7,10 +7,19 @@
 
 namespace Lagoonbank::FleetSync {
 
+namespace {
+
+/// Endpoints write their entries every 1.2 s, so that an older tail has more records than a
+/// listing.
+constexpr Base::Duration maxEntryTailAge = std::chrono::seconds(2);
+
+} // namespace
+
 SoftwareRefresh::SoftwareRefresh(const Options &options)
     : m_options(options)
-    , m_endpoints({.source = options.endpoints, .timers = options.timers})
-    , m_software({.source = options.software, .timers = options.timers})
+    , m_endpoints(
+          {.source = options.endpoints, .timers = options.timers, .maxTailAge = maxEntryTailAge})
+    , m_software({.source = options.software, .timers = options.timers, .maxTailAge = {}})
 {
     m_endpoints.recordRead = [this](const KeyedLog::KeyedRecord &record) {
         if (endpointRead)
--- a/src/libs/keyedlog/keyedrefresh.h
+++ b/src/libs/keyedlog/keyedrefresh.h
@@ -31,7 +31,8 @@
         /// Minimum time between the starts of two reads; calls in between share one read. Some
         /// hundred streams are resumed at the same moment when a router ends.
         Base::Duration minInterval = std::chrono::milliseconds(50);
-        /// Maximum age of the last read after which the tail is read in place of a listing.
+        /// Maximum age of the last read after which the tail is read in place of a listing; zero
+        /// to list always. The tail is longer than a listing if keys are written often.
         Base::Duration maxTailAge = std::chrono::seconds(10);
     };
 
