--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -90,11 +90,13 @@
         # Whether an earlier router joined the versions -> first requests of streams with two.
         self.mixed = {False: set(), True: set()}
         self.violations = []
+        self.refused = set()  # Ids of requests whose answer says that they did not run.
         self.sent = 0
+        self.engines_per_version = ENGINES_PER_VERSION
 
     async def add_version(self, number):
         """Starts engines of a software version and writes their entries."""
-        for i in range(ENGINES_PER_VERSION):
+        for i in range(self.engines_per_version):
             engine = world.Engine(f"e{i}v{number}", "llm", f"dc{i % 2}", {}, self.rng)
             engine.version_of_boot = lambda boot: f"v{number}"
             engine.on_arrival = lambda engine, request: None
@@ -139,14 +141,17 @@
     async def watch(self, router):
         """Keeps track of whether a router is ready."""
         while True:
+            is_ready, writer = False, None
             try:
                 reader, writer = await asyncio.open_connection(router.ip, soak.READY)
                 writer.write(wire.message("GET /v1/readiness HTTP/1.1", {"host": "h"}))
                 head = await asyncio.wait_for(wire.read_head(reader), 1)
-                writer.close()
                 is_ready = head is not None and head[0].split(" ")[1] == "200"
             except (OSError, asyncio.TimeoutError, wire.ConnectionBroken):
-                is_ready = False
+                pass
+            finally:
+                if writer:
+                    writer.close()
             is_ready = is_ready and not self.is_down
             if is_ready:
                 self.ready_at = self.ready_at or time.monotonic()
@@ -285,6 +290,8 @@
         if head is None:
             raise wire.ConnectionBroken("closed")
         status, fields = int(head[0].split(" ")[1]), head[1]
+        if status in (429, 503):
+            self.refused.add(request)
         if status != 200:
             body = (await wire.read_whole_body(reader, fields)).decode()
             kind = json.loads(body)["error"]["kind"] if body.startswith('{"error"') else body
