Gateway: Do not move a stream after an event without an id

A stream whose endpoint broke off went on at another endpoint after the last id that it had had. Events without an id that followed it, or all events if none had an id, came twice then: the next endpoint was asked to go on from before them. Events without an id came twice too where an endpoint repeated events from before the last one, as only events with an id were recognized as repeated.

A stream whose last event has no id is broken off with its endpoint. Comments do not count, as they are no pieces. An event without an id that follows a repeated event with an id is left out, unless that is the last one.

streamIsNotMovedAfterAnEventWithoutId and resumedStreamWithEventsWithoutIdsHasEachEventOnce (tst_brokenstream) failed before.

--- a/src/libs/gateway/eventsplitter.cpp
+++ b/src/libs/gateway/eventsplitter.cpp
@@ -38,6 +38,20 @@
     return std::nullopt;
 }
 
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        if (!line.empty() && line != "\r" && !line.starts_with(':'))
+            return false;
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return true;
+}
+
 /// The end of the first event in \a text, searched from \a from; unset if it is incomplete.
 std::optional<std::size_t> endOfEvent(std::string_view text, std::size_t from)
 {
@@ -58,7 +72,7 @@
     std::size_t from = m_searchedBytes;
     while (const auto end = endOfEvent(m_remainder, from)) {
         const std::string_view bytes = std::string_view(m_remainder).substr(start, *end - start);
-        event({bytes, idOf(bytes)});
+        event({bytes, idOf(bytes), isComment(bytes)});
         start = *end;
         from = start;
     }
--- a/src/libs/gateway/eventsplitter.h
+++ b/src/libs/gateway/eventsplitter.h
@@ -18,6 +18,7 @@
     {
         std::string_view bytes; ///< Including the terminating empty line; valid during the call.
         std::optional<std::uint64_t> id;
+        bool isComment = false; ///< Has comments only, such as one that keeps connections alive.
     };
 
     /// Calls \a event for each event that \a piece completes. False if an event exceeds the maximum
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -273,6 +273,8 @@
 {
     if (areAttemptsUsed() || m_mayCauseQuarantine || timeLeft() < minAttemptTime)
         return false;
+    if (m_isLastEventWithoutId)
+        return false;
     if (!m_mayHaveRunAt.empty() && (!m_route->mayRepeat() || isEndpointLimitReached()))
         return false;
     const bool isRepeat = m_sendCount > 0;
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -62,6 +62,9 @@
         bool isStreaming = false; ///< Events are forwarded as they arrive.
         std::optional<Base::MonoTime> lastEventAt;
         int eventCount = 0; ///< Events from this endpoint.
+        /// The last event with an id precedes the last forwarded one, so that events without an id
+        /// that follow it were forwarded before.
+        bool isRepeating = false;
         std::optional<Http::Framing> framing; ///< Set once the call has ended.
         bool isRequestWritten = false; ///< Set once the call has ended.
     };
@@ -268,6 +271,9 @@
     /// event.
     std::optional<SoftwareHash> m_software;
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last forwarded event.
+    /// The last forwarded event, other than a comment, had no id. Another endpoint can't be told to
+    /// go on after it.
+    bool m_isLastEventWithoutId = false;
     bool m_hasIdGaps = false; ///< Ids of forwarded events are not consecutive.
     std::int64_t m_eventCount = 0; ///< Number of forwarded events.
     AnswerBuffer m_answerBody; ///< Of an answer that is not a stream.
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -163,6 +163,7 @@
     Attempt &attempt = *m_attempt;
     const Base::MonoTime now = m_timers.clock().now();
     if (event.id && m_lastEventId) {
+        attempt.isRepeating = *event.id < *m_lastEventId;
         if (*event.id <= *m_lastEventId)
             return true; // The caller has already received this event.
         const bool hasGap = *event.id > *m_lastEventId + 1;
@@ -170,8 +171,12 @@
             return false;
         m_hasIdGaps = m_hasIdGaps || hasGap;
     }
+    if (!event.id && attempt.isRepeating)
+        return true;
     if (event.id)
         m_lastEventId = event.id;
+    if (!event.isComment)
+        m_isLastEventWithoutId = !event.id;
     if (!m_hasStreamBegun) {
         m_hasStreamBegun = true;
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
--- a/tests/auto/gateway/tst_brokenstream.cpp
+++ b/tests/auto/gateway/tst_brokenstream.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace Lagoonbank;
 using Lagoonbank::Test::chunk;
@@ -201,3 +202,80 @@
     BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
     BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
 }
+
+/// Guards against events that come twice: an endpoint can't be told to go on after an event without
+/// an id.
+BOOST_AUTO_TEST_CASE(streamIsNotMovedAfterAnEventWithoutId)
+{
+    struct Case
+    {
+        const char *name;
+        std::string sent; ///< Before the endpoint breaks off.
+        std::string last; ///< The last event of it.
+        bool isMoved;
+    };
+    const std::vector<Case> cases = {
+        {"no event has an id", "data: x\n\n", "data: x\n\n", false},
+        {"the last event has none", event(1) + "data: x\n\n", "data: x\n\n", false},
+        {"a comment follows it", "data: x\n\n: y\n\n", ": y\n\n", false},
+        {"an earlier event has none", "data: x\n\n" + event(1), event(1), true},
+        {"the last one is a comment", event(1) + ": y\n:\r\n\r\n", ":\r\n\r\n", true},
+    };
+    for (const Case &one : cases) {
+        BOOST_TEST_CONTEXT(one.name)
+        {
+            GatewayFixture f;
+            f.setRoute(streamRoute(true));
+            RawSocket caller = f.call();
+            FakeEndpoint &first = f.awaitRequest();
+            first.last().send(std::string(streamHead) + chunk(one.sent));
+            BOOST_REQUIRE(f.runUntil([&] { return caller.has(one.last); }));
+            first.last().close();
+            BOOST_TEST(
+                f.runUntil([&] { return caller.isEnded() || f.requests() == 1U + one.isMoved; }));
+            f.runIterations(5);
+            BOOST_TEST(f.requests() == 1U + one.isMoved);
+            BOOST_TEST(caller.isEnded() == !one.isMoved);
+            BOOST_TEST(!caller.has("\r\n0\r\n\r\n"));
+        }
+    }
+}
+
+/// Guards against events without ids that come twice where an endpoint does not go on just after
+/// the last event.
+BOOST_AUTO_TEST_CASE(resumedStreamWithEventsWithoutIdsHasEachEventOnce)
+{
+    struct Case
+    {
+        const char *name;
+        std::string resumed; ///< What the second endpoint sends.
+        bool isWhole;
+    };
+    const std::string unnumbered = "data: x\n\n";
+    const std::vector<Case> cases = {
+        {"repeats all", event(1) + unnumbered + event(2) + event(3), true},
+        {"repeats the last event", event(2) + event(3), true},
+        {"begins with a comment", ": y\n\n" + event(3), true},
+    };
+    for (const Case &one : cases) {
+        BOOST_TEST_CONTEXT("the second endpoint " << one.name)
+        {
+            GatewayFixture f;
+            f.setRoute(streamRoute(true));
+            RawSocket caller = f.call();
+            FakeEndpoint &first = f.awaitRequest();
+            first.last().send(std::string(streamHead) + chunk(event(1) + unnumbered + event(2)));
+            BOOST_REQUIRE(f.runUntil([&] { return caller.has("e2"); }));
+            first.last().close();
+            f.awaitRequest().last().send(std::string(streamHead) + chunk(one.resumed)
+                                         + std::string(streamEnd));
+            BOOST_TEST(f.runUntil([&] { return caller.isEnded() || caller.has("\r\n0\r\n\r\n"); }));
+            const std::string &all = caller.receive();
+            BOOST_TEST(caller.has("\r\n0\r\n\r\n") == one.isWhole);
+            BOOST_TEST(caller.has("e3") == one.isWhole);
+            BOOST_TEST(!caller.has("e4"));
+            for (const std::string &piece : {event(1), unnumbered, event(2)})
+                BOOST_TEST(all.find(piece) == all.rfind(piece));
+        }
+    }
+}
