Gateway: Notice a missing event after a comment in a moved stream

The first event of a stream that was moved to another endpoint has to be the next one. Any event counted as the first, also a comment that keeps the connection alive. Where one came first, a gap in the ids after it was taken for one that the endpoint's ids have: the caller got a stream that lacked an event and ended as complete. The first event with an id is compared now.

The case "lacks an event after a comment" of resumedStreamWithEventsWithoutIdsHasEachEventOnce (tst_brokenstream) failed before.

--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -62,6 +62,7 @@
         bool isStreaming = false; ///< Events are forwarded as they arrive.
         std::optional<Base::MonoTime> lastEventAt;
         int eventCount = 0; ///< Events from this endpoint.
+        bool hasEventId = false; ///< An event with an id was forwarded.
         /// The last event with an id precedes the last forwarded one, so that events without an id
         /// that follow it were forwarded before.
         bool isRepeating = false;
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -167,14 +167,16 @@
         if (*event.id <= *m_lastEventId)
             return true; // The caller has already received this event.
         const bool hasGap = *event.id > *m_lastEventId + 1;
-        if (hasGap && attempt.eventCount == 0 && !m_hasIdGaps)
+        if (hasGap && !attempt.hasEventId && !m_hasIdGaps)
             return false;
         m_hasIdGaps = m_hasIdGaps || hasGap;
     }
     if (!event.id && attempt.isRepeating)
         return true;
-    if (event.id)
+    if (event.id) {
         m_lastEventId = event.id;
+        attempt.hasEventId = true;
+    }
     if (!event.isComment)
         m_isLastEventWithoutId = !event.id;
     if (!m_hasStreamBegun) {
--- a/tests/auto/gateway/tst_brokenstream.cpp
+++ b/tests/auto/gateway/tst_brokenstream.cpp
@@ -241,8 +241,8 @@
     }
 }
 
-/// Guards against events without ids that come twice where an endpoint does not go on just after
-/// the last event.
+/// Guards against events without ids that come twice, and missing events that go unnoticed, where
+/// an endpoint does not go on just after the last event.
 BOOST_AUTO_TEST_CASE(resumedStreamWithEventsWithoutIdsHasEachEventOnce)
 {
     struct Case
@@ -256,6 +256,7 @@
         {"repeats all", event(1) + unnumbered + event(2) + event(3), true},
         {"repeats the last event", event(2) + event(3), true},
         {"begins with a comment", ": y\n\n" + event(3), true},
+        {"lacks an event after a comment", ": y\n\n" + event(4), false},
     };
     for (const Case &one : cases) {
         BOOST_TEST_CONTEXT("the second endpoint " << one.name)
