--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -163,15 +163,22 @@
     Attempt &attempt = *m_attempt;
     const Base::MonoTime now = m_timers.clock().now();
     if (event.id && m_lastEventId) {
+        attempt.isRepeating = *event.id < *m_lastEventId;
         if (*event.id <= *m_lastEventId)
             return true; // The caller has already received this event.
         const bool hasGap = *event.id > *m_lastEventId + 1;
-        if (hasGap && attempt.eventCount == 0 && !m_hasIdGaps)
+        if (hasGap && !attempt.hasEventId && !m_hasIdGaps)
             return false;
         m_hasIdGaps = m_hasIdGaps || hasGap;
     }
-    if (event.id)
+    if (!event.id && attempt.isRepeating)
+        return true;
+    if (event.id) {
         m_lastEventId = event.id;
+        attempt.hasEventId = true;
+    }
+    if (!event.isComment)
+        m_isLastEventWithoutId = !event.id;
     if (!m_hasStreamBegun) {
         m_hasStreamBegun = true;
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
