Platform, FleetSync: Refuse odd entries and configurations

Entries of other writers were taken for those of engines although routers cannot exchange them: an id of more than 96 bytes, a service of more than 96, a zone or version of more than 64, or an address with a null character and text behind it exceed the bounds of the messages, which then fail as a whole. Routers that do not read the store would stop following it. A start time near 2^63 ms overflowed when it was converted to nanoseconds, numbers of the configuration out of range became undefined durations and counts, and a deeply nested list of services or tenants was copied recursively, which overflowed the stack and ended the process (the test ended with a memory access violation). Explanations of errors contained up to the whole value.

Check the bounds of the messages when an entry is read, and the ranges of all numbers. A configuration with one out of range is an error as a whole, so that the previous one stays in force. Do not copy lists, do not decode entries of more than 256 KB, and limit explanations to 200 bytes. Refuse slots, start times and addresses out of range in messages of peers too.

An empty zone or version stays valid, as nothing that is read depends on it.

--- a/src/libs/fleetsync/fleetsyncpulls.cpp
+++ b/src/libs/fleetsync/fleetsyncpulls.cpp
@@ -200,10 +200,12 @@
 
 void FleetSync::apply(const SharedEndpoint &shared)
 {
-    if (shared.isGone)
-        m_options.directory->remove(fromSharedRemoval(shared));
-    else
-        m_options.directory->put(fromShared(shared));
+    if (shared.isGone) {
+        if (const auto gone = fromSharedRemoval(shared))
+            m_options.directory->remove(gone.value());
+    } else if (auto entry = fromShared(shared)) {
+        m_options.directory->put(std::move(entry.value()));
+    }
 }
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/runtime/udpsocket.cpp
+++ b/src/libs/runtime/udpsocket.cpp
@@ -55,7 +55,9 @@
     SocketAddress address;
     address.ip = text.substr(0, colon);
     in_addr ignored{};
-    if (inet_pton(AF_INET, address.ip.c_str(), &ignored) != 1) {
+    // A null character would end the address for inet_pton().
+    const bool hasNull = address.ip.find('\0') != std::string::npos;
+    if (hasNull || inet_pton(AF_INET, address.ip.c_str(), &ignored) != 1) {
         return Errors::makeError(Errors::ErrorKind::BadSettings,
                                  "\"" + address.ip + "\" is not an IPv4 address");
     }
--- a/tests/auto/adapter/tst_storeobjects.cpp
+++ b/tests/auto/adapter/tst_storeobjects.cpp
@@ -151,3 +151,160 @@
     BOOST_TEST(!Platform::readEndpoint("i-1", text(good) + "x"));
     BOOST_TEST(!Platform::readEndpoint("i-1", "\xff\xfe"));
 }
+
+namespace {
+
+std::string endpointEntry(std::string_view field, std::string_view value)
+{
+    std::map<std::string_view, std::string_view> fields{
+        {"service", R"("s1")"},   {"address", R"("10.1.0.9:8080")"},
+        {"zone", R"("gulberg")"}, {"version", R"("v1")"},
+        {"slots", "128"},         {"state", R"("ready")"},
+        {"warmup_left_ms", "0"},  {"seq", "4"},
+        {"born", "1764719000123"}};
+    fields[field] = value;
+    std::string json;
+    for (const auto &[name, text] : fields)
+        json += (json.empty() ? "{\"" : ",\"") + std::string(name) + "\":" + std::string(text);
+    return json + "}";
+}
+
+std::string text(std::size_t size)
+{
+    return '"' + std::string(size, 'x') + '"';
+}
+
+} // namespace
+
+/// Each of these entries was taken for one of an engine. Some could not be passed to other routers:
+/// all messages with them failed, so that routers which do not read the store stopped following it.
+/// The others are no engine that can be called, or overflow when they are converted.
+BOOST_AUTO_TEST_CASE(oddEntryIsAnError)
+{
+    struct Row
+    {
+        std::string_view name;
+        std::string field;
+        std::string value;
+    };
+    const Row rows[]{
+        {"empty service", "service", R"("")"},
+        {"service longer than routers share", "service", text(97)},
+        {"service of a megabyte", "service", text(1 << 20)},
+        {"zone longer than routers share", "zone", text(65)},
+        {"version longer than routers share", "version", text(65)},
+        {"port 0", "address", R"("10.1.0.9:0")"},
+        {"address of any host", "address", R"("0.0.0.0:80")"},
+        {"null character in the address", "address", R"("10.1.0.9\u0000xxxxxxxxxxxxxxxx:80")"},
+        {"start beyond nanoseconds", "born", "9223372036855"},
+        {"start near 2^63", "born", "9223372036854775807"},
+        {"slots beyond int", "slots", "2147483648"},
+        {"sequence near 2^64", "seq", "18446744073709551615"},
+        {"remaining time beyond double", "warmup_left_ms", "1e999"},
+        {"deep nesting", "models", std::string(100000, '[')},
+        {"entry of a megabyte", "models", text(1 << 20)}};
+    for (const Row &row : rows)
+        BOOST_TEST(!Platform::readEndpoint("i-1", endpointEntry(row.field, row.value)), row.name);
+    const std::string good = endpointEntry("slots", "4");
+    BOOST_TEST(Platform::readEndpoint(std::string(96, 'i'), good).has_value());
+    for (const std::string &id : {std::string(), std::string(97, 'i'), std::string("a\r\nb"),
+                                  std::string("a b"), std::string("\xff")})
+        BOOST_TEST(!Platform::readEndpoint(id, good), id);
+}
+
+/// Values at the bounds stay valid.
+BOOST_AUTO_TEST_CASE(extremeEntryOfAnEndpointIsRead)
+{
+    for (const auto &[field, value] : std::multimap<std::string, std::string>{
+             {"service", text(96)},
+             {"zone", text(64)},
+             {"version", text(64)},
+             {"zone", R"("")"},
+             {"version", R"("")"},
+             {"address", R"("10.1.0.9:65535")"},
+             {"born", "9223372036854"},
+             {"born", "0"},
+             {"slots", "2147483647"},
+             {"warmup_left_ms", "1e300"},
+             {"models", std::string(1000, '[') + std::string(1000, ']')}})
+        BOOST_TEST(Platform::readEndpoint("i-1", endpointEntry(field, value)).has_value(), field);
+}
+
+/// The error is logged, and used to contain up to the whole value.
+BOOST_AUTO_TEST_CASE(errorOfAnOddEntryIsShort)
+{
+    constexpr std::size_t maxDetail = 300;
+    for (const std::string &entry :
+         {endpointEntry("state", text(100000)), endpointEntry("address", text(100000)),
+          "{\"" + std::string(100000, 'x')}) {
+        const auto read = Platform::readEndpoint("i-1", entry);
+        BOOST_REQUIRE(!read);
+        BOOST_TEST(read.error().detail.size() <= maxDetail);
+    }
+    const auto read =
+        Platform::readConfiguration(R"({"version":1,"routes":[{"kind":)" + text(100000) + "}]}");
+    BOOST_REQUIRE(!read);
+    BOOST_TEST(read.error().detail.size() <= maxDetail);
+}
+
+/// Numbers out of range became undefined durations or counts. The configuration is then an error as
+/// a whole, so that the previous one stays in force.
+BOOST_AUTO_TEST_CASE(configurationWithNumbersOutOfRangeIsAnError)
+{
+    const auto route = [](const std::string &fields) {
+        return R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"idempotent",)"
+               R"("service":"s")"
+            + fields + "}]}";
+    };
+    const auto service = [](const std::string &fields) {
+        return R"({"version":7,"routes":[],"services":[{"name":"s")" + fields + "}]}";
+    };
+    const auto limits = [](const std::string &fields) {
+        return R"({"version":7,"routes":[],"limits":{)" + fields + "}}";
+    };
+    BOOST_TEST(Platform::readConfiguration(route("")).has_value());
+    BOOST_TEST(Platform::readConfiguration(route(R"(,"timeout_ms":0.5)")).has_value());
+    BOOST_TEST(Platform::readConfiguration(service("")).has_value());
+    BOOST_TEST(Platform::readConfiguration(limits("")).has_value());
+    for (const char *value : {"1e300", "-1", "-1e300", "1e17", "true", "\"NaN\"", "1e999"}) {
+        const std::string number = std::string(":") + value;
+        for (const char *name :
+             {"timeout_ms", "target_latency_ms", "max_gap_ms", "max_attempts", "priority"}) {
+            const std::string json = route(",\"" + std::string(name) + "\"" + number);
+            BOOST_TEST(!Platform::readConfiguration(json), json);
+        }
+        for (const char *name : {"max_conns", "warmup_s", "warmup_per_s"}) {
+            const std::string json = service(",\"" + std::string(name) + "\"" + number);
+            BOOST_TEST(!Platform::readConfiguration(json), json);
+        }
+        for (const char *name : {"slots", "kv_tokens", "stride"}) {
+            const std::string json =
+                service(R"(,"engine":{")" + std::string(name) + "\"" + number + "}");
+            BOOST_TEST(!Platform::readConfiguration(json), json);
+        }
+        for (const char *name : {"header_bytes", "body_bytes", "header_ms", "idle_ms"}) {
+            const std::string json = limits("\"" + std::string(name) + "\"" + number);
+            BOOST_TEST(!Platform::readConfiguration(json), json);
+        }
+        const std::string split =
+            route(R"(,"traffic_split":[{"service":"s","weight")" + number + "}]");
+        BOOST_TEST(!Platform::readConfiguration(split), split);
+    }
+    for (const char *version : {"-1", "1.5", "true", "1e300"}) {
+        const std::string json = R"({"version":)" + std::string(version) + R"(,"routes":[]})";
+        BOOST_TEST(!Platform::readConfiguration(json), json);
+    }
+}
+
+/// A list was copied recursively, which overflowed the stack and ended the router.
+BOOST_AUTO_TEST_CASE(deeplyNestedConfigurationIsAnError)
+{
+    constexpr std::size_t depth = 1000000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const char *name : {"services", "tenants", "limits", "routes"}) {
+        std::string json = R"({"version":7,)";
+        json += std::string_view(name) == "routes" ? "" : R"("routes":[],)";
+        json += "\"" + std::string(name) + "\":" + nested + "}";
+        BOOST_TEST(!Platform::readConfiguration(json), name);
+    }
+}
