--- a/tests/auto/adapter/keyedstore.h
+++ b/tests/auto/adapter/keyedstore.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -60,6 +61,16 @@
         for (const auto &[key, value] : records->second)
             write(topic, key, value);
     }
+    /// All keys of a topic that have been written.
+    std::set<std::string> keys(const std::string &topic) const
+    {
+        std::set<std::string> keys;
+        if (const auto records = m_topics.find(topic); records != m_topics.end()) {
+            for (const auto &[key, value] : records->second)
+                keys.insert(key);
+        }
+        return keys;
+    }
     void saveCopy() { m_copy = m_topics; }
     /// Brings the store back as it was at the last saveCopy(), in the next era.
     void restoreCopy()
--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -62,9 +62,12 @@
 
 struct RouterFleet : Test::PausedLoop
 {
-    explicit RouterFleet(bool isMixed = true, bool withLoneRouter = false)
+    explicit RouterFleet(bool isMixed = true, bool withLoneRouter = false, int cutOffRouters = 0)
         : hasLoneRouter(withLoneRouter)
     {
+        for (int i = 0; i < cutOffRouters; ++i)
+            store.write("keyed.lagoonbank-routers", "cut-off-" + std::to_string(i),
+                        "dc0 " + Test::freeAddress() + " 1");
         store.writeRoute(7, "/p/", "streaming");
         for (std::size_t i = 0; i < engineCount; ++i) {
             engines.push_back(std::make_unique<Engine>());
@@ -384,3 +387,14 @@
         BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == began % 2);
     }
 }
+
+/// Guards against versions that are missing in the store, as its writers in a large fleet are cut
+/// off from it: a router that reads the store later would take a service for unmixed.
+BOOST_AUTO_TEST_CASE(versionsAreStoredWhileTheirWritersAreCutOff)
+{
+    RouterFleet f(false, false, 60);
+    const std::size_t before = f.store.keys("keyed.lagoonbank-software").size();
+    f.writeEngine(1, "v2");
+    f.pass(seconds(1));
+    BOOST_TEST(f.store.keys("keyed.lagoonbank-software").size() == before + 1);
+}
