Soak: Cut the writers of software versions off from the store

Adds the case largest_writers_silent_rolled_back: 22 of 26 routers do not hear the store while one without peers is out of step and a version is rolled back.

--- a/tests/soak/outofstep.py
+++ b/tests/soak/outofstep.py
@@ -39,6 +39,7 @@
 # have served to the store.
 LARGEST_ROUTERS = 26
 NEW_THERE = 0.4  # Share of the new streams. With 0.25, a busy machine left 11 of the 12 to count.
+STORELESS_LONGER_S = 1.5
 PLAIN_ENGINES, PLAIN_INTERVAL_S, PLAIN_LIMIT_MS = 4, 0.1, 2000
 ROUTERS_TOPIC = "keyed.lagoonbank-routers"
 
@@ -159,6 +160,7 @@
     removed_after_s: float = 0.8  # After callers begin to lose connections.
     odd: tuple = (6,)  # Numbers of the routers out of step.
     routers: int = fleetrestart.ROUTERS
+    storeless: tuple = ()  # Others, which hear the store again later than these.
     rounds: int = 1  # A version joins in each; the routers are killed and started in between.
     is_restored: bool = False  # The store comes back from a copy without the new version.
 
@@ -205,6 +207,9 @@
     "restored_alone_killed": Case(process="killed", is_alone=True, is_restored=True),
     "large_data_centre_frozen_rolled_back": Case(
         process="frozen", odd=tuple(range(1, 24, 2)), routers=LARGE_ROUTERS, removed="v2"),
+    "largest_writers_silent_rolled_back": Case(
+        "silent", is_alone=True, odd=(26,), storeless=tuple(range(4, 26)),
+        routers=LARGEST_ROUTERS, removed="v2", removed_after_s=3.0),
     "largest_most_unheard_rolled_back": Case(
         "silent", "in", odd=tuple(range(4, 27)), routers=LARGEST_ROUTERS, removed="v2",
         removed_after_s=3.3),
@@ -226,6 +231,7 @@
         self.view = StoreView(self.store, self.case.is_alone, self.readdress)
         self.store_link, self.peer_link = (
             Link(world.random_generator(options.seed, f"{i} link")) for i in ("store", "peer"))
+        self.storeless_view = StoreView(self.store, False, self.readdress)
         self.lost_rng = world.random_generator(options.seed, "lost")
         self.is_losing = False  # Whether callers lose connections.
         self.after = None  # Begin and end of the counted time after the recovery.
@@ -247,6 +253,7 @@
     async def set_up(self):
         """Starts store, engines and routers, and waits until all routers are ready."""
         await wire.serve(f"{self.net}.9.1", soak.STORE_PORT, self.store.handle)
+        await wire.serve(f"{self.net}.9.4", soak.STORE_PORT, self.storeless_view.handle)
         await wire.serve(f"{self.net}.9.2", soak.STORE_PORT, self.view.handle)
         await self.store_link.start_channel((f"{self.net}.9.2", soak.STORE_PORT), ("out", "in"),
                                             f"{self.net}.9.3", soak.STORE_PORT)
@@ -268,7 +275,8 @@
             router = soak.Router(self.net, number, self.options.router, self.folder)
             router.is_earlier = False
             is_odd = number in self.case.odd
-            router.store = f"{self.net}.9.{3 if is_odd else 1}:{soak.STORE_PORT}"
+            store = 3 if is_odd else 4 if number in self.case.storeless else 1
+            router.store = f"{self.net}.9.{store}:{soak.STORE_PORT}"
             router.start()
             self.routers.append(router)
             self.odd += [router] if is_odd else []
@@ -287,6 +295,7 @@
         self.view.is_silent = self.case.store == "silent"
         self.view.is_away = self.case.store == "away"
         self.view.delay = 0.5 if self.case.store == "late" else 0.0
+        self.storeless_view.is_silent = True
         self.store_link.mode = self.case.store if self.case.store in ("in", "out") else ""
         self.peer_link.mode = self.case.peers
         if not self.case.process:
@@ -334,6 +343,9 @@
                 for router in self.odd:
                     router.start()
             await self.wait_until_ready(self.odd)
+        if self.case.storeless:
+            await asyncio.sleep(STORELESS_LONGER_S)
+            self.storeless_view.is_silent = False
         counted_from = time.monotonic() + RECOVERY_S
         await asyncio.sleep(counted_from + COUNTED_S - time.monotonic())
         self.after = (counted_from, counted_from + COUNTED_S)
