KeyedLog, Platform: Skip records that cannot be read

One record of the tail without a key, or one item of a listing without readable key, value or offset, made the whole page an error, which was read again for ever.

--- a/src/libs/keyedlog/keyedlisting.cpp
+++ b/src/libs/keyedlog/keyedlisting.cpp
@@ -45,20 +45,21 @@
     m_backoff.reset();
     if (!m_end)
         m_end = page.value().end;
-    bool hasMore = page.value().hasMore;
+    std::optional<std::string> next = page.value().nextAfter();
     for (const KeyedRecord &record : page.value().records) {
         if (!record.key.starts_with(m_prefix)) {
-            hasMore = false;
+            next.reset();
             break;
         }
-        m_lastKey = record.key;
         if (listed)
             listed(record);
     }
-    if (hasMore && !page.value().records.empty())
+    if (next && next->starts_with(m_prefix)) {
+        m_lastKey = *next;
         read();
-    else if (completed)
+    } else if (completed) {
         completed(*m_end);
+    }
 }
 
 } // namespace Lagoonbank::KeyedLog
--- a/src/libs/keyedlog/keyedrefresh.cpp
+++ b/src/libs/keyedlog/keyedrefresh.cpp
@@ -86,8 +86,8 @@
     if (!m_listingEnd)
         m_listingEnd = page.value().end;
     report(page.value().records);
-    if (page.value().hasMore && !page.value().records.empty()) {
-        m_lastKey = page.value().records.back().key;
+    if (const auto next = page.value().nextAfter()) {
+        m_lastKey = *next;
         readNewest();
         return;
     }
@@ -108,9 +108,9 @@
         return;
     }
     report(page.value().records);
-    if (!page.value().records.empty())
-        m_position = page.value().records.back().offset + Base::LogOffset(1);
-    if (!page.value().records.empty() && m_position < page.value().end)
+    const Base::LogOffset before = m_position;
+    m_position = page.value().nextPosition(before);
+    if (m_position > before && m_position < page.value().end)
         readTail();
     else
         readEnded(true);
--- a/src/libs/keyedlog/keyedsource.h
+++ b/src/libs/keyedlog/keyedsource.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 #include "errors/result.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -27,6 +28,17 @@
     std::vector<KeyedRecord> records;
     bool hasMore = false;
     Base::LogOffset end; ///< Offset that the next appended record will have.
+    /// Last key of the page. Empty if it is the key of the last record; others are set if the last
+    /// records were skipped because they cannot be read.
+    std::string lastKey{};
+
+    /// Returns the key after which the next page begins; not set if there is no next page.
+    std::optional<std::string> nextAfter() const
+    {
+        if (!hasMore || (records.empty() && lastKey.empty()))
+            return std::nullopt;
+        return lastKey.empty() ? records.back().key : lastKey;
+    }
 };
 
 /// Consecutive records, beginning at the requested position. If the log has been restored from an
@@ -41,6 +53,17 @@
     /// Offset that the next appended record will have; if the position is out of range, only its
     /// era is valid.
     Base::LogOffset end;
+    /// Offset after the last record of the page. Zero if that is one of the records; others are set
+    /// if the last records were skipped because they cannot be read.
+    Base::LogOffset next{};
+
+    /// Returns the position at which the next page begins, for a page read at \a position.
+    Base::LogOffset nextPosition(Base::LogOffset position) const
+    {
+        for (const KeyedRecord &record : records)
+            position = std::max(position, record.offset + Base::LogOffset(1));
+        return std::max(position, next);
+    }
 };
 
 using ReadId = Base::StrongNumber<struct KeyedReadIdTag, std::uint64_t>;
--- a/src/libs/keyedlog/keyedview.cpp
+++ b/src/libs/keyedlog/keyedview.cpp
@@ -128,11 +128,12 @@
     }
     if (!m_isRunning)
         return;
-    if (!page.value().hasMore || page.value().records.empty()) {
+    const std::optional<std::string> after = page.value().nextAfter();
+    if (!after) {
         listingEnded();
         return;
     }
-    m_lastListedKey = page.value().records.back().key;
+    m_lastListedKey = *after;
     m_read = m_options.source.readNewest(
         m_lastListedKey, [this](const Errors::Result<NewestPage> &next) { pageRead(next); });
 }
@@ -190,8 +191,10 @@
         startListing(*cause);
         return;
     }
+    const Base::LogOffset before = m_position;
+    m_position = page.value().nextPosition(before);
     applyTail(page.value().records);
-    const bool isBehind = !page.value().records.empty() && m_position < page.value().end;
+    const bool isBehind = m_position > before && m_position < page.value().end;
     if (!isBehind && caughtUp)
         caughtUp();
     if (!m_isRunning)
@@ -215,10 +218,8 @@
 void KeyedView::applyTail(const std::vector<KeyedRecord> &records)
 {
     absl::flat_hash_map<std::string_view, Base::LogOffset> newest;
-    for (const KeyedRecord &record : records) {
-        m_position = std::max(m_position, record.offset + Base::LogOffset(1));
+    for (const KeyedRecord &record : records)
         newest[record.key] = record.offset;
-    }
     for (const KeyedRecord &record : records) {
         if (!m_options.reportsNewestOnly || newest[record.key] == record.offset)
             apply(record);
--- a/tests/auto/keyedlog/tst_keyedview.cpp
+++ b/tests/auto/keyedlog/tst_keyedview.cpp
@@ -371,3 +371,31 @@
     BOOST_REQUIRE(f.log.reads.size() == 1U);
     BOOST_TEST((f.log.reads.front().id != waiting));
 }
+
+/// Skipped records at the end of a page used to be read again for ever, as the position was taken
+/// from the last record that could be read.
+BOOST_AUTO_TEST_CASE(continuesBehindSkippedRecords)
+{
+    Fixture f;
+    const FakeLog::Read first = f.log.take();
+    first.newest(NewestPage{.records = {put("a", "1", 3)},
+                            .hasMore = true,
+                            .end = Base::LogOffset(10),
+                            .lastKey = "b"});
+    BOOST_TEST(f.log.reads.front().after == "b");
+    const FakeLog::Read second = f.log.take();
+    second.newest(NewestPage{.hasMore = true, .end = Base::LogOffset(10), .lastKey = "c"});
+    BOOST_TEST(f.log.reads.front().after == "c");
+    f.log.answerNewest({put("d", "2", 4)}, 10);
+    BOOST_TEST(f.takeReported() == "up a=1 d=2 filled ");
+    f.pass(std::chrono::milliseconds(500));
+    const FakeLog::Read tail = f.log.take();
+    tail.tail(TailPage{
+        .records = {put("a", "3", 10)}, .end = Base::LogOffset(14), .next = Base::LogOffset(12)});
+    f.pass(std::chrono::milliseconds(0));
+    BOOST_TEST((f.log.reads.front().from == Base::LogOffset(12)));
+    f.log.take().tail(TailPage{.end = Base::LogOffset(14), .next = Base::LogOffset(14)});
+    f.pass(std::chrono::milliseconds(500));
+    BOOST_TEST((f.log.reads.front().from == Base::LogOffset(14)));
+    BOOST_TEST(f.takeReported() == "a=3 ");
+}
