Platform: Refuse counts that overflow

A load report may contain any int, and the sum of its running and waiting requests overflowed, which is undefined.

--- a/tests/auto/adapter/tst_enginecodec.cpp
+++ b/tests/auto/adapter/tst_enginecodec.cpp
@@ -175,6 +175,12 @@
                      {"3,1,8,1.5", false},
                      {"3,1,8,nan", false},
                      {"3,1,8,2147483648", false},
+                     // The sum of such counts overflowed.
+                     {"2147483647,1,8", false},
+                     {"1,2147483647,8", false},
+                     {"-1,0,8", false},
+                     {"0,0,-8", false},
+                     {"1000000,1000000,1000000", true, 1000000, 1000000, 1000000},
                      {"3, 1, 8, 100", true, 3, 1, 8, 1.0}, // Lists may contain spaces.
                      {"3;1;8", false}};
     for (const Row &row : rows) {
