FleetSync, Platform: Report records that cannot be read

Records that cannot be read in the topics of the routers were ignored without a trace, and a skipped record of any topic would be too. A router's entry with a port of 0 or a data centre longer than messages allow was used, a quarantine in another spelling of its number was applied although it could not be deleted again, and a service name of more than 96 bytes in the software topic made the answer to a starting router fail. An entry whose key is longer than routers can exchange was remembered as gone, which made the messages with it fail.

--- a/src/libs/fleetsync/quarantinelog.cpp
+++ b/src/libs/fleetsync/quarantinelog.cpp
@@ -29,6 +29,10 @@
         key.kind = QuarantineKey::Kind::PromptPart;
     if (!absl::SimpleHexAtoi(isPart ? text.substr(partPrefix.size()) : text, &key.hash))
         return std::nullopt;
+    // The conversion accepts other forms of the number, which name the same quarantine. Only the
+    // form that routers write can be deleted when the quarantine ends.
+    if (keyOf(key) != text)
+        return std::nullopt;
     return key;
 }
 
@@ -73,8 +77,13 @@
 void QuarantineLog::recordRead(const KeyedLog::KeyedRecord &record)
 {
     const auto key = parseKey(record.key);
-    if (!record.value || !key)
-        return; // Deleted, or written by a version that quarantines something else.
+    if (!record.value)
+        return; // Deleted.
+    if (!key) {
+        if (unreadable)
+            unreadable(record, "the key does not name a quarantine");
+        return;
+    }
     scheduleDrop(*key);
     if (received)
         received(*key);
--- a/src/libs/fleetsync/quarantinelog.h
+++ b/src/libs/fleetsync/quarantinelog.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
@@ -55,6 +56,8 @@
 
     /// Called for each quarantine that is read from the log.
     std::function<void(const QuarantineKey &key)> received;
+    /// Called for each record that cannot be read.
+    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
 
     struct Quarantine
     {
--- a/src/libs/fleetsync/routerregistry.cpp
+++ b/src/libs/fleetsync/routerregistry.cpp
@@ -12,6 +12,8 @@
 
 /// Separates data centre, address and strength, none of which can contain it.
 constexpr char separator = ' ';
+/// Maximum size of ids and data centres; the limit of the messages between routers.
+constexpr std::size_t maxNameBytes = 64;
 
 } // namespace
 
@@ -70,8 +72,8 @@
     }
     for (const KeyedLog::KeyedRecord &record : page.value().records)
         addRecord(record);
-    if (page.value().hasMore && !page.value().records.empty())
-        read(page.value().records.back().key);
+    if (const auto next = page.value().nextAfter())
+        read(*next);
     else
         finish();
 }
@@ -87,8 +89,12 @@
 void RouterRegistry::addRecord(const KeyedLog::KeyedRecord &record)
 {
     const auto entry = parseRegistryEntry(record.value.value_or(std::string()));
-    if (!entry)
+    const bool isId = !record.key.empty() && record.key.size() <= maxNameBytes;
+    if (!entry || !isId) {
+        if (unreadable)
+            unreadable(record, entry ? "the key is not the id of a router" : entry.error().detail);
         return;
+    }
     const RegisteredRouter &router = entry.value();
     m_options.sync->addRouter(record.key, router.dataCentre, router.address, router.strength);
 }
@@ -111,9 +117,13 @@
     if (parts.size() != 2 && parts.size() != 3)
         return Errors::makeError(Errors::ErrorKind::BadMessage,
                                  "registry entry of a router has a wrong number of fields");
-    auto address = Runtime::parseSocketAddress(parts[1]);
-    if (!address)
-        return address.error();
+    if (parts[0].empty() || parts[0].size() > maxNameBytes)
+        return Errors::makeError(Errors::ErrorKind::BadMessage,
+                                 "data centre in registry entry of a router is empty or too long");
+    const auto address = Runtime::parseSocketAddress(parts[1]);
+    if (!address || address.value().port == 0)
+        return Errors::makeError(Errors::ErrorKind::BadMessage,
+                                 "address in registry entry of a router is none");
     RegisteredRouter router{.dataCentre = parts[0], .address = address.value()};
     if (parts.size() == 3 && !absl::SimpleAtoi(parts[2], &router.strength))
         return Errors::makeError(Errors::ErrorKind::BadMessage,
--- a/src/libs/fleetsync/routerregistry.h
+++ b/src/libs/fleetsync/routerregistry.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace Lagoonbank::FleetSync {
 
@@ -35,6 +36,8 @@
 
     /// Called when the entries of the other routers have been read.
     std::function<void()> done;
+    /// Called for each record that cannot be read.
+    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
 
     void start();
     /// Writes and reads the entries again after a short random delay. To be called when the log has
--- a/src/libs/fleetsync/softwarelog.cpp
+++ b/src/libs/fleetsync/softwarelog.cpp
@@ -15,6 +15,9 @@
 /// Key of the era in which the other keys were written.
 const std::string eraKey = "era";
 const std::string softwarePrefix = "software-";
+/// Maximum size of a service's name; the limit of the message that passes it to other routers,
+/// which would fail as a whole.
+constexpr std::size_t maxServiceBytes = 96;
 
 std::string keyOf(const Schema::SharedSoftware &use)
 {
@@ -54,6 +57,9 @@
 
 void SoftwareLog::recordListed(const KeyedLog::KeyedRecord &record)
 {
+    const std::string_view fault = findFault(record);
+    if (!fault.empty() && unreadable)
+        unreadable(record, fault);
     if (record.key == eraKey)
         m_storedEra = Base::parseNumber<std::uint64_t>(record.value.value_or(std::string()));
     const auto use = readRecord(record);
@@ -88,10 +94,21 @@
         && absl::SimpleHexAtoi(record.key.substr(softwarePrefix.size()), &use.software);
     if (!isSoftware)
         return std::nullopt;
+    if (record.value->empty() || record.value->size() > maxServiceBytes || keyOf(use) != record.key)
+        return std::nullopt;
     use.service = *record.value;
     return use;
 }
 
+std::string_view SoftwareLog::findFault(const KeyedLog::KeyedRecord &record)
+{
+    if (!record.value)
+        return {}; // Deleted.
+    if (record.key == eraKey)
+        return Base::parseNumber<std::uint64_t>(*record.value) ? "" : "the era is not a number";
+    return readRecord(record) ? "" : "the record does not name a software version";
+}
+
 void SoftwareLog::update(const std::vector<Schema::SharedSoftware> &uses)
 {
     if (!m_isRead || m_isListing || !m_options.isWriter())
--- a/src/libs/fleetsync/softwarelog.h
+++ b/src/libs/fleetsync/softwarelog.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
@@ -40,6 +41,8 @@
 
     /// Called for each version that is read from the log.
     std::function<void(const Schema::SharedSoftware &use)> received;
+    /// Called for each record that cannot be read.
+    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
     /// Called when the log has been read for the first time.
     std::function<void()> readCompleted;
     /// Called after readCompleted() when all versions that the log should hold are known.
@@ -52,6 +55,8 @@
     void update(const std::vector<Schema::SharedSoftware> &uses);
     /// Decodes a record of the log; empty if it does not name a version.
     static std::optional<Schema::SharedSoftware> readRecord(const KeyedLog::KeyedRecord &record);
+    /// Returns why neither a version nor the era can be read from the record; empty if one can.
+    static std::string_view findFault(const KeyedLog::KeyedRecord &record);
     bool isRead() const { return m_isRead; }
     bool isFailing() const { return m_listing.isFailing(); }
 
--- a/src/libs/fleetsync/softwarerefresh.cpp
+++ b/src/libs/fleetsync/softwarerefresh.cpp
@@ -17,6 +17,9 @@
             endpointRead(record);
     };
     m_software.recordRead = [this](const KeyedLog::KeyedRecord &record) {
+        const std::string_view fault = SoftwareLog::findFault(record);
+        if (!fault.empty() && softwareUnreadable)
+            softwareUnreadable(record, fault);
         const auto use = SoftwareLog::readRecord(record);
         if (use && softwareRead)
             softwareRead(*use);
--- a/src/libs/fleetsync/softwarerefresh.h
+++ b/src/libs/fleetsync/softwarerefresh.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace Lagoonbank::FleetSync {
 
@@ -32,6 +33,9 @@
     std::function<void(const KeyedLog::KeyedRecord &record)> endpointRead;
     /// Called for each version that is read. Known ones may be read again.
     std::function<void(const Schema::SharedSoftware &use)> softwareRead;
+    /// Called for each record of a version that cannot be read.
+    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)>
+        softwareUnreadable;
 
     /// Reads both with calls that begin after this one. \a refreshed is called once, with whether
     /// all is known that the store held at the time of the call, unless this object is destroyed
--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -76,8 +76,14 @@
 {
     const auto batch =
         Schema::decodeMessage<Schema::StreamBatch>(record.value.value_or(std::string()));
-    if (!batch || !received)
-        return; // A batch of another version of the message is as good as missing.
+    if (!batch) {
+        // A batch of another version of the message is as good as missing.
+        if (unreadable)
+            unreadable(record, batch.error().detail);
+        return;
+    }
+    if (!received)
+        return;
     for (const Schema::SharedStream &stream : batch.value().streams)
         received(stream);
 }
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
@@ -54,6 +55,8 @@
 
     /// Called for each stream that is read from the log.
     std::function<void(const Schema::SharedStream &stream)> received;
+    /// Called for each record that cannot be read.
+    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
 
     /// Called when the streams have been read.
     std::function<void()> readCompleted;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -201,13 +201,15 @@
         "Requests that were not sent because their callers had left, which had not been read yet.",
         "The router is behind by more than its callers wait.",
         {}},
-    Metric{"lagoonbank_gateway_undecodable_total",
-           Kind::Counter,
-           "values",
-           "Headers and store entries of endpoints that could not be decoded, by name.",
-           "Endpoints of another version: the log lines name them. Without its load an endpoint "
-           "gets too many requests.",
-           {}},
+    Metric{
+        "lagoonbank_gateway_undecodable_total",
+        Kind::Counter,
+        "values",
+        "Headers of endpoints and records of the store that could not be decoded, by the name of "
+        "the header or topic.",
+        "Endpoints of another version, or another writer of the topic: the log lines name them. "
+        "Without its load an endpoint gets too many requests.",
+        {}},
 };
 
 } // namespace
--- a/tests/auto/adapter/keyedstore.h
+++ b/tests/auto/adapter/keyedstore.h
@@ -3,6 +3,7 @@
 #include "auto/http/loopback.h"
 
 #include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <map>
@@ -27,7 +28,7 @@
             else if (!isUp || (!topic.empty() && topic == unreadableTopic))
                 answer(*responder, 503, {});
             else if (request.path == "/v1/log-newest")
-                answer(*responder, 200, newest(topic));
+                answer(*responder, 200, newest(topic, decoded(queryValue(request.query, "after"))));
             else if (request.path == "/v1/log-append")
                 appended(topic, request.body, *responder);
             else
@@ -103,6 +104,7 @@
     bool isUp = true;
     bool isSilent = false; ///< Calls get no answer.
     std::string unreadableTopic; ///< All calls for this topic are refused.
+    std::size_t pageSize = 500; ///< Maximum number of items of a page of a listing.
     int calls = 0;
     Lagoonbank::Http::Server server;
 
@@ -143,22 +145,41 @@
                R"({"offset":)" + std::to_string(offset) + R"(,"end":)" + std::to_string(offset + 1)
                    + "}");
     }
-    std::string newest(const std::string &topic)
+    static std::string decoded(const std::string &text)
+    {
+        std::string plain;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const bool isEncoded = text[i] == '%' && i + 2 < text.size();
+            plain += isEncoded ? static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16))
+                               : text[i];
+            i += isEncoded ? 2 : 0;
+        }
+        return plain;
+    }
+    std::string newest(const std::string &topic, const std::string &after)
     {
         const auto &records = m_topics[topic];
         std::map<std::string, std::size_t> offsets;
         for (std::size_t i = 0; i < records.size(); ++i)
             offsets[records[i].first] = i;
         std::string itemsJson;
+        std::size_t items = 0;
+        bool hasMore = false;
         for (const auto &[key, offset] : offsets) {
-            if (records[offset].second.empty())
+            if (records[offset].second.empty() || (!after.empty() && key <= after))
                 continue;
-            itemsJson += (itemsJson.empty() ? R"({"key":")" : R"(,{"key":")") + key
-                + R"(","value":")" + std::string(absl::Base64Escape(records[offset].second))
-                + R"(","offset":)" + std::to_string(offset) + "}";
+            hasMore = items == pageSize;
+            if (hasMore)
+                break;
+            ++items;
+            constexpr auto replaceInvalid = nlohmann::json::error_handler_t::replace;
+            itemsJson += (itemsJson.empty() ? R"({"key":)" : R"(,{"key":)")
+                + nlohmann::json(key).dump(-1, ' ', false, replaceInvalid) + R"(,"value":")"
+                + std::string(absl::Base64Escape(records[offset].second)) + R"(","offset":)"
+                + std::to_string(offset) + "}";
         }
-        return R"({"items":[)" + itemsJson + R"(],"has_more":false,"end":)"
-            + std::to_string(records.size()) + "}";
+        return R"({"items":[)" + itemsJson + R"(],"has_more":)" + (hasMore ? "true" : "false")
+            + R"(,"end":)" + std::to_string(records.size()) + "}";
     }
     std::string tail(const std::string &topic, std::uint64_t from)
     {
