--- a/tests/auto/adapter/onerouter.h
+++ b/tests/auto/adapter/onerouter.h
@@ -3,7 +3,9 @@
 #include "auto/adapter/keyedstore.h"
 #include "platform/routerprocess.h"
 
+#include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,8 +17,16 @@
     std::vector<std::unique_ptr<Lagoonbank::Test::RawSocket>> connections;
     std::string status = "200 OK";
     std::string extraHeaders;
+    std::string framedBody = "Content-Length: 2\r\n\r\nok"; ///< With the end of the head.
+    std::optional<std::size_t> cutAfter; ///< Bytes after which answers end early.
+    bool resets = false; ///< Answers that end early end with a reset.
     int requests = 0;
 
+    std::string answer(const std::string &id) const
+    {
+        return "HTTP/1.1 " + status + "\r\nLagoonbank-Attempt-Id: " + id + "\r\n" + extraHeaders
+            + "Lagoonbank-Server-Seal: 3e\r\nConnection: close\r\n" + framedBody;
+    }
     void work(const std::string &id)
     {
         for (int fd = listener.accept(); fd >= 0; fd = listener.accept())
@@ -26,11 +36,12 @@
             if (!connection->has("attempt-id: " + id + "\r\n") || !connection->has("\r\n\r\n"))
                 continue;
             ++requests;
-            connection->send("HTTP/1.1 " + status + "\r\nLagoonbank-Attempt-Id: " + id + "\r\n"
-                             + extraHeaders
-                             + "Lagoonbank-Server-Seal: 3e\r\nConnection: close\r\n"
-                               "Content-Length: 2\r\n\r\nok");
-            connection->finishSending();
+            const std::string bytes = answer(id);
+            connection->send(std::string_view(bytes).substr(0, cutAfter.value_or(bytes.size())));
+            if (cutAfter && resets)
+                connection->reset();
+            else
+                connection->finishSending();
         }
         std::erase_if(connections,
                       [&](const auto &one) { return one->has("attempt-id: " + id + "\r\n"); });
--- a/tests/auto/gateway/tst_brokenstream.cpp
+++ b/tests/auto/gateway/tst_brokenstream.cpp
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE tst_brokenstream
 #include "auto/gateway/gatewayfixture.h"
 #include "auto/gateway/streamanswers.h"
+#include "auto/gateway/wholeanswer.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -11,6 +13,7 @@
 using Lagoonbank::Test::chunk;
 using Lagoonbank::Test::event;
 using Lagoonbank::Test::RawSocket;
+using Lagoonbank::Test::readWholeAnswer;
 using Lagoonbank::Test::streamEnd;
 using Lagoonbank::Test::streamHead;
 using Lagoonbank::Test::streamRoute;
@@ -280,3 +283,37 @@
         }
     }
 }
+
+/// Guards against events that are missing or come twice where a caller resumes its stream, at any
+/// id, and its endpoint breaks off before or after the first event, inside of a later one.
+BOOST_AUTO_TEST_CASE(resumedStreamOfACallerGoesOnAfterItsLastEvent)
+{
+    for (const int received : {0, 2, 99}) {
+        for (const bool hasBegun : {false, true}) {
+            BOOST_TEST_CONTEXT("after " << received << ", begun: " << hasBegun)
+            {
+                GatewayFixture f;
+                f.setRoute(streamRoute(true));
+                f.resumeAfter = static_cast<std::uint64_t>(received);
+                RawSocket caller = f.call();
+                FakeEndpoint &first = f.awaitRequest();
+                const std::string begun = event(received + 1) + event(received + 3); // Has a gap.
+                const std::string broken = event(received + 5).substr(0, 8);
+                first.last().send(std::string(streamHead)
+                                  + (hasBegun ? chunk(begun + broken) : std::string()));
+                f.runIterations(5);
+                first.last().close();
+                FakeEndpoint &second = f.awaitRequest();
+                const int last = hasBegun ? received + 3 : received;
+                BOOST_TEST(second.last().has("x-resume: " + std::to_string(last) + "\r\n"));
+                // An endpoint may repeat events.
+                second.last().send(std::string(streamHead)
+                                   + chunk((hasBegun ? event(last) : begun) + event(received + 5))
+                                   + std::string(streamEnd));
+                BOOST_TEST_REQUIRE(
+                    f.runUntil([&] { return readWholeAnswer(caller.receive()).has_value(); }));
+                BOOST_TEST(readWholeAnswer(caller.receive())->body == begun + event(received + 5));
+            }
+        }
+    }
+}
