--- a/tests/auto/adapter/tst_oddentries.cpp
+++ b/tests/auto/adapter/tst_oddentries.cpp
@@ -25,8 +25,12 @@
         {"born", "1"}};
     fields[field] = value;
     std::string json;
-    for (const auto &[name, text] : fields)
-        json += (json.empty() ? "{\"" : ",\"") + name + "\":" + text;
+    for (const auto &[name, text] : fields) {
+        json += json.empty() ? "{\"" : ",\"";
+        json += name;
+        json += "\":";
+        json += text;
+    }
     return json + "}";
 }
 
