Gateway: Give the lookup of a stream's version its store in one struct

The five hooks for the store stood twice, in the options of the gateway and of the lookup, with their documentation. StreamVersionStore holds them for both. A record of a stream is looked up once instead of twice, whether a version is known is asked of SoftwareVersions without a list of all versions, and determineSoftware(), which had come to answer the same in each case that remained, is findSoftware(). Behaviour is the same.

--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -149,18 +149,9 @@
         std::function<void(StreamHash stream,
                            std::function<void(std::optional<SoftwareHash>)> answered)>
             askForStream;
-        /// Reads from the store which software versions there are, and calls \a refreshed with
-        /// whether all that the store held at the time of the call is known. Null if the endpoints
-        /// are always up to date.
-        std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshVersions;
-        /// Reads from the store which streams have begun while versions were mixed, passes them to
-        /// streamReceived(), and calls \a refreshed like refreshVersions(). Null without a store.
-        std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
-        /// Whether this router reads the streams in the store. Null if it always does.
-        std::function<bool()> areStreamsReadable;
-        /// Whether the last of these reads has failed. Null if none can fail.
-        std::function<bool()> areVersionsFailing;
-        std::function<bool()> areStreamsFailing;
+        /// Reads versions from the store before a stream goes on. Streams that it reads are passed
+        /// to streamReceived().
+        StreamVersionStore streamVersionStore;
         /// Whether requests are refused until setQuarantinesKnown() is called.
         bool awaitsQuarantines = false;
         /// Whether the software versions that have served are unknown until
--- a/src/libs/gateway/gatewaystreams.cpp
+++ b/src/libs/gateway/gatewaystreams.cpp
@@ -23,12 +23,12 @@
     const Runtime::Clock &clock = m_options.loop->clock();
     return {.timers = &m_options.loop->timers(),
             .findRecord = [this, &clock](StreamHash stream) -> std::optional<StreamVersion> {
-                const auto software = m_streams.find(stream, clock.now());
-                if (!software)
+                const StreamDirectory::Entry *entry = m_streams.find(stream, clock.now());
+                if (!entry)
                     return std::nullopt;
-                return StreamVersion{.software = software,
+                return StreamVersion{.software = entry->software,
                                      .source = StreamVersionSource::Record,
-                                     .asOf = *m_streams.recordedAt(stream, clock.now())};
+                                     .asOf = entry->recordedAt};
             },
             .isMixed = [this](const Base::ServiceId &service) { return isMixed(service); },
             .onlyVersion =
@@ -41,11 +41,7 @@
                       m_options.askForStream(stream, std::move(answered));
                   }
                 : decltype(m_options.askForStream)(),
-            .refreshVersions = m_options.refreshVersions,
-            .refreshStreams = m_options.refreshStreams,
-            .areStreamsReadable = m_options.areStreamsReadable,
-            .areVersionsFailing = m_options.areVersionsFailing,
-            .areStreamsFailing = m_options.areStreamsFailing};
+            .store = m_options.streamVersionStore};
 }
 
 bool Gateway::isMixed(const Base::ServiceId &service) const
@@ -61,7 +57,8 @@
 
 std::optional<SoftwareHash> Gateway::findStream(StreamHash stream) const
 {
-    return m_streams.find(stream, m_options.loop->clock().now());
+    const StreamDirectory::Entry *entry = m_streams.find(stream, m_options.loop->clock().now());
+    return entry ? std::optional(entry->software) : std::nullopt;
 }
 
 std::vector<SoftwareUse> Gateway::softwareUses() const
@@ -71,9 +68,7 @@
 
 bool Gateway::hasSoftware(SoftwareHash software) const
 {
-    const std::vector<SoftwareUse> uses = softwareUses();
-    return std::any_of(uses.begin(), uses.end(),
-                       [&](const SoftwareUse &use) { return use.software == software; });
+    return m_endpoints.softwareVersions().isKnown(software, m_options.loop->clock().now());
 }
 
 void Gateway::softwareUsesReceived(const std::vector<SoftwareUse> &uses)
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -87,8 +87,10 @@
     m_size = memorySize();
     if (exceedsMemory())
         return;
-    if (determineSoftware())
+    if (m_software || !isCallerResuming())
         place();
+    else
+        findSoftware();
 }
 
 bool RequestRun::endIfCallerLeft()
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -190,7 +190,7 @@
     /// Identifies the stream that the request begins or resumes.
     StreamHash stream() const;
     void streamBegan();
-    bool determineSoftware();
+    void findSoftware();
     void softwareFound(const StreamVersion &version);
     void refuseUnknownStream(bool mayBeKnownLater);
     void requestSent();
--- a/src/libs/gateway/requestrunstream.cpp
+++ b/src/libs/gateway/requestrunstream.cpp
@@ -42,12 +42,10 @@
         m_gateway.streamBegan(m_service, *origin);
 }
 
-/// Determines at which version a stream goes on that the caller resumes. Returns false if that is
-/// not known yet, or if the request was refused as it cannot be known.
-bool RequestRun::determineSoftware()
+/// Places the request once it is known at which version the stream goes on that the caller resumes.
+/// Refuses it if that cannot be known.
+void RequestRun::findSoftware()
 {
-    if (m_software || !isCallerResuming())
-        return true;
     const std::optional<StreamHash> named =
         m_request.resumes ? std::optional(stream()) : std::nullopt;
     m_gateway.m_streamVersions.find(m_service, named,
@@ -55,7 +53,6 @@
                                         if (const auto self = weak.lock())
                                             self->softwareFound(version);
                                     });
-    return false;
 }
 
 void RequestRun::softwareFound(const StreamVersion &version)
--- a/src/libs/gateway/softwareversions.cpp
+++ b/src/libs/gateway/softwareversions.cpp
@@ -49,6 +49,14 @@
     usage.removedAt = std::max(usage.removedAt, now - use.age);
 }
 
+bool SoftwareVersions::isKnown(SoftwareHash software, Base::MonoTime now) const
+{
+    return std::any_of(m_services.begin(), m_services.end(), [&](const auto &service) {
+        const auto usage = service.second.find(software);
+        return usage != service.second.end() && isUsed(usage->second, now);
+    });
+}
+
 std::vector<SoftwareUse> SoftwareVersions::uses(Base::MonoTime now) const
 {
     std::vector<SoftwareUse> uses;
--- a/src/libs/gateway/softwareversions.h
+++ b/src/libs/gateway/softwareversions.h
@@ -50,6 +50,8 @@
     void endpointRemoved(const Base::ServiceId &service, SoftwareHash software, Base::MonoTime now);
     /// Records what a peer knows, which may have seen endpoints that this router has not.
     void merge(const SoftwareUse &use, Base::MonoTime now);
+    /// Whether endpoints run or have run the version.
+    bool isKnown(SoftwareHash software, Base::MonoTime now) const;
     /// All versions that are used or have been used.
     std::vector<SoftwareUse> uses(Base::MonoTime now) const;
     /// The version that all endpoints of the service run and have run. Unset if there are several,
--- a/src/libs/gateway/streamdirectory.cpp
+++ b/src/libs/gateway/streamdirectory.cpp
@@ -39,8 +39,7 @@
         m_streams.erase(entry);
 }
 
-const StreamDirectory::Entry *StreamDirectory::findEntry(StreamHash stream,
-                                                         Base::MonoTime now) const
+const StreamDirectory::Entry *StreamDirectory::find(StreamHash stream, Base::MonoTime now) const
 {
     const auto entry = m_streams.find(stream);
     const bool isKnown =
@@ -48,19 +47,6 @@
     return isKnown ? &entry->second : nullptr;
 }
 
-std::optional<SoftwareHash> StreamDirectory::find(StreamHash stream, Base::MonoTime now) const
-{
-    const Entry *entry = findEntry(stream, now);
-    return entry ? std::optional(entry->software) : std::nullopt;
-}
-
-std::optional<Base::MonoTime> StreamDirectory::recordedAt(StreamHash stream,
-                                                          Base::MonoTime now) const
-{
-    const Entry *entry = findEntry(stream, now);
-    return entry ? std::optional(entry->recordedAt) : std::nullopt;
-}
-
 std::vector<StreamOrigin> StreamDirectory::latest(const std::set<SoftwareHash> &software,
                                                   Base::MonoTime now) const
 {
--- a/src/libs/gateway/streamdirectory.h
+++ b/src/libs/gateway/streamdirectory.h
@@ -45,32 +45,32 @@
         std::size_t maxStreams = 16384;
     };
 
+    struct Entry
+    {
+        SoftwareHash software;
+        Base::MonoTime recordedAt;
+    };
+
     explicit StreamDirectory(const Options &options)
         : m_options(options)
     { }
 
     void record(const StreamOrigin &origin, Base::MonoTime now);
-    std::optional<SoftwareHash> find(StreamHash stream, Base::MonoTime now) const;
-    /// When the stream was last recorded; unset if it is unknown.
-    std::optional<Base::MonoTime> recordedAt(StreamHash stream, Base::MonoTime now) const;
+    /// The version that began a stream, and when the stream was last recorded; null if it is
+    /// unknown. Valid until the directory changes.
+    const Entry *find(StreamHash stream, Base::MonoTime now) const;
     /// The streams that one of these versions began, the latest ones first.
     std::vector<StreamOrigin> latest(const std::set<SoftwareHash> &software,
                                      Base::MonoTime now) const;
     std::size_t size() const { return m_streams.size(); }
 
 private:
-    struct Entry
-    {
-        SoftwareHash software;
-        Base::MonoTime recordedAt;
-    };
     struct Recording
     {
         StreamHash stream;
         Base::MonoTime at;
     };
 
-    const Entry *findEntry(StreamHash stream, Base::MonoTime now) const;
     void forgetOldest();
 
     Options m_options;
--- a/src/libs/gateway/streamversionlookup.cpp
+++ b/src/libs/gateway/streamversionlookup.cpp
@@ -35,7 +35,7 @@
 void StreamVersionLookup::find(const Base::ServiceId &service, std::optional<StreamHash> stream,
                                Found found)
 {
-    if (const auto record = stream ? findRecord(*stream) : std::nullopt) {
+    if (const auto record = stream ? m_options.findRecord(*stream) : std::nullopt) {
         found(*record);
         return;
     }
@@ -45,7 +45,7 @@
                              .stream = stream,
                              .found = std::move(found),
                              .startedAt = m_options.timers->clock().now()});
-    if (m_options.isMixed(service) || !m_options.refreshVersions)
+    if (m_options.isMixed(service) || !m_options.store.refreshVersions)
         m_lookups.at(id).isCurrent = true;
     else
         refreshVersions(id);
@@ -63,7 +63,7 @@
                                                    [this, id] { askPeers(id); });
     }
     startStoreTimer(id, areVersionsFailing());
-    m_options.refreshVersions(storeAnswered(id));
+    m_options.store.refreshVersions(storeAnswered(id));
 }
 
 void StreamVersionLookup::refreshStreams(LookupId id)
@@ -72,10 +72,10 @@
     lookup.areStreamsAsked = true;
     lookup.isCurrent.reset();
     startStoreTimer(id, areStreamsFailing());
-    m_options.refreshStreams(storeAnswered(id));
+    m_options.store.refreshStreams(storeAnswered(id));
 }
 
-std::function<void(bool isCurrent)> StreamVersionLookup::storeAnswered(LookupId id)
+StreamVersionStore::Refreshed StreamVersionLookup::storeAnswered(LookupId id)
 {
     return [this, id, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isCurrent) {
         if (!isAlive.expired())
@@ -144,7 +144,7 @@
     }
     if (!m_options.isMixed(lookup.service) && *lookup.isCurrent) {
         // The service may have counted as mixed when the request came, and no longer does.
-        if (!lookup.areVersionsAsked && m_options.refreshVersions)
+        if (!lookup.areVersionsAsked && m_options.store.refreshVersions)
             refreshVersions(id);
         else
             finish(id, onlyVersion(lookup));
@@ -170,7 +170,7 @@
 /// The version after the streams in the store were read, or after that has failed.
 StreamVersion StreamVersionLookup::storedVersion(const Lookup &lookup) const
 {
-    std::optional<StreamVersion> record = findRecord(*lookup.stream);
+    std::optional<StreamVersion> record = m_options.findRecord(*lookup.stream);
     if (!record)
         return {.mayBeKnownLater = !*lookup.isCurrent};
     record->source = StreamVersionSource::Store;
--- a/src/libs/gateway/streamversionlookup.h
+++ b/src/libs/gateway/streamversionlookup.h
@@ -37,6 +37,27 @@
     bool mayBeKnownLater = false;
 };
 
+/// What a lookup reads from the store. All hooks are null without a store.
+struct StreamVersionStore
+{
+    using Refreshed = std::function<void(bool isCurrent)>;
+
+    /// Reads which versions there are, and calls \a refreshed with whether all that the store held
+    /// at the time of the call is known. Null if the versions are always known.
+    std::function<void(Refreshed refreshed)> refreshVersions;
+    /// Reads which streams have begun while versions were mixed, which then are recorded. Calls
+    /// \a refreshed like refreshVersions().
+    std::function<void(Refreshed refreshed)> refreshStreams;
+    /// Whether the store keeps the streams of this fleet in a form that this router reads. Null if
+    /// it always does.
+    std::function<bool()> areStreamsReadable;
+    /// Whether the last read of the versions has failed. Null if none can fail.
+    std::function<bool()> areVersionsFailing;
+    /// The same for the last read of the streams. It is apart, as streams are seldom read: a
+    /// failure of long ago says nothing about the versions, which are read for each lookup.
+    std::function<bool()> areStreamsFailing;
+};
+
 /// Finds out which software version began a stream that a caller resumes: the only place that
 /// decides it. What a router knows of a service's versions may be outdated, as it is read at
 /// intervals and the router may have been suspended or cut off meanwhile. That a service has one
@@ -60,22 +81,7 @@
         std::function<void(StreamHash stream,
                            std::function<void(std::optional<SoftwareHash>)> answered)>
             askPeers;
-        /// Reads from the store which versions there are, and calls \a refreshed with whether all
-        /// that the store held at the time of the call is known. Null if the versions are always
-        /// known.
-        std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshVersions;
-        /// Reads from the store which streams have begun while versions were mixed; findRecord()
-        /// returns them afterwards. Calls \a refreshed like refreshVersions(). Null without a
-        /// store.
-        std::function<void(std::function<void(bool isCurrent)> refreshed)> refreshStreams;
-        /// Whether the store keeps the streams of this fleet in a form that this router reads. Null
-        /// if it always does.
-        std::function<bool()> areStreamsReadable;
-        /// Whether the last read of the versions has failed. Null if none can fail.
-        std::function<bool()> areVersionsFailing;
-        /// The same for the last read of the streams. It is apart, as streams are seldom read: a
-        /// failure of long ago says nothing about the versions, which are read for each lookup.
-        std::function<bool()> areStreamsFailing;
+        StreamVersionStore store;
         /// Time after which peers are asked as well. The store normally answers within 25 ms.
         Base::Duration peerDelay = std::chrono::milliseconds(50);
         /// Maximum wait for the store. Callers abandon a stream after a pause of 2 s or more.
@@ -90,11 +96,6 @@
     StreamVersionLookup(const StreamVersionLookup &) = delete;
     StreamVersionLookup &operator=(const StreamVersionLookup &) = delete;
 
-    /// The version of a stream that this router has recorded.
-    std::optional<StreamVersion> findRecord(StreamHash stream) const
-    {
-        return m_options.findRecord(stream);
-    }
     /// Finds the version that began a stream of the service, or of one that the caller does not
     /// identify. \a found is called once, possibly from within this function.
     void find(const Base::ServiceId &service, std::optional<StreamHash> stream, Found found);
@@ -119,21 +120,21 @@
 
     bool areVersionsFailing() const
     {
-        return m_options.areVersionsFailing && m_options.areVersionsFailing();
+        return m_options.store.areVersionsFailing && m_options.store.areVersionsFailing();
     }
     bool areStreamsFailing() const
     {
-        return m_options.areStreamsFailing && m_options.areStreamsFailing();
+        return m_options.store.areStreamsFailing && m_options.store.areStreamsFailing();
     }
     bool areStreamsReadable() const
     {
-        return m_options.refreshStreams
-            && (!m_options.areStreamsReadable || m_options.areStreamsReadable());
+        return m_options.store.refreshStreams
+            && (!m_options.store.areStreamsReadable || m_options.store.areStreamsReadable());
     }
     void refreshVersions(LookupId id);
     void refreshStreams(LookupId id);
     void startStoreTimer(LookupId id, bool isStoreFailing);
-    std::function<void(bool isCurrent)> storeAnswered(LookupId id);
+    StreamVersionStore::Refreshed storeAnswered(LookupId id);
     /// The store has answered, or is not waited for any longer.
     void storeRead(LookupId id, bool isCurrent);
     void askPeers(LookupId id);
--- a/tests/auto/gateway/tst_streamversionlookup.cpp
+++ b/tests/auto/gateway/tst_streamversionlookup.cpp
@@ -44,13 +44,13 @@
                  },
              .askPeers = [this](StreamHash,
                                 auto answered) { peerQuestions.push_back(std::move(answered)); },
-             .refreshVersions =
-                 [this](auto refreshed) { versionReads.push_back(std::move(refreshed)); },
-             .refreshStreams =
-                 [this](auto refreshed) { streamReads.push_back(std::move(refreshed)); },
-             .areStreamsReadable = [this] { return areStreamsReadable; },
-             .areVersionsFailing = [this] { return isFailing; },
-             .areStreamsFailing = [this] { return areStreamsFailing; }})
+             .store = {.refreshVersions =
+                           [this](auto refreshed) { versionReads.push_back(std::move(refreshed)); },
+                       .refreshStreams =
+                           [this](auto refreshed) { streamReads.push_back(std::move(refreshed)); },
+                       .areStreamsReadable = [this] { return areStreamsReadable; },
+                       .areVersionsFailing = [this] { return isFailing; },
+                       .areStreamsFailing = [this] { return areStreamsFailing; }}})
     { }
     void find(std::optional<StreamHash> wanted = stream)
     {
