FleetSync: Keep the limits of messages and the decoding of versions in one place

A record of the log of versions was decoded twice to find out why it cannot be read, by two callers with the same lines; readRecord() reports it. The time within which a restored store is written again, and the type of the hooks for unreadable records, are named once. Behaviour is the same; the fuzz target requires the same.

--- a/src/libs/fleetsync/fleetsync.cpp
+++ b/src/libs/fleetsync/fleetsync.cpp
@@ -1,5 +1,6 @@
 #include "fleetsync/fleetsync.h"
 
+#include "fleetsync/messagelimits.h"
 #include "fleetsync/sharedendpoint.h"
 #include "routing/rendezvous.h"
 
@@ -16,8 +17,6 @@
 
 /// Maximum number of changes in one datagram; more are detected by the hash and pulled.
 constexpr std::size_t maxChangesPerDatagram = 8;
-/// Maximum number of drained data centres in a beacon; the limit of the message.
-constexpr std::size_t maxDrainedPerBeacon = 64;
 /// If the time up to which the state reflects the store advances by more than this, the state comes
 /// from a new read of the store. Smaller differences arise when several leaders pass on the same
 /// read, with ages that differ by their transit times.
@@ -400,14 +399,14 @@
     std::vector<std::string> drained;
     for (const Base::DataCentreId &dataCentre : m_drains.current())
         drained.push_back(dataCentre.value());
-    if (drained.size() > maxDrainedPerBeacon) {
+    if (drained.size() > MessageLimits::drainedDataCentres) {
         // A larger list would make the beacon fail. Names without any endpoint have no effect.
         absl::flat_hash_set<std::string> inUse;
         for (const auto &[id, entry] : m_options.directory->entries())
             inUse.insert(entry.endpoint.dataCentre.value());
         std::stable_partition(drained.begin(), drained.end(),
                               [&inUse](const std::string &name) { return inUse.contains(name); });
-        drained.resize(maxDrainedPerBeacon);
+        drained.resize(MessageLimits::drainedDataCentres);
     }
     std::optional<std::uint32_t> storeEra;
     if (m_storeEra)
--- a/src/libs/fleetsync/quarantinelog.h
+++ b/src/libs/fleetsync/quarantinelog.h
@@ -57,7 +57,7 @@
     /// Called for each quarantine that is read from the log.
     std::function<void(const QuarantineKey &key)> received;
     /// Called for each record that cannot be read.
-    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
+    KeyedLog::UnreadableRecord unreadable;
 
     struct Quarantine
     {
--- a/src/libs/fleetsync/routerregistry.cpp
+++ b/src/libs/fleetsync/routerregistry.cpp
@@ -1,5 +1,7 @@
 #include "fleetsync/routerregistry.h"
 
+#include "fleetsync/messagelimits.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
@@ -12,8 +14,6 @@
 
 /// Separates data centre, address and strength, none of which can contain it.
 constexpr char separator = ' ';
-/// Maximum size of ids and data centres; the limit of the messages between routers.
-constexpr std::size_t maxNameBytes = 64;
 
 } // namespace
 
@@ -89,7 +89,7 @@
 void RouterRegistry::addRecord(const KeyedLog::KeyedRecord &record)
 {
     const auto entry = parseRegistryEntry(record.value.value_or(std::string()));
-    const bool isId = !record.key.empty() && record.key.size() <= maxNameBytes;
+    const bool isId = !record.key.empty() && record.key.size() <= MessageLimits::routerIdBytes;
     if (!entry || !isId) {
         if (unreadable)
             unreadable(record, entry ? "the key is not the id of a router" : entry.error().detail);
@@ -117,7 +117,7 @@
     if (parts.size() != 2 && parts.size() != 3)
         return Errors::makeError(Errors::ErrorKind::BadMessage,
                                  "registry entry of a router has a wrong number of fields");
-    if (parts[0].empty() || parts[0].size() > maxNameBytes)
+    if (parts[0].empty() || parts[0].size() > MessageLimits::dataCentreBytes)
         return Errors::makeError(Errors::ErrorKind::BadMessage,
                                  "data centre in registry entry of a router is empty or too long");
     const auto address = Runtime::parseSocketAddress(parts[1]);
--- a/src/libs/fleetsync/routerregistry.h
+++ b/src/libs/fleetsync/routerregistry.h
@@ -37,7 +37,7 @@
     /// Called when the entries of the other routers have been read.
     std::function<void()> done;
     /// Called for each record that cannot be read.
-    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
+    KeyedLog::UnreadableRecord unreadable;
 
     void start();
     /// Writes and reads the entries again after a short random delay. To be called when the log has
--- a/src/libs/fleetsync/sharedendpoint.cpp
+++ b/src/libs/fleetsync/sharedendpoint.cpp
@@ -1,5 +1,7 @@
 #include "fleetsync/sharedendpoint.h"
 
+#include "fleetsync/messagelimits.h"
+
 #include <boost/outcome/try.hpp>
 
 #include <algorithm>
@@ -13,12 +15,6 @@
 
 namespace {
 
-// Limits of the message.
-constexpr std::size_t maxIdBytes = 96;
-constexpr std::size_t maxServiceBytes = 96;
-constexpr std::size_t maxDataCentreBytes = 64;
-constexpr std::size_t maxSoftwareBytes = 64;
-
 Errors::Error malformed(std::string what)
 {
     return Errors::makeError(Errors::ErrorKind::BadMessage, std::move(what));
@@ -52,7 +48,8 @@
 
 Errors::Result<void> checkShareableId(const Base::EndpointId &id)
 {
-    if (id.value().empty() || id.value().size() > maxIdBytes || !isPrintable(id.value()))
+    if (id.value().empty() || id.value().size() > MessageLimits::endpointIdBytes
+        || !isPrintable(id.value()))
         return malformed("the id is empty, too long or has unprintable characters");
     return boost::outcome_v2::success();
 }
@@ -60,11 +57,11 @@
 Errors::Result<void> checkShareable(const Fleet::Endpoint &endpoint)
 {
     BOOST_OUTCOME_TRYV(checkShareableId(endpoint.id));
-    if (endpoint.service.value().size() > maxServiceBytes)
+    if (endpoint.service.value().size() > MessageLimits::serviceBytes)
         return malformed("the service is too long");
-    if (endpoint.dataCentre.value().size() > maxDataCentreBytes)
+    if (endpoint.dataCentre.value().size() > MessageLimits::dataCentreBytes)
         return malformed("the data centre is too long");
-    if (endpoint.softwareVersion.size() > maxSoftwareBytes)
+    if (endpoint.softwareVersion.size() > MessageLimits::softwareBytes)
         return malformed("the software version is too long");
     return boost::outcome_v2::success();
 }
--- a/src/libs/fleetsync/sharedendpoint.h
+++ b/src/libs/fleetsync/sharedendpoint.h
@@ -10,7 +10,8 @@
 
 namespace Lagoonbank::FleetSync {
 
-/// Conversion of endpoints to and from the form in which routers exchange them.
+// Conversion of endpoints to and from the form in which routers exchange them.
+
 /// Fails with BadMessage if routers cannot exchange an endpoint with this id. All messages with it
 /// would fail, and routers that do not read the store would stop following it.
 Errors::Result<void> checkShareableId(const Base::EndpointId &id);
--- a/src/libs/fleetsync/softwarelog.cpp
+++ b/src/libs/fleetsync/softwarelog.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logoffset.h"
 #include "base/parsenumber.h"
+#include "fleetsync/messagelimits.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -15,9 +16,6 @@
 /// Key of the era in which the other keys were written.
 const std::string eraKey = "era";
 const std::string softwarePrefix = "software-";
-/// Maximum size of a service's name; the limit of the message that passes it to other routers,
-/// which would fail as a whole.
-constexpr std::size_t maxServiceBytes = 96;
 
 std::string keyOf(const Schema::SharedSoftware &use)
 {
@@ -57,12 +55,9 @@
 
 void SoftwareLog::recordListed(const KeyedLog::KeyedRecord &record)
 {
-    const std::string_view fault = findFault(record);
-    if (!fault.empty() && unreadable)
-        unreadable(record, fault);
     if (record.key == eraKey)
         m_storedEra = Base::parseNumber<std::uint64_t>(record.value.value_or(std::string()));
-    const auto use = readRecord(record);
+    const auto use = readRecord(record, unreadable);
     if (!use)
         return;
     m_listedKeys.insert(record.key);
@@ -87,28 +82,33 @@
         });
 }
 
-std::optional<Schema::SharedSoftware> SoftwareLog::readRecord(const KeyedLog::KeyedRecord &record)
+std::optional<Schema::SharedSoftware>
+SoftwareLog::readRecord(const KeyedLog::KeyedRecord &record,
+                        const KeyedLog::UnreadableRecord &unreadable)
 {
-    Schema::SharedSoftware use;
-    const bool isSoftware = record.value && record.key.starts_with(softwarePrefix)
-        && absl::SimpleHexAtoi(record.key.substr(softwarePrefix.size()), &use.software);
-    if (!isSoftware)
+    if (!record.value)
+        return std::nullopt; // Deleted.
+    const auto report = [&](std::string_view reason) {
+        if (unreadable)
+            unreadable(record, reason);
+    };
+    if (record.key == eraKey) {
+        if (!Base::parseNumber<std::uint64_t>(*record.value))
+            report("the era is not a number");
         return std::nullopt;
-    if (record.value->empty() || record.value->size() > maxServiceBytes || keyOf(use) != record.key)
+    }
+    Schema::SharedSoftware use{.service = *record.value};
+    const bool isSoftware = record.key.starts_with(softwarePrefix)
+        && absl::SimpleHexAtoi(record.key.substr(softwarePrefix.size()), &use.software)
+        && keyOf(use) == record.key && !use.service.empty()
+        && use.service.size() <= MessageLimits::serviceBytes;
+    if (!isSoftware) {
+        report("the record does not name a software version");
         return std::nullopt;
-    use.service = *record.value;
+    }
     return use;
 }
 
-std::string_view SoftwareLog::findFault(const KeyedLog::KeyedRecord &record)
-{
-    if (!record.value)
-        return {}; // Deleted.
-    if (record.key == eraKey)
-        return Base::parseNumber<std::uint64_t>(*record.value) ? "" : "the era is not a number";
-    return readRecord(record) ? "" : "the record does not name a software version";
-}
-
 void SoftwareLog::update(const std::vector<Schema::SharedSoftware> &uses)
 {
     if (!m_isRead || m_isListing || !m_options.isWriter())
--- a/src/libs/fleetsync/softwarelog.h
+++ b/src/libs/fleetsync/softwarelog.h
@@ -21,6 +21,10 @@
 class SoftwareLog
 {
 public:
+    /// Time within which endpoints and routers write again what is missing in the log after it has
+    /// been restored from an older copy.
+    static constexpr Base::Duration rewriteTime = std::chrono::milliseconds(2500);
+
     struct Options
     {
         KeyedLog::KeyedSource source;
@@ -29,9 +33,8 @@
         /// Whether this router writes. In large fleets a few routers write for all.
         std::function<bool()> isWriter;
         PlatformClient::Backoff::Options backoff; ///< Delay between two attempts.
-        /// Time within which endpoints write their entries again after the log has been restored
-        /// from an older copy. Versions whose key the copy lacks are known by then.
-        Base::Duration entriesReturnTime = std::chrono::milliseconds(2500);
+        /// Time after a restoration after which versions whose key the copy lacks are known.
+        Base::Duration entriesReturnTime = rewriteTime;
     };
 
     explicit SoftwareLog(Options options);
@@ -42,7 +45,7 @@
     /// Called for each version that is read from the log.
     std::function<void(const Schema::SharedSoftware &use)> received;
     /// Called for each record that cannot be read.
-    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
+    KeyedLog::UnreadableRecord unreadable;
     /// Called when the log has been read for the first time.
     std::function<void()> readCompleted;
     /// Called after readCompleted() when all versions that the log should hold are known.
@@ -53,10 +56,10 @@
     void logRestored();
     /// Updates the log to the versions that serve or have served within the last minute.
     void update(const std::vector<Schema::SharedSoftware> &uses);
-    /// Decodes a record of the log; empty if it does not name a version.
-    static std::optional<Schema::SharedSoftware> readRecord(const KeyedLog::KeyedRecord &record);
-    /// Returns why neither a version nor the era can be read from the record; empty if one can.
-    static std::string_view findFault(const KeyedLog::KeyedRecord &record);
+    /// Decodes a record of the log; empty if it does not name a version. Calls \a unreadable, which
+    /// may be null, if the record names neither a version nor the era.
+    static std::optional<Schema::SharedSoftware>
+    readRecord(const KeyedLog::KeyedRecord &record, const KeyedLog::UnreadableRecord &unreadable);
     bool isRead() const { return m_isRead; }
     bool isFailing() const { return m_listing.isFailing(); }
 
--- a/src/libs/fleetsync/softwarerefresh.cpp
+++ b/src/libs/fleetsync/softwarerefresh.cpp
@@ -1,7 +1,5 @@
 #include "fleetsync/softwarerefresh.h"
 
-#include "fleetsync/softwarelog.h"
-
 #include <memory>
 #include <utility>
 
@@ -26,10 +24,7 @@
             endpointRead(record);
     };
     m_software.recordRead = [this](const KeyedLog::KeyedRecord &record) {
-        const std::string_view fault = SoftwareLog::findFault(record);
-        if (!fault.empty() && softwareUnreadable)
-            softwareUnreadable(record, fault);
-        const auto use = SoftwareLog::readRecord(record);
+        const auto use = SoftwareLog::readRecord(record, softwareUnreadable);
         if (use && softwareRead)
             softwareRead(*use);
     };
--- a/src/libs/fleetsync/softwarerefresh.h
+++ b/src/libs/fleetsync/softwarerefresh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleetsync/softwarelog.h"
 #include "keyedlog/keyedrefresh.h"
 #include "schema/generated/fleetsync.h"
 
@@ -23,8 +24,8 @@
         KeyedLog::KeyedSource software;
         Runtime::TimerQueue *timers = nullptr;
         /// Time after the restoration of the store from an older copy in which versions may be
-        /// missing there. Endpoints and routers write within 2 s what the copy lacks.
-        Base::Duration rewriteTime = std::chrono::milliseconds(2500);
+        /// missing there.
+        Base::Duration rewriteTime = SoftwareLog::rewriteTime;
     };
 
     explicit SoftwareRefresh(const Options &options);
@@ -34,8 +35,7 @@
     /// Called for each version that is read. Known ones may be read again.
     std::function<void(const Schema::SharedSoftware &use)> softwareRead;
     /// Called for each record of a version that cannot be read.
-    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)>
-        softwareUnreadable;
+    KeyedLog::UnreadableRecord softwareUnreadable;
 
     /// Reads both with calls that begin after this one. \a refreshed is called once, with whether
     /// all is known that the store held at the time of the call, unless this object is destroyed
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -56,7 +56,7 @@
     /// Called for each stream that is read from the log.
     std::function<void(const Schema::SharedStream &stream)> received;
     /// Called for each record that cannot be read.
-    std::function<void(const KeyedLog::KeyedRecord &record, std::string_view reason)> unreadable;
+    KeyedLog::UnreadableRecord unreadable;
 
     /// Called when the streams have been read.
     std::function<void()> readCompleted;
--- a/src/libs/keyedlog/keyedsource.h
+++ b/src/libs/keyedlog/keyedsource.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::KeyedLog {
@@ -21,6 +22,9 @@
     Base::LogOffset offset;
 };
 
+/// Reports a record that cannot be read, and why.
+using UnreadableRecord = std::function<void(const KeyedRecord &record, std::string_view reason)>;
+
 /// One page of a listing of the newest record of each key, in the order of the keys. Pages are read
 /// one after the other, so a listing of several pages is not a consistent snapshot.
 struct NewestPage
--- a/tests/fuzz/storerecords/fuzz_storerecords.cpp
+++ b/tests/fuzz/storerecords/fuzz_storerecords.cpp
@@ -105,9 +105,11 @@
                                  .value =
                                      std::string(input.substr(std::min(end + 1, input.size()))),
                                  .offset = Base::LogOffset(1)};
-    const bool isVersion = FleetSync::SoftwareLog::readRecord(record).has_value();
-    require(!isVersion || FleetSync::SoftwareLog::findFault(record).empty());
-    if (const auto use = FleetSync::SoftwareLog::readRecord(record))
+    bool isVersionUnreadable = false;
+    const auto use = FleetSync::SoftwareLog::readRecord(
+        record, [&](const auto &, std::string_view) { isVersionUnreadable = true; });
+    require(!use || !isVersionUnreadable);
+    if (use)
         require(Schema::encodeMessage(Schema::StreamStateAnswer{.software = {*use}}).has_value());
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers(clock);
