Tests, Soak: Share the frame of a run and the checks of resumed streams

outofstep.py had the command line, the run and the report of fleetrestart.py again, two cases of tst_softwareversionfleet the loop of resumeAll(), and three places their own text of a JSON object. The cases of a router out of step now also check the second event, as the others do; no check is dropped.

--- a/tests/auto/adapter/tst_oddentries.cpp
+++ b/tests/auto/adapter/tst_oddentries.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE tst_oddentries
+#include "auto/adapter/jsonobject.h"
 #include "auto/adapter/onerouter.h"
 #include "auto/adapter/routerfleet.h"
 
@@ -24,19 +25,7 @@
         {"seq", "1"},          {"warmup_left_ms", "0"},
         {"born", "1"}};
     fields[field] = value;
-    std::string json;
-    for (const auto &[name, text] : fields) {
-        json += json.empty() ? "{\"" : ",\"";
-        json += name;
-        json += "\":";
-        json += text;
-    }
-    return json + "}";
-}
-
-std::string text(std::size_t size)
-{
-    return '"' + std::string(size, 'x') + '"';
+    return jsonObject(fields);
 }
 
 /// Records among those of the endpoints. None names an endpoint that can be used.
@@ -61,12 +50,12 @@
             {"o-5", entry("address", R"("127.0.0.1:70000")")},
             {"o-6", entry("address", R"("127.0.0.1:0")")},
             {"o-7", entry("address", R"("127.0.0.1\u0000)" + std::string(60, 'x') + R"(:80")")},
-            {"o-8", entry("version", text(100))},
-            {"o-9", entry("zone", text(100))},
-            {"o-10", entry("service", text(1000))},
+            {"o-8", entry("version", jsonString(100))},
+            {"o-9", entry("zone", jsonString(100))},
+            {"o-10", entry("service", jsonString(1000))},
             {"o-11", entry("warmup_left_ms", "1e999")},
             {"o-12", "\xff\xfe\x00"s},
-            {"o-13", entry("state", text(100000))}};
+            {"o-13", entry("state", jsonString(100000))}};
 }
 
 } // namespace
--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -144,20 +145,24 @@
     }
     /// Resumes a stream of router 0 at another router, which sends its second event. Returns the
     /// engine that resumed it, or -1 if none did.
-    int resume(int stream)
+    int resume(int stream, int router)
     {
         const std::string number = std::to_string(stream);
-        RawSocket caller = request(1 + stream % (routerCount - 1), "t" + number, "s" + number);
+        RawSocket caller = request(router, "u" + number, "s" + number);
         const int resumedAt = awaitAnswer(caller);
         BOOST_TEST(caller.has("id: 2"));
         return resumedAt;
     }
-    /// Resumes streams of router 0, which have to go on at their software versions.
-    void resumeAll(const std::vector<std::size_t> &servedBy)
+    /// One of the other routers, each in turn.
+    static int otherRouter(int stream) { return 1 + stream % (routerCount - 1); }
+    /// Resumes streams of router 0, which have to go on at their software versions, at \a router,
+    /// or at all others in turn.
+    void resumeAll(const std::vector<std::size_t> &servedBy, std::optional<int> router = {})
     {
         BOOST_REQUIRE(servedBy.size() == callers.size());
         for (std::size_t stream = 0; stream < servedBy.size(); ++stream) {
-            const int resumedAt = resume(static_cast<int>(stream));
+            const int number = static_cast<int>(stream);
+            const int resumedAt = resume(number, router.value_or(otherRouter(number)));
             BOOST_REQUIRE(resumedAt >= 0);
             BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == servedBy[stream] % 2);
         }
@@ -216,7 +221,7 @@
     f.pass(seconds(1));
     f.routers.at(0).reset();
     for (int i = 0; i < streams; ++i) {
-        const int resumedAt = f.resume(i);
+        const int resumedAt = f.resume(i, RouterFleet::otherRouter(i));
         BOOST_TEST(resumedAt % 2 == 0);
     }
 }
@@ -356,14 +361,7 @@
     for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
         f.loneStore.copyTopic(f.store, topic);
     f.pass(seconds(1));
-    for (int i = 0; i < streams; ++i) {
-        const std::string number = std::to_string(i);
-        RawSocket caller = f.request(loneRouter, "u" + number, "s" + number);
-        const int resumedAt = f.awaitAnswer(caller);
-        BOOST_REQUIRE(resumedAt >= 0);
-        const std::size_t began = servedBy[static_cast<std::size_t>(i)];
-        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == began % 2);
-    }
+    f.resumeAll(servedBy, loneRouter);
 }
 
 /// Guards against the same between two reads of a router in step, which are 0.7 s apart.
@@ -378,14 +376,7 @@
     f.pass(seconds(1));
     for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
         f.loneStore.copyTopic(f.store, topic);
-    for (int i = 0; i < streams; ++i) {
-        const std::string number = std::to_string(i);
-        RawSocket caller = f.request(loneRouter, "t" + number, "s" + number);
-        const int resumedAt = f.awaitAnswer(caller);
-        BOOST_REQUIRE(resumedAt >= 0);
-        const std::size_t began = servedBy[static_cast<std::size_t>(i)];
-        BOOST_TEST(static_cast<std::size_t>(resumedAt) % 2 == began % 2);
-    }
+    f.resumeAll(servedBy, loneRouter);
 }
 
 /// Guards against versions that are missing in the store, as its writers in a large fleet are cut
--- a/tests/auto/adapter/tst_storeobjects.cpp
+++ b/tests/auto/adapter/tst_storeobjects.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE tst_storeobjects
 #include <boost/test/unit_test.hpp>
 
+#include "auto/adapter/jsonobject.h"
 #include "platform/storeobjects.h"
 
 #include <map>
@@ -107,18 +108,7 @@
         {"slots", "128"},           {"state", R"("ready")"},
         {"warmup_left_ms", "12.5"}, {"seq", "4"},
         {"born", "1764719000123"}};
-    const auto text = [](const std::map<std::string, std::string> &fields) {
-        std::string json = "{";
-        for (const auto &[name, value] : fields) {
-            json += json.size() > 1 ? ",\"" : "\"";
-            json += name;
-            json += "\":";
-            json += value;
-        }
-        json += "}";
-        return json;
-    };
-    const auto read = Platform::readEndpoint("i-1", text(good));
+    const auto read = Platform::readEndpoint("i-1", jsonObject(good));
     BOOST_REQUIRE(read);
     const Base::WallTime startedAt{std::chrono::milliseconds(1764719000123)};
     BOOST_TEST((read.value().endpoint.startedAt == startedAt));
@@ -126,7 +116,8 @@
         auto without = good;
         without.erase(name);
         const bool isOptional = name == "born";
-        BOOST_TEST(Platform::readEndpoint("i-1", text(without)).has_value() == isOptional, name);
+        BOOST_TEST(Platform::readEndpoint("i-1", jsonObject(without)).has_value() == isOptional,
+                   name);
         for (const char *other : {"null", "true", "[]", "{}", "-1", R"("?")"}) {
             // A negative remaining time and a name of any text are valid.
             const bool isGood = (name == "warmup_left_ms" && std::string_view(other) == "-1")
@@ -134,44 +125,36 @@
                     && (name == "service" || name == "zone" || name == "version"));
             auto wrong = good;
             wrong[name] = other;
-            BOOST_TEST(Platform::readEndpoint("i-1", text(wrong)).has_value() == isGood,
+            BOOST_TEST(Platform::readEndpoint("i-1", jsonObject(wrong)).has_value() == isGood,
                        name + " = " + other);
         }
     }
     for (const char *start : {"1764719000123.5", "1764719000123.0", R"("1764719000123")"}) {
         auto wrong = good;
         wrong["born"] = start;
-        BOOST_TEST(!Platform::readEndpoint("i-1", text(wrong)), start);
+        BOOST_TEST(!Platform::readEndpoint("i-1", jsonObject(wrong)), start);
     }
     for (const char *state : {R"("starting")", R"("READY")", R"("")"}) {
         auto wrong = good;
         wrong["state"] = state;
-        BOOST_TEST(!Platform::readEndpoint("i-1", text(wrong)), state);
+        BOOST_TEST(!Platform::readEndpoint("i-1", jsonObject(wrong)), state);
     }
-    BOOST_TEST(!Platform::readEndpoint("i-1", text(good) + "x"));
+    BOOST_TEST(!Platform::readEndpoint("i-1", jsonObject(good) + "x"));
     BOOST_TEST(!Platform::readEndpoint("i-1", "\xff\xfe"));
 }
 
 namespace {
 
-std::string endpointEntry(std::string_view field, std::string_view value)
+std::string endpointEntry(const std::string &field, const std::string &value)
 {
-    std::map<std::string_view, std::string_view> fields{
+    std::map<std::string, std::string> fields{
         {"service", R"("s1")"},   {"address", R"("10.1.0.9:8080")"},
         {"zone", R"("gulberg")"}, {"version", R"("v1")"},
         {"slots", "128"},         {"state", R"("ready")"},
         {"warmup_left_ms", "0"},  {"seq", "4"},
         {"born", "1764719000123"}};
     fields[field] = value;
-    std::string json;
-    for (const auto &[name, text] : fields)
-        json += (json.empty() ? "{\"" : ",\"") + std::string(name) + "\":" + std::string(text);
-    return json + "}";
-}
-
-std::string text(std::size_t size)
-{
-    return '"' + std::string(size, 'x') + '"';
+    return jsonObject(fields);
 }
 
 } // namespace
@@ -189,10 +172,10 @@
     };
     const Row rows[]{
         {"empty service", "service", R"("")"},
-        {"service longer than routers share", "service", text(97)},
-        {"service of a megabyte", "service", text(1 << 20)},
-        {"zone longer than routers share", "zone", text(65)},
-        {"version longer than routers share", "version", text(65)},
+        {"service longer than routers share", "service", jsonString(97)},
+        {"service of a megabyte", "service", jsonString(1 << 20)},
+        {"zone longer than routers share", "zone", jsonString(65)},
+        {"version longer than routers share", "version", jsonString(65)},
         {"port 0", "address", R"("10.1.0.9:0")"},
         {"address of any host", "address", R"("0.0.0.0:80")"},
         {"null character in the address", "address", R"("10.1.0.9\u0000xxxxxxxxxxxxxxxx:80")"},
@@ -202,7 +185,7 @@
         {"sequence near 2^64", "seq", "18446744073709551615"},
         {"remaining time beyond double", "warmup_left_ms", "1e999"},
         {"deep nesting", "models", std::string(100000, '[')},
-        {"entry of a megabyte", "models", text(1 << 20)}};
+        {"entry of a megabyte", "models", jsonString(1 << 20)}};
     for (const Row &row : rows)
         BOOST_TEST(!Platform::readEndpoint("i-1", endpointEntry(row.field, row.value)), row.name);
     const std::string good = endpointEntry("slots", "4");
@@ -216,9 +199,9 @@
 BOOST_AUTO_TEST_CASE(extremeEntryOfAnEndpointIsRead)
 {
     for (const auto &[field, value] : std::multimap<std::string, std::string>{
-             {"service", text(96)},
-             {"zone", text(64)},
-             {"version", text(64)},
+             {"service", jsonString(96)},
+             {"zone", jsonString(64)},
+             {"version", jsonString(64)},
              {"zone", R"("")"},
              {"version", R"("")"},
              {"address", R"("10.1.0.9:65535")"},
@@ -235,14 +218,14 @@
 {
     constexpr std::size_t maxDetail = 300;
     for (const std::string &entry :
-         {endpointEntry("state", text(100000)), endpointEntry("address", text(100000)),
+         {endpointEntry("state", jsonString(100000)), endpointEntry("address", jsonString(100000)),
           "{\"" + std::string(100000, 'x')}) {
         const auto read = Platform::readEndpoint("i-1", entry);
         BOOST_REQUIRE(!read);
         BOOST_TEST(read.error().detail.size() <= maxDetail);
     }
-    const auto read =
-        Platform::readConfiguration(R"({"version":1,"routes":[{"kind":)" + text(100000) + "}]}");
+    const auto read = Platform::readConfiguration(R"({"version":1,"routes":[{"kind":)"
+                                                  + jsonString(100000) + "}]}");
     BOOST_REQUIRE(!read);
     BOOST_TEST(read.error().detail.size() <= maxDetail);
 }
--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -350,40 +350,48 @@
         return f"mixed {mixed}, by earlier routers {len(self.mixed[True])}; " \
             f"first router ready after {self.ready_after_s} s; " + "; ".join(parts)
 
+    async def play(self):
+        """Ends the routers as the case says."""
+        versions, method = CASES[self.options.case]
+        await asyncio.sleep(3 if versions > 1 else 1.5)
+        await getattr(self, method)()
+
+    async def clean_up(self):
+        """Ends everything that runs."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*(router.stop() for router in self.routers))
+
     async def run(self):
         """Runs everything; returns a summary."""
         try:
             await asyncio.wait_for(self.set_up(), 30)
             callers = asyncio.create_task(self.begin_streams())
-            versions, method = CASES[self.options.case]
-            await asyncio.sleep(3 if versions > 1 else 1.5)
-            await getattr(self, method)()
+            await self.play()
             callers.cancel()
             await asyncio.sleep(RETRIES * RETRY_S + 1)  # Until the last retries are answered.
             self.violations += [repr(task.exception()) for task in self.tasks
                                 if task.done() and task.exception()]
         finally:
-            for task in self.tasks:
-                task.cancel()
-            await asyncio.gather(*(router.stop() for router in self.routers))
+            await self.clean_up()
         return self.check()
 
 
-def main():
-    """Reads the command line and runs once."""
-    parser = argparse.ArgumentParser(description=__doc__)
+def argument_parser(description, cases, net):
+    """The command line of a script that runs one case; `net` is its usual network."""
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--router", required=True)
-    parser.add_argument("--case", required=True, choices=CASES)
+    parser.add_argument("--case", required=True, choices=cases)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--net", type=int, default=78,
+    parser.add_argument("--net", type=int, default=net,
                         help="second octet of the loopback addresses; differs for concurrent runs")
-    parser.add_argument("--earlier-router", help="binary of every second router")
-    options = parser.parse_args()
-    if options.case == "earlier_routers" and not options.earlier_router:
-        print("earlier_routers: skipped, --earlier-router is not given")
-        return
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="lagoonbank-restart-"))
-    test = FleetRestart(options, folder)
+    return parser
+
+
+def run_once(run_class, options, name):
+    """Runs a case and prints the result; exits 1 and keeps the logs if a check fails."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"lagoonbank-{name}-"))
+    test = run_class(options, folder)
     summary = asyncio.run(test.run())
     print(f"{options.case}, seed {options.seed}: {summary}")
     for line in test.violations[:20]:
@@ -394,5 +402,16 @@
     shutil.rmtree(folder)
 
 
+def main():
+    """Reads the command line and runs once."""
+    parser = argument_parser(__doc__, CASES, 78)
+    parser.add_argument("--earlier-router", help="binary of every second router")
+    options = parser.parse_args()
+    if options.case == "earlier_routers" and not options.earlier_router:
+        print("earlier_routers: skipped, --earlier-router is not given")
+        return
+    run_once(FleetRestart, options, "restart")
+
+
 if __name__ == "__main__":
     main()
--- a/tests/soak/outofstep.py
+++ b/tests/soak/outofstep.py
@@ -9,15 +9,10 @@
 refusals, and exits 1 if a check fails. Ends only the processes that it started, by their ids.
 """
 
-import argparse
 import asyncio
 import collections
 import dataclasses
-import pathlib
-import shutil
 import signal
-import sys
-import tempfile
 import time
 
 import fleetrestart
@@ -319,6 +314,7 @@
 
     async def play(self):
         """Lets engines of new versions join while routers are out of step."""
+        await asyncio.sleep(2)
         for number in range(2, 2 + self.case.rounds):
             began_at = time.monotonic()
             end = began_at + await self.get_out_of_step()
@@ -442,46 +438,18 @@
             self.violations.append(f"{mixed} streams hold events of two versions")
         return f"mixed {mixed} of {len(self.attempts)} tries; " + "; ".join(parts)
 
-    async def run(self):
-        """Runs everything; returns a summary."""
-        try:
-            await asyncio.wait_for(self.set_up(), 30)
-            callers = asyncio.create_task(self.begin_streams())
-            await asyncio.sleep(2)
-            await self.play()
-            callers.cancel()
-            await asyncio.sleep(fleetrestart.RETRIES * fleetrestart.RETRY_S + 1)
-            self.violations += [repr(task.exception()) for task in self.tasks
-                                if task.done() and task.exception()]
-        finally:
-            for task in self.tasks:
-                task.cancel()
-            await asyncio.gather(*(router.stop() for router in self.routers))
-            for channel in self.store_link.channels + self.peer_link.channels:
-                channel.close()
-            await asyncio.sleep(0.1)
-        return self.check()
+    async def clean_up(self):
+        """Ends everything that runs."""
+        await super().clean_up()
+        for channel in self.store_link.channels + self.peer_link.channels:
+            channel.close()
+        await asyncio.sleep(0.1)
 
 
 def main():
     """Reads the command line and runs once."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--router", required=True)
-    parser.add_argument("--case", required=True, choices=CASES)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--net", type=int, default=79,
-                        help="second octet of the loopback addresses; differs for concurrent runs")
-    options = parser.parse_args()
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="lagoonbank-outofstep-"))
-    test = OutOfStep(options, folder)
-    summary = asyncio.run(test.run())
-    print(f"{options.case}, seed {options.seed}: {summary}")
-    for line in test.violations[:20]:
-        print(f"  {line}")
-    if test.violations:
-        print(f"  logs: {folder}")
-        sys.exit(1)
-    shutil.rmtree(folder)
+    options = fleetrestart.argument_parser(__doc__, CASES, 79).parse_args()
+    fleetrestart.run_once(OutOfStep, options, "outofstep")
 
 
 if __name__ == "__main__":
