FleetSync, Soak: Store streams within 0.04 s

Callers saw streams refused as not run (no_endpoint) after all routers had ended at once: those that had begun in the last 0.2 s, as the two writers stored streams each 0.2 s.

The first writer of a shard now writes each 0.04 s, the other one each 0.2 s as before. A batch is written again under its key while it grows, so that the log keeps streams as long as before without further keys. A second writer at 0.04 s would cost two thirds more calls and is needed only if the first one ends unnoticed.

--- a/bench/streams/streammodel.py
+++ b/bench/streams/streammodel.py
@@ -86,6 +86,7 @@
     # The second writer sends the first one the reports that a confirmed batch lacks, and writes
     # itself what stays unconfirmed for 1.5 intervals.
     has_standby: bool = False
+    later_interval_s: float = 0.0  # Of all writers but the first; write_interval_s if 0.
     is_release_held: bool = False  # The shares of versions do not change.
     ambiguous_share: float = -1.0  # Options.ambiguous_share if negative.
 
@@ -102,6 +103,12 @@
     Way("C 2 writers, 1 s, shard 24", "few", 1.0, 2),
     Way("C 1 writer, 0.2 s, shard 24, loss 1 %", "few", 0.2, 1, loss=0.01),
     Way("C 1 writer, 0.5 s, shard 24", "few", 0.5, 1),
+    Way("C 2 writers, 0.2 s, shard 100", "few", 0.2, 2, 100),
+    Way("C 2 writers, 0.04 s, shard 100", "few", 0.04, 2, 100),
+    Way("C 0.04 s and 0.2 s, shard 100", "few", 0.04, 2, 100, later_interval_s=0.2),
+    Way("C 0.04 s and 0.2 s, shard 100, loss 1 %", "few", 0.04, 2, 100, 0.01,
+        later_interval_s=0.2),
+    Way("C 0.08 s and 0.2 s, shard 100", "few", 0.08, 2, 100, later_interval_s=0.2),
     Way("C writer and standby, 0.2 s, shard 24", "few", 0.2, 2, has_standby=True),
     Way("C writer and standby, 0.2 s, shard 24, loss 1 %", "few", 0.2, 2, 24, 0.01, True),
     Way("C writer and standby, 0.2 s, shard 50", "few", 0.2, 2, 50, has_standby=True),
@@ -240,10 +247,12 @@
     def make_batches(self, writers):
         """Draws when each writer writes, and which of its calls the store accepts. Intervals vary
         by 10 %, so that the same writers are not always the ones that are rejected."""
-        interval_s, limit, calls = self.way.write_interval_s, StoreLimit(
-            self.fleet.store_writes_per_s), []
+        limit, calls = StoreLimit(self.fleet.store_writes_per_s), []
         for writer in range(writers):
             self.batches[writer] = []
+            is_first = writer % max(1, self.way.writers) == 0
+            interval_s = (self.way.write_interval_s if is_first or not self.way.later_interval_s
+                          else self.way.later_interval_s)
             if self.is_standby(writer):
                 continue
             for from_s, to_s in self.spans:
@@ -383,6 +392,9 @@
             second + resumed, lambda s: s.durable_at_s <= self.second_s,
             base_s=self.second_s + o.outage_s + o.ready_s, stored_share_at_s=self.second_s)
 
+        figures["young"] = mean([known(s) for s in self.streams
+                                 if -0.07 <= s.begin_s <= -0.05 and s.reported_at_s < math.inf])
+
         # One writer ended before the others, unnoticed; for "each" and "peers" one router.
         if way.writers:
             figures["writer"] = self.shares(
@@ -472,12 +484,12 @@
     return sum(values) / len(values) if values else math.nan
 
 
-COLUMNS = ("routers", "way", "goes on", "least", "mixed", "refused", "mixed, old version gone",
-           "age ms, mean / worst", "second end: on / mixed", "writer ended: on / mixed",
-           "store away at start: on / mixed", "store away before the end: on / mixed",
-           "restored: on / mixed", "writes/s", "429", "reads or probes at start", "to peers B/s",
-           "busiest receives KB/s", "busiest answers at start KB",
-           "to store KB/s", "calls, share of worth")
+COLUMNS = ("routers", "way", "goes on", "least", "begun 50 to 70 ms before", "mixed", "refused",
+           "mixed, old version gone", "age ms, mean / worst", "second end: on / mixed",
+           "writer ended: on / mixed", "store away at start: on / mixed",
+           "store away before the end: on / mixed", "restored: on / mixed", "writes/s", "429",
+           "reads or probes at start", "to peers B/s", "busiest receives KB/s",
+           "busiest answers at start KB", "to store KB/s", "calls, share of worth")
 
 
 def row(way, fleet, trials):
@@ -497,6 +509,7 @@
                   "asks)")
     return (str(fleet.routers), way.name, f"{average('goes on'):.3f}",
             f"{min(t['goes on'] for t in trials):.2f}",
+            "-" if math.isnan(average("young")) else f"{average('young'):.2f}",
             f"{average('mixed'):.3f}", f"{average('refused'):.3f}",
             f"{average('mixed_gone'):.2f}", age, pair("second"), pair("writer"),
             pair("away_start"), pair("away_end"), pair("restored"),
@@ -516,7 +529,7 @@
     print("|" + "---|" * len(COLUMNS))
     for fleet in FLEETS:
         for way in WAYS:
-            if way.shard_routers > 24 and fleet.routers <= 24:
+            if way.has_standby and way.shard_routers > 24 and fleet.routers <= 24:
                 continue  # The same as one shard of 24.
             rng = random.Random(f"{arguments.seed} {fleet.routers} {way.name}")
             trials = [Trial(way, fleet, options, rng).run() for _ in range(fleet.trials)]
--- a/src/libs/fleetsync/streamgossip.cpp
+++ b/src/libs/fleetsync/streamgossip.cpp
@@ -90,6 +90,11 @@
     return ranking().isOwnAmongFirst(writersKey(shard), m_options.writers);
 }
 
+bool StreamGossip::isFirstWriter(std::uint32_t shard) const
+{
+    return ranking().isOwnAmongFirst(writersKey(shard), 1);
+}
+
 std::vector<Runtime::SocketAddress> StreamGossip::writersAndPeers(const RouterRanking &routers,
                                                                   std::uint64_t stream,
                                                                   std::size_t count) const
--- a/src/libs/fleetsync/streamgossip.h
+++ b/src/libs/fleetsync/streamgossip.h
@@ -107,6 +107,8 @@
     bool isSmallFleet() const { return ranking().size() <= m_options.smallFleet; }
     /// Whether this router writes the streams of this shard to the store.
     bool isWriter(std::uint32_t shard) const;
+    /// Whether this router is the first of the writers of this shard.
+    bool isFirstWriter(std::uint32_t shard) const;
     /// Those of the streams for which other routers ask this peer.
     std::vector<Schema::SharedStream>
     streamsFor(const Runtime::SocketAddress &peer,
--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -94,28 +94,44 @@
     if (!shard)
         return;
     Batch &batch = m_batches[*shard];
+    const Base::MonoTime now = m_options.timers->clock().now();
+    const bool isOver = batch.begunAt && now - *batch.begunAt >= m_options.batchDuration;
+    if (isOver && !batch.timer)
+        beginNext(batch);
     if (batch.streams.size() < maxBatchStreams)
         batch.streams.push_back(stream);
     if (batch.timer)
         return;
     // The first batch is written at the end of the current iteration of the event loop.
-    const Base::MonoTime now = m_options.timers->clock().now();
     const Base::Duration delay = batch.writtenAt
-        ? std::max(Base::Duration::zero(), *batch.writtenAt + m_options.writeInterval - now)
+        ? std::max(Base::Duration::zero(), *batch.writtenAt + writeInterval(*shard) - now)
         : Base::Duration::zero();
     batch.timer = m_options.timers->start(delay, [this, shard = *shard] { write(shard); });
 }
 
+void StreamLog::beginNext(Batch &batch) const
+{
+    batch.streams.clear();
+    batch.begunAt.reset();
+    batch.slot = (batch.slot + 1) % m_options.slots;
+}
+
+Base::Duration StreamLog::writeInterval(std::uint32_t shard) const
+{
+    return m_options.isFirstWriter(shard) ? m_options.firstWriterInterval : m_options.writeInterval;
+}
+
 void StreamLog::write(std::uint32_t shard)
 {
     Batch &batch = m_batches[shard];
+    const Base::MonoTime now = m_options.timers->clock().now();
     batch.timer.reset();
-    batch.writtenAt = m_options.timers->clock().now();
-    const auto body =
-        Schema::encodeMessage(Schema::StreamBatch{.streams = std::exchange(batch.streams, {})});
+    batch.writtenAt = now;
+    if (!batch.begunAt)
+        batch.begunAt = now;
+    const auto body = Schema::encodeMessage(Schema::StreamBatch{.streams = batch.streams});
     if (body)
         m_writes.write(absl::StrCat(ownPrefix(shard), batch.slot), body.value());
-    batch.slot = (batch.slot + 1) % m_options.slots;
 }
 
 void StreamLog::continueAfter(const KeyedLog::KeyedRecord &record)
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -20,7 +20,8 @@
 /// Stores in a keyed log which software version began each stream, so that callers can resume
 /// streams after all routers have ended at the same time. Streams are written in batches. The key
 /// of a batch is its writer and one of a fixed number of slots, so that the log keeps the streams
-/// of the last seconds and does not grow.
+/// of the last seconds and does not grow. A batch is written again whenever streams are added to
+/// it, so that short intervals between writes need no further keys.
 class StreamLog
 {
 public:
@@ -36,11 +37,17 @@
         std::function<bool()> readsAll;
         /// Whether this router writes the streams of a shard.
         std::function<bool(std::uint32_t shard)> isWriter;
+        /// Whether this router is the one that writes the streams of a shard at short intervals.
+        std::function<bool(std::uint32_t shard)> isFirstWriter;
         /// Returns the shard of a stream if this router is one of its writers.
         std::function<std::optional<std::uint32_t>(std::uint64_t stream)> shardToWrite;
-        /// Minimum time between two batches of a shard, and so what may be lost of the streams that
-        /// begin last.
+        /// Minimum time between two writes of a shard by its first writer. Streams that begin
+        /// within this time before all routers end may be lost.
+        Base::Duration firstWriterInterval = std::chrono::milliseconds(40);
+        /// The same by the other writers, whose writes count only if the first writer fails.
         Base::Duration writeInterval = std::chrono::milliseconds(200);
+        /// Time for which streams are added to the same batch.
+        Base::Duration batchDuration = std::chrono::milliseconds(200);
         /// Number of batches that the log keeps for each writer: streams of 19 s.
         std::uint32_t slots = 96;
         /// Number of keys for all writers. Two writers may share one, and then lose batches.
@@ -81,10 +88,11 @@
 private:
     struct Batch
     {
-        std::vector<Schema::SharedStream> streams; ///< Not written yet.
-        std::optional<Base::MonoTime> writtenAt;
+        std::vector<Schema::SharedStream> streams;
+        std::optional<Base::MonoTime> begunAt; ///< Time of the first write of this batch.
+        std::optional<Base::MonoTime> writtenAt; ///< Time of the latest write of the shard.
         std::optional<Runtime::TimerId> timer;
-        std::uint32_t slot = 0; ///< Slot of the next batch.
+        std::uint32_t slot = 0; ///< Slot of this batch.
         Base::LogOffset listedOffset; ///< Highest offset of this router's batches in the listing.
     };
 
@@ -93,6 +101,8 @@
     void batchRead(const KeyedLog::KeyedRecord &record);
     /// Continues after the slot that this router wrote last, if \a record is one of its batches.
     void continueAfter(const KeyedLog::KeyedRecord &record);
+    void beginNext(Batch &batch) const;
+    Base::Duration writeInterval(std::uint32_t shard) const;
     void write(std::uint32_t shard);
     std::string ownPrefix(std::uint32_t shard) const;
 
--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -35,6 +35,9 @@
 STORE_AWAY_S = 1.0
 MIN_SHARE = 0.9  # Of the share of new streams that begin.
 MIN_TRIED = 12  # A share of fewer streams says nothing.
+# Streams that began this long before the routers end are young; they must go on as often as others.
+YOUNG_S = (0.05, 0.3)
+BURST_STREAMS_PER_S, BURST_S = 300, 0.35  # Begun just before the routers end.
 ENTRIES = "keyed.servers"
 # Name -> number of versions that serve from the beginning, and what happens when all routers end.
 CASES = {
@@ -47,6 +50,7 @@
     "store_entries_first": (2, "restart_without_store"),
     "store_restored": (1, "restart_around_restoration"),
     "two_releases": (1, "release_twice"),
+    "begun_just_before": (2, "restart_amid_begins"),
     "earlier_routers": (2, "restart_after_removal")}
 
 
@@ -58,6 +62,7 @@
     first: str = ""  # Id of the request that brought the first event.
     version: str = ""  # Software version that wrote the newest event.
     received: int = 0
+    began_at: float = None  # When the first event arrived.
 
 
 @dataclasses.dataclass
@@ -67,6 +72,7 @@
     tried_at: float
     version: str  # That began the stream; empty for a new stream.
     has_entries: bool  # At least two engines of the version have entries.
+    began_at: float  # When the first event of the stream arrived; None for a new stream.
     router: soak.Router = None  # The last one tried.
     has_events: bool = False
     reason: str = "unanswered"
@@ -86,6 +92,7 @@
         self.ready_at = None  # Time at which the first router became ready after the newest start.
         self.ready_after_s = []  # The same after each start, from it on.
         self.windows = []  # Begins and ends of the times in which streams are counted.
+        self.ended_at = []  # When all routers were ended.
         self.attempts = []
         # Whether an earlier router joined the versions -> first requests of streams with two.
         self.mixed = {False: set(), True: set()}
@@ -164,6 +171,7 @@
         `meanwhile` is called between two pauses in which no router runs."""
         self.is_down = True
         self.ready.clear()
+        self.ended_at.append(time.monotonic())
         await asyncio.gather(*(router.stop() for router in self.routers))
         await asyncio.sleep(self.rng.uniform(*pauses_s[0]))
         if meanwhile:
@@ -183,6 +191,13 @@
         self.ready_after_s.append(round(end - WINDOW_S - started_at, 2))
         await asyncio.sleep(end - time.monotonic())
 
+    async def restart_amid_begins(self):
+        """Ends the routers while many streams begin."""
+        burst = asyncio.create_task(self.begin_streams("burst", BURST_STREAMS_PER_S))
+        await asyncio.sleep(BURST_S)
+        burst.cancel()
+        await self.restart_all()
+
     async def restart_after_removal(self):
         """Removes the entries of a version just before the routers end."""
         await self.remove_entries("v1")
@@ -223,12 +238,12 @@
 
     # Callers.
 
-    async def begin_streams(self):
+    async def begin_streams(self, name="callers", streams_per_s=STREAMS_PER_S):
         """Begins streams at random times."""
-        rng = world.random_generator(self.options.seed, "callers")
+        rng = world.random_generator(self.options.seed, name)
         while True:
             self.tasks.append(asyncio.create_task(self.run_stream(rng)))
-            await asyncio.sleep(rng.expovariate(STREAMS_PER_S))
+            await asyncio.sleep(rng.expovariate(streams_per_s))
 
     async def ready_router(self, stream, rng):
         """A router that is ready; waits for one as long as the stream's time allows, else None."""
@@ -245,7 +260,8 @@
             router = await self.ready_router(stream, rng)
             if router is None:
                 return
-            attempt = Attempt(time.monotonic(), stream.version, self.has_entries(stream.version))
+            attempt = Attempt(time.monotonic(), stream.version, self.has_entries(stream.version),
+                              stream.began_at)
             self.attempts.append(attempt)
             for retries_left in range(RETRIES, -1, -1):
                 attempt.router = router
@@ -313,6 +329,7 @@
         """Checks that an event is the next one, and of the version that wrote the one before."""
         stream.received += 1
         stream.first = stream.first or request
+        stream.began_at = stream.began_at or time.monotonic()
         version = event.rsplit(b" ", 1)[-1].strip().decode()
         if event != world.event(request, stream.received, version):
             self.violations.append(f"{request} got another event than {stream.received}: {event!r}")
@@ -322,6 +339,25 @@
 
     # Results.
 
+    def age_at_end(self, attempt):
+        """How long before the last end of all routers a stream began, or None."""
+        ends = [end for end in self.ended_at if attempt.began_at and end < attempt.tried_at]
+        return ends[-1] - attempt.began_at if ends else None
+
+    def check_young(self, attempts, share_of_new):
+        """Checks that young streams go on; returns their part of the summary."""
+        ages = [(self.age_at_end(attempt), attempt) for attempt in attempts]
+        young = [attempt for age, attempt in ages if age and YOUNG_S[0] <= age <= YOUNG_S[1]]
+        served = sum(attempt.has_events for attempt in young)
+        if self.options.case == "begun_just_before":
+            if len(young) < MIN_TRIED:
+                self.violations.append("too few streams began just before the end")
+            elif served < MIN_SHARE * share_of_new * len(young):
+                self.violations.append("streams that began just before the end go on less often")
+        lost_ms = sorted(int(age * 1000) for age, attempt in ages
+                         if age and not attempt.has_events)
+        return f"young: {served} of {len(young)}; began before the end and refused (ms): {lost_ms}"
+
     def check(self):
         """Checks the shares; returns a summary of the run."""
         groups = {"new": [], "taken up": [], "taken up without entries": []}
@@ -344,6 +380,7 @@
             self.violations.append("too few streams were tried, or no new one began")
         if shares["taken up"] < MIN_SHARE * shares["new"]:
             self.violations.append("streams that are taken up go on less often than new ones begin")
+        parts.append(self.check_young(groups["taken up"], shares["new"]))
         mixed = len(self.mixed[False])
         if mixed:
             self.violations.append(f"{mixed} streams hold events of two versions")
