--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -319,6 +319,7 @@
             return wait_s if status in RETRIED_STATUSES else None
         rest = b""
         async for piece in wire.read_body(reader, fields):
+            await self.piece_read()
             *events, rest = (rest + piece).split(b"\n\n")
             for event in events:
                 self.check_event(event + b"\n\n", request, stream, attempt.router)
@@ -328,6 +329,9 @@
             stream.received = EVENTS
         return None
 
+    async def piece_read(self):
+        """Called after each piece of an answer that a caller reads."""
+
     def check_event(self, event, request, stream, router):
         """Checks that an event is the next one, and of the version that wrote the one before."""
         stream.received += 1
@@ -421,7 +425,8 @@
     """The command line of a script that runs one case; `net` is its usual network."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--router", required=True)
-    parser.add_argument("--case", required=True, choices=cases)
+    if cases:
+        parser.add_argument("--case", required=True, choices=cases)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--net", type=int, default=net,
                         help="second octet of the loopback addresses; differs for concurrent runs")
--- a/tests/soak/outofstep.py
+++ b/tests/soak/outofstep.py
@@ -233,6 +233,8 @@
         self.during = None  # The time in which the routers are out of step.
         self.odd = []  # The routers that get out of step.
         self.plain = []  # Results of the plain calls at these meanwhile, None if served.
+        self.plain_engines = []
+        self.unrepeatable = set()  # Plain calls that may run once.
         if self.case.routers > fleetrestart.ROUTERS:
             self.engines_per_version = LARGE_ENGINES
 
@@ -260,6 +262,7 @@
             engine.version_of_boot = lambda boot: "plain"
             engine.on_arrival = lambda engine, request: None
             engine.address = f"{self.net}.10.{i + 1}:{soak.ENGINE_PORT}"
+            self.plain_engines.append(engine)
             await wire.serve(f"{self.net}.10.{i + 1}", soak.ENGINE_PORT, engine.handle)
             await self.store.put(fleetrestart.ENTRIES, engine.id, engine.entry())
         numbers = range(1, self.case.routers + 1)
@@ -353,18 +356,22 @@
             self.tasks.append(asyncio.create_task(self.send_plain(router)))
             await asyncio.sleep(PLAIN_INTERVAL_S)
 
-    async def send_plain(self, router):
+    async def send_plain(self, router, start="GET /i/x HTTP/1.1"):
         """Sends one plain call."""
         place = len(self.plain)
         request = f"{self.options.seed:x}-p{place:x}"
         self.plain.append("unanswered")
+        if start.startswith("POST"):
+            self.unrepeatable.add(request)
         fields = {"host": "h", "lagoonbank-attempt-id": request, "api-key": soak.KEYS[0],
                   "lagoonbank-deadline-remaining": PLAIN_LIMIT_MS}
         writer = None
         try:
             reader, writer = await asyncio.open_connection(router.ip, soak.FRONT)
-            writer.write(wire.message("GET /i/x HTTP/1.1", fields))
+            writer.write(wire.message(start, fields))
             head = await asyncio.wait_for(wire.read_head(reader), PLAIN_LIMIT_MS / 1000)
+            if head and head[0].split(" ")[1] in ("429", "503"):
+                self.refused.add(request)
             body = await wire.read_whole_body(reader, head[1]) if head else b""
             if body == world.plain_body(request):
                 self.plain[place] = None
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -267,6 +267,10 @@
         if self.mode == "reset" and self.rng.random() < 0.4:
             writer.transport.abort()
             return False
+        if self.mode == "cut_head" and self.rng.random() < 0.4:
+            answer = wire.message("HTTP/1.1 200 OK", head, plain_body(request))
+            writer.write(answer[:self.rng.randrange(answer.index(b"\r\n\r\n"))])
+            return False
         if start_line.startswith("POST /s/"):
             return await self.stream(request, int(fields.get("last-event-id", "0")), head, writer)
         if self.mode == "unframed":
