Tests: Let listeners use a loopback address of their process

The test closes ports of 127.0.0.1 and counts on connections there being refused. A listener of a test that runs beside it can take such a port: it accepts the request, which has then been at as many endpoints as its route allows.

The checks are as they were.

--- a/tests/auto/http/loopback.h
+++ b/tests/auto/http/loopback.h
@@ -132,7 +132,18 @@
     std::string m_received;
 };
 
-/// Accepts raw connections on 127.0.0.1.
+/// Loopback address of this process alone. On 127.0.0.1 a test running beside this one may listen
+/// on a port as soon as this one has closed it.
+inline std::string processIp()
+{
+    const auto process = static_cast<unsigned>(getpid());
+    const std::array<unsigned, 3> octets{64 + (process >> 16U) % 64, process >> 8U & 0xffU,
+                                         process & 0xffU};
+    return "127." + std::to_string(octets[0]) + '.' + std::to_string(octets[1]) + '.'
+        + std::to_string(octets[2]);
+}
+
+/// Accepts raw connections on processIp().
 class RawListener
 {
 public:
@@ -145,12 +156,12 @@
         sockaddr_in native{};
         native.sin_port = htons(port);
         native.sin_family = AF_INET;
-        native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        inet_pton(AF_INET, processIp().c_str(), &native.sin_addr);
         socklen_t length = sizeof native;
         BOOST_REQUIRE_EQUAL(bind(m_fd, reinterpret_cast<sockaddr *>(&native), length), 0);
         BOOST_REQUIRE_EQUAL(listen(m_fd, 16), 0);
         getsockname(m_fd, reinterpret_cast<sockaddr *>(&native), &length);
-        address = {"127.0.0.1", ntohs(native.sin_port)};
+        address = {processIp(), ntohs(native.sin_port)};
     }
     ~RawListener() { close(m_fd); }
     /// Returns the descriptor of a new connection, or -1 if there is none.
@@ -162,17 +173,11 @@
     int m_fd;
 };
 
-/// Returns an address on which nobody listens. Its IP address is unique to this process, as another
-/// test could otherwise take a free port of 127.0.0.1 before it is used.
+/// Returns an address on which nobody listens.
 inline std::string freeAddress()
 {
     static std::uint16_t port = 20000;
-    const auto process = static_cast<unsigned>(getpid());
-    const std::array<unsigned, 3> octets{64 + (process >> 16U) % 64, process >> 8U & 0xffU,
-                                         process & 0xffU};
-    return Runtime::toString({"127." + std::to_string(octets[0]) + '.' + std::to_string(octets[1])
-                                  + '.' + std::to_string(octets[2]),
-                              port++});
+    return Runtime::toString({processIp(), port++});
 }
 
 } // namespace Lagoonbank::Test
