FleetSync: Write the era of the log of versions after the versions

Found by reading; nobody has seen it. After a restoration of the store a writer wrote the key of the era first, as PendingWrites goes by the order of keys. A router that started between that and the versions, and reached no peer, took the log for complete and could take the only version that it found for the only one that had served (ORDER).

The era is written once all other writes are done. tst_softwarelog failed before (the era came first). The library of tests has had no test of SoftwareLog of its own.

--- a/src/libs/fleetsync/softwarelog.cpp
+++ b/src/libs/fleetsync/softwarelog.cpp
@@ -113,10 +113,6 @@
 {
     if (!m_isRead || m_isListing || !m_options.isWriter())
         return;
-    if (m_storedEra != m_era) {
-        m_storedEra = m_era;
-        m_writes.write(eraKey, absl::StrCat(m_era));
-    }
     std::set<std::string> keys;
     for (const Schema::SharedSoftware &use : uses) {
         const std::string key = keyOf(use);
@@ -129,6 +125,11 @@
             m_writes.write(key, {});
     }
     m_storedKeys = std::move(keys);
+    // The era says that all versions have been written in it, so it comes last.
+    if (m_storedEra != m_era && m_writes.isIdle()) {
+        m_storedEra = m_era;
+        m_writes.write(eraKey, absl::StrCat(m_era));
+    }
 }
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/softwarelog.h
+++ b/src/libs/fleetsync/softwarelog.h
@@ -54,7 +54,8 @@
     void read();
     /// The log may have been restored from an older copy. What is missing there is written again.
     void logRestored();
-    /// Updates the log to the versions that serve or have served within the last minute.
+    /// Updates the log to the versions that serve or have served within the last minute. To be
+    /// called again and again, as some writes wait for others.
     void update(const std::vector<Schema::SharedSoftware> &uses);
     /// Decodes a record of the log; empty if it does not name a version. Calls \a unreadable, which
     /// may be null, if the record names neither a version nor the era.
--- a/src/libs/keyedlog/pendingwrites.h
+++ b/src/libs/keyedlog/pendingwrites.h
@@ -29,6 +29,8 @@
 
     /// An empty value drops the key.
     void write(const std::string &key, const std::string &value);
+    /// Whether all values have been written.
+    bool isIdle() const { return m_values.empty(); }
 
 private:
     void writeNext();
--- /dev/null
+++ b/tests/auto/fleetsync/tst_softwarelog.cpp
@@ -0,0 +1,67 @@
+#define BOOST_TEST_MODULE tst_softwarelog
+#include <boost/test/unit_test.hpp>
+
+#include "auto/keyedlog/fakelog.h"
+#include "fleetsync/softwarelog.h"
+#include "runtime/clock.h"
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace Lagoonbank;
+using KeyedLog::FakeLog;
+
+namespace {
+
+struct Fixture
+{
+    /// Completes the write in flight.
+    void answer()
+    {
+        BOOST_REQUIRE(pending);
+        std::exchange(pending, nullptr)(boost::outcome_v2::success());
+    }
+
+    Runtime::ManualClock clock;
+    Runtime::TimerQueue timers{clock};
+    FakeLog records;
+    std::vector<std::string> keys; ///< Of the writes, in their order.
+    std::function<void(Errors::Result<void>)> pending;
+    FleetSync::SoftwareLog log{
+        {.source = records.source(),
+         .write =
+             [this](const std::string &key, const std::string &, auto written) {
+                 keys.push_back(key);
+                 pending = std::move(written);
+             },
+         .timers = &timers,
+         .isWriter = [] { return true; }}};
+};
+
+} // namespace
+
+/// Guards against a router that starts during the writes after a restoration of the store, finds
+/// the current era there and takes the few versions written so far for all that have served.
+BOOST_AUTO_TEST_CASE(eraIsWrittenAfterAllVersions)
+{
+    Fixture f;
+    f.log.read();
+    f.records.answerNewest({}, 0);
+    const std::vector<Schema::SharedSoftware> uses{{.service = "s", .software = 10},
+                                                   {.service = "s", .software = 11}};
+    f.log.update(uses);
+    f.answer();
+    f.log.update(uses);
+    f.answer();
+    BOOST_TEST(
+        f.keys
+            == (std::vector<std::string>{"software-000000000000000a", "software-000000000000000b"}),
+        boost::test_tools::per_element());
+    f.log.update(uses);
+    f.answer();
+    BOOST_TEST(f.keys.back() == "era");
+    f.log.update(uses);
+    BOOST_TEST(f.keys.size() == 3U);
+}
