FleetSync, Gateway: Take endpoints for cold after a suspension until they are read

A router that stood still for seconds placed the requests that had waited in its sockets on what it knew before, also at endpoints that had become cold, or whose data centre had been drained, meanwhile (FAILBACK holds for all routers, in touch or not).

After a stand of over 1 s, endpoints of services with a warm-up get this router's part of a cold endpoint's rate until a read of the store, or the state of a peer, that is younger than the end of the stand, and for the time of a warm-up at most. Services without a warm-up and routers that do not stand still are not affected. In the test 18 requests go to each endpoint, where it took as many as came. A router that runs but hears nobody still sends as to warm endpoints.

--- a/src/libs/fleetsync/fleetsync.h
+++ b/src/libs/fleetsync/fleetsync.h
@@ -178,6 +178,11 @@
     bool isLeader() const { return m_isLeader; }
     /// Age of this router's state; empty if it has none.
     std::optional<Base::Duration> stateAge() const;
+    /// See StoreFreshness::outdatedSince().
+    std::optional<Base::MonoTime> outdatedSince(Base::MonoTime now) const
+    {
+        return m_freshness.outdatedSince(now);
+    }
     /// Whether this router has a state of the endpoints, from the store or from a peer.
     bool hasEndpoints() const { return m_freshness.asOf().has_value(); }
     /// Routers that are registered or have sent a beacon, this one included.
--- a/src/libs/fleetsync/storefreshness.cpp
+++ b/src/libs/fleetsync/storefreshness.cpp
@@ -18,12 +18,22 @@
     const Base::MonoTime now = m_options.clock->now();
     if (now - m_activeAt > minSuspension) {
         m_suspendedAt = m_activeAt;
+        m_resumedAt = now;
         m_backlogUntil = now + backlogTime;
     }
     m_activeAt = now;
     return now < m_backlogUntil ? m_suspendedAt : now;
 }
 
+std::optional<Base::MonoTime> StoreFreshness::outdatedSince(Base::MonoTime now) const
+{
+    const bool isUnnoticed = now - m_activeAt > minSuspension;
+    const std::optional<Base::MonoTime> resumedAt = isUnnoticed ? now : m_resumedAt;
+    if (!resumedAt || (m_asOf && *m_asOf >= *resumedAt))
+        return std::nullopt;
+    return resumedAt;
+}
+
 /// Returns whether the gap since the current state, together with preceding outages in between
 /// which endpoints had no time to write their entries, is longer than `minExpiryOutage`. A gap that
 /// begins right after an outage counts as part of that outage, whatever its cause.
--- a/src/libs/fleetsync/storefreshness.h
+++ b/src/libs/fleetsync/storefreshness.h
@@ -48,6 +48,9 @@
     /// may be as old as the suspension. To be called whenever the process is active, so that
     /// suspensions are noticed.
     Base::MonoTime arrivalTime();
+    /// Returns when the process went on after its last suspension if the state is older than that.
+    /// Requests that waited in its sockets meanwhile are handled before the next read.
+    std::optional<Base::MonoTime> outdatedSince(Base::MonoTime now) const;
     /// Whether entries may have expired between the time of the current state and \a asOf. Requires
     /// a state. \a isReadOverdue says that a read by this router has waited longer than the store
     /// usually takes to answer.
@@ -73,6 +76,7 @@
     Base::MonoTime m_outageStartedAt{}; ///< Start of the gaps that count as one outage.
     Base::MonoTime m_activeAt; ///< When the process was last active.
     Base::MonoTime m_suspendedAt{}; ///< Start of the last suspension.
+    std::optional<Base::MonoTime> m_resumedAt; ///< End of the last suspension.
     /// Messages that are read before this time may have waited since m_suspendedAt.
     Base::MonoTime m_backlogUntil{};
 };
--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -167,6 +167,17 @@
         || (endpoint.info.isWarmingUp && areEntriesCurrent());
 }
 
+bool EndpointRegistry::mayBeCold(const EndpointRecord &endpoint, Base::MonoTime now) const
+{
+    if (isWarmingUp(endpoint, now))
+        return true;
+    const auto warmup = m_warmups.find(endpoint.info.service);
+    if (warmup == m_warmups.end() || !m_options.outdatedSince)
+        return false;
+    const std::optional<Base::MonoTime> outdatedSince = m_options.outdatedSince(now);
+    return outdatedSince && now - *outdatedSince < warmup->second.time;
+}
+
 bool EndpointRegistry::areEntriesCurrent() const
 {
     const auto age = m_options.stateAge ? m_options.stateAge() : std::nullopt;
@@ -175,7 +186,7 @@
 
 bool EndpointRegistry::admitsRequest(EndpointRecord &endpoint, Base::MonoTime now) const
 {
-    if (!isWarmingUp(endpoint, now))
+    if (!mayBeCold(endpoint, now))
         return true;
     const double sustainableRate = m_warmups.at(endpoint.info.service).requestsPerSecond;
     return m_warmupQuota.admits(endpoint.warmup, endpoint.startHash, sustainableRate, now);
@@ -184,7 +195,7 @@
 void EndpointRegistry::requestSent(EndpointRecord &endpoint, Base::MonoTime now) const
 {
     ++endpoint.inFlight;
-    if (isWarmingUp(endpoint, now))
+    if (mayBeCold(endpoint, now))
         m_warmupQuota.recordSend(endpoint.warmup, now);
 }
 
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -194,6 +194,9 @@
         /// Age from which entries may be outdated, as the store or the way to it is down. The state
         /// of a router far from the readers is a few seconds old.
         Base::Duration maximumStateAge = std::chrono::seconds(5);
+        /// Returns when this process went on after a suspension if the entries are older than that,
+        /// as endpoints may have become cold meanwhile; otherwise empty. Null if that is not known.
+        std::function<std::optional<Base::MonoTime>(Base::MonoTime now)> outdatedSince;
     };
 
     explicit EndpointRegistry(Options options)
@@ -237,6 +240,8 @@
     /// Whether the endpoint is cold: for the time of a warm-up after that was found, and for as
     /// long as its entry says so. An endpoint may become cold again before its entry has changed.
     bool isWarmingUp(const EndpointRecord &endpoint, Base::MonoTime now) const;
+    /// Whether the endpoint is cold, or may have become so while this process was suspended.
+    bool mayBeCold(const EndpointRecord &endpoint, Base::MonoTime now) const;
     /// Whether the warm-up quota of this router lets it send the endpoint a request now.
     bool admitsRequest(EndpointRecord &endpoint, Base::MonoTime now) const;
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -32,6 +32,7 @@
         options.startedAt = options.loop->clock().now();
     options.endpoints.warmupQuota.startedAt = options.startedAt;
     options.endpoints.stateAge = options.stateAge;
+    options.endpoints.outdatedSince = options.outdatedSince;
     return options;
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -119,6 +119,8 @@
         /// Returns the age of this router's state of endpoints and configuration, for the log;
         /// unset if unknown.
         std::function<std::optional<Base::Duration>()> stateAge;
+        /// See EndpointRegistry::Options::outdatedSince.
+        std::function<std::optional<Base::MonoTime>(Base::MonoTime now)> outdatedSince;
         /// Returns the delay of this router's event loop. Null if it is not measured, which counts
         /// as no delay.
         std::function<Base::Duration()> ownDelay;
--- a/tests/auto/gateway/tst_warmupquota.cpp
+++ b/tests/auto/gateway/tst_warmupquota.cpp
@@ -173,7 +173,9 @@
     static constexpr int endpoints = 4;
     Base::MonoTime now = start;
     std::optional<Base::Duration> stateAge; ///< Age of the entries.
-    EndpointRegistry registry{{.stateAge = [this] { return stateAge; }}};
+    std::optional<Base::MonoTime> outdatedSince; ///< End of a suspension.
+    EndpointRegistry registry{{.stateAge = [this] { return stateAge; },
+                               .outdatedSince = [this](Base::MonoTime) { return outdatedSince; }}};
     Placement placement{{}};
 };
 
@@ -348,6 +350,23 @@
         BOOST_TEST(f.chosen(i, 400) == 18);
 }
 
+/// Guards against requests that waited while the router was suspended and reach endpoints that
+/// became cold meanwhile as if these were warm.
+BOOST_AUTO_TEST_CASE(endpointsAreLimitedAfterASuspension)
+{
+    for (const bool isReadAgain : {true, false}) {
+        PlacementFixture f;
+        f.outdatedSince = f.now;
+        for (int i = 0; i < PlacementFixture::endpoints; ++i)
+            BOOST_TEST(f.chosen(i, 400) == 18);
+        if (isReadAgain)
+            f.outdatedSince.reset();
+        else
+            f.now += seconds(3); // The time of a warm-up.
+        BOOST_TEST(f.chosen(0, 400) > 25);
+    }
+}
+
 /// The entry of an endpoint says that it is cold some time after the end of the drain: nobody has
 /// sent it the requests of a warm one in between.
 BOOST_AUTO_TEST_CASE(knownColdEndpointIsNotPaused)
