Gateway: Do not count refused connections as attempts

Callers saw requests refused while an endpoint was there: with twelve entries of another writer, at whose addresses nobody listens, beside one engine each router refused one request. A request has four attempts, and each connection that was refused counted as one, although it costs the caller no time and the endpoint is left alone afterwards.

One that hangs until its timeout still counts, as does a lack of sockets of the router, so that a router that is cut off refuses as soon as before.

--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -18,6 +18,9 @@
 constexpr Base::Duration defaultTimeout = std::chrono::minutes(10);
 /// Maximum number of attempts of a request whose caller can still be refused.
 constexpr std::size_t maxAttempts = 4;
+/// Maximum number of endpoints that refuse a connection at once, beside these attempts. Entries of
+/// endpoints that have gone, or of another writer, may outnumber the others.
+constexpr std::size_t maxRefusedConnections = 32;
 /// Maximum number of peers without endpoints that refuse a request. If five of six routers are cut
 /// off, one of eight others is not with a probability of 0.8.
 constexpr std::size_t maxCutOffPeers = 8;
@@ -236,6 +239,8 @@
 {
     if (m_attempt)
         noteFailure(failure);
+    if (isConnectionRefused(failure) && m_refusedConnectionCount < maxRefusedConnections)
+        ++m_refusedConnectionCount;
     if (!failure.mayHaveReached && std::exchange(m_isBudgetedRetry, false))
         m_gateway.m_retryBudget.refund(m_service, m_timers.clock().now());
     const int eventsHere = m_attempt ? m_attempt->eventCount : 0;
@@ -283,11 +288,22 @@
     return !isRepeat || m_gateway.m_retryBudget.remaining(m_service, m_timers.clock().now()) >= 1;
 }
 
-/// Peers without endpoints refuse at once, and count in a limit of their own.
+/// Whether an endpoint refused a connection without delay, which costs the caller no time. One that
+/// does not answer counts as an attempt, as does a lack of sockets of this router.
+bool RequestRun::isConnectionRefused(const Failure &failure) const
+{
+    return m_attempt && !m_attempt->isRelayed && failure.kind == ErrorKind::EndpointUnreachable
+        && !failure.isLocalResourceShortage
+        && m_timers.clock().now() - m_attempt->startedAt < minAttemptTime;
+}
+
+/// Peers without endpoints refuse at once, and count in a limit of their own, as do endpoints that
+/// refuse connections.
 bool RequestRun::areAttemptsUsed() const
 {
-    const bool isLimitReached = m_triedEndpoints.size() - m_cutOffPeerCount >= maxAttempts
-        || m_cutOffPeerCount >= maxCutOffPeers;
+    const std::size_t uncounted = m_cutOffPeerCount + m_refusedConnectionCount;
+    const bool isLimitReached =
+        m_triedEndpoints.size() - uncounted >= maxAttempts || m_cutOffPeerCount >= maxCutOffPeers;
     return isLimitReached && (!m_hasStreamBegun || hasCallerTimedOut());
 }
 
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -207,6 +207,7 @@
     /// nothing for too long.
     bool hasCallerTimedOut() const;
     Base::MonoTime callerTimeoutAt() const;
+    bool isConnectionRefused(const Failure &failure) const;
     bool areAttemptsUsed() const;
     /// Whether the request may be sent to another endpoint now.
     bool mayRetry();
@@ -261,6 +262,7 @@
     std::vector<EndpointPtr> m_triedEndpoints; ///< One entry per attempt.
     bool m_isBudgetedRetry = false; ///< The current attempt was taken from the retry budget.
     std::vector<EndpointPtr> m_mayHaveRunAt; ///< Endpoints where the request may have run.
+    std::size_t m_refusedConnectionCount = 0; ///< Endpoints that refused a connection at once.
     std::size_t m_cutOffPeerCount = 0; ///< Peers that refused it as they reach no endpoint.
     /// A peer may have run the request, at as many endpoints as the route allows.
     bool m_mayHaveRunAtPeer = false;
