--- a/tools/lint_cached.py
+++ b/tools/lint_cached.py
@@ -25,7 +25,7 @@
     output = words.index("-o")
     del words[output : output + 2]
     words.remove("-c")
-    return words + ["-E", "-CC", "-dD", "-dI"]
+    return words + ["-w", "-E", "-C", "-dD", "-dI"]
 
 
 def key_of(entry, root, tool):
