--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -171,11 +171,13 @@
 {
     if (isWarmingUp(endpoint, now))
         return true;
-    const auto warmup = m_warmups.find(endpoint.info.service);
-    if (warmup == m_warmups.end() || !m_options.outdatedSince)
+    // Asked for each endpoint of a placement, so the usual case comes first.
+    const auto outdatedSince =
+        m_options.outdatedSince ? m_options.outdatedSince(now) : std::nullopt;
+    if (!outdatedSince)
         return false;
-    const std::optional<Base::MonoTime> outdatedSince = m_options.outdatedSince(now);
-    return outdatedSince && now - *outdatedSince < warmup->second.time;
+    const auto warmup = m_warmups.find(endpoint.info.service);
+    return warmup != m_warmups.end() && now - *outdatedSince < warmup->second.time;
 }
 
 bool EndpointRegistry::areEntriesCurrent() const
