KeyedLog: Let the keys of pending writes take turns

Found in a review. PendingWrites wrote the first key in the order of keys, so that a key that got a newer value during each of its writes held up all later ones.

--- a/src/libs/keyedlog/pendingwrites.cpp
+++ b/src/libs/keyedlog/pendingwrites.cpp
@@ -25,7 +25,9 @@
     if (m_isWriting || m_values.empty())
         return;
     m_isWriting = true;
-    const auto &[key, value] = *m_values.begin();
+    const auto next = m_values.upper_bound(m_latestKey);
+    const auto &[key, value] = next == m_values.end() ? *m_values.begin() : *next;
+    m_latestKey = key;
     m_options.write(key, value,
                     [this, key = key, value = value,
                      isAlive = std::weak_ptr<bool>(m_isAlive)](const Errors::Result<void> &result) {
--- a/src/libs/keyedlog/pendingwrites.h
+++ b/src/libs/keyedlog/pendingwrites.h
@@ -11,7 +11,8 @@
 namespace Lagoonbank::KeyedLog {
 
 /// Writes values to a keyed log, one at a time, and repeats each write until it succeeds. Only the
-/// newest value of a key is written.
+/// newest value of a key is written. Keys take turns in their order, so that keys that are written
+/// again and again do not hold up the others.
 class PendingWrites
 {
 public:
@@ -40,6 +41,7 @@
     Options m_options;
     PlatformClient::Backoff m_backoff;
     std::map<std::string, std::string> m_values; ///< By key.
+    std::string m_latestKey; ///< Of the newest write.
     bool m_isWriting = false;
     Runtime::TimerId m_timer;
     /// Lets callbacks detect that this object has been destroyed.
