FleetSync: Begin another batch of streams when one is full

A batch of streams stays open for 0.2 s since it is written again while it grows, so that a full one left out all streams that began until then, such as after a restoration of the store, when those of the last minute are written again. A full batch is written at once now and another one begun. The test failed before (4,096 of 10,100 streams stored).

--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Maximum number of streams in a batch; the limit of the message.
+/// Maximum number of streams in a batch; the limit of the message. A full batch is written at once.
 constexpr std::size_t maxBatchStreams = 4096;
 
 std::string shardPrefix(std::uint32_t shard)
@@ -96,10 +96,14 @@
     Batch &batch = m_batches[*shard];
     const Base::MonoTime now = m_options.timers->clock().now();
     const bool isOver = batch.begunAt && now - *batch.begunAt >= m_options.batchDuration;
-    if (isOver && !batch.timer)
+    const bool isFull = batch.streams.size() >= maxBatchStreams;
+    if (isFull && batch.timer) {
+        m_options.timers->cancel(*batch.timer);
+        write(*shard);
+    }
+    if (isFull || (isOver && !batch.timer))
         beginNext(batch);
-    if (batch.streams.size() < maxBatchStreams)
-        batch.streams.push_back(stream);
+    batch.streams.push_back(stream);
     if (batch.timer)
         return;
     // The first batch is written at the end of the current iteration of the event loop.
--- a/tests/auto/fleetsync/tst_streamlog.cpp
+++ b/tests/auto/fleetsync/tst_streamlog.cpp
@@ -116,6 +116,18 @@
     }
 }
 
+/// Guards against streams that are left out as a batch has no room, such as after a restoration of
+/// the store, after which all streams of the last minute are written again.
+BOOST_AUTO_TEST_CASE(streamsBeyondTheLimitOfABatchAreStored)
+{
+    Fixture f(true);
+    f.beginStreams(10000, {});
+    f.pass(milliseconds(10));
+    f.beginStreams(100, milliseconds(1));
+    f.pass(milliseconds(100));
+    BOOST_TEST(f.storedStreams().size() == 10100U);
+}
+
 /// Guards against calls to the store that exceed 30 a second for the two writers of a shard.
 BOOST_AUTO_TEST_CASE(writesAreLimited)
 {
