FleetSync: Write the era of a restored log once endpoints have returned

Found in a review. All routers start after a restoration of the store: one of them wrote the new era as soon as it had read the log, although it waited itself for endpoints that write their entries again. Another one that started 0.5 s later took the log for complete, without the versions of these endpoints. The era now waits as long as the router does. The test failed before (the era was written at once).

--- a/src/libs/fleetsync/softwarelog.cpp
+++ b/src/libs/fleetsync/softwarelog.cpp
@@ -71,15 +71,16 @@
     m_storedKeys = std::exchange(m_listedKeys, {});
     m_era = Base::eraOf(end).value();
     const bool isRestored = m_storedEra && *m_storedEra != m_era;
+    const auto returnTime = isRestored ? m_options.entriesReturnTime : Base::Duration::zero();
+    m_eraDueAt = m_options.timers->clock().now() + returnTime;
     if (std::exchange(m_isRead, true))
         return;
     if (readCompleted)
         readCompleted();
-    m_historyTimer = m_options.timers->start(
-        isRestored ? m_options.entriesReturnTime : Base::Duration::zero(), [this] {
-            if (historyRead)
-                historyRead();
-        });
+    m_historyTimer = m_options.timers->start(returnTime, [this] {
+        if (historyRead)
+            historyRead();
+    });
 }
 
 std::optional<Schema::SharedSoftware>
@@ -126,7 +127,8 @@
     }
     m_storedKeys = std::move(keys);
     // The era says that all versions have been written in it, so it comes last.
-    if (m_storedEra != m_era && m_writes.isIdle()) {
+    const bool isEraDue = m_options.timers->clock().now() >= m_eraDueAt && m_writes.isIdle();
+    if (m_storedEra != m_era && isEraDue) {
         m_storedEra = m_era;
         m_writes.write(eraKey, absl::StrCat(m_era));
     }
--- a/src/libs/fleetsync/softwarelog.h
+++ b/src/libs/fleetsync/softwarelog.h
@@ -76,6 +76,8 @@
     /// Era of the log in which its keys were written; unset if it has none.
     std::optional<std::uint64_t> m_storedEra;
     std::uint64_t m_era = 0; ///< Era of the last listing.
+    /// Time from which all versions are known to some router and have been written in m_era.
+    Base::MonoTime m_eraDueAt{};
     bool m_isRead = false;
     bool m_isListing = false;
     Runtime::TimerId m_historyTimer;
--- a/tests/auto/fleetsync/tst_softwarelog.cpp
+++ b/tests/auto/fleetsync/tst_softwarelog.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "auto/keyedlog/fakelog.h"
+#include "base/logoffset.h"
 #include "fleetsync/softwarelog.h"
 #include "runtime/clock.h"
 
@@ -65,3 +66,18 @@
     f.log.update(uses);
     BOOST_TEST(f.keys.size() == 3U);
 }
+
+/// Guards against the era of a restored store in the log before endpoints have returned whose
+/// versions only they can name, as all routers have started after the restoration.
+BOOST_AUTO_TEST_CASE(eraOfARestoredLogIsWrittenOnceAllVersionsAreKnown)
+{
+    Fixture f;
+    f.log.read();
+    const std::uint64_t restored = Base::makeLogOffset(Base::LogEra(1), 0).value();
+    f.records.answerNewest({KeyedLog::put("era", "0", 0)}, restored);
+    f.log.update({});
+    BOOST_TEST(f.keys.empty());
+    f.clock.advance(FleetSync::SoftwareLog::rewriteTime);
+    f.log.update({});
+    BOOST_TEST(f.keys.size() == 1U);
+}
