Gateway: Count refused connections as attempts of a started stream

Found in a review. A started stream tries endpoints that refused it again until its caller has timed out, and ends then. As refused connections had ceased to count, it could make up to 32 attempts after that. No test of its own: the limit is as it was before for these streams.

--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -301,7 +301,9 @@
 /// refuse connections.
 bool RequestRun::areAttemptsUsed() const
 {
-    const std::size_t uncounted = m_cutOffPeerCount + m_refusedConnectionCount;
+    // A started stream tries the same endpoints again and again, until its caller has timed out.
+    const std::size_t uncounted =
+        m_cutOffPeerCount + (m_hasStreamBegun ? 0 : m_refusedConnectionCount);
     const bool isLimitReached =
         m_triedEndpoints.size() - uncounted >= maxAttempts || m_cutOffPeerCount >= maxCutOffPeers;
     return isLimitReached && (!m_hasStreamBegun || hasCallerTimedOut());
