Tests: Use the address of the listeners throughout tst_fleetlink

The test put the port of a listener, which has an address of its process since the listeners moved there, beside 127.0.0.1: slowPullDoesNotPreventPullFromAnotherPeer found nobody there.

--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -40,7 +40,7 @@
                                         .parts = &parts,
                                         .streams = &streams,
                                         .silence = &silence,
-                                        .address = {"127.0.0.1", port},
+                                        .address = {Test::processIp(), port},
                                         .stateBytesPerSecond = 100000,
                                         .received = [](const auto &, const auto &) {},
                                         .sent = [this](std::size_t size) { bytes += size; },
@@ -64,15 +64,15 @@
     FleetSync::CrashGossip crashes{{.timers = timers,
                                     .peers = [this] { return sync.peerAddresses(); },
                                     .silence = &silence,
-                                    .self = {"127.0.0.1", port}}};
+                                    .self = {Test::processIp(), port}}};
     FleetSync::PartGossip parts{{.timers = timers,
                                  .peers = [this] { return sync.peerAddresses(); },
                                  .silence = &silence,
-                                 .self = {"127.0.0.1", port}}};
+                                 .self = {Test::processIp(), port}}};
     FleetSync::StreamGossip streams{{.timers = timers,
                                      .peers = [this] { return sync.peerAddresses(); },
                                      .silence = &silence,
-                                     .self = {"127.0.0.1", port}}};
+                                     .self = {Test::processIp(), port}}};
     std::unique_ptr<FleetSync::FleetLink> link;
     std::size_t bytes = 0;
     int failures = 0;
@@ -100,7 +100,7 @@
     f.one.sync.setConfiguration({.revision = Base::Revision(4),
                                  .offset = Base::LogOffset(2),
                                  .packed = std::string(200000, 'c')});
-    f.one.sync.addRouter("other", "dc0", {"127.0.0.1", f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
     BOOST_TEST(f.runUntil([&] { return f.other.packed.size() == 200000U; }));
     const Fleet::Endpoint *pulled = f.other.directory.find(Base::EndpointId("a"));
     BOOST_REQUIRE(pulled);
@@ -113,12 +113,13 @@
 BOOST_AUTO_TEST_CASE(malformedMessagesAreReportedAndIgnored)
 {
     Fixture f;
-    const auto socket = Runtime::UdpSocket::bind({.loop = &f.loop, .address = {"127.0.0.1", 0}});
+    const auto socket =
+        Runtime::UdpSocket::bind({.loop = &f.loop, .address = {Test::processIp(), 0}});
     BOOST_REQUIRE(socket);
     for (const std::string &datagram : {std::string(), std::string("x"), std::string(1000, '\xff')})
-        socket.value()->send({"127.0.0.1", f.one.port}, datagram);
+        socket.value()->send({Test::processIp(), f.one.port}, datagram);
     BOOST_TEST(f.runUntil([&] { return f.one.failures >= 2; }));
-    RawSocket caller({"127.0.0.1", f.one.port});
+    RawSocket caller({Test::processIp(), f.one.port});
     caller.send("POST /fleet/state HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nbad");
     BOOST_TEST(f.runUntil([&] { return caller.has("HTTP/1.1 400"); }));
     BOOST_TEST(f.one.sync.peers().empty());
@@ -135,7 +136,7 @@
     const std::string request = "POST /fleet/state HTTP/1.1\r\nhost: a\r\ncontent-length: "
         + std::to_string(body.value().size()) + "\r\n\r\n" + body.value();
     const auto statusOfNext = [&] {
-        RawSocket puller({"127.0.0.1", f.one.port});
+        RawSocket puller({Test::processIp(), f.one.port});
         puller.send(request);
         BOOST_REQUIRE(f.runUntil([&] { return puller.has("HTTP/1.1 "); }));
         return puller.has("HTTP/1.1 200") ? 200 : 503;
@@ -153,7 +154,7 @@
     f.other.prompts.received = [&](const Schema::SharedPrompt &prompt) {
         receivedId = prompt.prompt;
     };
-    f.one.sync.addRouter("other", "dc0", {"127.0.0.1", f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
     f.one.prompts.report({.prompt = 42, .endpoint = 5, .tokens = 10000, .remainingPrefillMs = 100},
                          true);
     BOOST_TEST(f.runUntil([&] {
@@ -174,7 +175,7 @@
         return Schema::LoadUpdate{
             .loads = {{.endpoint = 5, .running = 11, .slots = 12, .ageMs = 40}}};
     };
-    f.one.sync.addRouter("other", "dc0", {"127.0.0.1", f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
     f.one.loads.start();
     BOOST_TEST(f.runUntil([&] {
         f.clock.advance(std::chrono::milliseconds(10));
@@ -190,7 +191,7 @@
     f.other.crashes.received = [&](const Schema::CrashUpdate &message) {
         receivedId = message.crashes.empty() ? 0 : message.crashes.front().request;
     };
-    f.one.sync.addRouter("other", "dc0", {"127.0.0.1", f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
     f.one.crashes.sendCrashReports({{.request = 42, .endpoint = 5}});
     BOOST_TEST(f.runUntil([&] { return receivedId == 42; }));
     BOOST_TEST(f.other.failures == 0);
@@ -211,7 +212,7 @@
                                  .packed = std::string(1000, 'c')});
     Test::RawListener slow;
     const auto beacon = [&](const std::string &router, std::uint16_t port) {
-        puller.sync.receive("127.0.0.1",
+        puller.sync.receive(Test::processIp(),
                             {.router = router,
                              .dataCentre = "dc0",
                              .port = port,
