--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -491,7 +491,7 @@
                 f.setRoute(plain(kind));
                 for (std::size_t i = 0; i < count; ++i) {
                     if (i != live)
-                        f.endpoints[i] = std::make_unique<FakeEndpoint>(); // At another address.
+                        f.endpoints[i].reset();
                 }
                 RawSocket caller = f.call();
                 BOOST_TEST(f.runUntil([&] { return f.endpoints[live]->requests() == 1U; }));
