--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -43,6 +43,8 @@
     /// Number of events with which an endpoint has outlived the begin of its answer. With the first
     /// one it may crash just after it was sent.
     static constexpr int eventsOfBegunAnswer = 2;
+    /// Minimum remaining time for an attempt. No endpoint answers faster.
+    static constexpr Base::Duration minAttemptTime = std::chrono::milliseconds(10);
 
     /// The current attempt to send the request to an endpoint.
     struct Attempt
