--- a/src/libs/fleetsync/storefreshness.cpp
+++ b/src/libs/fleetsync/storefreshness.cpp
@@ -19,10 +19,10 @@
     if (now - m_activeAt > minSuspension) {
         m_suspendedAt = m_activeAt;
         m_resumedAt = now;
-        m_backlogUntil = now + backlogTime;
     }
     m_activeAt = now;
-    return now < m_backlogUntil ? m_suspendedAt : now;
+    const bool mayHaveWaited = m_resumedAt && now < *m_resumedAt + backlogTime;
+    return mayHaveWaited ? m_suspendedAt : now;
 }
 
 std::optional<Base::MonoTime> StoreFreshness::outdatedSince(Base::MonoTime now) const
--- a/src/libs/fleetsync/storefreshness.h
+++ b/src/libs/fleetsync/storefreshness.h
@@ -77,8 +77,6 @@
     Base::MonoTime m_activeAt; ///< When the process was last active.
     Base::MonoTime m_suspendedAt{}; ///< Start of the last suspension.
     std::optional<Base::MonoTime> m_resumedAt; ///< End of the last suspension.
-    /// Messages that are read before this time may have waited since m_suspendedAt.
-    Base::MonoTime m_backlogUntil{};
 };
 
 } // namespace Lagoonbank::FleetSync
