--- a/src/libs/fleetsync/quarantinelog.h
+++ b/src/libs/fleetsync/quarantinelog.h
@@ -10,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
--- a/src/libs/fleetsync/softwarelog.cpp
+++ b/src/libs/fleetsync/softwarelog.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <string_view>
 #include <utility>
 
 namespace Lagoonbank::FleetSync {
@@ -71,7 +72,7 @@
     m_storedKeys = std::exchange(m_listedKeys, {});
     m_era = Base::eraOf(end).value();
     const bool isRestored = m_storedEra && *m_storedEra != m_era;
-    const auto returnTime = isRestored ? m_options.entriesReturnTime : Base::Duration::zero();
+    const auto returnTime = isRestored ? rewriteTime : Base::Duration::zero();
     m_eraDueAt = m_options.timers->clock().now() + returnTime;
     if (std::exchange(m_isRead, true))
         return;
--- a/src/libs/fleetsync/softwarelog.h
+++ b/src/libs/fleetsync/softwarelog.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
@@ -33,8 +32,6 @@
         /// Whether this router writes. In large fleets a few routers write for all.
         std::function<bool()> isWriter;
         PlatformClient::Backoff::Options backoff; ///< Delay between two attempts.
-        /// Time after a restoration after which versions whose key the copy lacks are known.
-        Base::Duration entriesReturnTime = rewriteTime;
     };
 
     explicit SoftwareLog(Options options);
--- a/src/libs/fleetsync/softwarerefresh.cpp
+++ b/src/libs/fleetsync/softwarerefresh.cpp
@@ -73,7 +73,8 @@
 {
     if (m_hasFailedSinceRestored)
         return true;
-    return m_restoredAt && m_options.timers->clock().now() - *m_restoredAt < m_options.rewriteTime;
+    return m_restoredAt
+        && m_options.timers->clock().now() - *m_restoredAt < SoftwareLog::rewriteTime;
 }
 
 } // namespace Lagoonbank::FleetSync
--- a/src/libs/fleetsync/softwarerefresh.h
+++ b/src/libs/fleetsync/softwarerefresh.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <optional>
-#include <string_view>
 
 namespace Lagoonbank::FleetSync {
 
@@ -23,9 +22,6 @@
         KeyedLog::KeyedSource endpoints;
         KeyedLog::KeyedSource software;
         Runtime::TimerQueue *timers = nullptr;
-        /// Time after the restoration of the store from an older copy in which versions may be
-        /// missing there.
-        Base::Duration rewriteTime = SoftwareLog::rewriteTime;
     };
 
     explicit SoftwareRefresh(const Options &options);
@@ -42,10 +38,11 @@
     /// first.
     void refresh(Refreshed refreshed);
     bool isFailing() const { return m_endpoints.isFailing() || m_software.isFailing(); }
-    /// The store has been restored from an older copy.
+    /// The store has been restored from an older copy. Versions may be missing there for
+    /// SoftwareLog::rewriteTime.
     void logRestored();
-    /// A call to the store has failed. Nothing can be written again while it is down, so that
-    /// `rewriteTime` begins anew if it has not passed.
+    /// A call to the store has failed. Nothing can be written again while it is down, so that this
+    /// time begins anew if it has not passed.
     void logFailed();
     /// The store answers after a failure.
     void logReturned();
--- a/src/libs/fleetsync/streamlog.cpp
+++ b/src/libs/fleetsync/streamlog.cpp
@@ -101,7 +101,7 @@
         m_options.timers->cancel(*batch.timer);
         write(*shard);
     }
-    if (isFull || (isOver && !batch.timer))
+    if (!batch.timer && (isFull || isOver))
         beginNext(batch);
     batch.streams.push_back(stream);
     if (batch.timer)
--- a/src/libs/fleetsync/streamlog.h
+++ b/src/libs/fleetsync/streamlog.h
@@ -12,7 +12,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
