Tests: Share the log that keeps a write pending

FakeWrites stands beside FakeLog, which does it for reads. It also requires that a write is pending when the test answers one.

--- a/tests/auto/fleetsync/tst_quarantinelog.cpp
+++ b/tests/auto/fleetsync/tst_quarantinelog.cpp
@@ -1,12 +1,11 @@
 #define BOOST_TEST_MODULE tst_quarantinelog
 #include <boost/test/unit_test.hpp>
 
+#include "auto/keyedlog/fakewrites.h"
 #include "fleetsync/quarantinelog.h"
 #include "runtime/clock.h"
 
-#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace Lagoonbank;
@@ -18,7 +17,7 @@
 
 namespace {
 
-struct Fixture
+struct Fixture : KeyedLog::FakeWrites
 {
     Fixture()
     {
@@ -29,15 +28,6 @@
         clock.advance(duration);
         timers.runDue();
     }
-    /// Completes the write in flight.
-    void answer(bool isWritten)
-    {
-        const auto finished = std::exchange(pending, nullptr);
-        if (isWritten)
-            finished(boost::outcome_v2::success());
-        else
-            finished(Errors::makeError(Errors::ErrorKind::LogUnavailable));
-    }
     /// Passes the log's current record of a key to the QuarantineLog, as a later read does.
     void read(const std::string &key)
     {
@@ -47,19 +37,10 @@
         log.recordRead(record);
     }
 
-    std::map<std::string, std::string> values;
-    int writes = 0;
-    std::function<void(Errors::Result<void>)> pending;
     std::vector<QuarantineKey> received;
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
-    QuarantineLog log{{.write =
-                           [this](const std::string &key, const std::string &value, auto written) {
-                               ++writes;
-                               values[key] = value;
-                               pending = std::move(written);
-                           },
-                       .timers = &timers}};
+    QuarantineLog log{{.write = write(), .timers = &timers}};
 };
 
 const std::string key = "00000000000000ab";
--- a/tests/auto/fleetsync/tst_softwarelog.cpp
+++ b/tests/auto/fleetsync/tst_softwarelog.cpp
@@ -2,13 +2,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "auto/keyedlog/fakelog.h"
+#include "auto/keyedlog/fakewrites.h"
 #include "base/logoffset.h"
 #include "fleetsync/softwarelog.h"
 #include "runtime/clock.h"
 
-#include <functional>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace Lagoonbank;
@@ -16,29 +15,15 @@
 
 namespace {
 
-struct Fixture
+struct Fixture : KeyedLog::FakeWrites
 {
-    /// Completes the write in flight.
-    void answer()
-    {
-        BOOST_REQUIRE(pending);
-        std::exchange(pending, nullptr)(boost::outcome_v2::success());
-    }
-
     Runtime::ManualClock clock;
     Runtime::TimerQueue timers{clock};
     FakeLog records;
-    std::vector<std::string> keys; ///< Of the writes, in their order.
-    std::function<void(Errors::Result<void>)> pending;
     FleetSync::SoftwareLog log{
-        {.source = records.source(),
-         .write =
-             [this](const std::string &key, const std::string &, auto written) {
-                 keys.push_back(key);
-                 pending = std::move(written);
-             },
-         .timers = &timers,
-         .isWriter = [] { return true; }}};
+        {.source = records.source(), .write = write(), .timers = &timers, .isWriter = [] {
+             return true;
+         }}};
 };
 
 } // namespace
