Tests: Take free addresses from one function, and releases from one fixture

tst_fleetlink had its own way to a free port beside Test::freeAddress(). Two cases of tst_softwareversionfleet let a release happen line by line.

--- a/tests/auto/adapter/tst_softwareversionfleet.cpp
+++ b/tests/auto/adapter/tst_softwareversionfleet.cpp
@@ -186,6 +186,24 @@
         return servedBy;
     }
 
+    /// Lets half of the engines change to another version, and begins streams at router 0 then.
+    /// Returns the engine of each.
+    std::vector<std::size_t> beginAfterARelease(int count)
+    {
+        for (std::size_t i = 1; i < engineCount; i += 2)
+            writeEngine(i, "v2");
+        pass(seconds(1));
+        std::vector<std::size_t> servedBy = begin(0, count);
+        pass(seconds(1));
+        return servedBy;
+    }
+    /// Passes on to the lone router what the others have read and written since it started.
+    void letLoneStoreCatchUp()
+    {
+        for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
+            loneStore.copyTopic(store, topic);
+    }
+
     KeyedStore store{loop};
     /// The store as the lone router reaches it, which has no peers and hears nothing from others.
     KeyedStore loneStore{loop};
@@ -344,12 +362,8 @@
 {
     RouterFleet f(false, true);
     f.loneStore.isSilent = true;
-    f.writeEngine(1, "v2");
-    f.writeEngine(3, "v2");
-    f.pass(seconds(1));
     constexpr int streams = 12;
-    const std::vector<std::size_t> servedBy = f.begin(0, streams);
-    f.pass(seconds(1));
+    const std::vector<std::size_t> servedBy = f.beginAfterARelease(streams);
     for (int i = 0; i < streams; ++i) {
         const std::string number = std::to_string(i);
         RawSocket caller = f.request(loneRouter, "t" + number, "s" + number);
@@ -358,8 +372,7 @@
         BOOST_TEST(caller.has("retry-after"));
     }
     f.loneStore.isSilent = false;
-    for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
-        f.loneStore.copyTopic(f.store, topic);
+    f.letLoneStoreCatchUp();
     f.pass(seconds(1));
     f.resumeAll(servedBy, loneRouter);
 }
@@ -368,14 +381,9 @@
 BOOST_AUTO_TEST_CASE(resumedStreamHeedsAVersionThatHasJoinedSinceTheLastRead)
 {
     RouterFleet f(false, true);
-    f.writeEngine(1, "v2");
-    f.writeEngine(3, "v2");
-    f.pass(seconds(1));
     constexpr int streams = 12;
-    const std::vector<std::size_t> servedBy = f.begin(0, streams);
-    f.pass(seconds(1));
-    for (const std::string topic : {"keyed.servers", "keyed.lagoonbank-streams"})
-        f.loneStore.copyTopic(f.store, topic);
+    const std::vector<std::size_t> servedBy = f.beginAfterARelease(streams);
+    f.letLoneStoreCatchUp();
     f.resumeAll(servedBy, loneRouter);
 }
 
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-std::uint16_t freePort()
-{
-    const Test::RawListener listener;
-    return listener.address.port;
-}
-
 /// A router with real sockets.
 struct Unit
 {
@@ -26,7 +20,7 @@
         , directory({.timers = timers})
         , sync({.id = id,
                 .dataCentre = "dc0",
-                .port = port,
+                .port = address.port,
                 .directory = &directory,
                 .timers = timers})
     {
@@ -40,7 +34,7 @@
                                         .parts = &parts,
                                         .streams = &streams,
                                         .silence = &silence,
-                                        .address = {Test::processIp(), port},
+                                        .address = address,
                                         .stateBytesPerSecond = 100000,
                                         .received = [](const auto &, const auto &) {},
                                         .sent = [this](std::size_t size) { bytes += size; },
@@ -53,7 +47,7 @@
     }
 
     Runtime::TimerQueue *timers;
-    std::uint16_t port = freePort();
+    Runtime::SocketAddress address = Runtime::parseSocketAddress(Test::freeAddress()).value();
     Fleet::EndpointDirectory directory;
     FleetSync::FleetSync sync;
     FleetSync::PromptGossip prompts{
@@ -64,15 +58,15 @@
     FleetSync::CrashGossip crashes{{.timers = timers,
                                     .peers = [this] { return sync.peerAddresses(); },
                                     .silence = &silence,
-                                    .self = {Test::processIp(), port}}};
+                                    .self = address}};
     FleetSync::PartGossip parts{{.timers = timers,
                                  .peers = [this] { return sync.peerAddresses(); },
                                  .silence = &silence,
-                                 .self = {Test::processIp(), port}}};
+                                 .self = address}};
     FleetSync::StreamGossip streams{{.timers = timers,
                                      .peers = [this] { return sync.peerAddresses(); },
                                      .silence = &silence,
-                                     .self = {Test::processIp(), port}}};
+                                     .self = address}};
     std::unique_ptr<FleetSync::FleetLink> link;
     std::size_t bytes = 0;
     int failures = 0;
@@ -100,7 +94,7 @@
     f.one.sync.setConfiguration({.revision = Base::Revision(4),
                                  .offset = Base::LogOffset(2),
                                  .packed = std::string(200000, 'c')});
-    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", f.other.address, 0);
     BOOST_TEST(f.runUntil([&] { return f.other.packed.size() == 200000U; }));
     const Fleet::Endpoint *pulled = f.other.directory.find(Base::EndpointId("a"));
     BOOST_REQUIRE(pulled);
@@ -117,9 +111,9 @@
         Runtime::UdpSocket::bind({.loop = &f.loop, .address = {Test::processIp(), 0}});
     BOOST_REQUIRE(socket);
     for (const std::string &datagram : {std::string(), std::string("x"), std::string(1000, '\xff')})
-        socket.value()->send({Test::processIp(), f.one.port}, datagram);
+        socket.value()->send(f.one.address, datagram);
     BOOST_TEST(f.runUntil([&] { return f.one.failures >= 2; }));
-    RawSocket caller({Test::processIp(), f.one.port});
+    RawSocket caller(f.one.address);
     caller.send("POST /fleet/state HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nbad");
     BOOST_TEST(f.runUntil([&] { return caller.has("HTTP/1.1 400"); }));
     BOOST_TEST(f.one.sync.peers().empty());
@@ -136,7 +130,7 @@
     const std::string request = "POST /fleet/state HTTP/1.1\r\nhost: a\r\ncontent-length: "
         + std::to_string(body.value().size()) + "\r\n\r\n" + body.value();
     const auto statusOfNext = [&] {
-        RawSocket puller({Test::processIp(), f.one.port});
+        RawSocket puller(f.one.address);
         puller.send(request);
         BOOST_REQUIRE(f.runUntil([&] { return puller.has("HTTP/1.1 "); }));
         return puller.has("HTTP/1.1 200") ? 200 : 503;
@@ -154,7 +148,7 @@
     f.other.prompts.received = [&](const Schema::SharedPrompt &prompt) {
         receivedId = prompt.prompt;
     };
-    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", f.other.address, 0);
     f.one.prompts.report({.prompt = 42, .endpoint = 5, .tokens = 10000, .remainingPrefillMs = 100},
                          true);
     BOOST_TEST(f.runUntil([&] {
@@ -175,7 +169,7 @@
         return Schema::LoadUpdate{
             .loads = {{.endpoint = 5, .running = 11, .slots = 12, .ageMs = 40}}};
     };
-    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", f.other.address, 0);
     f.one.loads.start();
     BOOST_TEST(f.runUntil([&] {
         f.clock.advance(std::chrono::milliseconds(10));
@@ -191,7 +185,7 @@
     f.other.crashes.received = [&](const Schema::CrashUpdate &message) {
         receivedId = message.crashes.empty() ? 0 : message.crashes.front().request;
     };
-    f.one.sync.addRouter("other", "dc0", {Test::processIp(), f.other.port}, 0);
+    f.one.sync.addRouter("other", "dc0", f.other.address, 0);
     f.one.crashes.sendCrashReports({{.request = 42, .endpoint = 5}});
     BOOST_TEST(f.runUntil([&] { return receivedId == 42; }));
     BOOST_TEST(f.other.failures == 0);
@@ -231,7 +225,7 @@
         f.advance(std::chrono::milliseconds(100));
         if (i % 5 == 4)
             answer.send("x");
-        beacon("other", other.port);
+        beacon("other", other.address.port);
         f.runIterations(20);
     }
     BOOST_TEST(puller.packed.size() == 1000U);
