Soak: Share the checks of a run's streams and requests

fleetrestart.py, outofstep.py and overlap.py each checked the shares of streams that go on, streams of two versions, and requests that were refused. They share these checks; for outofstep.py this adds that some new stream has to begin, and that plain calls that were refused did not run. Two ways of asking which versions have entries are one, and overlap.py passes its case in place of adding it to the cases of outofstep.py.

--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -125,8 +125,9 @@
 
     def has_entries(self, version):
         """Whether at least two engines of a version have entries."""
-        entries = [json.loads(value) for value in self.store.newest(ENTRIES).values() if value]
-        return sum(entry["version"] == version for entry in entries) >= 2
+        stored = self.store.newest(ENTRIES)
+        return sum(bool(stored.get(engine.id)) for engine in self.engines
+                   if engine.version == version) >= 2
 
     async def set_up(self):
         """Starts store, engines and routers, and waits until all routers are ready."""
@@ -365,6 +366,20 @@
                          if age and not attempt.has_events)
         return f"young: {served} of {len(young)}; began before the end and refused (ms): {lost_ms}"
 
+    def check_shares(self, new, taken_up, tried):
+        """Checks that streams go on about as often as new ones begin, of at least `tried` each."""
+        if tried < MIN_TRIED or new == 0:
+            self.violations.append("too few streams were tried, or no new one began")
+        if taken_up < MIN_SHARE * new:
+            self.violations.append("streams that are taken up go on less often than new ones begin")
+
+    def check_mixed(self):
+        """Checks that no stream holds events of two versions; returns how many do."""
+        mixed = len(self.mixed[False])
+        if mixed:
+            self.violations.append(f"{mixed} streams hold events of two versions")
+        return mixed
+
     def check(self):
         """Checks the shares; returns a summary of the run."""
         groups = {"new": [], "taken up": [], "taken up without entries": []}
@@ -383,15 +398,10 @@
         needed = ["new", "taken up"]
         if self.options.case in ("entries_gone_before", "entries_gone_meanwhile", "two_releases"):
             needed.append("taken up without entries")
-        if min(len(groups[name]) for name in needed) < MIN_TRIED or shares["new"] == 0:
-            self.violations.append("too few streams were tried, or no new one began")
-        if shares["taken up"] < MIN_SHARE * shares["new"]:
-            self.violations.append("streams that are taken up go on less often than new ones begin")
+        self.check_shares(shares["new"], shares["taken up"],
+                          min(len(groups[name]) for name in needed))
         parts.append(self.check_young(groups["taken up"], shares["new"]))
-        mixed = len(self.mixed[False])
-        if mixed:
-            self.violations.append(f"{mixed} streams hold events of two versions")
-        return f"mixed {mixed}, by earlier routers {len(self.mixed[True])}; " \
+        return f"mixed {self.check_mixed()}, by earlier routers {len(self.mixed[True])}; " \
             f"first router ready after {self.ready_after_s} s; " + "; ".join(parts)
 
     async def play(self):
--- a/tests/soak/outofstep.py
+++ b/tests/soak/outofstep.py
@@ -219,9 +219,9 @@
 class OutOfStep(fleetrestart.FleetRestart):
     """One run with its processes and callers."""
 
-    def __init__(self, options, folder):
+    def __init__(self, options, folder, case=None):
         super().__init__(options, folder)
-        self.case = CASES[options.case]
+        self.case = case or CASES[options.case]
         self.net = f"127.{options.net}"
         self.view = StoreView(self.store, self.case.is_alone, self.readdress)
         self.store_link, self.peer_link = (
@@ -405,11 +405,13 @@
 
     # Results.
 
-    def share(self, window, is_new, is_odd):
-        """Share of the tries in a time that were served, their number and why others failed."""
+    def share(self, window, is_new, is_odd=None):
+        """Share of the tries in a time that were served, their number and why others failed.
+
+        `is_odd` tells whether they were made at routers out of step; None for all routers."""
         tries = [attempt for attempt in self.attempts
                  if window[0] <= attempt.tried_at < window[1] and is_new == (not attempt.version)
-                 and is_odd == (attempt.router in self.odd)
+                 and is_odd in (None, attempt.router in self.odd)
                  and (is_new or attempt.has_entries)]
         served = sum(attempt.has_events for attempt in tries)
         reasons = collections.Counter(a.reason for a in tries if not a.has_events)
@@ -425,11 +427,7 @@
                              f"{new[1]}, taken up {taken_up[0]:.2f} of {taken_up[1]} "
                              f"{taken_up[2] or ''}")
         new, taken_up = (self.share(self.after, is_new, True) for is_new in (True, False))
-        if min(new[1], taken_up[1]) < fleetrestart.MIN_TRIED:
-            self.violations.append("too few streams were tried after the recovery")
-        if taken_up[0] < fleetrestart.MIN_SHARE * new[0]:
-            self.violations.append("after the recovery, streams that are taken up go on less often "
-                                   "than new ones begin")
+        self.check_shares(new[0], taken_up[0], min(new[1], taken_up[1]))
         served = sum(result is None for result in self.plain)
         if served < fleetrestart.MIN_SHARE * len(self.plain):
             self.violations.append("plain calls are not served at routers out of step")
@@ -437,13 +435,21 @@
         parts.append(f"plain: {served} of {len(self.plain)} {dict(plain) or ''}")
         if self.peer_link.counts:
             parts.append(f"datagrams: {dict(self.peer_link.counts)}")
-        ran = sum(len(self.refused.intersection(engine.runs)) for engine in self.engines)
+        self.check_runs()
+        return f"mixed {self.check_mixed()} of {len(self.attempts)} tries; " + "; ".join(parts)
+
+    def check_runs(self):
+        """Checks that what was refused did not run, and that what may run once did not run twice."""
+        runs = collections.Counter()
+        for engine in self.engines + self.plain_engines:
+            for request, ids in engine.runs.items():
+                runs[request] += len(ids)
+        ran = sum(request in runs for request in self.refused)
         if ran:
             self.violations.append(f"{ran} requests that were refused as not run have run")
-        mixed = len(self.mixed[False])
-        if mixed:
-            self.violations.append(f"{mixed} streams hold events of two versions")
-        return f"mixed {mixed} of {len(self.attempts)} tries; " + "; ".join(parts)
+        twice = [request for request in self.unrepeatable if runs[request] > 1]
+        if twice:
+            self.violations.append(f"run more than once: {twice[:5]}")
 
     async def clean_up(self):
         """Ends everything that runs."""
--- a/tests/soak/overlap.py
+++ b/tests/soak/overlap.py
@@ -18,8 +18,6 @@
 import fleetrestart
 import outofstep
 import restoration
-import soak
-import wire
 import world
 
 ENGINES_PER_VERSION, MOST_VERSIONS = 4, 4
@@ -42,11 +40,9 @@
 
     def __init__(self, options, folder):
         rng = world.random_generator(options.seed, "routers")
-        options.case = "overlap"
-        outofstep.CASES[options.case] = outofstep.Case(
-            peers="cut", routers=options.routers,
-            odd=tuple(sorted(rng.sample(range(1, options.routers + 1), options.routers // 3))))
-        super().__init__(options, folder)
+        odd = rng.sample(range(1, options.routers + 1), options.routers // 3)
+        super().__init__(options, folder, outofstep.Case(
+            peers="cut", routers=options.routers, odd=tuple(sorted(odd))))
         self.engines_per_version = ENGINES_PER_VERSION * max(1, options.routers // 8)
         self.order_rng = world.random_generator(options.seed, "troubles")
         self.caller_rng = world.random_generator(options.seed, "slow callers")
@@ -54,12 +50,6 @@
         self.changing = set()  # Routers that a trouble stopped or ended.
         self.troubles = collections.Counter()
 
-    def has_entries(self, version):
-        """Whether at least two engines of a version have entries."""
-        stored = self.store.newest(fleetrestart.ENTRIES)
-        return sum(bool(stored.get(engine.id)) for engine in self.engines
-                   if engine.version == version) >= 2
-
     # Troubles; each ends by itself.
 
     async def last(self, rng):
@@ -182,44 +172,17 @@
 
     def check(self):
         """Checks the whole run; returns a summary."""
-        tries = [attempt for attempt in self.attempts
-                 if self.after[0] <= attempt.tried_at < self.after[1]]
-        new = [attempt for attempt in tries if not attempt.version]
-        taken_up = [attempt for attempt in tries if attempt.version and attempt.has_entries]
-        shares = [sum(attempt.has_events for attempt in group) / max(1, len(group))
-                  for group in (new, taken_up)]
-        if min(len(new), len(taken_up)) < fleetrestart.MIN_TRIED:
-            self.violations.append("too few streams were tried after the last trouble")
-        if shares[1] < fleetrestart.MIN_SHARE * shares[0]:
-            self.violations.append("after the last trouble, streams that are taken up go on less "
-                                   "often than new ones begin")
-        mixed = len(self.mixed[False])
-        if mixed:
-            self.violations.append(f"{mixed} streams hold events of two versions")
+        new, taken_up = (self.share(self.after, is_new) for is_new in (True, False))
+        self.check_shares(new[0], taken_up[0], min(new[1], taken_up[1]))
         for result in self.plain:
             if result and result.startswith("HTTP/1.1 200"):
                 self.violations.append(f"a plain call got {result}")
         self.check_runs()
-        reasons = collections.Counter(attempt.reason for attempt in taken_up
-                                      if not attempt.has_events)
-        served = sum(result is None for result in self.plain)
-        return f"mixed {mixed} of {len(self.attempts)} tries; afterwards new {shares[0]:.2f} of " \
-            f"{len(new)}, taken up {shares[1]:.2f} of {len(taken_up)} {dict(reasons) or ''}; " \
-            f"plain {served} of {len(self.plain)}; {dict(self.troubles)}"
-
-    def check_runs(self):
-        """Checks which requests engines ran, and that no router has ended by itself."""
-        runs = collections.Counter()
-        for engine in self.engines + self.plain_engines:
-            for request, ids in engine.runs.items():
-                runs[request] += len(ids)
-        ran = sum(request in runs for request in self.refused)
-        if ran:
-            self.violations.append(f"{ran} requests that were refused as not run have run")
-        twice = [request for request in self.unrepeatable if runs[request] > 1]
-        if twice:
-            self.violations.append(f"run more than once: {twice[:5]}")
         self.violations += [f"router {number} has ended by itself" for number in self.ended]
+        served = sum(result is None for result in self.plain)
+        return f"mixed {self.check_mixed()} of {len(self.attempts)} tries; afterwards new " \
+            f"{new[0]:.2f} of {new[1]}, taken up {taken_up[0]:.2f} of {taken_up[1]} " \
+            f"{taken_up[2] or ''}; plain {served} of {len(self.plain)}; {dict(self.troubles)}"
 
     async def clean_up(self):
         """Ends everything that runs."""
@@ -230,6 +193,7 @@
 def main():
     """Reads the command line and runs once."""
     parser = fleetrestart.argument_parser(__doc__, None, 81)
+    parser.set_defaults(case="overlap")
     parser.add_argument("--routers", type=int, default=fleetrestart.ROUTERS)
     parser.add_argument("--seconds", type=float, default=12, help="time in which troubles begin")
     fleetrestart.run_once(Overlap, parser.parse_args(), "overlap")
