Tools: Let one script run the linter, with a cache or without

The command line of clang-tidy stood in check-lint and in the script with the cache. The latter takes the cache as an option now and runs in both cases; it prints findings as they come. Both ways reject a misnamed function.

--- a/tools/lint_sources.py
+++ b/tools/lint_sources.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
-"""Runs clang-tidy on sources that differ from those that passed before.
+"""Runs clang-tidy on sources; with a cache, only on those that differ from those that passed before.
 
-A source counts as the same if its preprocessed text with comments, its compile command, the configuration and the
-version of clang-tidy are the same. Findings are never stored.
+A source counts as the same if its preprocessed text with comments, its compile command, the
+configuration and the version of clang-tidy are the same. Findings are never stored.
 """
 
 import argparse
@@ -39,13 +39,13 @@
 
 def lint(name, entry, options, tool):
     """Returns what clang-tidy prints, and whether it accepts the source."""
-    passed = options.cache / key_of(entry, str(options.root), tool)
-    if passed.exists():
+    has_key = options.cache and entry
+    passed = options.cache / key_of(entry, str(options.root), tool) if has_key else None
+    if passed and passed.exists():
         return "", True
-    result = subprocess.run(
-        CLANG_TIDY + ["-p", options.build, name], cwd=options.root, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
-    )
-    if result.returncode == 0:
+    result = subprocess.run(CLANG_TIDY + ["-p", options.build, name], cwd=options.root,
+                            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    if passed and result.returncode == 0:
         passed.touch()
     return result.stdout, result.returncode == 0
 
@@ -53,25 +53,28 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
-    parser.add_argument("--cache", type=pathlib.Path, required=True)
+    parser.add_argument("--cache", type=pathlib.Path, help="folder of the sources that passed")
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("files", nargs="+")
     options = parser.parse_args()
     options.root = pathlib.Path.cwd()
-    options.cache.mkdir(parents=True, exist_ok=True)
+    if options.cache:
+        options.cache.mkdir(parents=True, exist_ok=True)
 
     tool = subprocess.run(["clang-tidy", "--version"], check=True, capture_output=True).stdout
     tool += pathlib.Path(".clang-tidy").read_bytes()
-    entries = {entry["file"]: entry for entry in json.loads(pathlib.Path(options.build, "compile_commands.json").read_text())}
+    commands = pathlib.Path(options.build, "compile_commands.json").read_text()
+    entries = {entry["file"]: entry for entry in json.loads(commands)}
 
     def lint_file(name):
-        return lint(name, entries[str(options.root / name)], options, tool)
+        return lint(name, entries.get(str(options.root / name)), options, tool)
 
+    has_passed = True
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
-        results = list(pool.map(lint_file, options.files))
-    for text, _ in results:
-        sys.stdout.write(text)
-    return 0 if all(passed for _, passed in results) else 1
+        for text, passed in pool.map(lint_file, options.files):
+            print(text, end="", flush=True)
+            has_passed = has_passed and passed
+    return 0 if has_passed else 1
 
 
 if __name__ == "__main__":
