--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -102,6 +102,7 @@
         self.refused = set()  # Ids of requests whose answer says that they did not run.
         self.sent = 0
         self.engines_per_version = ENGINES_PER_VERSION
+        self.events = EVENTS  # Of a stream.
         self.event_s = BURST_EVENT_S if options.case == "begun_just_before" else EVENT_S
 
     async def add_version(self, number):
@@ -110,7 +111,7 @@
             engine = world.Engine(f"e{i}v{number}", "llm", f"dc{i % 2}", {}, self.rng)
             engine.version_of_boot = lambda boot: f"v{number}"
             engine.on_arrival = lambda engine, request: None
-            engine.slots, engine.event_s, engine.events = SLOTS, self.event_s, EVENTS
+            engine.slots, engine.event_s, engine.events = SLOTS, self.event_s, self.events
             ip = f"127.{self.options.net}.{10 + number}.{i + 1}"
             await wire.serve(ip, soak.ENGINE_PORT, engine.handle)
             engine.address = f"{ip}:{soak.ENGINE_PORT}"
@@ -260,7 +261,7 @@
     async def run_stream(self, rng):
         """Begins a stream and takes it up again whenever it breaks."""
         stream = Stream(time.monotonic() + LIMIT_S)
-        while stream.received < EVENTS:
+        while stream.received < self.events:
             router = await self.ready_router(stream, rng)
             if router is None:
                 return
@@ -325,9 +326,9 @@
             for event in events:
                 self.check_event(event + b"\n\n", request, stream, attempt.router)
                 attempt.has_events = True
-        if stream.received < EVENTS:
+        if stream.received < self.events:
             self.violations.append(f"{request} ends as complete after {stream.received} events")
-            stream.received = EVENTS
+            stream.received = self.events
         return None
 
     async def piece_read(self):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -271,7 +271,7 @@
             answer = wire.message("HTTP/1.1 200 OK", head, plain_body(request))
             writer.write(answer[:self.rng.randrange(answer.index(b"\r\n\r\n"))])
             return False
-        if start_line.startswith("POST /s/"):
+        if start_line.startswith(("POST /s/", "POST /u/")):
             return await self.stream(request, int(fields.get("last-event-id", "0")), head, writer)
         if self.mode == "unframed":
             writer.write(wire.unframed_head("HTTP/1.1 200 OK", head) + plain_body(request))
@@ -326,12 +326,13 @@
     def route(kind, prefix, service, timeout):
         return {"name": prefix, "host": "h", "prefix": f"/{prefix}/", "kind": kind,
                 "service": service, "max_attempts": 2, "timeout_ms": timeout,
-                "target_latency_ms": 300, "max_gap_ms": 400, "resumable": kind == "streaming",
+                "target_latency_ms": 300, "max_gap_ms": 400, "resumable": prefix == "s",
                 "session_affinity": kind == "streaming" and engine is not None}
     return json.dumps({
         "version": version,
         "routes": [route("idempotent", "i", "app", 2000), route("non_idempotent", "n", "app", 2000),
-                   route("streaming", "s", "llm", stream_timeout_ms)],
+                   route("streaming", "s", "llm", stream_timeout_ms),
+                   route("streaming", "u", "llm", stream_timeout_ms)],
         "services": [{"name": name, "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}
                      | ({"engine": engine} if engine and name == "llm" else {})
                      for name in ("app", "llm")],
