--- a/tests/soak/enginekills.py
+++ b/tests/soak/enginekills.py
@@ -291,6 +291,10 @@
 
     # Callers.
 
+    def path(self, request):
+        """Requests differ, as one under which several engines end is quarantined."""
+        return request
+
     async def begin_streams(self, name="callers", streams_per_s=STREAMS_PER_S):
         """Begins streams, every second one of which cannot be taken up again."""
         rng = world.random_generator(self.options.seed, name)
@@ -349,7 +353,7 @@
         attempt = fleetrestart.Attempt(time.monotonic(), "", False, None, router)
         fields = {"host": "h", "lagoonbank-attempt-id": request, "api-key": soak.KEYS[0],
                   "lagoonbank-deadline-remaining": int(fleetrestart.LIMIT_S * 1000)}
-        await self.exchange(router, "POST /u/x HTTP/1.1", fields, lambda reader: self.read_stream(
+        await self.exchange(router, f"POST /u/{request} HTTP/1.1", fields, lambda reader: self.read_stream(
             reader, request, stream, attempt, "not resumable"))
 
     async def call_plain(self):
@@ -357,7 +361,7 @@
         rng = world.random_generator(self.options.seed, "plain")
         for number in range(1_000_000):
             router = self.routers[number % len(self.routers)]
-            start = ("GET /i/x HTTP/1.1", "POST /n/x HTTP/1.1")[number // len(self.routers) % 2]
+            start = ("GET /i/{} HTTP/1.1", "POST /n/{} HTTP/1.1")[number // len(self.routers) % 2]
             self.tasks.append(asyncio.create_task(self.send_plain(router, start, number)))
             await asyncio.sleep(rng.uniform(0.5, 1.5) * PLAIN_INTERVAL_S)
 
@@ -375,7 +379,7 @@
             self.plain[status if status != "200" or is_whole else "incomplete"] += 1
             if status == "200" and not is_whole:
                 self.violations.append(f"plain {request} looks complete: {body!r}")
-        await self.exchange(router, start, fields, read)
+        await self.exchange(router, start.format(request), fields, read)
 
     async def exchange(self, router, start, fields, read):
         """Sends a request and reads its answer, which may break off."""
--- a/tests/soak/fleetrestart.py
+++ b/tests/soak/fleetrestart.py
@@ -280,6 +280,11 @@
                 if router is None:
                     return
 
+    def path(self, request):
+        """The path of a request within its route."""
+        del request
+        return "x"
+
     async def send(self, stream, attempt):
         """Sends one request of an attempt; returns after which time to retry, None for never."""
         self.sent += 1
@@ -292,7 +297,7 @@
         writer = None
         try:
             reader, writer = await asyncio.open_connection(attempt.router.ip, soak.FRONT)
-            writer.write(wire.message("POST /s/x HTTP/1.1", fields))
+            writer.write(wire.message(f"POST /s/{self.path(request)} HTTP/1.1", fields))
             return await asyncio.wait_for(self.read_answer(reader, request, stream, attempt),
                                           left_s)
         except asyncio.TimeoutError:
@@ -378,7 +383,8 @@
         """Checks that no stream holds events of two versions; returns how many do."""
         mixed = len(self.mixed[False])
         if mixed:
-            self.violations.append(f"{mixed} streams hold events of two versions")
+            self.violations.append(f"{mixed} streams hold events of two versions, among them those "
+                                   f"begun by {sorted(self.mixed[False])[:3]}")
         return mixed
 
     def check(self):
