Gateway: Let the end of an answer that only its connection marks wait for evidence

Callers took streams and plain answers for complete whose endpoint's process had been killed between two events: an answer with neither length nor chunks ends with its connection, and the system closes the connections of a process that has ended in order. Every such answer that a kill cut looked complete; with chunks none did.

Pieces are passed on as they come. Only the end waits until something shows that the process goes on: the connections from before the request are still open 4 ms later, or else a new connection is accepted and stays open for 4 ms, within 50 ms of the close. Otherwise the answer counts as broken off: it goes on elsewhere if its kind may be repeated, and is cut if not, so that its caller knows. An answer that says that its request did not run is believed as it is. Whether an answer is whole is decided in one place now (answerEnd()); a line says what showed it and how old that was.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -125,6 +125,7 @@
     , m_isSoftwareHistoryKnown(!m_options.awaitsSoftwareHistory)
     , m_crashWatch(
           {.timers = &m_options.loop->timers(), .check = connectionCheck(*m_options.client)})
+    , m_processCheck(processCheckOptions())
     , m_streams(m_options.streams)
     , m_streamVersions(streamVersionOptions())
     , m_answerMemory(m_options.maxAnswerMemory)
@@ -144,6 +145,35 @@
     };
 }
 
+ProcessCheck::Options Gateway::processCheckOptions() const
+{
+    Http::Client &client = *m_options.client;
+    return {.timers = &m_options.loop->timers(),
+            .openConnections =
+                [&client](const Runtime::SocketAddress &server, Base::MonoTime time) {
+                    return client.openConnections(server, time);
+                },
+            .connect =
+                [&client](const Runtime::SocketAddress &server, Base::Duration timeout,
+                          Base::Duration holdTime, std::function<void(bool isOpen)> checked) {
+                    client.checkReachable(server, timeout, std::move(checked), holdTime);
+                },
+            .eventAge = [this] { return maxEventAge(); },
+            .closeTime = m_options.timeouts.closeTime};
+}
+
+/// After a suspension, events may be as old as that.
+Base::Duration Gateway::maxEventAge() const
+{
+    /// Time in which a process that goes on reads what arrived while it was suspended.
+    constexpr Base::Duration backlogTime = std::chrono::milliseconds(100);
+    constexpr Base::Duration longestSuspension = std::chrono::hours(1);
+    const Base::MonoTime now = m_options.loop->clock().now();
+    const auto resumedAt = m_options.outdatedSince ? m_options.outdatedSince(now) : std::nullopt;
+    const bool wasSuspended = resumedAt && now - *resumedAt < backlogTime;
+    return wasSuspended ? longestSuspension : m_options.loop->lag().current();
+}
+
 Gateway::~Gateway()
 {
     const auto runs = std::exchange(m_runs, {});
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/partquarantine.h"
 #include "gateway/peerrouters.h"
 #include "gateway/placement.h"
+#include "gateway/processcheck.h"
 #include "gateway/promptdirectory.h"
 #include "gateway/reachability.h"
 #include "gateway/requestquarantine.h"
@@ -54,6 +55,8 @@
     /// has reached its connection limit resets a new connection within a round trip of 1 ms, and a
     /// request sent on it would count as one that may have run.
     Base::Duration settle = std::chrono::milliseconds(2);
+    /// See ProcessCheck::Options::closeTime.
+    Base::Duration closeTime = std::chrono::milliseconds(4);
     /// Fraction of the target latency after which a repeatable request is moved to another endpoint
     /// if its own has sent nothing on any connection. The remainder is the other endpoint's time.
     double firstEventShare = 0.75;
@@ -292,6 +295,9 @@
     }
     std::vector<StreamOrigin> streamsInProgress(const std::set<Base::ServiceId> &services) const;
     StreamVersionLookup::Options streamVersionOptions();
+    ProcessCheck::Options processCheckOptions() const;
+    /// How long ago the event that is handled now occurred, at most.
+    Base::Duration maxEventAge() const;
     /// Records a stream that began at this router, or that has gone on here.
     void streamBegan(const Base::ServiceId &service, const StreamOrigin &origin);
     /// Fails the attempt with the largest buffered answer or event while all of them take too much
@@ -364,6 +370,7 @@
     /// version counts as mixed.
     bool m_isSoftwareHistoryKnown = false;
     CrashWatch m_crashWatch;
+    ProcessCheck m_processCheck;
     StreamDirectory m_streams;
     StreamVersionLookup m_streamVersions;
     AnswerMemory m_answerMemory;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -94,6 +94,13 @@
            "from.",
            "Many from peers: endpoints of several versions serve, and routers or connections end.",
            {}},
+    Metric{"lagoonbank_gateway_unmarked_ends_total",
+           Kind::Counter,
+           "answers",
+           "Answers whose end only the close of the connection marked, by what showed whether the "
+           "endpoint's process went on.",
+           "No connection: endpoints end while they answer; the answers are moved or cut.",
+           {}},
     Metric{"lagoonbank_gateway_unknown_streams_total",
            Kind::Counter,
            "requests",
@@ -266,6 +273,12 @@
                             {{"from", std::string(toString(source))}});
 }
 
+Metrics::Counter GatewayMetrics::unmarkedEnds(ProcessEvidence evidence)
+{
+    return registry.counter("lagoonbank_gateway_unmarked_ends_total",
+                            {{"evidence", std::string(toString(evidence))}});
+}
+
 Metrics::Counter GatewayMetrics::undecodable(std::string_view name)
 {
     return registry.counter("lagoonbank_gateway_undecodable_total", {{"name", std::string(name)}});
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "errors/errorkind.h"
+#include "gateway/processcheck.h"
 #include "gateway/streamversionlookup.h"
 #include "metrics/registry.h"
 
@@ -49,6 +50,9 @@
     Metrics::Counter refusals(Errors::ErrorKind kind);
     Metrics::Counter resumedStreams(StreamVersionSource source);
     Metrics::Counter repeats(Errors::ErrorKind kind);
+    /// Answers whose end only the close of the connection marked, by what showed whether the
+    /// endpoint's process went on.
+    Metrics::Counter unmarkedEnds(ProcessEvidence evidence);
     /// Values of endpoints that could not be decoded; \a name is that of the header or topic.
     Metrics::Counter undecodable(std::string_view name);
 };
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/answerbuffer.h"
+#include "gateway/answerend.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gateway.h"
 #include "gateway/promptparts.h"
@@ -201,7 +202,11 @@
     void bodyReceived(std::string_view piece);
     bool forwardEvent(const EventSplitter::Event &event);
     void callFinished(const Http::CallResult &result);
-    bool isStreamTruncated() const;
+    /// What the answer tells about its end, after all of it was received.
+    AnswerEnd receivedEnd() const;
+    /// Lets the end of the answer wait until it is known whether the endpoint's process goes on.
+    void verifyEnd();
+    void endVerified(const ProcessState &state);
     void answerCompleted();
     void forwardAnswer();
     void attemptFailed(const Failure &failure);
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -8,6 +8,8 @@
 
 using Errors::ErrorKind;
 
+constexpr std::string_view part = "gateway";
+
 bool isServerError(int status)
 {
     return status >= 500;
@@ -215,10 +217,16 @@
         return;
     m_attempt->framing = result.framing;
     m_attempt->isRequestWritten = result.isRequestWritten;
-    if (result.end == Http::CallEnd::Whole && !isStreamTruncated()) {
+    const bool isReceived = result.end == Http::CallEnd::Whole;
+    const AnswerEnd end = isReceived ? receivedEnd() : AnswerEnd::Broken;
+    if (end == AnswerEnd::Complete) {
         answerCompleted();
         return;
     }
+    if (end == AnswerEnd::Unmarked) {
+        verifyEnd();
+        return;
+    }
     if (result.end == Http::CallEnd::TurnedAway) {
         health().requestRefused(*m_attempt->endpoint, false, m_request.id);
         attemptFailed({.kind = ErrorKind::EndpointRefused, .mayHaveRun = false});
@@ -233,16 +241,51 @@
          .isConnectionBroken = !isNotConnected && !m_attempt->isRelayed});
 }
 
-/// Whether the answer is a stream that ends inside an event. Its body is complete nevertheless if
-/// only the close of the connection marks its end, or if a peer has ended it so. A stream without
-/// events of which only this close marks the end counts too: its endpoint may have crashed.
-bool RequestRun::isStreamTruncated() const
+AnswerEnd RequestRun::receivedEnd() const
 {
     const Attempt &attempt = *m_attempt;
-    if (!attempt.isStreaming)
-        return false;
-    const bool isEmpty = attempt.framing == Http::Framing::Connection && !attempt.lastEventAt;
-    return isEmpty || !m_eventSplitter.remainder().empty();
+    // Nothing but the head counts of an answer that says that the request did not run.
+    if (attempt.facts.isNotRun || attempt.facts.isOtherEndpoint)
+        return AnswerEnd::Complete;
+    return answerEnd({.isBodyComplete = true,
+                      .framing = *attempt.framing,
+                      .isStreaming = attempt.isStreaming,
+                      .hasEvents = attempt.lastEventAt.has_value(),
+                      .goesOn = m_hasStreamBegun,
+                      .incompleteEventBytes = m_eventSplitter.remainder().size()});
+}
+
+void RequestRun::verifyEnd()
+{
+    if (m_silenceTimer)
+        m_timers.cancel(*std::exchange(m_silenceTimer, std::nullopt));
+    m_gateway.m_processCheck.check(
+        m_attempt->endpoint->info.address, m_attempt->startedAt,
+        [weak = weak_from_this(), call = m_attempt->call](const ProcessState &state) {
+            const auto self = weak.lock();
+            const bool isCurrent = self && !self->m_isEnded && self->m_attempt;
+            if (isCurrent && self->m_attempt->call == call)
+                self->endVerified(state);
+        });
+}
+
+void RequestRun::endVerified(const ProcessState &state)
+{
+    m_gateway.m_options.metrics->unmarkedEnds(state.evidence).increment();
+    m_gateway.m_options.log->request(part, "Only the close of the connection marked the end.",
+                                     {{"request", m_request.id.value()},
+                                      {"endpoint", m_attempt->endpoint->info.id.value()},
+                                      {"whole", state.isRunning()},
+                                      {"evidence", toString(state.evidence)},
+                                      {"evidence_age_ms", state.age},
+                                      {"status", m_attempt->status},
+                                      {"streaming", m_attempt->isStreaming},
+                                      {"events_here", m_attempt->eventCount}});
+    if (state.isRunning()) {
+        answerCompleted();
+        return;
+    }
+    attemptFailed({.kind = ErrorKind::EndpointBroke, .isConnectionBroken = !m_attempt->isRelayed});
 }
 
 void RequestRun::answerCompleted()
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <openssl/ssl.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Lagoonbank::Http {
@@ -72,7 +73,7 @@
 }
 
 void Client::checkReachable(const Runtime::SocketAddress &server, Base::Duration timeout,
-                            std::function<void(bool isReachable)> checked)
+                            std::function<void(bool isReachable)> checked, Base::Duration holdTime)
 {
     const std::uint64_t id = ++d->lastId;
     const auto check = std::make_shared<Internal::ConnectionCheck>(
@@ -81,7 +82,16 @@
             checked(isReachable);
         });
     d->checks.emplace(id, check);
-    check->start(server, timeout);
+    check->start(server, timeout, holdTime);
+}
+
+std::size_t Client::openConnections(const Runtime::SocketAddress &server, Base::MonoTime time) const
+{
+    const auto isOpen = [&](const auto &entry) {
+        return entry.second->hasOpenConnection(server, time);
+    };
+    const auto inUse = std::count_if(d->calls.begin(), d->calls.end(), isOpen);
+    return d->context.pool.openCount(server, time) + static_cast<std::size_t>(inUse);
 }
 
 void Client::cancel(CallId call)
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -111,9 +111,14 @@
 
     CallId start(Call call, Hooks hooks);
     /// Opens a connection and closes it again. Calls \a checked once, after this function has
-    /// returned, unless the client is destroyed first.
+    /// returned, unless the client is destroyed first. The server is reachable if it accepts the
+    /// connection within \a timeout and does not close it for \a holdTime.
     void checkReachable(const Runtime::SocketAddress &server, Base::Duration timeout,
-                        std::function<void(bool isReachable)> checked);
+                        std::function<void(bool isReachable)> checked,
+                        Base::Duration holdTime = {});
+    /// Number of connections to the server, idle or in use, that were established before \a time
+    /// and that the server has neither closed nor reset, as far as the system knows.
+    std::size_t openConnections(const Runtime::SocketAddress &server, Base::MonoTime time) const;
     /// Cancels the call and closes its connection. No hook is called afterwards.
     void cancel(CallId call);
     std::size_t activeCalls() const;
--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -1,6 +1,7 @@
 #include "http/clientcall.h"
 
 #include "http/socketconnect.h"
+#include "http/socketlook.h"
 #include "http/socketreset.h"
 
 #include <h2o.h>
@@ -78,12 +79,14 @@
         finishSoon(CallEnd::NotConnected, "the request has characters that HTTP does not allow");
         return;
     }
-    if (!m_call.freshConnection)
-        m_socket = m_context.pool.take(poolKey());
-    if (!m_socket) {
+    const PooledConnection pooled =
+        m_call.freshConnection ? PooledConnection() : m_context.pool.take(poolKey());
+    if (!pooled.socket) {
         connect();
         return;
     }
+    m_socket = pooled.socket;
+    m_establishedAt = pooled.establishedAt;
     m_socket->data = this;
     sendRequest();
 }
@@ -107,6 +110,13 @@
     h2o_socket_close(std::exchange(m_socket, nullptr));
 }
 
+bool ClientCall::hasOpenConnection(const Runtime::SocketAddress &server, Base::MonoTime time) const
+{
+    const bool isEstablished =
+        m_socket && m_call.server == server && m_establishedAt && *m_establishedAt < time;
+    return isEstablished && isOpen(h2o_socket_get_fd(m_socket));
+}
+
 bool ClientCall::isRequestSafe() const
 {
     if (!isSafeHeaderName(m_call.method) || !isSafeTarget(m_call.target))
@@ -139,6 +149,7 @@
         self.finish(CallEnd::NotConnected, "cannot connect to " + toString(self.m_call.server));
         return;
     }
+    self.m_establishedAt = self.m_context.loop.clock().now();
     const int fd = h2o_socket_get_fd(socket);
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -379,8 +390,9 @@
         && m_parser.isReusable() && m_socket->input->size == 0;
     if (!isReusable)
         return;
-    m_context.pool.put(poolKey(), std::exchange(m_socket, nullptr),
-                       m_call.maxIdle.value_or(m_context.maxIdlePerServer));
+    m_context.pool.put(
+        poolKey(), {.socket = std::exchange(m_socket, nullptr), .establishedAt = *m_establishedAt},
+        m_call.maxIdle.value_or(m_context.maxIdlePerServer));
 }
 
 PoolKey ClientCall::poolKey() const
--- a/src/libs/http/clientcall.h
+++ b/src/libs/http/clientcall.h
@@ -41,6 +41,9 @@
     void start();
     /// Closes the connection. No hook is called afterwards.
     void drop();
+    /// Whether the call has a connection to the server that was established before \a time and
+    /// that the server has kept open.
+    bool hasOpenConnection(const Runtime::SocketAddress &server, Base::MonoTime time) const;
 
 private:
     static void connected(st_h2o_socket_t *socket, const char *error);
@@ -72,6 +75,7 @@
     CallResult m_result;
     AnswerParser m_parser;
     st_h2o_socket_t *m_socket = nullptr;
+    std::optional<Base::MonoTime> m_establishedAt; ///< Of the connection.
     std::string m_head;
     bool m_isHeadDelivered = false;
     bool m_isEnded = false;
--- a/src/libs/http/connectioncheck.cpp
+++ b/src/libs/http/connectioncheck.cpp
@@ -1,6 +1,7 @@
 #include "http/connectioncheck.h"
 
 #include "http/socketconnect.h"
+#include "http/socketlook.h"
 
 #include <h2o.h>
 
@@ -21,8 +22,10 @@
         h2o_socket_close(m_socket);
 }
 
-void ConnectionCheck::start(const Runtime::SocketAddress &server, Base::Duration timeout)
+void ConnectionCheck::start(const Runtime::SocketAddress &server, Base::Duration timeout,
+                            Base::Duration holdTime)
 {
+    m_holdTime = holdTime;
     m_timer = m_loop.timers().start(timeout, [this] {
         m_timer.reset();
         finish(false);
@@ -39,6 +42,26 @@
 }
 
 void ConnectionCheck::connected(h2o_socket_t *socket, const char *error)
+{
+    auto *self = static_cast<ConnectionCheck *>(socket->data);
+    if (error || self->m_holdTime <= Base::Duration::zero())
+        self->finish(error == nullptr);
+    else
+        self->hold();
+}
+
+void ConnectionCheck::hold()
+{
+    m_loop.timers().cancel(*m_timer);
+    m_timer = m_loop.timers().start(m_holdTime, [this] {
+        m_timer.reset();
+        finish(isOpen(h2o_socket_get_fd(m_socket))); // A close may not have been read yet.
+    });
+    h2o_socket_read_start(m_socket, receivedWhileHeld);
+}
+
+/// Data that the server sends without a request shows as well that it is reachable.
+void ConnectionCheck::receivedWhileHeld(h2o_socket_t *socket, const char *error)
 {
     static_cast<ConnectionCheck *>(socket->data)->finish(error == nullptr);
 }
--- a/src/libs/http/connectionpool.cpp
+++ b/src/libs/http/connectionpool.cpp
@@ -1,5 +1,7 @@
 #include "http/connectionpool.h"
 
+#include "http/socketlook.h"
+
 #include <h2o.h>
 
 #include <sys/socket.h>
@@ -35,46 +37,62 @@
         m_loop.timers().cancel(*m_expiry);
     for (auto &[key, connections] : m_idle) {
         for (Idle *idle : connections) {
-            h2o_socket_close(idle->socket);
+            h2o_socket_close(idle->connection.socket);
             delete idle;
         }
     }
 }
 
-void ConnectionPool::put(const PoolKey &key, h2o_socket_t *socket, std::size_t maxIdle)
+void ConnectionPool::put(const PoolKey &key, const PooledConnection &connection,
+                         std::size_t maxIdle)
 {
     const auto found = m_idle.find(key);
     const std::size_t count = found == m_idle.end() ? 0 : found->second.size();
     if (count >= maxIdle) {
-        h2o_socket_close(socket);
+        h2o_socket_close(connection.socket);
         return;
     }
-    auto *idle = new Idle{socket, m_loop.clock().now(), this, key};
-    socket->data = idle;
+    auto *idle = new Idle{connection, m_loop.clock().now(), this, key};
+    connection.socket->data = idle;
     // Reading detects a server that closes the connection or sends data without a request.
-    h2o_socket_read_start(socket, becameReadable);
+    h2o_socket_read_start(connection.socket, becameReadable);
     m_idle[key].push_back(idle);
     startExpiry();
 }
 
-h2o_socket_t *ConnectionPool::take(const PoolKey &key)
+PooledConnection ConnectionPool::take(const PoolKey &key)
 {
     const auto found = m_idle.find(key);
     if (found == m_idle.end())
-        return nullptr;
+        return {};
     auto &connections = found->second;
     const Base::MonoTime expiredBefore = m_loop.clock().now() - m_idleTimeout;
     while (!connections.empty()) {
         Idle *idle = connections.back();
         connections.pop_back();
-        h2o_socket_t *socket = idle->socket;
-        const bool isUsable = idle->idleSince > expiredBefore && isAlive(socket);
+        const PooledConnection connection = idle->connection;
+        const bool isUsable = idle->idleSince > expiredBefore && isAlive(connection.socket);
         delete idle;
         if (isUsable)
-            return socket;
-        h2o_socket_close(socket);
+            return connection;
+        h2o_socket_close(connection.socket);
+    }
+    return {};
+}
+
+std::size_t ConnectionPool::openCount(const Runtime::SocketAddress &server,
+                                      Base::MonoTime time) const
+{
+    std::size_t count = 0;
+    for (const auto &[key, connections] : m_idle) {
+        if (key.server != server)
+            continue;
+        for (const Idle *idle : connections) {
+            const bool isOld = idle->connection.establishedAt < time;
+            count += isOld && isOpen(h2o_socket_get_fd(idle->connection.socket)) ? 1 : 0;
+        }
     }
-    return nullptr;
+    return count;
 }
 
 void ConnectionPool::becameReadable(h2o_socket_t *socket, const char *error)
@@ -92,7 +110,7 @@
     connections.erase(std::find(connections.begin(), connections.end(), idle));
     if (connections.empty())
         m_idle.erase(idle->key);
-    h2o_socket_close(idle->socket);
+    h2o_socket_close(idle->connection.socket);
     delete idle;
 }
 
@@ -109,7 +127,7 @@
     for (auto it = m_idle.begin(); it != m_idle.end();) {
         auto &connections = it->second;
         while (!connections.empty() && connections.front()->idleSince <= expiredBefore) {
-            h2o_socket_close(connections.front()->socket);
+            h2o_socket_close(connections.front()->connection.socket);
             delete connections.front();
             connections.pop_front();
         }
--- a/src/libs/http/connectionpool.h
+++ b/src/libs/http/connectionpool.h
@@ -30,6 +30,13 @@
     }
 };
 
+/// A connection to a server.
+struct PooledConnection
+{
+    st_h2o_socket_t *socket = nullptr;
+    Base::MonoTime establishedAt{};
+};
+
 /// Idle connections of a client. The most recently used one is reused first.
 class ConnectionPool
 {
@@ -40,14 +47,17 @@
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
     /// Takes ownership of an idle connection; closes it if the pool has \a maxIdle for \a key.
-    void put(const PoolKey &key, st_h2o_socket_t *socket, std::size_t maxIdle);
-    /// Removes and returns a connection that the server has not closed, or null.
-    st_h2o_socket_t *take(const PoolKey &key);
+    void put(const PoolKey &key, const PooledConnection &connection, std::size_t maxIdle);
+    /// Removes and returns a connection that the server has not closed, or one without a socket.
+    PooledConnection take(const PoolKey &key);
+    /// Number of connections that were established before \a time and that the server has kept
+    /// open.
+    std::size_t openCount(const Runtime::SocketAddress &server, Base::MonoTime time) const;
 
 private:
     struct Idle
     {
-        st_h2o_socket_t *socket = nullptr;
+        PooledConnection connection;
         Base::MonoTime idleSince;
         ConnectionPool *pool = nullptr;
         PoolKey key;
--- a/src/libs/http/socketlook.h
+++ b/src/libs/http/socketlook.h
@@ -16,6 +16,11 @@
 
 /// Detects a close even behind unread bytes. Takes one system call, or two if bytes are unread.
 PeerClose detectPeerClose(int fd);
+/// Whether the peer has neither closed nor reset the connection.
+inline bool isOpen(int fd)
+{
+    return detectPeerClose(fd) == PeerClose::None;
+}
 /// Time since the kernel received the last bytes, read or not, in whole milliseconds; unset if the
 /// system does not report it. Takes one system call.
 std::optional<Base::Duration> timeSinceLastReceive(int fd);
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -170,7 +170,7 @@
                                           .policy = policy,
                                           .startedAt = clock.now() - retryBudget.window,
                                           .retryBudget = retryBudget,
-                                          .timeouts = {.settle = settle},
+                                          .timeouts = {.settle = settle, .closeTime = settle},
                                           .log = &log,
                                           .metrics = &metrics}};
     Lagoonbank::Http::Server server{
--- a/tests/auto/http/tst_client.cpp
+++ b/tests/auto/http/tst_client.cpp
@@ -393,3 +393,51 @@
     BOOST_TEST(result.body.empty());
     BOOST_TEST(pieces == "abc");
 }
+
+/// Guards against a server that seems to go on after it has closed its connections.
+BOOST_AUTO_TEST_CASE(openConnectionIsFoundUntilTheServerClosesIt)
+{
+    for (const bool isIdle : {false, true}) {
+        BOOST_TEST_CONTEXT("idle: " << isIdle)
+        {
+            ClientFixture f;
+            f.start(f.call());
+            RawSocket server = f.acceptRequest();
+            const Base::MonoTime establishedAt = f.clock.now();
+            if (isIdle) {
+                server.send(completeAnswer);
+                f.finished();
+            }
+            const Base::MonoTime later = establishedAt + std::chrono::milliseconds(1);
+            BOOST_TEST(f.client.openConnections(f.listener.address, later) == 1U);
+            BOOST_TEST(f.client.openConnections(f.listener.address, establishedAt) == 0U);
+            BOOST_TEST(f.client.openConnections({"127.0.0.1", 1}, later) == 0U);
+            server.close();
+            BOOST_TEST(f.client.openConnections(f.listener.address, later) == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(serverThatClosesAHeldConnectionIsNotReachable)
+{
+    constexpr std::chrono::milliseconds holdTime{2};
+    for (const bool isClosed : {false, true}) {
+        BOOST_TEST_CONTEXT("closed: " << isClosed)
+        {
+            ClientFixture f;
+            std::optional<bool> result;
+            f.client.checkReachable(
+                f.listener.address, std::chrono::seconds(1),
+                [&](bool isReachable) { result = isReachable; }, holdTime);
+            RawSocket server = f.accept();
+            f.runIterations(5);
+            BOOST_TEST(!result.has_value());
+            if (isClosed)
+                server.close();
+            else
+                f.clock.advance(holdTime);
+            BOOST_REQUIRE(f.runUntil([&] { return result.has_value(); }));
+            BOOST_TEST(*result == !isClosed);
+        }
+    }
+}
