Gateway: Doubt the software version of an endpoint that may have started again

Streams held events of two software versions where endpoints started again under their id and address at another version: the router took the version of the last entry for that of the process that answered, until the entry changed some hundred ms later. It let streams go on there and recorded new ones for the wrong version.

The version is not certain any more from the first sign that the process may have ended: a refused connection, answers that broke off without a connection left, the end of the last idle connection, or an unmarked end without a living process. Whoever notices it tells all peers in one datagram; they check with their own connections, as the teller may be cut off. It is certain again after an entry of a new start, a new version in the entry, or two writes of the known start since, which a router that does not read the store reads on demand. Meanwhile streams that need a version don't go there, everything else does; streams that begin there are recorded under the version that is confirmed.

--- a/src/libs/fleet/endpointdirectory.cpp
+++ b/src/libs/fleet/endpointdirectory.cpp
@@ -90,8 +90,11 @@
         known->second.version = entry.version;
         known->second.sequence = entry.sequence;
         known->second.isConfirmed = known->second.isConfirmed || entry.isConfirmed;
-        if (known->second.endpoint == endpoint)
+        if (known->second.endpoint == endpoint) {
+            if (renewed)
+                renewed(known->second);
             return;
+        }
         toggleInDigest(known->second.endpoint);
     }
     toggleInDigest(endpoint);
--- a/src/libs/fleet/endpointdirectory.h
+++ b/src/libs/fleet/endpointdirectory.h
@@ -129,6 +129,8 @@
 
     /// Called after an endpoint was added or any of its fields has changed.
     std::function<void(const Entry &entry)> changed;
+    /// Called after an entry was written again without a change.
+    std::function<void(const Entry &entry)> renewed;
     /// Called after an endpoint was removed, with its last entry.
     std::function<void(const Entry &last)> removed;
 
--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -114,6 +114,9 @@
     own.streams->send = [raw = link.get()](const auto &to, const auto &message) {
         raw->send(to, message);
     };
+    own.endpointEnds->send = [raw = link.get()](const auto &to, const auto &message) {
+        raw->send(to, message);
+    };
     own.silence->probe = [raw = link.get()](const auto &to) {
         raw->send(to, Schema::StreamUpdate{.asked = {unusedStream}});
     };
@@ -157,6 +160,9 @@
         read<Schema::StreamUpdate>(datagram, [this, &from](const auto &message) {
             m_options.streams->receive(from, message);
         });
+    } else if (version == versionOf(Schema::EndpointEndUpdate{})) {
+        read<Schema::EndpointEndUpdate>(
+            datagram, [this](const auto &message) { m_options.endpointEnds->receive(message); });
     } else {
         read<Schema::FleetBeacon>(datagram, [this, &from](const auto &beacon) {
             m_options.sync->receive(from.ip, beacon);
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -3,6 +3,7 @@
 #include "admission/gcra.h"
 #include "errors/result.h"
 #include "fleetsync/crashgossip.h"
+#include "fleetsync/endpointendgossip.h"
 #include "fleetsync/fleetsync.h"
 #include "fleetsync/loadgossip.h"
 #include "fleetsync/partgossip.h"
@@ -46,6 +47,7 @@
         CrashGossip *crashes = nullptr;
         PartGossip *parts = nullptr;
         StreamGossip *streams = nullptr;
+        EndpointEndGossip *endpointEnds = nullptr;
         PeerSilence *silence = nullptr;
         Runtime::SocketAddress address;
         /// Rate limit for answers to pulls. A pull beyond it is refused, and the peer pulls from
--- a/src/libs/gateway/endpointregistry.cpp
+++ b/src/libs/gateway/endpointregistry.cpp
@@ -12,6 +12,8 @@
 
 /// Maximum number of notices of removed endpoints. Expired entries reappear within seconds.
 constexpr std::size_t maximumRetainedNotices = 1024;
+/// Maximum number of streams that one endpoint began while its version was not certain.
+constexpr std::size_t maximumUncertainStreams = 4096;
 
 std::uint64_t startHash(const Fleet::Endpoint &endpoint)
 {
@@ -62,10 +64,16 @@
     if (isKnown) {
         if (endpoint.isWarmingUp && !known->second->info.isWarmingUp)
             becameCold(*known->second, now);
+        const bool isUpdate = known->second->info.softwareVersion != endpoint.softwareVersion;
         known->second->info = endpoint;
         setSoftware(*known->second, now);
+        if (isUpdate)
+            confirmSoftware(*known->second);
+        else
+            entryRenewed(endpoint.id, now);
         return;
     }
+    const std::optional<SoftwareDoubt> doubt = doubtAt(endpoint);
     remove(endpoint.id, now);
     auto record = std::make_shared<EndpointRecord>();
     record->info = endpoint;
@@ -92,6 +100,49 @@
         others.begin(), others.end(), record,
         [](const EndpointPtr &a, const EndpointPtr &b) { return a->info.id < b->info.id; });
     others.insert(position, record);
+    record->softwareDoubt = doubt;
+    confirmSoftware(*record);
+}
+
+/// The doubt about the start before at the same address; unset if there is none.
+std::optional<SoftwareDoubt> EndpointRegistry::doubtAt(const Fleet::Endpoint &endpoint) const
+{
+    const EndpointPtr known = find(endpoint.id);
+    const bool isSamePlace =
+        known && known->info.address == endpoint.address && known->info.service == endpoint.service;
+    return isSamePlace ? known->softwareDoubt : std::nullopt;
+}
+
+void EndpointRegistry::doubtSoftware(EndpointRecord &endpoint, Base::MonoTime now)
+{
+    endpoint.softwareDoubt = {.since = now};
+}
+
+void EndpointRegistry::recordUncertainStream(EndpointRecord &endpoint, StreamHash stream)
+{
+    if (endpoint.softwareDoubt && endpoint.softwareDoubt->streams.size() < maximumUncertainStreams)
+        endpoint.softwareDoubt->streams.push_back(stream);
+}
+
+/// The first entry that is read after the doubt began may have been written before. The endpoint
+/// lives if it has written another one since.
+void EndpointRegistry::entryRenewed(const Base::EndpointId &id, Base::MonoTime now)
+{
+    const EndpointPtr endpoint = find(id);
+    if (!endpoint || !endpoint->softwareDoubt)
+        return;
+    std::optional<Base::MonoTime> &readAt = endpoint->softwareDoubt->entryReadAt;
+    if (!readAt)
+        readAt = now;
+    else if (now - *readAt >= m_options.minEntryInterval)
+        confirmSoftware(*endpoint);
+}
+
+void EndpointRegistry::confirmSoftware(EndpointRecord &endpoint)
+{
+    const auto doubt = std::exchange(endpoint.softwareDoubt, std::nullopt);
+    if (doubt && softwareConfirmed)
+        softwareConfirmed(endpoint, doubt->streams);
 }
 
 /// Updates what is derived from the software version in the endpoint's entry.
@@ -247,6 +298,14 @@
     return found == m_records.end() ? nullptr : found->second;
 }
 
+EndpointPtr EndpointRegistry::findByAddress(const Runtime::SocketAddress &address) const
+{
+    const auto found = std::find_if(m_records.begin(), m_records.end(), [&](const auto &entry) {
+        return entry.second->info.address == address;
+    });
+    return found == m_records.end() ? nullptr : found->second;
+}
+
 EndpointPtr EndpointRegistry::findByStart(std::uint64_t startHash) const
 {
     const auto found = m_byStart.find(startHash);
--- a/src/libs/gateway/endpointregistry.h
+++ b/src/libs/gateway/endpointregistry.h
@@ -7,6 +7,7 @@
 #include "gateway/averageload.h"
 #include "gateway/endpointprotocol.h"
 #include "gateway/softwareversions.h"
+#include "gateway/streamdirectory.h"
 #include "gateway/warmupquota.h"
 #include "routing/suspicion.h"
 
@@ -63,6 +64,17 @@
     bool operator==(const EndpointNotice &) const = default;
 };
 
+/// The process behind an endpoint's address may have started again, at another software version
+/// than the entry says, until an entry of the new start has been read.
+struct SoftwareDoubt
+{
+    Base::MonoTime since;
+    /// When an entry of the known start was first read again, which may have been on its way.
+    std::optional<Base::MonoTime> entryReadAt;
+    /// Streams that began there since then.
+    std::vector<StreamHash> streams;
+};
+
 /// State of one endpoint as seen by this router.
 struct EndpointRecord
 {
@@ -70,7 +82,8 @@
     std::uint64_t hash = 0; ///< Hash of the endpoint's id; the same on every router.
     /// Hash of the id and the start time, as a restarted endpoint has lost its cached prompts.
     std::uint64_t startHash = 0;
-    SoftwareHash software; ///< Version of its software.
+    SoftwareHash software; ///< Version of its software, according to its entry.
+    std::optional<SoftwareDoubt> softwareDoubt;
     Routing::EndpointIndex index = Routing::noEndpoint;
     bool isDrained = false; ///< Its data centre is drained by the operators.
     bool isUnreachable = false; ///< No connection can be opened; see Reachability.
@@ -100,6 +113,8 @@
     MovingAverage refusals{0.0}; ///< Refusal rate: 1 for a refused request, 0 for an accepted one.
     Base::MonoTime lastContactAt; ///< When data was last received from it.
 
+    /// Version of the process that answers; zero if it is not certain.
+    SoftwareHash certainSoftware() const { return softwareDoubt ? SoftwareHash() : software; }
     /// Whether the endpoint is available for new requests of routers that can reach it, now or
     /// after its back-off.
     bool isOpen() const
@@ -188,6 +203,9 @@
         double minimumTimelyShare = 0.6;
         WarmupQuota::Options warmupQuota;
         SoftwareVersions::Options softwareVersions;
+        /// Minimum time between two reads of an entry that show that its endpoint has written it in
+        /// between. Routers that read the store do so every 0.7 s.
+        Base::Duration minEntryInterval = std::chrono::milliseconds(500);
         /// Returns the age of the entries; empty if there are none. If it is not set, the entries
         /// count as old.
         std::function<std::optional<Base::Duration>()> stateAge;
@@ -210,12 +228,25 @@
     /// one: the load, suspicion, latency and prompts recorded before do not apply to it.
     void put(const Fleet::Endpoint &endpoint, Base::MonoTime now);
     void remove(const Base::EndpointId &id, Base::MonoTime now);
+    /// The endpoint has written its entry again without a change.
+    void entryRenewed(const Base::EndpointId &id, Base::MonoTime now);
+    /// Something shows that the endpoint's process may have ended: which version answers at its
+    /// address is unknown until its entry says so again.
+    static void doubtSoftware(EndpointRecord &endpoint, Base::MonoTime now);
+    /// Records a stream that began at an endpoint whose version is not certain.
+    static void recordUncertainStream(EndpointRecord &endpoint, StreamHash stream);
+    /// Called when the version of an endpoint is certain again, with the streams that began there
+    /// meanwhile.
+    std::function<void(const EndpointRecord &endpoint, const std::vector<StreamHash> &streams)>
+        softwareConfirmed;
     /// The endpoints of a service, ordered by id.
     const std::vector<EndpointPtr> &endpoints(const Base::ServiceId &service) const;
     using Services = absl::flat_hash_map<Base::ServiceId, std::vector<EndpointPtr>>;
     const Services &services() const { return m_services; }
     std::vector<EndpointPtr> inDataCentre(const Base::DataCentreId &dataCentre) const;
     EndpointPtr find(const Base::EndpointId &id) const;
+    /// The endpoint at an address; null if there is none.
+    EndpointPtr findByAddress(const Runtime::SocketAddress &address) const;
     /// Finds an endpoint by EndpointRecord::startHash; null if it is unknown.
     EndpointPtr findByStart(std::uint64_t startHash) const;
     std::size_t size() const { return m_records.size(); }
@@ -321,6 +352,8 @@
     };
 
     void setSoftware(EndpointRecord &endpoint, Base::MonoTime now);
+    void confirmSoftware(EndpointRecord &endpoint);
+    std::optional<SoftwareDoubt> doubtAt(const Fleet::Endpoint &endpoint) const;
     bool areEntriesCurrent() const;
     void retainNotice(const EndpointRecord &endpoint);
     EndpointNotice retainedNotice(const EndpointRecord &endpoint) const;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -133,7 +133,10 @@
 {
     m_crashWatch.crashed = [this](const auto &report) { endpointCrashed(report); };
     wirePartQuarantine();
+    wireSoftwareDoubts();
     m_reachability.reachabilityChanged = [this](EndpointRecord &endpoint) {
+        if (endpoint.isUnreachable)
+            doubtSoftware(endpoint, "unreachable");
         if (!endpoint.isUnreachable && std::exchange(endpoint.hasCrashed, false))
             EndpointRegistry::markCold(endpoint, m_options.loop->clock().now());
         m_options.log->event(part,
@@ -176,6 +179,9 @@
 
 Gateway::~Gateway()
 {
+    m_options.client->setIdleConnectionHandler(nullptr);
+    if (m_confirmationTimer)
+        m_options.loop->timers().cancel(*m_confirmationTimer);
     const auto runs = std::exchange(m_runs, {});
     for (const auto &run : runs)
         run->drop();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -149,6 +149,9 @@
         std::function<void(PartHash part)> partReleased;
         /// Announces streams to peers, of which callers may resume them. Null without peers.
         std::function<void(const std::vector<StreamOrigin> &streams)> streamsBegan;
+        /// Tells peers that an endpoint may have ended, which was first noticed \a age ago. Null
+        /// without peers.
+        std::function<void(std::uint64_t startHash, Base::Duration age)> endpointEnded;
         /// Asks peers which version began a stream, and calls \a answered later. Null without
         /// peers.
         std::function<void(StreamHash stream,
@@ -250,6 +253,9 @@
     std::optional<Base::Duration> partQuarantineReceived(const QuarantinedPart &quarantined);
     std::vector<QuarantinedPart> quarantinedParts() const { return m_partQuarantine.quarantined(); }
 
+    /// A peer has noticed, \a age ago, that an endpoint may have ended.
+    void endpointEndReceived(std::uint64_t startHash, Base::Duration age);
+
     /// Records a stream that began at a peer.
     void streamReceived(const StreamOrigin &origin);
     /// The version that began a stream, if this router knows it.
@@ -336,6 +342,17 @@
     bool isMostlyCutOffFrom(const Base::ServiceId &service) const;
     /// Logs when the router loses its connections to all endpoints, and when one is back.
     void logIsolation();
+    /// Something shows that the endpoint's process may have ended and started again, at another
+    /// software version.
+    void doubtSoftware(EndpointRecord &endpoint, std::string_view evidence);
+    /// The same for what shows within \a age of the end that there is no process. Tells peers.
+    void endpointHasEnded(EndpointRecord &endpoint, std::string_view evidence, Base::Duration age);
+    void wireSoftwareDoubts();
+    void idleConnectionEnded(const Runtime::SocketAddress &server);
+    void softwareConfirmed(const EndpointRecord &endpoint, const std::vector<StreamHash> &streams);
+    /// Reads the entries of endpoints twice, which confirms the versions of those that live.
+    void confirmSoftware();
+    void uncertainStreamBegan(EndpointRecord &endpoint, StreamHash stream);
     void endpointCrashed(const CrashWatch::Report &report);
     void recordRequestCrashes(const CrashWatch::Report &report);
     void noteQuarantined(RequestFingerprint request, std::string_view from);
@@ -375,6 +392,9 @@
     StreamVersionLookup m_streamVersions;
     AnswerMemory m_answerMemory;
     UndecodableValues m_undecodableValues;
+    /// Endpoints, by the hash of their start, that are checked after their last connection ended.
+    absl::flat_hash_set<std::uint64_t> m_idleChecks;
+    std::optional<Runtime::TimerId> m_confirmationTimer; ///< Until the second read of entries.
     std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
     std::size_t m_routerCount = 1;
     absl::flat_hash_set<std::shared_ptr<RequestRun>> m_runs;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -22,15 +22,20 @@
     return static_cast<double>(hash % fractionSteps) / fractionSteps;
 }
 
-/// Whether the request must not go to the endpoint, whatever its state.
-bool isExcluded(const PlacementRequest &request, const EndpointPtr &endpoint)
+bool isTried(const PlacementRequest &request, const EndpointPtr &endpoint)
 {
-    if (request.software && endpoint->software != *request.software)
-        return true;
     return std::find(request.triedEndpoints.begin(), request.triedEndpoints.end(), endpoint)
         != request.triedEndpoints.end();
 }
 
+/// Whether the request must not go to the endpoint, whatever its state.
+bool isExcluded(const PlacementRequest &request, const EndpointPtr &endpoint)
+{
+    const bool isOtherSoftware =
+        request.software && endpoint->certainSoftware() != *request.software;
+    return isOtherSoftware || isTried(request, endpoint);
+}
+
 bool isBelowConnectionShare(const PlacementRequest &request, const EndpointRecord &endpoint)
 {
     return !request.connectionShare
@@ -136,7 +141,8 @@
 {
     const std::vector<EndpointPtr> &endpoints = registry.endpoints(request.service);
     return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointPtr &endpoint) {
-        return endpoint->isOpen() && !isExcluded(request, endpoint);
+        const bool isOtherSoftware = request.software && endpoint->software != *request.software;
+        return endpoint->isOpen() && !isOtherSoftware && !isTried(request, endpoint);
     });
 }
 
--- a/src/libs/gateway/placement.h
+++ b/src/libs/gateway/placement.h
@@ -153,8 +153,8 @@
     /// Whether a healthy endpoint, or one that is due for a trial, has a free slot for the request.
     bool canPlace(const PlacementRequest &request, const EndpointRegistry &registry,
                   Base::MonoTime now) const;
-    /// Whether some endpoint could take the request now or later, once it is reachable or has a
-    /// free slot.
+    /// Whether some endpoint could take the request now or later, once it is reachable, has a free
+    /// slot or its software version is certain.
     static bool isServed(const PlacementRequest &request, const EndpointRegistry &registry);
 
 private:
--- a/src/libs/gateway/requestrun.cpp
+++ b/src/libs/gateway/requestrun.cpp
@@ -180,7 +180,7 @@
     m_triedEndpoints.push_back(endpoint);
     Attempt attempt;
     attempt.endpoint = endpoint;
-    attempt.software = endpoint->software;
+    attempt.software = endpoint->certainSoftware();
     attempt.isRelayed = isRelayed;
     attempt.startedAt = m_timers.clock().now();
     m_attempt = std::move(attempt);
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -39,6 +39,8 @@
     const Base::ServiceId &service() const { return m_service; }
     /// The stream that the request has begun or resumed; unset if callers cannot resume it.
     std::optional<StreamOrigin> streamOrigin() const;
+    /// The version at which these streams began is certain now.
+    void softwareConfirmed(SoftwareHash software, const std::vector<StreamHash> &streams);
 
 private:
     /// Number of events with which an endpoint has outlived the begin of its answer. With the first
@@ -53,7 +55,8 @@
         EndpointPtr endpoint;
         Http::CallId call;
         Base::MonoTime startedAt;
-        SoftwareHash software; ///< Version of the endpoint when the request was sent there.
+        /// Version of the endpoint when the request was sent there; zero if it was not certain.
+        SoftwareHash software;
         bool isRelayed = false; ///< The endpoint is a peer router.
         bool mayHaveBeenSent = false; ///< A byte may have been sent: the request may run.
         /// Size with which the request counts at the endpoint; unset if it does not count.
@@ -192,6 +195,8 @@
     bool isCallerResuming() const;
     /// Identifies the stream that the request begins or resumes.
     StreamHash stream() const;
+    /// Version of the process that answers the current attempt; zero if it is not certain.
+    SoftwareHash answeringSoftware() const;
     void streamBegan();
     void findSoftware();
     void softwareFound(const StreamVersion &version);
@@ -277,8 +282,8 @@
     /// Number of requests that the last endpoint reported with its answer; -1 if it reported none.
     int m_reportedLoad = -1;
     bool m_hasStreamBegun = false; ///< The head of a stream was forwarded.
-    /// The version that began the stream, at which alone it may go on. Unset before its first
-    /// event.
+    /// The version that began the stream, at which alone it may go on; zero if it is not certain.
+    /// Unset before its first event.
     std::optional<SoftwareHash> m_software;
     std::optional<std::uint64_t> m_lastEventId; ///< Id of the last forwarded event.
     /// The last forwarded event, other than a comment, had no id. Another endpoint can't be told to
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -79,7 +79,7 @@
         attempt.headers = relay.headersForCaller(attempt.headers);
         readPeerReach();
         const EndpointPtr endpoint = m_gateway.m_endpoints.find(attempt.facts.endpoint);
-        attempt.software = endpoint ? endpoint->software : onlySoftware();
+        attempt.software = endpoint ? endpoint->certainSoftware() : onlySoftware();
         if (attempt.facts.software)
             attempt.software = *attempt.facts.software;
         if (endpoint)
@@ -87,7 +87,7 @@
         return;
     }
     if (m_request.relay)
-        relay.addEndpoint(attempt.headers, attempt.endpoint->info.id, attempt.software);
+        relay.addEndpoint(attempt.headers, attempt.endpoint->info.id, answeringSoftware());
     m_gateway.m_health.headReceived(*attempt.endpoint, attempt.facts, m_request.id);
     m_gateway.noteUndecodable(*attempt.endpoint, attempt.facts, m_request.id);
     if (attempt.facts.load) {
@@ -121,7 +121,7 @@
     attempt.isStreaming = isGood && m_route->kind == Fleet::RouteKind::Stream;
     // A peer of an older version resumes a stream at an endpoint of any version.
     const bool isOtherSoftware =
-        attempt.isStreaming && m_software && attempt.software != *m_software;
+        attempt.isStreaming && m_software && answeringSoftware() != *m_software;
     const bool isAnswer =
         attempt.facts.isOwn || attempt.facts.isNotRun || attempt.facts.isOtherEndpoint;
     if (isAnswer && !isOtherSoftware)
@@ -186,7 +186,7 @@
         m_gateway.m_options.metrics->firstEvent.observe(Base::toSeconds(now - m_arrivedAt));
         m_responder->begin(attempt.status, attempt.headers);
         if (!m_software)
-            m_software = attempt.software;
+            m_software = answeringSoftware();
         streamBegan();
     }
     registry().recordContact(*attempt.endpoint, now);
@@ -285,6 +285,8 @@
         answerCompleted();
         return;
     }
+    if (!m_attempt->isRelayed)
+        m_gateway.endpointHasEnded(*m_attempt->endpoint, toString(state.evidence), state.age);
     attemptFailed({.kind = ErrorKind::EndpointBroke, .isConnectionBroken = !m_attempt->isRelayed});
 }
 
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -141,6 +141,8 @@
     if ((isCutOff && relayToPeer()) || (!placement.endpoint && waitForReachableEndpoint()))
         return true;
     if (!placement.endpoint) {
+        if (m_software)
+            m_gateway.confirmSoftware();
         const auto retryAfter = placement.backOffUntil
             ? std::optional<Base::Duration>(*placement.backOffUntil - now)
             : std::nullopt;
@@ -213,6 +215,7 @@
          {"route", m_route->name},
          {"endpoint", placement.endpoint->info.id.value()},
          {"software", placement.endpoint->info.softwareVersion},
+         {"software_certain", !placement.endpoint->softwareDoubt},
          {"resumes", m_request.resumes ? m_request.resumes->value() : std::string_view()},
          {"resumes_after", resumeAfter().value_or(0)},
          {"reason", toString(placement.reason)},
--- a/src/libs/gateway/requestrunretry.cpp
+++ b/src/libs/gateway/requestrunretry.cpp
@@ -136,6 +136,8 @@
         return;
     if (failure.isConnectionBroken)
         noteBrokenConnection();
+    if (isConnectionRefused(failure))
+        m_gateway.endpointHasEnded(*m_attempt->endpoint, "refused", {});
     if (!failure.mayHaveReached && m_gateway.m_options.policy.reachability)
         reachability().reportUnreachable(m_attempt->endpoint);
     else if (failure.mayHaveRun)
--- a/src/libs/gateway/requestrunstream.cpp
+++ b/src/libs/gateway/requestrunstream.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requestrun.h"
 
+#include <algorithm>
+
 // Software versions of resumed streams.
 
 namespace Lagoonbank::Gateway {
@@ -36,10 +38,39 @@
     return StreamOrigin{.stream = stream(), .software = *m_software};
 }
 
+SoftwareHash RequestRun::answeringSoftware() const
+{
+    const Attempt &attempt = *m_attempt;
+    if (attempt.isRelayed)
+        return attempt.software;
+    const EndpointPtr current = m_gateway.m_endpoints.find(attempt.endpoint->info.id);
+    if (!current) // Its entry was removed, but it goes on with its requests.
+        return attempt.software;
+    if (attempt.software == SoftwareHash())
+        return current->certainSoftware();
+    const bool isOtherStart = current != attempt.endpoint;
+    const auto &doubt = current->softwareDoubt;
+    const bool isDoubtedSince = doubt && doubt->since >= attempt.startedAt;
+    return isOtherStart || isDoubtedSince ? SoftwareHash() : attempt.software;
+}
+
 void RequestRun::streamBegan()
 {
-    if (const auto origin = streamOrigin())
+    if (const auto origin = streamOrigin()) {
         m_gateway.streamBegan(m_service, *origin);
+        return;
+    }
+    const bool wasUncertain = m_attempt->software == SoftwareHash();
+    const EndpointPtr endpoint = m_gateway.m_endpoints.find(m_attempt->endpoint->info.id);
+    if (wasUncertain && endpoint && !m_attempt->isRelayed && m_route->mayRepeat())
+        m_gateway.uncertainStreamBegan(*endpoint, stream());
+}
+
+void RequestRun::softwareConfirmed(SoftwareHash software, const std::vector<StreamHash> &streams)
+{
+    const bool isUncertain = m_hasStreamBegun && m_software == SoftwareHash();
+    if (isUncertain && std::find(streams.begin(), streams.end(), stream()) != streams.end())
+        m_software = software;
 }
 
 /// Places the request once it is known at which version the stream goes on that the caller resumes.
--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -104,6 +104,12 @@
     dropped->drop();
 }
 
+void Client::setIdleConnectionHandler(
+    std::function<void(const Runtime::SocketAddress &server)> ended)
+{
+    d->context.pool.endedByServer = std::move(ended);
+}
+
 std::size_t Client::activeCalls() const
 {
     return d->calls.size();
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -122,6 +122,8 @@
     /// Cancels the call and closes its connection. No hook is called afterwards.
     void cancel(CallId call);
     std::size_t activeCalls() const;
+    /// Sets a function that is called after a server has ended an idle connection.
+    void setIdleConnectionHandler(std::function<void(const Runtime::SocketAddress &server)> ended);
 
 private:
     class Private;
--- a/src/libs/http/connectionpool.cpp
+++ b/src/libs/http/connectionpool.cpp
@@ -101,7 +101,11 @@
     if (isTlsOnly)
         return; // For example, a session ticket.
     auto *idle = static_cast<Idle *>(socket->data);
-    idle->pool->drop(idle);
+    ConnectionPool &pool = *idle->pool;
+    const Runtime::SocketAddress server = idle->key.server;
+    pool.drop(idle);
+    if (pool.endedByServer)
+        pool.endedByServer(server);
 }
 
 void ConnectionPool::drop(Idle *idle)
--- a/src/libs/http/connectionpool.h
+++ b/src/libs/http/connectionpool.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -50,6 +51,9 @@
     void put(const PoolKey &key, const PooledConnection &connection, std::size_t maxIdle);
     /// Removes and returns a connection that the server has not closed, or one without a socket.
     PooledConnection take(const PoolKey &key);
+    /// Called after the server has ended an idle connection.
+    std::function<void(const Runtime::SocketAddress &server)> endedByServer;
+
     /// Number of connections that were established before \a time and that the server has kept
     /// open.
     std::size_t openCount(const Runtime::SocketAddress &server, Base::MonoTime time) const;
--- a/tests/auto/fleetsync/tst_fleetlink.cpp
+++ b/tests/auto/fleetsync/tst_fleetlink.cpp
@@ -33,6 +33,7 @@
                                         .crashes = &crashes,
                                         .parts = &parts,
                                         .streams = &streams,
+                                        .endpointEnds = &ends,
                                         .silence = &silence,
                                         .address = address,
                                         .stateBytesPerSecond = 100000,
@@ -67,6 +68,8 @@
                                      .peers = [this] { return sync.peerAddresses(); },
                                      .silence = &silence,
                                      .self = address}};
+    FleetSync::EndpointEndGossip ends{
+        {.timers = timers, .peers = [this] { return sync.peerAddresses(); }}};
     std::unique_ptr<FleetSync::FleetLink> link;
     std::size_t bytes = 0;
     int failures = 0;
@@ -191,6 +194,19 @@
     BOOST_TEST(f.other.failures == 0);
 }
 
+BOOST_AUTO_TEST_CASE(reportsOfEndedEndpointsReachPeer)
+{
+    Fixture f;
+    std::uint64_t receivedHash = 0;
+    f.other.ends.received = [&](std::uint64_t startHash, Base::Duration) {
+        receivedHash = startHash;
+    };
+    f.one.sync.addRouter("other", "dc0", f.other.address, 0);
+    f.one.ends.report(42, {});
+    BOOST_TEST(f.runUntil([&] { return receivedHash == 42; }));
+    BOOST_TEST(f.other.failures == 0);
+}
+
 /// The link of the peer is so slow that its answer arrives byte by byte and never ends. The pull
 /// has to time out early enough to pull from another peer, as a configuration has to be in force
 /// within 2 s.
--- a/tests/auto/gateway/tst_endpointregistry.cpp
+++ b/tests/auto/gateway/tst_endpointregistry.cpp
@@ -4,6 +4,7 @@
 #include "gateway/endpointregistry.h"
 
 #include <string>
+#include <vector>
 
 using namespace Lagoonbank;
 using namespace Lagoonbank::Gateway;
@@ -184,3 +185,57 @@
     failures.add(1, start);
     BOOST_TEST(failures.value(0, start, halfLife) < 0.4);
 }
+
+/// Guards against an endpoint that has started again being taken for the start that wrote its
+/// entry: entries that were on their way as it ended show nothing.
+BOOST_AUTO_TEST_CASE(softwareIsCertainOnceAnEntryWasWrittenSince)
+{
+    EndpointRegistry registry({});
+    Fleet::Endpoint one = endpoint("a");
+    one.softwareVersion = "v1";
+    registry.put(one, start);
+    const EndpointPtr record = registry.find(one.id);
+    EndpointRegistry::doubtSoftware(*record, start);
+    EndpointRegistry::recordUncertainStream(*record, StreamHash(7));
+    std::vector<StreamHash> confirmed;
+    registry.softwareConfirmed = [&](const EndpointRecord &,
+                                     const std::vector<StreamHash> &streams) {
+        confirmed = streams;
+    };
+    const auto renewAt = [&](int ms) {
+        registry.entryRenewed(one.id, start + std::chrono::milliseconds(ms));
+        return record->certainSoftware() != SoftwareHash();
+    };
+    BOOST_TEST(!renewAt(100));
+    BOOST_TEST(!renewAt(101)); // Read at once with the one before.
+    BOOST_TEST(renewAt(1300));
+    BOOST_TEST((confirmed == std::vector<StreamHash>{StreamHash(7)}));
+}
+
+/// Guards against streams of a new start that count as of the version before, or of none.
+BOOST_AUTO_TEST_CASE(entryOfANewStartTellsTheVersionOfItsStreams)
+{
+    for (const bool hasStartTime : {false, true}) {
+        BOOST_TEST_CONTEXT("has a start time: " << hasStartTime)
+        {
+            EndpointRegistry registry({});
+            Fleet::Endpoint one = endpoint("a");
+            one.softwareVersion = "v1";
+            registry.put(one, start);
+            EndpointRegistry::doubtSoftware(*registry.find(one.id), start);
+            EndpointRegistry::recordUncertainStream(*registry.find(one.id), StreamHash(7));
+            SoftwareHash confirmed;
+            registry.softwareConfirmed = [&](const EndpointRecord &record,
+                                             const std::vector<StreamHash> &streams) {
+                BOOST_TEST((streams == std::vector<StreamHash>{StreamHash(7)}));
+                confirmed = record.software;
+            };
+            one.softwareVersion = "v2";
+            if (hasStartTime)
+                one.startedAt = Base::WallTime(std::chrono::seconds(5));
+            registry.put(one, start + std::chrono::seconds(1));
+            BOOST_TEST((confirmed == softwareHash(one)));
+            BOOST_TEST((registry.find(one.id)->certainSoftware() == softwareHash(one)));
+        }
+    }
+}
