Gateway: Check the process of an endpoint after every broken connection

- A stream that began while its endpoint's version was in doubt could go on at any other endpoint in doubt, as "not certain" compared equal.
It goes on nowhere, and is not relayed.
- Further signs were ignored while a doubt lasted, so that entries from before the last one ended it.
They begin it anew.
- An endpoint became certain while it was unreachable, and stayed so although it started again unnoticed.
Becoming reachable begins a doubt.
- After a broken answer, any process that accepted a connection refuted the end, whenever that was.
The check of unmarked ends is used there too; after a reset on a reused connection without an answer a new connection shows nothing.
- Idle connections that had ended when one was taken from the pool were dropped without notice.
- An endpoint at its connection limit accepts and resets new connections, and counted as ended.
A second connection tells.
- Reports to peers are collected for 2 ms into one datagram and begin with a random peer; a report by mistake no longer silences others.
Entries are read on demand only if an endpoint of the wanted version is in doubt.
- An answer whose end is being verified could be given up by a probe of another endpoint that was under way.

--- a/src/libs/fleetsync/endpointendgossip.h
+++ b/src/libs/fleetsync/endpointendgossip.h
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <random>
 #include <vector>
 
 namespace Lagoonbank::FleetSync {
@@ -24,15 +26,21 @@
     {
         Runtime::TimerQueue *timers = nullptr;
         std::function<std::vector<Runtime::SocketAddress>()> peers;
+        std::uint64_t randomSeed = 1;
         /// Budget for reports. Those beyond it are dropped, not delayed.
         double bytesPerSecond = 1000;
         /// Maximum size of a burst. One report to each of 300 peers costs 17,400 bytes.
         double burstBytes = 24000;
-        /// Time in which an endpoint is not reported again after this router or a peer has.
+        /// Time in which reports are collected. The endpoints of a rack end at the same moment.
+        Base::Duration collectTime = std::chrono::milliseconds(2);
+        /// Time in which an endpoint is not reported again, and further reports of it are ignored.
         Base::Duration repeatInterval = std::chrono::milliseconds(200);
     };
 
     explicit EndpointEndGossip(Options options);
+    ~EndpointEndGossip();
+    EndpointEndGossip(const EndpointEndGossip &) = delete;
+    EndpointEndGossip &operator=(const EndpointEndGossip &) = delete;
 
     std::function<void(const Runtime::SocketAddress &to, const Schema::EndpointEndUpdate &message)>
         send;
@@ -43,16 +51,23 @@
     /// \a age ago.
     void report(std::uint64_t startHash, Base::Duration age);
     void receive(const Schema::EndpointEndUpdate &message);
-    /// Number of reports that were not sent for lack of budget, counted for each receiver.
+    /// Number of datagrams that were not sent for lack of budget.
     std::uint64_t dropped() const { return m_dropped; }
 
 private:
-    /// Whether the endpoint was not reported within the repeat interval. Notes that it is now.
-    bool noteReport(std::uint64_t startHash);
+    using Times = absl::flat_hash_map<std::uint64_t, Base::MonoTime>;
+
+    /// Whether the endpoint is not in \a times yet. Adds it, and drops the old ones.
+    bool isNew(std::uint64_t startHash, Times &times) const;
+    void sendCollected();
 
     Options m_options;
+    std::mt19937_64 m_random;
     Admission::Gcra m_byteBudget;
-    absl::flat_hash_map<std::uint64_t, Base::MonoTime> m_reportedAt;
+    std::vector<Schema::SharedEndpointEnd> m_collected;
+    std::optional<Runtime::TimerId> m_timer; ///< Set while reports are collected.
+    Times m_reportedAt;
+    Times m_receivedAt;
     std::uint64_t m_dropped = 0;
 };
 
--- a/src/libs/gateway/crashwatch.cpp
+++ b/src/libs/gateway/crashwatch.cpp
@@ -67,8 +67,6 @@
     checkAfter(m_options.checkInterval, m_brokenEndpoints.at(startHash));
     if (isReachable)
         return;
-    if (checkFailed)
-        checkFailed(*crash.endpoint, crash.at);
     m_crashes.push_back(crash);
     if (!m_reportTimer)
         m_reportTimer =
--- a/src/libs/gateway/crashwatch.h
+++ b/src/libs/gateway/crashwatch.h
@@ -79,9 +79,6 @@
     void answerBroke(const EndpointPtr &endpoint, const BrokenRequest &request);
 
     std::function<void(const Report &report)> crashed;
-    /// Called as soon as an endpoint accepts no connection after its answers broke, which was
-    /// first noticed at \a brokenAt.
-    std::function<void(EndpointRecord &endpoint, Base::MonoTime brokenAt)> checkFailed;
 
 private:
     struct Crash
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -135,8 +135,8 @@
     wirePartQuarantine();
     wireSoftwareDoubts();
     m_reachability.reachabilityChanged = [this](EndpointRecord &endpoint) {
-        if (endpoint.isUnreachable)
-            doubtSoftware(endpoint, "unreachable");
+        // It may start again while this router hears nothing of it.
+        doubtSoftware(endpoint, endpoint.isUnreachable ? "unreachable" : "reachable_again");
         if (!endpoint.isUnreachable && std::exchange(endpoint.hasCrashed, false))
             EndpointRegistry::markCold(endpoint, m_options.loop->clock().now());
         m_options.log->event(part,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -348,10 +348,16 @@
     /// The same for what shows within \a age of the end that there is no process. Tells peers.
     void endpointHasEnded(EndpointRecord &endpoint, std::string_view evidence, Base::Duration age);
     void wireSoftwareDoubts();
+    void checkProcess(const EndpointPtr &endpoint, Base::MonoTime aliveAt, Base::Duration age,
+                      bool isPeerReport);
+    /// A connection to the endpoint broke. \a isStale tells that it may have broken long before.
+    void connectionBroke(const EndpointPtr &endpoint, Base::MonoTime aliveAt, bool isStale);
     void idleConnectionEnded(const Runtime::SocketAddress &server);
     void softwareConfirmed(const EndpointRecord &endpoint, const std::vector<StreamHash> &streams);
     /// Reads the entries of endpoints twice, which confirms the versions of those that live.
     void confirmSoftware();
+    /// The same if endpoints are in doubt that run this version according to their entries.
+    void confirmSoftwareFor(const Base::ServiceId &service, SoftwareHash software);
     void uncertainStreamBegan(EndpointRecord &endpoint, StreamHash stream);
     void endpointCrashed(const CrashWatch::Report &report);
     void recordRequestCrashes(const CrashWatch::Report &report);
@@ -392,8 +398,8 @@
     StreamVersionLookup m_streamVersions;
     AnswerMemory m_answerMemory;
     UndecodableValues m_undecodableValues;
-    /// Endpoints, by the hash of their start, that are checked after their last connection ended.
-    absl::flat_hash_set<std::uint64_t> m_idleChecks;
+    /// Endpoints, by the hash of their start, whose processes are being checked.
+    absl::flat_hash_set<std::uint64_t> m_processChecks;
     std::optional<Runtime::TimerId> m_confirmationTimer; ///< Until the second read of entries.
     std::set<Base::ServiceId> m_mixedServices; ///< Services of several versions, at last notice.
     std::size_t m_routerCount = 1;
--- a/src/libs/gateway/placement.cpp
+++ b/src/libs/gateway/placement.cpp
@@ -31,8 +31,10 @@
 /// Whether the request must not go to the endpoint, whatever its state.
 bool isExcluded(const PlacementRequest &request, const EndpointPtr &endpoint)
 {
-    const bool isOtherSoftware =
-        request.software && endpoint->certainSoftware() != *request.software;
+    // A stream whose version is not certain goes on nowhere.
+    const bool isOtherSoftware = request.software
+        && (*request.software == SoftwareHash()
+            || endpoint->certainSoftware() != *request.software);
     return isOtherSoftware || isTried(request, endpoint);
 }
 
--- a/src/libs/gateway/processcheck.cpp
+++ b/src/libs/gateway/processcheck.cpp
@@ -60,16 +60,38 @@
                       [this, check, isAlive = std::weak_ptr<bool>(m_isAlive)](bool isOpen) {
                           if (isAlive.expired())
                               return;
-                          const Base::Duration age =
-                              m_options.timers->clock().now() - check->closedAt;
-                          const bool isInTime = age < m_options.minRestartTime;
-                          finish(*check,
-                                 !isOpen        ? ProcessEvidence::NoConnection
-                                     : isInTime ? ProcessEvidence::NewConnection
-                                                : ProcessEvidence::LateConnection);
+                          if (isOpen)
+                              finish(*check, evidenceOfNewConnection(*check));
+                          else
+                              connectAgain(check);
                       });
 }
 
+/// An endpoint at its connection limit accepts connections and resets them. If the connection was
+/// reset as the system closed the listening socket, another one is refused.
+void ProcessCheck::connectAgain(const CheckPtr &check)
+{
+    const std::weak_ptr<bool> isAlive = m_isAlive;
+    m_options.timers->start(m_options.closeTime, [this, check, isAlive] {
+        if (isAlive.expired())
+            return;
+        m_options.connect(check->server, m_options.connectTimeout, {},
+                          [this, check, isAlive](bool isOpen) {
+                              if (!isAlive.expired())
+                                  finish(*check,
+                                         isOpen ? evidenceOfNewConnection(*check)
+                                                : ProcessEvidence::NoConnection);
+                          });
+    });
+}
+
+ProcessEvidence ProcessCheck::evidenceOfNewConnection(const Check &check) const
+{
+    const Base::Duration age = m_options.timers->clock().now() - check.closedAt;
+    return age < m_options.minRestartTime ? ProcessEvidence::NewConnection
+                                          : ProcessEvidence::LateConnection;
+}
+
 void ProcessCheck::finish(const Check &check, ProcessEvidence evidence) const
 {
     const Base::Duration age = m_options.timers->clock().now() - check.closedAt;
--- a/src/libs/gateway/processcheck.h
+++ b/src/libs/gateway/processcheck.h
@@ -59,8 +59,9 @@
         /// from this router. It takes some 20 us for each of them, but other processes may run in
         /// between.
         Base::Duration closeTime = std::chrono::milliseconds(4);
-        /// Timeout of a new connection; a live endpoint of the region accepts within 5 ms.
-        Base::Duration connectTimeout = std::chrono::milliseconds(100);
+        /// Timeout of a new connection; a live endpoint of the region accepts within 5 ms, and one
+        /// that is accepted after minRestartTime shows nothing.
+        Base::Duration connectTimeout = std::chrono::milliseconds(40);
         /// An endpoint that has ended accepts no connection for at least this time.
         Base::Duration minRestartTime = std::chrono::milliseconds(50);
     };
@@ -90,6 +91,8 @@
 
     void lookAgain(const CheckPtr &check);
     void connect(const CheckPtr &check);
+    void connectAgain(const CheckPtr &check);
+    ProcessEvidence evidenceOfNewConnection(const Check &check) const;
     void finish(const Check &check, ProcessEvidence evidence) const;
 
     Options m_options;
--- a/src/libs/gateway/requestrun.h
+++ b/src/libs/gateway/requestrun.h
@@ -74,6 +74,7 @@
         bool isRepeating = false;
         std::optional<Http::Framing> framing; ///< Set once the call has ended.
         bool isRequestWritten = false; ///< Set once the call has ended.
+        bool isConnectionReused = false; ///< Set once the call has ended.
     };
     /// Describes how an attempt failed.
     struct Failure
--- a/src/libs/gateway/requestrunanswer.cpp
+++ b/src/libs/gateway/requestrunanswer.cpp
@@ -217,6 +217,7 @@
         return;
     m_attempt->framing = result.framing;
     m_attempt->isRequestWritten = result.isRequestWritten;
+    m_attempt->isConnectionReused = result.isConnectionReused;
     const bool isReceived = result.end == Http::CallEnd::Whole;
     const AnswerEnd end = isReceived ? receivedEnd() : AnswerEnd::Broken;
     if (end == AnswerEnd::Complete) {
@@ -259,6 +260,7 @@
 {
     if (m_silenceTimer)
         m_timers.cancel(*std::exchange(m_silenceTimer, std::nullopt));
+    m_lastActivityAt = m_timers.clock().now(); // A probe of another endpoint may be in progress.
     m_gateway.m_processCheck.check(
         m_attempt->endpoint->info.address, m_attempt->startedAt,
         [weak = weak_from_this(), call = m_attempt->call](const ProcessState &state) {
--- a/src/libs/gateway/requestruncrash.cpp
+++ b/src/libs/gateway/requestruncrash.cpp
@@ -91,6 +91,8 @@
     const bool hasBegun = m_attempt->eventCount >= eventsOfBegunAnswer;
     m_gateway.m_crashWatch.answerBroke(
         m_attempt->endpoint, {.request = fingerprint(), .parts = parts(), .hasBegun = hasBegun});
+    const bool isStale = m_attempt->isConnectionReused && m_attempt->status == 0;
+    m_gateway.connectionBroke(m_attempt->endpoint, m_attempt->startedAt, isStale);
     m_mayCauseQuarantine = !hasBegun
         && m_gateway.m_quarantine.wouldQuarantine(
             {.request = fingerprint(), .endpoint = m_attempt->endpoint->startHash},
--- a/src/libs/gateway/requestrunplace.cpp
+++ b/src/libs/gateway/requestrunplace.cpp
@@ -137,12 +137,12 @@
         m_lastFullPlacement = placement;
         return relayOverflow() || awaitMemory(placement);
     }
+    if (!placement.endpoint && m_software)
+        m_gateway.confirmSoftwareFor(m_service, *m_software);
     const bool isCutOff = !placement.endpoint && m_gateway.isCutOffFrom(m_service);
     if ((isCutOff && relayToPeer()) || (!placement.endpoint && waitForReachableEndpoint()))
         return true;
     if (!placement.endpoint) {
-        if (m_software)
-            m_gateway.confirmSoftware();
         const auto retryAfter = placement.backOffUntil
             ? std::optional<Base::Duration>(*placement.backOffUntil - now)
             : std::nullopt;
@@ -254,7 +254,8 @@
 /// A relayed request is not relayed again: the peer refuses it if it reaches no endpoint either.
 bool RequestRun::relayToPeer()
 {
-    if (m_request.relay)
+    const bool isUncertain = m_software && *m_software == SoftwareHash();
+    if (m_request.relay || isUncertain)
         return false;
     const PeerChoice choice =
         m_gateway.m_peers.choose(m_service, endpointsToAvoid(), m_route->mayRepeat());
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -39,6 +39,7 @@
     bool isLocalResourceShortage = false;
     bool mayHaveBeenSent = false; ///< Bytes of the request may have been sent.
     bool isRequestWritten = false; ///< The whole request was passed to the system.
+    bool isConnectionReused = false; ///< Calls before this one have used the connection.
     int status = 0; ///< 0 if no head was received.
     std::optional<Framing> framing; ///< Unset if no head was received.
     Headers headers;
--- a/src/libs/http/clientcall.cpp
+++ b/src/libs/http/clientcall.cpp
@@ -87,6 +87,7 @@
     }
     m_socket = pooled.socket;
     m_establishedAt = pooled.establishedAt;
+    m_result.isConnectionReused = true;
     m_socket->data = this;
     sendRequest();
 }
--- a/src/libs/http/connectionpool.cpp
+++ b/src/libs/http/connectionpool.cpp
@@ -67,17 +67,33 @@
         return {};
     auto &connections = found->second;
     const Base::MonoTime expiredBefore = m_loop.clock().now() - m_idleTimeout;
-    while (!connections.empty()) {
+    bool hasEnded = false;
+    PooledConnection taken;
+    while (!connections.empty() && !taken.socket) {
         Idle *idle = connections.back();
         connections.pop_back();
         const PooledConnection connection = idle->connection;
-        const bool isUsable = idle->idleSince > expiredBefore && isAlive(connection.socket);
+        const bool isUnused = isAlive(connection.socket);
+        const bool isUsable = idle->idleSince > expiredBefore && isUnused;
         delete idle;
+        hasEnded = hasEnded || !isUnused;
         if (isUsable)
-            return connection;
-        h2o_socket_close(connection.socket);
+            taken = connection;
+        else
+            h2o_socket_close(connection.socket);
     }
-    return {};
+    if (hasEnded)
+        reportEnd(key.server);
+    return taken;
+}
+
+/// Calls endedByServer() later, as the caller is about to use another connection.
+void ConnectionPool::reportEnd(const Runtime::SocketAddress &server)
+{
+    m_loop.post([this, server, isPresent = std::weak_ptr<bool>(m_isPresent)] {
+        if (!isPresent.expired() && endedByServer)
+            endedByServer(server);
+    });
 }
 
 std::size_t ConnectionPool::openCount(const Runtime::SocketAddress &server,
@@ -102,10 +118,8 @@
         return; // For example, a session ticket.
     auto *idle = static_cast<Idle *>(socket->data);
     ConnectionPool &pool = *idle->pool;
-    const Runtime::SocketAddress server = idle->key.server;
+    pool.reportEnd(idle->key.server);
     pool.drop(idle);
-    if (pool.endedByServer)
-        pool.endedByServer(server);
 }
 
 void ConnectionPool::drop(Idle *idle)
--- a/src/libs/http/connectionpool.h
+++ b/src/libs/http/connectionpool.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -69,6 +70,7 @@
 
     static void becameReadable(st_h2o_socket_t *socket, const char *error);
     void drop(Idle *idle);
+    void reportEnd(const Runtime::SocketAddress &server);
     void startExpiry();
     void expire();
 
@@ -76,6 +78,8 @@
     Base::Duration m_idleTimeout;
     std::optional<Runtime::TimerId> m_expiry;
     absl::flat_hash_map<PoolKey, std::deque<Idle *>> m_idle;
+    /// Lets deferred work detect that this object was destroyed.
+    std::shared_ptr<bool> m_isPresent = std::make_shared<bool>(true);
 };
 
 } // namespace Lagoonbank::Http::Internal
--- a/tests/auto/gateway/tst_processcheck.cpp
+++ b/tests/auto/gateway/tst_processcheck.cpp
@@ -97,6 +97,8 @@
             f.openConnections = left;
             f.pass(milliseconds(4));
             f.answerConnection(false);
+            f.pass(milliseconds(4));
+            f.answerConnection(false);
             BOOST_TEST(f.result->evidence == ProcessEvidence::NoConnection);
             BOOST_TEST(!f.result->isRunning());
         }
@@ -115,6 +117,18 @@
     BOOST_TEST(f.result->isRunning());
 }
 
+/// Guards against an endpoint that is taken for ended as it resets connections beyond its limit.
+BOOST_AUTO_TEST_CASE(endpointThatResetsNewConnectionsGoesOn)
+{
+    Fixture f;
+    f.start();
+    f.answerConnection(false);
+    f.pass(milliseconds(4));
+    BOOST_TEST((f.holdTime == Base::Duration::zero()));
+    f.answerConnection(true);
+    BOOST_TEST(f.result->evidence == ProcessEvidence::NewConnection);
+}
+
 /// Guards against the next process at the same address being taken for the one that has ended: the
 /// connection is accepted late, or the router reads the close late.
 BOOST_AUTO_TEST_CASE(lateConnectionShowsNothing)
--- a/tests/auto/gateway/tst_softwaredoubts.cpp
+++ b/tests/auto/gateway/tst_softwaredoubts.cpp
@@ -178,3 +178,52 @@
         }
     }
 }
+
+/// Guards against a stream of an unknown version that goes on at an endpoint whose version is not
+/// known either.
+BOOST_AUTO_TEST_CASE(streamWithoutACertainVersionGoesOnNowhere)
+{
+    Fixture f(2);
+    const Base::MonoTime now = f.clock.now();
+    for (const std::size_t index : {0U, 1U})
+        Gateway::EndpointRegistry::doubtSoftware(f.record(index), now);
+    RawSocket caller = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    endpoint.last().send(std::string(streamHead) + chunk(event(1)));
+    BOOST_REQUIRE(f.runUntil([&] { return caller.has("e1"); }));
+    endpoint.last().close();
+    BOOST_TEST(f.runUntil([&] { return caller.isEnded(); }));
+    BOOST_TEST(f.requests() == 1U);
+}
+
+/// Guards against an entry from before the last sign that ends the doubt.
+BOOST_AUTO_TEST_CASE(furtherSignsBeginTheDoubtAnew)
+{
+    Fixture f(1);
+    Gateway::EndpointRecord &record = f.record(0);
+    Gateway::EndpointRegistry::doubtSoftware(record, f.clock.now());
+    f.gateway.endpoints().entryRenewed(record.info.id, f.clock.now());
+    f.pass(milliseconds(600));
+    f.kill(0);
+    f.gateway.endpointEndReceived(record.startHash, milliseconds(6));
+    f.runIterations(20);
+    f.gateway.endpoints().entryRenewed(record.info.id, f.clock.now());
+    BOOST_TEST(!f.isCertain(0));
+}
+
+/// Guards against an endpoint that started again unnoticed: a request on a connection that another
+/// process had accepted is reset.
+BOOST_AUTO_TEST_CASE(resetOfAReusedConnectionWithoutAnAnswerLeavesADoubt)
+{
+    Fixture f(1);
+    RawSocket first = f.call();
+    FakeEndpoint &endpoint = f.awaitRequest();
+    endpoint.last().send(std::string(streamHead) + chunk(event(1)) + std::string(streamEnd));
+    BOOST_REQUIRE(f.runUntil([&] { return first.has("\r\n0\r\n\r\n"); }));
+    const std::size_t length = endpoint.last().receive().size();
+    RawSocket second = f.call();
+    BOOST_REQUIRE(f.runUntil([&] { return endpoint.last().receive().size() > length; }));
+    endpoint.last().reset();
+    f.runIterations(20);
+    BOOST_TEST(!f.isCertain(0));
+}
