Tests: End endpoints and peers of relayed answers

Nothing covered an answer with neither a length nor chunks that a router relays over a peer while the process of the endpoint or of the peer ends.

The fixtures can close a listener and configure routes whose streams may not be resumed.

--- a/tests/auto/adapter/keyedstore.h
+++ b/tests/auto/adapter/keyedstore.h
@@ -83,12 +83,13 @@
     }
     /// Writes a configuration with one route, from /p/ of host h to service s.
     void writeRoute(int revision = 7, const std::string &prefix = "/p/",
-                    const std::string &kind = "idempotent")
+                    const std::string &kind = "idempotent", bool isResumable = true)
     {
         write("keyed.op", "config",
               R"({"version":)" + std::to_string(revision)
                   + R"(,"routes":[{"name":"r","host":"h","prefix":")" + prefix + R"(","kind":")"
-                  + kind + R"(","resumable":true,"service":"s","max_attempts":2,
+                  + kind + R"(","resumable":)" + (isResumable ? "true" : "false")
+                  + R"(,"service":"s","max_attempts":2,
                        "timeout_ms":8000,"target_latency_ms":4000}]})");
     }
     struct EndpointEntry
--- a/tests/auto/http/loopback.h
+++ b/tests/auto/http/loopback.h
@@ -163,7 +163,13 @@
         getsockname(m_fd, reinterpret_cast<sockaddr *>(&native), &length);
         address = {processIp(), ntohs(native.sin_port)};
     }
-    ~RawListener() { close(m_fd); }
+    ~RawListener() { close(); }
+    /// Refuses connections from now on.
+    void close()
+    {
+        if (m_fd >= 0)
+            ::close(std::exchange(m_fd, -1));
+    }
     /// Returns the descriptor of a new connection, or -1 if there is none.
     int accept() { return ::accept(m_fd, nullptr, nullptr); }
 
