Gateway: Read entries for streams in doubt only where versions are mixed

Endpoints that drop idle connections without notice put their version in doubt again and again. Each read of the entries is a call to the store, and where one version serves nobody needs the version of such a stream.

--- a/src/libs/gateway/gatewaydoubts.cpp
+++ b/src/libs/gateway/gatewaydoubts.cpp
@@ -139,7 +139,9 @@
 void Gateway::uncertainStreamBegan(EndpointRecord &endpoint, StreamHash stream)
 {
     EndpointRegistry::recordUncertainStream(endpoint, stream);
-    confirmSoftware();
+    // Where one version serves, a stream is looked up by that.
+    if (isMixed(endpoint.info.service))
+        confirmSoftware();
 }
 
 } // namespace Lagoonbank::Gateway
