--- a/tests/auto/adapter/tst_relayedends.cpp
+++ b/tests/auto/adapter/tst_relayedends.cpp
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <ranges>
 #include <string>
 #include <vector>
 
@@ -286,7 +285,8 @@
     std::vector<Begun> streams;
     for (int i = 0; i < count; ++i)
         streams.push_back(f.begin(1));
-    for (Begun &stream : streams | std::views::reverse) {
+    for (auto newest = streams.rbegin(); newest != streams.rend(); ++newest) {
+        Begun &stream = *newest;
         stream.connection->send(stream.rest);
         stream.connection->close();
         BOOST_REQUIRE(f.runUntil([&] {
