--- a/tests/auto/adapter/tst_relayedends.cpp
+++ b/tests/auto/adapter/tst_relayedends.cpp
@@ -196,6 +196,7 @@
     constexpr int count = 6;
     RelayedEnds f(cutStream);
     std::vector<Begun> streams;
+    streams.reserve(count);
     for (int i = 0; i < count; ++i)
         streams.push_back(f.begin(2));
     std::map<Engine *, int> streamsOf;
@@ -283,6 +284,7 @@
     constexpr int count = 6;
     RelayedEnds f(cutStream);
     std::vector<Begun> streams;
+    streams.reserve(count);
     for (int i = 0; i < count; ++i)
         streams.push_back(f.begin(1));
     for (auto newest = streams.rbegin(); newest != streams.rend(); ++newest) {
