--- a/tests/soak/enginekills.py
+++ b/tests/soak/enginekills.py
@@ -109,7 +109,7 @@
     async def return_power(self):
         """Resets what was open and listens again."""
         self.is_dark = False
-        for writer in list(self.writers):
+        for writer in [one for one in self.writers if not one.is_closing()]:
             writer.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
