Http: Bound the memory of all clients by one budget

A few hundred callers that stop a byte before the end of their bodies made a router take more memory than its VM has, so that the process was ended with all requests in flight.

Cause: bodies in arrival, complete requests, unparsed bytes and unread answers were bounded for one connection each, and nothing counted all of them. The system's receive buffers, which grow to several MB, were read into one buffer at once and kept. The ports of readiness, metrics and peers took bodies of 8 MB as well.

MemoryBudget counts what a process holds for the clients of all its servers, before it is allocated: half of the memory that limits.memory_mb or the machine gives. Large requests have a half of it, large answers a quarter, and everything of up to 16 KiB a quarter, so that small requests go on. Where a part is full, the largest client without progress for a second yields, then the newest one if it began later; else whoever asks is refused, with 503 and Retry-After, which is true as its request never was complete. Complete requests do not yield. Buffers of sockets are bounded, freed when they are empty, and a connection that is not read counts with its system buffer. An answer is written in pieces, which shows whether its caller reads. The start fails with the setting's name if the largest request does not fit.

Bounds for each kind of buffer, and reading only as fast as there is room, were weighed (docs/design/clients.md).

--- a/src/libs/base/text.h
+++ b/src/libs/base/text.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,18 @@
     return lower;
 }
 
+/// Lets \a text hold \a bytes without more memory than that. std::string::reserve() would double
+/// the memory of a string that is not empty.
+inline void reserveExactly(std::string &text, std::size_t bytes)
+{
+    if (bytes <= text.capacity())
+        return;
+    std::string larger;
+    larger.reserve(bytes);
+    larger += text;
+    text.swap(larger);
+}
+
 /// Splits \a text at \a separator and trims the parts; an empty text has one empty part.
 inline std::vector<std::string_view> split(std::string_view text, char separator)
 {
--- a/src/libs/errors/errorkind.cpp
+++ b/src/libs/errors/errorkind.cpp
@@ -14,6 +14,8 @@
     ErrorRow{BodyTooLarge, "body_too_large", 413, Ran::No, false, "The body is too large."},
     ErrorRow{HeadTooLarge, "head_too_large", 431, Ran::No, false, "The head is too large."},
     ErrorRow{SlowSender, "slow_sender", 408, Ran::No, true, "The request came too slowly."},
+    ErrorRow{OutOfMemory, "out_of_memory", 503, Ran::No, true,
+             "The memory for requests is used up."},
     ErrorRow{MissingKey, "missing_key", 401, Ran::No, false, "No bearer key was sent."},
     ErrorRow{UnknownKey, "unknown_key", 401, Ran::No, false, "The bearer key is not known."},
     ErrorRow{UnknownModel, "unknown_model", 404, Ran::No, false, "No such model is served."},
--- a/src/libs/errors/errorkind.h
+++ b/src/libs/errors/errorkind.h
@@ -13,6 +13,7 @@
     BodyTooLarge,
     HeadTooLarge,
     SlowSender,
+    OutOfMemory,
     MissingKey,
     UnknownKey,
     UnknownModel,
--- a/src/libs/fleetsync/fleetlink.cpp
+++ b/src/libs/fleetsync/fleetlink.cpp
@@ -88,8 +88,11 @@
         [raw = link.get()](const Runtime::SocketAddress &from, std::string_view datagram) {
             raw->receive(from, datagram);
         });
-    link->m_server = std::make_unique<Http::Server>(Http::Server::Options{
-        .loop = own.loop, .address = own.address, .halfCloseMeansDisconnect = true});
+    link->m_server =
+        std::make_unique<Http::Server>(Http::Server::Options{.loop = own.loop,
+                                                             .address = own.address,
+                                                             .halfCloseMeansDisconnect = true,
+                                                             .memory = own.memory});
     link->m_server->setHandler(
         [raw = link.get()](Http::Request request,
                            const std::shared_ptr<Http::Responder> &responder) {
--- a/src/libs/fleetsync/fleetlink.h
+++ b/src/libs/fleetsync/fleetlink.h
@@ -50,6 +50,7 @@
         EndpointEndGossip *endpointEnds = nullptr;
         PeerSilence *silence = nullptr;
         Runtime::SocketAddress address;
+        std::shared_ptr<Http::MemoryBudget> memory; ///< For requests of peers.
         /// Rate limit for answers to pulls. A pull beyond it is refused, and the peer pulls from
         /// another router. A single answer may exceed it.
         double stateBytesPerSecond = 1e6;
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -5,8 +5,10 @@
 #include "errors/errorkind.h"
 #include "gateway/softwareversions.h"
 #include "http/headers.h"
+#include "http/memorybudget.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -50,6 +52,7 @@
     std::string target; ///< Path and query, unmodified.
     Http::Headers headers; ///< Forwarded to the endpoint unchanged.
     std::string body;
+    std::shared_ptr<Http::MemoryUse> memory; ///< Of the body and the headers.
     std::optional<std::string> key; ///< Identifies the caller's workspace.
     /// When the bytes of the request arrived. If unset, the time at which it was read is used.
     std::optional<Base::MonoTime> arrivedAt;
--- a/src/libs/gateway/gatewaymetrics.cpp
+++ b/src/libs/gateway/gatewaymetrics.cpp
@@ -201,6 +201,32 @@
         "Answers whose endpoint had over twice the usual load and three requests when they began.",
         "Over 3 in 100 answers: routers learn too late where a prompt is asked for.",
         {}},
+    Metric{"lagoonbank_gateway_client_memory_bytes",
+           Kind::Gauge,
+           "bytes",
+           "Memory that clients occupy: requests in arrival, complete ones that wait for their "
+           "answer, and answers that are not read, by kind.",
+           "Near the maximum: see \"The memory for clients is used up.\" in OPERATIONS.md.",
+           {}},
+    Metric{"lagoonbank_gateway_client_memory_max_bytes",
+           Kind::Gauge,
+           "bytes",
+           "Memory that clients may occupy, by the settings.",
+           "It does not change while the router runs.",
+           {}},
+    Metric{"lagoonbank_gateway_client_memory_peak_bytes",
+           Kind::Gauge,
+           "bytes",
+           "The most memory that clients have occupied at a time.",
+           "Near the maximum: callers have been refused for want of memory, or nearly so.",
+           {}},
+    Metric{"lagoonbank_gateway_client_memory_shortages_total",
+           Kind::Counter,
+           "clients",
+           "Clients that were refused or disconnected for want of memory, by kind and by whether "
+           "they asked for more or had to yield to others.",
+           "See \"The memory for clients is used up.\" in OPERATIONS.md.",
+           {}},
     Metric{
         "lagoonbank_gateway_left_unread_total",
         Kind::Counter,
@@ -253,6 +279,8 @@
     , quarantined(registry.gauge("lagoonbank_gateway_quarantined_requests"))
     , quarantinedParts(registry.gauge("lagoonbank_gateway_quarantined_parts"))
     , overloadedAnswers(registry.counter("lagoonbank_gateway_overloaded_answers_total"))
+    , maxClientMemory(registry.gauge("lagoonbank_gateway_client_memory_max_bytes"))
+    , peakClientMemory(registry.gauge("lagoonbank_gateway_client_memory_peak_bytes"))
 { }
 
 Metrics::Counter GatewayMetrics::answers(int status)
@@ -279,6 +307,21 @@
                             {{"evidence", std::string(toString(evidence))}});
 }
 
+Metrics::Gauge GatewayMetrics::clientMemory(Http::MemoryKind kind)
+{
+    return registry.gauge("lagoonbank_gateway_client_memory_bytes",
+                          {{"kind", std::string(Http::toString(kind))}});
+}
+
+Metrics::Counter GatewayMetrics::memoryShortages(Http::MemoryKind kind,
+                                                 Http::MemoryBudget::Event event)
+{
+    const bool isRefusal = event == Http::MemoryBudget::Event::Refused;
+    return registry.counter("lagoonbank_gateway_client_memory_shortages_total",
+                            {{"kind", std::string(Http::toString(kind))},
+                             {"event", isRefusal ? "refused" : "reclaimed"}});
+}
+
 Metrics::Counter GatewayMetrics::undecodable(std::string_view name)
 {
     return registry.counter("lagoonbank_gateway_undecodable_total", {{"name", std::string(name)}});
--- a/src/libs/gateway/gatewaymetrics.h
+++ b/src/libs/gateway/gatewaymetrics.h
@@ -3,6 +3,7 @@
 #include "errors/errorkind.h"
 #include "gateway/processcheck.h"
 #include "gateway/streamversionlookup.h"
+#include "http/memorybudget.h"
 #include "metrics/registry.h"
 
 #include <string_view>
@@ -45,6 +46,8 @@
     Metrics::Gauge quarantined;
     Metrics::Gauge quarantinedParts;
     Metrics::Counter overloadedAnswers;
+    Metrics::Gauge maxClientMemory;
+    Metrics::Gauge peakClientMemory;
 
     Metrics::Counter answers(int status);
     Metrics::Counter refusals(Errors::ErrorKind kind);
@@ -53,6 +56,8 @@
     /// Answers whose end only the close of the connection marked, by what showed whether the
     /// endpoint's process went on.
     Metrics::Counter unmarkedEnds(ProcessEvidence evidence);
+    Metrics::Gauge clientMemory(Http::MemoryKind kind);
+    Metrics::Counter memoryShortages(Http::MemoryKind kind, Http::MemoryBudget::Event event);
     /// Values of endpoints that could not be decoded; \a name is that of the header or topic.
     Metrics::Counter undecodable(std::string_view name);
 };
--- a/src/libs/http/errorfilter.cpp
+++ b/src/libs/http/errorfilter.cpp
@@ -4,6 +4,7 @@
 #include "http/h2oserver.h"
 #include "http/reasonphrase.h"
 
+#include <chrono>
 #include <string_view>
 
 namespace Lagoonbank::Http::Internal {
@@ -78,13 +79,17 @@
     h2o_req_getenv(request, handledVariable.data(), handledVariable.size(), 1);
 }
 
-std::string rawErrorAnswer(Errors::ErrorKind kind, const std::string &requestId)
+std::string rawErrorAnswer(Errors::ErrorKind kind, const std::string &requestId,
+                           std::optional<Base::Duration> retryAfter)
 {
     const Errors::ErrorRow &row = Errors::errorRow(kind);
     const std::string body = Errors::errorBody(kind, row.ran, requestId);
     std::string answer = "HTTP/1.1 " + std::to_string(row.httpStatus) + " "
         + reasonPhrase(row.httpStatus) + "\r\nconnection: close\r\ncontent-type: application/json"
         + "\r\ncontent-length: " + std::to_string(body.size());
+    if (retryAfter)
+        answer += "\r\nretry-after: "
+            + std::to_string(std::chrono::ceil<std::chrono::seconds>(*retryAfter).count());
     if (!requestId.empty())
         answer += "\r\nx-request-id: " + requestId;
     answer += "\r\n\r\n";
--- a/src/libs/http/h2oresponder.cpp
+++ b/src/libs/http/h2oresponder.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-H2oResponder::H2oResponder(h2o_req_t *request)
+H2oResponder::H2oResponder(h2o_req_t *request, std::shared_ptr<MemoryBudget> memory)
     : m_request(request)
+    , m_memory(std::move(memory), MemoryKind::Answers)
 {
     m_generator.super.proceed = proceed;
     m_generator.super.stop = stop;
@@ -31,6 +32,10 @@
     if (!m_request || m_state != State::Waiting)
         return;
     m_inFlight = std::move(body);
+    if (!takeMemory()) {
+        abort();
+        return;
+    }
     const bool isHead = h2o_memis(m_request->method.base, m_request->method.len, "HEAD", 4) != 0;
     startResponse(status, headers, m_inFlight.size());
     m_state = State::Ended;
@@ -53,6 +58,8 @@
     m_queued += piece;
     if (!m_isSending)
         sendQueued();
+    if (!takeMemory())
+        abort();
 }
 
 void H2oResponder::end()
@@ -70,7 +77,7 @@
         return;
     m_isAborted = true;
     m_disconnectHandler = nullptr;
-    m_queued.clear();
+    m_queued = {};
     if (m_isSending)
         return; // proceed() or detach() follows and ends the answer.
     if (m_state == State::Waiting)
@@ -99,7 +106,8 @@
 {
     H2oResponder *self = reinterpret_cast<Generator *>(generator)->owner;
     self->m_isSending = false;
-    self->m_inFlight.clear();
+    self->m_inFlight = {};
+    static_cast<void>(self->takeMemory());
     if (!self->m_request || self->m_state != State::Streaming)
         return;
     if (self->m_isAborted) {
@@ -138,8 +146,7 @@
 
 void H2oResponder::sendQueued()
 {
-    m_inFlight.swap(m_queued);
-    m_queued.clear();
+    m_inFlight = std::exchange(m_queued, {});
     m_isSending = true;
     if (m_isEndQueued)
         m_state = State::Ended;
--- a/src/libs/http/h2oresponder.h
+++ b/src/libs/http/h2oresponder.h
@@ -15,7 +15,7 @@
     , public std::enable_shared_from_this<H2oResponder>
 {
 public:
-    explicit H2oResponder(h2o_req_t *request);
+    H2oResponder(h2o_req_t *request, std::shared_ptr<MemoryBudget> memory);
 
     void send(int status, const Headers &headers, std::string body) override;
     void begin(int status, const Headers &headers) override;
@@ -43,6 +43,7 @@
     void startResponse(int status, const Headers &headers, std::size_t contentLength);
     void sendQueued();
     void reportDisconnect();
+    bool takeMemory() { return m_memory.resize(m_queued.capacity() + m_inFlight.capacity()); }
 
     h2o_req_t *m_request; ///< Null once h2o's request has ended.
     Generator m_generator{};
@@ -53,6 +54,7 @@
     bool m_isDisconnected = false;
     std::string m_queued;
     std::string m_inFlight;
+    MemoryUse m_memory;
     std::function<void()> m_disconnectHandler;
 };
 
--- a/src/libs/http/h2oserver.cpp
+++ b/src/libs/http/h2oserver.cpp
@@ -37,6 +37,11 @@
 /// more, so a check of younger connections would be wasted.
 constexpr Base::Duration minCloseCheckAge = std::chrono::milliseconds(50);
 constexpr int listenBacklog = 4096;
+/// Sizes of the system's buffers of a connection, of which it takes twice as much memory. They
+/// allow for 600 KB/s from and 1.3 MB/s to a caller over a round trip of 50 ms. Without them the
+/// system lets them grow to several MB.
+constexpr int receiveBufferBytes = 32 * 1024;
+constexpr int sendBufferBytes = 64 * 1024;
 
 std::string_view view(h2o_iovec_t text)
 {
@@ -98,6 +103,9 @@
 H2oServer::H2oServer(Server::Options options)
     : m_options(std::move(options))
     , m_loop(*m_options.loop)
+    , m_memory(m_options.memory ? m_options.memory
+                                : std::make_shared<MemoryBudget>(
+                                    MemoryBudget::optionsFor(std::nullopt, m_loop.clock())))
     , m_context(
           m_options.sharesContext
               ? H2oContext::shared(m_loop, m_options.limits.bodyBytes, handleRequest)
@@ -105,6 +113,7 @@
 {
     m_http1.loop = &m_loop;
     m_http1.limits = m_options.limits;
+    m_http1.memory = m_memory;
     m_http1.halfCloseMeansDisconnect = m_options.halfCloseMeansDisconnect;
     m_http1.requestReceived = [this](Request request, std::shared_ptr<Responder> responder) {
         if (handler)
@@ -150,6 +159,9 @@
         return systemError("open a socket for", m_options.address);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    // Accepted connections inherit these.
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof sendBufferBytes);
     socklen_t length = sizeof native;
     if (bind(fd, reinterpret_cast<sockaddr *>(&native), length) != 0
         || ::listen(fd, listenBacklog) != 0
@@ -406,13 +418,18 @@
 {
     ServerConnection *connection = connectionOf(source);
     connection->hadRequest = true;
-    const auto responder = std::make_shared<H2oResponder>(source);
+    const auto responder = std::make_shared<H2oResponder>(source, m_memory);
     // h2o disposes the objects in the request's pool when the request ends for any reason.
     auto *slot = new (h2o_mem_alloc_shared(&source->pool, sizeof(RequestSlot), requestEnded))
         RequestSlot{responder, connection};
     connection->openResponders.insert(slot->responder.get());
     markAsHandled(source);
     Request request = readRequest(source, *connection);
+    request.memory = std::make_shared<MemoryUse>(m_memory, MemoryKind::Waiting);
+    if (!request.memory->resize(request.body.capacity())) {
+        responder->abort();
+        return 0;
+    }
     if (hasUnsafeField(request)) {
         const std::string id = refusedRequestId(Errors::ErrorKind::BadRequest);
         Headers headers{{"content-type", "application/json"}};
--- a/src/libs/http/h2oserver.h
+++ b/src/libs/http/h2oserver.h
@@ -100,6 +100,7 @@
 
     Server::Options m_options;
     Runtime::Loop &m_loop;
+    std::shared_ptr<MemoryBudget> m_memory;
     Http1Context m_http1;
     std::shared_ptr<H2oContext> m_context;
     h2o_accept_ctx_t m_accept{};
--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -22,6 +22,17 @@
 constexpr std::string_view http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 /// Bytes to buffer after a request that is being processed; reading pauses beyond that.
 constexpr std::size_t maxReadAheadBytes = 64 * 1024;
+/// Bytes that are passed to the system at once, so that it shows whether the caller reads.
+constexpr std::size_t maxWriteBytes = 64 * 1024;
+/// What the system's buffer of a connection that is not read takes; see receiveBufferBytes of
+/// H2oServer.
+constexpr std::size_t unreadBufferBytes = 64 * 1024;
+/// Memory that a request takes beside its body, as a multiple of the size of its head: the fields
+/// are kept as they came, to be forwarded, and in the call of an endpoint.
+constexpr std::size_t headCopies = 3;
+/// Time after which there is room for a request that was refused for want of memory, as stalled
+/// ones have yielded by then.
+constexpr Base::Duration memoryRetryAfter = std::chrono::seconds(1);
 /// Time for the caller to read the last answer and then close the connection.
 constexpr Base::Duration lingerTimeout = std::chrono::seconds(2);
 /// Uncertainty up to which an arrival time is accepted; beyond it, the kernel is asked.
@@ -60,6 +71,8 @@
     , m_peer(std::move(peer))
     , m_arrival(arrival)
     , m_startedAt(context.loop->clock().now())
+    , m_inputMemory(context.memory, MemoryKind::Arriving, [this] { reclaimInput(); })
+    , m_answerMemory(context.memory, MemoryKind::Answers, [this] { reclaimAnswer(); })
     , m_lastProgressAt(m_startedAt)
 { }
 
@@ -79,6 +92,7 @@
 h2o_socket_t *Http1Connection::release()
 {
     m_state = State::Closed;
+    m_inputMemory.release();
     if (m_socket)
         h2o_socket_read_stop(m_socket);
     return std::exchange(m_socket, nullptr);
@@ -103,6 +117,8 @@
 
 void Http1Connection::readInput()
 {
+    const Base::MonoTime now = m_context.loop->clock().now();
+    m_inputMemory.progressed(now);
     while (m_state == State::Reading && m_socket && m_socket->input->size > 0) {
         if (!m_hadRequest && !m_parser && isHttp2Preface()) {
             if (m_socket->input->size >= http2Preface.size())
@@ -116,10 +132,17 @@
             m_isContinueSent = false;
         }
         const auto before = m_parser->state();
+        if (before == RequestParser::State::Body
+            && !takeMemory(m_parser->bodyCapacityFor(m_socket->input->size))) {
+            refuseForMemory();
+            return;
+        }
+        if (m_state == State::Closed)
+            return; // What was left to be written has yielded.
         const std::size_t consumed = m_parser->consume(inputOf(m_socket));
         h2o_buffer_consume(&m_socket->input, consumed);
         if (isFirst || before == RequestParser::State::Body)
-            m_lastProgressAt = m_context.loop->clock().now();
+            m_lastProgressAt = now;
         if (m_parser->state() == RequestParser::State::Failed) {
             refuse(m_parser->error());
             return;
@@ -135,10 +158,74 @@
         m_isContinueSent = true;
         write("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    if (!m_socket)
+        return;
+    releaseEmptyInput();
     if (m_state == State::Answering && m_socket->input->size > maxReadAheadBytes) {
         h2o_socket_read_stop(m_socket);
         m_isReadStopped = true;
     }
+    if (takeMemory(m_parser ? m_parser->bodyCapacity() : 0))
+        return;
+    if (m_state == State::Reading)
+        refuseForMemory();
+    else if (m_state != State::Closed)
+        disconnectSoon();
+}
+
+/// Frees the buffer of the socket, which h2o keeps, if nothing is left in it.
+void Http1Connection::releaseEmptyInput()
+{
+    if (m_socket->input->size > 0 || m_socket->ssl)
+        return;
+    h2o_buffer_dispose(&m_socket->input);
+    h2o_buffer_init(&m_socket->input, &h2o_socket_buffer_prototype);
+}
+
+/// Counts the memory of what was read and of a body of this capacity. False if there is no room.
+/// The connection may be closed afterwards, as its own unread answer may yield.
+bool Http1Connection::takeMemory(std::size_t bodyCapacity)
+{
+    const h2o_buffer_t &input = *m_socket->input;
+    const std::size_t unparsed = input.size > 0 ? input.capacity : 0;
+    return m_inputMemory.resize(bodyCapacity + unparsed
+                                + (m_isReadStopped ? unreadBufferBytes : 0));
+}
+
+void Http1Connection::refuseForMemory()
+{
+    if (m_state == State::Closed)
+        return;
+    refuse(Errors::ErrorKind::OutOfMemory);
+}
+
+/// Yields the memory of an unfinished request, or of what follows a request, to another client.
+void Http1Connection::reclaimInput()
+{
+    if (m_state == State::Reading) {
+        refuseForMemory();
+        return;
+    }
+    m_inputMemory.release();
+    disconnectSoon();
+}
+
+/// Yields the memory of an answer that is not read to another client.
+void Http1Connection::reclaimAnswer()
+{
+    disconnectSoon();
+}
+
+/// Closes the connection at once, and reports that from the loop, as this may be called for another
+/// connection or by whoever writes the answer.
+void Http1Connection::disconnectSoon()
+{
+    const std::shared_ptr<Http1Connection> self = shared_from_this();
+    const std::shared_ptr<Http1Responder> responder = m_responder.lock();
+    close();
+    if (!responder)
+        return;
+    m_context.loop->post([responder] { responder->connectionClosed(true); });
 }
 
 /// Whether the first bytes are the HTTP/2 preface or a prefix of it.
@@ -186,6 +273,15 @@
     request.body = std::move(parser.body());
     request.peer = m_peer;
     request.arrivedAt = requestArrivalTime(isFirst);
+    m_inputMemory.release();
+    request.memory = std::make_shared<MemoryUse>(m_context.memory, MemoryKind::Waiting);
+    const std::size_t held = request.body.capacity() + headCopies * parser.headBytes();
+    if (!request.memory->resize(held)) {
+        refuseForMemory();
+        return;
+    }
+    if (m_state == State::Closed)
+        return; // What was left to be written has yielded.
     m_pipelinedSince.reset();
     if (m_socket->input->size > 0)
         m_pipelinedSince = request.arrivedAt;
@@ -233,8 +329,14 @@
 void Http1Connection::refuse(Errors::ErrorKind kind)
 {
     m_parser.reset();
+    m_inputMemory.release();
+    h2o_buffer_consume(&m_socket->input, m_socket->input->size);
+    releaseEmptyInput();
     m_state = State::Answering;
-    write(rawErrorAnswer(kind, m_context.refusedRequestId(kind)));
+    m_isCutOff = true;
+    const bool isTemporary = kind == Errors::ErrorKind::OutOfMemory;
+    write(rawErrorAnswer(kind, m_context.refusedRequestId(kind),
+                         isTemporary ? std::optional(memoryRetryAfter) : std::nullopt));
     answerQueued(false);
 }
 
@@ -248,16 +350,26 @@
         m_queued += bytes;
     if (m_writing.empty())
         startWriting();
+    updateAnswerMemory();
 }
 
 void Http1Connection::startWriting()
 {
-    m_writing.swap(m_queued);
-    m_queued.clear();
-    h2o_iovec_t buffer = h2o_iovec_init(m_writing.data(), m_writing.size());
+    if (m_writtenBytes == m_writing.size()) {
+        m_writing = std::exchange(m_queued, {});
+        m_writtenBytes = 0;
+    }
+    m_writeSize = std::min(maxWriteBytes, m_writing.size() - m_writtenBytes);
+    h2o_iovec_t buffer = h2o_iovec_init(m_writing.data() + m_writtenBytes, m_writeSize);
     h2o_socket_write(m_socket, &buffer, 1, written);
 }
 
+void Http1Connection::updateAnswerMemory()
+{
+    if (!m_answerMemory.resize(m_writing.capacity() + m_queued.capacity()))
+        disconnectSoon();
+}
+
 void Http1Connection::written(h2o_socket_t *socket, const char *error)
 {
     const std::shared_ptr<Http1Connection> self = connectionOf(socket).shared_from_this();
@@ -266,15 +378,20 @@
 
 void Http1Connection::writeEnded(const char *error)
 {
-    m_writing.clear();
+    m_writtenBytes += m_writeSize;
     if (error) {
         callerDisconnected();
         return;
     }
-    if (!m_queued.empty()) {
+    m_answerMemory.progressed(m_context.loop->clock().now());
+    if (queuedBytes() > 0) {
         startWriting();
+        updateAnswerMemory();
         return;
     }
+    m_writing = {};
+    m_writtenBytes = 0;
+    m_answerMemory.release();
     if (m_state == State::Aborting)
         close();
     else if (m_state == State::Answering && m_isAnswerQueued)
@@ -334,7 +451,7 @@
 /// answer in transit.
 void Http1Connection::lingerThenClose()
 {
-    const bool hasUnreadInput = m_socket->input->size > 0 || hasUnreadBytes(m_socket);
+    const bool hasUnreadInput = m_isCutOff || m_socket->input->size > 0 || hasUnreadBytes(m_socket);
     if (m_isInputEnded || m_socket->ssl || !hasUnreadInput) {
         close();
         return;
@@ -342,6 +459,8 @@
     m_state = State::Lingering;
     m_lastProgressAt = m_context.loop->clock().now();
     h2o_buffer_consume(&m_socket->input, m_socket->input->size);
+    releaseEmptyInput();
+    m_inputMemory.release();
     if (std::exchange(m_isReadStopped, false))
         h2o_socket_read_start(m_socket, readable);
     shutdown(h2o_socket_get_fd(m_socket), SHUT_WR);
@@ -352,6 +471,12 @@
     m_state = State::Closed;
     if (m_socket)
         h2o_socket_close(std::exchange(m_socket, nullptr));
+    m_parser.reset();
+    m_writing = {};
+    m_queued = {};
+    m_writtenBytes = 0;
+    m_inputMemory.release();
+    m_answerMemory.release();
 }
 
 bool Http1Connection::isInputEmpty() const
--- a/src/libs/http/http1connection.h
+++ b/src/libs/http/http1connection.h
@@ -32,6 +32,7 @@
     bool halfCloseMeansDisconnect = false; ///< See Server::Options.
     bool isDraining = false; ///< Close connections after their current answer.
     bool isOverConnectionLimit = false; ///< The same, while too many connections are open.
+    std::shared_ptr<MemoryBudget> memory;
     std::function<void(Request request, std::shared_ptr<Responder> responder)> requestReceived;
     /// Returns the id for a request that the connection refuses itself.
     std::function<std::string(Errors::ErrorKind kind)> refusedRequestId;
@@ -81,6 +82,13 @@
     void inputEnded(const char *error);
     void dispatch();
     void refuse(Errors::ErrorKind kind);
+    bool takeMemory(std::size_t bodyCapacity);
+    void releaseEmptyInput();
+    void refuseForMemory();
+    void reclaimInput();
+    void reclaimAnswer();
+    void updateAnswerMemory();
+    void disconnectSoon();
     void write(std::string bytes);
     void startWriting();
     void writeEnded(const char *error);
@@ -97,7 +105,7 @@
     void lingerThenClose();
     void close();
     bool isInputEmpty() const;
-    std::size_t queuedBytes() const { return m_queued.size() + m_writing.size(); }
+    std::size_t queuedBytes() const { return m_queued.size() + m_writing.size() - m_writtenBytes; }
 
     Http1Context &m_context;
     st_h2o_socket_t *m_socket;
@@ -109,6 +117,7 @@
     std::weak_ptr<Http1Responder> m_responder;
     bool m_hadRequest = false;
     bool m_isReadStopped = false;
+    bool m_isCutOff = false; ///< The rest of the current request will not be read.
     bool m_isInputEnded = false;
     bool m_isContinueSent = false;
     bool m_isAnswerQueued = false;
@@ -117,7 +126,11 @@
     /// Arrival of the bytes after the request that is being processed.
     std::optional<Base::MonoTime> m_pipelinedSince;
     std::string m_writing;
+    std::size_t m_writtenBytes = 0; ///< Bytes at the front of m_writing that have been sent.
+    std::size_t m_writeSize = 0; ///< Bytes of m_writing that are being sent.
     std::string m_queued;
+    MemoryUse m_inputMemory;
+    MemoryUse m_answerMemory;
     /// When the connection became idle, the current request progressed, or lingering began.
     Base::MonoTime m_lastProgressAt;
 };
--- a/src/libs/http/requestparser.cpp
+++ b/src/libs/http/requestparser.cpp
@@ -1,5 +1,6 @@
 #include "http/requestparser.h"
 
+#include "base/text.h"
 #include "http/messagesyntax.h"
 
 #include <algorithm>
@@ -66,7 +67,8 @@
     if (!readFraming())
         return fail(m_error);
     m_state = m_reader.isComplete() ? State::Complete : State::Body;
-    return end + headEnd.size();
+    m_headBytes = end + headEnd.size();
+    return m_headBytes;
 }
 
 bool RequestParser::readRequestLine(std::string_view line)
@@ -118,11 +120,20 @@
         return false;
     }
     m_reader = isChunked ? BodyReader(Framing::Chunked) : BodyReader(Framing::Length, length);
-    // The announced length cannot be trusted, so more memory is allocated only as bytes arrive.
-    m_body.reserve(std::min<std::uint64_t>(length, 64 * 1024));
+    m_maxBodyBytes = isChunked ? m_limits.bodyBytes : length;
     return true;
 }
 
+/// The announced length cannot be trusted, so memory grows only as bytes arrive.
+std::size_t RequestParser::bodyCapacityFor(std::size_t inputBytes) const
+{
+    const std::size_t needed = std::min(m_body.size() + inputBytes, m_maxBodyBytes);
+    if (needed <= m_body.capacity())
+        return m_body.capacity();
+    const std::size_t grown = m_body.capacity() + m_body.capacity() / 2;
+    return std::min(std::max(needed, grown), m_maxBodyBytes);
+}
+
 std::size_t RequestParser::consumeBody(std::string_view input)
 {
     const std::size_t consumed = m_reader.consume(input);
@@ -130,6 +141,7 @@
         return fail(ErrorKind::BadRequest);
     if (m_body.size() + m_reader.piece().size() > m_limits.bodyBytes)
         return fail(ErrorKind::BodyTooLarge);
+    Base::reserveExactly(m_body, bodyCapacityFor(input.size()));
     m_body += m_reader.piece();
     if (m_reader.isComplete())
         m_state = State::Complete;
--- a/src/libs/http/requestparser.h
+++ b/src/libs/http/requestparser.h
@@ -29,7 +29,7 @@
     { }
 
     /// Consumes bytes from the front of \a input and returns their number. Call it again until it
-    /// returns 0 or the request is complete.
+    /// returns 0 or the request is complete. Stops after the head if a body follows.
     std::size_t consume(std::string_view input);
 
     State state() const { return m_state; }
@@ -40,6 +40,11 @@
     const std::string &target() const { return m_target; }
     Headers &headers() { return m_headers; }
     std::string &body() { return m_body; }
+    /// Memory of the body so far.
+    std::size_t bodyCapacity() const { return m_body.capacity(); }
+    std::size_t headBytes() const { return m_headBytes; }
+    /// Memory that the body needs if \a inputBytes more bytes are consumed.
+    std::size_t bodyCapacityFor(std::size_t inputBytes) const;
     bool isHttp10() const { return m_isHttp10; }
     /// Whether the sender wants to reuse the connection.
     bool keepsConnection() const { return m_keepsConnection; }
@@ -56,11 +61,13 @@
     Limits m_limits;
     State m_state = State::Head;
     Errors::ErrorKind m_error = Errors::ErrorKind::BadRequest;
+    std::size_t m_headBytes = 0;
     std::size_t m_searchedBytes = 0; ///< Bytes already searched for the end of the head.
     std::string m_method;
     std::string m_target;
     Headers m_headers;
     std::string m_body;
+    std::size_t m_maxBodyBytes = 0; ///< The announced size, or the limit.
     BodyReader m_reader;
     bool m_isHttp10 = false;
     bool m_keepsConnection = true;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -3,6 +3,7 @@
 #include "base/units.h"
 #include "errors/result.h"
 #include "http/headers.h"
+#include "http/memorybudget.h"
 #include "runtime/udpsocket.h"
 
 #include <chrono>
@@ -33,6 +34,8 @@
     /// Estimated arrival of its last bytes. Can be long before they were read if the event loop was
     /// behind.
     Base::MonoTime arrivedAt;
+    /// Memory that the request occupies. Keep it for as long as its body or headers.
+    std::shared_ptr<MemoryUse> memory;
 
     /// Sets path and query.
     void setTarget(std::string_view target);
@@ -100,6 +103,9 @@
         /// HTTP/1.1: while more connections than this are open, each is closed after its next
         /// answer and the longest idle ones are closed, which keeps descriptors free for calls.
         std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
+        /// Memory for clients, which several servers may share. If null, the server has a budget of
+        /// its own by the memory of the machine.
+        std::shared_ptr<MemoryBudget> memory;
         /// Called for each new connection closed without being read because its caller has
         /// disconnected.
         std::function<void()> disconnectedUnread;
--- a/src/libs/node/adminport.cpp
+++ b/src/libs/node/adminport.cpp
@@ -46,7 +46,7 @@
 }
 
 AdminPort::AdminPort(Runtime::Loop &loop, const Runtime::SocketAddress &address)
-    : m_server({.loop = &loop, .address = address})
+    : m_server({.loop = &loop, .address = address, .limits = {.bodyBytes = 0}})
 {
     m_server.setHandler(
         [this](const Http::Request &request, const std::shared_ptr<Http::Responder> &responder) {
--- a/src/libs/router/routerprocess.cpp
+++ b/src/libs/router/routerprocess.cpp
@@ -33,6 +33,8 @@
     , m_client({.loop = &loop})
     , m_events({.process = m_settings.vm.value() + "/router",
                 .capacity = m_settings.limits.eventRingSize})
+    , m_memory(std::make_shared<Http::MemoryBudget>(
+          Http::MemoryBudget::optionsFor(m_settings.limits.memoryMb, loop.clock())))
 {
     m_placer = std::make_unique<Placer>(
         Placer::Options{.loop = &m_loop, .routing = routingOptions(m_settings, {})});
@@ -204,6 +206,13 @@
 
 Result<void> RouterProcess::startServers()
 {
+    if (m_memory->maxRequestBytes() < m_settings.limits.maxBodyBytes) {
+        return Errors::makeError(
+            Errors::ErrorKind::BadSettings,
+            "limits.memory_mb leaves " + std::to_string(m_memory->maxRequestBytes())
+                + " bytes for requests; set it higher, or limits.max_body_bytes "
+                  "lower");
+    }
     BOOST_OUTCOME_TRY(callers, Runtime::parseSocketAddress(m_settings.listenAddress));
     std::optional<Http::Server::Tls> tls;
     if (m_settings.tlsCertificate && m_settings.tlsKey)
@@ -213,6 +222,7 @@
                               .address = callers,
                               .limits = {.bodyBytes = m_settings.limits.maxBodyBytes,
                                          .requestTimeout = m_settings.limits.requestTimeout},
+                              .memory = m_memory,
                               .tls = tls});
     m_callerServer->setHandler(
         [this](Http::Request request, std::shared_ptr<Http::Responder> responder) {
--- a/src/libs/router/routerprocess.h
+++ b/src/libs/router/routerprocess.h
@@ -97,6 +97,7 @@
     std::unique_ptr<InFlightSharing> m_inFlightSharing;
     std::unique_ptr<QuotaSharing> m_quotaSharing;
     std::unique_ptr<ConfigurationApplier> m_applier;
+    std::shared_ptr<Http::MemoryBudget> m_memory; ///< For callers.
     std::unique_ptr<Http::Server> m_callerServer;
     std::unique_ptr<Node::AdminPort> m_adminPort;
     std::unique_ptr<RouterAdmin> m_admin;
--- /dev/null
+++ b/tests/auto/http/tst_servermemory.cpp
@@ -0,0 +1,174 @@
+#define BOOST_TEST_MODULE tst_servermemory
+#include "loopback.h"
+
+#include "http/memorybudget.h"
+#include "http/server.h"
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+using namespace Lagoonbank;
+using namespace Lagoonbank::Http;
+using Lagoonbank::Test::RawSocket;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against callers that take the memory of a server from others.
+
+namespace {
+
+constexpr std::size_t bodyBytes = 100 * 1024;
+/// Half of it has room for two of the largest requests and what is read at once.
+constexpr std::size_t maxBytes = 2 * 2 * (bodyBytes + 32 * 1024);
+
+struct Fixture : Test::PausedLoop
+{
+    Fixture()
+    {
+        server = std::make_unique<Server>(
+            Server::Options{.loop = &loop,
+                            .address = {"127.0.0.1", 0},
+                            .limits = {.headBytes = 16 * 1024, .bodyBytes = bodyBytes},
+                            .memory = memory});
+        server->setHandler([this](Request request, const std::shared_ptr<Responder> &responder) {
+            if (answersAtOnce)
+                responder->send(200, {}, request.body.substr(0, 2) + " received");
+            requests.push_back(std::move(request));
+            responders.push_back(responder);
+        });
+        BOOST_REQUIRE(server->listen());
+    }
+    RawSocket &connect() { return callers.emplace_back(server->address()); }
+    RawSocket &post(std::size_t announced, std::size_t sent)
+    {
+        RawSocket &caller = connect();
+        sendAll(caller,
+                "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: " + std::to_string(announced)
+                    + "\r\n\r\n" + std::string(sent, 'x'));
+        return caller;
+    }
+    void sendAll(RawSocket &caller, std::string_view bytes)
+    {
+        constexpr std::size_t step = 8 * 1024;
+        for (std::size_t at = 0; at < bytes.size(); at += step) {
+            caller.send(bytes.substr(at, step));
+            runIterations(2);
+        }
+    }
+    bool isAnswered(RawSocket &caller, std::string_view text)
+    {
+        return runUntil([&] { return caller.has(text); });
+    }
+
+    std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>(
+        MemoryBudget::Options{.maxBytes = maxBytes, .clock = &clock});
+    std::unique_ptr<Server> server;
+    bool answersAtOnce = true;
+    std::vector<Request> requests;
+    std::vector<std::shared_ptr<Responder>> responders;
+    std::deque<RawSocket> callers;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(bodyWithoutRoomIsRefusedAsNotRun)
+{
+    Fixture f;
+    f.post(bodyBytes, bodyBytes - 1);
+    f.post(bodyBytes, bodyBytes - 1);
+    RawSocket &third = f.post(bodyBytes, bodyBytes - 1);
+    BOOST_TEST(f.isAnswered(third, "HTTP/1.1 503"));
+    BOOST_TEST(third.has("out_of_memory"));
+    BOOST_TEST(third.has("\"ran\":\"no\""));
+    BOOST_TEST(third.has("retry-after: 1\r\n"));
+    BOOST_TEST(f.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(smallBodyIsServedBesideLargeOnes)
+{
+    Fixture f;
+    for (int i = 0; i < 4; ++i)
+        f.post(bodyBytes, bodyBytes - 1);
+    BOOST_TEST(f.isAnswered(f.post(1000, 1000), "xx received"));
+}
+
+BOOST_AUTO_TEST_CASE(stalledBodiesYieldToTheLargestRequest)
+{
+    Fixture f;
+    RawSocket &first = f.post(bodyBytes, bodyBytes - 1);
+    RawSocket &second = f.post(bodyBytes, bodyBytes - 1);
+    f.advance(seconds(1));
+    BOOST_TEST(f.isAnswered(f.post(bodyBytes, bodyBytes), "xx received"));
+    BOOST_TEST((first.has("HTTP/1.1 503") != second.has("HTTP/1.1 503")));
+}
+
+BOOST_AUTO_TEST_CASE(completeRequestsOccupyMemoryUntilTheyAreAnswered)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    f.post(bodyBytes, bodyBytes);
+    f.post(bodyBytes, bodyBytes);
+    BOOST_REQUIRE(f.requests.size() == 2U);
+    BOOST_TEST(f.memory->heldBytes(MemoryKind::Waiting) >= 2 * bodyBytes);
+    f.advance(seconds(1));
+    BOOST_TEST(f.isAnswered(f.post(bodyBytes, bodyBytes), "HTTP/1.1 503"));
+    f.requests.clear();
+    f.answersAtOnce = true;
+    BOOST_TEST(f.isAnswered(f.post(bodyBytes, bodyBytes), "xx received"));
+    BOOST_TEST(f.memory->heldBytes(MemoryKind::Arriving) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(chunksOfOneByteTakeNoMoreThanTheirBytes)
+{
+    Fixture f;
+    RawSocket &caller = f.connect();
+    f.sendAll(caller, "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+    std::string chunks;
+    for (std::size_t i = 0; i < bodyBytes / 2; ++i)
+        chunks += "1\r\nx\r\n";
+    f.sendAll(caller, chunks);
+    BOOST_TEST(f.memory->heldBytes(MemoryKind::Arriving) <= bodyBytes);
+    f.sendAll(caller, "0\r\n\r\n");
+    BOOST_TEST(f.isAnswered(caller, "xx received"));
+    BOOST_TEST(f.requests.front().body.size() == bodyBytes / 2);
+}
+
+BOOST_AUTO_TEST_CASE(headWithoutItsEndCounts)
+{
+    Fixture f;
+    RawSocket &caller = f.connect();
+    f.sendAll(caller, "GET / HTTP/1.1\r\nhost: a\r\nx: " + std::string(12 * 1024, 'y'));
+    BOOST_TEST(f.memory->heldBytes(MemoryKind::Arriving) >= 12 * 1024);
+    f.sendAll(caller, "\r\n\r\n");
+    BOOST_TEST(f.isAnswered(caller, " received"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadAnswersYieldToOtherAnswers)
+{
+    Fixture f;
+    f.answersAtOnce = false;
+    const int smallBuffer = 4096;
+    std::vector<int> ends;
+    for (int i = 0; i < 3; ++i) {
+        RawSocket &caller = f.connect();
+        setsockopt(caller.descriptor(), SOL_SOCKET, SO_RCVBUF, &smallBuffer, sizeof smallBuffer);
+        caller.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        BOOST_REQUIRE(f.runUntil([&] { return f.responders.size() == std::size_t(i) + 1; }));
+        f.responders.back()->setDisconnectHandler([&ends, i] { ends.push_back(i); });
+        f.responders.back()->begin(200, {});
+        for (int piece = 0; piece < 1000 && f.responders.back()->queuedBytes() < 30 * 1024;
+             ++piece) {
+            f.responders.back()->write(std::string(8 * 1024, 'x'));
+            f.runIterations(1);
+        }
+        f.advance(seconds(1));
+        BOOST_TEST(f.memory->heldBytes(MemoryKind::Answers) <= maxBytes / 4);
+    }
+    BOOST_TEST(f.runUntil([&] { return !ends.empty(); }));
+    BOOST_TEST(ends.front() == 0);
+}
