Gateway: Let buffered answers grow in small steps

A buffered answer of an endpoint took up to twice its size: std::string::reserve() doubles the memory of a string that is not empty, whatever is asked for, so that the growth by an eighth never happened. Base::reserveExactly() moves to a new string, as bodies of requests do.

tst_answerbuffer failed before by that.

--- a/src/libs/gateway/answerbuffer.h
+++ b/src/libs/gateway/answerbuffer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/text.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -61,7 +63,7 @@
         const std::size_t size = m_body.size() + piece.size();
         constexpr std::size_t growthDivisor = 8;
         if (size > m_body.capacity())
-            m_body.reserve(size + size / growthDivisor);
+            Base::reserveExactly(m_body, size + size / growthDivisor);
         m_body += piece;
         m_share.set(m_body.capacity());
     }
