Http: Share the body of a request among its sends

A complete request occupied memory for its body once as received and once more for each call of an endpoint, and the copy was not counted. SharedBody holds it once, whoever keeps it.

--- a/src/libs/exchange/serviceexchange.h
+++ b/src/libs/exchange/serviceexchange.h
@@ -9,7 +9,7 @@
 {
     std::string method;
     std::string target; ///< The path after the service's name, with the query.
-    std::string body;
+    Http::SharedBody body;
     std::string contentType;
     std::optional<Base::IdempotencyKey> key;
 };
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -6,6 +6,7 @@
 #include "gateway/softwareversions.h"
 #include "http/headers.h"
 #include "http/memorybudget.h"
+#include "http/sharedbody.h"
 
 #include <cstdint>
 #include <memory>
@@ -51,7 +52,7 @@
     std::string path; ///< Without the query.
     std::string target; ///< Path and query, unmodified.
     Http::Headers headers; ///< Forwarded to the endpoint unchanged.
-    std::string body;
+    Http::SharedBody body;
     std::shared_ptr<Http::MemoryUse> memory; ///< Of the body and the headers.
     std::optional<std::string> key; ///< Identifies the caller's workspace.
     /// When the bytes of the request arrived. If unset, the time at which it was read is used.
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -4,6 +4,7 @@
 #include "base/units.h"
 #include "http/framing.h"
 #include "http/headers.h"
+#include "http/sharedbody.h"
 #include "runtime/udpsocket.h"
 
 #include <chrono>
@@ -54,7 +55,7 @@
     std::string method = "GET";
     std::string target = "/"; ///< Path and query.
     Headers headers; ///< Without host, content-length and connection.
-    std::string body;
+    SharedBody body;
     std::string host; ///< Host header; the server's address if empty.
     /// Whether to use a new connection only, for calls that must run at most once.
     bool freshConnection = false;
--- a/tests/auto/controller/fakeengines.h
+++ b/tests/auto/controller/fakeengines.h
@@ -97,13 +97,13 @@
         if (path == "/v1/state")
             return ok(engine.state);
         if (path == "/v1/order")
-            return order(engine, nlohmann::json::parse(call.body));
+            return order(engine, nlohmann::json::parse(call.body.view()));
         if (path == "/v1/cache/events")
             return cacheEvents(engine, call.target);
         if (path == "/v1/cache/export")
             return ok({{"chat", call.target.substr(call.target.find('=') + 1)}});
         if (path == "/v1/cache/import") {
-            engine.chats.push_back(nlohmann::json::parse(call.body)["chat"]);
+            engine.chats.push_back(nlohmann::json::parse(call.body.view())["chat"]);
             return ok({{"tokens", 16}});
         }
         return {.status = 404};
--- a/tests/auto/controller/fakelog.h
+++ b/tests/auto/controller/fakelog.h
@@ -67,7 +67,7 @@
             return {.mayHaveBeenSent = true, .status = 503, .body = R"({"error": "out"})"};
         if (call.method == "POST") {
             json offsets = json::array();
-            const json body = json::parse(call.body);
+            const json body = json::parse(call.body.view());
             for (const json &record : body["records"]) {
                 offsets.push_back(m_records.size());
                 m_records.push_back(record);
--- a/tests/auto/operations/fakefleet.h
+++ b/tests/auto/operations/fakefleet.h
@@ -123,7 +123,7 @@
             return;
         }
         Json offsets = Json::array();
-        const Json body = Json::parse(call.body);
+        const Json body = Json::parse(call.body.view());
         for (const Json &record : body["records"]) {
             if (behaviour == AppendBehaviour::Lost)
                 continue;
--- a/tests/auto/platformclient/tst_batchappender.cpp
+++ b/tests/auto/platformclient/tst_batchappender.cpp
@@ -97,7 +97,8 @@
     BOOST_TEST(read.method == "GET");
     BOOST_TEST((outcomes["a"].state == AppendState::Appended));
     platform.advance(50ms);
-    BOOST_TEST(platform.answer(200, R"({"offsets":[1]})").body.find("\"a\"") == std::string::npos);
+    BOOST_TEST(platform.answer(200, R"({"offsets":[1]})").body.view().find("\"a\"")
+               == std::string::npos);
     BOOST_TEST(outcomes["b"].offset == Base::LogOffset(1));
 }
 
--- a/tests/contract/router/tst_callerinterface.cpp
+++ b/tests/contract/router/tst_callerinterface.cpp
@@ -12,7 +12,7 @@
 
 constexpr const char *modelPath = "/v1/chat/completions";
 constexpr const char *key = "front-desk-key";
-const std::string goodBody = chatCall().body;
+const std::string goodBody(chatCall().body.view());
 
 struct Case
 {
--- a/tests/contract/router/tst_leaving.cpp
+++ b/tests/contract/router/tst_leaving.cpp
@@ -31,7 +31,8 @@
     std::string text = call.method + ' ' + call.target + " HTTP/1.1\r\nhost: a\r\n";
     for (const Http::Header &header : call.headers.fields())
         text += header.name + ": " + header.value + "\r\n";
-    return text + "content-length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body;
+    return text + "content-length: " + std::to_string(call.body.size()) + "\r\n\r\n"
+        + std::string(call.body.view());
 }
 
 AnswerPtr startStream(Fleet &fleet, const Chat &chat = {.tokens = longAnswer})
@@ -118,7 +119,7 @@
     BOOST_TEST(early.header("connection") == "close");
     fleet.runFor(std::chrono::milliseconds(3100));
     open.send("Authorization: Bearer front-desk-key\r\nContent-Length: "
-              + std::to_string(late.body.size()) + "\r\n\r\n" + late.body);
+              + std::to_string(late.body.size()) + "\r\n\r\n" + std::string(late.body.view()));
     BOOST_TEST(fleet.runUntil([&] { return open.has("request_id"); }));
     BOOST_TEST(open.has(" 503 "));
     BOOST_TEST(open.has("retry-after"));
