Runtime: Return large blocks of memory to the system at once

The allocator raises the size from which it returns blocks at once to that of the largest one that was freed, up to 32 MB. After a crowd of large bodies a router would go on to keep such blocks in pieces that others do not fit into. The limit is fixed at 128 KiB. From the allocator's documentation; not measured apart.

--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,6 +1,7 @@
 #include "configuration/rules.h"
 #include "node/program.h"
 #include "router/routerprocess.h"
+#include "runtime/allocator.h"
 #include "runtime/loop.h"
 #include "schema/generated/settings.h"
 #include "schema/objectreader.h"
@@ -76,6 +77,7 @@
         bootstrapObjects = std::move(read.value());
     }
 
+    Runtime::returnLargeBlocks();
     Runtime::Loop loop;
     Router::RouterProcess router(loop, *settings);
     if (!Node::startProcess(program, router))
