Http: Refuse bodies that drip

A body that came a byte at a time kept its connection for as long as it liked, as each piece began the time limit anew. A body must now also arrive within 20 s plus a second for each KiB, else it is refused with 408.

--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -73,6 +73,7 @@
     , m_startedAt(context.loop->clock().now())
     , m_inputMemory(context.memory, MemoryKind::Arriving, [this] { reclaimInput(); })
     , m_answerMemory(context.memory, MemoryKind::Answers, [this] { reclaimAnswer(); })
+    , m_requestBeganAt(m_startedAt)
     , m_lastProgressAt(m_startedAt)
 { }
 
@@ -130,6 +131,7 @@
             m_parser.emplace(
                 RequestParser::Limits{m_context.limits.headBytes, m_context.limits.bodyBytes});
             m_isContinueSent = false;
+            m_requestBeganAt = now;
         }
         const auto before = m_parser->state();
         if (before == RequestParser::State::Body
@@ -425,6 +427,7 @@
     }
     m_state = State::Reading;
     m_lastProgressAt = m_context.loop->clock().now();
+    m_requestBeganAt = m_lastProgressAt;
     if (std::exchange(m_isReadStopped, false) && !m_isInputEnded)
         h2o_socket_read_start(m_socket, readable);
     readInput();
@@ -499,12 +502,25 @@
         callerDisconnected();
     if (m_state != State::Reading)
         return;
-    if (!isInputEmpty() && elapsed >= m_context.limits.requestTimeout)
+    if (!isInputEmpty() && isTooSlow(now))
         refuse(Errors::ErrorKind::SlowSender);
     else if (isInputEmpty() && elapsed >= m_context.limits.idleTimeout)
         closeIfIdle();
 }
 
+/// Whether the current request pauses for too long, or arrives too slowly as a whole.
+bool Http1Connection::isTooSlow(Base::MonoTime now) const
+{
+    const Server::Limits &limits = m_context.limits;
+    if (now - m_lastProgressAt >= limits.requestTimeout)
+        return true;
+    const std::size_t bytes = m_parser ? m_parser->bodyBytes() : 0;
+    const auto transferTime =
+        std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double>(
+            static_cast<double>(bytes) / static_cast<double>(limits.minBodyBytesPerSecond)));
+    return now - m_requestBeganAt >= limits.bodyTimeout + transferTime;
+}
+
 bool Http1Connection::closeIfIdle()
 {
     if (m_state != State::Reading || !isInputEmpty() || hasUnreadBytes(m_socket))
--- a/src/libs/http/http1connection.h
+++ b/src/libs/http/http1connection.h
@@ -84,6 +84,7 @@
     void inputEnded(const char *error);
     void dispatch();
     void refuse(Errors::ErrorKind kind);
+    bool isTooSlow(Base::MonoTime now) const;
     bool takeMemory(std::size_t bodyCapacity);
     void releaseEmptyInput();
     void refuseForMemory();
@@ -133,6 +134,7 @@
     std::string m_queued;
     MemoryUse m_inputMemory;
     MemoryUse m_answerMemory;
+    Base::MonoTime m_requestBeganAt; ///< Arrival of the first bytes of the current request.
     /// When the connection became idle, the current request progressed, or lingering began.
     Base::MonoTime m_lastProgressAt;
 };
--- a/src/libs/http/requestparser.h
+++ b/src/libs/http/requestparser.h
@@ -42,6 +42,7 @@
     std::string &body() { return m_body; }
     /// Memory of the body so far.
     std::size_t bodyCapacity() const { return m_body.capacity(); }
+    std::size_t bodyBytes() const { return m_body.size(); }
     std::size_t headBytes() const { return m_headBytes; }
     /// Memory that the body needs if \a inputBytes more bytes are consumed.
     std::size_t bodyCapacityFor(std::size_t inputBytes) const;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -100,6 +100,10 @@
         std::size_t bodyBytes = 8 * 1024 * 1024;
         /// Time to receive a request's head, and between two pieces of its body.
         Base::Duration requestTimeout = std::chrono::seconds(10);
+        /// HTTP/1.1: a body must have arrived after this time plus that which its bytes take at
+        /// minBodyBytesPerSecond. Longer than callers wait for an answer.
+        Base::Duration bodyTimeout = std::chrono::seconds(20);
+        std::size_t minBodyBytesPerSecond = 1024;
         Base::Duration idleTimeout = std::chrono::seconds(60); ///< Time between two requests.
     };
     struct Options
--- a/tests/auto/http/tst_servermemory.cpp
+++ b/tests/auto/http/tst_servermemory.cpp
@@ -201,6 +201,35 @@
     BOOST_TEST(responder.queuedBytes() == 0U);
 }
 
+/// Each byte is in time for the limit between two pieces.
+BOOST_AUTO_TEST_CASE(drippingBodyIsRefused)
+{
+    Fixture f;
+    RawSocket &caller = f.post(1000, 1);
+    for (int i = 0; i < 76; ++i) {
+        f.advance(milliseconds(250));
+        caller.send("x");
+        f.runIterations(2);
+    }
+    BOOST_TEST(!caller.isEnded());
+    for (int i = 0; i < 8; ++i)
+        f.advance(milliseconds(250));
+    BOOST_TEST(f.isAnswered(caller, "HTTP/1.1 408"));
+    BOOST_TEST(f.requests.empty());
+}
+
+/// 1,100 bytes a second.
+BOOST_AUTO_TEST_CASE(slowBodyAboveTheLeastRateIsServed)
+{
+    Fixture f;
+    RawSocket &caller = f.post(bodyBytes, 0);
+    for (std::size_t sent = 0; sent < bodyBytes; sent += 275) {
+        caller.send(std::string(std::min<std::size_t>(275, bodyBytes - sent), 'x'));
+        f.advance(milliseconds(250));
+    }
+    BOOST_TEST(f.isAnswered(caller, "xx received"));
+}
+
 BOOST_AUTO_TEST_CASE(connectionsWithoutARequestAreClosedFirst)
 {
     Fixture f(4);
