--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -72,7 +72,7 @@
     , m_arrival(arrival)
     , m_startedAt(context.loop->clock().now())
     , m_inputMemory(context.memory, MemoryKind::Arriving, [this] { reclaimInput(); })
-    , m_answerMemory(context.memory, MemoryKind::Answers, [this] { reclaimAnswer(); })
+    , m_answerMemory(context.memory, MemoryKind::Answers, [this] { disconnectSoon(); })
     , m_requestBeganAt(m_startedAt)
     , m_lastProgressAt(m_startedAt)
 { }
@@ -212,12 +212,6 @@
     disconnectSoon();
 }
 
-/// Yields the memory of an answer that is not read to another client.
-void Http1Connection::reclaimAnswer()
-{
-    disconnectSoon();
-}
-
 /// Closes the connection at once, and reports that from the loop, as this may be called for another
 /// connection or by whoever writes the answer.
 void Http1Connection::disconnectSoon()
--- a/src/libs/http/http1connection.h
+++ b/src/libs/http/http1connection.h
@@ -90,7 +90,6 @@
     void releaseEmptyInput();
     void refuseForMemory();
     void reclaimInput();
-    void reclaimAnswer();
     void updateAnswerMemory();
     void disconnectSoon();
     void write(std::string bytes);
