Http: Let incomplete requests yield to new connections

Thousands of callers that send a part of a request each hold as many connections as the server may have, and new callers were closed unread until these were refused as slow, after 10 to 20 s. Only connections without a request and idle ones were closed for others.

At twice the limit those that wait for their callers to close them go next, then the incomplete requests that began first. Sound requests arrive in a few ms and are the last to go.

tst_servermemory/incompleteRequestsYieldToNewConnections fails if makeRoomForConnection() leaves incomplete requests alone.

--- a/src/libs/http/h2oserver.h
+++ b/src/libs/http/h2oserver.h
@@ -99,7 +99,13 @@
     }
     std::size_t maxOpenConnections() const;
     void makeRoomForConnection();
-    void closeIdle(std::size_t count, Base::Duration minNewAge);
+    struct ClosedConnections
+    {
+        std::size_t count = 0; ///< At most so many.
+        Http1Connection::Use lastUse = Http1Connection::Use::Idle; ///< None of a later use.
+        Base::Duration minNewAge{}; ///< Of connections without a request.
+    };
+    void closeConnections(const ClosedConnections &which);
     void reportClosed(LimitedConnection kind) const;
     void closeIfTimedOut(ServerConnection &connection, Base::MonoTime now);
     static void closeIfIdle(ServerConnection &connection);
--- a/src/libs/http/h2oserversweep.cpp
+++ b/src/libs/http/h2oserversweep.cpp
@@ -48,7 +48,9 @@
     }
     updateConnectionLimit();
     if (m_http1.isOverConnectionLimit)
-        closeIdle(openConnections() - m_options.maxConnections, firstRequestTime);
+        closeConnections({.count = openConnections() - m_options.maxConnections,
+                          .lastUse = Http1Connection::Use::Idle,
+                          .minNewAge = firstRequestTime});
     if (!m_isStopping || !m_options.sharesContext)
         return;
     const std::vector<ServerConnection *> left(m_connections.begin(), m_connections.end());
@@ -65,15 +67,17 @@
         : limit * Server::connectionExcessFactor;
 }
 
-/// Closes new connections whose callers have left, or else some idle ones at once, so that this is
-/// seldom needed, or else the latest one, unread, so that its caller goes elsewhere.
+/// Closes new connections whose callers have left, or else some connections without a request in
+/// progress at once, so that this is seldom needed, or else the latest one, unread, so that its
+/// caller goes elsewhere.
 void H2oServer::makeRoomForConnection()
 {
     while (!m_pending.empty() && closeIfDisconnected(m_pending.front()))
         m_pending.pop_front();
     if (openConnections() <= maxOpenConnections())
         return;
-    closeIdle(connectionsClosedAtOnce, Base::Duration::zero());
+    closeConnections(
+        {.count = connectionsClosedAtOnce, .lastUse = Http1Connection::Use::Receiving});
     if (openConnections() <= maxOpenConnections())
         return;
     h2o_socket_close(m_pending.back().socket);
@@ -81,35 +85,38 @@
     reportClosed(LimitedConnection::New);
 }
 
-/// Closes up to \a count connections: first those without a request, if they are older than \a
-/// minNewAge, then those that are idle for the longest time. Callers that open a new connection for
-/// each request leave their old ones idle, hundreds per second. Once all descriptors are in use, no
-/// caller can connect and no endpoint can be called.
-void H2oServer::closeIdle(std::size_t count, Base::Duration minNewAge)
+/// Closes connections in the order of their use, and then those whose use began first. Callers that
+/// open a new connection for each request leave their old ones idle, hundreds per second. Once all
+/// descriptors are in use, no caller can connect and no endpoint can be called.
+void H2oServer::closeConnections(const ClosedConnections &which)
 {
     struct Candidate
     {
-        bool hadRequest;
+        Http1Connection::Use use;
         Base::MonoTime since;
         std::shared_ptr<Http1Connection> connection;
     };
     const Base::MonoTime now = m_loop.clock().now();
-    std::vector<Candidate> idle;
+    std::vector<Candidate> candidates;
     for (const ServerConnection *connection : m_connections) {
         const auto http1 = connection->http1;
-        const auto since = http1 ? http1->idleSince() : std::nullopt;
-        if (since && (http1->hadRequest() || now - *since >= minNewAge))
-            idle.push_back({http1->hadRequest(), *since, http1});
+        if (!http1 || http1->use() > which.lastUse)
+            continue;
+        const Candidate candidate{http1->use(), http1->useBeganAt(), http1};
+        const bool isNew = candidate.use == Http1Connection::Use::WithoutRequest
+            && now - candidate.since < which.minNewAge;
+        if (!isNew)
+            candidates.push_back(candidate);
     }
-    const std::size_t closed = std::min(count, idle.size());
-    std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(closed), idle.end(),
-                      [](const Candidate &a, const Candidate &b) {
-                          return std::tie(a.hadRequest, a.since) < std::tie(b.hadRequest, b.since);
+    const std::size_t closed = std::min(which.count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(closed),
+                      candidates.end(), [](const Candidate &a, const Candidate &b) {
+                          return std::tie(a.use, a.since) < std::tie(b.use, b.since);
                       });
     for (std::size_t i = 0; i < closed; ++i) {
-        if (idle[i].connection->closeIfIdle())
-            reportClosed(idle[i].hadRequest ? LimitedConnection::Idle
-                                            : LimitedConnection::WithoutRequest);
+        const bool isIdle = candidates[i].use == Http1Connection::Use::Idle;
+        if (candidates[i].connection->yield())
+            reportClosed(isIdle ? LimitedConnection::Idle : LimitedConnection::WithoutRequest);
     }
 }
 
--- a/src/libs/http/http1connection.cpp
+++ b/src/libs/http/http1connection.cpp
@@ -523,10 +523,42 @@
     return true;
 }
 
-std::optional<Base::MonoTime> Http1Connection::idleSince() const
+Http1Connection::Use Http1Connection::use() const
 {
-    const bool isIdle = m_state == State::Reading && isInputEmpty();
-    return isIdle ? std::optional(m_lastProgressAt) : std::nullopt;
+    switch (m_state) {
+    case State::Reading:
+        if (!isInputEmpty())
+            return Use::Receiving;
+        return m_hadRequest ? Use::Idle : Use::WithoutRequest;
+    case State::Lingering:
+        return Use::Closing;
+    case State::Answering:
+    case State::Aborting:
+    case State::Closed:
+        break;
+    }
+    return Use::Answering;
+}
+
+Base::MonoTime Http1Connection::useBeganAt() const
+{
+    return use() == Use::Receiving ? m_requestBeganAt : m_lastProgressAt;
+}
+
+bool Http1Connection::yield()
+{
+    switch (use()) {
+    case Use::WithoutRequest:
+    case Use::Idle:
+        return closeIfIdle();
+    case Use::Closing:
+    case Use::Receiving:
+        close();
+        return true;
+    case Use::Answering:
+        break;
+    }
+    return false;
 }
 
 void Http1Connection::closeSilently()
--- a/src/libs/http/http1connection.h
+++ b/src/libs/http/http1connection.h
@@ -60,9 +60,20 @@
     /// Closes the connection unless a request is being received or processed; returns whether it
     /// did.
     bool closeIfIdle();
-    /// Time since which the connection is idle; unset if it is not.
-    std::optional<Base::MonoTime> idleSince() const;
-    bool hadRequest() const { return m_hadRequest; }
+    /// What a connection is used for, in the order in which connections yield to others.
+    enum class Use : std::uint8_t {
+        WithoutRequest, ///< It has sent no request.
+        Idle, ///< It waits for its next request.
+        Closing, ///< It waits for its caller to close it.
+        Receiving, ///< Its request is incomplete.
+        Answering
+    };
+    Use use() const;
+    /// When the current use began; not for Use::Answering.
+    Base::MonoTime useBeganAt() const;
+    /// Closes the connection unless it is answering or has unread bytes while idle; returns whether
+    /// it did.
+    bool yield();
     /// Closes the connection in any state, without calling the disconnect handler.
     void closeSilently();
 
--- a/tests/auto/http/tst_servermemory.cpp
+++ b/tests/auto/http/tst_servermemory.cpp
@@ -257,6 +257,16 @@
     BOOST_TEST(f.isAnswered(f.post(10, 10), "received"));
 }
 
+/// Guards against callers that hold all connections with requests that do not come to their end.
+BOOST_AUTO_TEST_CASE(incompleteRequestsYieldToNewConnections)
+{
+    Fixture f(4);
+    for (int i = 0; i < 8; ++i)
+        f.post(100, 10);
+    BOOST_TEST(f.isAnswered(f.post(10, 10), "received"));
+    BOOST_TEST(f.callers.front().isEnded());
+}
+
 /// Connections with requests are not closed for new ones.
 BOOST_AUTO_TEST_CASE(newConnectionIsClosedUnreadIfNoOtherMayBe)
 {
