--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")"
 PYTHONDONTWRITEBYTECODE=1 python3 - <<'PY'
 import pathlib
-for name in [pathlib.Path("standins2.py"), *sorted(pathlib.Path(".").glob("[4-8]/case.py"))]:
+names = ["standins2.py", "engineprocess2.py", *sorted(pathlib.Path(".").glob("[4-8]/case.py"))]
+for name in map(pathlib.Path, names):
     compile(name.read_text(encoding="utf-8"), str(name), "exec")
 PY
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -556,7 +556,7 @@
             tried.append(router)
             before = self.received
             wait_s = await self.attempt(router)
-            if self.is_complete:
+            if self.tries[-1]["outcome"] == "complete":
                 return
             if self.received > before:
                 tried, left = [router], self.retries
@@ -630,40 +630,3 @@
                 if version not in self.versions:
                     self.versions.append(version)
         self.is_complete = self.received >= self.events
-
-
-# Consumers of plain answers
-
-
-async def plain_request(case, name, start_line, limit_s, retries=1, pause_s=0.1):
-    """Sends a plain request without a body, each attempt on a new channel; returns the status.
-
-    The status is that of the last attempt, or None if its channel broke."""
-    end = time.monotonic() + limit_s
-    tried = []
-    for number in range(retries + 1):
-        router = case.choose_router(tried)
-        tried.append(router)
-        status, wait_s, writer = None, pause_s, None
-        fields = {"Host": HOST, "Lagoonbank-Attempt-Id": f"{name}-{number}", "Api-Key": KEY,
-                  "Lagoonbank-Deadline-Remaining": max(1, int((end - time.monotonic()) * 1000))}
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(router.ip, FRONT), 1)
-            writer.write(head(f"{start_line} HTTP/1.1", fields))
-            answer = await asyncio.wait_for(read_head(reader), max(0.01, end - time.monotonic()))
-            if answer is None:
-                raise Broken("closed without an answer")
-            body = await asyncio.wait_for(read_body(reader, answer[1], True), 2)
-            status = int(answer[0].split(" ")[1])
-            wait_s = max(pause_s, float(answer[1].get("retry-after", 0)))
-            outcome = f"{status}" if status == 200 else f"{status} {body.decode()[:60]}"
-        except (OSError, Broken, asyncio.TimeoutError) as error:
-            outcome = f"broken: {error!r}"
-        finally:
-            if writer:
-                writer.close()
-        case.log(f"{name}-{number} {start_line} at {router.name}: {outcome}")
-        if status == 200 or time.monotonic() + wait_s > end:
-            break
-        await asyncio.sleep(wait_s)
-    return status
